--- /dev/null
+++ b/crates/core/src/interface.rs
@@ -0,0 +1,339 @@
+//! What the decision module (`policy.rs`) is told and what it answers. No decisions here.
+
+/// Integer microseconds, as a point on the caller's monotonic clock or as a span.
+pub type Micros = i64;
+
+/// An upstream, numbered densely by the caller in the order this instance first heard of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UpstreamId(pub u32);
+
+/// A request this instance has taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// Where repeats of a keyed request are dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DedupGroup {
+    /// Any upstream drops them.
+    All,
+    /// The upstreams of one zone.
+    Zone,
+    /// The upstreams of one cell.
+    Cell,
+}
+
+/// Whether a request that may have run can run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Any number of times.
+    Repeatable,
+    /// Within the group that drops repeats, for `window` from the send of an attempt that may have run.
+    Keyed {
+        /// The upstreams that drop repeats.
+        group: DedupGroup,
+        /// For how long they do.
+        window: Micros,
+    },
+    /// Never.
+    Once,
+}
+
+/// One class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// An answer within this time earns the full worth.
+    pub aim: Micros,
+    /// Growth of the aim with the request's own work (0: none).
+    pub aim_stretch: f64,
+    /// All the time a client waits, over its tries.
+    pub deadline: Micros,
+    /// What an answer is worth.
+    pub worth: f64,
+    /// Share of the worth paid for an answer past the aim.
+    pub late_worth: f64,
+    /// Whether it may run again.
+    pub effect: Effect,
+    /// The answer is a stream.
+    pub stream: bool,
+}
+
+/// One tenant and its allowance.
+#[derive(Clone, Copy, Debug)]
+pub struct Tenant {
+    /// Share of the service allotted.
+    pub share: f64,
+    /// Requests a second over all instances that count as within the share.
+    pub allowance_per_s: f64,
+}
+
+/// Points taken off the result, each times its share or rate.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Prices {
+    /// Attempts that cross zones, a first try.
+    pub cross_zone: f64,
+    /// Upstream work without an answer, as a share of the work offered.
+    pub waste: f64,
+    /// Worth that ended unserved after its aim.
+    pub late_fail: f64,
+    /// Probes, a first try.
+    pub probe: f64,
+    /// 256 bytes delivered to peers, a first try.
+    pub peer: f64,
+}
+
+/// What an instance is handed at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Instances in this tier.
+    pub instances: u32,
+    /// This instance's number, from 0.
+    pub me: u32,
+    /// This instance's zone.
+    pub my_zone: u32,
+    /// How many zones are named.
+    pub zones: u32,
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// The tenants; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// Worth of a request past its tenant's share, as a part of its class's worth.
+    pub over_share_worth: f64,
+    /// Worth is counted for each unit of work, not for each request.
+    pub worth_by_work: bool,
+    /// Points taken off.
+    pub prices: Prices,
+    /// The list comes only when asked for.
+    pub list_on_request: bool,
+    /// Past this without asking, the instance counts as told.
+    pub must_ask_in: Micros,
+    /// Sends to a draining or gone upstream must stop within this.
+    pub drain_grace: Micros,
+    /// Least share of its capacity that a started upstream has.
+    pub cold_from: f64,
+    /// It is warm no later than this.
+    pub warm_within: Micros,
+    /// It falls over when sent more than this multiple of its present capacity ...
+    pub fall_multiple: f64,
+    /// ... over this span.
+    pub fall_span: Micros,
+    /// The most attempts of one request.
+    pub attempts_cap: u32,
+    /// A connection that is not ready by then has failed.
+    pub connect_limit: Micros,
+    /// Attempts may be called off.
+    pub may_cancel: bool,
+    /// Two attempts of one request may be out together.
+    pub second_copies: bool,
+    /// Probes are allowed.
+    pub probes: bool,
+    /// Peer messages are allowed.
+    pub peer_messages: bool,
+    /// Clients may be told when to come back, up to this long; `None`: they get no advice.
+    pub max_retry_after: Option<Micros>,
+    /// Clients mark their repeats.
+    pub marks_repeats: bool,
+    /// A listed size says how large an upstream is.
+    pub sized: bool,
+}
+
+/// What the list says of an upstream's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifecycle {
+    /// It runs.
+    Running,
+    /// It finishes its work: nothing new.
+    Draining,
+    /// It is removed.
+    Gone,
+}
+
+/// One upstream as listed.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    /// Which one.
+    pub upstream: UpstreamId,
+    /// Its life.
+    pub lifecycle: Lifecycle,
+    /// Its last start; `None`: long ago.
+    pub last_start: Option<Micros>,
+    /// Its zone.
+    pub zone: u32,
+    /// Its cell.
+    pub cell: u32,
+    /// Its machine kind.
+    pub kind: u32,
+    /// Its listed size, to be compared with that of others.
+    pub size: f64,
+}
+
+/// How list news is to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Only what changed.
+    Patch,
+    /// The complete list.
+    Whole,
+    /// The complete list as last held, perhaps out of date.
+    StaleCopy,
+    /// A call failed or the subscription broke; the held list stays.
+    Broken,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Served,
+    /// Answered with an error; it may have run.
+    Error,
+    /// Sent back unseen.
+    Full,
+    /// No answer within the limit; it may have run.
+    TimedOut,
+    /// No connection; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+/// A request as it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct NewRequest {
+    /// Its id; never used again.
+    pub id: RequestId,
+    /// Its class (index).
+    pub class: u32,
+    /// Its tenant (index).
+    pub tenant: u32,
+    /// A digest of its subject; equal subjects have equal digests.
+    pub key: Option<u64>,
+    /// Time until the client stops waiting for this try.
+    pub budget: Micros,
+    /// Expected work on a standard core.
+    pub cost_hint: Option<Micros>,
+    /// A client's repeat, where clients mark them.
+    pub repeat: bool,
+    /// It writes.
+    pub write: bool,
+}
+
+/// Something that happened.
+#[derive(Clone, Copy, Debug)]
+pub enum Event<'a> {
+    /// News of the list.
+    List {
+        /// How to read it.
+        kind: ListKind,
+        /// The entries; none when broken.
+        entries: &'a [Entry],
+    },
+    /// A request was taken.
+    Request(NewRequest),
+    /// An attempt ended; each attempt sent ends once.
+    AttemptEnded {
+        /// Its request.
+        request: RequestId,
+        /// Its number among the request's attempts, from 0.
+        attempt: u32,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time from its send.
+        elapsed: Micros,
+        /// The request is over, by this or before.
+        over: bool,
+    },
+    /// The answer's stream has begun; the attempt is the client's now.
+    StreamStarted {
+        /// Its request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: u32,
+    },
+    /// The client has left, or the request is over for another reason.
+    RequestGone {
+        /// Which one.
+        request: RequestId,
+    },
+    /// A timer came due.
+    Timer {
+        /// As set.
+        token: u64,
+    },
+    /// A probe ended.
+    ProbeEnded {
+        /// The upstream probed.
+        upstream: UpstreamId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time from its send.
+        elapsed: Micros,
+    },
+    /// A peer sent a message.
+    PeerMessage {
+        /// Its number.
+        from: u32,
+        /// What it sent.
+        bytes: &'a [u8],
+    },
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Begin an attempt; attempts of a request number 0, 1, 2 ... in this order.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// Where to.
+        upstream: UpstreamId,
+        /// Time limit; `None`: until the client gives up.
+        limit: Option<Micros>,
+    },
+    /// Call an attempt off.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: u32,
+    },
+    /// Final answer: no, and a new try does no harm.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// How long the client should keep away.
+        retry_after: Option<Micros>,
+    },
+    /// Final answer: failed.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Ask for a timer.
+    Timer {
+        /// Time from now.
+        after: Micros,
+        /// Handed back with it.
+        token: u64,
+    },
+    /// Ask for list changes from now on, or stop.
+    Subscribe(bool),
+    /// Ask for the whole list once.
+    FetchList,
+    /// Probe an upstream.
+    Probe(UpstreamId),
+    /// Send bytes to a peer, or to all.
+    TellPeers {
+        /// Its number; `None`: all.
+        to: Option<u32>,
+        /// At most 256 bytes.
+        bytes: Vec<u8>,
+    },
+    /// Close idle connections to an upstream.
+    CloseIdle(UpstreamId),
+    /// A line for the report.
+    Note(String),
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,9 @@
+//! The decisions of silvercross, a client-side load balancer.
+//!
+//! Sans-IO: the caller hands in [`interface::Settings`] once, then [`interface::Event`]s with the time they
+//! happened at, and carries out the [`interface::Action`]s that come back. Equal events give equal actions.
+#![forbid(unsafe_code)]
+
+pub mod interface;
+pub mod policy;
+mod state;
--- /dev/null
+++ b/crates/core/src/policy.rs
@@ -0,0 +1,624 @@
+//! ALL decisions of silvercross; its types, events and actions are in `interface.rs`.
+//! The mechanism follows the design page (docs/design.md): an upstream is excluded for a growing cooldown after
+//! transport failures, readmitted through the next real request, dead only when successes elsewhere corroborate.
+use crate::interface::*;
+use crate::state::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{HashMap, VecDeque};
+
+// --- constants, with reasons --------------------------------------------------------------------------------
+const MS: Micros = 1_000;
+const S: Micros = 1_000_000;
+/// Cooldowns double from here: about the time in which a process restarts or a link heals (design page).
+const COOLDOWN_BASE: Micros = 2 * S;
+const COOLDOWN_CAP: Micros = 20 * S;
+/// Dead needs this many counted failures, over this long, each no further apart than the gap.
+const DEAD_FAILURES: u32 = 5;
+const DEAD_STREAK: Micros = 10 * S;
+const STREAK_GAP: Micros = 30 * S;
+const DEAD_COOLDOWN: Micros = 30 * S;
+/// A success elsewhere corroborates within this.
+const CORROBORATION: Micros = 5 * S;
+/// All failed for this long, at two upstreams or more: the fault is here. Then nothing counts; grace after it.
+const BLAME_SPAN: Micros = 2 * S;
+const BLAME_GRACE: Micros = 5 * S;
+/// Other zones join when fewer than this share of the own zone's upstreams is eligible.
+const SPILL_SHARE: f64 = 0.5;
+/// An upstream above this multiple of the mean expected answer time is passed over in the rotation.
+const MARGIN: f64 = 1.2;
+/// First-answer limit: this many usual latencies, but between these shares of the aim.
+const LIMIT_USUAL: f64 = 8.0;
+const LIMIT_AIM: (f64, f64) = (0.25, 0.6);
+/// Weight of one answer in the estimates; a server's own evidence fades to its kind's in FADE.
+const LEARN: f64 = 0.1;
+const FADE: f64 = 4e6;
+/// Errors weigh like an answer this many usual latencies late.
+const ERROR_WEIGHT: f64 = 12.0;
+/// Second tries: this share of first ones, saved up to the cap. More turns overload into collapse.
+const RETRY_SHARE: f64 = 0.15;
+const RETRY_CAP: f64 = 5.0;
+/// Part of the cold budget used: estimates of a warm upstream's load are rough.
+const COLD_CARE: f64 = 0.6;
+/// Refuse when the expected answer time of a usual request passes this share of the time left.
+const REFUSE_AT: f64 = 0.9;
+const LIST_TOKEN: u64 = 1 << 60;
+
+// --- state ----------------------------------------------------------------------------------------------------
+/// One instance's decisions.
+pub struct Balancer {
+    set: Settings,
+    rng: Pcg64Mcg,
+    now: Micros,
+    upstreams: Vec<Upstream>,
+    zone_order: Vec<u32>,
+    turn: usize,
+    subscribed: bool,
+    asked: bool,
+    list_failures: u32,
+    last_life: Micros,
+    fails: VecDeque<(Micros, usize)>,
+    blamed: bool,
+    grace_until: Micros,
+    pending: HashMap<RequestId, Pending>,
+    usual: Vec<Usual>,
+    kinds: Vec<f64>,
+    retry_tokens: f64,
+    /// Work sent to warm upstreams, fading, for the cold budget.
+    warm_rate: f64,
+    warm_at: Micros,
+}
+
+impl Balancer {
+    /// A new instance, at its start; its first event should be the stale copy of the list.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut zone_order: Vec<u32> = (0..settings.zones).filter(|z| *z != settings.my_zone).collect();
+        for i in (1..zone_order.len()).rev() {
+            zone_order.swap(i, (rng.next_u64() % (i as u64 + 1)) as usize);
+        }
+        let guess = |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0 };
+        let usual = settings.classes.iter().map(guess).collect();
+        let turn = (rng.next_u64() % 4096) as usize;
+        Balancer {
+            set: settings,
+            rng,
+            now,
+            upstreams: Vec::new(),
+            zone_order,
+            turn,
+            subscribed: false,
+            asked: false,
+            list_failures: 0,
+            last_life: LONG_AGO,
+            fails: VecDeque::new(),
+            blamed: false,
+            grace_until: LONG_AGO,
+            pending: HashMap::new(),
+            usual,
+            kinds: Vec::new(),
+            retry_tokens: RETRY_CAP / 2.0,
+            warm_rate: 0.0,
+            warm_at: now,
+        }
+    }
+
+    /// Take one event and append what is to be done about it.
+    pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::List { kind, entries } => self.on_list(kind, entries, out),
+            Event::Request(r) => self.on_request(r, out),
+            Event::AttemptEnded { request, attempt, outcome, elapsed, over } => {
+                self.on_ended(request, attempt, outcome, elapsed, over, out)
+            }
+            Event::StreamStarted { request, attempt } => {
+                if let Some(p) = self.pending.get_mut(&request) {
+                    p.streaming = true;
+                    if let Some(u) = p.attempts.get(attempt as usize).map(|a| a.upstream) {
+                        self.life(u);
+                    }
+                }
+            }
+            Event::RequestGone { request } => self.close(request, out),
+            Event::Timer { token: LIST_TOKEN } => self.ask(out),
+            Event::Timer { token } => self.review(RequestId(token), out),
+            Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
+        }
+    }
+
+    fn random(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    // --- list -------------------------------------------------------------------------------------------------
+    fn on_list(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
+        match kind {
+            ListKind::Broken => {
+                // The list service is small: back off, spread by chance, so that no storm of calls keeps it down.
+                self.subscribed = false;
+                self.asked = false;
+                self.list_failures = (self.list_failures + 1).min(4);
+                let wait = (S << self.list_failures) / 2;
+                self.ask_in(wait, out);
+                return;
+            }
+            ListKind::StaleCopy => {
+                if self.set.list_on_request {
+                    self.ask_in(S / 2, out); // all may start at once: spread the first calls too
+                }
+            }
+            ListKind::Patch | ListKind::Whole => {
+                if self.asked {
+                    self.subscribed = true;
+                }
+                self.list_failures = 0;
+            }
+        }
+        if kind != ListKind::Patch {
+            self.upstreams.iter_mut().for_each(|u| u.listed = false);
+        }
+        for e in entries {
+            let i = e.upstream.0 as usize;
+            let known = self.upstreams.len();
+            for id in known..=i {
+                let blank = Entry { upstream: UpstreamId(id as u32), ..*e };
+                self.upstreams.push(Upstream::new(blank));
+            }
+            let u = &mut self.upstreams[i];
+            let restarted = i < known && e.last_start > u.entry.last_start;
+            if restarted {
+                // A new start is a new process: old failures and speed say nothing of it, and it is cold again.
+                let (out_now, work_out) = (u.out, u.work_out);
+                let recent = std::mem::take(&mut u.recent);
+                *u = Upstream { out: out_now, work_out, recent, ..Upstream::new(*e) };
+            }
+            u.entry = *e;
+            u.listed = e.lifecycle == Lifecycle::Running;
+            if self.kinds.len() <= e.kind as usize && e.kind < 1024 {
+                self.kinds.resize(e.kind as usize + 1, 1.0);
+            }
+        }
+    }
+
+    fn ask_in(&mut self, span: Micros, out: &mut Vec<Action>) {
+        let after = (span as f64 * (0.5 + self.random())) as Micros;
+        out.push(Action::Timer { after, token: LIST_TOKEN });
+    }
+
+    fn ask(&mut self, out: &mut Vec<Action>) {
+        if !self.subscribed && !self.asked {
+            self.asked = true;
+            out.push(Action::Subscribe(true));
+        }
+    }
+
+    // --- liveness ---------------------------------------------------------------------------------------------
+    fn eligible(&self, u: &Upstream) -> bool {
+        match u.state {
+            State::Unknown | State::Online => true,
+            // After expiry: the next real request, one at a time until a success.
+            State::Offline { until, .. } | State::Dead { until, .. } => self.now >= until && u.scouts == 0,
+        }
+    }
+
+    fn life(&mut self, i: usize) {
+        self.last_life = self.now;
+        if self.blamed {
+            self.blamed = false;
+            self.grace_until = self.now + BLAME_GRACE;
+            for u in &mut self.upstreams {
+                if u.excluded() {
+                    u.state = State::Unknown;
+                    u.failures = 0;
+                }
+            }
+        }
+        let u = &mut self.upstreams[i];
+        u.state = State::Online;
+        u.failures = 0;
+        u.last_life = self.now;
+    }
+
+    /// A transport failure of an attempt sent at `sent`.
+    fn failure(&mut self, i: usize, sent: Micros) {
+        let now = self.now;
+        self.fails.push_back((now, i));
+        while self.fails.front().is_some_and(|f| f.0 < now - BLAME_SPAN) {
+            self.fails.pop_front();
+        }
+        if self.last_life < now - BLAME_SPAN && self.fails.iter().any(|f| f.1 != i) {
+            self.blamed = true;
+        }
+        if self.blamed || now < self.grace_until {
+            return;
+        }
+        let u = &self.upstreams[i];
+        // A sign of life since the send outweighs it; what was sent before a cooldown began is no new evidence.
+        if u.last_life >= sent {
+            return;
+        }
+        if let State::Offline { since, until } | State::Dead { since, until } = u.state {
+            if sent < since || now < until {
+                return;
+            }
+        }
+        let before = u.last_failure;
+        let elsewhere =
+            |(j, o): (usize, &Upstream)| j != i && o.last_life > before && now - o.last_life <= CORROBORATION;
+        let corroborated = self.upstreams.iter().enumerate().any(elsewhere);
+        let u = &mut self.upstreams[i];
+        if u.failures == 0 || now - u.last_failure > STREAK_GAP {
+            u.failures = 0;
+            u.streak_start = now;
+        }
+        u.failures += 1;
+        u.last_failure = now;
+        let long = now - u.streak_start >= DEAD_STREAK;
+        u.state = if u.failures >= DEAD_FAILURES && long && corroborated {
+            State::Dead { since: now, until: now + DEAD_COOLDOWN }
+        } else {
+            let wait = (COOLDOWN_BASE << (u.failures - 1).min(8)).min(COOLDOWN_CAP);
+            State::Offline { since: now, until: now + wait }
+        };
+    }
+
+    // --- estimates --------------------------------------------------------------------------------------------
+    /// How slow this upstream is against the usual: own evidence, fading to that of its kind.
+    fn slowness(&self, u: &Upstream) -> f64 {
+        let kind = self.kinds.get(u.entry.kind as usize).copied().unwrap_or(1.0);
+        let fresh = (-((self.now - u.fed).max(0) as f64) / FADE).exp();
+        (kind + (u.slow - kind) * fresh) + u.errors * fresh * ERROR_WEIGHT
+    }
+
+    /// Expected answer time there of a request with this much expected work.
+    fn expect(&self, u: &Upstream, work: f64) -> f64 {
+        self.slowness(u) * (work + u.work_out)
+    }
+
+    fn learn(&mut self, class: usize, unit: f64, i: usize, elapsed: Micros, served: bool) {
+        let k = &mut self.usual[class];
+        let work = k.per_unit * unit;
+        let ratio = (elapsed as f64 / work.max(1.0)).min(10.0);
+        if served {
+            k.seen += 1.0;
+            k.per_unit *= 1.0 + (ratio - 1.0) * (1.0 / k.seen).max(0.01);
+        }
+        let kind = self.upstreams[i].entry.kind as usize;
+        let prior = self.kinds.get(kind).copied().unwrap_or(1.0);
+        let now = self.now;
+        let u = &mut self.upstreams[i];
+        let fresh = (-((now - u.fed).max(0) as f64) / FADE).exp();
+        u.errors = u.errors * fresh * (1.0 - LEARN) + if served { 0.0 } else { LEARN };
+        if served {
+            let held = prior + (u.slow - prior) * fresh;
+            u.slow = held + (ratio - held) * LEARN;
+            if let Some(k) = self.kinds.get_mut(kind) {
+                *k += (ratio - *k) * 0.02;
+            }
+        }
+        u.fed = now;
+    }
+
+    // --- pick -------------------------------------------------------------------------------------------------
+    /// Where the effect rules let this request go now: everywhere, a group, or (`None`) nowhere.
+    fn allowed(&self, p: &Pending) -> Option<Option<(DedupGroup, usize)>> {
+        let risky =
+            |a: &&Attempt| !matches!(a.ended, Some(Outcome::Full | Outcome::ConnectFailed | Outcome::Moot));
+        let Some(first) = p.attempts.iter().find(risky) else { return Some(None) };
+        match self.set.classes[p.class].effect {
+            Effect::Repeatable => Some(None),
+            Effect::Once => None,
+            // The window runs from each attempt that may have run; the earliest ends first.
+            Effect::Keyed { group, window } => {
+                (self.now < first.sent + window - MS).then_some(Some((group, first.upstream)))
+            }
+        }
+    }
+
+    fn pick(&mut self, p: &Pending) -> Option<usize> {
+        let group = self.allowed(p)?;
+        let once = self.set.classes[p.class].effect == Effect::Once;
+        let work = self.usual[p.class].per_unit * p.unit;
+        let n = self.upstreams.len();
+        let ours = self.set.my_zone;
+        let fits = |i: usize| {
+            let u = &self.upstreams[i];
+            let grouped = group.is_none_or(|(g, f)| u.within(g, &self.upstreams[f].entry));
+            u.listed && grouped && !p.attempts.iter().any(|a| a.upstream == i) && self.cold_room(u, work)
+        };
+        let open = |i: usize| fits(i) && self.eligible(&self.upstreams[i]);
+        let listed_here = self.upstreams.iter().filter(|u| u.listed && u.entry.zone == ours).count();
+        let mut pool: Vec<(usize, f64)> = Vec::with_capacity(n);
+        let mut away: Vec<(usize, f64)> = Vec::with_capacity(n);
+        for i in (0..n).filter(|i| open(*i)) {
+            let u = &self.upstreams[i];
+            let to = if u.entry.zone == ours { &mut pool } else { &mut away };
+            to.push((i, self.expect(u, work)));
+        }
+        if (pool.len() as f64) < listed_here as f64 * SPILL_SHARE || pool.is_empty() {
+            // The page's spill: other zones in this balancer's own order, until half as many are there again.
+            for z in &self.zone_order {
+                pool.extend(away.iter().filter(|c| self.upstreams[c.0].entry.zone == *z));
+                if pool.len() as f64 >= listed_here as f64 * SPILL_SHARE && !pool.is_empty() {
+                    break;
+                }
+            }
+        } else if let Some(best) = pool.iter().map(|c| c.1).reduce(f64::min) {
+            // Exception, lasting imbalance: the own zone's best is expected later than another's by more than a
+            // crossing is worth, the price being the share of an aim. Heavy requests cross first, by themselves.
+            let toll = self.set.prices.cross_zone * self.set.classes[p.class].aim as f64;
+            let far: Vec<_> = away.iter().copied().filter(|c| c.1 + toll + 20e3 < best).collect();
+            if !far.is_empty() {
+                pool = far;
+            }
+        }
+        if once && pool.iter().any(|c| !self.upstreams[c.0].excluded()) {
+            // What cannot be sent again is a poor scout.
+            pool.retain(|c| !self.upstreams[c.0].excluded());
+        }
+        if pool.is_empty() {
+            if !p.attempts.is_empty() {
+                return None;
+            }
+            return (0..n).filter(|i| fits(*i)).min_by_key(|i| self.upstreams[*i].until());
+        }
+        let mean = pool.iter().map(|c| c.1).sum::<f64>() / pool.len() as f64;
+        let rank = |i: usize| (i + n - self.turn % n) % n;
+        let next = pool.iter().filter(|c| c.1 <= mean * MARGIN).min_by_key(|c| rank(c.0));
+        let i = next.or_else(|| pool.iter().min_by(|a, b| a.1.total_cmp(&b.1)))?.0;
+        self.turn = i + 1;
+        Some(i)
+    }
+
+    // --- attempts ---------------------------------------------------------------------------------------------
+    fn send(&mut self, id: RequestId, p: &mut Pending, i: usize, out: &mut Vec<Action>) {
+        let work = self.usual[p.class].per_unit * p.unit;
+        let limit = self.first_answer(p.class, work);
+        let retry = self.set.classes[p.class].effect != Effect::Once && !self.set.second_copies;
+        let aim_at = p.arrived + self.set.classes[p.class].aim;
+        // Where no second copy may go out, a late first answer has to be given up before another is tried.
+        let cut = retry && self.now + limit < aim_at && p.attempts.len() + 1 < self.set.attempts_cap as usize;
+        let left = p.deadline - self.now;
+        let now = self.now;
+        self.charge(i, work);
+        let u = &mut self.upstreams[i];
+        u.out += 1;
+        u.work_out += work;
+        let scout = u.excluded();
+        u.scouts += scout as u32;
+        p.attempts.push(Attempt {
+            upstream: i,
+            sent: now,
+            ended: None,
+            scout,
+            own_limit: cut && limit < left,
+            suspected: false,
+            ordered_off: false,
+        });
+        p.out += 1;
+        out.push(Action::Send {
+            request: id,
+            upstream: self.upstreams[i].entry.upstream,
+            limit: (cut && limit < left).then_some(limit),
+        });
+        if !(cut && limit < left) && limit < left {
+            out.push(Action::Timer { after: limit, token: id.0 });
+        }
+    }
+
+    /// Our own first-answer limit: well above the usual latency of such a request.
+    fn first_answer(&self, class: usize, work: f64) -> Micros {
+        let aim = self.set.classes[class].aim as f64;
+        (work * LIMIT_USUAL).clamp(aim * LIMIT_AIM.0, aim * LIMIT_AIM.1) as Micros
+    }
+
+    /// A first-answer limit has passed: it counts, and a second copy goes out where one may.
+    fn review(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(mut p) = self.pending.remove(&id) else { return };
+        let work = self.usual[p.class].per_unit * p.unit;
+        let limit = self.first_answer(p.class, work);
+        let mut late = false;
+        for k in 0..p.attempts.len() {
+            let a = p.attempts[k];
+            if a.ended.is_none() && !a.suspected && self.now >= a.sent + limit - MS {
+                p.attempts[k].suspected = true;
+                late = true;
+                self.failure(a.upstream, a.sent);
+            }
+        }
+        if late && !p.over && !p.streaming && self.set.second_copies {
+            self.again(id, &mut p, true, out);
+        }
+        self.pending.insert(id, p);
+    }
+
+    /// One more attempt, if rules, time and the retry budget allow.
+    fn again(&mut self, id: RequestId, p: &mut Pending, paid: bool, out: &mut Vec<Action>) -> bool {
+        let c = &self.set.classes[p.class];
+        let end = if c.late_worth > 0.0 { p.deadline } else { p.deadline.min(p.arrived + c.aim) };
+        let work = self.usual[p.class].per_unit * p.unit;
+        if p.attempts.len() >= self.set.attempts_cap as usize
+            || (p.out > 0 && !self.set.second_copies)
+            || (self.now as f64 + work * 0.5 > end as f64)
+            || (paid && self.retry_tokens < 1.0)
+        {
+            return false;
+        }
+        let Some(i) = self.pick(p) else { return false };
+        if paid {
+            self.retry_tokens -= 1.0;
+        }
+        self.send(id, p, i, out);
+        true
+    }
+
+    fn on_ended(
+        &mut self,
+        id: RequestId,
+        n: u32,
+        outcome: Outcome,
+        elapsed: Micros,
+        over: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(mut p) = self.pending.remove(&id) else { return };
+        let Some(a) = p.attempts.get_mut(n as usize).filter(|a| a.ended.is_none()) else {
+            self.pending.insert(id, p);
+            return;
+        };
+        a.ended = Some(outcome);
+        let a = *a;
+        p.out -= 1;
+        let work = self.usual[p.class].per_unit * p.unit;
+        let u = &mut self.upstreams[a.upstream];
+        u.out = u.out.saturating_sub(1);
+        u.work_out = if u.out == 0 { 0.0 } else { (u.work_out - work).max(0.0) };
+        u.scouts -= (a.scout && u.scouts > 0) as u32;
+        match outcome {
+            Outcome::Served => {
+                self.life(a.upstream);
+                self.learn(p.class, p.unit, a.upstream, elapsed, true);
+            }
+            Outcome::Error => {
+                // A sign of life, whatever it says; passed over softly by its estimate, never excluded.
+                self.life(a.upstream);
+                self.learn(p.class, p.unit, a.upstream, elapsed, false);
+            }
+            Outcome::Full => {
+                self.life(a.upstream);
+                self.learn(p.class, p.unit, a.upstream, (work * 6.0) as Micros, false);
+            }
+            Outcome::TimedOut if a.own_limit && !a.suspected => self.failure(a.upstream, a.sent),
+            Outcome::ConnectFailed | Outcome::Reset => self.failure(a.upstream, a.sent),
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
+        }
+        if over || outcome == Outcome::Served {
+            p.over = true;
+            self.call_off(id, &mut p, out);
+        }
+        if !p.over && self.now >= p.deadline - MS && p.out == 0 {
+            p.over = true;
+            out.push(Action::Fail { request: id });
+        }
+        if !p.over && !p.streaming {
+            let free = matches!(outcome, Outcome::Full | Outcome::ConnectFailed);
+            if !self.again(id, &mut p, !free, out) && p.out == 0 {
+                self.give_up(id, &mut p, out);
+            }
+        }
+        if !p.over || p.out > 0 {
+            self.pending.insert(id, p);
+        }
+    }
+
+    fn call_off(&mut self, id: RequestId, p: &mut Pending, out: &mut Vec<Action>) {
+        if !self.set.may_cancel {
+            return;
+        }
+        for (k, a) in p.attempts.iter_mut().enumerate() {
+            if a.ended.is_none() && !a.ordered_off {
+                a.ordered_off = true;
+                out.push(Action::Cancel { request: id, attempt: k as u32 });
+            }
+        }
+    }
+
+    fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(mut p) = self.pending.remove(&id) else { return };
+        p.over = true;
+        self.call_off(id, &mut p, out);
+        if p.out > 0 {
+            self.pending.insert(id, p);
+        }
+    }
+
+    /// The final answer of a request given up on: at once, and a refusal only where a new try does no harm.
+    fn give_up(&mut self, id: RequestId, p: &mut Pending, out: &mut Vec<Action>) {
+        p.over = true;
+        let harmless = match self.allowed(p) {
+            None => false,
+            Some(None) => true,
+            Some(Some((g, _))) => g == DedupGroup::All,
+        };
+        if harmless {
+            let retry_after = self.set.max_retry_after.map(|m| (S / 2).min(m));
+            out.push(Action::Refuse { request: id, retry_after });
+        } else {
+            out.push(Action::Fail { request: id });
+        }
+    }
+
+    // --- admission --------------------------------------------------------------------------------------------
+    fn on_request(&mut self, r: NewRequest, out: &mut Vec<Action>) {
+        let Some(class) = self.set.classes.get(r.class as usize) else {
+            out.push(Action::Fail { request: r.id });
+            return;
+        };
+        let (aim, class) = (class.aim, r.class as usize);
+        let unit = r.cost_hint.map_or(1.0, |h| h.max(1) as f64);
+        let k = &mut self.usual[class];
+        if r.cost_hint.is_some() && k.seen == 0.0 && k.per_unit > 100.0 {
+            k.per_unit = 1.5; // a hint is work on a standard core; until answers tell, assume somewhat slower
+        }
+        k.unit = if k.seen == 0.0 { unit } else { k.unit + (unit - k.unit) * 0.02 };
+        let mut p = Pending {
+            class,
+            arrived: self.now,
+            deadline: self.now + r.budget,
+            unit,
+            attempts: Vec::new(),
+            out: 0,
+            over: false,
+            streaming: false,
+        };
+        self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
+        let Some(i) = self.pick(&p) else { return self.give_up(r.id, &mut p, out) };
+        let k = self.usual[class];
+        let usual = self.expect(&self.upstreams[i], k.per_unit * k.unit);
+        let left = aim.min(r.budget) as f64;
+        if usual > left * REFUSE_AT && self.upstreams[i].out > 0 {
+            return self.give_up(r.id, &mut p, out);
+        }
+        self.send(r.id, &mut p, i, out);
+        self.pending.insert(r.id, p);
+    }
+
+    // --- cold budget ------------------------------------------------------------------------------------------
+    /// The least share of its capacity a started upstream has now; `None` once warm.
+    fn cold_share(&self, u: &Upstream) -> Option<f64> {
+        let age = self.now - u.entry.last_start?;
+        let grown = age as f64 / self.set.warm_within.max(1) as f64;
+        (grown < 1.0).then(|| self.set.cold_from + (1.0 - self.set.cold_from) * grown.max(0.0))
+    }
+
+    /// Whether the cold budget has room: what this balancer sends a warm upstream is its share of what such a
+    /// one can do, so the multiple of the present part of that, over the span, is its share of the budget.
+    fn cold_room(&self, u: &Upstream, work: f64) -> bool {
+        let Some(share) = self.cold_share(u) else { return true };
+        let span = self.set.fall_span;
+        let sent: f64 = u.recent.iter().filter(|r| r.0 > self.now - span).map(|r| r.1).sum();
+        let warm = self.upstreams.iter().filter(|u| u.listed && self.cold_share(u).is_none()).count();
+        let rate = self.warm_rate / warm.max(1) as f64;
+        let budget = self.set.fall_multiple * share * rate * span as f64 * COLD_CARE;
+        (sent == 0.0 && u.out == 0) || (sent + work <= budget && u.out < 4)
+    }
+
+    fn charge(&mut self, i: usize, work: f64) {
+        let now = self.now;
+        // Work a microsecond to warm upstreams, over some seconds.
+        let over = 6e6;
+        self.warm_rate *= (-((now - self.warm_at) as f64) / over).exp();
+        self.warm_at = now;
+        if self.cold_share(&self.upstreams[i]).is_none() {
+            self.warm_rate += work / over;
+            return;
+        }
+        let old = now - self.set.fall_span;
+        let recent = &mut self.upstreams[i].recent;
+        while recent.front().is_some_and(|r| r.0 <= old) {
+            recent.pop_front();
+        }
+        recent.push_back((now, work));
+    }
+}
--- /dev/null
+++ b/crates/core/src/state.rs
@@ -0,0 +1,105 @@
+//! What the decision module remembers: plain records. No decisions here.
+use crate::interface::*;
+use std::collections::VecDeque;
+
+/// Before any time the clock can show.
+pub(crate) const LONG_AGO: Micros = i64::MIN / 4;
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub(crate) enum State {
+    Unknown,
+    Online,
+    Offline { since: Micros, until: Micros },
+    Dead { since: Micros, until: Micros },
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    pub listed: bool,
+    pub entry: Entry,
+    pub state: State,
+    pub failures: u32,
+    pub streak_start: Micros,
+    pub last_failure: Micros,
+    pub last_life: Micros,
+    pub scouts: u32,
+    /// Answer time as a multiple of the usual (own estimate), how much it rests on, and when it was last fed.
+    pub slow: f64,
+    pub fed: Micros,
+    pub errors: f64,
+    pub out: u32,
+    pub work_out: f64,
+    /// Work sent within the cold budget's window.
+    pub recent: VecDeque<(Micros, f64)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub upstream: usize,
+    pub sent: Micros,
+    pub ended: Option<Outcome>,
+    pub scout: bool,
+    pub own_limit: bool,
+    pub suspected: bool,
+    pub ordered_off: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    pub class: usize,
+    pub arrived: Micros,
+    pub deadline: Micros,
+    pub unit: f64,
+    pub attempts: Vec<Attempt>,
+    pub out: u32,
+    pub over: bool,
+    pub streaming: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Usual {
+    /// Usual answer time per unit (the hint in microseconds where there is one, else 1), and the usual unit.
+    pub per_unit: f64,
+    pub unit: f64,
+    pub seen: f64,
+}
+
+impl Upstream {
+    pub fn new(entry: Entry) -> Self {
+        Upstream {
+            listed: false,
+            entry,
+            state: State::Unknown,
+            failures: 0,
+            streak_start: LONG_AGO,
+            last_failure: LONG_AGO,
+            last_life: LONG_AGO,
+            scouts: 0,
+            slow: 1.0,
+            fed: LONG_AGO,
+            errors: 0.0,
+            out: 0,
+            work_out: 0.0,
+            recent: VecDeque::new(),
+        }
+    }
+
+    pub fn excluded(&self) -> bool {
+        matches!(self.state, State::Offline { .. } | State::Dead { .. })
+    }
+
+    pub fn until(&self) -> Micros {
+        match self.state {
+            State::Unknown | State::Online => LONG_AGO,
+            State::Offline { until, .. } | State::Dead { until, .. } => until,
+        }
+    }
+
+    pub fn within(&self, group: DedupGroup, of: &Entry) -> bool {
+        match group {
+            DedupGroup::All => true,
+            DedupGroup::Zone => self.entry.zone == of.zone,
+            DedupGroup::Cell => self.entry.cell == of.cell && self.entry.zone == of.zone,
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/settings.rs
@@ -0,0 +1,193 @@
+//! The settings object of `NEW_INSTANCE`, turned into the core's words. Unknown keys are skipped.
+use crate::seconds;
+use serde::Deserialize;
+use silvercross_core::interface::{Class, DedupGroup, Effect, Prices, Settings, Tenant};
+
+#[derive(Deserialize)]
+struct Info {
+    #[serde(default = "one_u32")]
+    balancers: u32,
+    #[serde(default)]
+    me: u32,
+    #[serde(default)]
+    my_zone: u32,
+    #[serde(default)]
+    areas: Vec<serde_json::Value>,
+    classes: Vec<InfoClass>,
+    #[serde(default)]
+    tenants: Vec<InfoTenant>,
+    #[serde(default = "one")]
+    over_share_worth: f64,
+    #[serde(default)]
+    counted_by: String,
+    #[serde(default)]
+    clients: InfoClients,
+    #[serde(default)]
+    discovery: String,
+    #[serde(default)]
+    weights: String,
+    limits: InfoLimits,
+    rules: InfoRules,
+    #[serde(default)]
+    prices: InfoPrices,
+}
+
+#[derive(Deserialize)]
+struct InfoClass {
+    aim_s: f64,
+    deadline_s: f64,
+    #[serde(default)]
+    aim_stretch: f64,
+    effect: String,
+    #[serde(default)]
+    dedup_scope: String,
+    #[serde(default)]
+    key_ttl_s: f64,
+    #[serde(default = "one")]
+    importance: f64,
+    #[serde(default)]
+    late_value: f64,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct InfoTenant {
+    #[serde(default)]
+    share: f64,
+    #[serde(default)]
+    allowance_per_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+struct InfoClients {
+    #[serde(default)]
+    marks_retry: bool,
+}
+
+#[derive(Deserialize)]
+struct InfoLimits {
+    #[serde(default = "one_u32")]
+    attempts_cap: u32,
+    #[serde(default)]
+    connect_timeout_s: f64,
+    #[serde(default)]
+    max_retry_after_s: f64,
+    #[serde(default)]
+    may_cancel: bool,
+    #[serde(default)]
+    peer_messages: bool,
+    #[serde(default)]
+    probes: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    second_copies: bool,
+}
+
+#[derive(Deserialize)]
+struct InfoRules {
+    #[serde(default = "one")]
+    cold_from: f64,
+    #[serde(default)]
+    drain_grace_s: f64,
+    #[serde(default = "many")]
+    fall_multiple: f64,
+    #[serde(default)]
+    fall_s: f64,
+    #[serde(default = "long")]
+    must_ask_in_s: f64,
+    #[serde(default)]
+    warm_within_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct InfoPrices {
+    cross_zone: f64,
+    late_fail: f64,
+    peer: f64,
+    probe: f64,
+    waste: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+fn many() -> f64 {
+    1e9
+}
+fn long() -> f64 {
+    1e6
+}
+fn one_u32() -> u32 {
+    1
+}
+
+/// Read the settings object.
+pub fn read(text: &str) -> Result<Settings, String> {
+    let info: Info = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    let classes = info.classes.iter().map(class).collect::<Result<Vec<_>, _>>()?;
+    let (l, r, p) = (&info.limits, &info.rules, &info.prices);
+    Ok(Settings {
+        instances: info.balancers.max(1),
+        me: info.me,
+        my_zone: info.my_zone,
+        zones: (info.areas.len() as u32).max(info.my_zone + 1),
+        classes,
+        tenants: info
+            .tenants
+            .iter()
+            .map(|t| Tenant { share: t.share, allowance_per_s: t.allowance_per_s })
+            .collect(),
+        over_share_worth: info.over_share_worth,
+        worth_by_work: info.counted_by == "work",
+        prices: Prices {
+            cross_zone: p.cross_zone,
+            waste: p.waste,
+            late_fail: p.late_fail,
+            probe: p.probe,
+            peer: p.peer,
+        },
+        list_on_request: info.discovery == "on_request",
+        must_ask_in: seconds(r.must_ask_in_s),
+        drain_grace: seconds(r.drain_grace_s),
+        cold_from: r.cold_from,
+        warm_within: seconds(r.warm_within_s),
+        fall_multiple: r.fall_multiple,
+        fall_span: seconds(r.fall_s),
+        attempts_cap: l.attempts_cap,
+        connect_limit: seconds(l.connect_timeout_s),
+        may_cancel: l.may_cancel,
+        second_copies: l.second_copies,
+        probes: l.probes,
+        peer_messages: l.peer_messages,
+        max_retry_after: l.retry_after.then(|| seconds(l.max_retry_after_s)),
+        marks_repeats: info.clients.marks_retry,
+        sized: matches!(info.weights.as_str(), "nominal" | "rough" | "live"),
+    })
+}
+
+fn class(c: &InfoClass) -> Result<Class, String> {
+    let group = match c.dedup_scope.as_str() {
+        "all" | "" => DedupGroup::All,
+        "zone" => DedupGroup::Zone,
+        "cell" => DedupGroup::Cell,
+        other => return Err(format!("settings: unknown dedup_scope {other:?}")),
+    };
+    let effect = match c.effect.as_str() {
+        "repeatable" => Effect::Repeatable,
+        "by_key" => Effect::Keyed { group, window: seconds(c.key_ttl_s) },
+        "once" => Effect::Once,
+        other => return Err(format!("settings: unknown effect {other:?}")),
+    };
+    Ok(Class {
+        aim: seconds(c.aim_s),
+        aim_stretch: c.aim_stretch,
+        deadline: seconds(c.deadline_s),
+        worth: c.importance,
+        late_worth: c.late_value,
+        effect,
+        stream: c.stream,
+    })
+}
