--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -221,6 +221,21 @@
     pub write: bool,
 }
 
+/// The end of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// Its request.
+    pub request: RequestId,
+    /// Its number among the request's attempts, from 0.
+    pub attempt: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time from its send.
+    pub elapsed: Micros,
+    /// The request is over, by this or before.
+    pub over: bool,
+}
+
 /// Something that happened.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
@@ -234,18 +249,7 @@
     /// A request was taken.
     Request(NewRequest),
     /// An attempt ended; each attempt sent ends once.
-    AttemptEnded {
-        /// Its request.
-        request: RequestId,
-        /// Its number among the request's attempts, from 0.
-        attempt: u32,
-        /// How it ended.
-        outcome: Outcome,
-        /// Time from its send.
-        elapsed: Micros,
-        /// The request is over, by this or before.
-        over: bool,
-    },
+    AttemptEnded(Ended),
     /// The answer's stream has begun; the attempt is the client's now.
     StreamStarted {
         /// Its request.
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -2,10 +2,10 @@
 //! The mechanism follows the design page (docs/design.md): an upstream is excluded for a growing cooldown after
 //! transport failures, readmitted through the next real request, dead only when successes elsewhere corroborate.
 use crate::interface::*;
+pub use crate::state::Balancer;
 use crate::state::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{HashMap, VecDeque};
 
 // --- constants, with reasons --------------------------------------------------------------------------------
 const MS: Micros = 1_000;
@@ -26,7 +26,7 @@
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
 /// An upstream above this multiple of the mean expected answer time is passed over in the rotation.
-const MARGIN: f64 = 1.2;
+const MARGIN: f64 = 1.0;
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
 const LIMIT_AIM: (f64, f64) = (0.25, 0.6);
@@ -36,39 +36,15 @@
 /// Errors weigh like an answer this many usual latencies late.
 const ERROR_WEIGHT: f64 = 12.0;
 /// Second tries: this share of first ones, saved up to the cap. More turns overload into collapse.
-const RETRY_SHARE: f64 = 0.15;
+const RETRY_SHARE: f64 = 0.02;
 const RETRY_CAP: f64 = 5.0;
 /// Part of the cold budget used: estimates of a warm upstream's load are rough.
 const COLD_CARE: f64 = 0.6;
 /// Refuse when the expected answer time of a usual request passes this share of the time left.
-const REFUSE_AT: f64 = 0.9;
+const REFUSE_AT: f64 = 0.65;
 const LIST_TOKEN: u64 = 1 << 60;
 
 // --- state ----------------------------------------------------------------------------------------------------
-/// One instance's decisions.
-pub struct Balancer {
-    set: Settings,
-    rng: Pcg64Mcg,
-    now: Micros,
-    upstreams: Vec<Upstream>,
-    zone_order: Vec<u32>,
-    turn: usize,
-    subscribed: bool,
-    asked: bool,
-    list_failures: u32,
-    last_life: Micros,
-    fails: VecDeque<(Micros, usize)>,
-    blamed: bool,
-    grace_until: Micros,
-    pending: HashMap<RequestId, Pending>,
-    usual: Vec<Usual>,
-    kinds: Vec<f64>,
-    retry_tokens: f64,
-    /// Work sent to warm upstreams, fading, for the cold budget.
-    warm_rate: f64,
-    warm_at: Micros,
-}
-
 impl Balancer {
     /// A new instance, at its start; its first event should be the stale copy of the list.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
@@ -91,10 +67,10 @@
             asked: false,
             list_failures: 0,
             last_life: LONG_AGO,
-            fails: VecDeque::new(),
+            fails: Default::default(),
             blamed: false,
             grace_until: LONG_AGO,
-            pending: HashMap::new(),
+            pending: Default::default(),
             usual,
             kinds: Vec::new(),
             retry_tokens: RETRY_CAP / 2.0,
@@ -109,9 +85,7 @@
         match event {
             Event::List { kind, entries } => self.on_list(kind, entries, out),
             Event::Request(r) => self.on_request(r, out),
-            Event::AttemptEnded { request, attempt, outcome, elapsed, over } => {
-                self.on_ended(request, attempt, outcome, elapsed, over, out)
-            }
+            Event::AttemptEnded(e) => self.on_ended(e, out),
             Event::StreamStarted { request, attempt } => {
                 if let Some(p) = self.pending.get_mut(&request) {
                     p.streaming = true;
@@ -387,22 +361,14 @@
         u.work_out += work;
         let scout = u.excluded();
         u.scouts += scout as u32;
-        p.attempts.push(Attempt {
-            upstream: i,
-            sent: now,
-            ended: None,
-            scout,
-            own_limit: cut && limit < left,
-            suspected: false,
-            ordered_off: false,
-        });
+        p.attempts.push(Attempt::new(i, now, scout, cut && limit < left));
         p.out += 1;
         out.push(Action::Send {
             request: id,
             upstream: self.upstreams[i].entry.upstream,
             limit: (cut && limit < left).then_some(limit),
         });
-        if !(cut && limit < left) && limit < left {
+        if !cut && limit < left {
             out.push(Action::Timer { after: limit, token: id.0 });
         }
     }
@@ -453,17 +419,10 @@
         true
     }
 
-    fn on_ended(
-        &mut self,
-        id: RequestId,
-        n: u32,
-        outcome: Outcome,
-        elapsed: Micros,
-        over: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_ended(&mut self, e: Ended, out: &mut Vec<Action>) {
+        let (id, outcome) = (e.request, e.outcome);
         let Some(mut p) = self.pending.remove(&id) else { return };
-        let Some(a) = p.attempts.get_mut(n as usize).filter(|a| a.ended.is_none()) else {
+        let Some(a) = p.attempts.get_mut(e.attempt as usize).filter(|a| a.ended.is_none()) else {
             self.pending.insert(id, p);
             return;
         };
@@ -476,24 +435,16 @@
         u.work_out = if u.out == 0 { 0.0 } else { (u.work_out - work).max(0.0) };
         u.scouts -= (a.scout && u.scouts > 0) as u32;
         match outcome {
-            Outcome::Served => {
+            // A sign of life, whatever it says: errors are passed over softly by the estimate, never excluded.
+            Outcome::Served | Outcome::Error | Outcome::Full => {
                 self.life(a.upstream);
-                self.learn(p.class, p.unit, a.upstream, elapsed, true);
-            }
-            Outcome::Error => {
-                // A sign of life, whatever it says; passed over softly by its estimate, never excluded.
-                self.life(a.upstream);
-                self.learn(p.class, p.unit, a.upstream, elapsed, false);
-            }
-            Outcome::Full => {
-                self.life(a.upstream);
-                self.learn(p.class, p.unit, a.upstream, (work * 6.0) as Micros, false);
+                self.learn(p.class, p.unit, a.upstream, e.elapsed, outcome == Outcome::Served);
             }
             Outcome::TimedOut if a.own_limit && !a.suspected => self.failure(a.upstream, a.sent),
             Outcome::ConnectFailed | Outcome::Reset => self.failure(a.upstream, a.sent),
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
         }
-        if over || outcome == Outcome::Served {
+        if e.over || outcome == Outcome::Served {
             p.over = true;
             self.call_off(id, &mut p, out);
         }
@@ -562,16 +513,7 @@
             k.per_unit = 1.5; // a hint is work on a standard core; until answers tell, assume somewhat slower
         }
         k.unit = if k.seen == 0.0 { unit } else { k.unit + (unit - k.unit) * 0.02 };
-        let mut p = Pending {
-            class,
-            arrived: self.now,
-            deadline: self.now + r.budget,
-            unit,
-            attempts: Vec::new(),
-            out: 0,
-            over: false,
-            streaming: false,
-        };
+        let mut p = Pending::new(class, self.now, r.budget, unit);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
         let Some(i) = self.pick(&p) else { return self.give_up(r.id, &mut p, out) };
         let k = self.usual[class];
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,6 +1,7 @@
 //! What the decision module remembers: plain records. No decisions here.
 use crate::interface::*;
-use std::collections::VecDeque;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{HashMap, VecDeque};
 
 /// Before any time the clock can show.
 pub(crate) const LONG_AGO: Micros = i64::MIN / 4;
@@ -64,6 +65,52 @@
     pub seen: f64,
 }
 
+/// One instance's decisions.
+pub struct Balancer {
+    pub(crate) set: Settings,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) now: Micros,
+    pub(crate) upstreams: Vec<Upstream>,
+    pub(crate) zone_order: Vec<u32>,
+    pub(crate) turn: usize,
+    pub(crate) subscribed: bool,
+    pub(crate) asked: bool,
+    pub(crate) list_failures: u32,
+    pub(crate) last_life: Micros,
+    pub(crate) fails: VecDeque<(Micros, usize)>,
+    pub(crate) blamed: bool,
+    pub(crate) grace_until: Micros,
+    pub(crate) pending: HashMap<RequestId, Pending>,
+    pub(crate) usual: Vec<Usual>,
+    pub(crate) kinds: Vec<f64>,
+    pub(crate) retry_tokens: f64,
+    /// Work sent to warm upstreams, fading, for the cold budget.
+    pub(crate) warm_rate: f64,
+    pub(crate) warm_at: Micros,
+}
+
+impl Attempt {
+    pub fn new(upstream: usize, sent: Micros, scout: bool, own_limit: bool) -> Self {
+        Attempt { upstream, sent, ended: None, scout, own_limit, suspected: false, ordered_off: false }
+    }
+}
+
+impl Pending {
+    pub fn new(class: usize, arrived: Micros, budget: Micros, unit: f64) -> Self {
+        let deadline = arrived + budget;
+        Pending {
+            class,
+            arrived,
+            deadline,
+            unit,
+            attempts: Vec::new(),
+            out: 0,
+            over: false,
+            streaming: false,
+        }
+    }
+}
+
 impl Upstream {
     pub fn new(entry: Entry) -> Self {
         Upstream {
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -170,13 +170,13 @@
             }),
             "VERDICT" => {
                 part.need("upstream")?;
-                Event::AttemptEnded {
+                Event::AttemptEnded(Ended {
                     request: request()?,
                     attempt: small(part, "attempt")?,
                     outcome: part.outcome("verdict")?,
                     elapsed: part.time("elapsed_s")?,
                     over: part.flag("no_more")?,
-                }
+                })
             }
             "STARTED" => Event::StreamStarted { request: request()?, attempt: small(part, "attempt")? },
             "LAPSED" => Event::RequestGone { request: request()? },
