--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -7,7 +7,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-// --- constants, with reasons --------------------------------------------------------------------------------
+// --- constants, with reasons ---
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
 /// Cooldowns double from here: about the time in which a process restarts or a link heals (design page).
@@ -44,7 +44,7 @@
 const REFUSE_AT: f64 = 0.65;
 const LIST_TOKEN: u64 = 1 << 60;
 
-// --- state ----------------------------------------------------------------------------------------------------
+// --- state ---
 impl Balancer {
     /// A new instance, at its start; its first event should be the stale copy of the list.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
@@ -105,7 +105,7 @@
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    // --- list -------------------------------------------------------------------------------------------------
+    // --- list ---
     fn on_list(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         match kind {
             ListKind::Broken => {
@@ -167,7 +167,7 @@
         }
     }
 
-    // --- liveness ---------------------------------------------------------------------------------------------
+    // --- liveness ---
     fn eligible(&self, u: &Upstream) -> bool {
         match u.state {
             State::Unknown | State::Online => true,
@@ -237,7 +237,7 @@
         };
     }
 
-    // --- estimates --------------------------------------------------------------------------------------------
+    // --- estimates ---
     /// How slow this upstream is against the usual: own evidence, fading to that of its kind.
     fn slowness(&self, u: &Upstream) -> f64 {
         let kind = self.kinds.get(u.entry.kind as usize).copied().unwrap_or(1.0);
@@ -274,7 +274,7 @@
         u.fed = now;
     }
 
-    // --- pick -------------------------------------------------------------------------------------------------
+    // --- pick ---
     /// Where the effect rules let this request go now: everywhere, a group, or (`None`) nowhere.
     fn allowed(&self, p: &Pending) -> Option<Option<(DedupGroup, usize)>> {
         let risky =
@@ -345,7 +345,7 @@
         Some(i)
     }
 
-    // --- attempts ---------------------------------------------------------------------------------------------
+    // --- attempts ---
     fn send(&mut self, id: RequestId, p: &mut Pending, i: usize, out: &mut Vec<Action>) {
         let work = self.usual[p.class].per_unit * p.unit;
         let limit = self.first_answer(p.class, work);
@@ -500,7 +500,7 @@
         }
     }
 
-    // --- admission --------------------------------------------------------------------------------------------
+    // --- admission ---
     fn on_request(&mut self, r: NewRequest, out: &mut Vec<Action>) {
         let Some(class) = self.set.classes.get(r.class as usize) else {
             out.push(Action::Fail { request: r.id });
@@ -526,7 +526,7 @@
         self.pending.insert(r.id, p);
     }
 
-    // --- cold budget ------------------------------------------------------------------------------------------
+    // --- cold budget ---
     /// The least share of its capacity a started upstream has now; `None` once warm.
     fn cold_share(&self, u: &Upstream) -> Option<f64> {
         let age = self.now - u.entry.last_start?;
