--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -1,6 +1,6 @@
 //! ALL decisions of silvercross; its types, events and actions are in `interface.rs`.
-//! The mechanism follows the design page (docs/design.md): an upstream is excluded for a growing cooldown after
-//! transport failures, readmitted through the next real request, dead only when successes elsewhere corroborate.
+//! The mechanism is the design page's (docs/design.md): an upstream is excluded for a growing cooldown after
+//! transport failures, readmitted by the next real request, dead only when successes elsewhere corroborate.
 use crate::interface::*;
 pub use crate::state::Balancer;
 use crate::state::*;
@@ -20,7 +20,7 @@
 const DEAD_COOLDOWN: Micros = 30 * S;
 /// A success elsewhere corroborates within this.
 const CORROBORATION: Micros = 5 * S;
-/// All failed for this long, at two upstreams or more: the fault is here. Then nothing counts; grace after it.
+/// All failed for this long, at two upstreams or more: the fault is here. Nothing counts; grace after it.
 const BLAME_SPAN: Micros = 2 * S;
 const BLAME_GRACE: Micros = 5 * S;
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
@@ -42,6 +42,10 @@
 const COLD_CARE: f64 = 0.6;
 /// Refuse when the expected answer time of a usual request passes this share of the time left.
 const REFUSE_AT: f64 = 0.65;
+/// ... which differs by this much with the worth of a unit of work against the mean.
+const RANK: (f64, f64) = (0.4, 1.5);
+/// A queue clears in about this time: a client turned away need not come back sooner.
+const RETURN: Micros = S;
 const LIST_TOKEN: u64 = 1 << 60;
 
 // --- state ---
@@ -53,30 +57,12 @@
         for i in (1..zone_order.len()).rev() {
             zone_order.swap(i, (rng.next_u64() % (i as u64 + 1)) as usize);
         }
-        let guess = |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0 };
+        let guess =
+            |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0, votes: 0 };
         let usual = settings.classes.iter().map(guess).collect();
         let turn = (rng.next_u64() % 4096) as usize;
-        Balancer {
-            set: settings,
-            rng,
-            now,
-            upstreams: Vec::new(),
-            zone_order,
-            turn,
-            subscribed: false,
-            asked: false,
-            list_failures: 0,
-            last_life: LONG_AGO,
-            fails: Default::default(),
-            blamed: false,
-            grace_until: LONG_AGO,
-            pending: Default::default(),
-            usual,
-            kinds: Vec::new(),
-            retry_tokens: RETRY_CAP / 2.0,
-            warm_rate: 0.0,
-            warm_at: now,
-        }
+        let blank = Balancer::blank(settings, rng, now);
+        Balancer { zone_order, usual, turn, retry_tokens: RETRY_CAP / 2.0, ..blank }
     }
 
     /// Take one event and append what is to be done about it.
@@ -109,7 +95,7 @@
     fn on_list(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         match kind {
             ListKind::Broken => {
-                // The list service is small: back off, spread by chance, so that no storm of calls keeps it down.
+                // The list service is small: back off, spread by chance, so that no storm keeps it down.
                 self.subscribed = false;
                 self.asked = false;
                 self.list_failures = (self.list_failures + 1).min(4);
@@ -142,7 +128,7 @@
             let u = &mut self.upstreams[i];
             let restarted = i < known && e.last_start > u.entry.last_start;
             if restarted {
-                // A new start is a new process: old failures and speed say nothing of it, and it is cold again.
+                // A new process: old failures and speed say nothing of it, and it is cold again.
                 let (out_now, work_out) = (u.out, u.work_out);
                 let recent = std::mem::take(&mut u.recent);
                 *u = Upstream { out: out_now, work_out, recent, ..Upstream::new(*e) };
@@ -208,7 +194,7 @@
             return;
         }
         let u = &self.upstreams[i];
-        // A sign of life since the send outweighs it; what was sent before a cooldown began is no new evidence.
+        // A sign of life since the send outweighs it; what was sent before a cooldown is no new evidence.
         if u.last_life >= sent {
             return;
         }
@@ -293,7 +279,7 @@
     fn pick(&mut self, p: &Pending) -> Option<usize> {
         let group = self.allowed(p)?;
         let once = self.set.classes[p.class].effect == Effect::Once;
-        let work = self.usual[p.class].per_unit * p.unit;
+        let work = p.work;
         let n = self.upstreams.len();
         let ours = self.set.my_zone;
         let fits = |i: usize| {
@@ -319,8 +305,8 @@
                 }
             }
         } else if let Some(best) = pool.iter().map(|c| c.1).reduce(f64::min) {
-            // Exception, lasting imbalance: the own zone's best is expected later than another's by more than a
-            // crossing is worth, the price being the share of an aim. Heavy requests cross first, by themselves.
+            // Exception, lasting imbalance: the own zone's best is expected later than another's by more than
+            // a crossing is worth, its price taken as a share of the aim. Heavy requests so cross first.
             let toll = self.set.prices.cross_zone * self.set.classes[p.class].aim as f64;
             let far: Vec<_> = away.iter().copied().filter(|c| c.1 + toll + 20e3 < best).collect();
             if !far.is_empty() {
@@ -347,12 +333,12 @@
 
     // --- attempts ---
     fn send(&mut self, id: RequestId, p: &mut Pending, i: usize, out: &mut Vec<Action>) {
-        let work = self.usual[p.class].per_unit * p.unit;
+        let work = p.work;
         let limit = self.first_answer(p.class, work);
         let retry = self.set.classes[p.class].effect != Effect::Once && !self.set.second_copies;
-        let aim_at = p.arrived + self.set.classes[p.class].aim;
         // Where no second copy may go out, a late first answer has to be given up before another is tried.
-        let cut = retry && self.now + limit < aim_at && p.attempts.len() + 1 < self.set.attempts_cap as usize;
+        let cut =
+            retry && self.now + limit < p.aim_at && p.attempts.len() + 1 < self.set.attempts_cap as usize;
         let left = p.deadline - self.now;
         let now = self.now;
         self.charge(i, work);
@@ -382,7 +368,7 @@
     /// A first-answer limit has passed: it counts, and a second copy goes out where one may.
     fn review(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(mut p) = self.pending.remove(&id) else { return };
-        let work = self.usual[p.class].per_unit * p.unit;
+        let work = p.work;
         let limit = self.first_answer(p.class, work);
         let mut late = false;
         for k in 0..p.attempts.len() {
@@ -402,8 +388,8 @@
     /// One more attempt, if rules, time and the retry budget allow.
     fn again(&mut self, id: RequestId, p: &mut Pending, paid: bool, out: &mut Vec<Action>) -> bool {
         let c = &self.set.classes[p.class];
-        let end = if c.late_worth > 0.0 { p.deadline } else { p.deadline.min(p.arrived + c.aim) };
-        let work = self.usual[p.class].per_unit * p.unit;
+        let end = if c.late_worth > 0.0 { p.deadline } else { p.deadline.min(p.aim_at) };
+        let work = p.work;
         if p.attempts.len() >= self.set.attempts_cap as usize
             || (p.out > 0 && !self.set.second_copies)
             || (self.now as f64 + work * 0.5 > end as f64)
@@ -429,13 +415,13 @@
         a.ended = Some(outcome);
         let a = *a;
         p.out -= 1;
-        let work = self.usual[p.class].per_unit * p.unit;
+        let work = p.work;
         let u = &mut self.upstreams[a.upstream];
         u.out = u.out.saturating_sub(1);
         u.work_out = if u.out == 0 { 0.0 } else { (u.work_out - work).max(0.0) };
         u.scouts -= (a.scout && u.scouts > 0) as u32;
         match outcome {
-            // A sign of life, whatever it says: errors are passed over softly by the estimate, never excluded.
+            // A sign of life, whatever it says: errors are passed over softly, never excluded.
             Outcome::Served | Outcome::Error | Outcome::Full => {
                 self.life(a.upstream);
                 self.learn(p.class, p.unit, a.upstream, e.elapsed, outcome == Outcome::Served);
@@ -493,7 +479,9 @@
             Some(Some((g, _))) => g == DedupGroup::All,
         };
         if harmless {
-            let retry_after = self.set.max_retry_after.map(|m| (S / 2).min(m));
+            // Coming back pays only while the aim can still be met; else stay away longest.
+            let soon = self.now + RETURN + p.work as Micros <= p.aim_at;
+            let retry_after = self.set.max_retry_after.map(|m| if soon { RETURN.min(m) } else { m });
             out.push(Action::Refuse { request: id, retry_after });
         } else {
             out.push(Action::Fail { request: id });
@@ -506,26 +494,56 @@
             out.push(Action::Fail { request: r.id });
             return;
         };
-        let (aim, class) = (class.aim, r.class as usize);
+        let (by_work, worth, aim, deadline) =
+            (self.set.worth_by_work, class.worth, class.aim, class.deadline);
+        let (stretch, late_worth) = (class.aim_stretch, class.late_worth);
+        let class = r.class as usize;
         let unit = r.cost_hint.map_or(1.0, |h| h.max(1) as f64);
+        let spent = self.spent(&r, deadline);
         let k = &mut self.usual[class];
         if r.cost_hint.is_some() && k.seen == 0.0 && k.per_unit > 100.0 {
             k.per_unit = 1.5; // a hint is work on a standard core; until answers tell, assume somewhat slower
         }
         k.unit = if k.seen == 0.0 { unit } else { k.unit + (unit - k.unit) * 0.02 };
-        let mut p = Pending::new(class, self.now, r.budget, unit);
+        let (work, usual) = (k.per_unit * unit, k.per_unit * k.unit);
+        let aim_at = (self.now - spent + aim + (stretch * work) as Micros).min(self.now - spent + deadline);
+        let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
+        let density = if by_work { worth } else { worth / usual.max(1.0) };
+        self.worth_seen = self.worth_seen * 0.99 + density * usual;
+        self.work_seen = self.work_seen * 0.99 + usual;
         let Some(i) = self.pick(&p) else { return self.give_up(r.id, &mut p, out) };
-        let k = self.usual[class];
-        let usual = self.expect(&self.upstreams[i], k.per_unit * k.unit);
-        let left = aim.min(r.budget) as f64;
-        if usual > left * REFUSE_AT && self.upstreams[i].out > 0 {
+        // Refuse early what cannot meet its aim, least worth per unit of work first. The time expected is
+        // a usual request's: none is refused for its own weight, nor where nothing is out.
+        let left = (aim_at.min(p.deadline) - self.now) as f64;
+        let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
+        let expected = self.expect(&self.upstreams[i], usual);
+        if late_worth == 0.0 && expected > left * REFUSE_AT * rank && self.upstreams[i].out > 0 {
             return self.give_up(r.id, &mut p, out);
         }
         self.send(r.id, &mut p, i, out);
         self.pending.insert(r.id, p);
     }
 
+    /// How long the client has been at it. First tries bring the same budget; another one, where most are
+    /// equal, or a marked repeat, tells what is left of the deadline, and so that the aim may have passed.
+    fn spent(&mut self, r: &NewRequest, deadline: Micros) -> Micros {
+        let k = &mut self.usual[r.class as usize];
+        if !r.repeat {
+            match (r.budget - k.budget).abs() <= 10 * MS {
+                true => k.votes = (k.votes + 1).min(50),
+                false if k.votes > 0 => k.votes -= 1,
+                false => (k.budget, k.votes) = (r.budget, 1),
+            }
+        }
+        let same = (r.budget - k.budget).abs() <= 10 * MS;
+        let known = if self.set.marks_repeats { r.repeat } else { k.votes >= 5 };
+        match known && !same {
+            true => (deadline - r.budget).max(0),
+            false => 0,
+        }
+    }
+
     // --- cold budget ---
     /// The least share of its capacity a started upstream has now; `None` once warm.
     fn cold_share(&self, u: &Upstream) -> Option<f64> {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -48,9 +48,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Pending {
     pub class: usize,
-    pub arrived: Micros,
+    pub aim_at: Micros,
     pub deadline: Micros,
     pub unit: f64,
+    pub work: f64,
     pub attempts: Vec<Attempt>,
     pub out: u32,
     pub over: bool,
@@ -63,6 +64,9 @@
     pub per_unit: f64,
     pub unit: f64,
     pub seen: f64,
+    /// The budget that most tries bring, by majority vote.
+    pub budget: Micros,
+    pub votes: u32,
 }
 
 /// One instance's decisions.
@@ -85,10 +89,41 @@
     pub(crate) kinds: Vec<f64>,
     pub(crate) retry_tokens: f64,
     /// Work sent to warm upstreams, fading, for the cold budget.
+    pub(crate) worth_seen: f64,
+    pub(crate) work_seen: f64,
     pub(crate) warm_rate: f64,
     pub(crate) warm_at: Micros,
 }
 
+impl Balancer {
+    /// An instance that has seen nothing.
+    pub(crate) fn blank(set: Settings, rng: Pcg64Mcg, now: Micros) -> Self {
+        Balancer {
+            set,
+            rng,
+            now,
+            upstreams: Vec::new(),
+            zone_order: Vec::new(),
+            turn: 0,
+            subscribed: false,
+            asked: false,
+            list_failures: 0,
+            last_life: LONG_AGO,
+            fails: VecDeque::new(),
+            blamed: false,
+            grace_until: LONG_AGO,
+            pending: HashMap::new(),
+            usual: Vec::new(),
+            kinds: Vec::new(),
+            retry_tokens: 0.0,
+            worth_seen: 0.0,
+            work_seen: 0.0,
+            warm_rate: 0.0,
+            warm_at: now,
+        }
+    }
+}
+
 impl Attempt {
     pub fn new(upstream: usize, sent: Micros, scout: bool, own_limit: bool) -> Self {
         Attempt { upstream, sent, ended: None, scout, own_limit, suspected: false, ordered_off: false }
@@ -96,18 +131,9 @@
 }
 
 impl Pending {
-    pub fn new(class: usize, arrived: Micros, budget: Micros, unit: f64) -> Self {
-        let deadline = arrived + budget;
-        Pending {
-            class,
-            arrived,
-            deadline,
-            unit,
-            attempts: Vec::new(),
-            out: 0,
-            over: false,
-            streaming: false,
-        }
+    pub fn new(class: usize, aim_at: Micros, deadline: Micros, unit: f64, work: f64) -> Self {
+        let (attempts, out, over, streaming) = (Vec::new(), 0, false, false);
+        Pending { class, aim_at, deadline, unit, work, attempts, out, over, streaming }
     }
 }
 
