--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -39,7 +39,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Micros,
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -103,15 +103,11 @@
                 self.ask_in(wait, out);
                 return;
             }
-            ListKind::StaleCopy => {
-                if self.set.list_on_request {
-                    self.ask_in(S / 2, out); // all may start at once: spread the first calls too
-                }
-            }
+            // All may start at once: spread the first calls too.
+            ListKind::StaleCopy if self.set.list_on_request => self.ask_in(S / 2, out),
+            ListKind::StaleCopy => {}
             ListKind::Patch | ListKind::Whole => {
-                if self.asked {
-                    self.subscribed = true;
-                }
+                self.subscribed |= self.asked;
                 self.list_failures = 0;
             }
         }
@@ -121,17 +117,14 @@
         for e in entries {
             let i = e.upstream.0 as usize;
             let known = self.upstreams.len();
-            for id in known..=i {
-                let blank = Entry { upstream: UpstreamId(id as u32), ..*e };
-                self.upstreams.push(Upstream::new(blank));
-            }
+            let blank = |id| Upstream::new(Entry { upstream: UpstreamId(id as u32), ..*e });
+            self.upstreams.extend((known..=i).map(blank));
             let u = &mut self.upstreams[i];
             let restarted = i < known && e.last_start > u.entry.last_start;
             if restarted {
                 // A new process: old failures and speed say nothing of it, and it is cold again.
-                let (out_now, work_out) = (u.out, u.work_out);
                 let recent = std::mem::take(&mut u.recent);
-                *u = Upstream { out: out_now, work_out, recent, ..Upstream::new(*e) };
+                *u = Upstream { out: u.out, work_out: u.work_out, recent, ..Upstream::new(*e) };
             }
             u.entry = *e;
             u.listed = e.lifecycle == Lifecycle::Running;
@@ -490,26 +483,20 @@
 
     // --- admission ---
     fn on_request(&mut self, r: NewRequest, out: &mut Vec<Action>) {
-        let Some(class) = self.set.classes.get(r.class as usize) else {
-            out.push(Action::Fail { request: r.id });
-            return;
-        };
-        let (by_work, worth, aim, deadline) =
-            (self.set.worth_by_work, class.worth, class.aim, class.deadline);
-        let (stretch, late_worth) = (class.aim_stretch, class.late_worth);
         let class = r.class as usize;
+        let Some(&c) = self.set.classes.get(class) else { return out.push(Action::Fail { request: r.id }) };
         let unit = r.cost_hint.map_or(1.0, |h| h.max(1) as f64);
-        let spent = self.spent(&r, deadline);
+        let began = self.now - self.spent(&r, c.deadline);
         let k = &mut self.usual[class];
         if r.cost_hint.is_some() && k.seen == 0.0 && k.per_unit > 100.0 {
             k.per_unit = 1.5; // a hint is work on a standard core; until answers tell, assume somewhat slower
         }
         k.unit = if k.seen == 0.0 { unit } else { k.unit + (unit - k.unit) * 0.02 };
         let (work, usual) = (k.per_unit * unit, k.per_unit * k.unit);
-        let aim_at = (self.now - spent + aim + (stretch * work) as Micros).min(self.now - spent + deadline);
+        let aim_at = began + (c.aim + (c.aim_stretch * work) as Micros).min(c.deadline);
         let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
-        let density = if by_work { worth } else { worth / usual.max(1.0) };
+        let density = if self.set.worth_by_work { c.worth } else { c.worth / usual.max(1.0) };
         self.worth_seen = self.worth_seen * 0.99 + density * usual;
         self.work_seen = self.work_seen * 0.99 + usual;
         let Some(i) = self.pick(&p) else { return self.give_up(r.id, &mut p, out) };
@@ -518,7 +505,7 @@
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
         let expected = self.expect(&self.upstreams[i], usual);
-        if late_worth == 0.0 && expected > left * REFUSE_AT * rank && self.upstreams[i].out > 0 {
+        if c.late_worth == 0.0 && expected > left * REFUSE_AT * rank && self.upstreams[i].out > 0 {
             return self.give_up(r.id, &mut p, out);
         }
         self.send(r.id, &mut p, i, out);
