Refuse whenever anything is out, not only at the server picked

Cause: in wide fleets one sidecar has nothing out at most servers, so the bar never acted, crowded servers choked and stayed slow.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -505,7 +505,7 @@
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
         let expected = self.expect(&self.upstreams[i], usual);
-        if c.late_worth == 0.0 && expected > left * REFUSE_AT * rank && self.upstreams[i].out > 0 {
+        if c.late_worth == 0.0 && expected > left * REFUSE_AT * rank && !self.pending.is_empty() {
             return self.give_up(r.id, &mut p, out);
         }
         self.send(r.id, &mut p, i, out);
