--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -504,7 +504,7 @@
         // a usual request's: none is refused for its own weight, nor where nothing is out.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
-        let expected = self.expect(&self.upstreams[i], usual);
+        let expected = self.slowness(&self.upstreams[i]) * (usual + 0.5 * self.upstreams[i].work_out);
         if c.late_worth == 0.0 && expected > left * REFUSE_AT * rank && !self.pending.is_empty() {
             return self.give_up(r.id, &mut p, out);
         }
