Raise the first-answer limit to the aim

Cause: 6-9% of good attempts were cut off at 0.6 of the aim and paid for twice. Limit within 0.4 to 1.0 of the aim.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -29,7 +29,7 @@
 const MARGIN: f64 = 1.0;
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
-const LIMIT_AIM: (f64, f64) = (0.25, 0.6);
+const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
 /// Weight of one answer in the estimates; a server's own evidence fades to its kind's in FADE.
 const LEARN: f64 = 0.1;
 const FADE: f64 = 4e6;
