--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -233,9 +233,11 @@
         let k = &mut self.usual[class];
         let work = k.per_unit * unit;
         let ratio = (elapsed as f64 / work.max(1.0)).min(10.0);
+        // Light requests wait as long as heavy ones: unweighted, they would make every upstream look slow.
+        let weight = (unit / k.unit.max(1e-9)).clamp(0.05, 2.0);
         if served {
             k.seen += 1.0;
-            k.per_unit *= 1.0 + (ratio - 1.0) * (1.0 / k.seen).max(0.01);
+            k.per_unit *= 1.0 + (ratio - 1.0) * (weight / k.seen).clamp(0.01 * weight, 0.5);
         }
         let kind = self.upstreams[i].entry.kind as usize;
         let prior = self.kinds.get(kind).copied().unwrap_or(1.0);
@@ -245,9 +247,9 @@
         u.errors = u.errors * fresh * (1.0 - LEARN) + if served { 0.0 } else { LEARN };
         if served {
             let held = prior + (u.slow - prior) * fresh;
-            u.slow = held + (ratio - held) * LEARN;
+            u.slow = held + (ratio - held) * LEARN * weight;
             if let Some(k) = self.kinds.get_mut(kind) {
-                *k += (ratio - *k) * 0.02;
+                *k += (ratio - *k) * 0.02 * weight;
             }
         }
         u.fed = now;
