--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -43,7 +43,7 @@
 /// Refuse when the expected answer time of a usual request passes this share of the time left.
 const REFUSE_AT: f64 = 0.65;
 /// ... which differs by this much with the worth of a unit of work against the mean.
-const RANK: (f64, f64) = (0.4, 1.5);
+const RANK: (f64, f64) = (0.6, 1.5);
 /// A queue clears in about this time: a client turned away need not come back sooner.
 const RETURN: Micros = S;
 const LIST_TOKEN: u64 = 1 << 60;
@@ -237,7 +237,7 @@
         let weight = (unit / k.unit.max(1e-9)).clamp(0.05, 2.0);
         if served {
             k.seen += 1.0;
-            k.per_unit *= 1.0 + (ratio - 1.0) * (weight / k.seen).clamp(0.01 * weight, 0.5);
+            k.per_unit *= 1.0 + (ratio - 1.0) * (weight / (k.seen + 4.0)).max(0.01 * weight);
         }
         let kind = self.upstreams[i].entry.kind as usize;
         let prior = self.kinds.get(kind).copied().unwrap_or(1.0);
