--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -32,6 +32,7 @@
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
 /// Weight of one answer in the estimates; a server's own evidence fades to its kind's in FADE.
 const LEARN: f64 = 0.1;
+const RATIO_CAP: f64 = 20.0;
 const FADE: f64 = 4e6;
 /// Errors weigh like an answer this many usual latencies late.
 const ERROR_WEIGHT: f64 = 12.0;
@@ -129,7 +130,7 @@
             u.entry = *e;
             u.listed = e.lifecycle == Lifecycle::Running;
             if self.kinds.len() <= e.kind as usize && e.kind < 1024 {
-                self.kinds.resize(e.kind as usize + 1, 1.0);
+                self.kinds.resize(e.kind as usize + 1, (1.0, LONG_AGO));
             }
         }
     }
@@ -219,40 +220,45 @@
     // --- estimates ---
     /// How slow this upstream is against the usual: own evidence, fading to that of its kind.
     fn slowness(&self, u: &Upstream) -> f64 {
-        let kind = self.kinds.get(u.entry.kind as usize).copied().unwrap_or(1.0);
-        let fresh = (-((self.now - u.fed).max(0) as f64) / FADE).exp();
+        let kind = self.kind_slow(u.entry.kind);
+        let fresh = self.fresh(u.fed);
         (kind + (u.slow - kind) * fresh) + u.errors * fresh * ERROR_WEIGHT
     }
 
+    fn fresh(&self, fed: Micros) -> f64 {
+        (-((self.now - fed).max(0) as f64) / FADE).exp()
+    }
+
+    /// What is not fed fades to the usual, so that refusals never rest on old evidence alone.
+    fn kind_slow(&self, kind: u32) -> f64 {
+        self.kinds.get(kind as usize).map_or(1.0, |k| 1.0 + (k.0 - 1.0) * self.fresh(k.1))
+    }
+
     /// Expected answer time there of a request with this much expected work.
     fn expect(&self, u: &Upstream, work: f64) -> f64 {
         self.slowness(u) * (work + u.work_out)
     }
 
     fn learn(&mut self, class: usize, unit: f64, i: usize, elapsed: Micros, served: bool) {
+        let (now, kind) = (self.now, self.upstreams[i].entry.kind);
+        let (prior, fresh) = (self.kind_slow(kind), self.fresh(self.upstreams[i].fed));
         let k = &mut self.usual[class];
-        let work = k.per_unit * unit;
-        let ratio = (elapsed as f64 / work.max(1.0)).min(10.0);
+        let ratio = (elapsed as f64 / (k.per_unit * unit).max(1.0)).min(RATIO_CAP);
         // Light requests wait as long as heavy ones: unweighted, they would make every upstream look slow.
         let weight = (unit / k.unit.max(1e-9)).clamp(0.05, 2.0);
-        if served {
-            k.seen += 1.0;
-            k.per_unit *= 1.0 + (ratio - 1.0) * (weight / (k.seen + 4.0)).max(0.01 * weight);
-        }
-        let kind = self.upstreams[i].entry.kind as usize;
-        let prior = self.kinds.get(kind).copied().unwrap_or(1.0);
-        let now = self.now;
         let u = &mut self.upstreams[i];
-        let fresh = (-((now - u.fed).max(0) as f64) / FADE).exp();
+        u.fed = now;
         u.errors = u.errors * fresh * (1.0 - LEARN) + if served { 0.0 } else { LEARN };
-        if served {
-            let held = prior + (u.slow - prior) * fresh;
-            u.slow = held + (ratio - held) * LEARN * weight;
-            if let Some(k) = self.kinds.get_mut(kind) {
-                *k += (ratio - *k) * 0.02 * weight;
-            }
+        if !served {
+            return;
         }
-        u.fed = now;
+        let held = prior + (u.slow - prior) * fresh;
+        u.slow = held + (ratio - held) * LEARN * weight;
+        if let Some(kind) = self.kinds.get_mut(kind as usize) {
+            *kind = (prior + (ratio - prior) * 0.02 * weight, now);
+        }
+        k.seen += 1.0;
+        k.per_unit *= 1.0 + (ratio - 1.0) * weight * (1.0 / (k.seen + 4.0)).max(0.01);
     }
 
     // --- pick ---
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -86,7 +86,7 @@
     pub(crate) grace_until: Micros,
     pub(crate) pending: HashMap<RequestId, Pending>,
     pub(crate) usual: Vec<Usual>,
-    pub(crate) kinds: Vec<f64>,
+    pub(crate) kinds: Vec<(f64, Micros)>,
     pub(crate) retry_tokens: f64,
     /// Work sent to warm upstreams, fading, for the cold budget.
     pub(crate) worth_seen: f64,
