--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -30,8 +30,8 @@
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
-/// Weight of one answer in the estimates; a server's own evidence fades to its kind's in FADE.
-const LEARN: f64 = 0.1;
+/// Weight of one answer in the estimates of kind, kind in zone and upstream; without answers they fade.
+const LEARN: (f64, f64, f64) = (0.02, 0.05, 0.1);
 const RATIO_CAP: f64 = 20.0;
 const FADE: f64 = 4e6;
 /// Errors weigh like an answer this many usual latencies late.
@@ -129,9 +129,14 @@
             }
             u.entry = *e;
             u.listed = e.lifecycle == Lifecycle::Running;
-            if self.kinds.len() <= e.kind as usize && e.kind < 1024 {
-                self.kinds.resize(e.kind as usize + 1, (1.0, LONG_AGO));
-            }
+            u.groups = [None, Some(e.zone)].map(|zone| {
+                let found = self.groups.iter().position(|g| (g.zone, g.kind) == (zone, e.kind));
+                found.unwrap_or_else(|| {
+                    let seen = Seen { slow: 1.0, fed: LONG_AGO };
+                    self.groups.push(Group { zone, kind: e.kind, seen });
+                    self.groups.len() - 1
+                })
+            });
         }
     }
 
@@ -218,45 +223,44 @@
     }
 
     // --- estimates ---
-    /// How slow this upstream is against the usual: own evidence, fading to that of its kind.
+    /// How slow this upstream is against the usual: own evidence, fading to that of its kind in its zone, that
+    /// to the kind's, and that to the usual, so that refusals never rest on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
-        let kind = self.kind_slow(u.entry.kind);
-        let fresh = self.fresh(u.fed);
-        (kind + (u.slow - kind) * fresh) + u.errors * fresh * ERROR_WEIGHT
+        let levels = [self.groups[u.groups[0]].seen, self.groups[u.groups[1]].seen, u.seen];
+        let slow = levels.iter().fold(1.0, |slow, l| slow + (l.slow - slow) * self.fresh(l.fed));
+        slow + u.errors * self.fresh(u.seen.fed) * ERROR_WEIGHT
     }
 
     fn fresh(&self, fed: Micros) -> f64 {
         (-((self.now - fed).max(0) as f64) / FADE).exp()
     }
 
-    /// What is not fed fades to the usual, so that refusals never rest on old evidence alone.
-    fn kind_slow(&self, kind: u32) -> f64 {
-        self.kinds.get(kind as usize).map_or(1.0, |k| 1.0 + (k.0 - 1.0) * self.fresh(k.1))
-    }
-
     /// Expected answer time there of a request with this much expected work.
     fn expect(&self, u: &Upstream, work: f64) -> f64 {
         self.slowness(u) * (work + u.work_out)
     }
 
     fn learn(&mut self, class: usize, unit: f64, i: usize, elapsed: Micros, served: bool) {
-        let (now, kind) = (self.now, self.upstreams[i].entry.kind);
-        let (prior, fresh) = (self.kind_slow(kind), self.fresh(self.upstreams[i].fed));
-        let k = &mut self.usual[class];
+        let (now, fresh) = (self.now, self.fresh(self.upstreams[i].seen.fed));
+        let k = self.usual[class];
         let ratio = (elapsed as f64 / (k.per_unit * unit).max(1.0)).min(RATIO_CAP);
         // Light requests wait as long as heavy ones: unweighted, they would make every upstream look slow.
         let weight = (unit / k.unit.max(1e-9)).clamp(0.05, 2.0);
         let u = &mut self.upstreams[i];
-        u.fed = now;
-        u.errors = u.errors * fresh * (1.0 - LEARN) + if served { 0.0 } else { LEARN };
+        u.errors = u.errors * fresh * (1.0 - LEARN.2) + if served { 0.0 } else { LEARN.2 };
         if !served {
+            u.seen.fed = now;
             return;
         }
-        let held = prior + (u.slow - prior) * fresh;
-        u.slow = held + (ratio - held) * LEARN * weight;
-        if let Some(kind) = self.kinds.get_mut(kind as usize) {
-            *kind = (prior + (ratio - prior) * 0.02 * weight, now);
+        let [kind, zone] = u.groups;
+        let mut slow = 1.0;
+        for (level, rate) in [(Some(kind), LEARN.0), (Some(zone), LEARN.1), (None, LEARN.2)] {
+            let was = level.map_or(self.upstreams[i].seen, |g| self.groups[g].seen);
+            slow += (was.slow - slow) * self.fresh(was.fed);
+            let seen = Seen { slow: slow + (ratio - slow) * rate * weight, fed: now };
+            *level.map_or(&mut self.upstreams[i].seen, |g| &mut self.groups[g].seen) = seen;
         }
+        let k = &mut self.usual[class];
         k.seen += 1.0;
         k.per_unit *= 1.0 + (ratio - 1.0) * weight * (1.0 / (k.seen + 4.0)).max(0.01);
     }
@@ -435,10 +439,6 @@
             p.over = true;
             self.call_off(id, &mut p, out);
         }
-        if !p.over && self.now >= p.deadline - MS && p.out == 0 {
-            p.over = true;
-            out.push(Action::Fail { request: id });
-        }
         if !p.over && !p.streaming {
             let free = matches!(outcome, Outcome::Full | Outcome::ConnectFailed);
             if !self.again(id, &mut p, !free, out) && p.out == 0 {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -14,6 +14,21 @@
     Dead { since: Micros, until: Micros },
 }
 
+/// Answer time as a multiple of the usual, and when an answer last told.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Seen {
+    pub slow: f64,
+    pub fed: Micros,
+}
+
+/// What is known of all upstreams of one kind, everywhere or in one zone.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Group {
+    pub zone: Option<u32>,
+    pub kind: u32,
+    pub seen: Seen,
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
     pub listed: bool,
@@ -24,9 +39,10 @@
     pub last_failure: Micros,
     pub last_life: Micros,
     pub scouts: u32,
-    /// Answer time as a multiple of the usual (own estimate), how much it rests on, and when it was last fed.
-    pub slow: f64,
-    pub fed: Micros,
+    /// How slow it is by its own answers.
+    pub seen: Seen,
+    /// Places of its kind and of its kind in its zone among the groups.
+    pub groups: [usize; 2],
     pub errors: f64,
     pub out: u32,
     pub work_out: f64,
@@ -86,7 +102,7 @@
     pub(crate) grace_until: Micros,
     pub(crate) pending: HashMap<RequestId, Pending>,
     pub(crate) usual: Vec<Usual>,
-    pub(crate) kinds: Vec<(f64, Micros)>,
+    pub(crate) groups: Vec<Group>,
     pub(crate) retry_tokens: f64,
     /// Work sent to warm upstreams, fading, for the cold budget.
     pub(crate) worth_seen: f64,
@@ -114,7 +130,7 @@
             grace_until: LONG_AGO,
             pending: HashMap::new(),
             usual: Vec::new(),
-            kinds: Vec::new(),
+            groups: Vec::new(),
             retry_tokens: 0.0,
             worth_seen: 0.0,
             work_seen: 0.0,
@@ -148,8 +164,8 @@
             last_failure: LONG_AGO,
             last_life: LONG_AGO,
             scouts: 0,
-            slow: 1.0,
-            fed: LONG_AGO,
+            seen: Seen { slow: 1.0, fed: LONG_AGO },
+            groups: [0, 0],
             errors: 0.0,
             out: 0,
             work_out: 0.0,
--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,166 @@
+//! Settings and short hands for the tests. They feed events; no server is modelled.
+#![allow(dead_code)]
+use silvercross_core::interface::*;
+use silvercross_core::policy::Balancer;
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+
+pub fn class(effect: Effect) -> Class {
+    let (aim, deadline) = (500 * MS, 2 * S);
+    Class { aim, aim_stretch: 0.0, deadline, worth: 1.0, late_worth: 0.0, effect, stream: false }
+}
+
+pub fn keyed(group: DedupGroup) -> Effect {
+    Effect::Keyed { group, window: S }
+}
+
+/// Classes 0 to 4: repeatable, once, keyed everywhere, in a zone, in a cell.
+pub fn settings() -> Settings {
+    let effects = [
+        Effect::Repeatable,
+        Effect::Once,
+        keyed(DedupGroup::All),
+        keyed(DedupGroup::Zone),
+        keyed(DedupGroup::Cell),
+    ];
+    Settings {
+        instances: 3,
+        me: 0,
+        my_zone: 0,
+        zones: 2,
+        classes: effects.into_iter().map(class).collect(),
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
+        worth_by_work: false,
+        prices: Prices::default(),
+        list_on_request: true,
+        must_ask_in: 10 * S,
+        drain_grace: 2 * S,
+        cold_from: 0.3,
+        warm_within: 9 * S,
+        fall_multiple: 3.0,
+        fall_span: 3 * S,
+        attempts_cap: 4,
+        connect_limit: 250 * MS,
+        may_cancel: true,
+        second_copies: true,
+        probes: false,
+        peer_messages: false,
+        max_retry_after: Some(2 * S),
+        marks_repeats: false,
+        sized: false,
+    }
+}
+
+pub fn entry(id: u32, zone: u32) -> Entry {
+    Entry {
+        upstream: UpstreamId(id),
+        lifecycle: Lifecycle::Running,
+        last_start: None,
+        zone,
+        cell: zone * 10 + id % 2,
+        kind: 0,
+        size: 1.0,
+    }
+}
+
+pub fn request(id: u64, class: u32) -> NewRequest {
+    NewRequest {
+        id: RequestId(id),
+        class,
+        tenant: 0,
+        key: None,
+        budget: 2 * S,
+        cost_hint: None,
+        repeat: false,
+        write: false,
+    }
+}
+
+/// One instance and the time its next event happens at.
+pub struct Desk {
+    pub balancer: Balancer,
+    pub now: Micros,
+    pub next: u64,
+}
+
+impl Desk {
+    pub fn new(settings: Settings, zones_of_upstreams: &[u32]) -> Self {
+        let balancer = Balancer::new(settings, 7, S);
+        let mut desk = Desk { balancer, now: S, next: 1 };
+        let entries: Vec<_> = (0..).zip(zones_of_upstreams).map(|(i, z)| entry(i, *z)).collect();
+        desk.list(ListKind::StaleCopy, &entries);
+        desk
+    }
+
+    pub fn event(&mut self, event: Event<'_>) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.balancer.handle(self.now, event, &mut out);
+        out
+    }
+
+    pub fn list(&mut self, kind: ListKind, entries: &[Entry]) -> Vec<Action> {
+        self.event(Event::List { kind, entries })
+    }
+
+    /// A new request of a class; its id and what was done about it.
+    pub fn ask(&mut self, class: u32) -> (u64, Vec<Action>) {
+        let id = self.next;
+        self.next += 1;
+        (id, self.event(Event::Request(request(id, class))))
+    }
+
+    /// A new request that must be sent somewhere: its id and where.
+    pub fn sent(&mut self, class: u32) -> (u64, u32) {
+        let (id, out) = self.ask(class);
+        (id, first_send(&out).unwrap_or_else(|| panic!("request {id} was not sent: {out:?}")))
+    }
+
+    pub fn end(&mut self, id: u64, attempt: u32, outcome: Outcome, elapsed: Micros) -> Vec<Action> {
+        let over = outcome == Outcome::Served;
+        let request = RequestId(id);
+        self.event(Event::AttemptEnded(Ended { request, attempt, outcome, elapsed, over }))
+    }
+
+    /// Send and serve one request, wherever it goes.
+    pub fn serve(&mut self, class: u32) -> u32 {
+        let (id, to) = self.sent(class);
+        self.now += 20 * MS;
+        self.end(id, 0, Outcome::Served, 20 * MS);
+        to
+    }
+
+    /// Send requests until one goes to `to`, serving the others; its id.
+    pub fn until_sent_to(&mut self, class: u32, to: u32) -> u64 {
+        for _ in 0..200 {
+            let (id, at) = self.sent(class);
+            if at == to {
+                return id;
+            }
+            self.now += MS;
+            self.end(id, 0, Outcome::Served, MS);
+        }
+        panic!("nothing went to {to}");
+    }
+
+    /// Where `n` further requests go, each served.
+    pub fn spread(&mut self, class: u32, n: usize) -> Vec<u32> {
+        (0..n).map(|_| self.serve(class)).collect()
+    }
+}
+
+pub fn first_send(out: &[Action]) -> Option<u32> {
+    out.iter().find_map(|a| match a {
+        Action::Send { upstream, .. } => Some(upstream.0),
+        _ => None,
+    })
+}
+
+pub fn refused(out: &[Action]) -> bool {
+    out.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+pub fn failed(out: &[Action]) -> bool {
+    out.iter().any(|a| matches!(a, Action::Fail { .. }))
+}
--- /dev/null
+++ b/crates/core/tests/liveness.rs
@@ -0,0 +1,220 @@
+//! One test for each transition of the mechanism.
+mod common;
+use common::*;
+use silvercross_core::interface::*;
+
+/// Excluded after one transport failure: none of the next requests go there.
+fn excluded(desk: &mut Desk, upstream: u32) -> bool {
+    !desk.spread(0, 12).contains(&upstream)
+}
+
+fn fail_once(desk: &mut Desk, upstream: u32) {
+    let id = desk.until_sent_to(1, upstream);
+    desk.now += MS;
+    desk.end(id, 0, Outcome::Reset, MS);
+}
+
+#[test]
+fn unknown_upstreams_are_eligible_and_take_turns() {
+    let mut desk = Desk::new(settings(), &[0, 0, 0]);
+    let mut met = desk.spread(0, 3);
+    met.sort_unstable();
+    assert_eq!(met, [0, 1, 2]);
+}
+
+#[test]
+fn a_reset_a_failed_connection_and_our_own_late_first_answer_exclude() {
+    for outcome in [Outcome::Reset, Outcome::ConnectFailed] {
+        let mut desk = Desk::new(settings(), &[0, 0, 0]);
+        let id = desk.until_sent_to(1, 1);
+        desk.now += MS;
+        desk.end(id, 0, outcome, MS);
+        assert!(excluded(&mut desk, 1), "{outcome:?}");
+    }
+    let mut desk = Desk::new(settings(), &[0, 0, 0]);
+    let id = desk.until_sent_to(1, 1);
+    desk.now += 600 * MS;
+    desk.event(Event::Timer { token: id });
+    assert!(excluded(&mut desk, 1), "late first answer");
+}
+
+#[test]
+fn errors_full_and_cancelled_do_not_exclude() {
+    for outcome in [Outcome::Error, Outcome::Full, Outcome::Cancelled, Outcome::Moot] {
+        let mut desk = Desk::new(settings(), &[0, 0]);
+        let id = desk.until_sent_to(1, 1);
+        desk.now += MS;
+        desk.end(id, 0, outcome, MS);
+        // Passed over softly perhaps, but after a rest of some seconds still there without a scout.
+        desk.now += 30 * S;
+        assert!(desk.spread(1, 12).contains(&1), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_time_out_that_the_budget_cut_does_not_count() {
+    let mut desk = Desk::new(settings(), &[0, 0, 0]);
+    let id = desk.next;
+    let mut r = request(id, 1);
+    r.budget = 50 * MS;
+    desk.next += 1;
+    let to = first_send(&desk.event(Event::Request(r))).expect("sent");
+    desk.now += 50 * MS;
+    desk.end(id, 0, Outcome::TimedOut, 50 * MS);
+    assert!(!excluded(&mut desk, to));
+}
+
+#[test]
+fn a_sign_of_life_after_the_send_outweighs_a_late_answer() {
+    let mut desk = Desk::new(settings(), &[0, 0, 0]);
+    let slow = desk.until_sent_to(1, 1);
+    desk.now += 300 * MS;
+    let other = desk.until_sent_to(1, 1);
+    desk.now += 10 * MS;
+    desk.end(other, 0, Outcome::Served, 10 * MS);
+    desk.now += 300 * MS;
+    desk.event(Event::Timer { token: slow });
+    desk.end(slow, 0, Outcome::Served, 610 * MS);
+    desk.now += 20 * S;
+    assert!(!excluded(&mut desk, 1));
+}
+
+#[test]
+fn expiry_admits_one_request_at_a_time_until_a_success() {
+    let mut desk = Desk::new(settings(), &[0, 0, 0]);
+    desk.spread(0, 6);
+    fail_once(&mut desk, 1);
+    desk.now += 2_100 * MS;
+    let scout = desk.until_sent_to(0, 1);
+    assert!(excluded(&mut desk, 1), "a second one while the scout is out");
+    desk.end(scout, 0, Outcome::Served, 20 * MS);
+    assert!(!excluded(&mut desk, 1), "success restores at once");
+}
+
+#[test]
+fn the_cooldown_doubles_and_failures_within_it_are_ignored() {
+    let mut desk = Desk::new(settings(), &[0, 0, 0]);
+    desk.spread(0, 6);
+    // Two out together: the second failure comes within the cooldown and must not double it.
+    let a = desk.until_sent_to(1, 1);
+    let b = desk.until_sent_to(1, 1);
+    desk.end(a, 0, Outcome::Reset, MS);
+    desk.now += MS;
+    desk.end(b, 0, Outcome::Reset, MS);
+    desk.now += 2_100 * MS;
+    let scout = desk.until_sent_to(0, 1);
+    desk.now += MS;
+    desk.end(scout, 0, Outcome::Reset, MS);
+    desk.now += 2_500 * MS;
+    assert!(excluded(&mut desk, 1), "the second cooldown is longer than the first");
+    desk.now += 1_800 * MS;
+    assert!(!excluded(&mut desk, 1), "and twice as long, no more");
+}
+
+#[test]
+fn a_request_that_cannot_be_repeated_is_no_scout_while_others_are_well() {
+    let mut desk = Desk::new(settings(), &[0, 0, 0]);
+    desk.spread(0, 6);
+    fail_once(&mut desk, 1);
+    desk.now += 3 * S;
+    assert!(!desk.spread(1, 12).contains(&1));
+    assert!(desk.spread(0, 12).contains(&1));
+}
+
+/// Fail upstream 1 through its scouts until it has had `n` failures; the length of the cooldown after it.
+fn last_cooldown(elsewhere: bool, n: u32) -> Micros {
+    let mut desk = Desk::new(settings(), &[0, 0, 0]);
+    desk.spread(0, 6);
+    fail_once(&mut desk, 1);
+    for _ in 1..n {
+        let mut scout = None;
+        while scout.is_none() {
+            desk.now += 200 * MS;
+            let (id, to) = desk.sent(0);
+            match to {
+                1 => scout = Some(id),
+                _ if elsewhere => drop(desk.end(id, 0, Outcome::Served, MS)),
+                // Nobody answers: let the request lapse.
+                _ => drop(desk.event(Event::RequestGone { request: RequestId(id) })),
+            }
+        }
+        desk.end(scout.expect("a scout"), 0, Outcome::Reset, MS);
+    }
+    let from = desk.now;
+    for _ in 0..400 {
+        desk.now += 100 * MS;
+        let (id, to) = desk.sent(0);
+        if to == 1 {
+            return desk.now - from;
+        }
+        desk.end(id, 0, Outcome::Served, MS);
+    }
+    desk.now - from
+}
+
+#[test]
+fn dead_needs_successes_elsewhere() {
+    let dead = last_cooldown(true, 5);
+    assert!(dead > 25 * S, "corroborated: the long cooldown, not {dead}");
+    let offline = last_cooldown(false, 5);
+    assert!(offline < 25 * S, "not corroborated: an ordinary cooldown, not {offline}");
+}
+
+#[test]
+fn dead_needs_the_failures_and_the_streak() {
+    assert!(last_cooldown(true, 3) < 10 * S);
+}
+
+#[test]
+fn when_all_fail_at_two_or_more_it_blames_itself_and_the_first_success_clears() {
+    let mut desk = Desk::new(settings(), &[0, 0, 0, 0]);
+    desk.spread(1, 4);
+    desk.now += 3 * S;
+    for _ in 0..4 {
+        let (id, _) = desk.sent(1);
+        desk.now += MS;
+        desk.end(id, 0, Outcome::Reset, MS);
+    }
+    // The first failure counted before the fault could be known for our own; the rest did not.
+    desk.now += 10 * MS;
+    let (id, to) = desk.sent(1);
+    desk.end(id, 0, Outcome::Served, MS);
+    let mut met = desk.spread(1, 12);
+    met.sort_unstable();
+    met.dedup();
+    assert_eq!(met, [0, 1, 2, 3], "exclusions cleared after the success at {to}");
+    // Grace: a failure now does not exclude.
+    fail_once(&mut desk, 2);
+    assert!(!excluded(&mut desk, 2));
+}
+
+#[test]
+fn with_none_eligible_the_nearest_expiry_goes_first() {
+    let mut desk = Desk::new(settings(), &[0, 0]);
+    desk.spread(0, 4);
+    fail_once(&mut desk, 1);
+    desk.now += 500 * MS;
+    fail_once(&mut desk, 0);
+    let (_, to) = desk.sent(0);
+    assert_eq!(to, 1, "its cooldown ends first");
+}
+
+#[test]
+fn own_zone_first_and_others_when_fewer_than_half_are_eligible() {
+    let mut desk = Desk::new(settings(), &[0, 0, 0, 1, 1]);
+    assert!(desk.spread(0, 12).iter().all(|u| *u < 3));
+    fail_once(&mut desk, 0);
+    assert!(desk.spread(0, 9).iter().all(|u| *u < 3), "two of three are still more than half");
+    fail_once(&mut desk, 1);
+    assert!(desk.spread(0, 9).iter().any(|u| *u >= 3));
+}
+
+#[test]
+fn a_new_start_is_unknown_again() {
+    let mut desk = Desk::new(settings(), &[0, 0, 0]);
+    desk.spread(0, 6);
+    fail_once(&mut desk, 1);
+    let started = Entry { last_start: Some(desk.now - 60 * S), ..entry(1, 0) };
+    desk.list(ListKind::Patch, &[started]);
+    assert!(!excluded(&mut desk, 1));
+}
