--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -25,8 +25,8 @@
 const BLAME_GRACE: Micros = 5 * S;
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
-/// An upstream above this multiple of the mean expected answer time is passed over in the rotation.
-const MARGIN: f64 = 1.0;
+/// The rotation passes over an upstream expected later than the mean by more than this share of the aim.
+const SLACK: f64 = 0.02;
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
@@ -223,8 +223,8 @@
     }
 
     // --- estimates ---
-    /// How slow this upstream is against the usual: own evidence, fading to that of its kind in its zone, that
-    /// to the kind's, and that to the usual, so that refusals never rest on old evidence alone.
+    /// How slow this upstream is against the usual: own evidence, fading to that of its kind in its zone,
+    /// that to the kind's, and that to the usual, so that refusals never rest on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
         let levels = [self.groups[u.groups[0]].seen, self.groups[u.groups[1]].seen, u.seen];
         let slow = levels.iter().fold(1.0, |slow, l| slow + (l.slow - slow) * self.fresh(l.fed));
@@ -244,7 +244,7 @@
         let (now, fresh) = (self.now, self.fresh(self.upstreams[i].seen.fed));
         let k = self.usual[class];
         let ratio = (elapsed as f64 / (k.per_unit * unit).max(1.0)).min(RATIO_CAP);
-        // Light requests wait as long as heavy ones: unweighted, they would make every upstream look slow.
+        // Light requests wait as long as heavy ones: unweighted, they make every upstream look slow.
         let weight = (unit / k.unit.max(1e-9)).clamp(0.05, 2.0);
         let u = &mut self.upstreams[i];
         u.errors = u.errors * fresh * (1.0 - LEARN.2) + if served { 0.0 } else { LEARN.2 };
@@ -330,7 +330,8 @@
         }
         let mean = pool.iter().map(|c| c.1).sum::<f64>() / pool.len() as f64;
         let rank = |i: usize| (i + n - self.turn % n) % n;
-        let next = pool.iter().filter(|c| c.1 <= mean * MARGIN).min_by_key(|c| rank(c.0));
+        let level = mean + SLACK * self.set.classes[p.class].aim as f64;
+        let next = pool.iter().filter(|c| c.1 <= level).min_by_key(|c| rank(c.0));
         let i = next.or_else(|| pool.iter().min_by(|a, b| a.1.total_cmp(&b.1)))?.0;
         self.turn = i + 1;
         Some(i)
@@ -373,8 +374,7 @@
     /// A first-answer limit has passed: it counts, and a second copy goes out where one may.
     fn review(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(mut p) = self.pending.remove(&id) else { return };
-        let work = p.work;
-        let limit = self.first_answer(p.class, work);
+        let limit = self.first_answer(p.class, p.work);
         let mut late = false;
         for k in 0..p.attempts.len() {
             let a = p.attempts[k];
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -83,12 +83,14 @@
     pub balancer: Balancer,
     pub now: Micros,
     pub next: u64,
+    budgets: Vec<Micros>,
 }
 
 impl Desk {
     pub fn new(settings: Settings, zones_of_upstreams: &[u32]) -> Self {
+        let budgets = settings.classes.iter().map(|c| c.deadline).collect();
         let balancer = Balancer::new(settings, 7, S);
-        let mut desk = Desk { balancer, now: S, next: 1 };
+        let mut desk = Desk { balancer, now: S, next: 1, budgets };
         let entries: Vec<_> = (0..).zip(zones_of_upstreams).map(|(i, z)| entry(i, *z)).collect();
         desk.list(ListKind::StaleCopy, &entries);
         desk
@@ -108,7 +110,8 @@
     pub fn ask(&mut self, class: u32) -> (u64, Vec<Action>) {
         let id = self.next;
         self.next += 1;
-        (id, self.event(Event::Request(request(id, class))))
+        let budget = self.budgets[class as usize];
+        (id, self.event(Event::Request(NewRequest { budget, ..request(id, class) })))
     }
 
     /// A new request that must be sent somewhere: its id and where.
@@ -131,6 +134,12 @@
         to
     }
 
+    /// The client leaves and the attempt is called off.
+    pub fn leave(&mut self, id: u64) {
+        self.event(Event::RequestGone { request: RequestId(id) });
+        self.end(id, 0, Outcome::Cancelled, MS);
+    }
+
     /// Send requests until one goes to `to`, serving the others; its id.
     pub fn until_sent_to(&mut self, class: u32, to: u32) -> u64 {
         for _ in 0..200 {
--- a/crates/core/tests/liveness.rs
+++ b/crates/core/tests/liveness.rs
@@ -93,8 +93,13 @@
 
 #[test]
 fn the_cooldown_doubles_and_failures_within_it_are_ignored() {
-    let mut desk = Desk::new(settings(), &[0, 0, 0]);
-    desk.spread(0, 6);
+    // A far aim, so that a second request goes where one is out already.
+    let mut patient = settings();
+    patient.classes.iter_mut().for_each(|c| (c.aim, c.deadline) = (100 * S, 200 * S));
+    let mut desk = Desk::new(patient, &[0, 0, 0]);
+    for class in [0, 1] {
+        desk.spread(class, 600);
+    }
     // Two out together: the second failure comes within the cooldown and must not double it.
     let a = desk.until_sent_to(1, 1);
     let b = desk.until_sent_to(1, 1);
@@ -134,11 +139,13 @@
             match to {
                 1 => scout = Some(id),
                 _ if elsewhere => drop(desk.end(id, 0, Outcome::Served, MS)),
-                // Nobody answers: let the request lapse.
-                _ => drop(desk.event(Event::RequestGone { request: RequestId(id) })),
+                // Nobody answers: the client leaves.
+                _ => desk.leave(id),
             }
         }
-        desk.end(scout.expect("a scout"), 0, Outcome::Reset, MS);
+        let scout = scout.expect("a scout");
+        desk.event(Event::RequestGone { request: RequestId(scout) });
+        desk.end(scout, 0, Outcome::Reset, MS);
     }
     let from = desk.now;
     for _ in 0..400 {
@@ -147,7 +154,7 @@
         if to == 1 {
             return desk.now - from;
         }
-        desk.end(id, 0, Outcome::Served, MS);
+        desk.leave(id);
     }
     desk.now - from
 }
