--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -25,8 +25,8 @@
 const BLAME_GRACE: Micros = 5 * S;
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
-/// The rotation passes over an upstream expected later than the mean by more than this share of the aim.
-const SLACK: f64 = 0.02;
+/// An upstream expected to take twice as long gets a turn in two to this power.
+const TURN_POWER: f64 = 2.0;
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
@@ -120,6 +120,7 @@
         }
         for e in entries {
             let i = e.upstream.0 as usize;
+            let first_turn = self.random();
             let known = self.upstreams.len();
             let blank = |id| Upstream::new(Entry { upstream: UpstreamId(id as u32), ..*e });
             self.upstreams.extend((known..=i).map(blank));
@@ -130,6 +131,9 @@
                 let recent = std::mem::take(&mut u.recent);
                 *u = Upstream { out: u.out, work_out: u.work_out, recent, ..Upstream::new(*e) };
             }
+            if i >= known {
+                u.turns = first_turn;
+            }
             u.entry = *e;
             u.listed = e.lifecycle == Lifecycle::Running;
             let (kinds, zones) = (self.kinds.len().max(e.kind as usize + 1), e.zone as usize + 1);
@@ -328,13 +332,21 @@
             }
             return (0..n).filter(|i| fits(*i)).min_by_key(|i| self.upstreams[*i].until());
         }
-        let mean = pool.iter().map(|c| c.1).sum::<f64>() / pool.len() as f64;
-        let rank = |i: usize| (i + n - self.turn % n) % n;
-        let level = mean + SLACK * self.set.classes[p.class].aim as f64;
-        let next = pool.iter().filter(|c| c.1 <= level).min_by_key(|c| rank(c.0));
-        let i = next.or_else(|| pool.iter().min_by(|a, b| a.1.total_cmp(&b.1)))?.0;
-        self.turn = i + 1;
-        Some(i)
+        // Turns in proportion: each time round an upstream earns the part of a turn that its expected time leaves
+        // it against the pool's best, and is passed over until it has a whole one.
+        let best = pool.iter().map(|c| c.1).fold(f64::MAX, f64::min).max(1.0);
+        let mut earns = vec![0.0; n];
+        pool.iter().for_each(|c| earns[c.0] = (best / c.1.max(1.0)).powf(TURN_POWER));
+        for i in (0..n).cycle().skip(self.turn % n).take(2 * n) {
+            let u = &mut self.upstreams[i];
+            u.turns += earns[i];
+            if u.turns >= 1.0 && earns[i] > 0.0 {
+                u.turns -= 1.0;
+                self.turn = i + 1;
+                return Some(i);
+            }
+        }
+        None
     }
 
     // --- attempts ---
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -36,6 +36,8 @@
     pub errors: f64,
     pub out: u32,
     pub work_out: f64,
+    /// Part of a turn in the rotation that it has earned.
+    pub turns: f64,
     /// Work sent within the cold budget's window.
     pub recent: VecDeque<(Micros, f64)>,
 }
@@ -160,6 +162,7 @@
             errors: 0.0,
             out: 0,
             work_out: 0.0,
+            turns: 0.0,
             recent: VecDeque::new(),
         }
     }
