--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -32,7 +32,7 @@
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
 /// Weight of one answer in the usual, its kind's speed, its zone's crowding and its upstream's own part.
 const LEARN_USUAL: f64 = 0.01;
-const LEARN_KIND: f64 = 0.01;
+const LEARN_KIND: f64 = 0.02;
 const LEARN_ZONE: f64 = 0.05;
 const LEARN_OWN: f64 = 0.1;
 const SURPRISE_CAP: f64 = 8.0;
@@ -42,6 +42,8 @@
 /// Second tries: this share of first ones, saved up to the cap. More turns overload into collapse.
 const RETRY_SHARE: f64 = 0.02;
 const RETRY_CAP: f64 = 5.0;
+/// The rate of work served is counted over about this time.
+const RATE_OVER: f64 = 6e6;
 /// Part of the cold budget used: estimates of a warm upstream's load are rough.
 const COLD_CARE: f64 = 0.6;
 /// Refuse when the expected answer time of a usual request passes this share of the time left.
@@ -118,6 +120,7 @@
         if kind != ListKind::Patch {
             self.upstreams.iter_mut().for_each(|u| u.listed = false);
         }
+        let usual = self.usual.iter().map(|k| k.per_unit * k.unit).sum::<f64>() / self.usual.len().max(1) as f64;
         for e in entries {
             let i = e.upstream.0 as usize;
             let first_turn = self.random();
@@ -128,16 +131,16 @@
             let restarted = i < known && e.last_start > u.entry.last_start;
             if restarted {
                 // A new process: old failures and speed say nothing of it, and it is cold again.
-                let recent = std::mem::take(&mut u.recent);
-                *u = Upstream { out: u.out, work_out: u.work_out, recent, ..Upstream::new(*e) };
+                *u = Upstream { out: u.out, work_out: u.work_out, ..Upstream::new(*e) };
             }
-            if i >= known {
-                u.turns = first_turn;
+            if i >= known || restarted {
+                // Hundreds start at different points of the rotation and of the cold budget.
+                (u.turns, u.saved, u.saved_at) = (first_turn, first_turn * usual, self.now);
             }
             u.entry = *e;
             u.listed = e.lifecycle == Lifecycle::Running;
             let (kinds, zones) = (self.kinds.len().max(e.kind as usize + 1), e.zone as usize + 1);
-            self.kinds.resize(kinds, 1.0);
+            self.kinds.resize(kinds, Kind { slow: 1.0, seen: 0.0 });
             self.zones.resize(self.zones.len().max(zones), Seen { slow: 1.0, fed: LONG_AGO });
         }
     }
@@ -228,7 +231,7 @@
     /// How slow this upstream is against the usual: the speed of its kind, times the crowding of its zone and
     /// what sets it apart, which fade without answers, so that nothing rests on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
-        let slow = self.kinds[u.entry.kind as usize] * self.faded(self.zones[u.entry.zone as usize]);
+        let slow = self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize]);
         slow * self.faded(u.seen) + u.errors * self.fresh(u.seen.fed) * ERROR_WEIGHT
     }
 
@@ -252,7 +255,7 @@
             (u.entry.kind as usize, u.entry.zone as usize, u.errors * self.fresh(u.seen.fed));
         let (crowd, own) = (self.faded(self.zones[zone]), self.faded(u.seen));
         let k = &mut self.usual[class];
-        let work = k.per_unit * unit * self.kinds[kind] * crowd * own;
+        let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
         let u = &mut self.upstreams[i];
         u.errors = errors * (1.0 - LEARN_OWN) + if served { 0.0 } else { LEARN_OWN };
         u.seen = Seen { slow: own, fed: now };
@@ -264,7 +267,9 @@
         let off = ((elapsed as f64 / work.max(1.0)).min(SURPRISE_CAP) - 1.0) * weight;
         k.seen += 1.0;
         k.per_unit *= 1.0 + off * (1.0 / (k.seen + 4.0)).max(LEARN_USUAL);
-        self.kinds[kind] *= 1.0 + off * LEARN_KIND;
+        let kind = &mut self.kinds[kind];
+        kind.seen += 1.0;
+        kind.slow *= 1.0 + off * (1.0 / (kind.seen + 8.0)).max(LEARN_KIND);
         self.zones[zone] = Seen { slow: crowd * (1.0 + off * LEARN_ZONE), fed: now };
         self.upstreams[i].seen.slow *= 1.0 + off * LEARN_OWN;
     }
@@ -291,10 +296,12 @@
         let work = p.work;
         let n = self.upstreams.len();
         let ours = self.set.my_zone;
+        let warm_rate = self.warm_rate();
+        let roomy: Vec<bool> = (0..n).map(|i| self.cold_room(i, work, warm_rate)).collect();
         let fits = |i: usize| {
             let u = &self.upstreams[i];
             let grouped = group.is_none_or(|(g, f)| u.within(g, &self.upstreams[f].entry));
-            u.listed && grouped && !p.attempts.iter().any(|a| a.upstream == i) && self.cold_room(u, work)
+            u.listed && grouped && !p.attempts.iter().any(|a| a.upstream == i) && roomy[i]
         };
         let open = |i: usize| fits(i) && self.eligible(&self.upstreams[i]);
         let listed_here = self.upstreams.iter().filter(|u| u.listed && u.entry.zone == ours).count();
@@ -359,8 +366,8 @@
             retry && self.now + limit < p.aim_at && p.attempts.len() + 1 < self.set.attempts_cap as usize;
         let left = p.deadline - self.now;
         let now = self.now;
-        self.charge(i, work);
         let u = &mut self.upstreams[i];
+        u.saved -= work;
         u.out += 1;
         u.work_out += work;
         let scout = u.excluded();
@@ -441,6 +448,10 @@
             // A sign of life, whatever it says: errors are passed over softly, never excluded.
             Outcome::Served | Outcome::Error | Outcome::Full => {
                 self.life(a.upstream);
+                if outcome == Outcome::Served {
+                    let (now, fade) = (self.now, -((self.now - self.served_at) as f64) / RATE_OVER);
+                    (self.served_rate, self.served_at) = (self.served_rate * fade.exp() + work / RATE_OVER, now);
+                }
                 self.learn(p.class, p.unit, a.upstream, e.elapsed, outcome == Outcome::Served);
             }
             Outcome::TimedOut if a.own_limit && !a.suspected => self.failure(a.upstream, a.sent),
@@ -559,33 +570,25 @@
         (grown < 1.0).then(|| self.set.cold_from + (1.0 - self.set.cold_from) * grown.max(0.0))
     }
 
-    /// Whether the cold budget has room: what this balancer sends a warm upstream is its share of what such a
-    /// one can do, so the multiple of the present part of that, over the span, is its share of the budget.
-    fn cold_room(&self, u: &Upstream, work: f64) -> bool {
-        let Some(share) = self.cold_share(u) else { return true };
-        let span = self.set.fall_span;
-        let sent: f64 = u.recent.iter().filter(|r| r.0 > self.now - span).map(|r| r.1).sum();
-        let warm = self.upstreams.iter().filter(|u| u.listed && self.cold_share(u).is_none()).count();
-        let rate = self.warm_rate / warm.max(1) as f64;
-        let budget = self.set.fall_multiple * share * rate * span as f64 * COLD_CARE;
-        (sent == 0.0 && u.out == 0) || (sent + work <= budget && u.out < 4)
+    /// What this balancer may send a cold upstream, saved up from a random start, so that hundreds whose part is
+    /// under one request come one by one. What it gets served by a warm one is its part of what such a one can
+    /// do; the multiple of the cold share of that is its part of the budget. One request a span for all
+    /// balancers together is always safe: without it nobody would find out in a fleet that is all cold.
+    fn cold_room(&mut self, i: usize, work: f64, warm_rate: f64) -> bool {
+        let (now, span) = (self.now, self.set.fall_span as f64);
+        let Some(share) = self.cold_share(&self.upstreams[i]) else { return true };
+        let rate = self.set.fall_multiple * share * warm_rate * COLD_CARE;
+        let rate = rate.max(work / (span * self.set.instances.max(1) as f64));
+        let u = &mut self.upstreams[i];
+        u.saved = (u.saved + rate * (now - u.saved_at).max(0) as f64).min((rate * span / 4.0).max(work));
+        u.saved_at = now;
+        u.saved >= work
     }
 
-    fn charge(&mut self, i: usize, work: f64) {
-        let now = self.now;
-        // Work a microsecond to warm upstreams, over some seconds.
-        let over = 6e6;
-        self.warm_rate *= (-((now - self.warm_at) as f64) / over).exp();
-        self.warm_at = now;
-        if self.cold_share(&self.upstreams[i]).is_none() {
-            self.warm_rate += work / over;
-            return;
-        }
-        let old = now - self.set.fall_span;
-        let recent = &mut self.upstreams[i].recent;
-        while recent.front().is_some_and(|r| r.0 <= old) {
-            recent.pop_front();
-        }
-        recent.push_back((now, work));
+    /// Work an upstream of full capacity serves this balancer in a microsecond.
+    fn warm_rate(&self) -> f64 {
+        let whole = |u: &Upstream| if u.listed { self.cold_share(u).unwrap_or(1.0) } else { 0.0 };
+        let fade = (-((self.now - self.served_at) as f64) / RATE_OVER).exp();
+        self.served_rate * fade / self.upstreams.iter().map(whole).sum::<f64>().max(1.0)
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -21,6 +21,13 @@
     pub fed: Micros,
 }
 
+/// A machine kind's answer time as a multiple of the usual, and how many answers told.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Kind {
+    pub slow: f64,
+    pub seen: f64,
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
     pub listed: bool,
@@ -38,8 +45,9 @@
     pub work_out: f64,
     /// Part of a turn in the rotation that it has earned.
     pub turns: f64,
-    /// Work sent within the cold budget's window.
-    pub recent: VecDeque<(Micros, f64)>,
+    /// Work it may be sent while cold, saved up, and until when that is counted.
+    pub saved: f64,
+    pub saved_at: Micros,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -94,14 +102,14 @@
     pub(crate) grace_until: Micros,
     pub(crate) pending: HashMap<RequestId, Pending>,
     pub(crate) usual: Vec<Usual>,
-    pub(crate) kinds: Vec<f64>,
+    pub(crate) kinds: Vec<Kind>,
     pub(crate) zones: Vec<Seen>,
     pub(crate) retry_tokens: f64,
-    /// Work sent to warm upstreams, fading, for the cold budget.
     pub(crate) worth_seen: f64,
     pub(crate) work_seen: f64,
-    pub(crate) warm_rate: f64,
-    pub(crate) warm_at: Micros,
+    /// Work served in a microsecond, fading, for the cold budget.
+    pub(crate) served_rate: f64,
+    pub(crate) served_at: Micros,
 }
 
 impl Balancer {
@@ -128,8 +136,8 @@
             retry_tokens: 0.0,
             worth_seen: 0.0,
             work_seen: 0.0,
-            warm_rate: 0.0,
-            warm_at: now,
+            served_rate: 0.0,
+            served_at: now,
         }
     }
 }
@@ -163,7 +171,8 @@
             out: 0,
             work_out: 0.0,
             turns: 0.0,
-            recent: VecDeque::new(),
+            saved: 0.0,
+            saved_at: LONG_AGO,
         }
     }
 
