--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -456,7 +456,9 @@
             }
             Outcome::TimedOut if a.own_limit && !a.suspected => self.failure(a.upstream, a.sent),
             Outcome::ConnectFailed | Outcome::Reset => self.failure(a.upstream, a.sent),
-            Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
+            // The client's time was up: no fault of the upstream's is proven, but that long it took at least.
+            Outcome::TimedOut => self.learn(p.class, p.unit, a.upstream, e.elapsed, true),
+            Outcome::Cancelled | Outcome::Moot => {}
         }
         if e.over || outcome == Outcome::Served {
             p.over = true;
