--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -33,10 +33,11 @@
 /// Weight of one answer in the usual, its kind's speed, its zone's crowding and its upstream's own part.
 const LEARN_USUAL: f64 = 0.01;
 const LEARN_KIND: f64 = 0.02;
-const LEARN_ZONE: f64 = 0.05;
-const LEARN_OWN: f64 = 0.1;
-const SURPRISE_CAP: f64 = 8.0;
+const LEARN_ZONE: f64 = 0.1;
+const LEARN_OWN: f64 = 0.3;
+const SURPRISE_CAP: f64 = 4.0;
 const FADE: f64 = 4e6;
+const FADE_OWN: f64 = 15e6;
 /// Errors weigh like an answer this many usual latencies late.
 const ERROR_WEIGHT: f64 = 12.0;
 /// Second tries: this share of first ones, saved up to the cap. More turns overload into collapse.
@@ -231,16 +232,16 @@
     /// How slow this upstream is against the usual: the speed of its kind, times the crowding of its zone and
     /// what sets it apart, which fade without answers, so that nothing rests on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
-        let slow = self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize]);
-        slow * self.faded(u.seen) + u.errors * self.fresh(u.seen.fed) * ERROR_WEIGHT
+        let slow = self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize], FADE);
+        slow * self.faded(u.seen, FADE_OWN) + u.errors * self.fresh(u.seen.fed, FADE_OWN) * ERROR_WEIGHT
     }
 
-    fn faded(&self, seen: Seen) -> f64 {
-        1.0 + (seen.slow - 1.0) * self.fresh(seen.fed)
+    fn faded(&self, seen: Seen, over: f64) -> f64 {
+        1.0 + (seen.slow - 1.0) * self.fresh(seen.fed, over)
     }
 
-    fn fresh(&self, fed: Micros) -> f64 {
-        (-((self.now - fed).max(0) as f64) / FADE).exp()
+    fn fresh(&self, fed: Micros, over: f64) -> f64 {
+        (-((self.now - fed).max(0) as f64) / over).exp()
     }
 
     /// Expected answer time there of a request with this much expected work.
@@ -252,8 +253,8 @@
         let now = self.now;
         let u = &self.upstreams[i];
         let (kind, zone, errors) =
-            (u.entry.kind as usize, u.entry.zone as usize, u.errors * self.fresh(u.seen.fed));
-        let (crowd, own) = (self.faded(self.zones[zone]), self.faded(u.seen));
+            (u.entry.kind as usize, u.entry.zone as usize, u.errors * self.fresh(u.seen.fed, FADE_OWN));
+        let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, FADE_OWN));
         let k = &mut self.usual[class];
         let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
         let u = &mut self.upstreams[i];
