--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -26,7 +26,7 @@
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
 /// An upstream expected to take twice as long gets a turn in two to this power.
-const TURN_POWER: f64 = 2.0;
+const TURN_POWER: f64 = 3.0;
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
@@ -34,10 +34,10 @@
 const LEARN_USUAL: f64 = 0.01;
 const LEARN_KIND: f64 = 0.02;
 const LEARN_ZONE: f64 = 0.1;
-const LEARN_OWN: f64 = 0.3;
-const SURPRISE_CAP: f64 = 4.0;
+const LEARN_OWN: f64 = 0.5;
+const SURPRISE_CAP: f64 = 8.0;
 const FADE: f64 = 4e6;
-const FADE_OWN: f64 = 15e6;
+const FADE_OWN: f64 = 30e6;
 /// Errors weigh like an answer this many usual latencies late.
 const ERROR_WEIGHT: f64 = 12.0;
 /// Second tries: this share of first ones, saved up to the cap. More turns overload into collapse.
