--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -33,8 +33,9 @@
 /// Weight of one answer in the usual, its kind's speed, its zone's crowding and its upstream's own part.
 const LEARN_USUAL: f64 = 0.01;
 const LEARN_KIND: f64 = 0.02;
-const LEARN_ZONE: f64 = 0.1;
-const LEARN_OWN: f64 = 0.5;
+/// ... the latter two more when answers are rare: by the time since the last, as a part of this.
+const LEARN_ZONE: (f64, f64, f64) = (0.05, 0.15, 4e6);
+const LEARN_OWN: (f64, f64, f64) = (0.1, 0.3, 10e6);
 const SURPRISE_CAP: f64 = 8.0;
 const FADE: f64 = 4e6;
 const FADE_OWN: f64 = 30e6;
@@ -53,6 +54,11 @@
 const RANK: (f64, f64) = (0.6, 1.5);
 /// A queue clears in about this time: a client turned away need not come back sooner.
 const RETURN: Micros = S;
+/// Messages to peers: bytes to a message, points they may cost, most receivers, the mark of no answer.
+const NEWS_BATCH: usize = 12;
+const PEER_POINTS: f64 = 0.01;
+const PEERS_MOST: f64 = 16.0;
+const NO_ANSWER: u8 = 255;
 const LIST_TOKEN: u64 = 1 << 60;
 
 // --- state ---
@@ -90,7 +96,8 @@
             Event::RequestGone { request } => self.close(request, out),
             Event::Timer { token: LIST_TOKEN } => self.ask(out),
             Event::Timer { token } => self.review(RequestId(token), out),
-            Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
+            Event::PeerMessage { bytes, .. } => self.hear(bytes),
+            Event::ProbeEnded { .. } => {}
         }
     }
 
@@ -139,6 +146,7 @@
                 (u.turns, u.saved, u.saved_at) = (first_turn, first_turn * usual, self.now);
             }
             u.entry = *e;
+            self.names.insert(e.name, i);
             u.listed = e.lifecycle == Lifecycle::Running;
             let (kinds, zones) = (self.kinds.len().max(e.kind as usize + 1), e.zone as usize + 1);
             self.kinds.resize(kinds, Kind { slow: 1.0, seen: 0.0 });
@@ -257,8 +265,12 @@
         let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, FADE_OWN));
         let k = &mut self.usual[class];
         let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
+        let rate = |fed: Micros, (least, most, over): (f64, f64, f64)| {
+            ((now - fed).max(0) as f64 / over).clamp(least, most)
+        };
+        let (of_zone, of_own) = (rate(self.zones[zone].fed, LEARN_ZONE), rate(self.upstreams[i].seen.fed, LEARN_OWN));
         let u = &mut self.upstreams[i];
-        u.errors = errors * (1.0 - LEARN_OWN) + if served { 0.0 } else { LEARN_OWN };
+        u.errors = errors * (1.0 - of_own) + if served { 0.0 } else { of_own };
         u.seen = Seen { slow: own, fed: now };
         if !served {
             return;
@@ -271,8 +283,41 @@
         let kind = &mut self.kinds[kind];
         kind.seen += 1.0;
         kind.slow *= 1.0 + off * (1.0 / (kind.seen + 8.0)).max(LEARN_KIND);
-        self.zones[zone] = Seen { slow: crowd * (1.0 + off * LEARN_ZONE), fed: now };
-        self.upstreams[i].seen.slow *= 1.0 + off * LEARN_OWN;
+        self.zones[zone] = Seen { slow: crowd * (1.0 + off * of_zone), fed: now };
+        self.upstreams[i].seen.slow *= 1.0 + off * of_own;
+    }
+
+    // --- peers ---
+    /// Tell some peers, drawn at random, what an attempt told: name, class, time against the aim. So each learns
+    /// of an upstream oftener than it sends there. As many as the price leaves at this many points.
+    fn tell(&mut self, i: usize, class: usize, elapsed: Option<Micros>, out: &mut Vec<Action>) {
+        let peers = self.set.instances.saturating_sub(1);
+        if true || !self.set.peer_messages || peers == 0 {
+            return;
+        }
+        let aim = self.set.classes[class].aim.max(1) as f64;
+        let level = |e: Micros| (128.0 + 16.0 * (e.max(1) as f64 / aim).log2()).clamp(0.0, 254.0) as u8;
+        let name = self.upstreams[i].entry.name.to_be_bytes();
+        self.news.extend([name[0], name[1], class as u8, elapsed.map_or(NO_ANSWER, level)]);
+        if self.news.len() < NEWS_BATCH {
+            return;
+        }
+        let afford = (PEER_POINTS * 64.0 / self.set.prices.peer.max(1e-6)).min(PEERS_MOST) as u32;
+        for _ in 0..afford.min(peers) {
+            let to = (self.rng.next_u64() % u64::from(peers)) as u32;
+            let to = Some(to + u32::from(to >= self.set.me));
+            out.push(Action::TellPeers { to, bytes: self.news.clone() });
+        }
+        self.news.clear();
+    }
+
+    fn hear(&mut self, bytes: &[u8]) {
+        for b in bytes.chunks_exact(4) {
+            let (name, class) = (u16::from_be_bytes([b[0], b[1]]), b[2] as usize);
+            let (Some(&i), Some(c)) = (self.names.get(&name), self.set.classes.get(class)) else { continue };
+            let elapsed = c.aim as f64 * ((f64::from(b[3]) - 128.0) / 16.0).exp2();
+            self.learn(class, self.usual[class].unit, i, elapsed as Micros, b[3] != NO_ANSWER);
+        }
     }
 
     // --- pick ---
@@ -453,12 +498,23 @@
                     let (now, fade) = (self.now, -((self.now - self.served_at) as f64) / RATE_OVER);
                     (self.served_rate, self.served_at) = (self.served_rate * fade.exp() + work / RATE_OVER, now);
                 }
-                self.learn(p.class, p.unit, a.upstream, e.elapsed, outcome == Outcome::Served);
+                let served = outcome == Outcome::Served;
+                self.learn(p.class, p.unit, a.upstream, e.elapsed, served);
+                self.tell(a.upstream, p.class, served.then_some(e.elapsed), out);
+            }
+            Outcome::TimedOut if a.own_limit && !a.suspected => {
+                self.failure(a.upstream, a.sent);
+                self.tell(a.upstream, p.class, None, out);
+            }
+            Outcome::ConnectFailed | Outcome::Reset => {
+                self.failure(a.upstream, a.sent);
+                self.tell(a.upstream, p.class, None, out);
             }
-            Outcome::TimedOut if a.own_limit && !a.suspected => self.failure(a.upstream, a.sent),
-            Outcome::ConnectFailed | Outcome::Reset => self.failure(a.upstream, a.sent),
             // The client's time was up: no fault of the upstream's is proven, but that long it took at least.
-            Outcome::TimedOut => self.learn(p.class, p.unit, a.upstream, e.elapsed, true),
+            Outcome::TimedOut => {
+                self.learn(p.class, p.unit, a.upstream, e.elapsed, true);
+                self.tell(a.upstream, p.class, Some(e.elapsed), out);
+            }
             Outcome::Cancelled | Outcome::Moot => {}
         }
         if e.over || outcome == Outcome::Served {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -104,6 +104,9 @@
     pub(crate) usual: Vec<Usual>,
     pub(crate) kinds: Vec<Kind>,
     pub(crate) zones: Vec<Seen>,
+    /// What peers are to be told next, and upstreams by the names that peers use.
+    pub(crate) news: Vec<u8>,
+    pub(crate) names: HashMap<u16, usize>,
     pub(crate) retry_tokens: f64,
     pub(crate) worth_seen: f64,
     pub(crate) work_seen: f64,
@@ -133,6 +136,8 @@
             usual: Vec::new(),
             kinds: Vec::new(),
             zones: Vec::new(),
+            news: Vec::new(),
+            names: HashMap::new(),
             retry_tokens: 0.0,
             worth_seen: 0.0,
             work_seen: 0.0,
