--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -63,21 +63,22 @@
 const NO_ANSWER: u8 = 255;
 const LIST_TOKEN: u64 = 1 << 60;
 
-/// The part of a turn that an upstream earns against the best expected time of its pool.
-fn turn_share(best: f64, time: f64) -> f64 {
-    (best / time.max(1.0)).powf(TURN_POWER)
+/// An upstream that a request may go to: the time expected there of it, and of a usual one.
+#[derive(Clone, Copy)]
+struct Choice {
+    i: usize,
+    time: f64,
+    usual: f64,
 }
 
-/// The time expected at the upstream whose turn it is, over many turns.
-fn turns_mean(pool: &[(usize, f64)]) -> f64 {
-    let best = pool.iter().map(|c| c.1).fold(f64::MAX, f64::min).max(1.0);
-    let shares = pool.iter().map(|c| (turn_share(best, c.1), c.1));
-    let (all, sum) = shares.fold((0.0, 0.0), |(a, s), (e, t)| (a + e, s + e * t));
-    if all > 0.0 {
-        sum / all
-    } else {
-        f64::MAX
-    }
+/// The part of a turn that each earns against the best of its pool, and the mean times over their turns.
+fn turns(pool: &[Choice]) -> (Vec<f64>, f64, f64) {
+    let best = pool.iter().map(|c| c.time).fold(f64::MAX, f64::min).max(1.0);
+    let parts: Vec<f64> = pool.iter().map(|c| (best / c.time.max(1.0)).powf(TURN_POWER)).collect();
+    let all = parts.iter().sum::<f64>().max(1e-9);
+    let mean = |f: fn(&Choice) -> f64| pool.iter().zip(&parts).map(|(c, e)| f(c) * e).sum::<f64>() / all;
+    let (time, usual) = (mean(|c| c.time), mean(|c| c.usual));
+    (parts, time, usual)
 }
 
 // --- state ---
@@ -271,11 +272,6 @@
         (-((self.now - fed).max(0) as f64) / over).exp()
     }
 
-    /// Expected answer time there of a request with this much expected work.
-    fn expect(&self, u: &Upstream, work: f64) -> f64 {
-        self.slowness(u) * (work + u.work_out)
-    }
-
     fn learn(&mut self, class: usize, unit: f64, i: usize, elapsed: Micros, served: bool) {
         let now = self.now;
         let u = &self.upstreams[i];
@@ -355,7 +351,8 @@
         }
     }
 
-    fn pick(&mut self, p: &Pending) -> Option<usize> {
+    /// Where to send, and the time that a usual request of the class can expect there and thereabouts.
+    fn pick(&mut self, p: &Pending) -> Option<(usize, f64)> {
         let group = self.allowed(p)?;
         let once = self.set.classes[p.class].effect == Effect::Once;
         let work = p.work;
@@ -370,17 +367,18 @@
         };
         let open = |i: usize| fits(i) && self.eligible(&self.upstreams[i]);
         let listed_here = self.upstreams.iter().filter(|u| u.listed && u.entry.zone == ours).count();
-        let mut pool: Vec<(usize, f64)> = Vec::with_capacity(n);
-        let mut away: Vec<(usize, f64)> = Vec::with_capacity(n);
+        let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
+        let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
         for i in (0..n).filter(|i| open(*i)) {
             let u = &self.upstreams[i];
+            let slow = self.slowness(u);
             let to = if u.entry.zone == ours { &mut pool } else { &mut away };
-            to.push((i, self.expect(u, work)));
+            to.push(Choice { i, time: slow * (work + u.work_out), usual: slow * (usual + 0.5 * u.work_out) });
         }
         if (pool.len() as f64) < listed_here as f64 * SPILL_SHARE || pool.is_empty() {
             // The page's spill: other zones in this balancer's own order, until half as many are there again.
             for z in &self.zone_order {
-                pool.extend(away.iter().filter(|c| self.upstreams[c.0].entry.zone == *z));
+                pool.extend(away.iter().filter(|c| self.upstreams[c.i].entry.zone == *z));
                 if pool.len() as f64 >= listed_here as f64 * SPILL_SHARE && !pool.is_empty() {
                     break;
                 }
@@ -389,39 +387,40 @@
             // Exception, lasting imbalance: the own zone's turns are expected later than another's by more than a
             // crossing is worth, its price taken as a share of the aim. Only so many cross as the gain is of the
             // time, by chance: hundreds with the same news would swing together.
-            let own = turns_mean(&pool);
+            let own = turns(&pool).1;
             let toll = self.set.prices.cross_zone * self.set.classes[p.class].aim as f64 + 20e3;
             for z in &self.zone_order {
                 let far: Vec<_> =
-                    away.iter().copied().filter(|c| self.upstreams[c.0].entry.zone == *z).collect();
-                if chance < (own - turns_mean(&far) - toll) / own * CROSS_GAIN {
+                    away.iter().copied().filter(|c| self.upstreams[c.i].entry.zone == *z).collect();
+                if !far.is_empty() && chance < (own - turns(&far).1 - toll) / own * CROSS_GAIN {
                     pool = far;
                     break;
                 }
             }
         }
-        if once && pool.iter().any(|c| !self.upstreams[c.0].excluded()) {
+        if once && pool.iter().any(|c| !self.upstreams[c.i].excluded()) {
             // What cannot be sent again is a poor scout.
-            pool.retain(|c| !self.upstreams[c.0].excluded());
+            pool.retain(|c| !self.upstreams[c.i].excluded());
         }
         if pool.is_empty() {
             if !p.attempts.is_empty() {
                 return None;
             }
-            return (0..n).filter(|i| fits(*i)).min_by_key(|i| self.upstreams[*i].until());
+            let nearest = (0..n).filter(|i| fits(*i)).min_by_key(|i| self.upstreams[*i].until())?;
+            return Some((nearest, self.slowness(&self.upstreams[nearest]) * usual));
         }
         // Turns in proportion: each time round an upstream earns the part of a turn that its expected time leaves
         // it against the pool's best, and is passed over until it has a whole one.
-        let best = pool.iter().map(|c| c.1).fold(f64::MAX, f64::min).max(1.0);
+        let (parts, _, usual) = turns(&pool);
         let mut earns = vec![0.0; n];
-        pool.iter().for_each(|c| earns[c.0] = turn_share(best, c.1));
+        pool.iter().zip(parts).for_each(|(c, part)| earns[c.i] = part);
         for i in (0..n).cycle().skip(self.turn % n).take(2 * n) {
             let u = &mut self.upstreams[i];
             u.turns += earns[i];
             if u.turns >= 1.0 && earns[i] > 0.0 {
                 u.turns -= 1.0;
                 self.turn = i + 1;
-                return Some(i);
+                return Some((i, usual));
             }
         }
         None
@@ -492,7 +491,7 @@
         {
             return false;
         }
-        let Some(i) = self.pick(p) else { return false };
+        let Some((i, _)) = self.pick(p) else { return false };
         if paid {
             self.retry_tokens -= 1.0;
         }
@@ -614,12 +613,11 @@
         let density = if self.set.worth_by_work { c.worth } else { c.worth / usual.max(1.0) };
         self.worth_seen = self.worth_seen * 0.99 + density * usual;
         self.work_seen = self.work_seen * 0.99 + usual;
-        let Some(i) = self.pick(&p) else { return self.give_up(r.id, &mut p, out) };
+        let Some((i, expected)) = self.pick(&p) else { return self.give_up(r.id, &mut p, out) };
         // Refuse early what cannot meet its aim, least worth per unit of work first. The time expected is
         // a usual request's: none is refused for its own weight, nor where nothing is out.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
-        let expected = self.slowness(&self.upstreams[i]) * (usual + 0.5 * self.upstreams[i].work_out);
         if c.late_worth == 0.0 && expected > left * REFUSE_AT * rank && !self.pending.is_empty() {
             return self.give_up(r.id, &mut p, out);
         }
