--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -26,7 +26,7 @@
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
 /// An upstream expected to take twice as long gets a turn in two to this power.
-const TURN_POWER: f64 = 3.0;
+const TURN_POWER: f64 = 2.0;
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
@@ -56,11 +56,13 @@
 const RETURN: Micros = S;
 /// Crossings by chance, as a multiple of the gain's share.
 const CROSS_GAIN: f64 = 8.0;
-/// Messages to peers: bytes to a message, points they may cost, most receivers, the mark of no answer.
-const NEWS_BATCH: usize = 12;
+/// Messages to peers: points they may cost, messages a try at most (each costs CPU), how far off before all
+/// are told, for how long that holds, and the most an answer counts, in aims.
 const PEER_POINTS: f64 = 0.01;
-const PEERS_MOST: f64 = 16.0;
-const NO_ANSWER: u8 = 255;
+const PEERS_MOST: f64 = 10.0;
+const TELL_AT: f64 = 2.0;
+const FADE_TOLD: f64 = 3e6;
+const LATE_MOST: f64 = 2.0;
 const LIST_TOKEN: u64 = 1 << 60;
 
 /// An upstream that a request may go to: the time expected there of it, and of a usual one.
@@ -71,6 +73,10 @@
     usual: f64,
 }
 
+fn level(late: f64) -> u8 {
+    (128.0 + 16.0 * late.max(1e-3).log2()).clamp(0.0, 255.0) as u8
+}
+
 /// The part of a turn that each earns against the best of its pool, and the mean times over their turns.
 fn turns(pool: &[Choice]) -> (Vec<f64>, f64, f64) {
     let best = pool.iter().map(|c| c.time).fold(f64::MAX, f64::min).max(1.0);
@@ -116,7 +122,7 @@
             Event::RequestGone { request } => self.close(request, out),
             Event::Timer { token: LIST_TOKEN } => self.ask(out),
             Event::Timer { token } => self.review(RequestId(token), out),
-            Event::PeerMessage { bytes, .. } => self.hear(bytes),
+            Event::PeerMessage { bytes, .. } => self.hear(bytes, out),
             Event::ProbeEnded { .. } => {}
         }
     }
@@ -261,7 +267,7 @@
     /// what sets it apart, which fade without answers, so that nothing rests on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
         let slow = self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize], FADE);
-        slow * self.faded(u.seen, FADE_OWN) + u.errors * self.fresh(u.seen.fed, FADE_OWN) * ERROR_WEIGHT
+        slow * self.faded(u.seen, if u.by_peers { FADE_TOLD } else { FADE_OWN }) + u.errors * self.fresh(u.seen.fed, FADE_OWN) * ERROR_WEIGHT
     }
 
     fn faded(&self, seen: Seen, over: f64) -> f64 {
@@ -277,7 +283,7 @@
         let u = &self.upstreams[i];
         let (kind, zone, errors) =
             (u.entry.kind as usize, u.entry.zone as usize, u.errors * self.fresh(u.seen.fed, FADE_OWN));
-        let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, FADE_OWN));
+        let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, if u.by_peers { FADE_TOLD } else { FADE_OWN }));
         let k = &mut self.usual[class];
         let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
         let rate = |fed: Micros, (least, most, over): (f64, f64, f64)| {
@@ -303,35 +309,60 @@
     }
 
     // --- peers ---
-    /// Tell some peers, drawn at random, what an attempt told: name, class, time against the aim. So each learns
-    /// of an upstream oftener than it sends there. As many as the price leaves at this many points.
+    /// Every upstream has a home among the balancers, known to all by its name. Answers are told there; so one
+    /// place knows what each alone sees once a minute.
     fn tell(&mut self, i: usize, class: usize, elapsed: Option<Micros>, out: &mut Vec<Action>) {
-        let peers = self.set.instances.saturating_sub(1);
-        if true || !self.set.peer_messages || peers == 0 {
-            return;
-        }
         let aim = self.set.classes[class].aim.max(1) as f64;
-        let level = |e: Micros| (128.0 + 16.0 * (e.max(1) as f64 / aim).log2()).clamp(0.0, 254.0) as u8;
-        let name = self.upstreams[i].entry.name.to_be_bytes();
-        self.news.extend([name[0], name[1], class as u8, elapsed.map_or(NO_ANSWER, level)]);
-        if self.news.len() < NEWS_BATCH {
+        let late = elapsed.map_or(LATE_MOST, |e| (e as f64 / aim).min(LATE_MOST));
+        self.usual_late += (late - self.usual_late) * 0.05;
+        if !self.set.peer_messages || self.set.instances < 2 {
             return;
         }
-        let afford = (PEER_POINTS * 64.0 / self.set.prices.peer.max(1e-6)).min(PEERS_MOST) as u32;
-        for _ in 0..afford.min(peers) {
-            let to = (self.rng.next_u64() % u64::from(peers)) as u32;
-            let to = Some(to + u32::from(to >= self.set.me));
-            out.push(Action::TellPeers { to, bytes: self.news.clone() });
+        let name = self.upstreams[i].entry.name;
+        let home = u32::from(name) % self.set.instances;
+        if home == self.set.me {
+            return self.gather(i, late, out);
         }
-        self.news.clear();
+        let [a, b] = name.to_be_bytes();
+        out.push(Action::TellPeers { to: Some(home), bytes: vec![a, b, level(late), 0] });
     }
 
-    fn hear(&mut self, bytes: &[u8]) {
-        for b in bytes.chunks_exact(4) {
-            let (name, class) = (u16::from_be_bytes([b[0], b[1]]), b[2] as usize);
-            let (Some(&i), Some(c)) = (self.names.get(&name), self.set.classes.get(class)) else { continue };
-            let elapsed = c.aim as f64 * ((f64::from(b[3]) - 128.0) / 16.0).exp2();
-            self.learn(class, self.usual[class].unit, i, elapsed as Micros, b[3] != NO_ANSWER);
+    /// At the home: average, and tell all when it is far from what they must believe.
+    fn gather(&mut self, i: usize, late: f64, out: &mut Vec<Action>) {
+        let now = self.now;
+        let g = &mut self.upstreams[i].gathered;
+        let rate = ((now - g.fed) as f64 / 1e6).clamp(0.1, 0.5);
+        (g.slow, g.fed) = (g.slow + (late - g.slow) * rate, now);
+        let (is, told) = (g.slow, self.upstreams[i].told);
+        let believed = self.usual_late + (told.slow - self.usual_late) * self.fresh(told.fed, FADE_TOLD);
+        let bytes = 3.0 * f64::from(self.set.instances);
+        let far = is > believed * TELL_AT || is * TELL_AT < believed;
+        if far && self.peer_saved >= bytes {
+            self.peer_saved -= bytes;
+            let [a, b] = self.upstreams[i].entry.name.to_be_bytes();
+            out.push(Action::TellPeers { to: None, bytes: vec![a, b, level(is)] });
+            self.upstreams[i].told = Seen { slow: is, fed: now };
+            self.believe(i, is);
+        }
+    }
+
+    fn believe(&mut self, i: usize, late: f64) {
+        let norm = |(k, c): (&Usual, &Class)| k.per_unit * k.unit / c.aim.max(1) as f64;
+        let mean = self.usual.iter().zip(&self.set.classes).map(norm).sum::<f64>() / self.usual.len() as f64;
+        let e = self.upstreams[i].entry;
+        let rest = self.kinds[e.kind as usize].slow * self.faded(self.zones[e.zone as usize], FADE);
+        self.upstreams[i].seen = Seen { slow: (late / mean.max(1e-6) / rest).max(1.0).powf(0.5), fed: self.now };
+        self.upstreams[i].by_peers = true;
+    }
+
+    fn hear(&mut self, bytes: &[u8], out: &mut Vec<Action>) {
+        let [a, b, l, rest @ ..] = bytes else { return };
+        let Some(&i) = self.names.get(&u16::from_be_bytes([*a, *b])) else { return };
+        let late = ((f64::from(*l) - 128.0) / 16.0).exp2();
+        if rest.is_empty() {
+            self.believe(i, late);
+        } else {
+            self.gather(i, late, out);
         }
     }
 
@@ -610,6 +641,11 @@
         let aim_at = began + (c.aim + (c.aim_stretch * work) as Micros).min(c.deadline);
         let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
+        // The fleet's budget for messages, shared out over the upstreams' homes.
+        let bytes = (PEER_POINTS * 256.0 / self.set.prices.peer.max(1e-6)).min(PEERS_MOST * 3.0);
+        let (all, n) = (f64::from(self.set.instances), self.upstreams.len().max(1) as f64);
+        let homes = n.min(all) / all;
+        self.peer_saved = (self.peer_saved + bytes / homes).min(9.0 * all * (n / all).max(1.0));
         let density = if self.set.worth_by_work { c.worth } else { c.worth / usual.max(1.0) };
         self.worth_seen = self.worth_seen * 0.99 + density * usual;
         self.work_seen = self.work_seen * 0.99 + usual;
