--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -60,8 +60,10 @@
 /// are told, for how long that holds, and the most an answer counts, in aims.
 const PEER_POINTS: f64 = 0.01;
 const PEERS_MOST: f64 = 10.0;
-const TELL_AT: f64 = 2.0;
-const FADE_TOLD: f64 = 3e6;
+const TELL_AT: f64 = 1.25;
+const TELL_EVERY: Micros = 1500 * MS;
+const TOLD_PARTS: (f64, f64) = (0.05, 2.0);
+const FADE_TOLD: f64 = 30e6;
 const LATE_MOST: f64 = 2.0;
 const LIST_TOKEN: u64 = 1 << 60;
 
@@ -71,6 +73,7 @@
     i: usize,
     time: f64,
     usual: f64,
+    part: f64,
 }
 
 fn level(late: f64) -> u8 {
@@ -80,7 +83,7 @@
 /// The part of a turn that each earns against the best of its pool, and the mean times over their turns.
 fn turns(pool: &[Choice]) -> (Vec<f64>, f64, f64) {
     let best = pool.iter().map(|c| c.time).fold(f64::MAX, f64::min).max(1.0);
-    let parts: Vec<f64> = pool.iter().map(|c| (best / c.time.max(1.0)).powf(TURN_POWER)).collect();
+    let parts: Vec<f64> = pool.iter().map(|c| c.part * (best / c.time.max(1.0)).powf(TURN_POWER)).collect();
     let all = parts.iter().sum::<f64>().max(1e-9);
     let mean = |f: fn(&Choice) -> f64| pool.iter().zip(&parts).map(|(c, e)| f(c) * e).sum::<f64>() / all;
     let (time, usual) = (mean(|c| c.time), mean(|c| c.usual));
@@ -154,7 +157,8 @@
         if kind != ListKind::Patch {
             self.upstreams.iter_mut().for_each(|u| u.listed = false);
         }
-        let usual = self.usual.iter().map(|k| k.per_unit * k.unit).sum::<f64>() / self.usual.len().max(1) as f64;
+        let usual =
+            self.usual.iter().map(|k| k.per_unit * k.unit).sum::<f64>() / self.usual.len().max(1) as f64;
         for e in entries {
             let i = e.upstream.0 as usize;
             let first_turn = self.random();
@@ -266,8 +270,9 @@
     /// How slow this upstream is against the usual: the speed of its kind, times the crowding of its zone and
     /// what sets it apart, which fade without answers, so that nothing rests on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
-        let slow = self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize], FADE);
-        slow * self.faded(u.seen, if u.by_peers { FADE_TOLD } else { FADE_OWN }) + u.errors * self.fresh(u.seen.fed, FADE_OWN) * ERROR_WEIGHT
+        let slow =
+            self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize], FADE);
+        slow * self.faded(u.seen, FADE_OWN) + u.errors * self.fresh(u.seen.fed, FADE_OWN) * ERROR_WEIGHT
     }
 
     fn faded(&self, seen: Seen, over: f64) -> f64 {
@@ -283,13 +288,14 @@
         let u = &self.upstreams[i];
         let (kind, zone, errors) =
             (u.entry.kind as usize, u.entry.zone as usize, u.errors * self.fresh(u.seen.fed, FADE_OWN));
-        let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, if u.by_peers { FADE_TOLD } else { FADE_OWN }));
+        let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, FADE_OWN));
         let k = &mut self.usual[class];
         let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
         let rate = |fed: Micros, (least, most, over): (f64, f64, f64)| {
             ((now - fed).max(0) as f64 / over).clamp(least, most)
         };
-        let (of_zone, of_own) = (rate(self.zones[zone].fed, LEARN_ZONE), rate(self.upstreams[i].seen.fed, LEARN_OWN));
+        let (of_zone, of_own) =
+            (rate(self.zones[zone].fed, LEARN_ZONE), rate(self.upstreams[i].seen.fed, LEARN_OWN));
         let u = &mut self.upstreams[i];
         u.errors = errors * (1.0 - of_own) + if served { 0.0 } else { of_own };
         u.seen = Seen { slow: own, fed: now };
@@ -327,42 +333,34 @@
         out.push(Action::TellPeers { to: Some(home), bytes: vec![a, b, level(late), 0] });
     }
 
-    /// At the home: average, and tell all when it is far from what they must believe.
+    /// At the home: average, and from time to time tell all which part of a turn it should get, so that its
+    /// answers come to be as late as others'. Small steps, as hundreds heed them at once.
     fn gather(&mut self, i: usize, late: f64, out: &mut Vec<Action>) {
         let now = self.now;
-        let g = &mut self.upstreams[i].gathered;
-        let rate = ((now - g.fed) as f64 / 1e6).clamp(0.1, 0.5);
-        (g.slow, g.fed) = (g.slow + (late - g.slow) * rate, now);
-        let (is, told) = (g.slow, self.upstreams[i].told);
-        let believed = self.usual_late + (told.slow - self.usual_late) * self.fresh(told.fed, FADE_TOLD);
+        let u = &mut self.upstreams[i];
+        let rate = ((now - u.gathered.fed) as f64 / 1e6).clamp(0.1, 0.5);
+        u.gathered = Seen { slow: u.gathered.slow + (late - u.gathered.slow) * rate, fed: now };
+        let part = 1.0 + (u.told.slow - 1.0) * (-((now - u.told.fed) as f64) / FADE_TOLD).exp();
+        let next = part * (self.usual_late / u.gathered.slow.max(1e-3)).sqrt();
+        let next = next.clamp(TOLD_PARTS.0, TOLD_PARTS.1);
         let bytes = 3.0 * f64::from(self.set.instances);
-        let far = is > believed * TELL_AT || is * TELL_AT < believed;
-        if far && self.peer_saved >= bytes {
+        let far = next.max(part) > next.min(part) * TELL_AT;
+        if far && now > u.told.fed + TELL_EVERY && self.peer_saved >= bytes {
             self.peer_saved -= bytes;
-            let [a, b] = self.upstreams[i].entry.name.to_be_bytes();
-            out.push(Action::TellPeers { to: None, bytes: vec![a, b, level(is)] });
-            self.upstreams[i].told = Seen { slow: is, fed: now };
-            self.believe(i, is);
+            let [a, b] = u.entry.name.to_be_bytes();
+            out.push(Action::TellPeers { to: None, bytes: vec![a, b, level(next)] });
+            u.told = Seen { slow: next, fed: now };
         }
     }
 
-    fn believe(&mut self, i: usize, late: f64) {
-        let norm = |(k, c): (&Usual, &Class)| k.per_unit * k.unit / c.aim.max(1) as f64;
-        let mean = self.usual.iter().zip(&self.set.classes).map(norm).sum::<f64>() / self.usual.len() as f64;
-        let e = self.upstreams[i].entry;
-        let rest = self.kinds[e.kind as usize].slow * self.faded(self.zones[e.zone as usize], FADE);
-        self.upstreams[i].seen = Seen { slow: (late / mean.max(1e-6) / rest).max(1.0).powf(0.5), fed: self.now };
-        self.upstreams[i].by_peers = true;
-    }
-
     fn hear(&mut self, bytes: &[u8], out: &mut Vec<Action>) {
         let [a, b, l, rest @ ..] = bytes else { return };
         let Some(&i) = self.names.get(&u16::from_be_bytes([*a, *b])) else { return };
-        let late = ((f64::from(*l) - 128.0) / 16.0).exp2();
+        let value = ((f64::from(*l) - 128.0) / 16.0).exp2();
         if rest.is_empty() {
-            self.believe(i, late);
+            self.upstreams[i].told = Seen { slow: value, fed: self.now };
         } else {
-            self.gather(i, late, out);
+            self.gather(i, value, out);
         }
     }
 
@@ -403,8 +401,14 @@
         for i in (0..n).filter(|i| open(*i)) {
             let u = &self.upstreams[i];
             let slow = self.slowness(u);
+            let part = self.faded(u.told, FADE_TOLD);
             let to = if u.entry.zone == ours { &mut pool } else { &mut away };
-            to.push(Choice { i, time: slow * (work + u.work_out), usual: slow * (usual + 0.5 * u.work_out) });
+            to.push(Choice {
+                i,
+                time: slow * (work + u.work_out),
+                usual: slow * (usual + 0.5 * u.work_out),
+                part,
+            });
         }
         if (pool.len() as f64) < listed_here as f64 * SPILL_SHARE || pool.is_empty() {
             // The page's spill: other zones in this balancer's own order, until half as many are there again.
@@ -551,7 +555,8 @@
                 self.life(a.upstream);
                 if outcome == Outcome::Served {
                     let (now, fade) = (self.now, -((self.now - self.served_at) as f64) / RATE_OVER);
-                    (self.served_rate, self.served_at) = (self.served_rate * fade.exp() + work / RATE_OVER, now);
+                    (self.served_rate, self.served_at) =
+                        (self.served_rate * fade.exp() + work / RATE_OVER, now);
                 }
                 let served = outcome == Outcome::Served;
                 self.learn(p.class, p.unit, a.upstream, e.elapsed, served);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -43,7 +43,6 @@
     /// What was gathered of it for all, in aims, and what they were told last.
     pub gathered: Seen,
     pub told: Seen,
-    pub by_peers: bool,
     pub errors: f64,
     pub out: u32,
     pub work_out: f64,
@@ -179,8 +178,7 @@
             scouts: 0,
             seen: Seen { slow: 1.0, fed: LONG_AGO },
             gathered: Seen { slow: 0.2, fed: LONG_AGO },
-            told: Seen { slow: 0.2, fed: LONG_AGO },
-            by_peers: false,
+            told: Seen { slow: 1.0, fed: LONG_AGO },
             errors: 0.0,
             out: 0,
             work_out: 0.0,
