--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -152,8 +152,6 @@
 pub struct Entry {
     /// Which one.
     pub upstream: UpstreamId,
-    /// A digest of its name, alike at every instance; two may share one.
-    pub name: u16,
     /// Its life.
     pub lifecycle: Lifecycle,
     /// Its last start; `None`: long ago.
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -26,7 +26,7 @@
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
 /// An upstream expected to take twice as long gets a turn in two to this power.
-const TURN_POWER: f64 = 2.0;
+const TURN_POWER: f64 = 3.0;
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
@@ -54,17 +54,12 @@
 const RANK: (f64, f64) = (0.6, 1.5);
 /// A queue clears in about this time: a client turned away need not come back sooner.
 const RETURN: Micros = S;
+/// An upstream's state lasts for about this long: the rotation goes round so many as answer once in it, but so
+/// many at least. A window of little traffic over a large zone; all of a small one.
+const WATCH_SPAN: f64 = 3e6;
+const WATCH_LEAST: f64 = 4.0;
 /// Crossings by chance, as a multiple of the gain's share.
 const CROSS_GAIN: f64 = 8.0;
-/// Messages to peers: points they may cost, messages a try at most (each costs CPU), how far off before all
-/// are told, for how long that holds, and the most an answer counts, in aims.
-const PEER_POINTS: f64 = 0.01;
-const PEERS_MOST: f64 = 10.0;
-const TELL_AT: f64 = 1.25;
-const TELL_EVERY: Micros = 1500 * MS;
-const TOLD_PARTS: (f64, f64) = (0.05, 2.0);
-const FADE_TOLD: f64 = 30e6;
-const LATE_MOST: f64 = 2.0;
 const LIST_TOKEN: u64 = 1 << 60;
 
 /// An upstream that a request may go to: the time expected there of it, and of a usual one.
@@ -73,17 +68,12 @@
     i: usize,
     time: f64,
     usual: f64,
-    part: f64,
-}
-
-fn level(late: f64) -> u8 {
-    (128.0 + 16.0 * late.max(1e-3).log2()).clamp(0.0, 255.0) as u8
 }
 
 /// The part of a turn that each earns against the best of its pool, and the mean times over their turns.
 fn turns(pool: &[Choice]) -> (Vec<f64>, f64, f64) {
     let best = pool.iter().map(|c| c.time).fold(f64::MAX, f64::min).max(1.0);
-    let parts: Vec<f64> = pool.iter().map(|c| c.part * (best / c.time.max(1.0)).powf(TURN_POWER)).collect();
+    let parts: Vec<f64> = pool.iter().map(|c| (best / c.time.max(1.0)).powf(TURN_POWER)).collect();
     let all = parts.iter().sum::<f64>().max(1e-9);
     let mean = |f: fn(&Choice) -> f64| pool.iter().zip(&parts).map(|(c, e)| f(c) * e).sum::<f64>() / all;
     let (time, usual) = (mean(|c| c.time), mean(|c| c.usual));
@@ -125,8 +115,7 @@
             Event::RequestGone { request } => self.close(request, out),
             Event::Timer { token: LIST_TOKEN } => self.ask(out),
             Event::Timer { token } => self.review(RequestId(token), out),
-            Event::PeerMessage { bytes, .. } => self.hear(bytes, out),
-            Event::ProbeEnded { .. } => {}
+            Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
 
@@ -157,8 +146,7 @@
         if kind != ListKind::Patch {
             self.upstreams.iter_mut().for_each(|u| u.listed = false);
         }
-        let usual =
-            self.usual.iter().map(|k| k.per_unit * k.unit).sum::<f64>() / self.usual.len().max(1) as f64;
+        let usual = self.usual.iter().map(|k| k.per_unit * k.unit).sum::<f64>() / self.usual.len().max(1) as f64;
         for e in entries {
             let i = e.upstream.0 as usize;
             let first_turn = self.random();
@@ -175,8 +163,11 @@
                 // Hundreds start at different points of the rotation and of the cold budget.
                 (u.turns, u.saved, u.saved_at) = (first_turn, first_turn * usual, self.now);
             }
+            if i >= known {
+                let at = (self.rng.next_u64() % (self.ring.len() as u64 + 1)) as usize;
+                self.ring.insert(at, i);
+            }
             u.entry = *e;
-            self.names.insert(e.name, i);
             u.listed = e.lifecycle == Lifecycle::Running;
             let (kinds, zones) = (self.kinds.len().max(e.kind as usize + 1), e.zone as usize + 1);
             self.kinds.resize(kinds, Kind { slow: 1.0, seen: 0.0 });
@@ -270,9 +261,13 @@
     /// How slow this upstream is against the usual: the speed of its kind, times the crowding of its zone and
     /// what sets it apart, which fade without answers, so that nothing rests on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
-        let slow =
-            self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize], FADE);
-        slow * self.faded(u.seen, FADE_OWN) + u.errors * self.fresh(u.seen.fed, FADE_OWN) * ERROR_WEIGHT
+        let slow = self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize], FADE);
+        slow * self.apart(u)
+    }
+
+    /// What sets it apart from its like.
+    fn apart(&self, u: &Upstream) -> f64 {
+        self.faded(u.seen, FADE_OWN) + u.errors * self.fresh(u.seen.fed, FADE_OWN) * ERROR_WEIGHT
     }
 
     fn faded(&self, seen: Seen, over: f64) -> f64 {
@@ -294,8 +289,7 @@
         let rate = |fed: Micros, (least, most, over): (f64, f64, f64)| {
             ((now - fed).max(0) as f64 / over).clamp(least, most)
         };
-        let (of_zone, of_own) =
-            (rate(self.zones[zone].fed, LEARN_ZONE), rate(self.upstreams[i].seen.fed, LEARN_OWN));
+        let (of_zone, of_own) = (rate(self.zones[zone].fed, LEARN_ZONE), rate(self.upstreams[i].seen.fed, LEARN_OWN));
         let u = &mut self.upstreams[i];
         u.errors = errors * (1.0 - of_own) + if served { 0.0 } else { of_own };
         u.seen = Seen { slow: own, fed: now };
@@ -314,56 +308,6 @@
         self.upstreams[i].seen.slow *= 1.0 + off * of_own;
     }
 
-    // --- peers ---
-    /// Every upstream has a home among the balancers, known to all by its name. Answers are told there; so one
-    /// place knows what each alone sees once a minute.
-    fn tell(&mut self, i: usize, class: usize, elapsed: Option<Micros>, out: &mut Vec<Action>) {
-        let aim = self.set.classes[class].aim.max(1) as f64;
-        let late = elapsed.map_or(LATE_MOST, |e| (e as f64 / aim).min(LATE_MOST));
-        self.usual_late += (late - self.usual_late) * 0.05;
-        if !self.set.peer_messages || self.set.instances < 2 {
-            return;
-        }
-        let name = self.upstreams[i].entry.name;
-        let home = u32::from(name) % self.set.instances;
-        if home == self.set.me {
-            return self.gather(i, late, out);
-        }
-        let [a, b] = name.to_be_bytes();
-        out.push(Action::TellPeers { to: Some(home), bytes: vec![a, b, level(late), 0] });
-    }
-
-    /// At the home: average, and from time to time tell all which part of a turn it should get, so that its
-    /// answers come to be as late as others'. Small steps, as hundreds heed them at once.
-    fn gather(&mut self, i: usize, late: f64, out: &mut Vec<Action>) {
-        let now = self.now;
-        let u = &mut self.upstreams[i];
-        let rate = ((now - u.gathered.fed) as f64 / 1e6).clamp(0.1, 0.5);
-        u.gathered = Seen { slow: u.gathered.slow + (late - u.gathered.slow) * rate, fed: now };
-        let part = 1.0 + (u.told.slow - 1.0) * (-((now - u.told.fed) as f64) / FADE_TOLD).exp();
-        let next = part * (self.usual_late / u.gathered.slow.max(1e-3)).sqrt();
-        let next = next.clamp(TOLD_PARTS.0, TOLD_PARTS.1);
-        let bytes = 3.0 * f64::from(self.set.instances);
-        let far = next.max(part) > next.min(part) * TELL_AT;
-        if far && now > u.told.fed + TELL_EVERY && self.peer_saved >= bytes {
-            self.peer_saved -= bytes;
-            let [a, b] = u.entry.name.to_be_bytes();
-            out.push(Action::TellPeers { to: None, bytes: vec![a, b, level(next)] });
-            u.told = Seen { slow: next, fed: now };
-        }
-    }
-
-    fn hear(&mut self, bytes: &[u8], out: &mut Vec<Action>) {
-        let [a, b, l, rest @ ..] = bytes else { return };
-        let Some(&i) = self.names.get(&u16::from_be_bytes([*a, *b])) else { return };
-        let value = ((f64::from(*l) - 128.0) / 16.0).exp2();
-        if rest.is_empty() {
-            self.upstreams[i].told = Seen { slow: value, fed: self.now };
-        } else {
-            self.gather(i, value, out);
-        }
-    }
-
     // --- pick ---
     /// Where the effect rules let this request go now: everywhere, a group, or (`None`) nowhere.
     fn allowed(&self, p: &Pending) -> Option<Option<(DedupGroup, usize)>> {
@@ -394,27 +338,30 @@
             let grouped = group.is_none_or(|(g, f)| u.within(g, &self.upstreams[f].entry));
             u.listed && grouped && !p.attempts.iter().any(|a| a.upstream == i) && roomy[i]
         };
-        let open = |i: usize| fits(i) && self.eligible(&self.upstreams[i]);
-        let listed_here = self.upstreams.iter().filter(|u| u.listed && u.entry.zone == ours).count();
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
+        // So many can be kept an eye on: each is to answer once a span.
+        let watch = (self.rate(self.asked_rate, self.asked_at) * WATCH_SPAN).max(WATCH_LEAST);
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
-        for i in (0..n).filter(|i| open(*i)) {
+        let (mut listed_here, mut open_here) = (0, 0);
+        let mut watched = vec![0.0; self.zones.len()];
+        for &i in &self.ring {
             let u = &self.upstreams[i];
-            let slow = self.slowness(u);
-            let part = self.faded(u.told, FADE_TOLD);
-            let to = if u.entry.zone == ours { &mut pool } else { &mut away };
-            to.push(Choice {
-                i,
-                time: slow * (work + u.work_out),
-                usual: slow * (usual + 0.5 * u.work_out),
-                part,
-            });
-        }
-        if (pool.len() as f64) < listed_here as f64 * SPILL_SHARE || pool.is_empty() {
+            let (here, open) = (u.entry.zone == ours, fits(i) && self.eligible(u));
+            listed_here += (here && u.listed) as u32;
+            open_here += (here && open) as u32;
+            let seen = &mut watched[u.entry.zone as usize];
+            if open && *seen < watch {
+                let slow = self.slowness(u);
+                *seen += self.apart(u).max(1.0).powf(-TURN_POWER);
+                let to = if here { &mut pool } else { &mut away };
+                to.push(Choice { i, time: slow * (work + u.work_out), usual: slow * (usual + 0.5 * u.work_out) });
+            }
+        }
+        if f64::from(open_here) < f64::from(listed_here) * SPILL_SHARE || pool.is_empty() {
             // The page's spill: other zones in this balancer's own order, until half as many are there again.
             for z in &self.zone_order {
                 pool.extend(away.iter().filter(|c| self.upstreams[c.i].entry.zone == *z));
-                if pool.len() as f64 >= listed_here as f64 * SPILL_SHARE && !pool.is_empty() {
+                if !pool.is_empty() && pool.len() as f64 >= f64::from(listed_here) * SPILL_SHARE {
                     break;
                 }
             }
@@ -449,12 +396,13 @@
         let (parts, _, usual) = turns(&pool);
         let mut earns = vec![0.0; n];
         pool.iter().zip(parts).for_each(|(c, part)| earns[c.i] = part);
-        for i in (0..n).cycle().skip(self.turn % n).take(2 * n) {
+        for k in self.turn..self.turn + 2 * n {
+            let i = self.ring[k % n];
             let u = &mut self.upstreams[i];
             u.turns += earns[i];
             if u.turns >= 1.0 && earns[i] > 0.0 {
                 u.turns -= 1.0;
-                self.turn = i + 1;
+                self.turn = (k + 1) % n;
                 return Some((i, usual));
             }
         }
@@ -554,27 +502,15 @@
             Outcome::Served | Outcome::Error | Outcome::Full => {
                 self.life(a.upstream);
                 if outcome == Outcome::Served {
-                    let (now, fade) = (self.now, -((self.now - self.served_at) as f64) / RATE_OVER);
-                    (self.served_rate, self.served_at) =
-                        (self.served_rate * fade.exp() + work / RATE_OVER, now);
+                    let rate = self.rate(self.served_rate, self.served_at) + work / RATE_OVER;
+                    (self.served_rate, self.served_at) = (rate, self.now);
                 }
-                let served = outcome == Outcome::Served;
-                self.learn(p.class, p.unit, a.upstream, e.elapsed, served);
-                self.tell(a.upstream, p.class, served.then_some(e.elapsed), out);
-            }
-            Outcome::TimedOut if a.own_limit && !a.suspected => {
-                self.failure(a.upstream, a.sent);
-                self.tell(a.upstream, p.class, None, out);
-            }
-            Outcome::ConnectFailed | Outcome::Reset => {
-                self.failure(a.upstream, a.sent);
-                self.tell(a.upstream, p.class, None, out);
+                self.learn(p.class, p.unit, a.upstream, e.elapsed, outcome == Outcome::Served);
             }
+            Outcome::TimedOut if a.own_limit && !a.suspected => self.failure(a.upstream, a.sent),
+            Outcome::ConnectFailed | Outcome::Reset => self.failure(a.upstream, a.sent),
             // The client's time was up: no fault of the upstream's is proven, but that long it took at least.
-            Outcome::TimedOut => {
-                self.learn(p.class, p.unit, a.upstream, e.elapsed, true);
-                self.tell(a.upstream, p.class, Some(e.elapsed), out);
-            }
+            Outcome::TimedOut => self.learn(p.class, p.unit, a.upstream, e.elapsed, true),
             Outcome::Cancelled | Outcome::Moot => {}
         }
         if e.over || outcome == Outcome::Served {
@@ -646,11 +582,7 @@
         let aim_at = began + (c.aim + (c.aim_stretch * work) as Micros).min(c.deadline);
         let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
-        // The fleet's budget for messages, shared out over the upstreams' homes.
-        let bytes = (PEER_POINTS * 256.0 / self.set.prices.peer.max(1e-6)).min(PEERS_MOST * 3.0);
-        let (all, n) = (f64::from(self.set.instances), self.upstreams.len().max(1) as f64);
-        let homes = n.min(all) / all;
-        self.peer_saved = (self.peer_saved + bytes / homes).min(9.0 * all * (n / all).max(1.0));
+        (self.asked_rate, self.asked_at) = (self.rate(self.asked_rate, self.asked_at) + 1.0 / RATE_OVER, self.now);
         let density = if self.set.worth_by_work { c.worth } else { c.worth / usual.max(1.0) };
         self.worth_seen = self.worth_seen * 0.99 + density * usual;
         self.work_seen = self.work_seen * 0.99 + usual;
@@ -708,10 +640,13 @@
         u.saved >= work
     }
 
+    fn rate(&self, rate: f64, at: Micros) -> f64 {
+        rate * (-((self.now - at) as f64) / RATE_OVER).exp()
+    }
+
     /// Work an upstream of full capacity serves this balancer in a microsecond.
     fn warm_rate(&self) -> f64 {
         let whole = |u: &Upstream| if u.listed { self.cold_share(u).unwrap_or(1.0) } else { 0.0 };
-        let fade = (-((self.now - self.served_at) as f64) / RATE_OVER).exp();
-        self.served_rate * fade / self.upstreams.iter().map(whole).sum::<f64>().max(1.0)
+        self.rate(self.served_rate, self.served_at) / self.upstreams.iter().map(whole).sum::<f64>().max(1.0)
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -40,9 +40,6 @@
     pub scouts: u32,
     /// How slow it is by its own answers.
     pub seen: Seen,
-    /// What was gathered of it for all, in aims, and what they were told last.
-    pub gathered: Seen,
-    pub told: Seen,
     pub errors: f64,
     pub out: u32,
     pub work_out: f64,
@@ -107,14 +104,14 @@
     pub(crate) usual: Vec<Usual>,
     pub(crate) kinds: Vec<Kind>,
     pub(crate) zones: Vec<Seen>,
-    /// What peers are to be told next, and upstreams by the names that peers use.
-    pub(crate) peer_saved: f64,
-    pub(crate) usual_late: f64,
-    pub(crate) names: HashMap<u16, usize>,
     pub(crate) retry_tokens: f64,
     pub(crate) worth_seen: f64,
     pub(crate) work_seen: f64,
     /// Work served in a microsecond, fading, for the cold budget.
+    pub(crate) asked_rate: f64,
+    pub(crate) asked_at: Micros,
+    /// Upstreams in this balancer's own random order.
+    pub(crate) ring: Vec<usize>,
     pub(crate) served_rate: f64,
     pub(crate) served_at: Micros,
 }
@@ -140,12 +137,12 @@
             usual: Vec::new(),
             kinds: Vec::new(),
             zones: Vec::new(),
-            peer_saved: 0.0,
-            usual_late: 0.2,
-            names: HashMap::new(),
             retry_tokens: 0.0,
             worth_seen: 0.0,
             work_seen: 0.0,
+            asked_rate: 0.0,
+            asked_at: now,
+            ring: Vec::new(),
             served_rate: 0.0,
             served_at: now,
         }
@@ -177,8 +174,6 @@
             last_life: LONG_AGO,
             scouts: 0,
             seen: Seen { slow: 1.0, fed: LONG_AGO },
-            gathered: Seen { slow: 0.2, fed: LONG_AGO },
-            told: Seen { slow: 1.0, fed: LONG_AGO },
             errors: 0.0,
             out: 0,
             work_out: 0.0,
