--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -35,7 +35,7 @@
 const LEARN_KIND: f64 = 0.02;
 /// ... the latter two more when answers are rare: by the time since the last, as a part of this.
 const LEARN_ZONE: (f64, f64, f64) = (0.05, 0.15, 4e6);
-const LEARN_OWN: (f64, f64, f64) = (0.1, 0.3, 10e6);
+const LEARN_OWN: (f64, f64, f64) = (0.1, 0.5, 5e6);
 const SURPRISE_CAP: f64 = 8.0;
 const FADE: f64 = 4e6;
 const FADE_OWN: f64 = 30e6;
@@ -56,8 +56,8 @@
 const RETURN: Micros = S;
 /// An upstream's state lasts for about this long: the rotation goes round so many as answer once in it, but so
 /// many at least. A window of little traffic over a large zone; all of a small one.
-const WATCH_SPAN: f64 = 3e6;
-const WATCH_LEAST: f64 = 4.0;
+const WATCH_SPAN: f64 = 2e6;
+const WATCH_LEAST: f64 = 2.0;
 /// Crossings by chance, as a multiple of the gain's share.
 const CROSS_GAIN: f64 = 8.0;
 const LIST_TOKEN: u64 = 1 << 60;
