--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -13,6 +13,7 @@
 /// Cooldowns double from here: about the time in which a process restarts or a link heals (design page).
 const COOLDOWN_BASE: Micros = 2 * S;
 const COOLDOWN_CAP: Micros = 20 * S;
+const COOLDOWN_REQUESTS: f64 = 20.0;
 /// Dead needs this many counted failures, over this long, each no further apart than the gap.
 const DEAD_FAILURES: u32 = 5;
 const DEAD_STREAK: Micros = 10 * S;
@@ -38,7 +39,9 @@
 const LEARN_OWN: (f64, f64, f64) = (0.1, 0.5, 5e6);
 const SURPRISE_CAP: f64 = 8.0;
 const FADE: f64 = 4e6;
-const FADE_OWN: f64 = 30e6;
+/// What sets an upstream apart is held for the time of so many own requests, within these bounds.
+const HOLD_REQUESTS: f64 = 60.0;
+const HOLD: (f64, f64) = (4e6, 30e6);
 /// Errors weigh like an answer this many usual latencies late.
 const ERROR_WEIGHT: f64 = 12.0;
 /// Second tries: this share of first ones, saved up to the cap. More turns overload into collapse.
@@ -252,7 +255,10 @@
         u.state = if u.failures >= DEAD_FAILURES && long && corroborated {
             State::Dead { since: now, until: now + DEAD_COOLDOWN }
         } else {
-            let wait = (COOLDOWN_BASE << (u.failures - 1).min(8)).min(COOLDOWN_CAP);
+            // A scout is to be one request in so many: a balancer of little traffic waits longer.
+            let base = (COOLDOWN_REQUESTS / self.asked_rate.max(1e-9)) as Micros;
+            let base = base.clamp(COOLDOWN_BASE, COOLDOWN_CAP);
+            let wait = (base << (u.failures - 1).min(8)).min(COOLDOWN_CAP);
             State::Offline { since: now, until: now + wait }
         };
     }
@@ -267,7 +273,7 @@
 
     /// What sets it apart from its like.
     fn apart(&self, u: &Upstream) -> f64 {
-        self.faded(u.seen, FADE_OWN) + u.errors * self.fresh(u.seen.fed, FADE_OWN) * ERROR_WEIGHT
+        self.faded(u.seen, self.hold) + u.errors * self.fresh(u.seen.fed, self.hold) * ERROR_WEIGHT
     }
 
     fn faded(&self, seen: Seen, over: f64) -> f64 {
@@ -282,8 +288,8 @@
         let now = self.now;
         let u = &self.upstreams[i];
         let (kind, zone, errors) =
-            (u.entry.kind as usize, u.entry.zone as usize, u.errors * self.fresh(u.seen.fed, FADE_OWN));
-        let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, FADE_OWN));
+            (u.entry.kind as usize, u.entry.zone as usize, u.errors * self.fresh(u.seen.fed, self.hold));
+        let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, self.hold));
         let k = &mut self.usual[class];
         let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
         let rate = |fed: Micros, (least, most, over): (f64, f64, f64)| {
@@ -583,6 +589,7 @@
         let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
         (self.asked_rate, self.asked_at) = (self.rate(self.asked_rate, self.asked_at) + 1.0 / RATE_OVER, self.now);
+        self.hold = (HOLD_REQUESTS / self.asked_rate).clamp(HOLD.0, HOLD.1);
         let density = if self.set.worth_by_work { c.worth } else { c.worth / usual.max(1.0) };
         self.worth_seen = self.worth_seen * 0.99 + density * usual;
         self.work_seen = self.work_seen * 0.99 + usual;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -108,6 +108,7 @@
     pub(crate) worth_seen: f64,
     pub(crate) work_seen: f64,
     /// Work served in a microsecond, fading, for the cold budget.
+    pub(crate) hold: f64,
     pub(crate) asked_rate: f64,
     pub(crate) asked_at: Micros,
     /// Upstreams in this balancer's own random order.
@@ -140,6 +141,7 @@
             retry_tokens: 0.0,
             worth_seen: 0.0,
             work_seen: 0.0,
+            hold: 1e7,
             asked_rate: 0.0,
             asked_at: now,
             ring: Vec::new(),
