--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -13,7 +13,7 @@
 /// Cooldowns double from here: about the time in which a process restarts or a link heals (design page).
 const COOLDOWN_BASE: Micros = 2 * S;
 const COOLDOWN_CAP: Micros = 20 * S;
-const COOLDOWN_REQUESTS: f64 = 20.0;
+const COOLDOWN_REQUESTS: f64 = 40.0;
 /// Dead needs this many counted failures, over this long, each no further apart than the gap.
 const DEAD_FAILURES: u32 = 5;
 const DEAD_STREAK: Micros = 10 * S;
@@ -27,7 +27,7 @@
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
 /// An upstream expected to take twice as long gets a turn in two to this power.
-const TURN_POWER: f64 = 3.0;
+const TURN_POWER: f64 = 4.0;
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
@@ -37,6 +37,7 @@
 /// ... the latter two more when answers are rare: by the time since the last, as a part of this.
 const LEARN_ZONE: (f64, f64, f64) = (0.05, 0.15, 4e6);
 const LEARN_OWN: (f64, f64, f64) = (0.1, 0.5, 5e6);
+const KIND_PRIOR: f64 = 3.0;
 const SURPRISE_CAP: f64 = 8.0;
 const FADE: f64 = 4e6;
 /// What sets an upstream apart is held for the time of so many own requests, within these bounds.
@@ -52,7 +53,7 @@
 /// Part of the cold budget used: estimates of a warm upstream's load are rough.
 const COLD_CARE: f64 = 0.6;
 /// Refuse when the expected answer time of a usual request passes this share of the time left.
-const REFUSE_AT: f64 = 0.65;
+const REFUSE_AT: f64 = 0.5;
 /// ... which differs by this much with the worth of a unit of work against the mean.
 const RANK: (f64, f64) = (0.6, 1.5);
 /// A queue clears in about this time: a client turned away need not come back sooner.
@@ -309,7 +310,7 @@
         k.per_unit *= 1.0 + off * (1.0 / (k.seen + 4.0)).max(LEARN_USUAL);
         let kind = &mut self.kinds[kind];
         kind.seen += 1.0;
-        kind.slow *= 1.0 + off * (1.0 / (kind.seen + 8.0)).max(LEARN_KIND);
+        kind.slow *= 1.0 + off * (1.0 / (kind.seen + KIND_PRIOR)).max(LEARN_KIND);
         self.zones[zone] = Seen { slow: crowd * (1.0 + off * of_zone), fed: now };
         self.upstreams[i].seen.slow *= 1.0 + off * of_own;
     }
