--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -53,7 +53,10 @@
 /// Part of the cold budget used: estimates of a warm upstream's load are rough.
 const COLD_CARE: f64 = 0.6;
 /// Refuse when the expected answer time of a usual request passes this share of the time left.
-const REFUSE_AT: f64 = 0.5;
+const REFUSE_AT: (f64, f64) = (0.3, 1.3);
+/// ... which falls by this with each late answer, and rises by this part of that with each in time.
+const LATE_DROP: f64 = 0.15;
+const LATE_PART: f64 = 0.08;
 /// ... which differs by this much with the worth of a unit of work against the mean.
 const RANK: (f64, f64) = (0.6, 1.5);
 /// A queue clears in about this time: a client turned away need not come back sooner.
@@ -98,7 +101,7 @@
         let usual = settings.classes.iter().map(guess).collect();
         let turn = (rng.next_u64() % 4096) as usize;
         let blank = Balancer::blank(settings, rng, now);
-        Balancer { zone_order, usual, turn, retry_tokens: RETRY_CAP / 2.0, ..blank }
+        Balancer { zone_order, usual, turn, bar: 0.5, retry_tokens: RETRY_CAP / 2.0, ..blank }
     }
 
     /// Take one event and append what is to be done about it.
@@ -150,7 +153,8 @@
         if kind != ListKind::Patch {
             self.upstreams.iter_mut().for_each(|u| u.listed = false);
         }
-        let usual = self.usual.iter().map(|k| k.per_unit * k.unit).sum::<f64>() / self.usual.len().max(1) as f64;
+        let usual =
+            self.usual.iter().map(|k| k.per_unit * k.unit).sum::<f64>() / self.usual.len().max(1) as f64;
         for e in entries {
             let i = e.upstream.0 as usize;
             let first_turn = self.random();
@@ -268,7 +272,8 @@
     /// How slow this upstream is against the usual: the speed of its kind, times the crowding of its zone and
     /// what sets it apart, which fade without answers, so that nothing rests on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
-        let slow = self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize], FADE);
+        let slow =
+            self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize], FADE);
         slow * self.apart(u)
     }
 
@@ -296,7 +301,8 @@
         let rate = |fed: Micros, (least, most, over): (f64, f64, f64)| {
             ((now - fed).max(0) as f64 / over).clamp(least, most)
         };
-        let (of_zone, of_own) = (rate(self.zones[zone].fed, LEARN_ZONE), rate(self.upstreams[i].seen.fed, LEARN_OWN));
+        let (of_zone, of_own) =
+            (rate(self.zones[zone].fed, LEARN_ZONE), rate(self.upstreams[i].seen.fed, LEARN_OWN));
         let u = &mut self.upstreams[i];
         u.errors = errors * (1.0 - of_own) + if served { 0.0 } else { of_own };
         u.seen = Seen { slow: own, fed: now };
@@ -361,7 +367,11 @@
                 let slow = self.slowness(u);
                 *seen += self.apart(u).max(1.0).powf(-TURN_POWER);
                 let to = if here { &mut pool } else { &mut away };
-                to.push(Choice { i, time: slow * (work + u.work_out), usual: slow * (usual + 0.5 * u.work_out) });
+                to.push(Choice {
+                    i,
+                    time: slow * (work + u.work_out),
+                    usual: slow * (usual + 0.5 * u.work_out),
+                });
             }
         }
         if f64::from(open_here) < f64::from(listed_here) * SPILL_SHARE || pool.is_empty() {
@@ -504,6 +514,11 @@
         u.out = u.out.saturating_sub(1);
         u.work_out = if u.out == 0 { 0.0 } else { (u.work_out - work).max(0.0) };
         u.scouts -= (a.scout && u.scouts > 0) as u32;
+        if matches!(outcome, Outcome::Served | Outcome::TimedOut) {
+            // What is sent and comes late was let in wrongly: so the bar finds where few do.
+            let step = if self.now > p.aim_at { -LATE_DROP } else { LATE_DROP * LATE_PART };
+            self.bar = (self.bar * (1.0 + step)).clamp(REFUSE_AT.0, REFUSE_AT.1);
+        }
         match outcome {
             // A sign of life, whatever it says: errors are passed over softly, never excluded.
             Outcome::Served | Outcome::Error | Outcome::Full => {
@@ -589,7 +604,8 @@
         let aim_at = began + (c.aim + (c.aim_stretch * work) as Micros).min(c.deadline);
         let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
-        (self.asked_rate, self.asked_at) = (self.rate(self.asked_rate, self.asked_at) + 1.0 / RATE_OVER, self.now);
+        (self.asked_rate, self.asked_at) =
+            (self.rate(self.asked_rate, self.asked_at) + 1.0 / RATE_OVER, self.now);
         self.hold = (HOLD_REQUESTS / self.asked_rate).clamp(HOLD.0, HOLD.1);
         let density = if self.set.worth_by_work { c.worth } else { c.worth / usual.max(1.0) };
         self.worth_seen = self.worth_seen * 0.99 + density * usual;
@@ -599,7 +615,7 @@
         // a usual request's: none is refused for its own weight, nor where nothing is out.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
-        if c.late_worth == 0.0 && expected > left * REFUSE_AT * rank && !self.pending.is_empty() {
+        if c.late_worth == 0.0 && expected > left * self.bar * rank && !self.pending.is_empty() {
             return self.give_up(r.id, &mut p, out);
         }
         self.send(r.id, &mut p, i, out);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -109,6 +109,7 @@
     pub(crate) work_seen: f64,
     /// Work served in a microsecond, fading, for the cold budget.
     pub(crate) hold: f64,
+    pub(crate) bar: f64,
     pub(crate) asked_rate: f64,
     pub(crate) asked_at: Micros,
     /// Upstreams in this balancer's own random order.
@@ -142,6 +143,7 @@
             worth_seen: 0.0,
             work_seen: 0.0,
             hold: 1e7,
+            bar: 0.0,
             asked_rate: 0.0,
             asked_at: now,
             ring: Vec::new(),
