Refuse by the share in time, from how far answers overrun what was expected

Cause: at size placement is blind, so answers scatter around what is expected; a fixed share of the aim is too late there and too early in the small. The bar now follows the quantile of answer over expectation.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -52,11 +52,11 @@
 const RATE_OVER: f64 = 6e6;
 /// Part of the cold budget used: estimates of a warm upstream's load are rough.
 const COLD_CARE: f64 = 0.6;
-/// Refuse when the expected answer time of a usual request passes this share of the time left.
-const REFUSE_AT: (f64, f64) = (0.3, 1.3);
-/// ... which falls by this with each late answer, and rises by this part of that with each in time.
-const LATE_DROP: f64 = 0.15;
-const LATE_PART: f64 = 0.08;
+/// Refuse when a usual request is expected to meet what is left of its aim more seldom than this ...
+const IN_TIME_LEAST: f64 = 0.75;
+/// ... by how much answers are seen to overrun what was expected: blind placement among many spreads them.
+const SPREAD: (f64, f64) = (0.7, 3.0);
+const SPREAD_STEP: f64 = 0.1;
 /// ... which differs by this much with the worth of a unit of work against the mean.
 const RANK: (f64, f64) = (0.6, 1.5);
 /// A queue clears in about this time: a client turned away need not come back sooner.
@@ -101,7 +101,7 @@
         let usual = settings.classes.iter().map(guess).collect();
         let turn = (rng.next_u64() % 4096) as usize;
         let blank = Balancer::blank(settings, rng, now);
-        Balancer { zone_order, usual, turn, bar: 0.5, retry_tokens: RETRY_CAP / 2.0, ..blank }
+        Balancer { zone_order, usual, turn, spread: 1.5, retry_tokens: RETRY_CAP / 2.0, ..blank }
     }
 
     /// Take one event and append what is to be done about it.
@@ -436,13 +436,14 @@
             retry && self.now + limit < p.aim_at && p.attempts.len() + 1 < self.set.attempts_cap as usize;
         let left = p.deadline - self.now;
         let now = self.now;
+        let expected = self.slowness(&self.upstreams[i]) * (work + self.upstreams[i].work_out);
         let u = &mut self.upstreams[i];
         u.saved -= work;
         u.out += 1;
         u.work_out += work;
         let scout = u.excluded();
         u.scouts += scout as u32;
-        p.attempts.push(Attempt::new(i, now, scout, cut && limit < left));
+        p.attempts.push(Attempt { expected, ..Attempt::new(i, now, scout, cut && limit < left) });
         p.out += 1;
         out.push(Action::Send {
             request: id,
@@ -515,9 +516,9 @@
         u.work_out = if u.out == 0 { 0.0 } else { (u.work_out - work).max(0.0) };
         u.scouts -= (a.scout && u.scouts > 0) as u32;
         if matches!(outcome, Outcome::Served | Outcome::TimedOut) {
-            // What is sent and comes late was let in wrongly: so the bar finds where few do.
-            let step = if self.now > p.aim_at { -LATE_DROP } else { LATE_DROP * LATE_PART };
-            self.bar = (self.bar * (1.0 + step)).clamp(REFUSE_AT.0, REFUSE_AT.1);
+            let over = f64::from(e.elapsed as f64 > a.expected * self.spread);
+            let next = self.spread * (1.0 + SPREAD_STEP * (over - 1.0 + IN_TIME_LEAST));
+            self.spread = next.clamp(SPREAD.0, SPREAD.1);
         }
         match outcome {
             // A sign of life, whatever it says: errors are passed over softly, never excluded.
@@ -615,7 +616,7 @@
         // a usual request's: none is refused for its own weight, nor where nothing is out.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
-        if c.late_worth == 0.0 && expected > left * self.bar * rank && !self.pending.is_empty() {
+        if c.late_worth == 0.0 && expected * self.spread > left * rank && !self.pending.is_empty() {
             return self.give_up(r.id, &mut p, out);
         }
         self.send(r.id, &mut p, i, out);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -54,6 +54,7 @@
 pub(crate) struct Attempt {
     pub upstream: usize,
     pub sent: Micros,
+    pub expected: f64,
     pub ended: Option<Outcome>,
     pub scout: bool,
     pub own_limit: bool,
@@ -109,7 +110,7 @@
     pub(crate) work_seen: f64,
     /// Work served in a microsecond, fading, for the cold budget.
     pub(crate) hold: f64,
-    pub(crate) bar: f64,
+    pub(crate) spread: f64,
     pub(crate) asked_rate: f64,
     pub(crate) asked_at: Micros,
     /// Upstreams in this balancer's own random order.
@@ -143,7 +144,7 @@
             worth_seen: 0.0,
             work_seen: 0.0,
             hold: 1e7,
-            bar: 0.0,
+            spread: 1.0,
             asked_rate: 0.0,
             asked_at: now,
             ring: Vec::new(),
@@ -155,7 +156,16 @@
 
 impl Attempt {
     pub fn new(upstream: usize, sent: Micros, scout: bool, own_limit: bool) -> Self {
-        Attempt { upstream, sent, ended: None, scout, own_limit, suspected: false, ordered_off: false }
+        Attempt {
+            upstream,
+            sent,
+            expected: 0.0,
+            ended: None,
+            scout,
+            own_limit,
+            suspected: false,
+            ordered_off: false,
+        }
     }
 }
 
