--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -53,7 +53,7 @@
 /// Part of the cold budget used: estimates of a warm upstream's load are rough.
 const COLD_CARE: f64 = 0.6;
 /// Refuse when a usual request is expected to meet what is left of its aim more seldom than this ...
-const IN_TIME_LEAST: f64 = 0.75;
+const IN_TIME_LEAST: f64 = 0.7;
 /// ... by how much answers are seen to overrun what was expected: blind placement among many spreads them.
 const SPREAD: (f64, f64) = (0.7, 3.0);
 const SPREAD_STEP: f64 = 0.1;
