--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -132,8 +132,6 @@
     pub max_retry_after: Option<Micros>,
     /// Clients mark their repeats.
     pub marks_repeats: bool,
-    /// An upstream that met a key lately serves it again with less work.
-    pub warm_keys: bool,
     /// A listed size says how large an upstream is.
     pub sized: bool,
 }
@@ -154,8 +152,6 @@
 pub struct Entry {
     /// Which one.
     pub upstream: UpstreamId,
-    /// A digest of its name, alike at every instance.
-    pub name: u64,
     /// Its life.
     pub lifecycle: Lifecycle,
     /// Its last start; `None`: long ago.
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -65,8 +65,6 @@
 /// many at least. A window of little traffic over a large zone; all of a small one.
 const WATCH_SPAN: f64 = 2e6;
 const WATCH_LEAST: f64 = 2.0;
-/// Keys decide the turn when a usual request is expected to need this much of what is left of its aim.
-const KEY_PRESSURE: f64 = 0.0;
 /// Crossings by chance, as a multiple of the gain's share.
 const CROSS_GAIN: f64 = 8.0;
 const LIST_TOKEN: u64 = 1 << 60;
@@ -103,7 +101,7 @@
         let usual = settings.classes.iter().map(guess).collect();
         let turn = (rng.next_u64() % 4096) as usize;
         let blank = Balancer::blank(settings, rng, now);
-        Balancer { zone_order, usual, turn, spread: 3.0, retry_tokens: RETRY_CAP / 2.0, ..blank }
+        Balancer { zone_order, usual, turn, spread: 1.5, retry_tokens: RETRY_CAP / 2.0, ..blank }
     }
 
     /// Take one event and append what is to be done about it.
@@ -355,7 +353,6 @@
         };
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
         // So many can be kept an eye on: each is to answer once a span.
-        let keyed = p.key.filter(|_| self.set.warm_keys && self.pressure > KEY_PRESSURE);
         let watch = (self.rate(self.asked_rate, self.asked_at) * WATCH_SPAN).max(WATCH_LEAST);
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
         let (mut listed_here, mut open_here) = (0, 0);
@@ -366,7 +363,7 @@
             listed_here += (here && u.listed) as u32;
             open_here += (here && open) as u32;
             let seen = &mut watched[u.entry.zone as usize];
-            if open && (*seen < watch || keyed.is_some()) {
+            if open && *seen < watch {
                 let slow = self.slowness(u);
                 *seen += self.apart(u).max(1.0).powf(-TURN_POWER);
                 let to = if here { &mut pool } else { &mut away };
@@ -414,17 +411,6 @@
         // Turns in proportion: each time round an upstream earns the part of a turn that its expected time leaves
         // it against the pool's best, and is passed over until it has a whole one.
         let (parts, _, usual) = turns(&pool);
-        if let Some(key) = keyed {
-            // Exception, warm keys under pressure: the turn goes to the key's own place, drawn in proportion to the
-            // same parts, so that sidecars agree unasked and the upstreams save work.
-            let place = |(c, part): (&Choice, &f64)| {
-                let mix = (key ^ self.upstreams[c.i].entry.name).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-                let mix = (mix ^ (mix >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-                (((mix >> 11) as f64 + 1.0) / (1u64 << 53) as f64).ln() / part.max(1e-9)
-            };
-            let places = pool.iter().zip(&parts).map(|c| (c.0.i, place(c)));
-            return places.max_by(|a, b| a.1.total_cmp(&b.1)).map(|c| (c.0, usual));
-        }
         let mut earns = vec![0.0; n];
         pool.iter().zip(parts).for_each(|(c, part)| earns[c.i] = part);
         for k in self.turn..self.turn + 2 * n {
@@ -617,7 +603,7 @@
         k.unit = if k.seen == 0.0 { unit } else { k.unit + (unit - k.unit) * 0.02 };
         let (work, usual) = (k.per_unit * unit, k.per_unit * k.unit);
         let aim_at = began + (c.aim + (c.aim_stretch * work) as Micros).min(c.deadline);
-        let mut p = Pending { key: r.key, ..Pending::new(class, aim_at, self.now + r.budget, unit, work) };
+        let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
         (self.asked_rate, self.asked_at) =
             (self.rate(self.asked_rate, self.asked_at) + 1.0 / RATE_OVER, self.now);
@@ -630,7 +616,6 @@
         // a usual request's: none is refused for its own weight, nor where nothing is out.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
-        self.pressure += (expected * self.spread / left.max(1.0) - self.pressure) * 0.1;
         if c.late_worth == 0.0 && expected * self.spread > left * rank && !self.pending.is_empty() {
             return self.give_up(r.id, &mut p, out);
         }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -65,7 +65,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Pending {
     pub class: usize,
-    pub key: Option<u64>,
     pub aim_at: Micros,
     pub deadline: Micros,
     pub unit: f64,
@@ -111,8 +110,6 @@
     pub(crate) work_seen: f64,
     /// Work served in a microsecond, fading, for the cold budget.
     pub(crate) hold: f64,
-    /// Expected time against what is left, as last seen.
-    pub(crate) pressure: f64,
     pub(crate) spread: f64,
     pub(crate) asked_rate: f64,
     pub(crate) asked_at: Micros,
@@ -147,7 +144,6 @@
             worth_seen: 0.0,
             work_seen: 0.0,
             hold: 1e7,
-            pressure: 0.0,
             spread: 1.0,
             asked_rate: 0.0,
             asked_at: now,
@@ -176,7 +172,7 @@
 impl Pending {
     pub fn new(class: usize, aim_at: Micros, deadline: Micros, unit: f64, work: f64) -> Self {
         let (attempts, out, over, streaming) = (Vec::new(), 0, false, false);
-        Pending { class, key: None, aim_at, deadline, unit, work, attempts, out, over, streaming }
+        Pending { class, aim_at, deadline, unit, work, attempts, out, over, streaming }
     }
 }
 
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -49,7 +49,6 @@
         peer_messages: false,
         max_retry_after: Some(2 * S),
         marks_repeats: false,
-        warm_keys: false,
         sized: false,
     }
 }
@@ -57,7 +56,6 @@
 pub fn entry(id: u32, zone: u32) -> Entry {
     Entry {
         upstream: UpstreamId(id),
-        name: u64::from(id),
         lifecycle: Lifecycle::Running,
         last_start: None,
         zone,
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -228,7 +228,6 @@
         name: part.need("upstream")?.into(),
         entry: Entry {
             upstream: UpstreamId(0),
-            name: digest(part.need("upstream")?),
             lifecycle: part.lifecycle()?,
             last_start: part.time_if("last_start_s")?.filter(|t| *t != 0),
             zone: index("area")?,
--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -26,8 +26,6 @@
     discovery: String,
     #[serde(default)]
     weights: String,
-    #[serde(default)]
-    family_info: InfoFamily,
     limits: InfoLimits,
     rules: InfoRules,
     #[serde(default)]
@@ -67,12 +65,6 @@
     marks_retry: bool,
 }
 
-#[derive(Deserialize, Default)]
-struct InfoFamily {
-    #[serde(default)]
-    warm_keys: bool,
-}
-
 #[derive(Deserialize)]
 struct InfoLimits {
     #[serde(default = "one_u32")]
@@ -172,7 +164,6 @@
         peer_messages: l.peer_messages,
         max_retry_after: l.retry_after.then(|| seconds(l.max_retry_after_s)),
         marks_repeats: info.clients.marks_retry,
-        warm_keys: info.family_info.warm_keys,
         sized: matches!(info.weights.as_str(), "nominal" | "rough" | "live"),
     })
 }
