--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -155,6 +155,7 @@
         }
         let usual =
             self.usual.iter().map(|k| k.per_unit * k.unit).sum::<f64>() / self.usual.len().max(1) as f64;
+        let mean_size = entries.iter().map(|e| e.size).sum::<f64>() / entries.len().max(1) as f64;
         for e in entries {
             let i = e.upstream.0 as usize;
             let first_turn = self.random();
@@ -178,7 +179,12 @@
             u.entry = *e;
             u.listed = e.lifecycle == Lifecycle::Running;
             let (kinds, zones) = (self.kinds.len().max(e.kind as usize + 1), e.zone as usize + 1);
-            self.kinds.resize(kinds, Kind { slow: 1.0, seen: 0.0 });
+            let sized = self.set.sized && e.size > 0.0;
+            let slow = if sized { (mean_size / e.size).clamp(0.25, 4.0) } else { 1.0 };
+            if kinds > self.kinds.len() || (sized && self.kinds[e.kind as usize].seen == 0.0) {
+                self.kinds.resize(kinds, Kind { slow: 1.0, seen: 0.0 });
+                self.kinds[e.kind as usize].slow = slow;
+            }
             self.zones.resize(self.zones.len().max(zones), Seen { slow: 1.0, fed: LONG_AGO });
         }
     }
@@ -272,16 +278,11 @@
     /// How slow this upstream is against the usual: the speed of its kind, times the crowding of its zone and
     /// what sets it apart, which fade without answers, so that nothing rests on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
-        let slow = self.kinds[u.entry.kind as usize].slow * self.crowd(u.entry.zone);
+        let slow =
+            self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize], FADE);
         slow * self.apart(u)
     }
 
-    /// How crowded a zone is. Without answers the own zone's fades soon, so that it is tried again; what a paid
-    /// crossing told of another is held.
-    fn crowd(&self, zone: u32) -> f64 {
-        self.faded(self.zones[zone as usize], if zone == self.set.my_zone { FADE } else { self.hold })
-    }
-
     /// What sets it apart from its like.
     fn apart(&self, u: &Upstream) -> f64 {
         self.faded(u.seen, self.hold) + u.errors * self.fresh(u.seen.fed, self.hold) * ERROR_WEIGHT
@@ -300,7 +301,7 @@
         let u = &self.upstreams[i];
         let (kind, zone, errors) =
             (u.entry.kind as usize, u.entry.zone as usize, u.errors * self.fresh(u.seen.fed, self.hold));
-        let (crowd, own) = (self.crowd(zone as u32), self.faded(u.seen, self.hold));
+        let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, self.hold));
         let k = &mut self.usual[class];
         let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
         let rate = |fed: Micros, (least, most, over): (f64, f64, f64)| {
@@ -393,13 +394,13 @@
             // time, by chance: hundreds with the same news would swing together.
             let own = turns(&pool).1;
             let toll = self.set.prices.cross_zone * self.set.classes[p.class].aim as f64 + 20e3;
-            let there = |z: &u32| -> Vec<Choice> {
-                away.iter().copied().filter(|c| self.upstreams[c.i].entry.zone == *z).collect()
-            };
-            let times = self.zone_order.iter().map(|z| (there(z), z)).filter(|f| !f.0.is_empty());
-            let best = times.map(|(far, _)| (turns(&far).1, far)).min_by(|a, b| a.0.total_cmp(&b.0));
-            if let Some((_, far)) = best.filter(|f| chance < (own - f.0 - toll) / own * CROSS_GAIN) {
-                pool = far;
+            for z in &self.zone_order {
+                let far: Vec<_> =
+                    away.iter().copied().filter(|c| self.upstreams[c.i].entry.zone == *z).collect();
+                if !far.is_empty() && chance < (own - turns(&far).1 - toll) / own * CROSS_GAIN {
+                    pool = far;
+                    break;
+                }
             }
         }
         if once && pool.iter().any(|c| !self.upstreams[c.i].excluded()) {
