--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -65,7 +65,6 @@
 /// many at least. A window of little traffic over a large zone; all of a small one.
 const WATCH_SPAN: f64 = 2e6;
 const WATCH_LEAST: f64 = 2.0;
-const PEERS: u32 = 8;
 /// Crossings by chance, as a multiple of the gain's share.
 const CROSS_GAIN: f64 = 8.0;
 const LIST_TOKEN: u64 = 1 << 60;
@@ -123,8 +122,7 @@
             Event::RequestGone { request } => self.close(request, out),
             Event::Timer { token: LIST_TOKEN } => self.ask(out),
             Event::Timer { token } => self.review(RequestId(token), out),
-            Event::PeerMessage { bytes, .. } => self.hear(bytes),
-            Event::ProbeEnded { .. } => {}
+            Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
 
@@ -295,65 +293,35 @@
     fn learn(&mut self, class: usize, unit: f64, i: usize, elapsed: Micros, served: bool) {
         let now = self.now;
         let u = &self.upstreams[i];
-        let (kind, zone) = (u.entry.kind as usize, u.entry.zone as usize);
-        let errors = u.errors * self.fresh(u.seen.fed, self.hold);
-        let own = self.faded(u.seen, self.hold);
-        let of_own = Self::pace(now - u.seen.fed, LEARN_OWN);
+        let (kind, zone, errors) =
+            (u.entry.kind as usize, u.entry.zone as usize, u.errors * self.fresh(u.seen.fed, self.hold));
+        let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, self.hold));
+        let k = &mut self.usual[class];
+        let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
+        let rate = |fed: Micros, (least, most, over): (f64, f64, f64)| {
+            ((now - fed).max(0) as f64 / over).clamp(least, most)
+        };
+        let (of_zone, of_own) =
+            (rate(self.zones[zone].fed, LEARN_ZONE), rate(self.upstreams[i].seen.fed, LEARN_OWN));
         let u = &mut self.upstreams[i];
         u.errors = errors * (1.0 - of_own) + if served { 0.0 } else { of_own };
         u.seen = Seen { slow: own, fed: now };
-        if served {
-            let off = self.learn_like(class, unit, kind, zone, own, elapsed as f64);
-            self.upstreams[i].seen.slow *= 1.0 + off * of_own;
+        if !served {
+            return;
         }
-    }
-
-    fn pace(since: Micros, (least, most, over): (f64, f64, f64)) -> f64 {
-        (since.max(0) as f64 / over).clamp(least, most)
-    }
-
-    /// An answer of this class, kind and zone, with what sets its upstream apart: by how much it was off.
-    fn learn_like(&mut self, class: usize, unit: f64, kind: usize, zone: usize, own: f64, took: f64) -> f64 {
-        let crowd = self.faded(self.zones[zone], FADE);
-        let of_zone = Self::pace(self.now - self.zones[zone].fed, LEARN_ZONE);
-        let k = &mut self.usual[class];
-        let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
         // Light requests wait as long as heavy ones: unweighted, they make every upstream look slow.
         let weight = (unit / k.unit.max(1e-9)).clamp(0.05, 2.0);
-        let off = ((took / work.max(1.0)).min(SURPRISE_CAP) - 1.0) * weight;
+        let off = ((elapsed as f64 / work.max(1.0)).min(SURPRISE_CAP) - 1.0) * weight;
         k.seen += 1.0;
         k.per_unit *= 1.0 + off * (1.0 / (k.seen + 4.0)).max(LEARN_USUAL);
         let kind = &mut self.kinds[kind];
         kind.seen += 1.0;
         kind.slow *= 1.0 + off * (1.0 / (kind.seen + KIND_PRIOR)).max(LEARN_KIND);
-        self.zones[zone] = Seen { slow: crowd * (1.0 + off * of_zone), fed: self.now };
-        off
-    }
-
-    /// Tell some peers, drawn at random, how long an answer took, by class, kind and zone: what is shared by all
-    /// is known sooner. Nothing of the one upstream, which all would then rush to or flee.
-    fn tell(&mut self, class: usize, i: usize, elapsed: Micros, out: &mut Vec<Action>) {
-        let peers = self.set.instances.saturating_sub(1);
-        if !self.set.peer_messages || peers == 0 {
-            return;
-        }
-        let (aim, e) = (self.set.classes[class].aim.max(1) as f64, self.upstreams[i].entry);
-        let level = (128.0 + 16.0 * (elapsed.max(1) as f64 / aim).log2()).clamp(0.0, 255.0) as u8;
-        for _ in 0..PEERS.min(peers) {
-            let to = (self.rng.next_u64() % u64::from(peers)) as u32;
-            let to = Some(to + u32::from(to >= self.set.me));
-            out.push(Action::TellPeers { to, bytes: vec![class as u8, e.kind as u8, e.zone as u8, level] });
-        }
-    }
-
-    fn hear(&mut self, bytes: &[u8]) {
-        let &[class, kind, zone, level] = bytes else { return };
-        let (class, kind, zone) = (class as usize, kind as usize, zone as usize);
-        let Some(c) = self.set.classes.get(class) else { return };
-        if kind < self.kinds.len() && zone < self.zones.len() {
-            let took = c.aim as f64 * ((f64::from(level) - 128.0) / 16.0).exp2();
-            self.learn_like(class, self.usual[class].unit, kind, zone, 1.0, took);
-        }
+        self.zones[zone] = Seen { slow: crowd * (1.0 + off * of_zone), fed: now };
+        // What its like explain is not its own.
+        let rest = k.per_unit * unit * kind.slow * self.zones[zone].slow * own;
+        let off = ((elapsed as f64 / rest.max(1.0)).min(SURPRISE_CAP) - 1.0) * weight;
+        self.upstreams[i].seen.slow *= 1.0 + off * of_own;
     }
 
     // --- pick ---
@@ -564,17 +532,11 @@
                     (self.served_rate, self.served_at) = (rate, self.now);
                 }
                 self.learn(p.class, p.unit, a.upstream, e.elapsed, outcome == Outcome::Served);
-                if outcome == Outcome::Served {
-                    self.tell(p.class, a.upstream, e.elapsed, out);
-                }
             }
             Outcome::TimedOut if a.own_limit && !a.suspected => self.failure(a.upstream, a.sent),
             Outcome::ConnectFailed | Outcome::Reset => self.failure(a.upstream, a.sent),
             // The client's time was up: no fault of the upstream's is proven, but that long it took at least.
-            Outcome::TimedOut => {
-                self.learn(p.class, p.unit, a.upstream, e.elapsed, true);
-                self.tell(p.class, a.upstream, e.elapsed, out);
-            }
+            Outcome::TimedOut => self.learn(p.class, p.unit, a.upstream, e.elapsed, true),
             Outcome::Cancelled | Outcome::Moot => {}
         }
         if e.over || outcome == Outcome::Served {
