--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -27,6 +27,8 @@
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
 /// An upstream expected to take twice as long gets a turn in two to this power.
+/// ... counted from the best by this share of the aim: what does not matter against the aim stays even.
+const TURN_SLACK: f64 = 0.1;
 const TURN_POWER: f64 = 4.0;
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
@@ -78,9 +80,10 @@
 }
 
 /// The part of a turn that each earns against the best of its pool, and the mean times over their turns.
-fn turns(pool: &[Choice]) -> (Vec<f64>, f64, f64) {
+fn turns(pool: &[Choice], slack: f64) -> (Vec<f64>, f64, f64) {
     let best = pool.iter().map(|c| c.time).fold(f64::MAX, f64::min).max(1.0);
-    let parts: Vec<f64> = pool.iter().map(|c| (best / c.time.max(1.0)).powf(TURN_POWER)).collect();
+    let parts: Vec<f64> =
+        pool.iter().map(|c| ((best + slack) / c.time.max(1.0)).powf(TURN_POWER).min(1.0)).collect();
     let all = parts.iter().sum::<f64>().max(1e-9);
     let mean = |f: fn(&Choice) -> f64| pool.iter().zip(&parts).map(|(c, e)| f(c) * e).sum::<f64>() / all;
     let (time, usual) = (mean(|c| c.time), mean(|c| c.usual));
@@ -355,6 +358,7 @@
             u.listed && grouped && !p.attempts.iter().any(|a| a.upstream == i) && roomy[i]
         };
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
+        let slack = TURN_SLACK * self.set.classes[p.class].aim as f64;
         // So many can be kept an eye on: each is to answer once a span.
         let watch = (self.rate(self.asked_rate, self.asked_at) * WATCH_SPAN).max(WATCH_LEAST);
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
@@ -389,12 +393,12 @@
             // Exception, lasting imbalance: the own zone's turns are expected later than another's by more than a
             // crossing is worth, its price taken as a share of the aim. Only so many cross as the gain is of the
             // time, by chance: hundreds with the same news would swing together.
-            let own = turns(&pool).1;
+            let own = turns(&pool, slack).1;
             let toll = self.set.prices.cross_zone * self.set.classes[p.class].aim as f64 + 20e3;
             for z in &self.zone_order {
                 let far: Vec<_> =
                     away.iter().copied().filter(|c| self.upstreams[c.i].entry.zone == *z).collect();
-                if !far.is_empty() && chance < (own - turns(&far).1 - toll) / own * CROSS_GAIN {
+                if !far.is_empty() && chance < (own - turns(&far, slack).1 - toll) / own * CROSS_GAIN {
                     pool = far;
                     break;
                 }
@@ -413,7 +417,7 @@
         }
         // Turns in proportion: each time round an upstream earns the part of a turn that its expected time leaves
         // it against the pool's best, and is passed over until it has a whole one.
-        let (parts, _, usual) = turns(&pool);
+        let (parts, _, usual) = turns(&pool, slack);
         let mut earns = vec![0.0; n];
         pool.iter().zip(parts).for_each(|(c, part)| earns[c.i] = part);
         for k in self.turn..self.turn + 2 * n {
