--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -67,7 +67,6 @@
 /// many at least. A window of little traffic over a large zone; all of a small one.
 const WATCH_SPAN: f64 = 2e6;
 const WATCH_LEAST: f64 = 2.0;
-const WATCH_PRESSURE: f64 = 0.45;
 /// Crossings by chance, as a multiple of the gain's share.
 const CROSS_GAIN: f64 = 8.0;
 const LIST_TOKEN: u64 = 1 << 60;
@@ -361,8 +360,7 @@
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
         let slack = TURN_SLACK * self.set.classes[p.class].aim as f64;
         // So many can be kept an eye on: each is to answer once a span.
-        let watch = self.rate(self.asked_rate, self.asked_at) * WATCH_SPAN;
-        let watch = if self.pressure < WATCH_PRESSURE { f64::MAX } else { watch.max(WATCH_LEAST) };
+        let watch = (self.rate(self.asked_rate, self.asked_at) * WATCH_SPAN).max(WATCH_LEAST);
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
         let (mut listed_here, mut open_here) = (0, 0);
         let mut watched = vec![0.0; self.zones.len()];
@@ -625,7 +623,6 @@
         // a usual request's: none is refused for its own weight, nor where nothing is out.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
-        self.pressure += (expected * self.spread / left.max(1.0) - self.pressure) * 0.1;
         if c.late_worth == 0.0 && expected * self.spread > left * rank && !self.pending.is_empty() {
             return self.give_up(r.id, &mut p, out);
         }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -110,8 +110,6 @@
     pub(crate) work_seen: f64,
     /// Work served in a microsecond, fading, for the cold budget.
     pub(crate) hold: f64,
-    /// Expected time against what is left of the aim, as last seen.
-    pub(crate) pressure: f64,
     pub(crate) spread: f64,
     pub(crate) asked_rate: f64,
     pub(crate) asked_at: Micros,
@@ -146,7 +144,6 @@
             worth_seen: 0.0,
             work_seen: 0.0,
             hold: 1e7,
-            pressure: 0.0,
             spread: 1.0,
             asked_rate: 0.0,
             asked_at: now,
