--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -61,6 +61,8 @@
 const SPREAD_STEP: f64 = 0.1;
 /// ... which differs by this much with the worth of a unit of work against the mean.
 const RANK: (f64, f64) = (0.6, 1.5);
+/// Nothing out and no answer for so long: a request goes out whatever is expected, to learn.
+const TOLD_SPAN: Micros = 1 * S;
 /// A queue clears in about this time: a client turned away need not come back sooner.
 const RETURN: Micros = S;
 /// An upstream's state lasts for about this long: the rotation goes round so many as answer once in it, but so
@@ -623,7 +625,8 @@
         // a usual request's: none is refused for its own weight, nor where nothing is out.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
-        if c.late_worth == 0.0 && expected * self.spread > left * rank && !self.pending.is_empty() {
+        let told = !self.pending.is_empty() || self.now - self.last_life < TOLD_SPAN;
+        if c.late_worth == 0.0 && expected * self.spread > left * rank && told {
             return self.give_up(r.id, &mut p, out);
         }
         self.send(r.id, &mut p, i, out);
