--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -61,8 +61,8 @@
 const SPREAD_STEP: f64 = 0.1;
 /// ... which differs by this much with the worth of a unit of work against the mean.
 const RANK: (f64, f64) = (0.6, 1.5);
-/// Nothing out and no answer for so long: a request goes out whatever is expected, to learn.
-const TOLD_SPAN: Micros = 1 * S;
+/// ... and with nothing out by this, as then less is known and less at stake.
+const IDLE_BAR: f64 = 2.0;
 /// A queue clears in about this time: a client turned away need not come back sooner.
 const RETURN: Micros = S;
 /// An upstream's state lasts for about this long: the rotation goes round so many as answer once in it, but so
@@ -625,8 +625,8 @@
         // a usual request's: none is refused for its own weight, nor where nothing is out.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
-        let told = !self.pending.is_empty() || self.now - self.last_life < TOLD_SPAN;
-        if c.late_worth == 0.0 && expected * self.spread > left * rank && told {
+        let bar = if self.pending.is_empty() { IDLE_BAR } else { 1.0 };
+        if c.late_worth == 0.0 && expected * self.spread > left * rank * bar {
             return self.give_up(r.id, &mut p, out);
         }
         self.send(r.id, &mut p, i, out);
