--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -45,8 +45,8 @@
 /// What sets an upstream apart is held for the time of so many own requests, within these bounds.
 const HOLD_REQUESTS: f64 = 60.0;
 const HOLD: (f64, f64) = (4e6, 30e6);
-/// Errors weigh like an answer this many usual latencies late.
-const ERROR_WEIGHT: f64 = 12.0;
+/// An error counts like an answer so many times as slow as usual: passed over softly, never excluded.
+const ERROR_SLOW: f64 = 12.0;
 /// Second tries: this share of first ones, saved up to the cap. More turns overload into collapse.
 const RETRY_SHARE: f64 = 0.02;
 const RETRY_CAP: f64 = 5.0;
@@ -277,29 +277,18 @@
     /// How slow this upstream is against the usual: the speed of its kind, times the crowding of its zone and
     /// what sets it apart, which fade without answers, so that nothing rests on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
-        let slow =
-            self.kinds[u.entry.kind as usize].slow * self.faded(self.zones[u.entry.zone as usize], FADE);
-        slow * self.apart(u)
-    }
-
-    /// What sets it apart from its like.
-    fn apart(&self, u: &Upstream) -> f64 {
-        self.faded(u.seen, self.hold) + u.errors * self.fresh(u.seen.fed, self.hold) * ERROR_WEIGHT
+        let crowd = self.faded(self.zones[u.entry.zone as usize], FADE);
+        self.kinds[u.entry.kind as usize].slow * crowd * self.faded(u.seen, self.hold)
     }
 
     fn faded(&self, seen: Seen, over: f64) -> f64 {
-        1.0 + (seen.slow - 1.0) * self.fresh(seen.fed, over)
-    }
-
-    fn fresh(&self, fed: Micros, over: f64) -> f64 {
-        (-((self.now - fed).max(0) as f64) / over).exp()
+        1.0 + (seen.slow - 1.0) * (-((self.now - seen.fed).max(0) as f64) / over).exp()
     }
 
     fn learn(&mut self, class: usize, unit: f64, i: usize, elapsed: Micros, served: bool) {
         let now = self.now;
         let u = &self.upstreams[i];
-        let (kind, zone, errors) =
-            (u.entry.kind as usize, u.entry.zone as usize, u.errors * self.fresh(u.seen.fed, self.hold));
+        let (kind, zone) = (u.entry.kind as usize, u.entry.zone as usize);
         let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, self.hold));
         let k = &mut self.usual[class];
         let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
@@ -308,10 +297,9 @@
         };
         let (of_zone, of_own) =
             (rate(self.zones[zone].fed, LEARN_ZONE), rate(self.upstreams[i].seen.fed, LEARN_OWN));
-        let u = &mut self.upstreams[i];
-        u.errors = errors * (1.0 - of_own) + if served { 0.0 } else { of_own };
-        u.seen = Seen { slow: own, fed: now };
         if !served {
+            let u = &mut self.upstreams[i];
+            u.seen = Seen { slow: own + (ERROR_SLOW - own) * of_own, fed: now };
             return;
         }
         // Light requests wait as long as heavy ones: unweighted, they make every upstream look slow.
@@ -326,7 +314,7 @@
         // What its like explain is not its own.
         let rest = k.per_unit * unit * kind.slow * self.zones[zone].slow * own;
         let off = ((elapsed as f64 / rest.max(1.0)).min(SURPRISE_CAP) - 1.0) * weight;
-        self.upstreams[i].seen.slow *= 1.0 + off * of_own;
+        self.upstreams[i].seen = Seen { slow: own * (1.0 + off * of_own), fed: now };
     }
 
     // --- pick ---
@@ -374,7 +362,7 @@
             let seen = &mut watched[u.entry.zone as usize];
             if open && *seen < watch {
                 let slow = self.slowness(u);
-                *seen += self.apart(u).max(1.0).powf(-TURN_POWER);
+                *seen += self.faded(u.seen, self.hold).max(1.0).powf(-TURN_POWER);
                 let to = if here { &mut pool } else { &mut away };
                 to.push(Choice {
                     i,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -40,7 +40,6 @@
     pub scouts: u32,
     /// How slow it is by its own answers.
     pub seen: Seen,
-    pub errors: f64,
     pub out: u32,
     pub work_out: f64,
     /// Part of a turn in the rotation that it has earned.
@@ -188,7 +187,6 @@
             last_life: LONG_AGO,
             scouts: 0,
             seen: Seen { slow: 1.0, fed: LONG_AGO },
-            errors: 0.0,
             out: 0,
             work_out: 0.0,
             turns: 0.0,
