--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -10,84 +10,83 @@
 // --- constants, with reasons ---
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
-/// Cooldowns double from here: about the time in which a process restarts or a link heals (design page).
-const COOLDOWN_BASE: Micros = 2 * S;
-const COOLDOWN_CAP: Micros = 20 * S;
+/// Cooldowns double from the time of so many own requests, within the bounds: a scout is one request in them.
 const COOLDOWN_REQUESTS: f64 = 40.0;
-/// Dead needs this many counted failures, over this long, each no further apart than the gap.
+const COOLDOWN: (Micros, Micros) = (2 * S, 20 * S);
+/// Dead: so many counted failures over this long, no further apart than the gap, a success elsewhere this late.
 const DEAD_FAILURES: u32 = 5;
 const DEAD_STREAK: Micros = 10 * S;
 const STREAK_GAP: Micros = 30 * S;
 const DEAD_COOLDOWN: Micros = 30 * S;
-/// A success elsewhere corroborates within this.
 const CORROBORATION: Micros = 5 * S;
 /// All failed for this long, at two upstreams or more: the fault is here. Nothing counts; grace after it.
 const BLAME_SPAN: Micros = 2 * S;
 const BLAME_GRACE: Micros = 5 * S;
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
-/// An upstream expected to take twice as long gets a turn in two to this power.
-/// ... counted from the best by this share of the aim: what does not matter against the aim stays even.
+/// Past the best by this share of the aim (less does not matter), one expected to take twice as long gets a turn
+/// in two to this power.
 const TURN_SLACK: f64 = 0.05;
-const TURN_POWER: f64 = 4.0;
+const TURN_POWER: i32 = 4;
+/// How long an upstream's state lasts: as many share the turns as answer once in it, but so many at least.
+const WATCH_SPAN: f64 = 2e6;
+const WATCH_LEAST: f64 = 2.0;
+/// Crossings by chance, as a multiple of the gain's share of the time; the way there and back takes some.
+const CROSS_GAIN: f64 = 8.0;
+const CROSS_WAY: f64 = 20e3;
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
-/// Weight of one answer in the usual, its kind's speed, its zone's crowding and its upstream's own part.
+/// Weight of one answer, after the first few, in the usual and in its kind's speed; and in its zone's crowding
+/// and its upstream's own part, by the time since the last as a part of the third: most where answers are rare.
 const LEARN_USUAL: f64 = 0.01;
 const LEARN_KIND: f64 = 0.02;
-/// ... the latter two more when answers are rare: by the time since the last, as a part of this.
 const LEARN_ZONE: (f64, f64, f64) = (0.05, 0.15, 4e6);
 const LEARN_OWN: (f64, f64, f64) = (0.1, 0.5, 5e6);
-const KIND_PRIOR: f64 = 3.0;
 const SURPRISE_CAP: f64 = 8.0;
+/// An error counts like an answer so many times as slow as usual: passed over softly, never excluded.
+const ERROR_SLOW: f64 = 12.0;
+/// Crowding fades like this without answers; an own part over so many own requests, within these bounds.
 const FADE: f64 = 4e6;
-/// What sets an upstream apart is held for the time of so many own requests, within these bounds.
 const HOLD_REQUESTS: f64 = 60.0;
 const HOLD: (f64, f64) = (4e6, 30e6);
-/// An error counts like an answer so many times as slow as usual: passed over softly, never excluded.
-const ERROR_SLOW: f64 = 12.0;
 /// Second tries: this share of first ones, saved up to the cap. More turns overload into collapse.
 const RETRY_SHARE: f64 = 0.02;
 const RETRY_CAP: f64 = 5.0;
-/// The rate of work served is counted over about this time.
+/// Rates are counted over about this time.
 const RATE_OVER: f64 = 6e6;
-/// Part of the cold budget used: estimates of a warm upstream's load are rough.
+/// Part of the cold budget used: what a warm upstream can do is known roughly.
 const COLD_CARE: f64 = 0.6;
-/// Refuse when a usual request is expected to meet what is left of its aim more seldom than this ...
+/// Refuse what would meet its aim more seldom than this, by how far answers are seen to overrun what was
+/// expected, within these bounds: blind placement among many scatters them.
 const IN_TIME_LEAST: f64 = 0.7;
-/// ... by how much answers are seen to overrun what was expected: blind placement among many spreads them.
 const SPREAD: (f64, f64) = (0.7, 3.0);
 const SPREAD_STEP: f64 = 0.1;
-/// ... which differs by this much with the worth of a unit of work against the mean.
+/// The bar moves so far with the worth of a unit of work against the mean; with nothing out, where less is known
+/// and less at stake, it is higher.
 const RANK: (f64, f64) = (0.6, 1.5);
-/// ... and with nothing out by this, as then less is known and less at stake.
 const IDLE_BAR: f64 = 2.0;
 /// A queue clears in about this time: a client turned away need not come back sooner.
 const RETURN: Micros = S;
-/// An upstream's state lasts for about this long: the rotation goes round so many as answer once in it, but so
-/// many at least. A window of little traffic over a large zone; all of a small one.
-const WATCH_SPAN: f64 = 2e6;
-const WATCH_LEAST: f64 = 2.0;
-/// Crossings by chance, as a multiple of the gain's share.
-const CROSS_GAIN: f64 = 8.0;
 const LIST_TOKEN: u64 = 1 << 60;
 
 /// An upstream that a request may go to: the time expected there of it, and of a usual one.
 #[derive(Clone, Copy)]
 struct Choice {
     i: usize,
+    zone: u32,
+    excluded: bool,
     time: f64,
     usual: f64,
 }
 
 /// The part of a turn that each earns against the best of its pool, and the mean times over their turns.
 fn turns(pool: &[Choice], slack: f64) -> (Vec<f64>, f64, f64) {
-    let best = pool.iter().map(|c| c.time).fold(f64::MAX, f64::min).max(1.0);
-    let parts: Vec<f64> =
-        pool.iter().map(|c| ((best + slack) / c.time.max(1.0)).powf(TURN_POWER).min(1.0)).collect();
-    let all = parts.iter().sum::<f64>().max(1e-9);
-    let mean = |f: fn(&Choice) -> f64| pool.iter().zip(&parts).map(|(c, e)| f(c) * e).sum::<f64>() / all;
+    let best = pool.iter().map(|c| c.time).fold(f64::MAX, f64::min).max(1.0) + slack;
+    let parts: Vec<f64> = pool.iter().map(|c| (best / c.time.max(1.0)).powi(TURN_POWER).min(1.0)).collect();
+    let mean = |f: fn(&Choice) -> f64| {
+        pool.iter().zip(&parts).map(|(c, e)| f(c) * e).sum::<f64>() / parts.iter().sum::<f64>().max(1e-9)
+    };
     let (time, usual) = (mean(|c| c.time), mean(|c| c.usual));
     (parts, time, usual)
 }
@@ -158,8 +157,7 @@
         if kind != ListKind::Patch {
             self.upstreams.iter_mut().for_each(|u| u.listed = false);
         }
-        let usual =
-            self.usual.iter().map(|k| k.per_unit * k.unit).sum::<f64>() / self.usual.len().max(1) as f64;
+        let least = self.usual.iter().map(|k| k.per_unit * k.unit).fold(f64::MAX, f64::min);
         for e in entries {
             let i = e.upstream.0 as usize;
             let first_turn = self.random();
@@ -174,7 +172,7 @@
             }
             if i >= known || restarted {
                 // Hundreds start at different points of the rotation and of the cold budget.
-                (u.turns, u.saved, u.saved_at) = (first_turn, first_turn * usual, self.now);
+                (u.turns, u.saved, u.saved_at) = (first_turn, first_turn * least, self.now);
             }
             if i >= known {
                 let at = (self.rng.next_u64() % (self.ring.len() as u64 + 1)) as usize;
@@ -265,10 +263,9 @@
         u.state = if u.failures >= DEAD_FAILURES && long && corroborated {
             State::Dead { since: now, until: now + DEAD_COOLDOWN }
         } else {
-            // A scout is to be one request in so many: a balancer of little traffic waits longer.
+            // Hundreds of scouts hold a server down: a balancer of little traffic sends them more seldom.
             let base = (COOLDOWN_REQUESTS / self.asked_rate.max(1e-9)) as Micros;
-            let base = base.clamp(COOLDOWN_BASE, COOLDOWN_CAP);
-            let wait = (base << (u.failures - 1).min(8)).min(COOLDOWN_CAP);
+            let wait = (base.clamp(COOLDOWN.0, COOLDOWN.1) << (u.failures - 1).min(8)).min(COOLDOWN.1);
             State::Offline { since: now, until: now + wait }
         };
     }
@@ -286,35 +283,28 @@
     }
 
     fn learn(&mut self, class: usize, unit: f64, i: usize, elapsed: Micros, served: bool) {
-        let now = self.now;
-        let u = &self.upstreams[i];
+        let (now, u) = (self.now, &self.upstreams[i]);
         let (kind, zone) = (u.entry.kind as usize, u.entry.zone as usize);
         let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, self.hold));
-        let k = &mut self.usual[class];
-        let work = k.per_unit * unit * self.kinds[kind].slow * crowd * own;
-        let rate = |fed: Micros, (least, most, over): (f64, f64, f64)| {
-            ((now - fed).max(0) as f64 / over).clamp(least, most)
-        };
-        let (of_zone, of_own) =
-            (rate(self.zones[zone].fed, LEARN_ZONE), rate(self.upstreams[i].seen.fed, LEARN_OWN));
+        let part = |s: Seen, w: (f64, f64, f64)| ((now - s.fed).max(0) as f64 / w.2).clamp(w.0, w.1);
+        let (of_zone, of_own) = (part(self.zones[zone], LEARN_ZONE), part(u.seen, LEARN_OWN));
         if !served {
-            let u = &mut self.upstreams[i];
-            u.seen = Seen { slow: own + (ERROR_SLOW - own) * of_own, fed: now };
+            self.upstreams[i].seen = Seen { slow: own + (ERROR_SLOW - own) * of_own, fed: now };
             return;
         }
+        let (k, kind, crowded) = (&mut self.usual[class], &mut self.kinds[kind], &mut self.zones[zone]);
         // Light requests wait as long as heavy ones: unweighted, they make every upstream look slow.
         let weight = (unit / k.unit.max(1e-9)).clamp(0.05, 2.0);
-        let off = ((elapsed as f64 / work.max(1.0)).min(SURPRISE_CAP) - 1.0) * weight;
+        let off = |work: f64| ((elapsed as f64 / work.max(1.0)).min(SURPRISE_CAP) - 1.0) * weight;
+        let first = off(k.per_unit * unit * kind.slow * crowd * own);
         k.seen += 1.0;
-        k.per_unit *= 1.0 + off * (1.0 / (k.seen + 4.0)).max(LEARN_USUAL);
-        let kind = &mut self.kinds[kind];
+        k.per_unit *= 1.0 + first * (1.0 / (k.seen + 4.0)).max(LEARN_USUAL);
         kind.seen += 1.0;
-        kind.slow *= 1.0 + off * (1.0 / (kind.seen + KIND_PRIOR)).max(LEARN_KIND);
-        self.zones[zone] = Seen { slow: crowd * (1.0 + off * of_zone), fed: now };
+        kind.slow *= 1.0 + first * (1.0 / (kind.seen + 3.0)).max(LEARN_KIND);
+        *crowded = Seen { slow: crowd * (1.0 + first * of_zone), fed: now };
         // What its like explain is not its own.
-        let rest = k.per_unit * unit * kind.slow * self.zones[zone].slow * own;
-        let off = ((elapsed as f64 / rest.max(1.0)).min(SURPRISE_CAP) - 1.0) * weight;
-        self.upstreams[i].seen = Seen { slow: own * (1.0 + off * of_own), fed: now };
+        let rest = off(k.per_unit * unit * kind.slow * crowded.slow * own);
+        self.upstreams[i].seen = Seen { slow: own * (1.0 + rest * of_own), fed: now };
     }
 
     // --- pick ---
@@ -336,46 +326,43 @@
     /// Where to send, and the time that a usual request of the class can expect there and thereabouts.
     fn pick(&mut self, p: &Pending) -> Option<(usize, f64)> {
         let group = self.allowed(p)?;
-        let once = self.set.classes[p.class].effect == Effect::Once;
-        let work = p.work;
-        let n = self.upstreams.len();
-        let ours = self.set.my_zone;
+        let (c, n, ours, work) = (self.set.classes[p.class], self.ring.len(), self.set.my_zone, p.work);
         let (warm_rate, chance) = (self.warm_rate(), self.random());
-        let roomy: Vec<bool> = (0..n).map(|i| self.cold_room(i, work, warm_rate)).collect();
-        let fits = |i: usize| {
-            let u = &self.upstreams[i];
-            let grouped = group.is_none_or(|(g, f)| u.within(g, &self.upstreams[f].entry));
-            u.listed && grouped && !p.attempts.iter().any(|a| a.upstream == i) && roomy[i]
-        };
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
-        let slack = TURN_SLACK * self.set.classes[p.class].aim as f64;
-        // So many can be kept an eye on: each is to answer once a span.
+        let slack = TURN_SLACK * c.aim as f64;
+        // A window of the ring: so many can be kept an eye on, in each zone; those doing badly hardly count.
         let watch = (self.rate(self.asked_rate, self.asked_at) * WATCH_SPAN).max(WATCH_LEAST);
-        let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
-        let (mut listed_here, mut open_here) = (0, 0);
         let mut watched = vec![0.0; self.zones.len()];
-        for &i in &self.ring {
+        let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
+        let (mut listed_here, mut open_here, mut nearest) = (0, 0, None::<usize>);
+        for k in 0..n {
+            let i = self.ring[k];
+            let roomy = self.cold_room(i, work, warm_rate);
             let u = &self.upstreams[i];
-            let (here, open) = (u.entry.zone == ours, fits(i) && self.eligible(u));
-            listed_here += (here && u.listed) as u32;
-            open_here += (here && open) as u32;
-            let seen = &mut watched[u.entry.zone as usize];
-            if open && *seen < watch {
-                let slow = self.slowness(u);
-                *seen += self.faded(u.seen, self.hold).max(1.0).powf(-TURN_POWER);
-                let to = if here { &mut pool } else { &mut away };
-                to.push(Choice {
-                    i,
-                    time: slow * (work + u.work_out),
-                    usual: slow * (usual + 0.5 * u.work_out),
-                });
+            let here = u.entry.zone == ours;
+            listed_here += u32::from(here && u.listed);
+            let grouped = group.is_none_or(|(g, f)| u.within(g, &self.upstreams[f].entry));
+            if !u.listed || !grouped || !roomy || p.attempts.iter().any(|a| a.upstream == i) {
+                continue;
+            }
+            if !self.eligible(u) {
+                nearest = nearest.filter(|j| self.upstreams[*j].until() <= u.until()).or(Some(i));
+                continue;
+            }
+            open_here += u32::from(here);
+            if watched[u.entry.zone as usize] < watch {
+                watched[u.entry.zone as usize] += self.faded(u.seen, self.hold).max(1.0).powi(-TURN_POWER);
+                let (slow, to) = (self.slowness(u), if here { &mut pool } else { &mut away });
+                let (time, usual) = (slow * (work + u.work_out), slow * (usual + 0.5 * u.work_out));
+                to.push(Choice { i, zone: u.entry.zone, excluded: u.excluded(), time, usual });
             }
         }
-        if f64::from(open_here) < f64::from(listed_here) * SPILL_SHARE || pool.is_empty() {
+        let few = |open: f64| open < f64::from(listed_here) * SPILL_SHARE;
+        if few(f64::from(open_here)) || pool.is_empty() {
             // The page's spill: other zones in this balancer's own order, until half as many are there again.
             for z in &self.zone_order {
-                pool.extend(away.iter().filter(|c| self.upstreams[c.i].entry.zone == *z));
-                if !pool.is_empty() && pool.len() as f64 >= f64::from(listed_here) * SPILL_SHARE {
+                pool.extend(away.iter().filter(|c| c.zone == *z));
+                if !pool.is_empty() && !few(pool.len() as f64) {
                     break;
                 }
             }
@@ -384,29 +371,24 @@
             // crossing is worth, its price taken as a share of the aim. Only so many cross as the gain is of the
             // time, by chance: hundreds with the same news would swing together.
             let own = turns(&pool, slack).1;
-            let toll = self.set.prices.cross_zone * self.set.classes[p.class].aim as f64 + 20e3;
+            let toll = self.set.prices.cross_zone * c.aim as f64 + CROSS_WAY;
             for z in &self.zone_order {
-                let far: Vec<_> =
-                    away.iter().copied().filter(|c| self.upstreams[c.i].entry.zone == *z).collect();
+                let far: Vec<_> = away.iter().copied().filter(|c| c.zone == *z).collect();
                 if !far.is_empty() && chance < (own - turns(&far, slack).1 - toll) / own * CROSS_GAIN {
                     pool = far;
                     break;
                 }
             }
         }
-        if once && pool.iter().any(|c| !self.upstreams[c.i].excluded()) {
+        if c.effect == Effect::Once && pool.iter().any(|c| !c.excluded) {
             // What cannot be sent again is a poor scout.
-            pool.retain(|c| !self.upstreams[c.i].excluded());
+            pool.retain(|c| !c.excluded);
         }
         if pool.is_empty() {
-            if !p.attempts.is_empty() {
-                return None;
-            }
-            let nearest = (0..n).filter(|i| fits(*i)).min_by_key(|i| self.upstreams[*i].until())?;
-            return Some((nearest, self.slowness(&self.upstreams[nearest]) * usual));
+            let i = nearest.filter(|_| p.attempts.is_empty())?;
+            return Some((i, self.slowness(&self.upstreams[i]) * usual));
         }
-        // Turns in proportion: each time round an upstream earns the part of a turn that its expected time leaves
-        // it against the pool's best, and is passed over until it has a whole one.
+        // Each time round an upstream earns its part of a turn, and is passed over until it has a whole one.
         let (parts, _, usual) = turns(&pool, slack);
         let mut earns = vec![0.0; n];
         pool.iter().zip(parts).for_each(|(c, part)| earns[c.i] = part);
