--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -100,8 +100,7 @@
         for i in (1..zone_order.len()).rev() {
             zone_order.swap(i, (rng.next_u64() % (i as u64 + 1)) as usize);
         }
-        let guess =
-            |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0, votes: 0 };
+        let guess = |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0 };
         let usual = settings.classes.iter().map(guess).collect();
         let turn = (rng.next_u64() % 4096) as usize;
         let blank = Balancer::blank(settings, rng, now);
@@ -116,12 +115,9 @@
             Event::Request(r) => self.on_request(r, out),
             Event::AttemptEnded(e) => self.on_ended(e, out),
             Event::StreamStarted { request, attempt } => {
-                if let Some(p) = self.pending.get_mut(&request) {
-                    p.streaming = true;
-                    if let Some(u) = p.attempts.get(attempt as usize).map(|a| a.upstream) {
-                        self.life(u);
-                    }
-                }
+                let Some(p) = self.pending.get_mut(&request) else { return };
+                p.streaming = true;
+                p.attempts.get(attempt as usize).map(|a| a.upstream).into_iter().for_each(|u| self.life(u));
             }
             Event::RequestGone { request } => self.close(request, out),
             Event::Timer { token: LIST_TOKEN } => self.ask(out),
@@ -139,12 +135,9 @@
         match kind {
             ListKind::Broken => {
                 // The list service is small: back off, spread by chance, so that no storm keeps it down.
-                self.subscribed = false;
-                self.asked = false;
+                (self.subscribed, self.asked) = (false, false);
                 self.list_failures = (self.list_failures + 1).min(4);
-                let wait = (S << self.list_failures) / 2;
-                self.ask_in(wait, out);
-                return;
+                return self.ask_in((S << self.list_failures) / 2, out);
             }
             // All may start at once: spread the first calls too.
             ListKind::StaleCopy if self.set.list_on_request => self.ask_in(S / 2, out),
@@ -164,20 +157,17 @@
             let known = self.upstreams.len();
             let blank = |id| Upstream::new(Entry { upstream: UpstreamId(id as u32), ..*e });
             self.upstreams.extend((known..=i).map(blank));
-            let u = &mut self.upstreams[i];
-            let restarted = i < known && e.last_start > u.entry.last_start;
-            if restarted {
-                // A new process: old failures and speed say nothing of it, and it is cold again.
-                *u = Upstream { out: u.out, work_out: u.work_out, ..Upstream::new(*e) };
-            }
-            if i >= known || restarted {
-                // Hundreds start at different points of the rotation and of the cold budget.
-                (u.turns, u.saved, u.saved_at) = (first_turn, first_turn * least, self.now);
-            }
             if i >= known {
                 let at = (self.rng.next_u64() % (self.ring.len() as u64 + 1)) as usize;
                 self.ring.insert(at, i);
             }
+            let u = &mut self.upstreams[i];
+            if i >= known || e.last_start > u.entry.last_start {
+                // A new process: old failures and speed say nothing of it, and it is cold again. Hundreds start at
+                // different points of the rotation and of the cold budget.
+                *u = Upstream { out: u.out, work_out: u.work_out, ..Upstream::new(*e) };
+                (u.turns, u.saved, u.saved_at) = (first_turn, first_turn * least, self.now);
+            }
             u.entry = *e;
             u.listed = e.lifecycle == Lifecycle::Running;
             let (kinds, zones) = (self.kinds.len().max(e.kind as usize + 1), e.zone as usize + 1);
@@ -212,17 +202,12 @@
         if self.blamed {
             self.blamed = false;
             self.grace_until = self.now + BLAME_GRACE;
-            for u in &mut self.upstreams {
-                if u.excluded() {
-                    u.state = State::Unknown;
-                    u.failures = 0;
-                }
+            for u in self.upstreams.iter_mut().filter(|u| u.excluded()) {
+                (u.state, u.failures) = (State::Unknown, 0);
             }
         }
         let u = &mut self.upstreams[i];
-        u.state = State::Online;
-        u.failures = 0;
-        u.last_life = self.now;
+        (u.state, u.failures, u.last_life) = (State::Online, 0, self.now);
     }
 
     /// A transport failure of an attempt sent at `sent`.
@@ -239,26 +224,20 @@
             return;
         }
         let u = &self.upstreams[i];
-        // A sign of life since the send outweighs it; what was sent before a cooldown is no new evidence.
-        if u.last_life >= sent {
+        // A sign of life since the send outweighs it; what was sent before a cooldown, or fails in it, is no new
+        // evidence.
+        let old = matches!(u.state, State::Offline { since, until } | State::Dead { since, until }
+            if sent < since || now < until);
+        if old || u.last_life >= sent {
             return;
         }
-        if let State::Offline { since, until } | State::Dead { since, until } = u.state {
-            if sent < since || now < until {
-                return;
-            }
-        }
-        let before = u.last_failure;
-        let elsewhere =
-            |(j, o): (usize, &Upstream)| j != i && o.last_life > before && now - o.last_life <= CORROBORATION;
-        let corroborated = self.upstreams.iter().enumerate().any(elsewhere);
+        let since = u.last_failure.max(now - CORROBORATION - 1);
+        let corroborated = self.upstreams.iter().enumerate().any(|(j, o)| j != i && o.last_life > since);
         let u = &mut self.upstreams[i];
         if u.failures == 0 || now - u.last_failure > STREAK_GAP {
-            u.failures = 0;
-            u.streak_start = now;
+            (u.failures, u.streak_start) = (0, now);
         }
-        u.failures += 1;
-        u.last_failure = now;
+        (u.failures, u.last_failure) = (u.failures + 1, now);
         let long = now - u.streak_start >= DEAD_STREAK;
         u.state = if u.failures >= DEAD_FAILURES && long && corroborated {
             State::Dead { since: now, until: now + DEAD_COOLDOWN }
@@ -407,29 +386,22 @@
 
     // --- attempts ---
     fn send(&mut self, id: RequestId, p: &mut Pending, i: usize, out: &mut Vec<Action>) {
-        let work = p.work;
-        let limit = self.first_answer(p.class, work);
+        let (now, work, limit) = (self.now, p.work, self.first_answer(p.class, p.work));
         let retry = self.set.classes[p.class].effect != Effect::Once && !self.set.second_copies;
         // Where no second copy may go out, a late first answer has to be given up before another is tried.
         let cut =
             retry && self.now + limit < p.aim_at && p.attempts.len() + 1 < self.set.attempts_cap as usize;
-        let left = p.deadline - self.now;
-        let now = self.now;
+        let own_limit = limit < p.deadline - now;
+        let cut = cut && own_limit;
         let expected = self.slowness(&self.upstreams[i]) * (work + self.upstreams[i].work_out);
         let u = &mut self.upstreams[i];
-        u.saved -= work;
-        u.out += 1;
-        u.work_out += work;
+        (u.saved, u.out, u.work_out) = (u.saved - work, u.out + 1, u.work_out + work);
         let scout = u.excluded();
         u.scouts += scout as u32;
-        p.attempts.push(Attempt { expected, ..Attempt::new(i, now, scout, cut && limit < left) });
+        p.attempts.push(Attempt { expected, ..Attempt::new(i, now, scout, cut) });
         p.out += 1;
-        out.push(Action::Send {
-            request: id,
-            upstream: self.upstreams[i].entry.upstream,
-            limit: (cut && limit < left).then_some(limit),
-        });
-        if !cut && limit < left {
+        out.push(Action::Send { request: id, upstream: u.entry.upstream, limit: cut.then_some(limit) });
+        if own_limit && !cut {
             out.push(Action::Timer { after: limit, token: id.0 });
         }
     }
@@ -445,36 +417,31 @@
         let Some(mut p) = self.pending.remove(&id) else { return };
         let limit = self.first_answer(p.class, p.work);
         let mut late = false;
-        for k in 0..p.attempts.len() {
-            let a = p.attempts[k];
-            if a.ended.is_none() && !a.suspected && self.now >= a.sent + limit - MS {
-                p.attempts[k].suspected = true;
-                late = true;
-                self.failure(a.upstream, a.sent);
-            }
+        let due = |a: &&mut Attempt| a.ended.is_none() && !a.suspected && self.now >= a.sent + limit - MS;
+        let due: Vec<_> = p.attempts.iter_mut().filter(due).collect();
+        for a in due {
+            (a.suspected, late) = (true, true);
+            self.failure(a.upstream, a.sent);
         }
         if late && !p.over && !p.streaming && self.set.second_copies {
-            self.again(id, &mut p, true, out);
+            self.again(id, &mut p, 1.0, out);
         }
         self.pending.insert(id, p);
     }
 
     /// One more attempt, if rules, time and the retry budget allow.
-    fn again(&mut self, id: RequestId, p: &mut Pending, paid: bool, out: &mut Vec<Action>) -> bool {
+    fn again(&mut self, id: RequestId, p: &mut Pending, cost: f64, out: &mut Vec<Action>) -> bool {
         let c = &self.set.classes[p.class];
         let end = if c.late_worth > 0.0 { p.deadline } else { p.deadline.min(p.aim_at) };
-        let work = p.work;
         if p.attempts.len() >= self.set.attempts_cap as usize
             || (p.out > 0 && !self.set.second_copies)
-            || (self.now as f64 + work * 0.5 > end as f64)
-            || (paid && self.retry_tokens < 1.0)
+            || (self.now as f64 + p.work * 0.5 > end as f64)
+            || self.retry_tokens < cost
         {
             return false;
         }
         let Some((i, _)) = self.pick(p) else { return false };
-        if paid {
-            self.retry_tokens -= 1.0;
-        }
+        self.retry_tokens -= cost;
         self.send(id, p, i, out);
         true
     }
@@ -489,8 +456,7 @@
         a.ended = Some(outcome);
         let a = *a;
         p.out -= 1;
-        let work = p.work;
-        let u = &mut self.upstreams[a.upstream];
+        let (work, u) = (p.work, &mut self.upstreams[a.upstream]);
         u.out = u.out.saturating_sub(1);
         u.work_out = if u.out == 0 { 0.0 } else { (u.work_out - work).max(0.0) };
         u.scouts -= (a.scout && u.scouts > 0) as u32;
@@ -520,8 +486,8 @@
             self.call_off(id, &mut p, out);
         }
         if !p.over && !p.streaming {
-            let free = matches!(outcome, Outcome::Full | Outcome::ConnectFailed);
-            if !self.again(id, &mut p, !free, out) && p.out == 0 {
+            let cost = if matches!(outcome, Outcome::Full | Outcome::ConnectFailed) { 0.0 } else { 1.0 };
+            if !self.again(id, &mut p, cost, out) && p.out == 0 {
                 self.give_up(id, &mut p, out);
             }
         }
@@ -534,11 +500,10 @@
         if !self.set.may_cancel {
             return;
         }
-        for (k, a) in p.attempts.iter_mut().enumerate() {
-            if a.ended.is_none() && !a.ordered_off {
-                a.ordered_off = true;
-                out.push(Action::Cancel { request: id, attempt: k as u32 });
-            }
+        let still = |a: &(usize, &mut Attempt)| a.1.ended.is_none() && !a.1.ordered_off;
+        for (k, a) in p.attempts.iter_mut().enumerate().filter(still) {
+            a.ordered_off = true;
+            out.push(Action::Cancel { request: id, attempt: k as u32 });
         }
     }
 
@@ -554,19 +519,14 @@
     /// The final answer of a request given up on: at once, and a refusal only where a new try does no harm.
     fn give_up(&mut self, id: RequestId, p: &mut Pending, out: &mut Vec<Action>) {
         p.over = true;
-        let harmless = match self.allowed(p) {
-            None => false,
-            Some(None) => true,
-            Some(Some((g, _))) => g == DedupGroup::All,
-        };
-        if harmless {
-            // Coming back pays only while the aim can still be met; else stay away longest.
-            let soon = self.now + RETURN + p.work as Micros <= p.aim_at;
-            let retry_after = self.set.max_retry_after.map(|m| if soon { RETURN.min(m) } else { m });
-            out.push(Action::Refuse { request: id, retry_after });
-        } else {
-            out.push(Action::Fail { request: id });
-        }
+        let harmless = matches!(self.allowed(p), Some(None | Some((DedupGroup::All, _))));
+        // Coming back pays only while the aim can still be met; else stay away longest.
+        let soon = self.now + RETURN + p.work as Micros <= p.aim_at;
+        let retry_after = self.set.max_retry_after.map(|m| if soon { RETURN.min(m) } else { m });
+        out.push(match harmless {
+            true => Action::Refuse { request: id, retry_after },
+            false => Action::Fail { request: id },
+        });
     }
 
     // --- admission ---
@@ -603,22 +563,16 @@
         self.pending.insert(r.id, p);
     }
 
-    /// How long the client has been at it. First tries bring the same budget; another one, where most are
-    /// equal, or a marked repeat, tells what is left of the deadline, and so that the aim may have passed.
+    /// How long the client has been at it. First tries bring equal budgets, later ones what is left of the
+    /// deadline: so that the aim may have passed.
     fn spent(&mut self, r: &NewRequest, deadline: Micros) -> Micros {
         let k = &mut self.usual[r.class as usize];
-        if !r.repeat {
-            match (r.budget - k.budget).abs() <= 10 * MS {
-                true => k.votes = (k.votes + 1).min(50),
-                false if k.votes > 0 => k.votes -= 1,
-                false => (k.budget, k.votes) = (r.budget, 1),
-            }
-        }
-        let same = (r.budget - k.budget).abs() <= 10 * MS;
-        let known = if self.set.marks_repeats { r.repeat } else { k.votes >= 5 };
-        match known && !same {
-            true => (deadline - r.budget).max(0),
-            false => 0,
+        k.budget = k.budget.max(r.budget);
+        let first = r.budget >= k.budget - 10 * MS || (self.set.marks_repeats && !r.repeat);
+        if first {
+            0
+        } else {
+            (deadline - r.budget).max(0)
         }
     }
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -80,9 +80,8 @@
     pub per_unit: f64,
     pub unit: f64,
     pub seen: f64,
-    /// The budget that most tries bring, by majority vote.
+    /// The budget that first tries bring: the longest seen.
     pub budget: Micros,
-    pub votes: u32,
 }
 
 /// One instance's decisions.
