--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -100,7 +100,8 @@
         for i in (1..zone_order.len()).rev() {
             zone_order.swap(i, (rng.next_u64() % (i as u64 + 1)) as usize);
         }
-        let guess = |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0 };
+        let guess =
+            |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0, votes: 0 };
         let usual = settings.classes.iter().map(guess).collect();
         let turn = (rng.next_u64() % 4096) as usize;
         let blank = Balancer::blank(settings, rng, now);
@@ -157,9 +158,9 @@
             let known = self.upstreams.len();
             let blank = |id| Upstream::new(Entry { upstream: UpstreamId(id as u32), ..*e });
             self.upstreams.extend((known..=i).map(blank));
-            if i >= known {
-                let at = (self.rng.next_u64() % (self.ring.len() as u64 + 1)) as usize;
-                self.ring.insert(at, i);
+            for j in known..=i {
+                let at = (self.rng.next_u64() % (j as u64 + 1)) as usize;
+                self.ring.insert(at, j);
             }
             let u = &mut self.upstreams[i];
             if i >= known || e.last_start > u.entry.last_start {
@@ -563,16 +564,22 @@
         self.pending.insert(r.id, p);
     }
 
-    /// How long the client has been at it. First tries bring equal budgets, later ones what is left of the
-    /// deadline: so that the aim may have passed.
+    /// How long the client has been at it. First tries bring the same budget; another one, where most are
+    /// equal, or a marked repeat, tells what is left of the deadline, and so that the aim may have passed.
     fn spent(&mut self, r: &NewRequest, deadline: Micros) -> Micros {
         let k = &mut self.usual[r.class as usize];
-        k.budget = k.budget.max(r.budget);
-        let first = r.budget >= k.budget - 10 * MS || (self.set.marks_repeats && !r.repeat);
-        if first {
-            0
-        } else {
+        let same = |k: &Usual| (r.budget - k.budget).abs() <= 10 * MS;
+        match same(k) {
+            _ if r.repeat => {}
+            true => k.votes = (k.votes + 1).min(50),
+            false if k.votes > 0 => k.votes -= 1,
+            false => (k.budget, k.votes) = (r.budget, 1),
+        }
+        let later = if self.set.marks_repeats { r.repeat } else { k.votes >= 5 };
+        if later && !same(k) {
             (deadline - r.budget).max(0)
+        } else {
+            0
         }
     }
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -80,8 +80,9 @@
     pub per_unit: f64,
     pub unit: f64,
     pub seen: f64,
-    /// The budget that first tries bring: the longest seen.
+    /// The budget that most tries bring, by majority vote.
     pub budget: Micros,
+    pub votes: u32,
 }
 
 /// One instance's decisions.
