--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -28,6 +28,8 @@
 /// in two to this power.
 const TURN_SLACK: f64 = 0.05;
 const TURN_POWER: i32 = 4;
+/// Own work out there lengthens the time expected by this part of it: the rest has been answered by then.
+const OWN_OUT: f64 = 0.5;
 /// How long an upstream's state lasts: as many share the turns as answer once in it, but so many at least.
 const WATCH_SPAN: f64 = 2e6;
 const WATCH_LEAST: f64 = 2.0;
@@ -70,25 +72,22 @@
 const RETURN: Micros = S;
 const LIST_TOKEN: u64 = 1 << 60;
 
-/// An upstream that a request may go to: the time expected there of it, and of a usual one.
+/// An upstream that a request may go to, and the time expected there.
 #[derive(Clone, Copy)]
 struct Choice {
     i: usize,
     zone: u32,
     excluded: bool,
     time: f64,
-    usual: f64,
 }
 
-/// The part of a turn that each earns against the best of its pool, and the mean times over their turns.
-fn turns(pool: &[Choice], slack: f64) -> (Vec<f64>, f64, f64) {
+/// The part of a turn that each earns against the best of its pool, and the mean time over their turns.
+fn turns(pool: &[Choice], slack: f64) -> (Vec<f64>, f64) {
     let best = pool.iter().map(|c| c.time).fold(f64::MAX, f64::min).max(1.0) + slack;
     let parts: Vec<f64> = pool.iter().map(|c| (best / c.time.max(1.0)).powi(TURN_POWER).min(1.0)).collect();
-    let mean = |f: fn(&Choice) -> f64| {
-        pool.iter().zip(&parts).map(|(c, e)| f(c) * e).sum::<f64>() / parts.iter().sum::<f64>().max(1e-9)
-    };
-    let (time, usual) = (mean(|c| c.time), mean(|c| c.usual));
-    (parts, time, usual)
+    let sum = pool.iter().zip(&parts).map(|(c, part)| c.time * part).sum::<f64>();
+    let mean = sum / parts.iter().sum::<f64>().max(1e-9);
+    (parts, mean)
 }
 
 // --- state ---
@@ -333,8 +332,8 @@
             if watched[u.entry.zone as usize] < watch {
                 watched[u.entry.zone as usize] += self.faded(u.seen, self.hold).max(1.0).powi(-TURN_POWER);
                 let (slow, to) = (self.slowness(u), if here { &mut pool } else { &mut away });
-                let (time, usual) = (slow * (work + u.work_out), slow * (usual + 0.5 * u.work_out));
-                to.push(Choice { i, zone: u.entry.zone, excluded: u.excluded(), time, usual });
+                let time = slow * (work + OWN_OUT * u.work_out);
+                to.push(Choice { i, zone: u.entry.zone, excluded: u.excluded(), time });
             }
         }
         let few = |open: f64| open < f64::from(listed_here) * SPILL_SHARE;
@@ -369,7 +368,7 @@
             return Some((i, self.slowness(&self.upstreams[i]) * usual));
         }
         // Each time round an upstream earns its part of a turn, and is passed over until it has a whole one.
-        let (parts, _, usual) = turns(&pool, slack);
+        let (parts, time) = turns(&pool, slack);
         let mut earns = vec![0.0; n];
         pool.iter().zip(parts).for_each(|(c, part)| earns[c.i] = part);
         for k in self.turn..self.turn + 2 * n {
@@ -379,7 +378,7 @@
             if u.turns >= 1.0 && earns[i] > 0.0 {
                 u.turns -= 1.0;
                 self.turn = (k + 1) % n;
-                return Some((i, usual));
+                return Some((i, time * usual / work));
             }
         }
         None
