--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -13,7 +13,7 @@
 /// Cooldowns double from the time of so many own requests, within the bounds: a scout is one request in them.
 const COOLDOWN_REQUESTS: f64 = 40.0;
 const COOLDOWN: (Micros, Micros) = (2 * S, 20 * S);
-/// Dead: so many counted failures over this long, no further apart than the gap, a success elsewhere this late.
+/// Dead: so many counted failures over this long, no further apart than the gap, and a success elsewhere.
 const DEAD_FAILURES: u32 = 5;
 const DEAD_STREAK: Micros = 10 * S;
 const STREAK_GAP: Micros = 30 * S;
@@ -24,12 +24,9 @@
 const BLAME_GRACE: Micros = 5 * S;
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
-/// Past the best by this share of the aim (less does not matter), one expected to take twice as long gets a turn
-/// in two to this power.
+/// One that takes twice as long as the best gets a turn in two to this power; this share of the aim is nothing.
 const TURN_SLACK: f64 = 0.05;
 const TURN_POWER: i32 = 4;
-/// Own work out there lengthens the time expected by this part of it: the rest has been answered by then.
-const OWN_OUT: f64 = 0.5;
 /// How long an upstream's state lasts: as many share the turns as answer once in it, but so many at least.
 const WATCH_SPAN: f64 = 2e6;
 const WATCH_LEAST: f64 = 2.0;
@@ -39,8 +36,8 @@
 /// First-answer limit: this many usual latencies, but between these shares of the aim.
 const LIMIT_USUAL: f64 = 8.0;
 const LIMIT_AIM: (f64, f64) = (0.4, 1.0);
-/// Weight of one answer, after the first few, in the usual and in its kind's speed; and in its zone's crowding
-/// and its upstream's own part, by the time since the last as a part of the third: most where answers are rare.
+/// Weight of an answer, after a few, in the usual and its kind's speed; in its zone's crowding and its
+/// upstream's own part it goes by the time since the last over the third: most where answers are rare.
 const LEARN_USUAL: f64 = 0.01;
 const LEARN_KIND: f64 = 0.02;
 const LEARN_ZONE: (f64, f64, f64) = (0.05, 0.15, 4e6);
@@ -52,7 +49,7 @@
 const FADE: f64 = 4e6;
 const HOLD_REQUESTS: f64 = 60.0;
 const HOLD: (f64, f64) = (4e6, 30e6);
-/// Second tries: this share of first ones, saved up to the cap. More turns overload into collapse.
+/// Second tries: this share of first ones, saved up to the cap: more turns overload into collapse.
 const RETRY_SHARE: f64 = 0.02;
 const RETRY_CAP: f64 = 5.0;
 /// Rates are counted over about this time.
@@ -64,30 +61,22 @@
 const IN_TIME_LEAST: f64 = 0.7;
 const SPREAD: (f64, f64) = (0.7, 3.0);
 const SPREAD_STEP: f64 = 0.1;
-/// The bar moves so far with the worth of a unit of work against the mean; with nothing out, where less is known
-/// and less at stake, it is higher.
+/// The bar moves so far with the worth of work against the mean; with nothing out less is known: it is higher.
 const RANK: (f64, f64) = (0.6, 1.5);
 const IDLE_BAR: f64 = 2.0;
 /// A queue clears in about this time: a client turned away need not come back sooner.
 const RETURN: Micros = S;
 const LIST_TOKEN: u64 = 1 << 60;
 
-/// An upstream that a request may go to, and the time expected there.
-#[derive(Clone, Copy)]
-struct Choice {
-    i: usize,
-    zone: u32,
-    excluded: bool,
-    time: f64,
-}
-
-/// The part of a turn that each earns against the best of its pool, and the mean time over their turns.
-fn turns(pool: &[Choice], slack: f64) -> (Vec<f64>, f64) {
+/// The part of a turn that each earns against the best of its pool, and the mean times over their turns.
+fn turns(pool: &[Choice], slack: f64) -> (Vec<f64>, f64, f64) {
     let best = pool.iter().map(|c| c.time).fold(f64::MAX, f64::min).max(1.0) + slack;
     let parts: Vec<f64> = pool.iter().map(|c| (best / c.time.max(1.0)).powi(TURN_POWER).min(1.0)).collect();
-    let sum = pool.iter().zip(&parts).map(|(c, part)| c.time * part).sum::<f64>();
-    let mean = sum / parts.iter().sum::<f64>().max(1e-9);
-    (parts, mean)
+    let mean = |f: fn(&Choice) -> f64| {
+        pool.iter().zip(&parts).map(|(c, e)| f(c) * e).sum::<f64>() / parts.iter().sum::<f64>().max(1e-9)
+    };
+    let (time, usual) = (mean(|c| c.time), mean(|c| c.usual));
+    (parts, time, usual)
 }
 
 // --- state ---
@@ -120,16 +109,16 @@
                 p.attempts.get(attempt as usize).map(|a| a.upstream).into_iter().for_each(|u| self.life(u));
             }
             Event::RequestGone { request } => self.close(request, out),
-            Event::Timer { token: LIST_TOKEN } => self.ask(out),
+            Event::Timer { token: LIST_TOKEN } if self.subscribed || self.asked => {}
+            Event::Timer { token: LIST_TOKEN } => {
+                self.asked = true;
+                out.push(Action::Subscribe(true));
+            }
             Event::Timer { token } => self.review(RequestId(token), out),
             Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
 
-    fn random(&mut self) -> f64 {
-        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     // --- list ---
     fn on_list(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         match kind {
@@ -163,8 +152,7 @@
             }
             let u = &mut self.upstreams[i];
             if i >= known || e.last_start > u.entry.last_start {
-                // A new process: old failures and speed say nothing of it, and it is cold again. Hundreds start at
-                // different points of the rotation and of the cold budget.
+                // A new process, cold again. Hundreds start at different points of rotation and cold budget.
                 *u = Upstream { out: u.out, work_out: u.work_out, ..Upstream::new(*e) };
                 (u.turns, u.saved, u.saved_at) = (first_turn, first_turn * least, self.now);
             }
@@ -181,13 +169,6 @@
         out.push(Action::Timer { after, token: LIST_TOKEN });
     }
 
-    fn ask(&mut self, out: &mut Vec<Action>) {
-        if !self.subscribed && !self.asked {
-            self.asked = true;
-            out.push(Action::Subscribe(true));
-        }
-    }
-
     // --- liveness ---
     fn eligible(&self, u: &Upstream) -> bool {
         match u.state {
@@ -224,8 +205,7 @@
             return;
         }
         let u = &self.upstreams[i];
-        // A sign of life since the send outweighs it; what was sent before a cooldown, or fails in it, is no new
-        // evidence.
+        // A sign of life since the send outweighs it; a cooldown's failures and earlier sends are nothing new.
         let old = matches!(u.state, State::Offline { since, until } | State::Dead { since, until }
             if sent < since || now < until);
         if old || u.last_life >= sent {
@@ -238,12 +218,13 @@
             (u.failures, u.streak_start) = (0, now);
         }
         (u.failures, u.last_failure) = (u.failures + 1, now);
+        let asked = self.asked_rate.now(now, RATE_OVER);
         let long = now - u.streak_start >= DEAD_STREAK;
         u.state = if u.failures >= DEAD_FAILURES && long && corroborated {
             State::Dead { since: now, until: now + DEAD_COOLDOWN }
         } else {
             // Hundreds of scouts hold a server down: a balancer of little traffic sends them more seldom.
-            let base = (COOLDOWN_REQUESTS / self.asked_rate.max(1e-9)) as Micros;
+            let base = (COOLDOWN_REQUESTS / asked.max(1e-9)) as Micros;
             let wait = (base.clamp(COOLDOWN.0, COOLDOWN.1) << (u.failures - 1).min(8)).min(COOLDOWN.1);
             State::Offline { since: now, until: now + wait }
         };
@@ -253,18 +234,14 @@
     /// How slow this upstream is against the usual: the speed of its kind, times the crowding of its zone and
     /// what sets it apart, which fade without answers, so that nothing rests on old evidence alone.
     fn slowness(&self, u: &Upstream) -> f64 {
-        let crowd = self.faded(self.zones[u.entry.zone as usize], FADE);
-        self.kinds[u.entry.kind as usize].slow * crowd * self.faded(u.seen, self.hold)
-    }
-
-    fn faded(&self, seen: Seen, over: f64) -> f64 {
-        1.0 + (seen.slow - 1.0) * (-((self.now - seen.fed).max(0) as f64) / over).exp()
+        let crowd = self.zones[u.entry.zone as usize].faded(self.now, FADE);
+        self.kinds[u.entry.kind as usize].slow * crowd * u.seen.faded(self.now, self.hold)
     }
 
     fn learn(&mut self, class: usize, unit: f64, i: usize, elapsed: Micros, served: bool) {
         let (now, u) = (self.now, &self.upstreams[i]);
         let (kind, zone) = (u.entry.kind as usize, u.entry.zone as usize);
-        let (crowd, own) = (self.faded(self.zones[zone], FADE), self.faded(u.seen, self.hold));
+        let (crowd, own) = (self.zones[zone].faded(now, FADE), u.seen.faded(now, self.hold));
         let part = |s: Seen, w: (f64, f64, f64)| ((now - s.fed).max(0) as f64 / w.2).clamp(w.0, w.1);
         let (of_zone, of_own) = (part(self.zones[zone], LEARN_ZONE), part(u.seen, LEARN_OWN));
         if !served {
@@ -310,7 +287,7 @@
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
         let slack = TURN_SLACK * c.aim as f64;
         // A window of the ring: so many can be kept an eye on, in each zone; those doing badly hardly count.
-        let watch = (self.rate(self.asked_rate, self.asked_at) * WATCH_SPAN).max(WATCH_LEAST);
+        let watch = (self.asked_rate.now(self.now, RATE_OVER) * WATCH_SPAN).max(WATCH_LEAST);
         let mut watched = vec![0.0; self.zones.len()];
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
         let (mut listed_here, mut open_here, mut nearest) = (0, 0, None::<usize>);
@@ -330,10 +307,11 @@
             }
             open_here += u32::from(here);
             if watched[u.entry.zone as usize] < watch {
-                watched[u.entry.zone as usize] += self.faded(u.seen, self.hold).max(1.0).powi(-TURN_POWER);
+                let own = u.seen.faded(self.now, self.hold).max(1.0);
+                watched[u.entry.zone as usize] += own.powi(-TURN_POWER);
                 let (slow, to) = (self.slowness(u), if here { &mut pool } else { &mut away });
-                let time = slow * (work + OWN_OUT * u.work_out);
-                to.push(Choice { i, zone: u.entry.zone, excluded: u.excluded(), time });
+                let (time, usual) = (slow * (work + u.work_out), slow * (usual + 0.5 * u.work_out));
+                to.push(Choice { i, zone: u.entry.zone, excluded: u.excluded(), time, usual });
             }
         }
         let few = |open: f64| open < f64::from(listed_here) * SPILL_SHARE;
@@ -346,9 +324,8 @@
                 }
             }
         } else {
-            // Exception, lasting imbalance: the own zone's turns are expected later than another's by more than a
-            // crossing is worth, its price taken as a share of the aim. Only so many cross as the gain is of the
-            // time, by chance: hundreds with the same news would swing together.
+            // Exception, lasting imbalance: the own zone's turns are expected later than another's by more than
+            // a crossing's price as a share of the aim. By chance and gain, lest hundreds swing together.
             let own = turns(&pool, slack).1;
             let toll = self.set.prices.cross_zone * c.aim as f64 + CROSS_WAY;
             for z in &self.zone_order {
@@ -368,7 +345,7 @@
             return Some((i, self.slowness(&self.upstreams[i]) * usual));
         }
         // Each time round an upstream earns its part of a turn, and is passed over until it has a whole one.
-        let (parts, time) = turns(&pool, slack);
+        let (parts, _, usual) = turns(&pool, slack);
         let mut earns = vec![0.0; n];
         pool.iter().zip(parts).for_each(|(c, part)| earns[c.i] = part);
         for k in self.turn..self.turn + 2 * n {
@@ -378,7 +355,7 @@
             if u.turns >= 1.0 && earns[i] > 0.0 {
                 u.turns -= 1.0;
                 self.turn = (k + 1) % n;
-                return Some((i, time * usual / work));
+                return Some((i, usual));
             }
         }
         None
@@ -387,12 +364,11 @@
     // --- attempts ---
     fn send(&mut self, id: RequestId, p: &mut Pending, i: usize, out: &mut Vec<Action>) {
         let (now, work, limit) = (self.now, p.work, self.first_answer(p.class, p.work));
-        let retry = self.set.classes[p.class].effect != Effect::Once && !self.set.second_copies;
-        // Where no second copy may go out, a late first answer has to be given up before another is tried.
-        let cut =
-            retry && self.now + limit < p.aim_at && p.attempts.len() + 1 < self.set.attempts_cap as usize;
         let own_limit = limit < p.deadline - now;
-        let cut = cut && own_limit;
+        // Where no second copy may go out, a late first answer has to be given up before another is tried.
+        let retry = self.set.classes[p.class].effect != Effect::Once && !self.set.second_copies;
+        let more = p.attempts.len() + 1 < self.set.attempts_cap as usize;
+        let cut = own_limit && retry && more && now + limit < p.aim_at;
         let expected = self.slowness(&self.upstreams[i]) * (work + self.upstreams[i].work_out);
         let u = &mut self.upstreams[i];
         (u.saved, u.out, u.work_out) = (u.saved - work, u.out + 1, u.work_out + work);
@@ -416,11 +392,11 @@
     fn review(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(mut p) = self.pending.remove(&id) else { return };
         let limit = self.first_answer(p.class, p.work);
-        let mut late = false;
         let due = |a: &&mut Attempt| a.ended.is_none() && !a.suspected && self.now >= a.sent + limit - MS;
         let due: Vec<_> = p.attempts.iter_mut().filter(due).collect();
+        let late = !due.is_empty();
         for a in due {
-            (a.suspected, late) = (true, true);
+            a.suspected = true;
             self.failure(a.upstream, a.sent);
         }
         if late && !p.over && !p.streaming && self.set.second_copies {
@@ -470,8 +446,7 @@
             Outcome::Served | Outcome::Error | Outcome::Full => {
                 self.life(a.upstream);
                 if outcome == Outcome::Served {
-                    let rate = self.rate(self.served_rate, self.served_at) + work / RATE_OVER;
-                    (self.served_rate, self.served_at) = (rate, self.now);
+                    self.served_rate.add(self.now, RATE_OVER, work);
                 }
                 self.learn(p.class, p.unit, a.upstream, e.elapsed, outcome == Outcome::Served);
             }
@@ -544,9 +519,8 @@
         let aim_at = began + (c.aim + (c.aim_stretch * work) as Micros).min(c.deadline);
         let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
-        (self.asked_rate, self.asked_at) =
-            (self.rate(self.asked_rate, self.asked_at) + 1.0 / RATE_OVER, self.now);
-        self.hold = (HOLD_REQUESTS / self.asked_rate).clamp(HOLD.0, HOLD.1);
+        self.asked_rate.add(self.now, RATE_OVER, 1.0);
+        self.hold = (HOLD_REQUESTS / self.asked_rate.now(self.now, RATE_OVER)).clamp(HOLD.0, HOLD.1);
         let density = if self.set.worth_by_work { c.worth } else { c.worth / usual.max(1.0) };
         self.worth_seen = self.worth_seen * 0.99 + density * usual;
         self.work_seen = self.work_seen * 0.99 + usual;
@@ -590,10 +564,9 @@
         (grown < 1.0).then(|| self.set.cold_from + (1.0 - self.set.cold_from) * grown.max(0.0))
     }
 
-    /// What this balancer may send a cold upstream, saved up from a random start, so that hundreds whose part is
-    /// under one request come one by one. What it gets served by a warm one is its part of what such a one can
-    /// do; the multiple of the cold share of that is its part of the budget. One request a span for all
-    /// balancers together is always safe: without it nobody would find out in a fleet that is all cold.
+    /// What this balancer may send a cold upstream: the multiple of the cold share of what it gets served by a
+    /// warm one. Saved up from a random start, so that hundreds whose part is under one request come one by one.
+    /// One request a span for all balancers is always safe: else nobody would go where all is cold.
     fn cold_room(&mut self, i: usize, work: f64, warm_rate: f64) -> bool {
         let (now, span) = (self.now, self.set.fall_span as f64);
         let Some(share) = self.cold_share(&self.upstreams[i]) else { return true };
@@ -605,13 +578,9 @@
         u.saved >= work
     }
 
-    fn rate(&self, rate: f64, at: Micros) -> f64 {
-        rate * (-((self.now - at) as f64) / RATE_OVER).exp()
-    }
-
     /// Work an upstream of full capacity serves this balancer in a microsecond.
     fn warm_rate(&self) -> f64 {
         let whole = |u: &Upstream| if u.listed { self.cold_share(u).unwrap_or(1.0) } else { 0.0 };
-        self.rate(self.served_rate, self.served_at) / self.upstreams.iter().map(whole).sum::<f64>().max(1.0)
+        self.served_rate.now(self.now, RATE_OVER) / self.upstreams.iter().map(whole).sum::<f64>().max(1.0)
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,5 +1,6 @@
 //! What the decision module remembers: plain records. No decisions here.
 use crate::interface::*;
+use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{HashMap, VecDeque};
 
@@ -49,6 +50,45 @@
     pub saved_at: Micros,
 }
 
+/// An upstream that a request may go to: the time expected there of it, and of a usual one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Choice {
+    pub i: usize,
+    pub zone: u32,
+    pub excluded: bool,
+    pub time: f64,
+    pub usual: f64,
+}
+
+/// Something counted, fading with time: its rate in a microsecond.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rate {
+    rate: f64,
+    at: Micros,
+}
+
+impl Rate {
+    pub fn new(at: Micros) -> Self {
+        Rate { rate: 0.0, at }
+    }
+
+    /// The rate now, counted over about this time.
+    pub fn now(&self, now: Micros, over: f64) -> f64 {
+        self.rate * (-((now - self.at) as f64) / over).exp()
+    }
+
+    pub fn add(&mut self, now: Micros, over: f64, what: f64) {
+        *self = Rate { rate: self.now(now, over) + what / over, at: now };
+    }
+}
+
+impl Seen {
+    /// The multiple now, fading to one over this time without answers.
+    pub fn faded(&self, now: Micros, over: f64) -> f64 {
+        1.0 + (self.slow - 1.0) * (-((now - self.fed).max(0) as f64) / over).exp()
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt {
     pub upstream: usize,
@@ -110,12 +150,11 @@
     /// Work served in a microsecond, fading, for the cold budget.
     pub(crate) hold: f64,
     pub(crate) spread: f64,
-    pub(crate) asked_rate: f64,
-    pub(crate) asked_at: Micros,
+    /// First tries asked for.
+    pub(crate) asked_rate: Rate,
     /// Upstreams in this balancer's own random order.
     pub(crate) ring: Vec<usize>,
-    pub(crate) served_rate: f64,
-    pub(crate) served_at: Micros,
+    pub(crate) served_rate: Rate,
 }
 
 impl Balancer {
@@ -144,15 +183,20 @@
             work_seen: 0.0,
             hold: 1e7,
             spread: 1.0,
-            asked_rate: 0.0,
-            asked_at: now,
+            asked_rate: Rate::new(now),
             ring: Vec::new(),
-            served_rate: 0.0,
-            served_at: now,
+            served_rate: Rate::new(now),
         }
     }
 }
 
+impl Balancer {
+    /// From 0 to 1, by the instance's seed.
+    pub(crate) fn random(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
 impl Attempt {
     pub fn new(upstream: usize, sent: Micros, scout: bool, own_limit: bool) -> Self {
         Attempt {
