--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -24,7 +24,7 @@
 const BLAME_GRACE: Micros = 5 * S;
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
-/// One that takes twice as long as the best gets a turn in two to this power; this share of the aim is nothing.
+/// One twice as late as the best gets a turn in two to this power; this share of the aim does not matter.
 const TURN_SLACK: f64 = 0.05;
 const TURN_POWER: i32 = 4;
 /// How long an upstream's state lasts: as many share the turns as answer once in it, but so many at least.
@@ -61,7 +61,7 @@
 const IN_TIME_LEAST: f64 = 0.7;
 const SPREAD: (f64, f64) = (0.7, 3.0);
 const SPREAD_STEP: f64 = 0.1;
-/// The bar moves so far with the worth of work against the mean; with nothing out less is known: it is higher.
+/// The bar moves so far with the worth of work against the mean; it is higher where nothing is out to tell.
 const RANK: (f64, f64) = (0.6, 1.5);
 const IDLE_BAR: f64 = 2.0;
 /// A queue clears in about this time: a client turned away need not come back sooner.
@@ -79,7 +79,6 @@
     (parts, time, usual)
 }
 
-// --- state ---
 impl Balancer {
     /// A new instance, at its start; its first event should be the stale copy of the list.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
@@ -91,9 +90,8 @@
         let guess =
             |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0, votes: 0 };
         let usual = settings.classes.iter().map(guess).collect();
-        let turn = (rng.next_u64() % 4096) as usize;
-        let blank = Balancer::blank(settings, rng, now);
-        Balancer { zone_order, usual, turn, spread: 1.5, retry_tokens: RETRY_CAP / 2.0, ..blank }
+        let (spread, retry_tokens) = (1.5, RETRY_CAP / 2.0);
+        Balancer { zone_order, usual, spread, retry_tokens, ..Balancer::blank(settings, rng, now) }
     }
 
     /// Take one event and append what is to be done about it.
@@ -132,8 +130,7 @@
             ListKind::StaleCopy if self.set.list_on_request => self.ask_in(S / 2, out),
             ListKind::StaleCopy => {}
             ListKind::Patch | ListKind::Whole => {
-                self.subscribed |= self.asked;
-                self.list_failures = 0;
+                (self.subscribed, self.list_failures) = (self.subscribed || self.asked, 0)
             }
         }
         if kind != ListKind::Patch {
@@ -142,8 +139,7 @@
         let least = self.usual.iter().map(|k| k.per_unit * k.unit).fold(f64::MAX, f64::min);
         for e in entries {
             let i = e.upstream.0 as usize;
-            let first_turn = self.random();
-            let known = self.upstreams.len();
+            let (first_turn, known) = (self.random(), self.upstreams.len());
             let blank = |id| Upstream::new(Entry { upstream: UpstreamId(id as u32), ..*e });
             self.upstreams.extend((known..=i).map(blank));
             for j in known..=i {
@@ -195,9 +191,7 @@
     fn failure(&mut self, i: usize, sent: Micros) {
         let now = self.now;
         self.fails.push_back((now, i));
-        while self.fails.front().is_some_and(|f| f.0 < now - BLAME_SPAN) {
-            self.fails.pop_front();
-        }
+        self.fails.retain(|f| f.0 >= now - BLAME_SPAN);
         if self.last_life < now - BLAME_SPAN && self.fails.iter().any(|f| f.1 != i) {
             self.blamed = true;
         }
@@ -205,7 +199,7 @@
             return;
         }
         let u = &self.upstreams[i];
-        // A sign of life since the send outweighs it; a cooldown's failures and earlier sends are nothing new.
+        // A sign of life since the send outweighs it; what was sent before a cooldown or fails in it is old.
         let old = matches!(u.state, State::Offline { since, until } | State::Dead { since, until }
             if sent < since || now < until);
         if old || u.last_life >= sent {
@@ -218,14 +212,14 @@
             (u.failures, u.streak_start) = (0, now);
         }
         (u.failures, u.last_failure) = (u.failures + 1, now);
-        let asked = self.asked_rate.now(now, RATE_OVER);
+        let asked = self.asked_rate.now(now, RATE_OVER).max(1e-9);
         let long = now - u.streak_start >= DEAD_STREAK;
         u.state = if u.failures >= DEAD_FAILURES && long && corroborated {
             State::Dead { since: now, until: now + DEAD_COOLDOWN }
         } else {
             // Hundreds of scouts hold a server down: a balancer of little traffic sends them more seldom.
-            let base = (COOLDOWN_REQUESTS / asked.max(1e-9)) as Micros;
-            let wait = (base.clamp(COOLDOWN.0, COOLDOWN.1) << (u.failures - 1).min(8)).min(COOLDOWN.1);
+            let base = ((COOLDOWN_REQUESTS / asked) as Micros).clamp(COOLDOWN.0, COOLDOWN.1);
+            let wait = (base << (u.failures - 1).min(8)).min(COOLDOWN.1);
             State::Offline { since: now, until: now + wait }
         };
     }
@@ -248,7 +242,7 @@
             self.upstreams[i].seen = Seen { slow: own + (ERROR_SLOW - own) * of_own, fed: now };
             return;
         }
-        let (k, kind, crowded) = (&mut self.usual[class], &mut self.kinds[kind], &mut self.zones[zone]);
+        let (k, kind, zone) = (&mut self.usual[class], &mut self.kinds[kind], &mut self.zones[zone]);
         // Light requests wait as long as heavy ones: unweighted, they make every upstream look slow.
         let weight = (unit / k.unit.max(1e-9)).clamp(0.05, 2.0);
         let off = |work: f64| ((elapsed as f64 / work.max(1.0)).min(SURPRISE_CAP) - 1.0) * weight;
@@ -257,9 +251,8 @@
         k.per_unit *= 1.0 + first * (1.0 / (k.seen + 4.0)).max(LEARN_USUAL);
         kind.seen += 1.0;
         kind.slow *= 1.0 + first * (1.0 / (kind.seen + 3.0)).max(LEARN_KIND);
-        *crowded = Seen { slow: crowd * (1.0 + first * of_zone), fed: now };
-        // What its like explain is not its own.
-        let rest = off(k.per_unit * unit * kind.slow * crowded.slow * own);
+        *zone = Seen { slow: crowd * (1.0 + first * of_zone), fed: now };
+        let rest = off(k.per_unit * unit * kind.slow * zone.slow * own); // what its like do not explain
         self.upstreams[i].seen = Seen { slow: own * (1.0 + rest * of_own), fed: now };
     }
 
@@ -283,7 +276,10 @@
     fn pick(&mut self, p: &Pending) -> Option<(usize, f64)> {
         let group = self.allowed(p)?;
         let (c, n, ours, work) = (self.set.classes[p.class], self.ring.len(), self.set.my_zone, p.work);
-        let (warm_rate, chance) = (self.warm_rate(), self.random());
+        // Work that an upstream of full capacity serves this balancer in a microsecond.
+        let whole = |u: &Upstream| if u.listed { self.cold_share(u).unwrap_or(1.0) } else { 0.0 };
+        let whole = self.upstreams.iter().map(whole).sum::<f64>().max(1.0);
+        let (warm_rate, chance) = (self.served_rate.now(self.now, RATE_OVER) / whole, self.random());
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
         let slack = TURN_SLACK * c.aim as f64;
         // A window of the ring: so many can be kept an eye on, in each zone; those doing badly hardly count.
@@ -292,8 +288,7 @@
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
         let (mut listed_here, mut open_here, mut nearest) = (0, 0, None::<usize>);
         for k in 0..n {
-            let i = self.ring[k];
-            let roomy = self.cold_room(i, work, warm_rate);
+            let (i, roomy) = (self.ring[k], self.cold_room(self.ring[k], work, warm_rate));
             let u = &self.upstreams[i];
             let here = u.entry.zone == ours;
             listed_here += u32::from(here && u.listed);
@@ -324,8 +319,8 @@
                 }
             }
         } else {
-            // Exception, lasting imbalance: the own zone's turns are expected later than another's by more than
-            // a crossing's price as a share of the aim. By chance and gain, lest hundreds swing together.
+            // Exception, lasting imbalance: the own zone's turns are expected later than another's by over a
+            // crossing's price as a share of the aim. By chance and gain, lest hundreds swing together.
             let own = turns(&pool, slack).1;
             let toll = self.set.prices.cross_zone * c.aim as f64 + CROSS_WAY;
             for z in &self.zone_order {
@@ -437,18 +432,16 @@
         u.work_out = if u.out == 0 { 0.0 } else { (u.work_out - work).max(0.0) };
         u.scouts -= (a.scout && u.scouts > 0) as u32;
         if matches!(outcome, Outcome::Served | Outcome::TimedOut) {
-            let over = f64::from(e.elapsed as f64 > a.expected * self.spread);
-            let next = self.spread * (1.0 + SPREAD_STEP * (over - 1.0 + IN_TIME_LEAST));
-            self.spread = next.clamp(SPREAD.0, SPREAD.1);
+            let over = f64::from(e.elapsed as f64 > a.expected * self.spread) - 1.0 + IN_TIME_LEAST;
+            self.spread = (self.spread * (1.0 + SPREAD_STEP * over)).clamp(SPREAD.0, SPREAD.1);
         }
         match outcome {
             // A sign of life, whatever it says: errors are passed over softly, never excluded.
             Outcome::Served | Outcome::Error | Outcome::Full => {
+                let served = outcome == Outcome::Served;
                 self.life(a.upstream);
-                if outcome == Outcome::Served {
-                    self.served_rate.add(self.now, RATE_OVER, work);
-                }
-                self.learn(p.class, p.unit, a.upstream, e.elapsed, outcome == Outcome::Served);
+                self.served_rate.add(self.now, RATE_OVER, if served { work } else { 0.0 });
+                self.learn(p.class, p.unit, a.upstream, e.elapsed, served);
             }
             Outcome::TimedOut if a.own_limit && !a.suspected => self.failure(a.upstream, a.sent),
             Outcome::ConnectFailed | Outcome::Reset => self.failure(a.upstream, a.sent),
@@ -522,15 +515,17 @@
         self.asked_rate.add(self.now, RATE_OVER, 1.0);
         self.hold = (HOLD_REQUESTS / self.asked_rate.now(self.now, RATE_OVER)).clamp(HOLD.0, HOLD.1);
         let density = if self.set.worth_by_work { c.worth } else { c.worth / usual.max(1.0) };
-        self.worth_seen = self.worth_seen * 0.99 + density * usual;
-        self.work_seen = self.work_seen * 0.99 + usual;
+        let (worth_seen, work_seen) =
+            (self.worth_seen * 0.99 + density * usual, self.work_seen * 0.99 + usual);
+        (self.worth_seen, self.work_seen) = (worth_seen, work_seen);
         let Some((i, expected)) = self.pick(&p) else { return self.give_up(r.id, &mut p, out) };
-        // Refuse early what cannot meet its aim, least worth per unit of work first. The time expected is
-        // a usual request's: none is refused for its own weight, nor where nothing is out.
+        // Refuse early what cannot meet its aim, least worth per unit of work first; none for its own weight.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
-        let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
+        let rank = (density * work_seen / worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
         let bar = if self.pending.is_empty() { IDLE_BAR } else { 1.0 };
         if c.late_worth == 0.0 && expected * self.spread > left * rank * bar {
+            // Unfed, the usual of a class fades while nothing is out: none is barred for good.
+            self.usual[class].per_unit *= if self.pending.is_empty() { 1.0 - LEARN_USUAL } else { 1.0 };
             return self.give_up(r.id, &mut p, out);
         }
         self.send(r.id, &mut p, i, out);
@@ -564,9 +559,9 @@
         (grown < 1.0).then(|| self.set.cold_from + (1.0 - self.set.cold_from) * grown.max(0.0))
     }
 
-    /// What this balancer may send a cold upstream: the multiple of the cold share of what it gets served by a
-    /// warm one. Saved up from a random start, so that hundreds whose part is under one request come one by one.
-    /// One request a span for all balancers is always safe: else nobody would go where all is cold.
+    /// What this balancer may send a cold upstream: the multiple of the cold share of what a warm one serves
+    /// it, saved up from a random start: hundreds whose part is under one request come one by one. One
+    /// request a span for all balancers together is always safe, and needed where all is cold.
     fn cold_room(&mut self, i: usize, work: f64, warm_rate: f64) -> bool {
         let (now, span) = (self.now, self.set.fall_span as f64);
         let Some(share) = self.cold_share(&self.upstreams[i]) else { return true };
@@ -577,10 +572,4 @@
         u.saved_at = now;
         u.saved >= work
     }
-
-    /// Work an upstream of full capacity serves this balancer in a microsecond.
-    fn warm_rate(&self) -> f64 {
-        let whole = |u: &Upstream| if u.listed { self.cold_share(u).unwrap_or(1.0) } else { 0.0 };
-        self.served_rate.now(self.now, RATE_OVER) / self.upstreams.iter().map(whole).sum::<f64>().max(1.0)
-    }
 }
