--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -275,11 +275,10 @@
     /// Where to send, and the time that a usual request of the class can expect there and thereabouts.
     fn pick(&mut self, p: &Pending) -> Option<(usize, f64)> {
         let group = self.allowed(p)?;
-        let (c, n, ours, work) = (self.set.classes[p.class], self.ring.len(), self.set.my_zone, p.work);
-        // Work that an upstream of full capacity serves this balancer in a microsecond.
-        let whole = |u: &Upstream| if u.listed { self.cold_share(u).unwrap_or(1.0) } else { 0.0 };
-        let whole = self.upstreams.iter().map(whole).sum::<f64>().max(1.0);
-        let (warm_rate, chance) = (self.served_rate.now(self.now, RATE_OVER) / whole, self.random());
+        let (c, ours, work) = (self.set.classes[p.class], self.set.my_zone, p.work);
+        // Work that an upstream of full capacity serves this balancer in a microsecond; they are counted anew.
+        let warm_rate = self.served_rate.now(self.now, RATE_OVER) / self.whole.max(1.0);
+        self.whole = 0.0;
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
         let slack = TURN_SLACK * c.aim as f64;
         // A window of the ring: so many can be kept an eye on, in each zone; those doing badly hardly count.
@@ -287,11 +286,13 @@
         let mut watched = vec![0.0; self.zones.len()];
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
         let (mut listed_here, mut open_here, mut nearest) = (0, 0, None::<usize>);
-        for k in 0..n {
-            let (i, roomy) = (self.ring[k], self.cold_room(self.ring[k], work, warm_rate));
+        for place in 0..self.ring.len() {
+            let i = self.ring[place];
+            let roomy = self.cold_room(i, work, warm_rate);
             let u = &self.upstreams[i];
             let here = u.entry.zone == ours;
             listed_here += u32::from(here && u.listed);
+            self.whole += if u.listed { self.cold_share(u).unwrap_or(1.0) } else { 0.0 };
             let grouped = group.is_none_or(|(g, f)| u.within(g, &self.upstreams[f].entry));
             if !u.listed || !grouped || !roomy || p.attempts.iter().any(|a| a.upstream == i) {
                 continue;
@@ -306,7 +307,7 @@
                 watched[u.entry.zone as usize] += own.powi(-TURN_POWER);
                 let (slow, to) = (self.slowness(u), if here { &mut pool } else { &mut away });
                 let (time, usual) = (slow * (work + u.work_out), slow * (usual + 0.5 * u.work_out));
-                to.push(Choice { i, zone: u.entry.zone, excluded: u.excluded(), time, usual });
+                to.push(Choice { place, i, zone: u.entry.zone, excluded: u.excluded(), time, usual });
             }
         }
         let few = |open: f64| open < f64::from(listed_here) * SPILL_SHARE;
@@ -321,7 +322,7 @@
         } else {
             // Exception, lasting imbalance: the own zone's turns are expected later than another's by over a
             // crossing's price as a share of the aim. By chance and gain, lest hundreds swing together.
-            let own = turns(&pool, slack).1;
+            let (own, chance) = (turns(&pool, slack).1, self.random());
             let toll = self.set.prices.cross_zone * c.aim as f64 + CROSS_WAY;
             for z in &self.zone_order {
                 let far: Vec<_> = away.iter().copied().filter(|c| c.zone == *z).collect();
@@ -341,16 +342,14 @@
         }
         // Each time round an upstream earns its part of a turn, and is passed over until it has a whole one.
         let (parts, _, usual) = turns(&pool, slack);
-        let mut earns = vec![0.0; n];
-        pool.iter().zip(parts).for_each(|(c, part)| earns[c.i] = part);
-        for k in self.turn..self.turn + 2 * n {
-            let i = self.ring[k % n];
-            let u = &mut self.upstreams[i];
-            u.turns += earns[i];
-            if u.turns >= 1.0 && earns[i] > 0.0 {
-                u.turns -= 1.0;
-                self.turn = (k + 1) % n;
-                return Some((i, usual));
+        let from = pool.iter().position(|c| c.place > self.turn).unwrap_or(0);
+        for k in from..from + 2 * pool.len() {
+            let (c, part) = (pool[k % pool.len()], parts[k % pool.len()]);
+            let u = &mut self.upstreams[c.i];
+            u.turns += part;
+            if u.turns >= 1.0 {
+                (u.turns, self.turn) = (u.turns - 1.0, c.place);
+                return Some((c.i, usual));
             }
         }
         None
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -53,6 +53,8 @@
 /// An upstream that a request may go to: the time expected there of it, and of a usual one.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Choice {
+    /// Its place in the ring.
+    pub place: usize,
     pub i: usize,
     pub zone: u32,
     pub excluded: bool,
@@ -149,6 +151,8 @@
     pub(crate) work_seen: f64,
     /// Work served in a microsecond, fading, for the cold budget.
     pub(crate) hold: f64,
+    /// Listed upstreams, cold ones by the share of their capacity, as of the last pick.
+    pub(crate) whole: f64,
     pub(crate) spread: f64,
     /// First tries asked for.
     pub(crate) asked_rate: Rate,
@@ -182,6 +186,7 @@
             worth_seen: 0.0,
             work_seen: 0.0,
             hold: 1e7,
+            whole: 0.0,
             spread: 1.0,
             asked_rate: Rate::new(now),
             ring: Vec::new(),
