--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -25,7 +25,7 @@
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
 /// One twice as late as the best gets a turn in two to this power; this share of the aim does not matter.
-const TURN_SLACK: f64 = 0.05;
+const TURN_SLACK: f64 = 0.08;
 const TURN_POWER: i32 = 4;
 /// How long an upstream's state lasts: as many share the turns as answer once in it, but so many at least.
 const WATCH_SPAN: f64 = 2e6;
@@ -41,7 +41,7 @@
 const LEARN_USUAL: f64 = 0.01;
 const LEARN_KIND: f64 = 0.02;
 const LEARN_ZONE: (f64, f64, f64) = (0.05, 0.15, 4e6);
-const LEARN_OWN: (f64, f64, f64) = (0.1, 0.5, 5e6);
+const LEARN_OWN: (f64, f64, f64) = (0.05, 0.5, 5e6);
 const SURPRISE_CAP: f64 = 8.0;
 /// An error counts like an answer so many times as slow as usual: passed over softly, never excluded.
 const ERROR_SLOW: f64 = 12.0;
