--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -48,7 +48,7 @@
 /// Crowding fades like this without answers; an own part over so many own requests, within these bounds.
 const FADE: f64 = 4e6;
 const HOLD_REQUESTS: f64 = 60.0;
-const HOLD: (f64, f64) = (4e6, 30e6);
+const HOLD: (f64, f64) = (8e6, 30e6);
 /// Second tries: this share of first ones, saved up to the cap: more turns overload into collapse.
 const RETRY_SHARE: f64 = 0.02;
 const RETRY_CAP: f64 = 5.0;
@@ -90,7 +90,7 @@
         let guess =
             |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0, votes: 0 };
         let usual = settings.classes.iter().map(guess).collect();
-        let (spread, retry_tokens) = (1.5, RETRY_CAP / 2.0);
+        let (spread, retry_tokens) = (1.0, RETRY_CAP / 2.0);
         Balancer { zone_order, usual, spread, retry_tokens, ..Balancer::blank(settings, rng, now) }
     }
 
