--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -42,7 +42,7 @@
 const LEARN_KIND: f64 = 0.02;
 const LEARN_ZONE: (f64, f64, f64) = (0.05, 0.15, 4e6);
 const LEARN_OWN: (f64, f64, f64) = (0.05, 0.5, 5e6);
-const SURPRISE_CAP: f64 = 8.0;
+const SURPRISE_CAP: f64 = 4.0;
 /// An error counts like an answer so many times as slow as usual: passed over softly, never excluded.
 const ERROR_SLOW: f64 = 12.0;
 /// Crowding fades like this without answers; an own part over so many own requests, within these bounds.
@@ -90,7 +90,7 @@
         let guess =
             |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0, votes: 0 };
         let usual = settings.classes.iter().map(guess).collect();
-        let (spread, retry_tokens) = (1.0, RETRY_CAP / 2.0);
+        let (spread, retry_tokens) = (1.5, RETRY_CAP / 2.0);
         Balancer { zone_order, usual, spread, retry_tokens, ..Balancer::blank(settings, rng, now) }
     }
 
