--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -326,7 +326,7 @@
             let toll = self.set.prices.cross_zone * c.aim as f64 + CROSS_WAY;
             for z in &self.zone_order {
                 let far: Vec<_> = away.iter().copied().filter(|c| c.zone == *z).collect();
-                if !far.is_empty() && chance < (own - turns(&far, slack).1 - toll - slack) / own * CROSS_GAIN {
+                if !far.is_empty() && chance < (own - turns(&far, slack).1 - toll) / own * CROSS_GAIN {
                     pool = far;
                     break;
                 }
