--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -276,7 +276,7 @@
     fn pick(&mut self, p: &Pending) -> Option<(usize, f64)> {
         let group = self.allowed(p)?;
         let (c, ours, work) = (self.set.classes[p.class], self.set.my_zone, p.work);
-        // Work that an upstream of full capacity serves this balancer in a microsecond; they are counted anew.
+        // Work that an upstream of full capacity serves this balancer in a microsecond; counted anew below.
         let warm_rate = self.served_rate.now(self.now, RATE_OVER) / self.whole.max(1.0);
         self.whole = 0.0;
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
@@ -435,12 +435,13 @@
             self.spread = (self.spread * (1.0 + SPREAD_STEP * over)).clamp(SPREAD.0, SPREAD.1);
         }
         match outcome {
-            // A sign of life, whatever it says: errors are passed over softly, never excluded.
+            // Signs of life. A full queue would have taken the aim at least: it tells of crowding.
             Outcome::Served | Outcome::Error | Outcome::Full => {
-                let served = outcome == Outcome::Served;
                 self.life(a.upstream);
+                let served = outcome == Outcome::Served;
                 self.served_rate.add(self.now, RATE_OVER, if served { work } else { 0.0 });
-                self.learn(p.class, p.unit, a.upstream, e.elapsed, served);
+                let took = if served { e.elapsed } else { self.set.classes[p.class].aim };
+                self.learn(p.class, p.unit, a.upstream, took, outcome != Outcome::Error);
             }
             Outcome::TimedOut if a.own_limit && !a.suspected => self.failure(a.upstream, a.sent),
             Outcome::ConnectFailed | Outcome::Reset => self.failure(a.upstream, a.sent),
@@ -513,12 +514,12 @@
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
         self.asked_rate.add(self.now, RATE_OVER, 1.0);
         self.hold = (HOLD_REQUESTS / self.asked_rate.now(self.now, RATE_OVER)).clamp(HOLD.0, HOLD.1);
-        let density = if self.set.worth_by_work { c.worth } else { c.worth / usual.max(1.0) };
+        let density = c.worth / if self.set.worth_by_work { 1.0 } else { usual.max(1.0) };
         let (worth_seen, work_seen) =
             (self.worth_seen * 0.99 + density * usual, self.work_seen * 0.99 + usual);
         (self.worth_seen, self.work_seen) = (worth_seen, work_seen);
         let Some((i, expected)) = self.pick(&p) else { return self.give_up(r.id, &mut p, out) };
-        // Refuse early what cannot meet its aim, least worth per unit of work first; none for its own weight.
+        // Refuse early what cannot meet its aim, least worth per work first; none for its own weight.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * work_seen / worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
         let bar = if self.pending.is_empty() { IDLE_BAR } else { 1.0 };
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -346,3 +346,29 @@
     });
     assert!(sent.is_some());
 }
+
+#[test]
+fn full_queues_make_a_zone_look_crowded() {
+    // In a burst queues fill before answers come late; errors say nothing of the kind.
+    let refusals = |outcome| {
+        let mut desk = Desk::new(settings(), &[0; 6]);
+        desk.spread(0, 60);
+        let _held = desk.sent(0);
+        let mut refusals = 0;
+        for _ in 0..60 {
+            let (id, out) = desk.ask(0);
+            refusals += usize::from(refused(&out));
+            desk.now += 20 * MS;
+            let mut last = out;
+            for k in 0.. {
+                if first_send(&last).is_none() {
+                    break;
+                }
+                last = desk.end(id, k, outcome, MS);
+            }
+        }
+        refusals
+    };
+    assert!(refusals(Outcome::Full) >= 10, "{}", refusals(Outcome::Full));
+    assert_eq!(refusals(Outcome::Error), 0);
+}
