--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -454,7 +454,7 @@
             self.call_off(id, &mut p, out);
         }
         if !p.over && !p.streaming {
-            let cost = if matches!(outcome, Outcome::Full | Outcome::ConnectFailed) { 0.0 } else { 1.0 };
+            let cost = if matches!(outcome, Outcome::Full | Outcome::ConnectFailed) { 0.2 } else { 1.0 };
             if !self.again(id, &mut p, cost, out) && p.out == 0 {
                 self.give_up(id, &mut p, out);
             }
