--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -454,7 +454,7 @@
             self.call_off(id, &mut p, out);
         }
         if !p.over && !p.streaming {
-            let cost = if matches!(outcome, Outcome::Full | Outcome::ConnectFailed) { 0.2 } else { 1.0 };
+            let cost = if matches!(outcome, Outcome::Full | Outcome::ConnectFailed) { 0.0 } else { 1.0 };
             if !self.again(id, &mut p, cost, out) && p.out == 0 {
                 self.give_up(id, &mut p, out);
             }
@@ -515,6 +515,17 @@
         self.asked_rate.add(self.now, RATE_OVER, 1.0);
         self.hold = (HOLD_REQUESTS / self.asked_rate.now(self.now, RATE_OVER)).clamp(HOLD.0, HOLD.1);
         let density = c.worth / if self.set.worth_by_work { 1.0 } else { usual.max(1.0) };
+        // What a tenant sends beyond its share of the traffic seen here is taken to be beyond its allowance.
+        let mut density = density;
+        if let Some(t) = self.set.tenants.get(r.tenant as usize) {
+            self.asked_by.resize(self.set.tenants.len(), 1.0);
+            self.asked_by.iter_mut().for_each(|n| *n *= 0.99);
+            self.asked_by[r.tenant as usize] += 1.0;
+            let all: f64 = self.asked_by.iter().sum();
+            let over = self.asked_by[r.tenant as usize] / all / t.share.max(1e-6);
+            let within = (1.0 / over.max(1e-6)).min(1.0);
+            density *= within + (1.0 - within) * self.set.over_share_worth;
+        }
         let (worth_seen, work_seen) =
             (self.worth_seen * 0.99 + density * usual, self.work_seen * 0.99 + usual);
         (self.worth_seen, self.work_seen) = (worth_seen, work_seen);
