--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -515,17 +515,6 @@
         self.asked_rate.add(self.now, RATE_OVER, 1.0);
         self.hold = (HOLD_REQUESTS / self.asked_rate.now(self.now, RATE_OVER)).clamp(HOLD.0, HOLD.1);
         let density = c.worth / if self.set.worth_by_work { 1.0 } else { usual.max(1.0) };
-        // What a tenant sends beyond its share of the traffic seen here is taken to be beyond its allowance.
-        let mut density = density;
-        if let Some(t) = self.set.tenants.get(r.tenant as usize) {
-            self.asked_by.resize(self.set.tenants.len(), 1.0);
-            self.asked_by.iter_mut().for_each(|n| *n *= 0.99);
-            self.asked_by[r.tenant as usize] += 1.0;
-            let all: f64 = self.asked_by.iter().sum();
-            let over = self.asked_by[r.tenant as usize] / all / t.share.max(1e-6);
-            let within = (1.0 / over.max(1e-6)).min(1.0);
-            density *= within + (1.0 - within) * self.set.over_share_worth;
-        }
         let (worth_seen, work_seen) =
             (self.worth_seen * 0.99 + density * usual, self.work_seen * 0.99 + usual);
         (self.worth_seen, self.work_seen) = (worth_seen, work_seen);
@@ -533,7 +522,7 @@
         // Refuse early what cannot meet its aim, least worth per work first; none for its own weight.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * work_seen / worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
-        let bar = if self.pending.is_empty() { IDLE_BAR } else { 1.0 };
+        let bar = if self.pending.is_empty() { IDLE_BAR } else { 1.0 } * (1.0 + 2.0 / (1.0 + self.usual[class].seen));
         if c.late_worth == 0.0 && expected * self.spread > left * rank * bar {
             // Unfed, the usual of a class fades while nothing is out: none is barred for good.
             self.usual[class].per_unit *= if self.pending.is_empty() { 1.0 - LEARN_USUAL } else { 1.0 };
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -151,7 +151,6 @@
     pub(crate) work_seen: f64,
     /// Work served in a microsecond, fading, for the cold budget.
     pub(crate) hold: f64,
-    pub(crate) asked_by: Vec<f64>,
     /// Listed upstreams, cold ones by the share of their capacity, as of the last pick.
     pub(crate) whole: f64,
     pub(crate) spread: f64,
@@ -187,7 +186,6 @@
             worth_seen: 0.0,
             work_seen: 0.0,
             hold: 1e7,
-            asked_by: Vec::new(),
             whole: 0.0,
             spread: 1.0,
             asked_rate: Rate::new(now),
