--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -26,7 +26,7 @@
 const SPILL_SHARE: f64 = 0.5;
 /// One twice as late as the best gets a turn in two to this power; this share of the aim does not matter.
 const TURN_SLACK: f64 = 0.05;
-const TURN_POWER: i32 = 4;
+const TURN_POWER: i32 = 6;
 /// How long an upstream's state lasts: as many share the turns as answer once in it, but so many at least.
 const WATCH_SPAN: f64 = 2e6;
 const WATCH_LEAST: f64 = 2.0;
@@ -522,7 +522,7 @@
         // Refuse early what cannot meet its aim, least worth per work first; none for its own weight.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
         let rank = (density * work_seen / worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
-        let bar = if self.pending.is_empty() { IDLE_BAR } else { 1.0 } * (1.0 + 2.0 / (1.0 + self.usual[class].seen));
+        let bar = if self.pending.is_empty() { IDLE_BAR } else { 1.0 };
         if c.late_worth == 0.0 && expected * self.spread > left * rank * bar {
             // Unfed, the usual of a class fades while nothing is out: none is barred for good.
             self.usual[class].per_unit *= if self.pending.is_empty() { 1.0 - LEARN_USUAL } else { 1.0 };
