--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -25,7 +25,7 @@
 /// Other zones join when fewer than this share of the own zone's upstreams is eligible.
 const SPILL_SHARE: f64 = 0.5;
 /// One twice as late as the best gets a turn in two to this power; this share of the aim does not matter.
-const TURN_SLACK: f64 = 0.03;
+const TURN_SLACK: f64 = 0.05;
 const TURN_POWER: i32 = 9;
 /// How long an upstream's state lasts: as many share the turns as answer once in it, but so many at least.
 const WATCH_SPAN: f64 = 2e6;
