SIGHUP rereads the configuration and moves discovery at once

Cause: lifecycle/start.rs caught SIGTERM and SIGINT only; the default action of SIGHUP ends the process. Checked: had it been caught, PROXY_DISCOVERY (which holds over the file) would have kept the old address (config.rs, parse). A bad file is one log line.

--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -177,6 +177,8 @@
     StaleCopy,
     /// A call failed or the subscription broke; the held list stays.
     Broken,
+    /// Another list service is to be asked from now on; the held list stays.
+    Moved,
 }
 
 /// How an attempt or a probe ended.
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -107,8 +107,7 @@
                 p.attempts.get(attempt as usize).map(|a| a.upstream).into_iter().for_each(|u| self.life(u));
             }
             Event::RequestGone { request } => self.close(request, out),
-            Event::Timer { token: LIST_TOKEN } if self.subscribed || self.asked => {}
-            Event::Timer { token: LIST_TOKEN } => {
+            Event::Timer { token: LIST_TOKEN } if !self.subscribed && !self.asked => {
                 self.asked = true;
                 out.push(Action::Subscribe(true));
             }
@@ -126,6 +125,11 @@
                 self.list_failures = (self.list_failures + 1).min(4);
                 return self.ask_in((S << self.list_failures) / 2, out);
             }
+            // What the last service did tells nothing of this one, and its news may be due at once.
+            ListKind::Moved => {
+                (self.subscribed, self.asked, self.list_failures) = (false, true, 0);
+                return out.push(Action::Subscribe(true));
+            }
             // All may start at once: spread the first calls too.
             ListKind::StaleCopy if self.set.list_on_request => self.ask_in(S / 2, out),
             ListKind::StaleCopy => {}
@@ -485,16 +489,13 @@
     }
 
     /// The final answer of a request given up on: at once, and a refusal only where a new try does no harm.
-    fn give_up(&mut self, id: RequestId, p: &mut Pending, out: &mut Vec<Action>) {
+    fn give_up(&mut self, request: RequestId, p: &mut Pending, out: &mut Vec<Action>) {
         p.over = true;
         let harmless = matches!(self.allowed(p), Some(None | Some((DedupGroup::All, _))));
         // Coming back pays only while the aim can still be met; else stay away longest.
         let soon = self.now + RETURN + p.work as Micros <= p.aim_at;
         let retry_after = self.set.max_retry_after.map(|m| if soon { RETURN.min(m) } else { m });
-        out.push(match harmless {
-            true => Action::Refuse { request: id, retry_after },
-            false => Action::Fail { request: id },
-        });
+        out.push(if harmless { Action::Refuse { request, retry_after } } else { Action::Fail { request } });
     }
 
     // --- admission ---
@@ -544,11 +545,7 @@
             false => (k.budget, k.votes) = (r.budget, 1),
         }
         let later = if self.set.marks_repeats { r.repeat } else { k.votes >= 5 };
-        if later && !same(k) {
-            (deadline - r.budget).max(0)
-        } else {
-            0
-        }
+        Micros::from(later && !same(k)) * (deadline - r.budget).max(0)
     }
 
     // --- cold budget ---
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -254,6 +254,12 @@
         assert_eq!(desk.event(Event::Timer { token }), [Action::Subscribe(true)]);
     }
     assert!(last <= 12 * S);
+    // Another service owes nothing to what the last one did: asked at once, and the backing off begins anew.
+    assert_eq!(desk.list(ListKind::Moved, &[]), [Action::Subscribe(true)]);
+    assert!(desk.event(Event::Timer { token }).is_empty(), "the old wait asks no second time");
+    let (after, token) = timer(&desk.list(ListKind::Broken, &[]));
+    assert!((500 * MS..=1500 * MS).contains(&after), "{after}");
+    assert_eq!(desk.event(Event::Timer { token }), [Action::Subscribe(true)]);
     desk.list(ListKind::Patch, &[]);
     assert_eq!(desk.event(Event::Timer { token }), [], "subscribed: no further call");
 }
--- a/crates/sidecar/src/balancer.rs
+++ b/crates/sidecar/src/balancer.rs
@@ -212,6 +212,8 @@
     },
     /// A call failed or the watch broke; the last list stays.
     Broken,
+    /// Discovery is at another address from now on; the last list stays.
+    Moved,
 }
 
 struct Sent {
@@ -421,6 +423,7 @@
         let now = self.now();
         match news {
             News::Broken => self.drive(now, Event::List { kind: ListKind::Broken, entries: &[] }),
+            News::Moved => self.drive(now, Event::List { kind: ListKind::Moved, entries: &[] }),
             News::List { whole, hosts } => {
                 let kind = if *whole { ListKind::Whole } else { ListKind::Patch };
                 let entries = self.entries(hosts, *whole);
--- a/crates/sidecar/src/event_loop.rs
+++ b/crates/sidecar/src/event_loop.rs
@@ -21,7 +21,7 @@
 use crate::wire::upstream::{AttemptError, Cause, Stage, Work};
 use polling::Events;
 use silvercross_core::interface::Micros;
-use slog::{error, info, Logger};
+use slog::{error, info, warn, Logger};
 use std::collections::VecDeque;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener};
@@ -30,7 +30,8 @@
 use std::time::Duration;
 
 const LISTENER: usize = usize::MAX - 1;
-const SIGNALS: usize = usize::MAX - 2;
+const STOPS: usize = usize::MAX - 2;
+const RELOADS: usize = usize::MAX - 3;
 /// How often idle connections are looked through.
 const SWEEP: Micros = 1_000_000;
 /// How often the summary is logged, in sweeps.
@@ -56,6 +57,12 @@
     Stopping,
 }
 
+/// Read a signal's stream empty.
+fn drain(mut signals: &UnixStream) {
+    let mut waste = [0; 64];
+    while matches!(signals.read(&mut waste), Ok(n) if n > 0) {}
+}
+
 /// What the loop keeps to.
 pub struct Bounds {
     /// File descriptors the process may hold.
@@ -68,6 +75,9 @@
     pub idle_close: Option<Micros>,
 }
 
+/// Reads the configuration file again: where discovery is now, or one plain line.
+pub type Reread = Box<dyn Fn() -> Result<SocketAddr, String>>;
+
 /// What the loop is made of.
 pub struct Parts {
     /// The poller.
@@ -77,7 +87,11 @@
     /// Where applications connect; not blocking.
     pub listener: TcpListener,
     /// Becomes readable when the process is to stop; not blocking.
-    pub signals: UnixStream,
+    pub stops: UnixStream,
+    /// Becomes readable when the configuration is to be read again; not blocking.
+    pub reloads: UnixStream,
+    /// Reads it again: where discovery is now, or what is wrong with the file.
+    pub reread: Reread,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// The version of the list that the balancer was started with.
@@ -108,7 +122,9 @@
     registry: Registry,
     balancer: Balancer<Wake>,
     listener: Watched<TcpListener>,
-    signals: Watched<UnixStream>,
+    stops: Watched<UnixStream>,
+    reloads: Watched<UnixStream>,
+    reread: Reread,
     connections: Connections,
     requests: Table<Request>,
     pool: Pool,
@@ -128,11 +144,14 @@
 impl EventLoop {
     /// Everything registered, nothing served yet.
     pub fn new(parts: Parts) -> io::Result<Self> {
-        let Parts { registry, balancer, listener, signals, discovery, seq, bounds, log } = parts;
+        let Parts { registry, balancer, listener, stops, reloads, reread, discovery, seq, bounds, log } =
+            parts;
         let retire = bounds.idle_close.map_or(RETIRE_UNSTATED, |t| (t as f64 * RETIRE) as Micros);
         Ok(EventLoop {
             listener: registry.watch(listener, LISTENER, Interest::Read)?,
-            signals: registry.watch(signals, SIGNALS, Interest::Read)?,
+            stops: registry.watch(stops, STOPS, Interest::Read)?,
+            reloads: registry.watch(reloads, RELOADS, Interest::Read)?,
+            reread,
             registry,
             balancer,
             connections: Connections::new(bounds.descriptors),
@@ -168,7 +187,8 @@
             for event in events.iter() {
                 match event.key {
                     LISTENER => self.guarded(None, Self::accept),
-                    SIGNALS => self.begin_stop(),
+                    STOPS => self.begin_stop(),
+                    RELOADS => self.guarded(None, Self::reload),
                     key => {
                         let handle = Handle::from_number(key as u64);
                         self.guarded(Some(handle), |l| l.ready(handle));
@@ -346,11 +366,30 @@
             "buffers" => self.pool.out(), "open" => self.balancer.unanswered(), "list_seq" => self.seq);
     }
 
+    // --- reload ---
+
+    /// The configuration's file has been replaced. Of what is in it only discovery's address can change while the
+    /// process runs; the list, the connections and what was learned stay.
+    fn reload(&mut self) {
+        drain(self.reloads.get());
+        if self.stop.is_some() {
+            return;
+        }
+        let to = match (self.reread)() {
+            Ok(to) => to,
+            Err(why) => return warn!(self.log, "the configuration stays as it was"; "why" => why),
+        };
+        info!(self.log, "reloaded"; "discovery" => to.to_string(), "before" => self.discovery.to_string());
+        if to != self.discovery {
+            self.discovery_moved(to);
+            self.do_steps();
+        }
+    }
+
     // --- stop ---
 
     fn begin_stop(&mut self) {
-        let mut waste = [0; 64];
-        while matches!(self.signals.get().read(&mut waste), Ok(n) if n > 0) {}
+        drain(self.stops.get());
         if self.stop.is_some() {
             return;
         }
--- a/crates/sidecar/src/event_loop/discovery_side.rs
+++ b/crates/sidecar/src/event_loop/discovery_side.rs
@@ -7,6 +7,7 @@
 use crate::wire::discovery::{self, Purpose};
 use crate::wire::upstream::Cause;
 use slog::{debug, warn};
+use std::net::SocketAddr;
 
 impl EventLoop {
     pub(super) fn watch(&mut self, on: bool) {
@@ -42,6 +43,16 @@
         }
     }
 
+    /// Discovery is elsewhere from now on: what was asked of the old one is dropped, and the module asks the new one.
+    /// The new one's versions need not continue the old one's, so it is asked for all it has.
+    pub(super) fn discovery_moved(&mut self, to: SocketAddr) {
+        (self.discovery, self.seq, self.watch) = (to, 0, None);
+        for handle in self.connections.to_discovery() {
+            self.connections.remove(handle);
+        }
+        self.tell(&News::Moved);
+    }
+
     pub(super) fn discovery_ready(&mut self, handle: Handle) {
         let now = self.balancer.now();
         let Some(c) = self.connections.discovery(handle) else { return };
--- a/crates/sidecar/src/lifecycle/config.rs
+++ b/crates/sidecar/src/lifecycle/config.rs
@@ -68,6 +68,12 @@
     parse(&text, var).map_err(|e| format!("bad configuration {path}: {e}"))
 }
 
+/// Read the configuration again, of a process that has been told to. What the file says of discovery holds over the
+/// variable that the process was started with: a variable can't be replaced, and would pin the old address for good.
+pub fn reread(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    read(|name| var(name).filter(|_| name != "PROXY_DISCOVERY"))
+}
+
 /// Read the configuration's text. Where a variable says the same as the file, the variable holds.
 pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let file: File = serde_json::from_str(text).map_err(|e| one_line(&e.to_string()))?;
@@ -87,7 +93,7 @@
                 .map_err(|e| one_line(&format!("known: {e}")))?;
             match told.news {
                 News::List { hosts, .. } => (hosts, told.seq),
-                News::Broken => (Vec::new(), 0),
+                News::Broken | News::Moved => (Vec::new(), 0),
             }
         }
     };
--- a/crates/sidecar/src/lifecycle/start.rs
+++ b/crates/sidecar/src/lifecycle/start.rs
@@ -3,7 +3,7 @@
 use crate::balancer::{Balancer, Clock};
 use crate::event_loop::{Bounds, EventLoop, Parts};
 use crate::registry::Registry;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use slog::{error, info};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
@@ -20,8 +20,11 @@
     let var = |name: &str| std::env::var(name).ok();
     let level = logging::level(var("SILVERCROSS_LOG").as_deref())?;
     let config = config::read(var)?;
+    // First of all: until they are caught these signals kill.
+    let (stops, reloads) = (signals(&[SIGTERM, SIGINT]), signals(&[SIGHUP]));
+    let stops = stops.map_err(|e| format!("cannot catch signals: {e}"))?;
+    let reloads = reloads.map_err(|e| format!("cannot catch signals: {e}"))?;
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let signals = signals().map_err(|e| format!("cannot catch signals: {e}"))?;
     let registry = Registry::new().map_err(|e| format!("no poller: {e}"))?;
     let (log, flush) = logging::start(&config.name, level);
     let listening = listener.local_addr().map_or_else(|_| config.listen.to_string(), |a| a.to_string());
@@ -40,7 +43,9 @@
         registry,
         balancer,
         listener,
-        signals,
+        stops,
+        reloads,
+        reread: Box::new(move || config::reread(var).map(|new| new.discovery)),
         discovery,
         seq,
         bounds,
@@ -64,12 +69,12 @@
     Ok(socket.into())
 }
 
-/// A stream that becomes readable when the process is told to stop.
-fn signals() -> io::Result<UnixStream> {
+/// A stream that becomes readable when one of these signals comes.
+fn signals(which: &[i32]) -> io::Result<UnixStream> {
     let (read, write) = UnixStream::pair()?;
     read.set_nonblocking(true)?;
-    for signal in [SIGTERM, SIGINT] {
-        signal_hook::low_level::pipe::register(signal, write.try_clone()?)?;
+    for signal in which {
+        signal_hook::low_level::pipe::register(*signal, write.try_clone()?)?;
     }
     Ok(read)
 }
--- a/crates/sidecar/src/memory/connections.rs
+++ b/crates/sidecar/src/memory/connections.rs
@@ -173,6 +173,12 @@
         self.table.iter().filter_map(since).min().map(|(_, h)| h)
     }
 
+    /// The handles of all connections to discovery.
+    pub fn to_discovery(&self) -> Vec<Handle> {
+        let of = |(h, c): (Handle, &Connection)| matches!(c, Connection::Discovery(_)).then_some(h);
+        self.table.iter().filter_map(of).collect()
+    }
+
     /// The handles of all connections from applications.
     pub fn from_applications(&self) -> Vec<Handle> {
         let of = |(h, c): (Handle, &Connection)| matches!(c, Connection::Application(_)).then_some(h);
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -215,6 +215,7 @@
     pub child: Child,
     pub address: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
+    pub config: PathBuf,
 }
 
 static STARTED: AtomicUsize = AtomicUsize::new(0);
@@ -274,7 +275,9 @@
         let said: serde_json::Value =
             serde_json::from_str(&first).unwrap_or_else(|_| panic!("not started: {first}"));
         let address = said["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
-        Sidecar { child, address, log }
+        let config = command.get_envs().find(|(name, _)| *name == "PROXY_CONFIG").and_then(|(_, v)| v);
+        let config = PathBuf::from(config.expect("named"));
+        Sidecar { child, address, log, config }
     }
 
     pub fn connect(&self) -> Client {
@@ -284,10 +287,22 @@
     }
 
     pub fn terminate(&self) {
-        let told = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", self.child.id())).status();
+        self.signal("TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let told = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
         assert!(told.expect("run").success());
     }
 
+    /// Replace the configuration and say so.
+    pub fn reload(&self, config: &str) {
+        let new = self.config.with_extension("new");
+        std::fs::write(&new, config).expect("written");
+        std::fs::rename(new, &self.config).expect("replaced");
+        self.signal("HUP");
+    }
+
     pub fn ended(&mut self) -> ExitStatus {
         until("the end of the program", || self.child.try_wait().expect("asked"))
     }
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -288,6 +288,46 @@
     }
 }
 
+#[test]
+fn a_new_configuration_moves_discovery_and_nothing_else() {
+    let (old, new) = (Upstream::start(ok("old")), Upstream::start(ok("new")));
+    let first = Discovery::start(list(7, true, &[entry("s-1", old.address, "ready")]));
+    let second = Discovery::start(list(3, true, &[entry("s-2", new.address, "ready")]));
+    // The variable holds over the file at the start, and no longer once the file has been replaced.
+    let mut command = command(&config(nowhere(), &[], 1024));
+    command.env("PROXY_DISCOVERY", first.address.to_string());
+    let mut sidecar = Sidecar::run(command);
+    let mut client = sidecar.connect();
+    until("the first list", || (client.ask("GET /healthz HTTP/1.1\r\n\r\n").status() == 200).then_some(()));
+    assert_eq!(client.ask(&call("commit", LONG_LEFT, "")).body, b"old");
+    // A file that can't be read changes nothing, and is one line in the log.
+    sidecar.reload("{\"name\":");
+    until("the line", || sidecar.has_logged("the configuration stays as it was").then_some(()));
+    assert_eq!(client.ask(&call("commit", LONG_LEFT, "")).body, b"old");
+    // Discovery elsewhere: asked for all it has, while the client's connection and the list stay.
+    sidecar.reload(&config(second.address, &[], 1024));
+    until("the second watch", || (second.watches() == 1).then_some(()));
+    assert!(second.asked.lock().expect("whole")[0].contains("since=0"), "versions of another service");
+    until("its list", || (client.ask(&call("commit", LONG_LEFT, "")).body == b"new").then_some(()));
+    second.tell(&list(4, false, &[entry("s-1", old.address, "ready"), entry("s-2", new.address, "gone")]));
+    until("its change", || (client.ask(&call("commit", LONG_LEFT, "")).body == b"old").then_some(()));
+    assert_eq!(first.watches(), 1, "the first is asked no more");
+    sidecar.terminate();
+    assert!(sidecar.ended().success());
+}
+
+#[test]
+fn a_new_configuration_is_followed_at_once_where_the_old_discovery_is_down() {
+    let up = Upstream::start(ok("served"));
+    let discovery = Discovery::start(list(1, true, &[entry("s-1", up.address, "ready")]));
+    let sidecar = Sidecar::start(nowhere(), &[]);
+    until("a broken call", || sidecar.has_logged("discovery broke off").then_some(()));
+    sidecar.reload(&config(discovery.address, &[], 1024));
+    let mut client = sidecar.connect();
+    until("the list", || (client.ask("GET /healthz HTTP/1.1\r\n\r\n").status() == 200).then_some(()));
+    assert_eq!(client.ask(&call("commit", LONG_LEFT, "")).body, b"served");
+}
+
 #[test]
 fn a_stop_finishes_what_was_taken_and_takes_what_still_comes() {
     let (go, does) = waits("served");
