--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -61,7 +61,7 @@
 /// Refuse what would meet its aim more seldom than this, by how far answers are seen to overrun what was
 /// expected, within these bounds: blind placement among many scatters them.
 const IN_TIME_LEAST: f64 = 0.7;
-const SPREAD: (f64, f64) = (0.2, 3.0);
+const SPREAD: (f64, f64) = (0.4, 3.0);
 const SPREAD_STEP: f64 = 0.1;
 /// The bar moves so far with the worth of work against the mean; it is higher where nothing is out to tell.
 const RANK: (f64, f64) = (0.6, 1.5);
