The last byte waits where connections broke; three failures in a row amid answers count

The log: resets within a millisecond of a write on kept connections, however long these had rested; all were reported as 'may have run', since the request was out whole by then (wire/upstream.rs, step). With two failures in a row at an upstream that answers 150 times a second it was excluded for 2 s, and the rest were crowded (policy.rs, failure). Now, for 10 s after a connection broke under a request, the last byte of each is held back 1.5 ms, and goes out only if the connection still stands: before it the request never ran, and the module may send it elsewhere. Where none breaks nobody waits. The tests of the held byte at first accepted the wrong connection and never ended; now they find it by its address. A timer was set with each look at a held request; now one.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -19,8 +19,8 @@
 const STREAK_GAP: Micros = 30 * S;
 const DEAD_COOLDOWN: Micros = 30 * S;
 const CORROBORATION: Micros = 5 * S;
-/// A lone failure so soon after an answer is not counted.
-const LONE_AMID: Micros = S / 2;
+/// So soon after an answer, so many failures in a row are not counted.
+const AMID: (Micros, u32) = (S / 2, 2);
 /// All failed for this long, at two upstreams or more: the fault is here. Nothing counts; grace after it.
 const BLAME_SPAN: Micros = 2 * S;
 const BLAME_GRACE: Micros = 5 * S;
@@ -191,7 +191,7 @@
             }
         }
         let u = &mut self.upstreams[i];
-        (u.state, u.failures, u.last_life) = (State::Online, 0, self.now);
+        (u.state, u.failures, u.broken, u.last_life) = (State::Online, 0, 0, self.now);
     }
 
     /// A transport failure of an attempt sent at `sent`.
@@ -212,9 +212,9 @@
         if old || u.last_life >= sent {
             return;
         }
-        // One failure amid answers tells of that connection: the next counts, unless an answer comes between.
-        if u.last_life > u.last_failure.max(now - LONE_AMID) {
-            return self.upstreams[i].last_failure = now;
+        // Failures amid answers tell of connections: only some in a row, with no answer between, count.
+        if u.last_life > now - AMID.0 && u.broken < AMID.1 {
+            return self.upstreams[i].broken += 1;
         }
         let since = u.last_failure.max(now - CORROBORATION - 1);
         let corroborated = self.upstreams.iter().enumerate().any(|(j, o)| j != i && o.last_life > since);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -35,6 +35,8 @@
     pub entry: Entry,
     pub state: State,
     pub failures: u32,
+    /// Failures since its last sign of life that were not counted.
+    pub broken: u32,
     pub streak_start: Micros,
     pub last_failure: Micros,
     pub last_life: Micros,
@@ -231,6 +233,7 @@
             entry,
             state: State::Unknown,
             failures: 0,
+            broken: 0,
             streak_start: LONG_AGO,
             last_failure: LONG_AGO,
             last_life: LONG_AGO,
--- a/crates/sidecar/src/event_loop.rs
+++ b/crates/sidecar/src/event_loop.rs
@@ -8,7 +8,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::balancer::{Balancer, Step, Turn};
+use crate::balancer::{Attempt, Balancer, Step, Turn};
 use crate::lifecycle::logging::Paced;
 use crate::lifecycle::stop::Stop;
 use crate::memory::buffers::Pool;
@@ -50,6 +50,8 @@
     Connect(Handle),
     /// An application's connection may be stuck.
     Stall(Handle),
+    /// The last byte of an attempt may follow.
+    Release(Handle, Attempt),
     /// An upstream's answer that has begun should be whole by now.
     Half(Handle),
     /// Discovery may have fallen silent.
@@ -144,6 +146,8 @@
     counts: Counts,
     sweeps: u64,
     at_limit: Paced,
+    /// Until when the last byte of each request is held back for a moment.
+    hold_until: Micros,
     /// The correlation ids of the requests in `requests`.
     ids: HashSet<Box<str>>,
     log: Logger,
@@ -175,6 +179,7 @@
             counts: Counts::default(),
             sweeps: 0,
             at_limit: Paced::default(),
+            hold_until: 0,
             ids: HashSet::new(),
             log,
         })
@@ -334,6 +339,7 @@
                     None => {}
                 }
             }
+            Wake::Release(handle, attempt) => self.release(handle, attempt),
             Wake::Half(handle) => self.half_answered(handle, now),
             Wake::Silence(handle) => {
                 let Some(c) = self.connections.discovery(handle) else { return };
--- a/crates/sidecar/src/event_loop/tests.rs
+++ b/crates/sidecar/src/event_loop/tests.rs
@@ -121,3 +121,68 @@
     assert!(answer(&mut late).starts_with("HTTP/1.1 503 "));
     hoard.into_iter().for_each(|b| l.pool.give(b));
 }
+
+/// Another client's request, and the connection that its attempt goes out on.
+fn another_request(l: &mut EventLoop, id: &str) -> (TcpStream, Handle) {
+    let mut client = TcpStream::connect(l.listener.get().local_addr().expect("bound")).expect("accepted");
+    let text = format!("GET /api HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Service-Class: read\r\n\r\n");
+    client.write_all(text.as_bytes()).expect("written");
+    let before = l.requests.len();
+    while l.requests.len() == before {
+        l.accept();
+        l.connections.from_applications().into_iter().for_each(|h| l.ready(h));
+    }
+    let newest = l.requests.iter().max_by_key(|(h, _)| h.number()).and_then(|(_, r)| r.attempts[0]);
+    (client, newest.expect("one"))
+}
+
+/// The upstream's end of an attempt's connection, among all that came to its listener.
+fn other_end(l: &mut EventLoop, attempt: Handle, upstream: &TcpListener) -> TcpStream {
+    let here = l.connections.upstream(attempt).and_then(|c| c.socket.get().local_addr().ok()).expect("bound");
+    (0..8).filter_map(|_| upstream.accept().ok()).find(|(_, from)| *from == here).expect("accepted").0
+}
+
+fn is_held(l: &mut EventLoop, attempt: Handle) -> bool {
+    l.connections
+        .upstream(attempt)
+        .is_some_and(|c| c.held && c.buffer.as_ref().is_some_and(|b| b.filled().len() == 1))
+}
+
+#[test]
+fn a_connection_that_ends_before_the_last_byte_has_run_nothing() {
+    let (mut l, _client, upstream) = with_a_request();
+    // Where connections have broken, the last byte waits.
+    l.hold_until = Micros::MAX;
+    let (mut client, attempt) = another_request(&mut l, "2");
+    while !is_held(&mut l, attempt) {
+        l.ready(attempt);
+    }
+    drop(other_end(&mut l, attempt, &upstream));
+    while l.connections.upstream(attempt).is_some() {
+        l.ready(attempt);
+    }
+    // It never ran, so that it is refused, and whoever asked may ask again.
+    assert!(answer(&mut client).starts_with("HTTP/1.1 503 "));
+}
+
+#[test]
+fn the_last_byte_follows_on_a_connection_that_stands() {
+    let (mut l, _client, upstream) = with_a_request();
+    l.hold_until = Micros::MAX;
+    let (mut client, attempt) = another_request(&mut l, "2");
+    while !is_held(&mut l, attempt) {
+        l.ready(attempt);
+    }
+    let stream = other_end(&mut l, attempt, &upstream);
+    let Some(Work::Busy(number, _)) = l.connections.upstream(attempt).map(|c| c.work) else {
+        panic!("not busy")
+    };
+    l.release(attempt, number);
+    let mut lines = io::BufReader::new(&stream).lines();
+    while !lines.next().expect("a whole head").expect("text").is_empty() {}
+    (&stream).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
+    while matches!(l.connections.upstream(attempt).map(|c| c.work), Some(Work::Busy(..))) {
+        l.ready(attempt);
+    }
+    assert!(answer(&mut client).starts_with("HTTP/1.1 200 "));
+}
--- a/crates/sidecar/src/event_loop/upstreams.rs
+++ b/crates/sidecar/src/event_loop/upstreams.rs
@@ -12,6 +12,11 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 
+/// Where connections have broken under requests, the last byte of each request is held back for so long: a connection
+/// that the upstream closes or resets as the request comes then breaks before it is whole, and it never ran ...
+const HOLD: Micros = 1_500;
+/// ... and that is done for so long after the last one broke: where none does, nobody waits.
+const HOLD_FOR: Micros = 10_000_000;
 /// A connection rests for so long between two requests.
 const REST: Micros = 5_000;
 /// `EINPROGRESS` on Linux.
@@ -38,11 +43,12 @@
                 return self.not_begun(attempt, upstream, cause);
             }
         };
+        let held = self.hold_until > self.balancer.now();
         let Some(c) = self.connections.upstream(handle) else {
             self.pool.give(buffer);
             return self.not_begun(attempt, upstream, Cause::NoRoom);
         };
-        (c.buffer, c.interim) = (Some(buffer), 0);
+        (c.buffer, c.interim, c.held, c.timed) = (Some(buffer), 0, held, false);
         c.work = Work::Busy(attempt, if reused { Stage::Writing } else { Stage::Connecting });
         debug!(self.log, "attempt"; "request" => attempt.request.number(), "number" => attempt.number,
             "upstream" => upstream.0, "limit_us" => limit, "reused" => reused);
@@ -117,6 +123,8 @@
                 buffer,
                 since,
                 interim: 0,
+                held: false,
+                timed: false,
             }))
         });
         made.ok().flatten().ok_or(Cause::NoRoom)
@@ -136,11 +144,27 @@
                     self.balancer.wake_at(c.since + self.bounds.whole_limit, Wake::Half(handle));
                 }
             }
+            // However often it is looked at, one timer.
+            Ok(Progress::Held) if std::mem::replace(&mut c.timed, true) => {}
+            Ok(Progress::Held) => {
+                let at = self.balancer.now() + HOLD;
+                self.balancer.wake_at(at, Wake::Release(handle, attempt));
+            }
             Ok(Progress::Answered(answer)) => self.answered(handle, attempt, answer),
             Err(error) => self.attempt_failed(handle, attempt, error),
         }
     }
 
+    /// The connection of an attempt whose last byte was held back has stood for long enough.
+    pub(super) fn release(&mut self, handle: Handle, attempt: Attempt) {
+        let Some(c) = self.connections.upstream(handle) else { return };
+        if c.held && c.work == Work::Busy(attempt, Stage::Writing) {
+            // What has come meanwhile is looked at first: readiness may not have been handed round yet.
+            c.held = !c.is_fresh();
+            self.upstream_ready(handle);
+        }
+    }
+
     /// An answer that had begun should be whole by now; what has come meanwhile is looked at first.
     pub(super) fn half_answered(&mut self, handle: Handle, now: Micros) {
         let limit = self.bounds.whole_limit;
@@ -182,6 +206,9 @@
 
     pub(super) fn attempt_failed(&mut self, handle: Handle, attempt: Attempt, error: AttemptError) {
         self.counts.attempts_failed += 1;
+        if error.stage != Stage::Connecting && matches!(error.cause, Cause::Socket(_) | Cause::Closed) {
+            self.hold_until = self.balancer.now() + HOLD_FOR;
+        }
         let upstream = self.connections.upstream(handle).map(|c| c.upstream.0);
         debug!(self.log, "attempt failed"; "request" => attempt.request.number(), "number" => attempt.number,
             "upstream" => upstream, "stage" => ?error.stage, "cause" => ?error.cause);
--- a/crates/sidecar/src/wire/upstream.rs
+++ b/crates/sidecar/src/wire/upstream.rs
@@ -96,6 +96,10 @@
     pub buffer: Option<Buffer>,
     /// When it last began to idle, or was made.
     pub since: Micros,
+    /// Whether the present request's last byte waits until the connection has shown that it stands.
+    pub held: bool,
+    /// Whether the timer for that is set.
+    pub timed: bool,
     /// Interim answers that have come ahead of the present one.
     pub interim: u32,
 }
@@ -105,6 +109,8 @@
 pub enum Progress {
     /// It waits for the socket.
     Blocked,
+    /// All but the last byte is written.
+    Held,
     /// The answer is here.
     Answered(Answer),
 }
@@ -132,7 +138,18 @@
         let buffer = self.buffer.as_mut().ok_or(Cause::NoRoom)?;
         if *stage == Stage::Writing {
             while !buffer.is_empty() {
-                match self.socket.get().write(buffer.filled()) {
+                let held = usize::from(self.held);
+                if held == buffer.filled().len() {
+                    // All but the last byte is out. An upstream that closes or resets this connection now, or says
+                    // something out of turn, has not got the request: it never ran.
+                    self.socket.set(Interest::Read).map_err(Cause::Socket)?;
+                    return match self.socket.get().peek(&mut [0]) {
+                        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(Progress::Held),
+                        Err(e) => Err(Cause::Socket(e)),
+                        Ok(_) => Err(Cause::Closed),
+                    };
+                }
+                match self.socket.get().write(&buffer.filled()[..buffer.filled().len() - held]) {
                     Ok(0) => return Err(Cause::Closed),
                     Ok(n) => buffer.consume(n),
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
