Discovery's silence is noticed in 2.8 s, and few sidecars ask again within 3 s

At fault: SILENCE of 4.5 s where discovery speaks every 2 s (wire/discovery.rs), and a backing off made for hundreds of sidecars, whatever their number (policy.rs, on_list). Ruled out: the list itself, which the other sidecar had.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -123,9 +123,10 @@
         match kind {
             ListKind::Broken => {
                 // The list service is small: back off, spread by chance, so that no storm keeps it down.
-                (self.subscribed, self.asked) = (false, false);
-                self.list_failures = (self.list_failures + 1).min(4);
-                return self.ask_in((S << self.list_failures) / 2, out);
+                let failures = (self.list_failures + 1).min(4);
+                (self.subscribed, self.asked, self.list_failures) = (false, false, failures);
+                let (wait, few) = ((S << self.list_failures) / 2, Micros::from(self.set.instances));
+                return self.ask_in(wait.min(S * few), out);
             }
             // What the last service did tells nothing of this one, and its news may be due at once.
             ListKind::Moved => {
@@ -184,8 +185,7 @@
     fn life(&mut self, i: usize) {
         self.last_life = self.now;
         if self.blamed {
-            self.blamed = false;
-            self.grace_until = self.now + BLAME_GRACE;
+            (self.blamed, self.grace_until) = (false, self.now + BLAME_GRACE);
             for u in self.upstreams.iter_mut().filter(|u| u.excluded()) {
                 (u.state, u.failures) = (State::Unknown, 0);
             }
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -253,7 +253,12 @@
 
 #[test]
 fn list_calls_are_spread_and_back_off() {
-    let mut desk = Desk::new(settings(), &[0]);
+    // A hundred would hold a small service down; a few need not wait long for one that is back.
+    let few = |desk: &mut Desk| (0..9).map(|_| desk.list(ListKind::Broken, &[])).last();
+    let mut two = Desk::new(Settings { instances: 2, ..settings() }, &[0]);
+    let [Action::Timer { after, .. }] = few(&mut two).expect("asked")[..] else { panic!("a timer alone") };
+    assert!(after <= 3 * S, "{after}");
+    let mut desk = Desk::new(Settings { instances: 100, ..settings() }, &[0]);
     let timer = |out: &[Action]| match out {
         [Action::Timer { after, token }] => (*after, *token),
         other => panic!("a timer alone, not {other:?}"),
--- a/crates/sidecar/src/wire/discovery.rs
+++ b/crates/sidecar/src/wire/discovery.rs
@@ -8,9 +8,9 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
-/// A watch says something every 2 s; silent for longer than two of these and a little, it is broken. A call waits
-/// 2 s at most before it fails, so the same holds until the first word.
-pub const SILENCE: Micros = 4_500_000;
+/// A watch says something every 2 s; silent for longer, and a good part of a second, it is broken. A call waits 2 s at
+/// most before it fails, so the same holds until the first word. What discovery tells meanwhile counts as told.
+pub const SILENCE: Micros = 2_800_000;
 /// The longest line, or list, that is read: some ten thousand upstreams.
 const LONGEST: usize = 2 << 20;
 
