Emulator of the fleet in simulated time, and silvercross-rehearse to play it

Change: crates/emulator models servers, list, network, clients and faults without I/O; virtual_time drives it with the real facade and module in-process; plain policies stand behind interface::Decide; the checker holds the four rules against what servers and clients saw. crates/rehearse plays, checks, repeats and compares scripts. The thinnest path that runs.

--- a/crates/emulator/src/script.rs
+++ b/crates/emulator/src/script.rs
@@ -548,7 +548,8 @@
 
     fn check(&self, c: &mut Check<'_>) {
         const DAY: f64 = 86_400.0;
-        if self.name.is_empty() || !self.name.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c)) {
+        if self.name.is_empty() || !self.name.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c))
+        {
             c.say("", 0, "name", "is made of letters, digits, '-', '_' and '.'".into());
         }
         c.within("", 0, "length_s", self.length_s, 1.0, DAY);
@@ -645,7 +646,8 @@
                 c.say("expect", i, "figure", format!("{:?} is no figure of a run", e.figure));
             }
         }
-        let surge: f64 = self.faults.iter().filter(|f| f.kind == Trouble::Surge).map(|f| f.strength_or()).product();
+        let surge: f64 =
+            self.faults.iter().filter(|f| f.kind == Trouble::Surge).map(|f| f.strength_or()).product();
         if self.load.per_s * self.length_s * surge.max(1.0) > MOST_REQUESTS {
             c.say("load", 0, "per_s", format!("more than {MOST_REQUESTS} requests in a run"));
         }
@@ -672,7 +674,12 @@
         if let Some(e) = f.every_s {
             c.within("fault", i, "every_s", e, 0.05, DAY);
         } else if f.kind == Trouble::Release {
-            c.say("fault", i, "every_s", "a release needs it: how long a batch drains before it starts anew".into());
+            c.say(
+                "fault",
+                i,
+                "every_s",
+                "a release needs it: how long a batch drains before it starts anew".into(),
+            );
         }
         let named = f.site.as_ref().is_none_or(|n| self.sites.iter().any(|s| s.name == *n));
         if !named {
--- /dev/null
+++ b/crates/emulator/src/virtual_time.rs
@@ -0,0 +1,733 @@
+//! The driver in simulated time: hundreds of sidecars, each the real facade round the real module, against the model of
+//! everything else. One heap of events in the order of time; equal script, seed and policy give equal bytes. What the
+//! sidecar does on sockets and the facade does not know (kept connections and their retirement, the silence after which a
+//! watch is given up) is modelled here, with the sidecar's own figures.
+use crate::chance::{mix, unit};
+use crate::checker::TOLERANCE;
+use crate::figures::{sum_up, Fate, Figures, Tally};
+use crate::list::{self, Health, Listed};
+use crate::script::{ms, EffectSpec, Script};
+use crate::world::{Answer, Event, World};
+use crate::Policy;
+use silvercross_core::interface::{Decide, Micros, Settings};
+use silvercross_facade::{self as facade, Balancer, Clock, Host, News, Report, Request, Step, Turn};
+use silvercross_net::table::Handle;
+use silvercross_settings::seconds;
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// The time 0 of a run as Unix time: any, as long as it is far from 0, which means "long ago".
+const EPOCH: Micros = 1_700_000_000_000_000;
+/// As in the sidecar: a connection rests so long between two requests, and so many are kept to a server.
+const REST: Micros = 5_000;
+const KEPT: usize = 24;
+/// As in the sidecar: a watch that is silent for longer is broken; while it stands, something comes every 2 s.
+const SILENCE: Micros = 2_800_000;
+const ALIVE: Micros = 2_000_000;
+/// How often idle connections are looked through.
+const SWEEP: Micros = 1_000_000;
+
+/// Makes what decides for one sidecar, from its settings, seed and time of start.
+pub type Make<'m> = &'m dyn Fn(Settings, u64, Micros) -> Box<dyn Decide>;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Ask(usize),
+    Reach(usize),
+    Back(usize, u8),
+    NoConnection(usize),
+    Reset(usize),
+    CalledOff(usize),
+    Tick(usize, u32),
+    HangUp(usize),
+    GiveUp(usize),
+    AskList(u64),
+    Told(u64, u64, bool, Vec<(usize, u8, Option<Micros>)>),
+    ListEnded(u64),
+    Silence(u64),
+    Sweep,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Going,
+    There,
+    Stuck,
+    Over,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Job {
+    of: usize,
+    number: u32,
+    server: usize,
+    /// How often the server had died when the connection was made: it does not outlive that.
+    life: u32,
+    fresh: bool,
+    stage: Stage,
+    delay: Micros,
+}
+
+struct Try {
+    ask: usize,
+    sidecar: usize,
+    jobs: Vec<usize>,
+    over: bool,
+}
+
+struct Sidecar {
+    facade: Option<Balancer<()>>,
+    starts: u32,
+    tick_at: Micros,
+    /// Idle connections to each server, the last used at the end: since when.
+    idle: BTreeMap<usize, Vec<Micros>>,
+    open: BTreeSet<usize>,
+    asker: Option<u64>,
+    seq: u64,
+}
+
+struct Asker {
+    sidecar: usize,
+    since: u64,
+    heard: Micros,
+}
+
+struct Driver<'m> {
+    world: World,
+    make: Make<'m>,
+    now: Micros,
+    clock: Rc<Cell<Micros>>,
+    heap: BinaryHeap<Reverse<(Micros, u64, What)>>,
+    order: u64,
+    sidecars: Vec<Sidecar>,
+    lives: Vec<u32>,
+    at_server: Vec<BTreeSet<usize>>,
+    tries: Vec<Try>,
+    tries_of: Vec<u32>,
+    jobs: Vec<Job>,
+    askers: HashMap<u64, Asker>,
+    asked: u64,
+    tally: Tally,
+    events: Vec<Event>,
+    steps: VecDeque<(usize, Step<()>)>,
+}
+
+fn address(server: usize) -> SocketAddr {
+    let n = server as u32;
+    SocketAddr::from(([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 1))
+}
+
+fn server_at(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(a) => (u32::from_be_bytes(a.ip().octets()) & 0xff_ffff) as usize,
+        SocketAddr::V6(_) => unreachable!("only addresses made here come back"),
+    }
+}
+
+/// Play a script with one of the policies by name.
+pub fn play(script: &Script, seed: u64, policy: Policy) -> Figures {
+    let mut figures = play_with(script, seed, &|settings, seed, now| policy.make(settings, seed, now));
+    figures.policy = policy.name().into();
+    figures
+}
+
+/// Play a script with whatever `make` makes for each sidecar.
+pub fn play_with(script: &Script, seed: u64, make: Make<'_>) -> Figures {
+    let world = World::new(script.clone(), seed);
+    let (servers, asks) = (world.servers.len(), world.asks.len());
+    let blank = |_| Sidecar {
+        facade: None,
+        starts: 0,
+        tick_at: Micros::MAX,
+        idle: BTreeMap::new(),
+        open: BTreeSet::new(),
+        asker: None,
+        seq: 0,
+    };
+    let mut driver = Driver {
+        sidecars: (0..script.sidecars()).map(blank).collect(),
+        lives: vec![0; servers],
+        at_server: vec![BTreeSet::new(); servers],
+        tries: Vec::new(),
+        tries_of: vec![0; asks],
+        jobs: Vec::new(),
+        askers: HashMap::new(),
+        asked: 0,
+        tally: Tally::new(asks, servers),
+        events: Vec::new(),
+        steps: VecDeque::new(),
+        heap: BinaryHeap::new(),
+        order: 0,
+        now: 0,
+        clock: Rc::new(Cell::new(EPOCH)),
+        make,
+        world,
+    };
+    driver.run();
+    let until = driver.now;
+    let list_calls = driver.world.list.asked;
+    let (rules, breaches) = driver.world.checker.finish(until);
+    let mut figures = sum_up(script, seed, &driver.world.asks, driver.tally, until);
+    (figures.mode, figures.rules, figures.breaches) = ("virtual".into(), rules, breaches);
+    figures.list_calls = list_calls;
+    figures.expect(&script.expects);
+    figures
+}
+
+impl Driver<'_> {
+    fn run(&mut self) {
+        let script = &self.world.script;
+        let longest = script.classes.iter().map(|c| ms(c.deadline_ms)).max().unwrap_or(0);
+        let end = script.length() + longest + 1_000_000;
+        // Faults at the time 0 come first: a server that starts late is not there yet.
+        self.advance_world();
+        for i in 0..self.sidecars.len() {
+            self.start(i);
+        }
+        if !self.world.asks.is_empty() {
+            self.at(self.world.asks[0].at, What::Ask(0));
+        }
+        self.at(SWEEP, What::Sweep);
+        loop {
+            let due = self.heap.peek().map_or(Micros::MAX, |e| e.0 .0);
+            let world = self.world.next().unwrap_or(Micros::MAX);
+            let next = due.min(world).max(self.now);
+            if next > end {
+                self.now = end;
+                return;
+            }
+            self.now = next;
+            self.clock.set(EPOCH + next);
+            if world <= next {
+                self.advance_world();
+            } else if let Some(Reverse((_, _, what))) = self.heap.pop() {
+                self.happen(what);
+            }
+            self.do_steps();
+        }
+    }
+
+    fn at(&mut self, at: Micros, what: What) {
+        self.order += 1;
+        self.heap.push(Reverse((at, self.order, what)));
+    }
+
+    fn advance_world(&mut self) {
+        let mut events = std::mem::take(&mut self.events);
+        self.world.advance(self.now, &mut events);
+        self.events = events;
+        self.do_events();
+    }
+
+    fn do_events(&mut self) {
+        let mut events = std::mem::take(&mut self.events);
+        for event in events.drain(..) {
+            match event {
+                Event::Answer { job, answer } => {
+                    let job = job as usize;
+                    if self.jobs[job].stage != Stage::There {
+                        continue;
+                    }
+                    let (server, sidecar) = (self.jobs[job].server, self.tries[self.jobs[job].of].sidecar);
+                    self.at_server[server].remove(&job);
+                    if self.world.reaches(sidecar, server) {
+                        self.at(self.now + self.jobs[job].delay, What::Back(job, answer as u8));
+                    } else {
+                        self.jobs[job].stage = Stage::Stuck;
+                        self.at_server[server].insert(job);
+                    }
+                }
+                Event::Died { server } => {
+                    self.lives[server] += 1;
+                    if !self.world.is_silent(server) {
+                        self.cut_off(server, |_| true);
+                    }
+                }
+                Event::Silent { server, on } => {
+                    if !on {
+                        self.cut_off(server, |stage| stage == Stage::Stuck);
+                    }
+                }
+                Event::Cut { on, .. } => {
+                    if !on {
+                        for server in 0..self.at_server.len() {
+                            self.cut_off(server, |stage| stage == Stage::Stuck);
+                        }
+                    }
+                }
+                Event::Started { .. } => {}
+                Event::List(out) => self.list_said(out),
+                Event::Sidecar { number, up: true } => self.start(number),
+                Event::Sidecar { number, up: false } => self.die(number),
+            }
+        }
+        self.events = events;
+    }
+
+    /// Connections to a server are reset: the attempts on them for which `hit` says so, and the idle ones of whoever had
+    /// one hit or where the process died.
+    fn cut_off(&mut self, server: usize, hit: impl Fn(Stage) -> bool) {
+        let hit: Vec<usize> =
+            self.at_server[server].iter().copied().filter(|j| hit(self.jobs[*j].stage)).collect();
+        for job in hit {
+            self.at_server[server].remove(&job);
+            if self.jobs[job].stage == Stage::Over {
+                continue;
+            }
+            self.at(self.now + self.jobs[job].delay, What::Reset(job));
+        }
+        for s in &mut self.sidecars {
+            s.idle.remove(&server);
+        }
+    }
+
+    fn list_said(&mut self, out: list::Out) {
+        match out {
+            list::Out::Told { asker, seq, whole, entries } => {
+                let entries = entries.into_iter().map(|l| (l.server, l.health as u8, l.born)).collect();
+                self.at(self.now + self.near(), What::Told(asker, seq, whole, entries));
+            }
+            list::Out::Ended { asker } => self.at(self.now + self.near(), What::ListEnded(asker)),
+        }
+    }
+
+    /// One way to the list service.
+    fn near(&self) -> Micros {
+        ms(self.world.script.network.same_ms)
+    }
+
+    fn hosts(&self, entries: &[Listed]) -> Vec<Host> {
+        let sites = &self.world.script.sites;
+        let kinds = self.world.script.machine_kinds();
+        let host = |l: &Listed| Host {
+            name: format!("s-{}", l.server),
+            dial: Some(address(l.server)),
+            zone: sites[self.world.site(l.server)].name.clone(),
+            kind: kinds[self.world.kind(l.server)].name.clone(),
+            cell: self.world.cell(l.server) as u32,
+            health: match l.health {
+                Health::Ready => facade::Health::Ready,
+                Health::Draining => facade::Health::Draining,
+                Health::Gone => facade::Health::Gone,
+            },
+            size: 1.0,
+            born_ms: l.born.map_or(0, |b| ((EPOCH + b) / 1000) as u64),
+        };
+        entries.iter().map(host).collect()
+    }
+
+    fn start(&mut self, i: usize) {
+        if !self.world.sidecar_up(i) {
+            return;
+        }
+        let site = self.world.sidecar_site(i) as u32;
+        let (settings, front) = self.world.script.settings(i, site);
+        let known = self.hosts(&self.world.known(i));
+        let s = &mut self.sidecars[i];
+        s.starts += 1;
+        let seed = mix(self.world.seed ^ mix(i as u64) ^ (u64::from(s.starts) << 48));
+        let module = (self.make)(settings.clone(), seed, EPOCH + self.now);
+        let mut facade =
+            Balancer::deciding(module, settings, front, &known, Clock::manual(self.clock.clone()));
+        s.tick_at = Micros::MAX;
+        s.seq = self.world.known_seq();
+        let turn = facade.tick(EPOCH + self.now);
+        s.facade = Some(facade);
+        self.world.checker.restarted(self.now, i);
+        self.absorb(i, turn);
+    }
+
+    fn die(&mut self, i: usize) {
+        let s = &mut self.sidecars[i];
+        s.facade = None;
+        s.idle.clear();
+        if let Some(asker) = s.asker.take() {
+            self.askers.remove(&asker);
+            self.world.list.hang_up(asker);
+        }
+        for t in std::mem::take(&mut self.sidecars[i].open) {
+            self.world.checker.released(t as u64);
+            self.tries[t].over = true;
+            self.tally.fates[self.tries[t].ask] = Fate::Void;
+            for job in self.tries[t].jobs.clone() {
+                self.call_off(job);
+            }
+        }
+    }
+
+    fn absorb(&mut self, sidecar: usize, turn: Turn<()>) {
+        self.steps.extend(turn.steps.into_iter().map(|s| (sidecar, s)));
+        let Some(wake) = turn.wake.map(|w| (w - EPOCH).max(self.now)) else { return };
+        let s = &mut self.sidecars[sidecar];
+        if wake < s.tick_at {
+            s.tick_at = wake;
+            let starts = s.starts;
+            self.at(wake, What::Tick(sidecar, starts));
+        }
+    }
+
+    /// Hand something to a sidecar's facade, if it runs.
+    fn tell(&mut self, sidecar: usize, what: impl FnOnce(&mut Balancer<()>) -> Turn<()>) {
+        if let Some(f) = self.sidecars[sidecar].facade.as_mut() {
+            let turn = what(f);
+            self.absorb(sidecar, turn);
+        }
+    }
+
+    fn do_steps(&mut self) {
+        while let Some((sidecar, step)) = self.steps.pop_front() {
+            match step {
+                Step::Send { attempt, to, .. } => self.send(attempt, server_at(to)),
+                Step::Cancel { attempt } => {
+                    let of = &self.tries[attempt.request.number() as usize];
+                    if let Some(job) = of.jobs.get(attempt.number as usize).copied() {
+                        self.call_off(job);
+                    }
+                }
+                Step::Serve { attempt } => {
+                    self.answered(attempt.request.number() as usize, Fate::Served(self.now), None)
+                }
+                Step::Refuse { request, retry_after } => {
+                    self.answered(request.number() as usize, Fate::Refused, retry_after);
+                }
+                Step::Fail { request } => self.answered(request.number() as usize, Fate::Failed, None),
+                Step::Watch(on) => self.watch(sidecar, on, true),
+                Step::FetchList => self.watch(sidecar, true, false),
+                Step::CloseIdle(_) | Step::Wake(()) | Step::Note(_) => {}
+            }
+        }
+    }
+
+    fn watch(&mut self, sidecar: usize, on: bool, watch: bool) {
+        if let Some(asker) = self.sidecars[sidecar].asker.take() {
+            self.askers.remove(&asker);
+            self.world.list.hang_up(asker);
+        }
+        if !on || !watch {
+            return self.world.checker.contact(self.now, sidecar, false);
+        }
+        self.asked += 1;
+        let s = &mut self.sidecars[sidecar];
+        s.asker = Some(self.asked);
+        self.askers.insert(self.asked, Asker { sidecar, since: s.seq, heard: self.now });
+        self.world.checker.contact(self.now, sidecar, false);
+        self.at(self.now + self.near(), What::AskList(self.asked));
+        self.at(self.now + SILENCE, What::Silence(self.asked));
+    }
+
+    fn list_broken(&mut self, asker: u64) {
+        let Some(a) = self.askers.remove(&asker) else { return };
+        self.world.list.hang_up(asker);
+        self.sidecars[a.sidecar].asker = None;
+        self.world.checker.contact(self.now, a.sidecar, false);
+        self.tell(a.sidecar, |f| f.news(&News::Broken));
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::Ask(ask) => {
+                // Asks are in the order of time: one in the heap at a time is enough for all first tries.
+                if self.tries_of[ask] == 0 && ask + 1 < self.world.asks.len() {
+                    self.at(self.world.asks[ask + 1].at, What::Ask(ask + 1));
+                }
+                self.ask(ask);
+            }
+            What::Reach(job) => self.reach(job),
+            What::Back(job, answer) => self.back(job, answer),
+            What::NoConnection(job) => self.ended(job, Report::NotConnected),
+            What::Reset(job) => self.ended(job, Report::Broken),
+            What::CalledOff(job) => {
+                self.at_server[self.jobs[job].server].remove(&job);
+                let mut events = std::mem::take(&mut self.events);
+                self.world.cancel(self.now, job as u64, &mut events);
+                self.events = events;
+                self.do_events();
+            }
+            What::Tick(sidecar, starts) => {
+                let s = &mut self.sidecars[sidecar];
+                if s.starts == starts && s.tick_at <= self.now {
+                    s.tick_at = Micros::MAX;
+                    let now = EPOCH + self.now;
+                    self.tell(sidecar, |f| f.tick(now));
+                }
+            }
+            What::HangUp(t) => {
+                if !self.tries[t].over {
+                    self.world.checker.released(t as u64);
+                    self.hang_up(t);
+                }
+            }
+            What::GiveUp(t) => {
+                if !self.tries[t].over {
+                    self.hang_up(t);
+                }
+            }
+            What::AskList(asker) => {
+                let Some(since) = self.askers.get(&asker).map(|a| a.since) else { return };
+                let mut events = std::mem::take(&mut self.events);
+                self.world.ask_list(self.now, asker, Some(since), true, &mut events);
+                self.events = events;
+                self.do_events();
+            }
+            What::Told(asker, seq, whole, entries) => self.told(asker, seq, whole, &entries),
+            What::ListEnded(asker) => self.list_broken(asker),
+            What::Silence(asker) => {
+                let stands = self.world.list.is_well() && self.world.list.watching().any(|w| w == asker);
+                let now = self.now;
+                let Some(a) = self.askers.get_mut(&asker) else { return };
+                if stands {
+                    a.heard = now;
+                }
+                if now - a.heard >= SILENCE {
+                    return self.list_broken(asker);
+                }
+                let next = if stands { now + ALIVE } else { a.heard + SILENCE };
+                self.at(next, What::Silence(asker));
+            }
+            What::Sweep => {
+                let retire = self.now - seconds(self.world.script.sidecar.idle_close_s) / 2;
+                for s in &mut self.sidecars {
+                    for (server, idle) in &mut s.idle {
+                        let before = idle.len();
+                        idle.retain(|since| *since > retire);
+                        let held = &mut self.world.servers[*server].connections;
+                        *held = held.saturating_sub(before - idle.len());
+                    }
+                    s.idle.retain(|_, idle| !idle.is_empty());
+                }
+                self.at(self.now + SWEEP, What::Sweep);
+            }
+        }
+    }
+
+    fn told(&mut self, asker: u64, seq: u64, whole: bool, entries: &[(usize, u8, Option<Micros>)]) {
+        let Some(a) = self.askers.get_mut(&asker) else { return };
+        a.heard = self.now;
+        let sidecar = a.sidecar;
+        self.sidecars[sidecar].seq = seq;
+        let health = |h: u8| match h {
+            h if h == Health::Ready as u8 => Health::Ready,
+            h if h == Health::Draining as u8 => Health::Draining,
+            _ => Health::Gone,
+        };
+        let entries: Vec<Listed> = entries
+            .iter()
+            .map(|(server, h, born)| Listed { server: *server, health: health(*h), born: *born })
+            .collect();
+        self.world.checker.contact(self.now, sidecar, true);
+        for l in entries.iter().filter(|l| l.health == Health::Draining) {
+            self.world.checker.told(self.now, sidecar, l.server);
+        }
+        let hosts = self.hosts(&entries);
+        self.tell(sidecar, |f| f.news(&News::List { whole, hosts }));
+    }
+
+    fn ask(&mut self, ask: usize) {
+        let a = &self.world.asks[ask];
+        let (sidecar, class) = (a.sidecar, &self.world.script.classes[a.class]);
+        let left = a.at + ms(class.deadline_ms) - self.now;
+        if self.sidecars[sidecar].facade.is_none() {
+            self.tries_of[ask] += 1;
+            self.tally.fates[ask] = Fate::Void;
+            return;
+        }
+        let t = self.tries.len();
+        let request = Request {
+            handle: Handle::from_number(t as u64),
+            class: a.class as u32,
+            tenant: 0,
+            key: Some(mix(a.key)),
+            budget: Some(left),
+            cost_hint: a.hint,
+            repeat: self.tries_of[ask] > 0,
+            write: class.effect != EffectSpec::Repeatable,
+        };
+        let half = a.impatient.then(|| a.at + ms(class.deadline_ms) / 2).filter(|at| *at > self.now);
+        self.tries.push(Try { ask, sidecar, jobs: Vec::new(), over: false });
+        self.tries_of[ask] += 1;
+        self.tally.tries += 1;
+        self.sidecars[sidecar].open.insert(t);
+        self.world.checker.opened(t as u64, self.now + left);
+        if let Some(at) = half {
+            self.at(at, What::HangUp(t));
+        }
+        self.at(self.now + left + TOLERANCE, What::GiveUp(t));
+        self.tell(sidecar, |f| f.pick(request));
+    }
+
+    fn hang_up(&mut self, t: usize) {
+        let sidecar = self.tries[t].sidecar;
+        self.tries[t].over = true;
+        self.sidecars[sidecar].open.remove(&t);
+        self.tally.fates[self.tries[t].ask] = Fate::GaveUp;
+        self.tell(sidecar, |f| f.hung_up(Handle::from_number(t as u64)));
+    }
+
+    /// A client has its final answer for a try.
+    fn answered(&mut self, t: usize, fate: Fate, retry_after: Option<Micros>) {
+        self.world.checker.answered(self.now, t as u64, true);
+        if self.tries[t].over {
+            return;
+        }
+        self.tries[t].over = true;
+        let (ask, sidecar) = (self.tries[t].ask, self.tries[t].sidecar);
+        self.sidecars[sidecar].open.remove(&t);
+        self.tally.fates[ask] = fate;
+        let again = retry_at(&self.world, ask, self.tries_of[ask], fate, self.now, retry_after);
+        if let Some(at) = again {
+            self.at(at, What::Ask(ask));
+        }
+    }
+
+    fn send(&mut self, attempt: facade::Attempt, server: usize) {
+        let t = attempt.request.number() as usize;
+        let sidecar = self.tries[t].sidecar;
+        let job = self.jobs.len();
+        self.tries[t].jobs.push(job);
+        let dice = |n: u64| unit(self.world.seed ^ 0xde1a, mix(job as u64) ^ n);
+        let delay = self.world.delay(sidecar, server, dice(1));
+        let crosses = self.world.sidecar_site(sidecar) != self.world.site(server);
+        let retire = self.now - seconds(self.world.script.sidecar.idle_close_s) / 2;
+        let rested = self.now - REST;
+        let idle = self.sidecars[sidecar].idle.get_mut(&server);
+        // The last used that has rested; those that are too old have been swept or are closed now.
+        let kept = idle.and_then(|i| {
+            i.retain(|since| *since > retire);
+            let place = i.iter().rposition(|since| *since <= rested)?;
+            Some(i.remove(place))
+        });
+        let fresh = kept.is_none();
+        self.tally.sent(self.now, server, crosses);
+        let life = self.lives[server];
+        let mut new = Job { of: t, number: attempt.number, server, life, fresh, stage: Stage::Going, delay };
+        if !fresh {
+            self.jobs.push(new);
+            return self.at(self.now + delay, What::Reach(job));
+        }
+        self.tally.connections += 1;
+        let s = &mut self.world.servers[server];
+        let limit = ms(self.world.script.sidecar.connect_limit_ms);
+        let full = s.connections >= s.connection_limit();
+        if !self.world.reaches(sidecar, server) || 2 * delay > limit {
+            self.jobs.push(new);
+            return self.at(self.now + limit, What::NoConnection(job));
+        }
+        let s = &mut self.world.servers[server];
+        if !s.up || full {
+            self.jobs.push(new);
+            return self.at(self.now + 2 * delay, What::NoConnection(job));
+        }
+        s.connections += 1;
+        new.delay = self.world.delay(sidecar, server, unit(self.world.seed ^ 0xde1b, job as u64));
+        self.jobs.push(new);
+        self.at(self.now + 2 * delay + new.delay, What::Reach(job));
+    }
+
+    fn reach(&mut self, job: usize) {
+        let j = self.jobs[job];
+        let (t, server) = (j.of, j.server);
+        let sidecar = self.tries[t].sidecar;
+        if !self.world.reaches(sidecar, server) {
+            if j.stage != Stage::Over {
+                self.jobs[job].stage = Stage::Stuck;
+                self.at_server[server].insert(job);
+            }
+            return;
+        }
+        if !self.world.servers[server].up || self.lives[server] != j.life {
+            return self.at(self.now + j.delay, What::Reset(job));
+        }
+        self.world.checker.sent(self.now - j.delay, t as u64, sidecar, server);
+        let called_off = j.stage == Stage::Over;
+        if !called_off {
+            self.jobs[job].stage = Stage::There;
+            self.at_server[server].insert(job);
+        }
+        let mut events = std::mem::take(&mut self.events);
+        self.world.arrive(self.now, job as u64, self.tries[t].ask, server, j.fresh, &mut events);
+        if called_off {
+            self.world.cancel(self.now, job as u64, &mut events);
+        }
+        self.events = events;
+        self.do_events();
+    }
+
+    fn back(&mut self, job: usize, answer: u8) {
+        let j = self.jobs[job];
+        if j.stage == Stage::Over {
+            return;
+        }
+        let sidecar = self.tries[j.of].sidecar;
+        if self.lives[j.server] == j.life {
+            let idle = self.sidecars[sidecar].idle.entry(j.server).or_default();
+            if idle.len() < KEPT {
+                idle.push(self.now);
+            } else {
+                let held = &mut self.world.servers[j.server].connections;
+                *held = held.saturating_sub(1);
+            }
+        }
+        let report = match answer {
+            a if a == Answer::Served as u8 => Report::Served,
+            a if a == Answer::Error as u8 => Report::Error,
+            _ => Report::TurnedAway,
+        };
+        self.ended(job, report);
+    }
+
+    /// An attempt has ended as its sidecar sees it.
+    fn ended(&mut self, job: usize, report: Report) {
+        let j = self.jobs[job];
+        if j.stage == Stage::Over {
+            return;
+        }
+        self.jobs[job].stage = Stage::Over;
+        let attempt = facade::Attempt { request: Handle::from_number(j.of as u64), number: j.number };
+        self.tell(self.tries[j.of].sidecar, |f| f.report(attempt, report));
+    }
+
+    /// A sidecar closes an attempt's connection.
+    fn call_off(&mut self, job: usize) {
+        let j = self.jobs[job];
+        if j.stage == Stage::Over {
+            return;
+        }
+        self.jobs[job].stage = Stage::Over;
+        if self.lives[j.server] == j.life {
+            let held = &mut self.world.servers[j.server].connections;
+            *held = held.saturating_sub(1);
+        }
+        if j.stage == Stage::There && self.world.reaches(self.tries[j.of].sidecar, j.server) {
+            self.at(self.now + j.delay, What::CalledOff(job));
+        }
+    }
+}
+
+/// When a client tries again, if it does: it wants to, may, and has the time.
+pub fn retry_at(
+    world: &World,
+    ask: usize,
+    tries: u32,
+    fate: Fate,
+    now: Micros,
+    retry_after: Option<Micros>,
+) -> Option<Micros> {
+    let (a, clients) = (&world.asks[ask], &world.script.clients);
+    let class = &world.script.classes[a.class];
+    let may = match fate {
+        Fate::Refused => true,
+        Fate::Failed => class.effect == EffectSpec::Repeatable,
+        _ => false,
+    };
+    if !may || tries > clients.retries {
+        return None;
+    }
+    let dice = 0.5 + unit(world.seed ^ 0xbac0, (ask as u64) << 8 | u64::from(tries));
+    let own = ms(clients.backoff_ms * dice);
+    let wait = retry_after.filter(|_| a.honours).map_or(own, |r| r.max(own));
+    let at = now + wait.max(1_000);
+    (at + ms(class.aim_ms) / 10 < a.at + ms(class.deadline_ms)).then_some(at)
+}
--- /dev/null
+++ b/crates/rehearse/src/commands.rs
@@ -0,0 +1,318 @@
+//! The commands. Results go to standard output, progress and faults to standard error; what a command comes to is its
+//! exit code: 0 all held, 1 unusable input, 2 usage, 3 an expectation or a rule failed.
+use crate::play::{self, Side};
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use silvercross_emulator::figures::Figures;
+use silvercross_emulator::script::{Mode, Script};
+use silvercross_emulator::Policy;
+use std::io::IsTerminal;
+use std::path::{Path, PathBuf};
+
+/// Rehearse incidents of a fleet of order servers before they happen.
+#[derive(Debug, Parser)]
+#[command(name = "silvercross-rehearse", version, about)]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Play a script and say what was served, and what plain policies would have got.
+    Run(RunArgs),
+    /// Read a script and say what is wrong with it.
+    Check {
+        /// The script.
+        script: PathBuf,
+    },
+    /// Name the scripts in a folder.
+    List {
+        /// The folder.
+        #[arg(default_value = "scenarios")]
+        folder: PathBuf,
+    },
+    /// Play a script several times with different seeds (or the same one, on sockets) and show each figure's spread.
+    Repeat {
+        /// The script.
+        script: PathBuf,
+        /// How often.
+        #[arg(long, default_value_t = 5)]
+        times: u64,
+        /// Keep the seed: shows what chance outside the script does.
+        #[arg(long)]
+        same_seed: bool,
+        #[command(flatten)]
+        how: How,
+    },
+    /// Play a script under two policies, or two builds, with paired seeds, and show the differences.
+    Compare {
+        /// The script.
+        script: PathBuf,
+        /// A policy's name or a build's path.
+        #[arg(long)]
+        a: String,
+        /// Another one.
+        #[arg(long)]
+        b: String,
+        /// Pairs.
+        #[arg(long, default_value_t = 5)]
+        times: u64,
+        #[command(flatten)]
+        how: How,
+    },
+}
+
+#[derive(Debug, Args)]
+struct How {
+    /// In simulated time or on sockets; the script's own unless given.
+    #[arg(long)]
+    mode: Option<ModeArg>,
+    /// The seed; the script's own unless given.
+    #[arg(long)]
+    seed: Option<u64>,
+}
+
+#[derive(Debug, Args)]
+struct RunArgs {
+    /// The script.
+    script: PathBuf,
+    #[command(flatten)]
+    how: How,
+    /// Who decides: module, random, round-robin, least-in-flight, best-of-two.
+    #[arg(long, default_value = "module")]
+    policy: String,
+    /// Write all figures to this file; `-`: to standard output, alone.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Write a report with plots to this folder.
+    #[arg(long)]
+    report: Option<PathBuf>,
+    /// Another build of the sidecar, on sockets.
+    #[arg(long)]
+    sidecar: Option<PathBuf>,
+    /// Leave the plain policies out.
+    #[arg(long)]
+    no_baselines: bool,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum ModeArg {
+    Virtual,
+    Sockets,
+}
+
+impl How {
+    fn of(&self, script: &Script) -> (Mode, u64) {
+        let mode = match self.mode {
+            None => script.mode,
+            Some(ModeArg::Virtual) => Mode::Virtual,
+            Some(ModeArg::Sockets) => Mode::Sockets,
+        };
+        (mode, self.seed.unwrap_or(script.seed))
+    }
+}
+
+/// Read a script from its file; the error names file, line and key.
+pub fn read(path: &Path) -> Result<Script, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Script::parse(&text).map_err(|fault| format!("{}: {fault}", path.display()))
+}
+
+/// Do what the command line asks for; `false`: an expectation or a rule failed.
+pub fn run(cli: Cli) -> Result<bool, String> {
+    match cli.command {
+        Command::Run(args) => run_once(&args),
+        Command::Check { script } => {
+            let s = read(&script)?;
+            println!(
+                "{}: {} servers, {} sidecars, {} classes, {} faults, {} expectations over {} s",
+                s.name,
+                s.servers(),
+                s.sidecars(),
+                s.classes.len(),
+                s.faults.len(),
+                s.expects.len(),
+                s.length_s
+            );
+            Ok(true)
+        }
+        Command::List { folder } => list(&folder),
+        Command::Repeat { script, times, same_seed, how } => repeat(&read(&script)?, times, same_seed, &how),
+        Command::Compare { script, a, b, times, how } => {
+            compare(&read(&script)?, &Side::named(&a)?, &Side::named(&b)?, times, &how)
+        }
+    }
+}
+
+fn list(folder: &Path) -> Result<bool, String> {
+    let entries = std::fs::read_dir(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let mut paths: Vec<PathBuf> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
+    paths.retain(|p| p.extension().is_some_and(|e| e == "toml"));
+    paths.sort();
+    let mut good = true;
+    for path in paths {
+        match read(&path) {
+            Ok(s) => println!("{:<20} {}", s.name, s.about),
+            Err(why) => {
+                good = false;
+                eprintln!("{why}");
+            }
+        }
+    }
+    if good {
+        Ok(true)
+    } else {
+        Err("not all scripts can be read".into())
+    }
+}
+
+/// A line for whoever watches; quiet in a pipe.
+pub(crate) fn progress(text: &str) {
+    if std::io::stderr().is_terminal() {
+        eprintln!("{text}");
+    }
+}
+
+fn run_once(args: &RunArgs) -> Result<bool, String> {
+    let script = read(&args.script)?;
+    let (mode, seed) = args.how.of(&script);
+    let side = match &args.sidecar {
+        Some(path) => Side::Build(path.clone()),
+        None => {
+            Side::Policy(Policy::named(&args.policy).ok_or_else(|| format!("no policy {:?}", args.policy))?)
+        }
+    };
+    progress(&format!("playing {} ({} s) ...", script.name, script.length_s));
+    let mut figures = play::once(&script, seed, mode, &side)?;
+    if !args.no_baselines && figures.void.is_none() {
+        progress("playing the plain policies in simulated time ...");
+        figures.baselines = play::baselines(&script, seed);
+        figures.expect(&script.expects);
+    }
+    let to_stdout = args.json.as_deref() == Some(Path::new("-"));
+    if let Some(path) = &args.json {
+        let text = serde_json::to_string_pretty(&figures).map_err(|e| format!("figures: {e}"))? + "\n";
+        if to_stdout {
+            print!("{text}");
+        } else {
+            std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+        }
+    }
+    if !to_stdout {
+        show(&figures);
+    }
+    Ok(figures.is_good())
+}
+
+fn show(f: &Figures) {
+    println!("{} ({}, {}, seed {})", f.script, f.mode, f.policy, f.seed);
+    if let Some(why) = &f.void {
+        return println!("  VOID: {why}; its figures are withheld");
+    }
+    if f.cut_short {
+        println!("  cut short: what follows is of what was played");
+    }
+    println!("  served worth   {:.3}   worst 5 s {:.3}", f.served_worth, f.worst_5s);
+    for (class, worth) in &f.by_class {
+        println!("    {class:<20} {worth:.3}");
+    }
+    println!(
+        "  asks {}: served {}, refused {}, failed {}, given up {}; median {} ms, p99 {} ms",
+        f.asks, f.served, f.refused, f.failed, f.gave_up, f.p50_ms, f.p99_ms
+    );
+    println!(
+        "  {:.3} attempts a try, {:.3} connections an attempt, {:.3} crossed sites",
+        f.attempts_per_try, f.connections_per_attempt, f.crossed
+    );
+    for (policy, worth) in &f.baselines {
+        println!("  {policy:<16} would have got {worth:.3} ({:+.3})", worth - f.served_worth);
+    }
+    let r = &f.rules;
+    println!(
+        "  rules: lost {}, sent after {}, duplicated {}, drained late {}, cold fallen {}",
+        r.lost, r.sent_after, r.duplicated, r.drained_late, r.cold_fallen
+    );
+    f.breaches.iter().for_each(|b| println!("    {b}"));
+    for e in &f.expectations {
+        let bound = |name: &str, v: Option<f64>| v.map_or(String::new(), |v| format!(" {name} {v}"));
+        let value = e.value.map_or("none".into(), |v| format!("{v:.3}"));
+        let verdict = if e.held { "held" } else { "FAILED" };
+        println!(
+            "  expected {}{}{}: {value}, {verdict}",
+            e.figure,
+            bound("at least", e.least),
+            bound("at most", e.most)
+        );
+    }
+}
+
+/// Figures whose spread is shown.
+const SHOWN: [&str; 9] = [
+    "served_worth",
+    "worst_5s",
+    "refused",
+    "failed",
+    "gave_up",
+    "attempts_per_try",
+    "p50_ms",
+    "p99_ms",
+    "rules.broken",
+];
+
+/// Mean and standard deviation.
+fn spread(values: &[f64]) -> (f64, f64) {
+    let n = values.len().max(1) as f64;
+    let mean = values.iter().sum::<f64>() / n;
+    let squares: f64 = values.iter().map(|v| (v - mean).powi(2)).sum();
+    (mean, (squares / (n - 1.0).max(1.0)).sqrt())
+}
+
+fn repeat(script: &Script, times: u64, same_seed: bool, how: &How) -> Result<bool, String> {
+    let (mode, seed) = how.of(script);
+    let mut runs = Vec::new();
+    for n in 0..times.max(1) {
+        progress(&format!("playing {} ({}/{times}) ...", script.name, n + 1));
+        let seed = if same_seed { seed } else { seed + n };
+        runs.push(play::once(script, seed, mode, &Side::Policy(Policy::Module))?);
+    }
+    let void = runs.iter().filter(|f| f.void.is_some()).count();
+    runs.retain(|f| f.void.is_none());
+    println!("{}: {} runs, {void} void", script.name, runs.len());
+    println!("  {:<18} {:>10} {:>10} {:>10} {:>10}", "figure", "mean", "deviation", "least", "most");
+    for name in SHOWN {
+        let values: Vec<f64> = runs.iter().filter_map(|f| f.named(name)).collect();
+        let (mean, dev) = spread(&values);
+        let (least, most) = values.iter().fold((f64::MAX, f64::MIN), |m, v| (m.0.min(*v), m.1.max(*v)));
+        println!("  {name:<18} {mean:>10.4} {dev:>10.4} {least:>10.4} {most:>10.4}");
+    }
+    Ok(void == 0 && runs.iter().all(|f| f.rules.broken() == 0))
+}
+
+fn compare(script: &Script, a: &Side, b: &Side, times: u64, how: &How) -> Result<bool, String> {
+    let (mode, seed) = how.of(script);
+    let builds = matches!(a, Side::Build(_)) || matches!(b, Side::Build(_));
+    let mode = if builds { Mode::Sockets } else { mode };
+    let mut pairs = Vec::new();
+    for n in 0..times.max(1) {
+        progress(&format!("playing {} ({}/{times}) ...", script.name, n + 1));
+        pairs.push((play::once(script, seed + n, mode, a)?, play::once(script, seed + n, mode, b)?));
+    }
+    let void = pairs.iter().filter(|p| p.0.void.is_some() || p.1.void.is_some()).count();
+    pairs.retain(|p| p.0.void.is_none() && p.1.void.is_none());
+    println!("{}: a = {}, b = {}, {} pairs, {void} void", script.name, a.name(), b.name(), pairs.len());
+    println!("  {:<18} {:>10} {:>10} {:>10} {:>10}", "figure", "a", "b", "b - a", "deviation");
+    for name in SHOWN {
+        let of = |f: fn(&(Figures, Figures)) -> &Figures| -> Vec<f64> {
+            pairs.iter().filter_map(|p| f(p).named(name)).collect()
+        };
+        let (va, vb) = (of(|p| &p.0), of(|p| &p.1));
+        let differences: Vec<f64> = va.iter().zip(&vb).map(|(a, b)| b - a).collect();
+        let (difference, dev) = spread(&differences);
+        println!(
+            "  {name:<18} {:>10.4} {:>10.4} {difference:>+10.4} {dev:>10.4}",
+            spread(&va).0,
+            spread(&vb).0
+        );
+    }
+    Ok(void == 0)
+}
--- /dev/null
+++ b/crates/rehearse/src/play.rs
@@ -0,0 +1,61 @@
+//! Plays a script once, or under several policies side by side.
+use silvercross_emulator::baselines::NAMED;
+use silvercross_emulator::figures::Figures;
+use silvercross_emulator::script::{Mode, Script};
+use silvercross_emulator::{virtual_time, Policy};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+/// Who decides in a run.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Side {
+    /// A policy by name, in this build.
+    Policy(Policy),
+    /// Another build of the sidecar.
+    Build(PathBuf),
+}
+
+impl Side {
+    /// A policy's name, or the path of a build.
+    pub fn named(text: &str) -> Result<Side, String> {
+        if let Some(p) = Policy::named(text) {
+            return Ok(Side::Policy(p));
+        }
+        let path = PathBuf::from(text);
+        if path.is_file() {
+            return Ok(Side::Build(path));
+        }
+        let names: Vec<&str> = NAMED.iter().map(|n| n.0).collect();
+        Err(format!("{text:?} is no policy (module, {}) and no file", names.join(", ")))
+    }
+
+    /// As it is shown.
+    pub fn name(&self) -> String {
+        match self {
+            Side::Policy(p) => p.name().to_string(),
+            Side::Build(path) => path.display().to_string(),
+        }
+    }
+}
+
+/// Play a script once.
+pub fn once(script: &Script, seed: u64, mode: Mode, side: &Side) -> Result<Figures, String> {
+    match (mode, side) {
+        (Mode::Virtual, Side::Policy(p)) => Ok(virtual_time::play(script, seed, *p)),
+        (Mode::Virtual, Side::Build(path)) => {
+            Err(format!("{}: a build is played on sockets only: add --mode sockets", path.display()))
+        }
+        (Mode::Sockets, _) => Err("not yet".into()),
+    }
+}
+
+/// The served worth of the plain policies on the very same run, in simulated time, side by side.
+pub fn baselines(script: &Script, seed: u64) -> BTreeMap<String, f64> {
+    std::thread::scope(|scope| {
+        let runs = NAMED.map(|(name, pick)| {
+            (name, scope.spawn(move || virtual_time::play(script, seed, Policy::Plain(pick)).served_worth))
+        });
+        let done = runs.into_iter().filter_map(|(name, run)| Some((name.to_string(), run.join().ok()?)));
+        done.collect()
+    })
+}
