Rehearsals on sockets: the emulator's servers and list against real sidecars

Change: crates/rehearse/src/sockets drives the one model on loopback ports; silent machines drop what knocks by a full accept queue, crashed ones reset, each sidecar's dial shows its site.

--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -344,7 +344,12 @@
 
     /// Whether bytes pass between a sidecar and a server: the machine is not silent and no cut lies between.
     pub fn reaches(&self, sidecar: usize, server: usize) -> bool {
-        let (from, to) = (self.sidecar_site[sidecar], self.site_of[server]);
+        self.reaches_from(self.sidecar_site[sidecar], server)
+    }
+
+    /// The same from all of a site.
+    pub fn reaches_from(&self, from: usize, server: usize) -> bool {
+        let to = self.site_of[server];
         self.silent[server] == 0 && (from == to || (self.cut[from] == 0 && self.cut[to] == 0))
     }
 
--- a/crates/facade/src/lib.rs
+++ b/crates/facade/src/lib.rs
@@ -33,6 +33,9 @@
 /// The most zones or machine kinds that may turn up in lists: the module keeps a record for each.
 const NAMES: usize = 4096;
 
+/// Makes what decides, from its settings, its seed and the time of its start.
+pub type Make = Box<dyn FnOnce(Settings, u64, Micros) -> Box<dyn Decide>>;
+
 /// Unix time in microseconds: read once at the start and carried on by the monotonic clock, so that a step of the
 /// system's clock moves no deadline, and yet an upstream's time of birth can be compared with it.
 #[derive(Clone)]
--- a/crates/rehearse/src/commands.rs
+++ b/crates/rehearse/src/commands.rs
@@ -20,6 +20,12 @@
 enum Command {
     /// Play a script and say what was served, and what plain policies would have got.
     Run(RunArgs),
+    /// Be a sidecar: the real one, with the policy named in the module's place. Started by runs on sockets.
+    #[command(hide = true)]
+    Sidecar {
+        /// Who decides.
+        policy: String,
+    },
     /// Read a script and say what is wrong with it.
     Check {
         /// The script.
@@ -136,6 +142,7 @@
             );
             Ok(true)
         }
+        Command::Sidecar { policy } => sidecar(&policy),
         Command::List { folder } => list(&folder),
         Command::Repeat { script, times, same_seed, how } => repeat(&read(&script)?, times, same_seed, &how),
         Command::Compare { script, a, b, times, how } => {
@@ -144,6 +151,20 @@
     }
 }
 
+/// Serve as a sidecar until told to stop, or until whoever started it is gone.
+fn sidecar(policy: &str) -> Result<bool, String> {
+    let policy = Policy::named(policy).ok_or_else(|| format!("no policy {policy:?}"))?;
+    std::thread::spawn(|| {
+        // Nothing is ever said on it: its end is that of the rehearsal, however that came about.
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(0);
+    });
+    let make = (policy != Policy::Module).then(|| -> silvercross_facade::Make {
+        Box::new(move |settings, seed, now| policy.make(settings, seed, now))
+    });
+    silvercross_sidecar::lifecycle::run_deciding(make).map(|()| true)
+}
+
 fn list(folder: &Path) -> Result<bool, String> {
     let entries = std::fs::read_dir(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let mut paths: Vec<PathBuf> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod commands;
 pub mod play;
+pub mod sockets;
--- a/crates/rehearse/src/play.rs
+++ b/crates/rehearse/src/play.rs
@@ -1,4 +1,5 @@
 //! Plays a script once, or under several policies side by side.
+use crate::sockets::{self, Program};
 use silvercross_emulator::baselines::NAMED;
 use silvercross_emulator::figures::Figures;
 use silvercross_emulator::script::{Mode, Script};
@@ -45,7 +46,23 @@
         (Mode::Virtual, Side::Build(path)) => {
             Err(format!("{}: a build is played on sockets only: add --mode sockets", path.display()))
         }
-        (Mode::Sockets, _) => Err("not yet".into()),
+        (Mode::Sockets, side) => {
+            let mut figures = sockets::play(script, seed, &program(side)?)?;
+            figures.policy = side.name();
+            Ok(figures)
+        }
+    }
+}
+
+/// What to start for a side on sockets: this very program as a sidecar, so that nothing else needs to be built first.
+pub fn program(side: &Side) -> Result<Program, String> {
+    match side {
+        Side::Build(path) => Ok(Program { path: path.clone(), args: Vec::new() }),
+        Side::Policy(p) => {
+            let path =
+                std::env::current_exe().map_err(|e| format!("cannot find this program's own file: {e}"))?;
+            Ok(Program { path, args: vec!["sidecar".into(), p.name().into()] })
+        }
     }
 }
 
--- a/crates/sidecar/src/lifecycle/mod.rs
+++ b/crates/sidecar/src/lifecycle/mod.rs
@@ -4,4 +4,4 @@
 pub mod start;
 pub mod stop;
 
-pub use start::run;
+pub use start::{run, run_deciding};
--- a/crates/sidecar/src/lifecycle/start.rs
+++ b/crates/sidecar/src/lifecycle/start.rs
@@ -4,7 +4,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use silvercross_core::interface::Micros;
 use silvercross_core::interface::Settings;
-use silvercross_facade::{Balancer, Clock};
+use silvercross_facade::{Balancer, Clock, Make};
 use silvercross_net::registry::Registry;
 use slog::{error, info};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -23,6 +23,11 @@
 
 /// Run the sidecar until it is told to stop. The error is one plain line.
 pub fn run() -> Result<(), String> {
+    run_deciding(None)
+}
+
+/// The same with something else in the module's place, where the two are compared.
+pub fn run_deciding(make: Option<Make>) -> Result<(), String> {
     let var = |name: &str| std::env::var(name).ok();
     let level = logging::level(var("SILVERCROSS_LOG").as_deref())?;
     let config = config::read(var)?;
@@ -45,7 +50,14 @@
         idle_close: config.front.idle_close,
     };
     let (discovery, seq) = (config.discovery, config.seq);
-    let balancer = Balancer::new(config.settings, config.front, config.seed, &config.known, Clock::system());
+    let (settings, seed, clock) = (config.settings, config.seed, Clock::system());
+    let balancer = match make {
+        None => Balancer::new(settings, config.front, seed, &config.known, clock),
+        Some(make) => {
+            let other = make(settings.clone(), seed, clock.now());
+            Balancer::deciding(other, settings, config.front, &config.known, clock)
+        }
+    };
     let made = EventLoop::new(Parts {
         registry,
         balancer,
