--- a/crates/emulator/src/figures.rs
+++ b/crates/emulator/src/figures.rs
@@ -111,6 +111,8 @@
     pub windows: Vec<Window>,
     /// Served worth of the plain policies on the same run.
     pub baselines: BTreeMap<String, f64>,
+    /// How often they broke a rule on it.
+    pub baselines_broken: BTreeMap<String, u64>,
     /// The script's expectations.
     pub expectations: Vec<Expectation>,
     /// Why the run says nothing; its figures are then not to be used.
--- a/crates/rehearse/src/commands.rs
+++ b/crates/rehearse/src/commands.rs
@@ -207,7 +207,7 @@
     let mut figures = play::once(&script, seed, mode, &side)?;
     if !args.no_baselines && figures.void.is_none() {
         progress("playing the plain policies in simulated time ...");
-        figures.baselines = play::baselines(&script, seed);
+        play::baselines(&script, seed, &mut figures);
         figures.expect(&script.expects);
     }
     let to_stdout = args.json.as_deref() == Some(Path::new("-"));
@@ -246,7 +246,9 @@
         f.attempts_per_try, f.connections_per_attempt, f.crossed
     );
     for (policy, worth) in &f.baselines {
-        println!("  {policy:<16} would have got {worth:.3} ({:+.3})", worth - f.served_worth);
+        let broken = f.baselines_broken.get(policy).copied().unwrap_or(0);
+        let rules = if broken > 0 { format!(", breaking rules {broken} times") } else { String::new() };
+        println!("  {policy:<16} would have got {worth:.3} ({:+.3}){rules}", worth - f.served_worth);
     }
     let r = &f.rules;
     println!(
--- a/crates/rehearse/src/play.rs
+++ b/crates/rehearse/src/play.rs
@@ -4,7 +4,6 @@
 use silvercross_emulator::figures::Figures;
 use silvercross_emulator::script::{Mode, Script};
 use silvercross_emulator::{virtual_time, Policy};
-use std::collections::BTreeMap;
 use std::path::PathBuf;
 
 /// Who decides in a run.
@@ -66,13 +65,13 @@
     }
 }
 
-/// The served worth of the plain policies on the very same run, in simulated time, side by side.
-pub fn baselines(script: &Script, seed: u64) -> BTreeMap<String, f64> {
-    std::thread::scope(|scope| {
-        let runs = NAMED.map(|(name, pick)| {
-            (name, scope.spawn(move || virtual_time::play(script, seed, Policy::Plain(pick)).served_worth))
-        });
-        let done = runs.into_iter().filter_map(|(name, run)| Some((name.to_string(), run.join().ok()?)));
-        done.collect()
-    })
+/// Play the plain policies on the very same run, in simulated time, side by side, and note what they got.
+pub fn baselines(script: &Script, seed: u64, figures: &mut Figures) {
+    let done: Vec<(&str, Figures)> = std::thread::scope(|scope| {
+        let run = |pick| scope.spawn(move || virtual_time::play(script, seed, Policy::Plain(pick)));
+        let runs = NAMED.map(|(name, pick)| (name, run(pick)));
+        runs.into_iter().filter_map(|(name, run)| Some((name, run.join().ok()?))).collect()
+    });
+    figures.baselines = done.iter().map(|(name, f)| (name.to_string(), f.served_worth)).collect();
+    figures.baselines_broken = done.iter().map(|(name, f)| (name.to_string(), f.rules.broken())).collect();
 }
