--- a/crates/emulator/src/figures.rs
+++ b/crates/emulator/src/figures.rs
@@ -327,8 +327,11 @@
         self.expectations = expects.iter().filter(|e| !open(e)).map(held).collect();
     }
 
-    /// Whether all is as it should be: nothing void, no rule broken, all expectations held.
+    /// Whether all is as it should be: played whole, nothing void, no rule broken, all expectations held.
     pub fn is_good(&self) -> bool {
-        self.void.is_none() && self.rules.broken() == 0 && self.expectations.iter().all(|e| e.held)
+        self.void.is_none()
+            && !self.cut_short
+            && self.rules.broken() == 0
+            && self.expectations.iter().all(|e| e.held)
     }
 }
--- a/crates/rehearse/src/commands.rs
+++ b/crates/rehearse/src/commands.rs
@@ -1,19 +1,23 @@
 //! The commands. Results go to standard output, progress and faults to standard error; what a command comes to is its
 //! exit code: 0 all held, 1 unusable input, 2 usage, 3 an expectation or a rule failed.
 use crate::load;
+use crate::log::{self, Form};
 use crate::play::{self, Side};
 use crate::report;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use silvercross_emulator::figures::Figures;
 use silvercross_emulator::script::{Mode, Script};
 use silvercross_emulator::Policy;
-use std::io::IsTerminal;
+use slog::{info, Logger};
 use std::path::{Path, PathBuf};
 
 /// Rehearse incidents of a fleet of order servers before they happen.
 #[derive(Debug, Parser)]
 #[command(name = "silvercross-rehearse", version, about)]
 pub struct Cli {
+    /// Log progress and events in this form to standard error; else only a terminal sees them.
+    #[arg(long, global = true, value_enum)]
+    log: Option<Form>,
     #[command(subcommand)]
     command: Command,
 }
@@ -119,7 +123,7 @@
     /// Write all figures to this file; `-`: to standard output, alone.
     #[arg(long)]
     json: Option<PathBuf>,
-    /// Write a report with plots to this folder.
+    /// Write the report with its plots to this folder; target/rehearsal/NAME unless given, where there is a target.
     #[arg(long)]
     report: Option<PathBuf>,
     /// Another build of the sidecar, on sockets.
@@ -155,8 +159,10 @@
 
 /// Do what the command line asks for; `false`: an expectation or a rule failed.
 pub fn run(cli: Cli) -> Result<bool, String> {
+    // What is only started by others logs as what it stands for.
+    let log = log::start(cli.log);
     match cli.command {
-        Command::Run(args) => run_once(&args),
+        Command::Run(args) => run_once(&args, &log),
         Command::Check { script } => {
             let s = read(&script)?;
             println!(
@@ -183,20 +189,27 @@
                 return Err("steps from 1 to 1000000 a second, each from 0.1 to 600 s, upstreams up to 256, body up to 65536".into());
             }
             let each = std::time::Duration::from_secs_f64(each);
-            saturate(&load::Plan { steps, each, upstreams, body }, sidecar, json.as_deref())
+            saturate(&load::Plan { steps, each, upstreams, body }, sidecar, json.as_deref(), &log)
         }
         Command::List { folder } => list(&folder),
-        Command::Repeat { script, times, same_seed, how } => repeat(&read(&script)?, times, same_seed, &how),
+        Command::Repeat { script, times, same_seed, how } => {
+            repeat(&read(&script)?, times, same_seed, &how, &log)
+        }
         Command::Compare { script, a, b, times, how } => {
-            compare(&read(&script)?, &Side::named(&a)?, &Side::named(&b)?, times, &how)
+            compare(&read(&script)?, &Side::named(&a)?, &Side::named(&b)?, times, &how, &log)
         }
     }
 }
 
-fn saturate(plan: &load::Plan, sidecar: Option<PathBuf>, json: Option<&Path>) -> Result<bool, String> {
+fn saturate(
+    plan: &load::Plan,
+    sidecar: Option<PathBuf>,
+    json: Option<&Path>,
+    log: &Logger,
+) -> Result<bool, String> {
     let own = play::program(&Side::Policy(Policy::Module))?;
     let program = sidecar.map_or(Ok(own.clone()), |path| play::program(&Side::Build(path)))?;
-    let steps = load::measure(&program, &own, plan)?;
+    let steps = load::measure(&program, &own, plan, log)?;
     println!(
         "{:<10} {:>9} {:>9} {:>7} {:>8} {:>6} {:>8} {:>8} {:>8} {:>8} {:>8}",
         "of",
@@ -270,14 +283,7 @@
     }
 }
 
-/// A line for whoever watches; quiet in a pipe.
-pub(crate) fn progress(text: &str) {
-    if std::io::stderr().is_terminal() {
-        eprintln!("{text}");
-    }
-}
-
-fn run_once(args: &RunArgs) -> Result<bool, String> {
+fn run_once(args: &RunArgs, log: &Logger) -> Result<bool, String> {
     let script = read(&args.script)?;
     let (mode, seed) = args.how.of(&script);
     let side = match &args.sidecar {
@@ -286,10 +292,10 @@
             Side::Policy(Policy::named(&args.policy).ok_or_else(|| format!("no policy {:?}", args.policy))?)
         }
     };
-    progress(&format!("playing {} ({} s) ...", script.name, script.length_s));
-    let mut figures = play::once(&script, seed, mode, &side)?;
-    if !args.no_baselines && figures.void.is_none() {
-        progress("playing the plain policies in simulated time ...");
+    info!(log, "playing"; "script" => &script.name, "seconds" => script.length_s, "seed" => seed);
+    let mut figures = play::once(&script, seed, mode, &side, log)?;
+    if !args.no_baselines && figures.void.is_none() && !figures.cut_short {
+        info!(log, "playing the plain policies in simulated time");
         play::baselines(&script, seed, &mut figures);
         figures.expect(&script.expects);
     }
@@ -302,12 +308,15 @@
             std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
         }
     }
-    if let Some(folder) = &args.report {
+    // Where this is built there is a folder that nobody needs to clean up.
+    let usual = Path::new("target").is_dir().then(|| Path::new("target/rehearsal").join(&script.name));
+    let folder = args.report.clone().or(usual);
+    if let Some(folder) = &folder {
         report::write(folder, &script, &figures)?;
     }
     if !to_stdout {
         show(&figures);
-        args.report.iter().for_each(|folder| println!("  report: {}", folder.join("index.html").display()));
+        folder.iter().for_each(|folder| println!("  report: {}", folder.join("index.html").display()));
     }
     Ok(figures.is_good())
 }
@@ -377,13 +386,13 @@
     (mean, (squares / (n - 1.0).max(1.0)).sqrt())
 }
 
-fn repeat(script: &Script, times: u64, same_seed: bool, how: &How) -> Result<bool, String> {
+fn repeat(script: &Script, times: u64, same_seed: bool, how: &How, log: &Logger) -> Result<bool, String> {
     let (mode, seed) = how.of(script);
     let mut runs = Vec::new();
     for n in 0..times.max(1) {
-        progress(&format!("playing {} ({}/{times}) ...", script.name, n + 1));
+        info!(log, "playing"; "script" => &script.name, "run" => n + 1, "of" => times);
         let seed = if same_seed { seed } else { seed + n };
-        runs.push(play::once(script, seed, mode, &Side::Policy(Policy::Module))?);
+        runs.push(play::once(script, seed, mode, &Side::Policy(Policy::Module), log)?);
     }
     let void = runs.iter().filter(|f| f.void.is_some()).count();
     runs.retain(|f| f.void.is_none());
@@ -398,14 +407,15 @@
     Ok(void == 0 && runs.iter().all(|f| f.rules.broken() == 0))
 }
 
-fn compare(script: &Script, a: &Side, b: &Side, times: u64, how: &How) -> Result<bool, String> {
+fn compare(script: &Script, a: &Side, b: &Side, times: u64, how: &How, log: &Logger) -> Result<bool, String> {
     let (mode, seed) = how.of(script);
     let builds = matches!(a, Side::Build(_)) || matches!(b, Side::Build(_));
     let mode = if builds { Mode::Sockets } else { mode };
     let mut pairs = Vec::new();
     for n in 0..times.max(1) {
-        progress(&format!("playing {} ({}/{times}) ...", script.name, n + 1));
-        pairs.push((play::once(script, seed + n, mode, a)?, play::once(script, seed + n, mode, b)?));
+        info!(log, "playing"; "script" => &script.name, "run" => n + 1, "of" => times);
+        pairs
+            .push((play::once(script, seed + n, mode, a, log)?, play::once(script, seed + n, mode, b, log)?));
     }
     let void = pairs.iter().filter(|p| p.0.void.is_some() || p.1.void.is_some()).count();
     pairs.retain(|p| p.0.void.is_none() && p.1.void.is_none());
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod commands;
 pub mod load;
+pub mod log;
 pub mod play;
 pub mod report;
 pub mod sockets;
--- a/crates/rehearse/src/load.rs
+++ b/crates/rehearse/src/load.rs
@@ -4,11 +4,11 @@
 mod forwarder;
 mod stations;
 
-use crate::commands::progress;
 use crate::sockets::Program;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use silvercross_core::interface::Micros;
+use slog::{info, Logger};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -69,14 +69,14 @@
 }
 
 /// Measure a sidecar, and the forwarder beside it.
-pub fn measure(program: &Program, own: &Program, plan: &Plan) -> Result<Vec<Step>, String> {
+pub fn measure(program: &Program, own: &Program, plan: &Plan, log: &Logger) -> Result<Vec<Step>, String> {
     let mut steps = Vec::new();
     let upstreams = stations::Upstreams::start(plan.upstreams).map_err(|e| format!("upstreams: {e}"))?;
     let sidecar = stations::sidecar(program, &upstreams.addresses)?;
     let forwarder = stations::forwarder(own, upstreams.addresses[0])?;
     for (of, station) in [("sidecar", &sidecar), ("forwarder", &forwarder)] {
         for asked in &plan.steps {
-            progress(&format!("{of}: {asked} requests a second ..."));
+            info!(log, "step"; "of" => of, "asked_per_s" => asked);
             steps.push(step(of, station.at, station.pid(), *asked, plan, &upstreams)?);
         }
     }
--- a/crates/rehearse/src/play.rs
+++ b/crates/rehearse/src/play.rs
@@ -4,6 +4,7 @@
 use silvercross_emulator::figures::Figures;
 use silvercross_emulator::script::{Mode, Script};
 use silvercross_emulator::{virtual_time, Policy};
+use slog::Logger;
 use std::path::PathBuf;
 
 /// Who decides in a run.
@@ -39,14 +40,14 @@
 }
 
 /// Play a script once.
-pub fn once(script: &Script, seed: u64, mode: Mode, side: &Side) -> Result<Figures, String> {
+pub fn once(script: &Script, seed: u64, mode: Mode, side: &Side, log: &Logger) -> Result<Figures, String> {
     match (mode, side) {
         (Mode::Virtual, Side::Policy(p)) => Ok(virtual_time::play(script, seed, *p)),
         (Mode::Virtual, Side::Build(path)) => {
             Err(format!("{}: a build is played on sockets only: add --mode sockets", path.display()))
         }
         (Mode::Sockets, side) => {
-            let mut figures = sockets::play(script, seed, &program(side)?)?;
+            let mut figures = sockets::play(script, seed, &program(side)?, log)?;
             figures.policy = side.name();
             Ok(figures)
         }
--- a/crates/rehearse/src/report.rs
+++ b/crates/rehearse/src/report.rs
@@ -15,12 +15,13 @@
 
 type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
 type Drawn = Result<(), Box<dyn std::error::Error>>;
+type Draw = fn(&Area<'_>, &Script, &Figures) -> Drawn;
 
 /// Write the report of a run into a folder, which is made if it is not there.
 pub fn write(folder: &Path, script: &Script, figures: &Figures) -> Result<(), String> {
     let told = |e: Box<dyn std::error::Error>| format!("{}: {e}", folder.display());
     std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let plots: [(&str, &str, fn(&Area<'_>, &Script, &Figures) -> Drawn); 4] = [
+    let plots: [(&str, &str, Draw); 4] = [
         ("worth.svg", "Served worth by second", worth),
         ("latency.svg", "Time to the answer by second (ms)", latency),
         ("load.svg", "Attempts a second, each server", load),
--- a/crates/rehearse/src/sockets/mod.rs
+++ b/crates/rehearse/src/sockets/mod.rs
@@ -22,6 +22,7 @@
 use silvercross_net::registry::{Interest, Registry, Watched};
 use silvercross_net::table::{Handle, Table};
 use silvercross_settings::seconds;
+use slog::{info, Logger};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
@@ -43,6 +44,8 @@
 const ALIVE: Micros = 2_000_000;
 /// How often children are looked after.
 const LOOK: Micros = 250_000;
+/// How long a run goes on once all is answered.
+const LINGER: Micros = 300_000;
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 1024;
 /// The poller's key of the pipe by which started sidecars are heard; handles are below.
@@ -120,6 +123,8 @@
     tries: Vec<Try>,
     tries_of: Vec<u32>,
     open: Vec<HashSet<usize>>,
+    /// Tries that clients mean to make again.
+    retries: usize,
     jobs: Vec<Job>,
     askers: HashMap<u64, Handle>,
     asked: u64,
@@ -134,6 +139,7 @@
     wake: (UnixStream, Watched<UnixStream>),
     stop: Arc<AtomicBool>,
     void: Option<String>,
+    log: Logger,
 }
 
 /// A listening socket on a port of the machine's choice.
@@ -167,9 +173,9 @@
 }
 
 /// Play a script on sockets, with these sidecars. The error is one plain line.
-pub fn play(script: &Script, seed: u64, program: &Program) -> Result<Figures, String> {
+pub fn play(script: &Script, seed: u64, program: &Program, log: &Logger) -> Result<Figures, String> {
     let mut driver =
-        Driver::new(script, seed, program).map_err(|e| format!("cannot set the stand-ins up: {e}"))?;
+        Driver::new(script, seed, program, log).map_err(|e| format!("cannot set the stand-ins up: {e}"))?;
     let stop = driver.stop.clone();
     let signals = [SIGINT, SIGTERM].map(|s| signal_hook::flag::register(s, stop.clone()));
     let ended = driver.start().and_then(|()| driver.run());
@@ -183,7 +189,7 @@
 }
 
 impl Driver {
-    fn new(script: &Script, seed: u64, program: &Program) -> io::Result<Self> {
+    fn new(script: &Script, seed: u64, program: &Program, log: &Logger) -> io::Result<Self> {
         let world = World::new(script.clone(), seed);
         let registry = Registry::new()?;
         let (wake, heard) = UnixStream::pair()?;
@@ -196,6 +202,7 @@
             tries: Vec::new(),
             tries_of: vec![0; asks],
             open: vec![HashSet::new(); script.sidecars()],
+            retries: 0,
             jobs: Vec::new(),
             askers: HashMap::new(),
             asked: 0,
@@ -210,6 +217,7 @@
             wake: (wake, heard),
             stop: Arc::default(),
             void: None,
+            log: log.clone(),
             program: program.clone(),
             folder: tempfile::Builder::new().prefix("rehearse-").tempdir()?,
             table: Table::default(),
@@ -333,6 +341,7 @@
                 Err(_) => {}
             }
         }
+        info!(self.log, "all sidecars are up"; "sidecars" => up.len());
         self.origin = Instant::now();
         self.unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
         Ok(())
@@ -361,16 +370,22 @@
         }
         self.at(ALIVE, What::Alive);
         self.at(LOOK, What::Look);
-        let mut ready = Events::new();
+        let (mut ready, mut quiet) = (Events::new(), None);
+        let length = self.world.script.length();
         loop {
             let now = self.now();
-            if now >= end || self.stop.load(Ordering::Relaxed) || self.void.is_some() {
+            // Done early when nobody waits and nobody will ask again; what is still sent then is seen for a moment more.
+            let idle = now >= length && self.retries == 0 && self.open.iter().all(HashSet::is_empty);
+            quiet = if idle { quiet.or(Some(now)) } else { None };
+            let now_done = quiet.is_some_and(|since| now >= since + LINGER);
+            if now_done || now >= end || self.stop.load(Ordering::Relaxed) || self.void.is_some() {
                 return Ok(());
             }
             let due = self.heap.peek().map_or(end, |e| e.0 .0);
             let world = self.world.next().unwrap_or(end);
             let next = due.min(world).min(end);
             if next > now {
+                let next = next.min(now + LOOK);
                 let limit = Duration::from_micros((next - now) as u64);
                 self.registry.wait(&mut ready, Some(limit)).map_err(|e| e.to_string())?;
             } else {
@@ -440,6 +455,7 @@
                     self.at(now + self.jobs[job].delay, What::Back(job, answer as u8));
                 }
                 Event::Died { server } => {
+                    info!(self.log, "server died"; "server" => server, "at_ms" => now / 1000);
                     for place in 0..self.listeners[server].len() {
                         if let Some((handle, _)) = self.listeners[server][place].take() {
                             self.table.remove(handle);
@@ -450,6 +466,7 @@
                     }
                 }
                 Event::Started { server } => {
+                    info!(self.log, "server started"; "server" => server, "at_ms" => now / 1000);
                     if let Err(e) = self.listen_for(server) {
                         self.void = Some(format!("server {server} cannot listen again: {e}"));
                     }
@@ -457,6 +474,7 @@
                 Event::Silent { .. } | Event::Cut { .. } => self.mute_as_cut(),
                 Event::List(out) => self.list_said(now, out),
                 Event::Sidecar { number, up: true } => {
+                    info!(self.log, "sidecar starts"; "sidecar" => number, "at_ms" => now / 1000);
                     if let Err(why) = self.spawn(number) {
                         self.void = Some(why);
                     }
@@ -521,6 +539,7 @@
     }
 
     fn sidecar_dies(&mut self, i: usize) {
+        info!(self.log, "sidecar dies"; "sidecar" => i);
         self.sidecars[i].process = None;
         self.sidecars[i].at = None;
         for handle in std::mem::take(&mut self.sidecars[i].idle) {
@@ -751,6 +770,7 @@
                 if self.tries_of[ask] == 0 && ask + 1 < self.world.asks.len() {
                     self.at(self.world.asks[ask + 1].at, What::Ask(ask + 1));
                 }
+                self.retries -= usize::from(self.tries_of[ask] > 0);
                 self.ask(now, ask);
             }
             What::Reach(job) => self.reach(now, job),
@@ -929,6 +949,7 @@
         self.open[sidecar].remove(&t);
         self.tally.fates[ask] = fate;
         if let Some(at) = retry_at(&self.world, ask, self.tries_of[ask], fate, now, retry_after) {
+            self.retries += 1;
             self.at(at, What::Ask(ask));
         }
     }
