--- /dev/null
+++ b/crates/gateway/src/hops.rs
@@ -0,0 +1,82 @@
+//! The mark of the sites that a request has crossed. Nothing crosses twice, and what comes back to a site that it has left is
+//! refused with the reason: two gateways that point at each other never play ping-pong.
+
+/// The header that carries it: the sites left, in order, with commas between.
+pub const HEADER: &str = "X-Gateway-Hops";
+/// So many crossings a request may make.
+pub const MOST_CROSSINGS: usize = 1;
+/// More names than this, or longer ones, are no mark.
+const MOST_NAMES: usize = 8;
+const LONGEST_NAME: usize = 64;
+
+/// The sites a request has left.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Hops(Vec<String>);
+
+/// Why a request does not go over, or is not taken from the link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// It has crossed before.
+    CrossedAlready,
+    /// It has left this very site before.
+    Loop,
+    /// It comes over the link without having left a site.
+    NoMark,
+    /// Its mark cannot be read.
+    Malformed,
+}
+
+impl Refused {
+    /// As the refusal says it.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Refused::CrossedAlready => "it has crossed between sites before",
+            Refused::Loop => "it has left this site before",
+            Refused::NoMark => "it came over the link without its hops",
+            Refused::Malformed => "its hops cannot be read",
+        }
+    }
+}
+
+/// Whether a site's name can stand in a mark.
+pub fn is_name(name: &str) -> bool {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    !name.is_empty() && name.len() <= LONGEST_NAME && name.chars().all(plain)
+}
+
+impl Hops {
+    /// Read the header's value; without one nothing was crossed.
+    pub fn read(value: Option<&str>) -> Result<Hops, Refused> {
+        let Some(value) = value else { return Ok(Hops::default()) };
+        let names: Vec<String> = value.split(',').map(|n| n.trim().to_string()).collect();
+        if names.len() > MOST_NAMES || !names.iter().all(|n| is_name(n)) {
+            return Err(Refused::Malformed);
+        }
+        Ok(Hops(names))
+    }
+
+    /// The mark under which it leaves `home`, if it may.
+    pub fn leave(&self, home: &str) -> Result<Hops, Refused> {
+        if self.0.len() >= MOST_CROSSINGS {
+            return Err(Refused::CrossedAlready);
+        }
+        let mut names = self.0.clone();
+        names.push(home.to_string());
+        Ok(Hops(names))
+    }
+
+    /// Whether it may be taken from the link at `home`.
+    pub fn arrive(&self, home: &str) -> Result<(), Refused> {
+        match self.0.as_slice() {
+            [] => Err(Refused::NoMark),
+            names if names.iter().any(|n| n == home) => Err(Refused::Loop),
+            names if names.len() > MOST_CROSSINGS => Err(Refused::CrossedAlready),
+            _ => Ok(()),
+        }
+    }
+
+    /// As the header has it.
+    pub fn value(&self) -> String {
+        self.0.join(",")
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/offer.rs
@@ -0,0 +1,154 @@
+//! How much home can spare for the other side. Home's own traffic is not seen here; what is seen is how long the guests'
+//! requests take at home against what they usually take. Guests are to give way to any queue: the offer is halved at once
+//! when they turn late, and given back by a little while they are quick.
+use crate::statement::{Statement, LONGEST_HELD, MOST_SLOTS};
+use silvercross_core::interface::Micros;
+
+/// Weight of an answer in how long guests take just now, and in what they usually take.
+const FAST: f64 = 0.1;
+const SLOW: f64 = 0.002;
+/// Guests that take so many times the usual are in home's way; under the second there is room for more.
+const CROWDED: f64 = 1.6;
+const ROOMY: f64 = 1.25;
+/// Not halved again before the last halving can have shown.
+const HALVE_EVERY: Micros = 500_000;
+/// Grows by this share, one at least, in such steps, while so much of it is in use.
+const GROW: f64 = 0.1;
+const GROW_EVERY: Micros = 200_000;
+const IN_USE: f64 = 0.6;
+/// What the first answers say is not yet "usual": so many are simply averaged.
+const LEARN: f64 = 20.0;
+
+/// What an inward half keeps to.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// The first offer of a life, and the least that is kept for finding out.
+    pub first: u32,
+    /// The most guests at a time, whatever there is room for.
+    pub most: u32,
+    /// How long a statement holds.
+    pub holds: Micros,
+}
+
+/// How a guest's request ended at home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Served, within its time.
+    Served,
+    /// Home turned it away, or had no time for it.
+    TurnedAway,
+    /// It failed, or its time ran out.
+    Failed,
+    /// Its sender left.
+    Left,
+}
+
+/// The offer.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    limits: Limits,
+    life: u64,
+    seq: u64,
+    slots: f64,
+    /// Guests at work.
+    pub at_work: u32,
+    /// Guests refused for want of room.
+    pub refused: u64,
+    seen: f64,
+    usual: f64,
+    lately: f64,
+    halved_at: Micros,
+    grown_at: Micros,
+    draining: bool,
+}
+
+impl Offer {
+    /// A new life's first offer.
+    pub fn new(limits: Limits, life: u64, now: Micros) -> Self {
+        let most = limits.most.min(MOST_SLOTS);
+        let limits =
+            Limits { first: limits.first.min(most), most, holds: limits.holds.clamp(1_000, LONGEST_HELD) };
+        Offer {
+            limits,
+            life,
+            seq: 0,
+            slots: f64::from(limits.first),
+            at_work: 0,
+            refused: 0,
+            seen: 0.0,
+            usual: 0.0,
+            lately: 0.0,
+            halved_at: now - HALVE_EVERY,
+            grown_at: now,
+            draining: false,
+        }
+    }
+
+    /// How many guests may be at work now.
+    pub fn slots(&self) -> u32 {
+        if self.draining {
+            0
+        } else {
+            self.slots as u32
+        }
+    }
+
+    /// Nothing new from the link from now on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Whether one more guest may come in; it is at work then, until [`Offer::ended`].
+    pub fn admit(&mut self) -> bool {
+        if self.at_work >= self.slots() {
+            self.refused += 1;
+            return false;
+        }
+        self.at_work += 1;
+        true
+    }
+
+    /// A guest is done. `took` over `expected`: its work as its sender guessed it, or the same for all of a class.
+    pub fn ended(&mut self, now: Micros, how: Ended, took: Micros, expected: f64) {
+        let used = f64::from(self.at_work) >= IN_USE * self.slots;
+        self.at_work = self.at_work.saturating_sub(1);
+        match how {
+            Ended::Left => return,
+            // What failed is no sign of room, and may be one of trouble that has nothing to do with guests.
+            Ended::TurnedAway | Ended::Failed => return self.halve(now),
+            Ended::Served => {}
+        }
+        let ratio = took.max(1) as f64 / expected.max(1.0);
+        self.seen += 1.0;
+        let weight = |least: f64| (1.0 / self.seen).max(least);
+        let (fast, slow) = (weight(FAST), weight(SLOW));
+        self.lately += (ratio - self.lately) * fast;
+        // Falls quickly and rises slowly: a long queue must not become what is usual.
+        self.usual += (ratio - self.usual) * if ratio < self.usual { slow * 2.0 } else { slow };
+        if self.seen < LEARN {
+            return;
+        }
+        let crowding = self.lately / self.usual.max(1e-9);
+        if crowding > CROWDED {
+            self.halve(now);
+        } else if crowding < ROOMY && used && now >= self.grown_at + GROW_EVERY {
+            self.grown_at = now;
+            let more = (self.slots * GROW).max(1.0);
+            self.slots = (self.slots + more).min(f64::from(self.limits.most));
+        }
+    }
+
+    fn halve(&mut self, now: Micros) {
+        if now < self.halved_at + HALVE_EVERY {
+            return;
+        }
+        (self.halved_at, self.grown_at) = (now, now + HALVE_EVERY);
+        self.slots = (self.slots / 2.0).max(f64::from(self.limits.first.min(1)));
+    }
+
+    /// What to state now.
+    pub fn state(&mut self) -> Statement {
+        self.seq += 1;
+        Statement { life: self.life, seq: self.seq, slots: self.slots(), holds: self.limits.holds }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/decisions.rs
@@ -0,0 +1,177 @@
+//! Hops, statements, offers and peers: by cases, under arbitrary text, and under arbitrary orders of events.
+use proptest::prelude::*;
+use silvercross_core::interface::Micros;
+use silvercross_gateway::hops::{Hops, Refused};
+use silvercross_gateway::offer::{Ended, Limits, Offer};
+use silvercross_gateway::peers::{NotOver, Peers};
+use silvercross_gateway::statement::Statement;
+
+const MS: Micros = 1_000;
+const S: Micros = 1_000_000;
+const LIMITS: Limits = Limits { first: 4, most: 100, holds: 1_500 * MS };
+
+#[test]
+fn nothing_crosses_twice_and_nothing_comes_back() {
+    let none = Hops::read(None).expect("no mark");
+    let over = none.leave("a").expect("may leave");
+    assert_eq!(over.value(), "a");
+    let cases = [
+        (over.leave("b").err(), Some(Refused::CrossedAlready)),
+        (over.leave("a").err(), Some(Refused::CrossedAlready)),
+        (over.arrive("b").err(), None),
+        (over.arrive("a").err(), Some(Refused::Loop)),
+        (none.arrive("b").err(), Some(Refused::NoMark)),
+        (Hops::read(Some("a,b")).expect("readable").arrive("c").err(), Some(Refused::CrossedAlready)),
+        (Hops::read(Some("a,,b")).err(), Some(Refused::Malformed)),
+        (Hops::read(Some("")).err(), Some(Refused::Malformed)),
+        (Hops::read(Some("a\r\nX: 1")).err(), Some(Refused::Malformed)),
+        (Hops::read(Some(&"a,".repeat(20))).err(), Some(Refused::Malformed)),
+    ];
+    for (i, (got, expected)) in cases.into_iter().enumerate() {
+        assert_eq!(got, expected, "case {i}");
+    }
+}
+
+#[test]
+fn a_statement_is_read_as_written_and_nothing_else_is() {
+    let s = Statement { life: 0xabc, seq: 7, slots: 40, holds: 1_500 * MS };
+    assert_eq!(Statement::read(&s.value()), Ok(s));
+    assert_eq!(Statement::read(&(s.value() + ";later=1")), Ok(s));
+    for bad in [
+        "",
+        "slots=1",
+        "life=1;seq=1;slots=-5;for_ms=10",
+        "life=1;seq=1;slots=+5;for_ms=10",
+        "life=1;seq=1;slots=99999999999999999999;for_ms=10",
+        "life=1;seq=1;slots=100001;for_ms=10",
+        "life=1;seq=1;slots=5;for_ms=10001",
+        "life=1;seq=1;slots=5;for_ms=10;slots=6",
+        "life=1;seq=1;slots=5 ;for_ms=1.5",
+        "HTTP/1.1 200 OK",
+    ] {
+        assert!(Statement::read(bad).is_err(), "{bad}");
+    }
+}
+
+#[test]
+fn an_offer_is_given_slowly_and_withdrawn_fast() {
+    let mut offer = Offer::new(LIMITS, 1, 0);
+    let mut now = 0;
+    let mut serve = |offer: &mut Offer, n: usize, took: Micros| {
+        for _ in 0..n {
+            now += 10 * MS;
+            while offer.admit() {}
+            offer.ended(now, Ended::Served, took, 40_000.0);
+        }
+    };
+    serve(&mut offer, 100, 50 * MS);
+    let after_a_second = offer.slots();
+    assert!((5..=9).contains(&after_a_second), "{after_a_second}");
+    serve(&mut offer, 2_000, 50 * MS);
+    assert_eq!(offer.slots(), 100, "all that the settings allow");
+    // Home turns slow: within a second of it, guests are down to a half and less.
+    serve(&mut offer, 100, 200 * MS);
+    assert!(offer.slots() <= 50, "{}", offer.slots());
+    serve(&mut offer, 400, 200 * MS);
+    assert!(offer.slots() <= 4, "{}", offer.slots());
+    offer.drain();
+    assert_eq!((offer.slots(), offer.admit(), offer.state().slots), (0, false, 0));
+}
+
+#[test]
+fn an_offer_counts_by_life_and_sequence_and_ages_from_its_arrival() {
+    let said = |life, seq, slots| Statement { life, seq, slots, holds: 1_000 * MS };
+    let mut peers = Peers::new(2, 50);
+    assert_eq!(peers.may_cross(0, S, 1.0), Err(NotOver::NoRoom));
+    peers.heard(0, 0, said(1, 5, 40));
+    assert_eq!([peers.slots(0, 0), peers.slots(500 * MS, 0), peers.slots(1_000 * MS, 0)], [40, 40, 0]);
+    assert!((1..40).contains(&peers.slots(900 * MS, 0)), "aged");
+    peers.heard(100 * MS, 0, said(1, 4, 90));
+    assert_eq!((peers.slots(100 * MS, 0), peers.ignored), (40, 1), "an older one");
+    peers.heard(200 * MS, 0, said(2, 1, 90));
+    assert_eq!(peers.slots(200 * MS, 0), 50, "a new life, held to our own bound");
+    peers.heard(300 * MS, 0, said(1, 99, 7));
+    assert_eq!((peers.slots(300 * MS, 0), peers.ignored), (50, 2), "the old life is over");
+    peers.broken(0);
+    assert_eq!(peers.slots(300 * MS, 0), 0, "the link took it along");
+    peers.heard(400 * MS, 0, said(2, 2, 10));
+    assert_eq!(peers.slots(400 * MS, 0), 10);
+    assert!(peers.heard_value(0, 0, "life=1;seq=1;slots=-5;for_ms=10").is_err());
+    peers.heard(0, 7, said(1, 1, 1));
+    assert_eq!(peers.ignored, 4, "malformed, and of nobody");
+}
+
+#[test]
+fn what_cannot_be_answered_in_time_does_not_go_over() {
+    let mut peers = Peers::new(1, 50);
+    peers.heard(0, 0, Statement { life: 1, seq: 1, slots: 10, holds: S });
+    for _ in 0..50 {
+        peers.sent(0);
+        peers.ended(0, Some(80_000.0));
+    }
+    assert_eq!(peers.may_cross(0, 100 * MS, 1.0), Ok(()));
+    assert_eq!(peers.may_cross(0, 60 * MS, 1.0), Err(NotOver::NoTime));
+    assert_eq!(peers.may_cross(0, 100 * MS, 3.0), Err(NotOver::NoTime), "three times the work");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    #[test]
+    fn no_text_is_trusted_or_panics(text in ".{0,80}") {
+        if let Ok(s) = Statement::read(&text) {
+            prop_assert!(s.slots <= 100_000 && (0..=10_000 * MS).contains(&s.holds));
+        }
+        if let Ok(hops) = Hops::read(Some(&text)) {
+            prop_assert_eq!(Hops::read(Some(&hops.value())), Ok(hops.clone()));
+            prop_assert!(hops.leave("home").is_err());
+        }
+    }
+
+    #[test]
+    fn what_looks_like_a_statement_neither(life in any::<i128>(), seq in any::<i128>(), slots in any::<i128>(), for_ms in any::<i128>()) {
+        let text = format!("life={life};seq={seq};slots={slots};for_ms={for_ms}");
+        if let Ok(s) = Statement::read(&text) {
+            prop_assert!(s.slots <= 100_000 && (0..=10_000 * MS).contains(&s.holds));
+        }
+    }
+
+    /// Whatever order things happen in: guests never exceed the bound, what is out at a peer never exceeds what stood when it
+    /// was sent, and counts come back to nothing.
+    #[test]
+    fn no_order_of_events_exceeds_a_bound(events in proptest::collection::vec((0u8..9, 0usize..3, 0i64..400), 1..300)) {
+        let (mut offer, mut peers, mut now) = (Offer::new(LIMITS, 9, 0), Peers::new(3, 30), 0);
+        let (mut guests, mut out, mut seq) = (0u32, [0u32; 3], 0);
+        for (what, i, wait) in events {
+            now += wait * MS;
+            match what {
+                0 | 1 => guests += u32::from(offer.admit()),
+                2 if guests > 0 => {
+                    guests -= 1;
+                    let how = [Ended::Served, Ended::TurnedAway, Ended::Left][i];
+                    offer.ended(now, how, (wait + 1) * MS, 40_000.0);
+                }
+                3 => {
+                    seq += 1;
+                    let life = 1 + (wait as u64 % 2);
+                    peers.heard(now, i, Statement { life, seq, slots: (wait as u32) * 3, holds: S });
+                }
+                4 => peers.broken(i),
+                5 | 6 if peers.has_room(now, i) => {
+                    peers.sent(i);
+                    out[i] += 1;
+                    prop_assert!(out[i] <= peers.slots(now, i) && out[i] <= 30);
+                }
+                7 if out[i] > 0 => {
+                    peers.ended(i, (wait % 2 == 0).then_some(wait as f64));
+                    out[i] -= 1;
+                }
+                8 => drop(peers.next(now)),
+                _ => {}
+            }
+            prop_assert!(offer.slots() <= 100 && offer.at_work == guests && guests <= 100);
+            prop_assert_eq!(peers.out(i), out[i]);
+            prop_assert!(peers.next(now).is_none_or(|at| at > now));
+        }
+    }
+}
