--- a/crates/emulator/src/checker.rs
+++ b/crates/emulator/src/checker.rs
@@ -75,7 +75,7 @@
             ran: HashMap::new(),
             draining: HashMap::new(),
             told: HashMap::new(),
-            contacts: vec![Contact { watching: false, last: 0 }; script.sidecars()],
+            contacts: vec![Contact { watching: false, last: 0 }; script.sidecars() + 2 * script.gateways()],
             rules: Rules::default(),
             breaches: Vec::new(),
         }
--- a/crates/emulator/src/figures.rs
+++ b/crates/emulator/src/figures.rs
@@ -43,6 +43,8 @@
     pub p50_ms: f64,
     /// See there.
     pub p99_ms: f64,
+    /// Share of the sidecars' attempts sent in it that left their site.
+    pub crossed: f64,
 }
 
 /// Whether what the script expects has held.
@@ -79,6 +81,8 @@
     pub worst_5s: f64,
     /// The same, for each class.
     pub by_class: BTreeMap<String, f64>,
+    /// The same, for the clients of each site.
+    pub by_site: BTreeMap<String, f64>,
     /// Asks, all tries of one taken together.
     pub asks: u64,
     /// Of these, served.
@@ -140,6 +144,8 @@
     pub connections: u64,
     /// Attempts that crossed sites.
     pub crossed: u64,
+    /// Attempts, and those that crossed, by second.
+    pub by_second: Vec<(u64, u64)>,
     /// Attempts that reached each server, by second.
     pub reached: Vec<Vec<u32>>,
 }
@@ -148,14 +154,34 @@
     /// Nothing yet, of so many asks and servers.
     pub fn new(asks: usize, servers: usize) -> Self {
         let reached = vec![Vec::new(); servers];
-        Tally { fates: vec![Fate::Open; asks], tries: 0, attempts: 0, connections: 0, crossed: 0, reached }
+        Tally {
+            fates: vec![Fate::Open; asks],
+            tries: 0,
+            attempts: 0,
+            connections: 0,
+            crossed: 0,
+            by_second: Vec::new(),
+            reached,
+        }
     }
 
     /// An attempt was sent to a server.
     pub fn sent(&mut self, now: Micros, server: usize, crosses: bool) {
         self.attempts += 1;
         self.crossed += u64::from(crosses);
-        let (second, row) = ((now.max(0) / WINDOW) as usize, &mut self.reached[server]);
+        let second = (now.max(0) / WINDOW) as usize;
+        if self.by_second.len() <= second {
+            self.by_second.resize(second + 1, (0, 0));
+        }
+        self.by_second[second].0 += 1;
+        self.by_second[second].1 += u64::from(crosses);
+        self.reached(now, server);
+    }
+
+    /// An attempt, a gateway's too, has gone to a server; for the report.
+    pub fn reached(&mut self, now: Micros, server: usize) {
+        let second = (now.max(0) / WINDOW) as usize;
+        let Some(row) = self.reached.get_mut(server) else { return };
         if row.len() <= second {
             row.resize(second + 1, 0);
         }
@@ -185,6 +211,9 @@
     let n = (script.length().min(until) / WINDOW + 1) as usize;
     let mut windows: Vec<(f64, f64, Histogram<u64>)> = (0..n).map(|_| (0.0, 0.0, times())).collect();
     let mut classes = vec![(0.0, 0.0); script.classes.len()];
+    let mut sites = vec![(0.0, 0.0); script.sites.len()];
+    let site_of: Vec<usize> =
+        script.sites.iter().enumerate().flat_map(|(i, s)| std::iter::repeat_n(i, s.sidecars)).collect();
     let mut f = Figures { script: script.name.clone(), seed, ..Figures::default() };
     let mut all = times();
     for (ask, fate) in asks.iter().zip(&tally.fates) {
@@ -214,10 +243,16 @@
         window.1 += earned;
         classes[ask.class].0 += class.worth;
         classes[ask.class].1 += earned;
+        sites[site_of[ask.sidecar]].0 += class.worth;
+        sites[site_of[ask.sidecar]].1 += earned;
     }
     let share = |(offered, earned): (f64, f64)| if offered > 0.0 { rounded(earned / offered) } else { 1.0 };
     f.served_worth = share(classes.iter().fold((0.0, 0.0), |s, c| (s.0 + c.0, s.1 + c.1)));
     f.by_class = script.classes.iter().zip(&classes).map(|(c, v)| (c.name.clone(), share(*v))).collect();
+    f.by_site = script.sites.iter().zip(&sites).map(|(s, v)| (s.name.clone(), share(*v))).collect();
+    let crossed = |i: usize| {
+        tally.by_second.get(i).filter(|s| s.0 > 0).map_or(0.0, |s| rounded(s.1 as f64 / s.0 as f64))
+    };
     let fives =
         windows.windows(5.min(n)).map(|w| share(w.iter().fold((0.0, 0.0), |s, w| (s.0 + w.0, s.1 + w.1))));
     f.worst_5s = fives.fold(1.0, f64::min);
@@ -231,6 +266,7 @@
             served_worth: share((w.0, w.1)),
             p50_ms: percentile(&w.2, 0.5),
             p99_ms: percentile(&w.2, 0.99),
+            crossed: crossed(i),
         })
         .collect();
     let per = |a: u64, b: u64| if b == 0 { 0.0 } else { rounded(a as f64 / b as f64) };
@@ -269,6 +305,7 @@
         None => PLAIN.contains(&name),
         Some(("rules", rule)) => RULES.contains(&rule),
         Some(("by_class", class)) => script.classes.iter().any(|c| c.name == class),
+        Some(("by_site", site)) => script.sites.iter().any(|s| s.name == site),
         Some(("gain" | "baselines", policy)) => known(policy),
         Some(_) => false,
     }
@@ -306,6 +343,7 @@
                 _ => return None,
             },
             Some(("by_class", class)) => *self.by_class.get(class)?,
+            Some(("by_site", site)) => *self.by_site.get(site)?,
             Some(("baselines", policy)) => *self.baselines.get(policy)?,
             Some(("gain", policy)) => self.served_worth - self.baselines.get(policy)?,
             Some(_) => return None,
--- a/crates/emulator/src/list.rs
+++ b/crates/emulator/src/list.rs
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Whether this one watches.
+    pub fn is_watching(&self, asker: u64) -> bool {
+        self.watches.contains_key(&asker)
+    }
+
     /// Who watches, for the lines that only say that a watch stands.
     pub fn watching(&self) -> impl Iterator<Item = u64> + '_ {
         self.watches.keys().copied()
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -36,7 +36,18 @@
             continue;
         }
         match f.kind {
-            Trouble::Surge => all *= f.strength_or(),
+            Trouble::Surge => match &f.site {
+                None => all *= f.strength_or(),
+                Some(name) => {
+                    let of = script
+                        .sites
+                        .iter()
+                        .flat_map(|s| std::iter::repeat_n(&s.name, s.sidecars))
+                        .enumerate();
+                    hot.extend(of.filter(|(_, n)| *n == name).map(|(i, _)| (i, f.strength_or())));
+                }
+            },
+            // Two at once on one caller add up.
             Trouble::HotCaller => {
                 let who = f.which.as_ref().and_then(|w| w.first().copied()).unwrap_or(0);
                 hot.push((who.min(script.sidecars() - 1), f.strength_or()));
@@ -60,14 +71,19 @@
     }
     let sum: f64 = weights.iter().sum();
     weights.iter_mut().for_each(|w| *w /= sum);
+    let sums: Vec<f64> = weights
+        .iter()
+        .scan(0.0, |sum, w| {
+            *sum += w;
+            Some(*sum)
+        })
+        .collect();
     // The highest rate that any moment can have; candidates beyond a moment's own rate are thinned out.
     let factor = |kind: Trouble| -> f64 {
         let of = script.faults.iter().filter(|f| f.kind == kind);
         of.map(|f| f.strength_or().max(1.0)).product()
     };
-    let heaviest = weights.iter().copied().fold(0.0, f64::max);
-    let hottest = 1.0 + heaviest * (factor(Trouble::HotCaller) - 1.0);
-    let top = script.load.per_s * factor(Trouble::Surge) * hottest;
+    let top = script.load.per_s * factor(Trouble::Surge) * factor(Trouble::HotCaller);
     let shares: f64 = script.classes.iter().map(|c| c.share).sum();
     let zipf = Zipf::new(script.load.keys, script.load.key_skew).expect("checked with the script");
     let (mut asks, mut at) = (Vec::new(), 0.0f64);
@@ -79,28 +95,23 @@
         }
         let now = at as Micros;
         let n = asks.len() as u64;
-        let (mut dice, pick): (f64, f64) = (sample(&mut rng), sample(&mut rng));
+        let (dice, pick): (f64, f64) = (sample(&mut rng), sample(&mut rng));
         let (all, hot) = surge(script, now);
-        let share = |i: usize| {
-            let more: f64 = hot.iter().filter(|h| h.0 == i).map(|h| h.1).product();
-            weights[i] * more
-        };
-        let extra: f64 =
-            (0..weights.len()).filter(|i| hot.iter().any(|h| h.0 == *i)).map(|i| share(i) - weights[i]).sum();
-        let total = 1.0 + extra;
-        dice *= top;
-        if dice >= script.load.per_s * all * total {
+        // A hot caller asks so much more than its own share; all others keep theirs.
+        let more = |(i, by): &(usize, f64)| weights[*i] * (by - 1.0);
+        let extra: f64 = hot.iter().map(more).sum();
+        if dice * top >= script.load.per_s * all * (1.0 + extra).max(0.0) {
             continue;
         }
-        let mut left = pick * total;
-        let mut sidecar = weights.len() - 1;
-        for i in 0..weights.len() {
-            left -= share(i);
-            if left < 0.0 {
-                sidecar = i;
-                break;
-            }
-        }
+        let mut left = pick * (1.0 + extra);
+        let caller = hot.iter().find(|h| {
+            left -= more(h);
+            left < 0.0
+        });
+        let sidecar = match caller {
+            Some((i, _)) => *i,
+            None => sums.partition_point(|s| *s <= left).min(weights.len() - 1),
+        };
         let mut which = sample(&mut rng) * shares;
         let last = script.classes.len() - 1;
         let class = script.classes.iter().position(|c| {
--- a/crates/emulator/src/script.rs
+++ b/crates/emulator/src/script.rs
@@ -86,6 +86,8 @@
     /// What the sidecars are told.
     #[serde(default)]
     pub sidecar: Sidecar,
+    /// Gateways between the sites; without, none.
+    pub gateway: Option<GatewaySpec>,
     /// What goes wrong.
     #[serde(default, rename = "fault")]
     pub faults: Vec<FaultSpec>,
@@ -338,6 +340,8 @@
     pub timeout_ms: f64,
     /// Share of the servers that the list handed to a starting sidecar lacks.
     pub stale: f64,
+    /// Sidecars are told of their own site only.
+    pub own_site: bool,
 }
 
 impl Default for List {
@@ -349,6 +353,7 @@
             calls_per_s: 50.0,
             timeout_ms: 2000.0,
             stale: 0.0,
+            own_site: false,
         }
     }
 }
@@ -393,6 +398,30 @@
     }
 }
 
+/// Gateways between the sites: sidecars then list their own site and its gateways only.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewaySpec {
+    /// Gateways at each site.
+    pub per_site: usize,
+    /// The first offer of one, in requests at a time.
+    pub first: u32,
+    /// The most it offers, and the most an outward half has out at one peer.
+    pub most: u32,
+    /// How long a statement holds.
+    pub holds_ms: f64,
+    /// How often one is made while nothing is asked.
+    pub state_ms: f64,
+    /// Inward halves list their own site's gateways too, as a mistaken list would: what crossed once then tries to go on.
+    pub mistaken: bool,
+}
+
+impl Default for GatewaySpec {
+    fn default() -> Self {
+        GatewaySpec { per_site: 1, first: 4, most: 200, holds_ms: 1500.0, state_ms: 300.0, mistaken: false }
+    }
+}
+
 /// A kind of trouble.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "kebab-case")]
@@ -417,7 +446,7 @@
     SiteLost,
     /// `site` and all others cannot reach each other.
     LinkCut,
-    /// Clients ask `strength` (2) times as much.
+    /// Clients (those of `site`, where it is stated) ask `strength` (2) times as much.
     Surge,
     /// The first sidecar's clients ask `strength` (10) times as much.
     HotCaller,
@@ -429,6 +458,12 @@
     LateStart,
     /// Sidecars die and come back with nothing.
     SidecarsDie,
+    /// Gateways die, and are back with nothing at the end.
+    GatewaysDie,
+    /// Gateways drain, and are back at the end.
+    GatewaysDrain,
+    /// Between sites all takes `strength` (5) times as long.
+    LinkSlow,
     /// The list service is down: calls fail, watches end.
     ListDark,
     /// The list service says nothing any more, and its connections stay.
@@ -635,6 +670,24 @@
         c.within("sidecar", 0, "drain_grace_ms", o.drain_grace_ms, 0.0, 6e5);
         c.within("sidecar", 0, "must_ask_s", o.must_ask_s, 0.1, DAY);
         c.within("sidecar", 0, "cross_price", o.cross_price, 0.0, 10.0);
+        if let Some(g) = &self.gateway {
+            c.within("gateway", 0, "per_site", g.per_site as f64, 1.0, 16.0);
+            c.within("gateway", 0, "first", f64::from(g.first), 0.0, 1e5);
+            c.within("gateway", 0, "most", f64::from(g.most), 1.0, 1e5);
+            c.within("gateway", 0, "holds_ms", g.holds_ms, 10.0, 10_000.0);
+            c.within("gateway", 0, "state_ms", g.state_ms, 10.0, 10_000.0);
+            if self.sites.len() < 2 {
+                c.say("gateway", 0, "per_site", "a gateway needs two sites at least".into());
+            }
+            if !self.sites.iter().all(|s| silvercross_gateway::hops::is_name(&s.name)) {
+                c.say(
+                    "site",
+                    0,
+                    "name",
+                    "with gateways a site's name is made of letters, digits, '-', '_' and '.'".into(),
+                );
+            }
+        }
         for (i, f) in self.faults.iter().enumerate() {
             self.check_fault(c, i, f);
         }
@@ -661,7 +714,7 @@
         let (low, high) = match f.kind {
             Trouble::Swallow | Trouble::FastErrors => (0.0, 1.0),
             Trouble::Neighbour => (0.0, 0.99),
-            Trouble::Slow | Trouble::SharedSlow => (1.0, 1e3),
+            Trouble::Slow | Trouble::SharedSlow | Trouble::LinkSlow => (1.0, 1e3),
             Trouble::Surge | Trouble::HotCaller => (0.0, 100.0),
             _ => (f64::MIN, f64::MAX),
         };
@@ -688,7 +741,15 @@
         if f.site.is_none() && matches!(f.kind, Trouble::SiteLost | Trouble::LinkCut) {
             c.say("fault", i, "site", "this kind needs one".into());
         }
-        let most = if f.kind == Trouble::SidecarsDie { self.sidecars() } else { self.servers() };
+        let of_gateways = matches!(f.kind, Trouble::GatewaysDie | Trouble::GatewaysDrain);
+        if of_gateways && self.gateway.is_none() {
+            c.say("fault", i, "kind", "there are no gateways: [gateway] is missing".into());
+        }
+        let most = match f.kind {
+            Trouble::SidecarsDie => self.sidecars(),
+            _ if of_gateways => self.gateways().max(1),
+            _ => self.servers(),
+        };
         if let Some(n) = f.which.iter().flatten().find(|n| **n >= most) {
             c.say("fault", i, "which", format!("there is no number {n}: they count from 0 to {}", most - 1));
         }
@@ -704,6 +765,16 @@
         self.sites.iter().map(|s| s.sidecars).sum()
     }
 
+    /// All gateways.
+    pub fn gateways(&self) -> usize {
+        self.gateway.as_ref().map_or(0, |g| g.per_site * self.sites.len())
+    }
+
+    /// Whether sidecars are told of their own site only.
+    pub fn own_site_only(&self) -> bool {
+        self.gateway.is_some() || self.list.own_site
+    }
+
     /// How long it lasts.
     pub fn length(&self) -> Micros {
         seconds(self.length_s)
@@ -741,7 +812,7 @@
             stream: false,
         };
         let settings = Settings {
-            instances: self.sidecars() as u32,
+            instances: (self.sidecars() + self.gateways()) as u32,
             me: me as u32,
             my_zone: site,
             zones: self.sites.len() as u32,
@@ -814,6 +885,7 @@
             Trouble::Slow => 3.0,
             Trouble::SharedSlow | Trouble::Surge => 2.0,
             Trouble::HotCaller => 10.0,
+            Trouble::LinkSlow => 5.0,
             _ => 1.0,
         })
     }
--- a/crates/emulator/src/virtual_time.rs
+++ b/crates/emulator/src/virtual_time.rs
@@ -11,6 +11,10 @@
 use crate::Policy;
 use silvercross_core::interface::{Decide, Micros, Settings};
 use silvercross_facade::{self as facade, Balancer, Clock, Host, News, Report, Request, Step, Turn};
+use silvercross_gateway::hops::Hops;
+use silvercross_gateway::offer::{Ended, Limits, Offer};
+use silvercross_gateway::peers::Peers;
+use silvercross_gateway::statement::Statement;
 use silvercross_net::table::Handle;
 use silvercross_settings::seconds;
 use std::cell::Cell;
@@ -48,6 +52,12 @@
     Told(u64, u64, bool, Vec<(usize, u8, Option<Micros>)>),
     ListEnded(u64),
     Silence(u64),
+    /// A gateway's inward half states its offer.
+    State(usize),
+    /// A gateway's outward half hears it: which half, which peer, life, sequence, slots.
+    Heard(usize, usize, u64, u64, u32, Micros),
+    /// What an outward half may send changes by itself.
+    Aged(usize),
     Sweep,
 }
 
@@ -72,6 +82,13 @@
 }
 
 struct Try {
+    /// Of a gateway's try: the attempt it carries on, when it came, and the sites it has left.
+    parent: Option<usize>,
+    began: Micros,
+    hops: Hops,
+    /// An attempt of it may have run: it was written whole and not sent back unseen.
+    may_have_run: bool,
+    deadline: Micros,
     ask: usize,
     sidecar: usize,
     jobs: Vec<usize>,
@@ -95,7 +112,17 @@
     heard: Micros,
 }
 
+/// A half of a gateway, beside its facade: what it decides beyond the module.
+enum Half {
+    Out { peers: Peers, told: Vec<bool>, aged_at: Micros },
+    In { offer: Offer },
+}
+
 struct Driver<'m> {
+    /// By number: outward, inward, for each gateway.
+    halves: Vec<Half>,
+    /// The try that carries an attempt on at a gateway.
+    carried: HashMap<usize, usize>,
     world: World,
     make: Make<'m>,
     now: Micros,
@@ -120,6 +147,14 @@
     SocketAddr::from(([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 1))
 }
 
+fn health_of(h: Health) -> facade::Health {
+    match h {
+        Health::Ready => facade::Health::Ready,
+        Health::Draining => facade::Health::Draining,
+        Health::Gone => facade::Health::Gone,
+    }
+}
+
 fn server_at(address: SocketAddr) -> usize {
     match address {
         SocketAddr::V4(a) => (u32::from_be_bytes(a.ip().octets()) & 0xff_ffff) as usize,
@@ -138,6 +173,7 @@
 pub fn play_with(script: &Script, seed: u64, make: Make<'_>) -> Figures {
     let world = World::new(script.clone(), seed);
     let (servers, asks) = (world.servers.len(), world.asks.len());
+    let targets = servers + 2 * script.gateways();
     let blank = |_| Sidecar {
         facade: None,
         starts: 0,
@@ -148,9 +184,11 @@
         seq: 0,
     };
     let mut driver = Driver {
-        sidecars: (0..script.sidecars()).map(blank).collect(),
-        lives: vec![0; servers],
-        at_server: vec![BTreeSet::new(); servers],
+        halves: Vec::new(),
+        carried: HashMap::new(),
+        sidecars: (0..script.sidecars() + 2 * script.gateways()).map(blank).collect(),
+        lives: vec![0; targets],
+        at_server: vec![BTreeSet::new(); targets],
         tries: Vec::new(),
         tries_of: vec![0; asks],
         jobs: Vec::new(),
@@ -184,6 +222,10 @@
         let end = script.length() + longest + 1_000_000;
         // Faults at the time 0 come first: a server that starts late is not there yet.
         self.advance_world();
+        for i in 0..2 * self.world.script.gateways() {
+            let half = self.new_half(i);
+            self.halves.push(half);
+        }
         for i in 0..self.sidecars.len() {
             self.start(i);
         }
@@ -260,6 +302,17 @@
                 }
                 Event::Started { .. } => {}
                 Event::List(out) => self.list_said(out),
+                Event::Gateway { number, up } => {
+                    for half in [2 * number, 2 * number + 1] {
+                        self.gateway_turns(half, up);
+                    }
+                }
+                Event::GatewayDrains { number } => {
+                    if let Half::In { offer } = &mut self.halves[2 * number + 1] {
+                        offer.drain();
+                    }
+                    self.at(self.now, What::State(2 * number + 1));
+                }
                 Event::Sidecar { number, up: true } => self.start(number),
                 Event::Sidecar { number, up: false } => self.die(number),
             }
@@ -302,19 +355,37 @@
     fn hosts(&self, entries: &[Listed]) -> Vec<Host> {
         let sites = &self.world.script.sites;
         let kinds = self.world.script.machine_kinds();
-        let host = |l: &Listed| Host {
-            name: format!("s-{}", l.server),
-            dial: Some(address(l.server)),
-            zone: sites[self.world.site(l.server)].name.clone(),
-            kind: kinds[self.world.kind(l.server)].name.clone(),
-            cell: self.world.cell(l.server) as u32,
-            health: match l.health {
-                Health::Ready => facade::Health::Ready,
-                Health::Draining => facade::Health::Draining,
-                Health::Gone => facade::Health::Gone,
-            },
-            size: 1.0,
-            born_ms: l.born.map_or(0, |b| ((EPOCH + b) / 1000) as u64),
+        let servers = self.world.servers.len();
+        let gateway = |target: usize| {
+            let (home, number) = (self.world.site(target), (target - servers) / 2);
+            // For its own site it stands for the far one, in a cell of its own; for the far site likewise.
+            let far = if (target - servers).is_multiple_of(2) { (home + 1) % sites.len() } else { home };
+            Host {
+                name: format!("g-{}", target - servers),
+                dial: Some(address(target)),
+                zone: sites[far].name.clone(),
+                kind: "gateway".into(),
+                cell: 1_000_000 + number as u32,
+                health: facade::Health::Ready,
+                size: 1.0,
+                born_ms: 0,
+            }
+        };
+        let host = |l: &Listed| {
+            if l.server >= servers {
+                Host { health: health_of(l.health), ..gateway(l.server) }
+            } else {
+                Host {
+                    name: format!("s-{}", l.server),
+                    dial: Some(address(l.server)),
+                    zone: sites[self.world.site(l.server)].name.clone(),
+                    kind: kinds[self.world.kind(l.server)].name.clone(),
+                    cell: self.world.cell(l.server) as u32,
+                    health: health_of(l.health),
+                    size: 1.0,
+                    born_ms: l.born.map_or(0, |b| ((EPOCH + b) / 1000) as u64),
+                }
+            }
         };
         entries.iter().map(host).collect()
     }
@@ -325,7 +396,10 @@
         }
         let site = self.world.sidecar_site(i) as u32;
         let (settings, front) = self.world.script.settings(i, site);
-        let known = self.hosts(&self.world.known(i));
+        let known = match self.half_of(i) {
+            Some(half) if half.is_multiple_of(2) => self.peer_hosts(half, |_| Health::Draining),
+            _ => self.hosts(&self.world.known(i)),
+        };
         let s = &mut self.sidecars[i];
         s.starts += 1;
         let seed = mix(self.world.seed ^ mix(i as u64) ^ (u64::from(s.starts) << 48));
@@ -349,9 +423,18 @@
             self.world.list.hang_up(asker);
         }
         for t in std::mem::take(&mut self.sidecars[i].open) {
-            self.world.checker.released(t as u64);
             self.tries[t].over = true;
-            self.tally.fates[self.tries[t].ask] = Fate::Void;
+            match self.tries[t].parent {
+                // A gateway is gone: whoever sent it there sees the connection break.
+                Some(parent) => {
+                    self.carried.remove(&parent);
+                    self.at(self.now + self.jobs[parent].delay, What::Reset(parent));
+                }
+                None => {
+                    self.world.checker.released(t as u64);
+                    self.tally.fates[self.tries[t].ask] = Fate::Void;
+                }
+            }
             for job in self.tries[t].jobs.clone() {
                 self.call_off(job);
             }
@@ -402,6 +485,10 @@
     }
 
     fn watch(&mut self, sidecar: usize, on: bool, watch: bool) {
+        if self.half_of(sidecar).is_some_and(|h| h.is_multiple_of(2)) {
+            // An outward half's list is what its peers state.
+            return;
+        }
         if let Some(asker) = self.sidecars[sidecar].asker.take() {
             self.askers.remove(&asker);
             self.world.list.hang_up(asker);
@@ -439,6 +526,26 @@
             What::Back(job, answer) => self.back(job, answer),
             What::NoConnection(job) => self.ended(job, Report::NotConnected),
             What::Reset(job) => self.ended(job, Report::Broken),
+            What::State(half) => self.state(half),
+            What::Heard(half, peer, life, seq, slots, holds) => {
+                let now = self.now;
+                if let Half::Out { peers, .. } = &mut self.halves[half] {
+                    peers.heard(now, peer, Statement { life, seq, slots, holds });
+                }
+                self.tell_room(half);
+            }
+            What::Aged(half) => {
+                if let Half::Out { aged_at, .. } = &mut self.halves[half] {
+                    *aged_at = Micros::MAX;
+                }
+                self.tell_room(half);
+            }
+            What::CalledOff(job) if self.jobs[job].server >= self.world.servers.len() => {
+                self.at_server[self.jobs[job].server].remove(&job);
+                if let Some(t) = self.carried.remove(&job) {
+                    self.left(t);
+                }
+            }
             What::CalledOff(job) => {
                 self.at_server[self.jobs[job].server].remove(&job);
                 let mut events = std::mem::take(&mut self.events);
@@ -475,7 +582,7 @@
             What::Told(asker, seq, whole, entries) => self.told(asker, seq, whole, &entries),
             What::ListEnded(asker) => self.list_broken(asker),
             What::Silence(asker) => {
-                let stands = self.world.list.is_well() && self.world.list.watching().any(|w| w == asker);
+                let stands = self.world.list.is_well() && self.world.list.is_watching(asker);
                 let now = self.now;
                 let Some(a) = self.askers.get_mut(&asker) else { return };
                 if stands {
@@ -493,8 +600,9 @@
                     for (server, idle) in &mut s.idle {
                         let before = idle.len();
                         idle.retain(|since| *since > retire);
-                        let held = &mut self.world.servers[*server].connections;
-                        *held = held.saturating_sub(before - idle.len());
+                        if let Some(s) = self.world.servers.get_mut(*server) {
+                            s.connections = s.connections.saturating_sub(before - idle.len());
+                        }
                     }
                     s.idle.retain(|_, idle| !idle.is_empty());
                 }
@@ -515,6 +623,7 @@
         };
         let entries: Vec<Listed> = entries
             .iter()
+            .filter(|e| self.world.tells(sidecar, e.0))
             .map(|(server, h, born)| Listed { server: *server, health: health(*h), born: *born })
             .collect();
         self.world.checker.contact(self.now, sidecar, true);
@@ -546,7 +655,18 @@
             write: class.effect != EffectSpec::Repeatable,
         };
         let half = a.impatient.then(|| a.at + ms(class.deadline_ms) / 2).filter(|at| *at > self.now);
-        self.tries.push(Try { ask, sidecar, jobs: Vec::new(), over: false });
+        let deadline = self.now + left;
+        self.tries.push(Try {
+            parent: None,
+            began: self.now,
+            hops: Hops::default(),
+            may_have_run: false,
+            deadline,
+            ask,
+            sidecar,
+            jobs: Vec::new(),
+            over: false,
+        });
         self.tries_of[ask] += 1;
         self.tally.tries += 1;
         self.sidecars[sidecar].open.insert(t);
@@ -568,6 +688,9 @@
 
     /// A client has its final answer for a try.
     fn answered(&mut self, t: usize, fate: Fate, retry_after: Option<Micros>) {
+        if self.tries[t].parent.is_some() {
+            return self.carried_answer(t, fate);
+        }
         self.world.checker.answered(self.now, t as u64, true);
         if self.tries[t].over {
             return;
@@ -600,27 +723,50 @@
             Some(i.remove(place))
         });
         let fresh = kept.is_none();
-        self.tally.sent(self.now, server, crosses);
+        let half = self.half_of(sidecar);
+        if half.is_none() {
+            self.tally.sent(self.now, server, crosses || server >= self.world.servers.len());
+        } else {
+            self.tally.reached(self.now, server);
+        }
         let life = self.lives[server];
+        if let Some(Half::Out { peers, .. }) = half.map(|h| &mut self.halves[h]) {
+            let peer = server - self.world.servers.len();
+            if !peers.has_room(self.now, peer / 2) {
+                // Its offer ended as the module picked it: nothing was written.
+                self.jobs.push(Job {
+                    of: t,
+                    number: attempt.number,
+                    server,
+                    life,
+                    fresh: false,
+                    stage: Stage::Over,
+                    delay,
+                });
+                return self.tell(sidecar, |f| f.report(attempt, Report::TurnedAway));
+            }
+            peers.sent(peer / 2);
+        }
         let mut new = Job { of: t, number: attempt.number, server, life, fresh, stage: Stage::Going, delay };
         if !fresh {
             self.jobs.push(new);
             return self.at(self.now + delay, What::Reach(job));
         }
-        self.tally.connections += 1;
-        let s = &mut self.world.servers[server];
+        self.tally.connections += u64::from(half.is_none());
         let limit = ms(self.world.script.sidecar.connect_limit_ms);
-        let full = s.connections >= s.connection_limit();
+        let (up, full) = match self.world.servers.get(server) {
+            Some(s) => (s.up, s.connections >= s.connection_limit()),
+            None => (self.sidecars[self.half_sidecar(server)].facade.is_some(), false),
+        };
         if !self.world.reaches(sidecar, server) || 2 * delay > limit {
             self.jobs.push(new);
             return self.at(self.now + limit, What::NoConnection(job));
         }
-        let s = &mut self.world.servers[server];
-        if !s.up || full {
+        if !up || full {
             self.jobs.push(new);
             return self.at(self.now + 2 * delay, What::NoConnection(job));
         }
-        s.connections += 1;
+        self.hold(server, 1);
         new.delay = self.world.delay(sidecar, server, unit(self.world.seed ^ 0xde1b, job as u64));
         self.jobs.push(new);
         self.at(self.now + 2 * delay + new.delay, What::Reach(job));
@@ -637,6 +783,16 @@
             }
             return;
         }
+        self.tries[t].may_have_run = true;
+        if server >= self.world.servers.len() {
+            if j.stage != Stage::Over {
+                self.jobs[job].stage = Stage::There;
+                self.at_server[server].insert(job);
+                self.world.checker.sent(self.now - j.delay, t as u64, sidecar, server);
+                self.carry(job);
+            }
+            return;
+        }
         if !self.world.servers[server].up || self.lives[server] != j.life {
             return self.at(self.now + j.delay, What::Reset(job));
         }
@@ -666,8 +822,7 @@
             if idle.len() < KEPT {
                 idle.push(self.now);
             } else {
-                let held = &mut self.world.servers[j.server].connections;
-                *held = held.saturating_sub(1);
+                self.hold(j.server, -1);
             }
         }
         let report = match answer {
@@ -675,6 +830,7 @@
             a if a == Answer::Error as u8 => Report::Error,
             _ => Report::TurnedAway,
         };
+        self.hear_with(job);
         self.ended(job, report);
     }
 
@@ -685,6 +841,13 @@
             return;
         }
         self.jobs[job].stage = Stage::Over;
+        self.peer_ended(job, report);
+        if report == Report::TurnedAway || report == Report::NotConnected {
+            // The others of it that are out, or ended otherwise, may have run all the same.
+            let others =
+                self.tries[j.of].jobs.iter().any(|o| *o != job && self.jobs[*o].stage != Stage::Over);
+            self.tries[j.of].may_have_run = others || self.tries[j.of].jobs.len() > 1;
+        }
         let attempt = facade::Attempt { request: Handle::from_number(j.of as u64), number: j.number };
         self.tell(self.tries[j.of].sidecar, |f| f.report(attempt, report));
     }
@@ -696,9 +859,9 @@
             return;
         }
         self.jobs[job].stage = Stage::Over;
+        self.peer_ended(job, Report::Broken);
         if self.lives[j.server] == j.life {
-            let held = &mut self.world.servers[j.server].connections;
-            *held = held.saturating_sub(1);
+            self.hold(j.server, -1);
         }
         if j.stage == Stage::There && self.world.reaches(self.tries[j.of].sidecar, j.server) {
             self.at(self.now + j.delay, What::CalledOff(job));
@@ -706,6 +869,240 @@
     }
 }
 
+/// The gateways: each is two facades, the outward half's round the far gateways, the inward half's round home's servers.
+impl Driver<'_> {
+    /// The half that a "sidecar" is.
+    fn half_of(&self, sidecar: usize) -> Option<usize> {
+        sidecar.checked_sub(self.world.script.sidecars())
+    }
+
+    /// The "sidecar" that the half behind a target is.
+    fn half_sidecar(&self, target: usize) -> usize {
+        self.world.script.sidecars() + target - self.world.servers.len()
+    }
+
+    /// One connection more or less at a server; gateways hold as many as come.
+    fn hold(&mut self, server: usize, more: isize) {
+        if let Some(s) = self.world.servers.get_mut(server) {
+            s.connections = s.connections.saturating_add_signed(more);
+        }
+    }
+
+    fn new_half(&mut self, half: usize) -> Half {
+        let spec = self.world.script.gateway.clone().unwrap_or_default();
+        let n = self.world.script.gateways();
+        if half.is_multiple_of(2) {
+            return Half::Out { peers: Peers::new(n, spec.most), told: vec![false; n], aged_at: Micros::MAX };
+        }
+        let limits = Limits { first: spec.first, most: spec.most, holds: ms(spec.holds_ms) };
+        let life = mix(self.world.seed ^ self.now as u64 ^ mix(half as u64));
+        self.at(self.now + 1_000, What::State(half));
+        Half::In { offer: Offer::new(limits, life, self.now) }
+    }
+
+    fn gateway_turns(&mut self, half: usize, up: bool) {
+        let sidecar = self.world.script.sidecars() + half;
+        if self.sidecars[sidecar].facade.is_some() {
+            self.die(sidecar);
+        }
+        self.lives[self.world.servers.len() + half] += 1;
+        if up {
+            self.halves[half] = self.new_half(half);
+            self.start(sidecar);
+        }
+    }
+
+    /// The far gateways as an outward half's module is to know them.
+    fn peer_hosts(&self, half: usize, health: impl Fn(usize) -> Health) -> Vec<Host> {
+        let servers = self.world.servers.len();
+        let home = self.world.site(servers + half);
+        let far = (0..self.world.script.gateways()).filter(|g| self.world.site(servers + 2 * g) != home);
+        let listed = far.map(|g| Listed { server: servers + 2 * g + 1, health: health(g), born: None });
+        self.hosts(&listed.collect::<Vec<_>>())
+    }
+
+    /// Tell an outward half's module which far gateways may be sent anything now, where that has changed.
+    fn tell_room(&mut self, half: usize) {
+        let now = self.now;
+        let Half::Out { peers, told, aged_at } = &mut self.halves[half] else { return };
+        let open: Vec<bool> = (0..told.len()).map(|p| peers.has_room(now, p)).collect();
+        let next = peers.next(now).filter(|at| at < aged_at);
+        *aged_at = next.unwrap_or(*aged_at);
+        let changed = open != *told;
+        told.clone_from(&open);
+        if let Some(at) = next {
+            self.at(at, What::Aged(half));
+        }
+        if changed {
+            let health = |g: usize| if open[g] { Health::Ready } else { Health::Draining };
+            let hosts = self.peer_hosts(half, health);
+            let sidecar = self.world.script.sidecars() + half;
+            self.tell(sidecar, |f| f.news(&News::List { whole: true, hosts }));
+        }
+    }
+
+    /// An inward half states its offer to all far gateways that it reaches.
+    fn state(&mut self, half: usize) {
+        let sidecar = self.world.script.sidecars() + half;
+        if self.sidecars[sidecar].facade.is_none() {
+            return;
+        }
+        let Half::In { offer } = &mut self.halves[half] else { return };
+        let s = offer.state();
+        let (servers, home) = (self.world.servers.len(), self.world.sidecar_site(sidecar));
+        for g in 0..self.world.script.gateways() {
+            let target = servers + 2 * g;
+            if self.world.site(target) != home && self.world.reaches(sidecar, target) {
+                let delay = self.world.delay(sidecar, target, unit(self.world.seed ^ s.seq, g as u64));
+                self.at(self.now + delay, What::Heard(2 * g, half / 2, s.life, s.seq, s.slots, s.holds));
+            }
+        }
+        let every = self.world.script.gateway.as_ref().map_or(300.0, |g| g.state_ms);
+        self.at(self.now + ms(every), What::State(half));
+    }
+
+    /// An answer over the link brings a statement along.
+    fn hear_with(&mut self, job: usize) {
+        let (from, target) = (self.half_of(self.tries[self.jobs[job].of].sidecar), self.jobs[job].server);
+        let Some(inward) = target.checked_sub(self.world.servers.len()).filter(|h| !h.is_multiple_of(2))
+        else {
+            return;
+        };
+        let Some(half) = from else { return };
+        let Half::In { offer } = &mut self.halves[inward] else { return };
+        let (s, now) = (offer.state(), self.now);
+        if let Half::Out { peers, .. } = &mut self.halves[half] {
+            peers.heard(now, inward / 2, s);
+        }
+        self.tell_room(half);
+    }
+
+    /// An attempt of an outward half has ended.
+    fn peer_ended(&mut self, job: usize, report: Report) {
+        let j = self.jobs[job];
+        let t = &self.tries[j.of];
+        let Some(half) = self.half_of(t.sidecar) else { return };
+        let size = self.world.asks[t.ask].expected
+            / ms(self.world.script.classes[self.world.asks[t.ask].class].work_ms) as f64;
+        let took = (report == Report::Served).then(|| (self.now - t.began) as f64 / size.max(0.1));
+        let Half::Out { peers, .. } = &mut self.halves[half] else { return };
+        let peer = (j.server - self.world.servers.len()) / 2;
+        peers.ended(peer, took);
+        if matches!(report, Report::NotConnected) || (report == Report::Broken && j.stage == Stage::Stuck) {
+            peers.broken(peer);
+        }
+        self.tell_room(half);
+    }
+
+    /// An attempt has come to a gateway: carry it on, or send it back unseen.
+    fn carry(&mut self, job: usize) {
+        let (of, target) = (self.jobs[job].of, self.jobs[job].server);
+        let (half, sidecar) = (target - self.world.servers.len(), self.half_sidecar(target));
+        if self.sidecars[sidecar].facade.is_none() || self.lives[target] != self.jobs[job].life {
+            self.at_server[target].remove(&job);
+            return self.at(self.now + self.jobs[job].delay, What::Reset(job));
+        }
+        let ask = self.tries[of].ask;
+        let a = &self.world.asks[ask];
+        let class = &self.world.script.classes[a.class];
+        let left = self.tries[of].deadline - self.jobs[job].delay - self.now;
+        let home = self.world.script.sites[self.world.site(target)].name.clone();
+        let size = a.expected / ms(class.work_ms) as f64;
+        let hops = match &mut self.halves[half] {
+            Half::Out { peers, .. } => {
+                let fits = peers.may_cross(self.now, left, size).ok();
+                fits.and_then(|()| self.tries[of].hops.leave(&home).ok())
+            }
+            Half::In { offer } => {
+                let hops = self.tries[of].hops.clone();
+                hops.arrive(&home).ok().filter(|()| offer.admit()).map(|()| hops)
+            }
+        };
+        let Some(hops) = hops.filter(|_| left > 0) else {
+            self.at_server[target].remove(&job);
+            return self.at(self.now + self.jobs[job].delay, What::Back(job, Answer::Full as u8));
+        };
+        let t = self.tries.len();
+        let request = Request {
+            handle: Handle::from_number(t as u64),
+            class: a.class as u32,
+            tenant: 0,
+            key: Some(mix(a.key)),
+            budget: Some(left),
+            cost_hint: a.hint,
+            repeat: false,
+            write: class.effect != EffectSpec::Repeatable,
+        };
+        self.tries.push(Try {
+            parent: Some(job),
+            began: self.now,
+            hops,
+            may_have_run: false,
+            deadline: self.now + left,
+            ask,
+            sidecar,
+            jobs: Vec::new(),
+            over: false,
+        });
+        self.carried.insert(job, t);
+        self.sidecars[sidecar].open.insert(t);
+        self.tell(sidecar, |f| f.pick(request));
+    }
+
+    /// What a gateway's inward half learns of a guest that is done.
+    fn guest_ended(&mut self, t: usize, how: Ended) {
+        let (took, expected) = (self.now - self.tries[t].began, self.world.asks[self.tries[t].ask].expected);
+        let half = self.half_of(self.tries[t].sidecar);
+        if let Some(Half::In { offer }) = half.map(|h| &mut self.halves[h]) {
+            offer.ended(self.now, how, took, expected);
+        }
+    }
+
+    /// A gateway's facade has its final answer for what it carries on.
+    fn carried_answer(&mut self, t: usize, fate: Fate) {
+        let Some(parent) = self.tries[t].parent.filter(|_| !self.tries[t].over) else { return };
+        self.tries[t].over = true;
+        let sidecar = self.tries[t].sidecar;
+        self.sidecars[sidecar].open.remove(&t);
+        self.carried.remove(&parent);
+        let how = match fate {
+            Fate::Served(_) => Ended::Served,
+            Fate::Refused => Ended::TurnedAway,
+            _ => Ended::Failed,
+        };
+        self.guest_ended(t, how);
+        let answer = match how {
+            Ended::Served => Answer::Served,
+            // Only what cannot have run anywhere may be sent again anywhere.
+            _ if !self.tries[t].may_have_run => Answer::Full,
+            _ => Answer::Error,
+        };
+        let j = self.jobs[parent];
+        self.at_server[j.server].remove(&parent);
+        if j.stage != Stage::There {
+            return;
+        }
+        let from = self.tries[j.of].sidecar;
+        if self.world.reaches(from, j.server) {
+            self.at(self.now + j.delay, What::Back(parent, answer as u8));
+        } else {
+            self.jobs[parent].stage = Stage::Stuck;
+            self.at_server[j.server].insert(parent);
+        }
+    }
+
+    /// Whoever sent what a gateway carries on has called it off.
+    fn left(&mut self, t: usize) {
+        if std::mem::replace(&mut self.tries[t].over, true) {
+            return;
+        }
+        let sidecar = self.tries[t].sidecar;
+        self.sidecars[sidecar].open.remove(&t);
+        self.guest_ended(t, Ended::Left);
+        self.tell(sidecar, |f| f.hung_up(Handle::from_number(t as u64)));
+    }
+}
+
 /// When a client tries again, if it does: it wants to, may, and has the time.
 pub fn retry_at(
     world: &World,
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -57,6 +57,18 @@
     },
     /// The list service says something.
     List(list::Out),
+    /// A gateway dies, or is to start with nothing.
+    Gateway {
+        /// Which one.
+        number: usize,
+        /// It starts.
+        up: bool,
+    },
+    /// A gateway drains.
+    GatewayDrains {
+        /// Which one.
+        number: usize,
+    },
     /// A sidecar dies, or is to start with nothing.
     Sidecar {
         /// Which one.
@@ -101,6 +113,16 @@
         number: usize,
         up: bool,
     },
+    Gateway {
+        number: usize,
+        up: bool,
+    },
+    GatewayDrains {
+        number: usize,
+    },
+    LinkSlow {
+        by: f64,
+    },
     List(Outage),
     /// A server that has fallen may start anew.
     Restart {
@@ -131,7 +153,13 @@
     pub checker: Checker,
     site_of: Vec<usize>,
     kind_of: Vec<usize>,
+    /// Of the sidecars, then of the gateways' halves: outward, inward, for each.
     sidecar_site: Vec<usize>,
+    /// Of all that is sent to: the servers, then the gateways' halves.
+    target_site: Vec<usize>,
+    gateways_down: Vec<u32>,
+    /// Between sites all takes so many times as long.
+    slow_link: f64,
     down: Vec<u32>,
     deaths: Vec<u64>,
     silent: Vec<u32>,
@@ -152,9 +180,14 @@
         let kinds = script.machine_kinds();
         let site_of: Vec<usize> =
             script.sites.iter().enumerate().flat_map(|(i, s)| std::iter::repeat_n(i, s.servers)).collect();
-        let sidecar_site: Vec<usize> =
+        let mut sidecar_site: Vec<usize> =
             script.sites.iter().enumerate().flat_map(|(i, s)| std::iter::repeat_n(i, s.sidecars)).collect();
         let n = site_of.len();
+        let per_site = script.gateway.as_ref().map_or(0, |g| g.per_site);
+        let halves: Vec<usize> = (0..script.gateways()).flat_map(|g| [g / per_site; 2]).collect();
+        let target_site: Vec<usize> = site_of.iter().chain(&halves).copied().collect();
+        let sidecars = sidecar_site.len();
+        sidecar_site.extend(&halves);
         // Kinds in the script's proportions, spread over the fleet by the seed, the same for any load.
         let shares: f64 = kinds.iter().map(|k| k.share).sum();
         let mut kind_of = vec![0; n];
@@ -168,7 +201,8 @@
         }
         let servers = kind_of.iter().map(|k| Server::new(kinds[*k].clone(), script.server.clone())).collect();
         let l = &script.list;
-        let list = ListService::new(0..n, ms(l.lag_ms), l.calls_per_s, ms(l.timeout_ms));
+        let near = (0..script.gateways()).map(|g| n + 2 * g);
+        let list = ListService::new((0..n).chain(near), ms(l.lag_ms), l.calls_per_s, ms(l.timeout_ms));
         let mut world = World {
             asks: plan::draw(&script, seed),
             checker: Checker::new(&script),
@@ -178,7 +212,10 @@
             deaths: vec![0; n],
             silent: vec![0; n],
             cut: vec![0; script.sites.len()],
-            sidecars_down: vec![0; sidecar_site.len()],
+            sidecars_down: vec![0; sidecars],
+            gateways_down: vec![0; script.gateways()],
+            slow_link: 1.0,
+            target_site,
             site_of,
             kind_of,
             sidecar_site,
@@ -301,11 +338,28 @@
                 self.at(to, Change::Cut { site, on: false });
             }
             Trouble::SidecarsDie => {
-                for number in self.targets(i, &self.sidecar_site.clone()) {
+                let n = self.sidecars_down.len();
+                for number in self.targets(i, &self.sidecar_site[..n]) {
                     self.at(from, Change::Sidecar { number, up: false });
                     self.at(to, Change::Sidecar { number, up: true });
                 }
             }
+            Trouble::GatewaysDie | Trouble::GatewaysDrain => {
+                let sites: Vec<usize> =
+                    self.sidecar_site[self.sidecars_down.len()..].iter().step_by(2).copied().collect();
+                for number in self.targets(i, &sites) {
+                    let begins = match f.kind {
+                        Trouble::GatewaysDie => Change::Gateway { number, up: false },
+                        _ => Change::GatewayDrains { number },
+                    };
+                    self.at(from, begins);
+                    self.at(to, Change::Gateway { number, up: true });
+                }
+            }
+            Trouble::LinkSlow => {
+                self.at(from, Change::LinkSlow { by: strength });
+                self.at(to, Change::LinkSlow { by: 1.0 });
+            }
             Trouble::ListDark | Trouble::ListMute => {
                 let outage = if f.kind == Trouble::ListDark { Outage::Dark } else { Outage::Mute };
                 self.at(from, Change::List(outage));
@@ -316,9 +370,9 @@
         }
     }
 
-    /// The site of a server.
+    /// The site of a server, or of a gateway's half.
     pub fn site(&self, server: usize) -> usize {
-        self.site_of[server]
+        self.target_site[server]
     }
 
     /// The kind of a server's machine.
@@ -337,9 +391,12 @@
         self.sidecar_site[sidecar]
     }
 
-    /// Whether a sidecar runs.
+    /// Whether a sidecar runs, or the gateway that a half belongs to.
     pub fn sidecar_up(&self, sidecar: usize) -> bool {
-        self.sidecars_down[sidecar] == 0
+        match sidecar.checked_sub(self.sidecars_down.len()) {
+            None => self.sidecars_down[sidecar] == 0,
+            Some(half) => self.gateways_down[half / 2] == 0,
+        }
     }
 
     /// Whether bytes pass between a sidecar and a server: the machine is not silent and no cut lies between.
@@ -349,19 +406,21 @@
 
     /// The same from all of a site.
     pub fn reaches_from(&self, from: usize, server: usize) -> bool {
-        let to = self.site_of[server];
-        self.silent[server] == 0 && (from == to || (self.cut[from] == 0 && self.cut[to] == 0))
+        let to = self.target_site[server];
+        self.silent.get(server).is_none_or(|s| *s == 0)
+            && (from == to || (self.cut[from] == 0 && self.cut[to] == 0))
     }
 
     /// Whether a server's machine is silent to all.
     pub fn is_silent(&self, server: usize) -> bool {
-        self.silent[server] > 0
+        self.silent.get(server).is_some_and(|s| *s > 0)
     }
 
     /// How long a message takes one way; `dice` from 0 to 1 draws the jitter.
     pub fn delay(&self, sidecar: usize, server: usize, dice: f64) -> Micros {
         let n = &self.script.network;
-        let base = if self.sidecar_site[sidecar] == self.site_of[server] { n.same_ms } else { n.cross_ms };
+        let same = self.sidecar_site[sidecar] == self.target_site[server];
+        let base = if same { n.same_ms } else { n.cross_ms * self.slow_link };
         ms(base * (1.0 + n.jitter * dice))
     }
 
@@ -507,7 +566,7 @@
 
     fn announce(&mut self, now: Micros, server: usize, health: Health) -> Micros {
         let more = (unit(self.seed ^ 0x115, (now as u64) ^ mix(server as u64)) * 50_000.0) as Micros;
-        let born = self.servers[server].born;
+        let born = self.servers.get(server).and_then(|s| s.born);
         self.list.announce(now, more, Listed { server, health, born })
     }
 
@@ -569,6 +628,31 @@
                 }
                 out.push(Event::Silent { server, on: self.silent[server] > 0 });
             }
+            Change::Notice { server } if server >= self.servers.len() => {
+                if self.gateways_down[(server - self.servers.len()) / 2] > 0 {
+                    self.announce(now, server, Health::Gone);
+                }
+            }
+            Change::Gateway { number, up } => {
+                let (n, near) = (&mut self.gateways_down[number], self.servers.len() + 2 * number);
+                *n = if up { n.saturating_sub(1) } else { *n + 1 };
+                let up = *n == 0;
+                if up {
+                    self.checker.drains(near, None);
+                    self.announce(now, near, Health::Ready);
+                } else {
+                    let notice = seconds(self.script.list.notice_s);
+                    self.at(now + notice, Change::Notice { server: near });
+                }
+                out.push(Event::Gateway { number, up });
+            }
+            Change::GatewayDrains { number } => {
+                let server = self.servers.len() + 2 * number;
+                let visible = self.announce(now, server, Health::Draining);
+                self.checker.drains(server, Some(visible));
+                out.push(Event::GatewayDrains { number });
+            }
+            Change::LinkSlow { by } => self.slow_link = by,
             Change::Notice { server } => {
                 let lost = !self.servers[server].up || self.silent[server] > 0;
                 if lost {
@@ -607,6 +691,14 @@
         out.push(Event::Started { server });
     }
 
+    /// Whether a sidecar, or an inward half, is told of a server or gateway at all.
+    pub fn tells(&self, sidecar: usize, server: usize) -> bool {
+        let own = self.sidecar_site[sidecar] == self.target_site[server];
+        let mistaken = self.script.gateway.as_ref().is_some_and(|g| g.mistaken);
+        let gateway_to_half = server >= self.servers.len() && sidecar >= self.sidecars_down.len();
+        (own || !self.script.own_site_only()) && (!gateway_to_half || mistaken)
+    }
+
     /// The version of what a sidecar is handed at its start; a list that lacks something is of no version.
     pub fn known_seq(&self) -> u64 {
         if self.script.list.stale > 0.0 {
@@ -620,7 +712,8 @@
     pub fn known(&self, sidecar: usize) -> Vec<Listed> {
         let lacks =
             |l: &Listed| unit(self.seed ^ mix(sidecar as u64), l.server as u64) < self.script.list.stale;
-        let all = self.list.whole();
+        let mut all = self.list.whole();
+        all.retain(|l| self.tells(sidecar, l.server));
         let known: Vec<Listed> = all.iter().filter(|l| !lacks(l)).copied().collect();
         if known.is_empty() {
             all
--- a/crates/rehearse/src/commands.rs
+++ b/crates/rehearse/src/commands.rs
@@ -6,7 +6,7 @@
 use crate::report;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use silvercross_emulator::figures::Figures;
-use silvercross_emulator::script::{Mode, Script};
+use silvercross_emulator::script::{Mode, Script, Trouble};
 use silvercross_emulator::Policy;
 use slog::{info, Logger};
 use std::path::{Path, PathBuf};
@@ -129,11 +129,21 @@
     /// Another build of the sidecar, on sockets.
     #[arg(long)]
     sidecar: Option<PathBuf>,
+    /// The script's gateways as they are, taken out (each site for itself), or taken out with all servers listed everywhere.
+    #[arg(long, value_enum, default_value = "on")]
+    gateway: Gateways,
     /// Leave the plain policies out.
     #[arg(long)]
     no_baselines: bool,
 }
 
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Gateways {
+    On,
+    Off,
+    Direct,
+}
+
 #[derive(Clone, Copy, Debug, ValueEnum)]
 enum ModeArg {
     Virtual,
@@ -284,7 +294,13 @@
 }
 
 fn run_once(args: &RunArgs, log: &Logger) -> Result<bool, String> {
-    let script = read(&args.script)?;
+    let mut script = read(&args.script)?;
+    if !matches!(args.gateway, Gateways::On) {
+        script.gateway = None;
+        script.list.own_site = matches!(args.gateway, Gateways::Off);
+        // What happens to gateways has no meaning then.
+        script.faults.retain(|f| !matches!(f.kind, Trouble::GatewaysDie | Trouble::GatewaysDrain));
+    }
     let (mode, seed) = args.how.of(&script);
     let side = match &args.sidecar {
         Some(path) => Side::Build(path.clone()),
@@ -330,8 +346,9 @@
         println!("  cut short: what follows is of what was played");
     }
     println!("  served worth   {:.3}   worst 5 s {:.3}", f.served_worth, f.worst_5s);
-    for (class, worth) in &f.by_class {
-        println!("    {class:<20} {worth:.3}");
+    let sites = f.by_site.iter().filter(|_| f.by_site.len() > 1);
+    for (name, worth) in f.by_class.iter().chain(sites) {
+        println!("    {name:<20} {worth:.3}");
     }
     println!(
         "  asks {}: served {}, refused {}, failed {}, given up {}; median {} ms, p99 {} ms",
--- a/crates/rehearse/src/sockets/mod.rs
+++ b/crates/rehearse/src/sockets/mod.rs
@@ -174,6 +174,9 @@
 
 /// Play a script on sockets, with these sidecars. The error is one plain line.
 pub fn play(script: &Script, seed: u64, program: &Program, log: &Logger) -> Result<Figures, String> {
+    if script.gateway.is_some() {
+        return Err("scripts with gateways are played in simulated time: add --mode virtual".into());
+    }
     let mut driver =
         Driver::new(script, seed, program, log).map_err(|e| format!("cannot set the stand-ins up: {e}"))?;
     let stop = driver.stop.clone();
@@ -472,6 +475,8 @@
                     }
                 }
                 Event::Silent { .. } | Event::Cut { .. } => self.mute_as_cut(),
+                // Refused at the start: gateways are played in simulated time.
+                Event::Gateway { .. } | Event::GatewayDrains { .. } => {}
                 Event::List(out) => self.list_said(now, out),
                 Event::Sidecar { number, up: true } => {
                     info!(self.log, "sidecar starts"; "sidecar" => number, "at_ms" => now / 1000);
@@ -565,6 +570,8 @@
                     return;
                 };
                 let sidecar = *sidecar;
+                let told = entries.iter().filter(|l| self.world.tells(sidecar, l.server));
+                let entries: Vec<Listed> = told.copied().collect();
                 self.world.checker.contact(now, sidecar, true);
                 for l in entries.iter().filter(|l| l.health == Health::Draining) {
                     self.world.checker.told(now, sidecar, l.server);
