A gateway with nothing to give takes no connections, so that its sidecars leave it out

At fault: the module takes a full queue as one that would have taken the aim, and learns from it how long requests usually take, so home looked slow too and was refused. Ruled out: the offers, which had ended in time. Change: an outward half takes no connections and closes idle ones while nothing may go over; the module's cooldown does the rest.

--- a/crates/emulator/src/virtual_time.rs
+++ b/crates/emulator/src/virtual_time.rs
@@ -756,7 +756,7 @@
         let limit = ms(self.world.script.sidecar.connect_limit_ms);
         let (up, full) = match self.world.servers.get(server) {
             Some(s) => (s.up, s.connections >= s.connection_limit()),
-            None => (self.sidecars[self.half_sidecar(server)].facade.is_some(), false),
+            None => (self.sidecars[self.half_sidecar(server)].facade.is_some(), !self.takes(server)),
         };
         if !self.world.reaches(sidecar, server) || 2 * delay > limit {
             self.jobs.push(new);
@@ -921,6 +921,15 @@
         self.hosts(&listed.collect::<Vec<_>>())
     }
 
+    /// Whether a gateway's half takes connections: an outward half only while something may go over.
+    fn takes(&self, target: usize) -> bool {
+        let aims = self.world.script.classes.iter().map(|c| ms(c.aim_ms));
+        match &self.halves[target - self.world.servers.len()] {
+            Half::Out { peers, .. } => peers.is_open(self.now, aims.max().unwrap_or(0)),
+            Half::In { .. } => true,
+        }
+    }
+
     /// Tell an outward half's module which far gateways may be sent anything now, where that has changed.
     fn tell_room(&mut self, half: usize) {
         let now = self.now;
@@ -933,6 +942,13 @@
         if let Some(at) = next {
             self.at(at, What::Aged(half));
         }
+        if !self.takes(self.world.servers.len() + half) {
+            // Those that stand idle are closed too: whoever wants over has to knock, and is not let in.
+            let target = self.world.servers.len() + half;
+            for s in &mut self.sidecars {
+                s.idle.remove(&target);
+            }
+        }
         if changed {
             let health = |g: usize| if open[g] { Health::Ready } else { Health::Draining };
             let hosts = self.peer_hosts(half, health);
@@ -985,9 +1001,10 @@
         let size = self.world.asks[t.ask].expected
             / ms(self.world.script.classes[self.world.asks[t.ask].class].work_ms) as f64;
         let took = (report == Report::Served).then(|| (self.now - t.began) as f64 / size.max(0.1));
+        let now = self.now;
         let Half::Out { peers, .. } = &mut self.halves[half] else { return };
         let peer = (j.server - self.world.servers.len()) / 2;
-        peers.ended(peer, took);
+        peers.ended(now, peer, took);
         if matches!(report, Report::NotConnected) || (report == Report::Broken && j.stage == Stage::Stuck) {
             peers.broken(peer);
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,6 +8,9 @@
 /// A request is let over when the time it has left covers the mean and so many times the spread.
 const SURE: f64 = 2.0;
 
+/// What was learnt of the far answer halves in so long without one: a stall is not believed in for ever.
+const FORGET: f64 = 2e6;
+
 /// Why a request is not let over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotOver {
@@ -27,6 +30,15 @@
     seen: f64,
     mean: f64,
     spread: f64,
+    answered_at: Micros,
+}
+
+impl Peer {
+    /// How long the far answer to a usual request takes, as sure as may be.
+    fn needs(&self, now: Micros) -> f64 {
+        let old = (now - self.answered_at).max(0) as f64;
+        (self.mean + SURE * self.spread) * 0.5f64.powf(old / FORGET)
+    }
 }
 
 /// All far gateways, by their numbers.
@@ -105,6 +117,14 @@
         self.peers.get(peer).is_some_and(|p| p.out < self.slots(now, peer))
     }
 
+    /// Whether anything may go over now: a peer has room, and its answers to usual requests come within `aim`. Where not,
+    /// the gateway takes no connections from its own site, so that its sidecars' modules leave it out by its liveness: an
+    /// answer "full" to each would tell them, wrongly, that home itself is slow.
+    pub fn is_open(&self, now: Micros, aim: Micros) -> bool {
+        let fits = |i: &usize| self.peers[*i].seen < 5.0 || self.peers[*i].needs(now) <= aim as f64;
+        (0..self.peers.len()).filter(|i| self.has_room(now, *i)).any(|i| fits(&i))
+    }
+
     /// What is out at a peer.
     pub fn out(&self, peer: usize) -> u32 {
         self.peers.get(peer).map_or(0, |p| p.out)
@@ -131,10 +151,7 @@
         if open.is_empty() {
             return Err(NotOver::NoRoom);
         }
-        let needs = |i: &usize| {
-            let p = &self.peers[*i];
-            (p.mean + SURE * p.spread) * work.max(0.1)
-        };
+        let needs = |i: &usize| self.peers[*i].needs(now) * work.max(0.1);
         // Nothing learnt yet: the first ones find out.
         let fits = open.iter().any(|i| self.peers[*i].seen < 5.0 || needs(i) <= left as f64);
         if fits {
@@ -152,12 +169,15 @@
     }
 
     /// It has ended there. `took`: how long a served one took, the way included, by its size against the usual.
-    pub fn ended(&mut self, peer: usize, took: Option<f64>) {
+    pub fn ended(&mut self, now: Micros, peer: usize, took: Option<f64>) {
         let Some(p) = self.peers.get_mut(peer) else { return };
         p.out = p.out.saturating_sub(1);
         let Some(took) = took else { return };
+        let fresh = 0.5f64.powf((now - p.answered_at).max(0) as f64 / FORGET);
+        (p.mean, p.spread) = if p.seen > 0.0 { (p.mean * fresh, p.spread * fresh) } else { (0.0, 0.0) };
+        p.answered_at = now;
         p.seen += 1.0;
-        let weight = (1.0 / p.seen).max(LEARN);
+        let weight = (1.0 / p.seen).max(LEARN).max(1.0 - fresh);
         let off = took - p.mean;
         p.mean += off * weight;
         p.spread += (off.abs() - p.spread) * weight;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -107,11 +107,15 @@
     peers.heard(0, 0, Statement { life: 1, seq: 1, slots: 10, holds: S });
     for _ in 0..50 {
         peers.sent(0);
-        peers.ended(0, Some(80_000.0));
+        peers.ended(0, 0, Some(80_000.0));
     }
     assert_eq!(peers.may_cross(0, 100 * MS, 1.0), Ok(()));
     assert_eq!(peers.may_cross(0, 60 * MS, 1.0), Err(NotOver::NoTime));
     assert_eq!(peers.may_cross(0, 100 * MS, 3.0), Err(NotOver::NoTime), "three times the work");
+    assert!(peers.is_open(0, 100 * MS) && !peers.is_open(0, 60 * MS));
+    // What was learnt of a stall fades: somebody has to find out that it is over.
+    peers.heard(4 * S, 0, Statement { life: 1, seq: 2, slots: 10, holds: S });
+    assert!(peers.is_open(4 * S, 60 * MS));
 }
 
 proptest! {
@@ -163,7 +167,7 @@
                     prop_assert!(out[i] <= peers.slots(now, i) && out[i] <= 30);
                 }
                 7 if out[i] > 0 => {
-                    peers.ended(i, (wait % 2 == 0).then_some(wait as f64));
+                    peers.ended(now, i, (wait % 2 == 0).then_some(wait as f64));
                     out[i] -= 1;
                 }
                 8 => drop(peers.next(now)),
