--- a/crates/emulator/src/virtual_time.rs
+++ b/crates/emulator/src/virtual_time.rs
@@ -746,6 +746,7 @@
                 return self.tell(sidecar, |f| f.report(attempt, Report::TurnedAway));
             }
             peers.sent(peer / 2);
+            self.tell_room(half.expect("a half"));
         }
         let mut new = Job { of: t, number: attempt.number, server, life, fresh, stage: Stage::Going, delay };
         if !fresh {
@@ -957,14 +958,23 @@
         }
     }
 
+    /// How many gateways a half's offer is parted among: those of the other sites.
+    fn far_gateways(&self, half: usize) -> u32 {
+        let per_site = self.world.script.gateway.as_ref().map_or(1, |g| g.per_site);
+        let home = self.world.site(self.world.servers.len() + half);
+        self.world.script.sites.iter().enumerate().filter(|(i, _)| *i != home).count() as u32
+            * per_site as u32
+    }
+
     /// An inward half states its offer to all far gateways that it reaches.
     fn state(&mut self, half: usize) {
         let sidecar = self.world.script.sidecars() + half;
         if self.sidecars[sidecar].facade.is_none() {
             return;
         }
+        let among = self.far_gateways(half);
         let Half::In { offer } = &mut self.halves[half] else { return };
-        let s = offer.state();
+        let s = offer.state(among);
         let (servers, home) = (self.world.servers.len(), self.world.sidecar_site(sidecar));
         for g in 0..self.world.script.gateways() {
             let target = servers + 2 * g;
@@ -985,8 +995,9 @@
             return;
         };
         let Some(half) = from else { return };
+        let among = self.far_gateways(inward);
         let Half::In { offer } = &mut self.halves[inward] else { return };
-        let (s, now) = (offer.state(), self.now);
+        let (s, now) = (offer.state(among), self.now);
         if let Half::Out { peers, .. } = &mut self.halves[half] {
             peers.heard(now, inward / 2, s);
         }
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -5,8 +5,10 @@
 use silvercross_core::interface::Micros;
 
 /// Weight of an answer in how long guests take just now, and in what they usually take.
-const FAST: f64 = 0.1;
+const FAST: f64 = 0.04;
 const SLOW: f64 = 0.002;
+/// One guest tells of no more than so many times the usual: work has a heavy tail, and a single one is no queue.
+const SURPRISE: f64 = 4.0;
 /// Guests that take so many times the usual are in home's way; under the second there is room for more.
 const CROWDED: f64 = 1.6;
 const ROOMY: f64 = 1.25;
@@ -112,13 +114,14 @@
     pub fn ended(&mut self, now: Micros, how: Ended, took: Micros, expected: f64) {
         let used = f64::from(self.at_work) >= IN_USE * self.slots;
         self.at_work = self.at_work.saturating_sub(1);
-        match how {
+        let most = if self.seen < LEARN { f64::MAX } else { SURPRISE * self.usual };
+        let ratio = match how {
             Ended::Left => return,
-            // What failed is no sign of room, and may be one of trouble that has nothing to do with guests.
-            Ended::TurnedAway | Ended::Failed => return self.halve(now),
-            Ended::Served => {}
-        }
-        let ratio = took.max(1) as f64 / expected.max(1.0);
+            // One that home could not serve in time took as long as counts.
+            Ended::TurnedAway | Ended::Failed if self.seen < LEARN => return self.halve(now),
+            Ended::TurnedAway | Ended::Failed => most,
+            Ended::Served => (took.max(1) as f64 / expected.max(1.0)).min(most),
+        };
         self.seen += 1.0;
         let weight = |least: f64| (1.0 / self.seen).max(least);
         let (fast, slow) = (weight(FAST), weight(SLOW));
@@ -146,9 +149,10 @@
         self.slots = (self.slots / 2.0).max(f64::from(self.limits.first.min(1)));
     }
 
-    /// What to state now.
-    pub fn state(&mut self) -> Statement {
+    /// What to state now to one of so many far gateways: its part.
+    pub fn state(&mut self, among: u32) -> Statement {
         self.seq += 1;
-        Statement { life: self.life, seq: self.seq, slots: self.slots(), holds: self.limits.holds }
+        let slots = self.slots().div_ceil(among.max(1));
+        Statement { life: self.life, seq: self.seq, slots, holds: self.limits.holds }
     }
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -75,7 +75,7 @@
     serve(&mut offer, 400, 200 * MS);
     assert!(offer.slots() <= 4, "{}", offer.slots());
     offer.drain();
-    assert_eq!((offer.slots(), offer.admit(), offer.state().slots), (0, false, 0));
+    assert_eq!((offer.slots(), offer.admit(), offer.state(2).slots), (0, false, 0));
 }
 
 #[test]
