silvercross gateway: two loops, one outward and one inward, on real sockets

Measured: six tests of real processes: a call crosses once, what may have run fails and is sent once, peers that are no gateway, huge and negative offers are not trusted, a drained gateway ends with code 0.

--- a/crates/sidecar/src/event_loop.rs
+++ b/crates/sidecar/src/event_loop.rs
@@ -3,11 +3,13 @@
 //! kind of neighbour, are in the files of the folder `event_loop/`.
 mod applications;
 mod discovery_side;
+pub mod gateway_side;
 mod upstreams;
 
 #[cfg(test)]
 mod tests;
 
+use self::gateway_side::Gate;
 use crate::lifecycle::logging::Paced;
 use crate::lifecycle::stop::Stop;
 use crate::memory::connections::{Connection, Connections};
@@ -100,8 +102,10 @@
     pub reloads: UnixStream,
     /// Reads it again: where discovery is now, or what is wrong with the file.
     pub reread: Reread,
-    /// Where discovery is.
-    pub discovery: SocketAddr,
+    /// Where discovery is; `None`: the list comes from elsewhere.
+    pub discovery: Option<SocketAddr>,
+    /// What it is of a gateway, if it is one.
+    pub gate: Option<Gate>,
     /// The version of the list that the balancer was started with.
     pub seq: u64,
     /// What to keep to.
@@ -129,7 +133,9 @@
 pub struct EventLoop {
     registry: Registry,
     balancer: Balancer<Wake>,
-    listener: Watched<TcpListener>,
+    /// `None`: a gateway with nothing to give takes none.
+    listener: Option<Watched<TcpListener>>,
+    listen_at: SocketAddr,
     stops: Watched<UnixStream>,
     reloads: Watched<UnixStream>,
     reread: Reread,
@@ -137,7 +143,8 @@
     requests: Table<Request>,
     pool: Pool,
     steps: VecDeque<Step<Wake>>,
-    discovery: SocketAddr,
+    discovery: Option<SocketAddr>,
+    gate: Option<Gate>,
     seq: u64,
     watch: Option<Handle>,
     bounds: Bounds,
@@ -156,11 +163,12 @@
 impl EventLoop {
     /// Everything registered, nothing served yet.
     pub fn new(parts: Parts) -> io::Result<Self> {
-        let Parts { registry, balancer, listener, stops, reloads, reread, discovery, seq, bounds, log } =
+        let Parts { registry, balancer, listener, stops, reloads, reread, discovery, gate, seq, bounds, log } =
             parts;
         let retire = bounds.idle_close.map_or(RETIRE_UNSTATED, |t| (t as f64 * RETIRE) as Micros);
         Ok(EventLoop {
-            listener: registry.watch(listener, LISTENER, Interest::Read)?,
+            listen_at: listener.local_addr()?,
+            listener: Some(registry.watch(listener, LISTENER, Interest::Read)?),
             stops: registry.watch(stops, STOPS, Interest::Read)?,
             reloads: registry.watch(reloads, RELOADS, Interest::Read)?,
             reread,
@@ -171,6 +179,7 @@
             pool: Pool::new(bounds.buffer_bytes),
             steps: VecDeque::new(),
             discovery,
+            gate,
             seq,
             watch: None,
             bounds,
@@ -190,6 +199,8 @@
         let mut events = Events::new();
         let now = self.balancer.now();
         self.balancer.wake_at(now + SWEEP, Wake::Sweep);
+        // A gateway that has heard no offer yet takes nobody in.
+        self.guarded(None, Self::ask_peers);
         loop {
             let wake = self.tick();
             if self.may_end() {
@@ -268,6 +279,7 @@
                 Work::Idle => self.close_upstream(handle),
             },
             Some(Connection::Discovery(_)) => self.discovery_broken(handle, "panic"),
+            Some(Connection::Peer(_)) => drop(self.connections.remove(handle)),
             None => {}
         }
         self.do_steps();
@@ -278,6 +290,7 @@
             Some(Connection::Application(_)) => self.application_ready(handle),
             Some(Connection::Upstream(_)) => self.upstream_ready(handle),
             Some(Connection::Discovery(_)) => self.discovery_ready(handle),
+            Some(Connection::Peer(_)) => self.peer_ready(handle),
             // Readiness of a connection that ended earlier in this round.
             None => {}
         }
@@ -300,11 +313,11 @@
                     let lines = retry_after.map_or(String::new(), |t| {
                         format!("Retry-After: {}.{:03}\r\n", t / 1_000_000, t / 1_000 % 1_000)
                     });
-                    self.answer_call(request, 503, lines.as_bytes(), &[b"refused\n"]);
+                    self.refuse(request, &lines);
                 }
                 Step::Fail { request } => {
                     self.counts.failed += 1;
-                    self.answer_call(request, 502, b"", &[b"failed\n"]);
+                    self.fail(request);
                 }
                 Step::Watch(on) => self.watch(on),
                 Step::FetchList => self.call_discovery(Purpose::Call),
@@ -369,6 +382,7 @@
         for handle in self.connections.idle_applications(now - IDLE) {
             self.spare(handle);
         }
+        self.ask_peers();
         // Whatever stopped accepting, it is tried again.
         self.listen_again();
         self.sweeps += 1;
@@ -401,8 +415,8 @@
             Ok(to) => to,
             Err(why) => return warn!(self.log, "the configuration stays as it was"; "why" => why),
         };
-        info!(self.log, "reloaded"; "discovery" => to.to_string(), "before" => self.discovery.to_string());
-        if to != self.discovery {
+        info!(self.log, "reloaded"; "discovery" => to.to_string(), "before" => self.discovery.map(|d| d.to_string()));
+        if Some(to) != self.discovery {
             self.discovery_moved(to);
             self.do_steps();
         }
--- a/crates/sidecar/src/event_loop/applications.rs
+++ b/crates/sidecar/src/event_loop/applications.rs
@@ -1,10 +1,12 @@
 //! The loop's side towards the application: connections accepted, requests taken, answers written.
+use super::gateway_side::Gate;
 use super::{EventLoop, Wake};
 use crate::memory::connections::Connection;
 use crate::memory::requests::Request;
 use crate::wire::application::{self, Asked, Call, Front, Got, State};
 use silvercross_core::interface::Micros;
 use silvercross_facade::Request as Placed;
+use silvercross_gateway::offer::Ended;
 use silvercross_net::http::{self, Bad};
 use silvercross_net::registry::Interest;
 use silvercross_net::table::Handle;
@@ -23,6 +25,8 @@
 const ACCEPTS: usize = 64;
 /// A client may be so many requests ahead of its answers.
 const AHEAD: u32 = 16;
+/// What says that a request never ran.
+const UNSEEN: &str = "X-Unprocessed: 1\r\n";
 /// And this long to close after an answer that ended its connection.
 const LINGER: Micros = 1_000_000;
 
@@ -31,10 +35,11 @@
         for _ in 0..ACCEPTS {
             if self.connections.closed_to_applications() && !self.spare_application() {
                 // They wait in the machine's queue until a connection has ended.
-                let _ = self.listener.set(Interest::Nothing);
+                self.heed_listener(Interest::Nothing);
                 return self.warn_limit("connections");
             }
-            let socket = match self.listener.get().accept() {
+            let Some(listener) = &self.listener else { return };
+            let socket = match listener.get().accept() {
                 Ok((socket, _)) => socket,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e)
@@ -47,7 +52,7 @@
                     debug!(self.log, "accept failed"; "error" => e.to_string());
                     self.warn_limit("accept");
                     if !self.spare_upstream() && !self.spare_application() {
-                        let _ = self.listener.set(Interest::Nothing);
+                        self.heed_listener(Interest::Nothing);
                     }
                     return;
                 }
@@ -69,6 +74,12 @@
         }
     }
 
+    fn heed_listener(&mut self, interest: Interest) {
+        if let Some(listener) = &mut self.listener {
+            let _ = listener.set(interest);
+        }
+    }
+
     /// At a limit everything happens often: one line a while says so.
     pub(super) fn warn_limit(&mut self, what: &'static str) {
         if let Some(before) = self.at_limit.pass(self.balancer.now()) {
@@ -166,6 +177,7 @@
             r.bytes.take().into_iter().for_each(|b| self.pool.give(b));
         }
         self.close_application(handle);
+        self.guest_ended(request, Ended::Left);
         let turn = self.balancer.hung_up(request);
         self.absorb(turn);
         self.forget_if_done(request);
@@ -213,12 +225,18 @@
                             let text: &[u8] = if ready { b"ready\n" } else { b"not ready\n" };
                             self.answer(handle, if ready { 200 } else { 503 }, b"", &[text]);
                         }
+                        Asked::Offer => {
+                            input.consume(end);
+                            let lines = self.gate_lines();
+                            let status = if lines.is_empty() { 404 } else { 200 };
+                            self.answer(handle, status, lines.as_bytes(), &[]);
+                        }
                         Asked::NotServed(status) => {
                             input.consume(end);
                             let lines: &[u8] = if status == 405 { b"Allow: GET, POST\r\n" } else { b"" };
                             self.answer(handle, status, lines, &[b"not served here\n"]);
                         }
-                        Asked::Call(call) => self.take_call(handle, call, end),
+                        Asked::Call(call) => self.take_call(handle, *call, end),
                     }
                 }
             }
@@ -233,7 +251,7 @@
         }
     }
 
-    pub(super) fn take_call(&mut self, handle: Handle, call: Call, end: usize) {
+    pub(super) fn take_call(&mut self, handle: Handle, mut call: Call, end: usize) {
         let Some(class) = self.balancer.class_named(&call.class) else {
             return self.refuse_bad(handle, Bad::Malformed("an unknown service class"));
         };
@@ -249,17 +267,24 @@
         if c.ahead > AHEAD {
             return self.refuse_bad(handle, Bad::TooManyAhead);
         }
+        let waited = c.ahead_since.map_or(0, |since| self.balancer.now() - since);
+        // Its client's time has run while it waited for its turn.
+        let left = call.budget.map(|b| (b - waited).max(0));
+        let guest = match self.admit(&mut call, left) {
+            Ok(guest) => guest,
+            Err(why) => return self.send_back(handle, end, why),
+        };
         let Some(mut bytes) = self.pool.take() else {
+            self.give_back(guest);
             return self.no_room(handle);
         };
+        let Some(c) = self.connections.application(handle) else { return };
         let Some(input) = c.input.as_mut() else { return };
         let mut fits = bytes.append(&call.head);
         for part in &call.body.parts {
             fits &= input.filled().get(part.clone()).is_some_and(|b| bytes.append(b));
         }
         input.consume(end);
-        // Its client's time has run while it waited for its turn.
-        let waited = c.ahead_since.map_or(0, |since| self.balancer.now() - since);
         if !input.is_empty() {
             // What came behind it in the same bytes waits from now on at the latest.
             c.ahead_since.get_or_insert(self.balancer.now());
@@ -268,6 +293,7 @@
         c.tidy(&mut self.pool);
         if !fits {
             self.pool.give(bytes);
+            self.give_back(guest);
             return self.refuse_bad(handle, Bad::HeadTooLarge);
         }
         let id = call.id.clone().into_boxed_str();
@@ -275,12 +301,17 @@
             client: Some(handle),
             bytes: Some(bytes),
             head: call.head.len(),
+            may_have_run: false,
+            guest,
             attempts: Vec::new(),
             id,
         };
         let request = match self.requests.insert_with(|_| Ok::<_, ()>(taken)) {
             Ok(Some(request)) => request,
-            _ => return self.answer(handle, 503, b"", &[b"too many requests\n"]),
+            _ => {
+                self.give_back(guest);
+                return self.answer(handle, 503, b"", &[b"too many requests\n"]);
+            }
         };
         self.ids.insert(call.id.into_boxed_str());
         c.state = State::Waiting(request);
@@ -291,7 +322,7 @@
             class,
             tenant: call.tenant.map_or(0, |t| self.balancer.tenant_named(&t)),
             key: call.key,
-            budget: call.budget.map(|b| (b - waited).max(0)),
+            budget: left,
             cost_hint: call.cost_hint,
             repeat: call.repeat,
             write: call.write,
@@ -317,6 +348,55 @@
         self.answer(handle, status, b"", &[why.as_bytes(), b"\n"]);
     }
 
+    /// Send a call back unseen, as a gateway may: nothing of it was placed.
+    fn send_back(&mut self, handle: Handle, end: usize, why: &'static str) {
+        self.counts.refused += 1;
+        if let Some(c) = self.connections.application(handle) {
+            c.input.iter_mut().for_each(|i| i.consume(end));
+            c.tidy(&mut self.pool);
+        }
+        let lines = format!("{UNSEEN}{}", self.gate_lines());
+        self.answer(handle, 503, lines.as_bytes(), &[why.as_bytes(), b"\n"]);
+    }
+
+    /// A guest that was let in came to nothing.
+    fn give_back(&mut self, guest: Option<(Micros, f64)>) {
+        if let (Some(Gate::In(i)), Some((began, _))) = (self.gate.as_mut(), guest) {
+            i.offer.ended(began, Ended::Left, 0, 1.0);
+        }
+    }
+
+    /// The module refuses a request. A gateway says so with the mark that it never ran only where that is so: whoever sent it
+    /// here goes by it.
+    pub(super) fn refuse(&mut self, request: Handle, lines: &str) {
+        if self.gate.is_none() {
+            return self.answer_call(request, 503, lines.as_bytes(), &[b"refused\n"]);
+        }
+        self.guest_ended(request, Ended::TurnedAway);
+        self.not_served(request, lines);
+    }
+
+    /// The module gives a request up as failed.
+    pub(super) fn fail(&mut self, request: Handle) {
+        if self.gate.is_none() {
+            return self.answer_call(request, 502, b"", &[b"failed\n"]);
+        }
+        self.guest_ended(request, Ended::Failed);
+        self.not_served(request, "");
+    }
+
+    fn not_served(&mut self, request: Handle, lines: &str) {
+        let ran = self.requests.get(request).is_none_or(|r| r.may_have_run);
+        let offer = self.gate_lines();
+        match ran {
+            true => self.answer_call(request, 502, offer.as_bytes(), &[b"failed\n"]),
+            false => {
+                let lines = format!("{UNSEEN}{offer}{lines}");
+                self.answer_call(request, 503, lines.as_bytes(), &[b"refused\n"]);
+            }
+        }
+    }
+
     /// Write an answer to whoever waits for a call, if anyone still does.
     pub(super) fn answer_call(&mut self, request: Handle, status: u16, lines: &[u8], parts: &[&[u8]]) {
         let Some(r) = self.requests.get_mut(request) else { return };
@@ -395,7 +475,7 @@
 
     pub(super) fn listen_again(&mut self) {
         if !self.connections.closed_to_applications() {
-            let _ = self.listener.set(Interest::Read);
+            self.heed_listener(Interest::Read);
         }
     }
 
--- a/crates/sidecar/src/event_loop/discovery_side.rs
+++ b/crates/sidecar/src/event_loop/discovery_side.rs
@@ -20,7 +20,9 @@
     }
 
     pub(super) fn call_discovery(&mut self, purpose: Purpose) {
-        let (to, seq, now, registry) = (self.discovery, self.seq, self.balancer.now(), self.registry.clone());
+        // A gateway's outward half hears of its upstreams over the link.
+        let Some(to) = self.discovery else { return };
+        let (seq, now, registry) = (self.seq, self.balancer.now(), self.registry.clone());
         let made = self.open(to).and_then(|socket| {
             let made = self.connections.insert_with(|h| {
                 let socket = registry.watch(socket, h.number() as usize, Interest::Write)?;
@@ -46,7 +48,7 @@
     /// Discovery is elsewhere from now on: what was asked of the old one is dropped, and the module asks the new one.
     /// The new one's versions need not continue the old one's, so it is asked for all it has.
     pub(super) fn discovery_moved(&mut self, to: SocketAddr) {
-        (self.discovery, self.seq, self.watch) = (to, 0, None);
+        (self.discovery, self.seq, self.watch) = (Some(to), 0, None);
         for handle in self.connections.to_discovery() {
             self.connections.remove(handle);
         }
--- a/crates/sidecar/src/event_loop/tests.rs
+++ b/crates/sidecar/src/event_loop/tests.rs
@@ -38,7 +38,8 @@
         stops: UnixStream::pair().expect("a pair").0,
         reloads: UnixStream::pair().expect("a pair").0,
         reread: Box::new(|| Err("no file".into())),
-        discovery: upstream.local_addr().expect("bound"),
+        discovery: upstream.local_addr().ok(),
+        gate: None,
         seq: 0,
         bounds,
         log: Logger::root(slog::Discard, slog::o!()),
@@ -86,7 +87,7 @@
 fn a_connection_between_requests_is_idle_and_never_stalls() {
     // An empty buffer left in place once made it look like one in the middle of a request.
     let (mut l, _client, _upstream) = with_a_request();
-    let at = l.listener.get().local_addr().expect("bound");
+    let at = l.listen_at;
     let before = l.connections.from_applications();
     let mut other = TcpStream::connect(at).expect("accepted");
     other.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").expect("written");
@@ -107,7 +108,7 @@
 #[test]
 fn without_buffers_a_request_is_refused_not_dropped() {
     let (mut l, _client, _upstream) = with_a_request();
-    let mut late = TcpStream::connect(l.listener.get().local_addr().expect("bound")).expect("accepted");
+    let mut late = TcpStream::connect(l.listen_at).expect("accepted");
     let hoard: Vec<_> = std::iter::from_fn(|| l.pool.take_for_answer()).collect();
     late.write_all(b"GET /api HTTP/1.1\r\n\r\n").expect("written");
     let before = l.connections.applications;
@@ -124,7 +125,7 @@
 
 /// Another client's request, and the connection that its attempt goes out on.
 fn another_request(l: &mut EventLoop, id: &str) -> (TcpStream, Handle) {
-    let mut client = TcpStream::connect(l.listener.get().local_addr().expect("bound")).expect("accepted");
+    let mut client = TcpStream::connect(l.listen_at).expect("accepted");
     let text = format!("GET /api HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Service-Class: read\r\n\r\n");
     client.write_all(text.as_bytes()).expect("written");
     let before = l.requests.len();
--- a/crates/sidecar/src/event_loop/upstreams.rs
+++ b/crates/sidecar/src/event_loop/upstreams.rs
@@ -4,6 +4,7 @@
 use crate::wire::upstream::{self, Answer, AttemptError, Cause, Progress, Stage, Work};
 use silvercross_core::interface::Micros;
 use silvercross_facade::{Attempt, Report, Step, Upstream};
+use silvercross_gateway::offer::Ended;
 use silvercross_net::http::Bad;
 use silvercross_net::registry::Interest;
 use silvercross_net::table::Handle;
@@ -29,10 +30,20 @@
             return self.report(attempt, Report::NotTried);
         };
         r.attempts.resize(attempt.number as usize + 1, None);
-        let Some(bytes) = &r.bytes else { return self.report(attempt, Report::NotTried) };
-        let (head, body) = bytes.filled().split_at(r.head);
+        if r.bytes.is_none() {
+            return self.report(attempt, Report::NotTried);
+        }
+        if !self.peer_sent(to) {
+            return self.report(attempt, Report::TurnedAway);
+        }
+        let Some(bytes) =
+            self.requests.get(attempt.request).and_then(|r| r.bytes.as_ref().map(|b| (b, r.head)))
+        else {
+            return self.report(attempt, Report::NotTried);
+        };
+        let (head, body) = bytes.0.filled().split_at(bytes.1);
         let Some(buffer) = upstream::compose(&mut self.pool, head, body, limit) else {
-            return self.not_begun(attempt, upstream, Cause::NoRoom);
+            return self.not_begun(attempt, upstream, to, Cause::NoRoom);
         };
         let kept = self.take_idle(upstream, to);
         let reused = kept.is_some();
@@ -40,14 +51,16 @@
             Ok(handle) => handle,
             Err(cause) => {
                 self.pool.give(buffer);
-                return self.not_begun(attempt, upstream, cause);
+                return self.not_begun(attempt, upstream, to, cause);
             }
         };
-        let held = self.hold_until > self.balancer.now();
+        let now = self.balancer.now();
+        let held = self.hold_until > now;
         let Some(c) = self.connections.upstream(handle) else {
             self.pool.give(buffer);
-            return self.not_begun(attempt, upstream, Cause::NoRoom);
+            return self.not_begun(attempt, upstream, to, Cause::NoRoom);
         };
+        c.sent_at = now;
         (c.buffer, c.interim, c.held, c.timed) = (Some(buffer), 0, held, false);
         c.work = Work::Busy(attempt, if reused { Stage::Writing } else { Stage::Connecting });
         debug!(self.log, "attempt"; "request" => attempt.request.number(), "number" => attempt.number,
@@ -125,6 +138,7 @@
                 interim: 0,
                 held: false,
                 timed: false,
+                sent_at: since,
             }))
         });
         made.ok().flatten().ok_or(Cause::NoRoom)
@@ -189,6 +203,14 @@
     pub(super) fn answered(&mut self, handle: Handle, attempt: Attempt, answer: Answer) {
         debug!(self.log, "answer"; "request" => attempt.request.number(), "number" => attempt.number,
             "report" => ?answer.report);
+        let now = self.balancer.now();
+        let sent = self.connections.upstream(handle).map(|c| (c.to, now - c.sent_at));
+        if answer.report == Report::Error {
+            self.may_have_run(attempt);
+        }
+        if let Some((to, took)) = sent {
+            self.peer_ended(to, Some(answer.report), took, answer.offer.as_deref());
+        }
         let turn = self.balancer.report(attempt, answer.report);
         if turn.steps.contains(&Step::Serve { attempt }) {
             let buffer = self.connections.upstream(handle).and_then(|c| c.buffer.take());
@@ -196,7 +218,10 @@
                 let parts: Vec<&[u8]> =
                     answer.parts.iter().filter_map(|p| buffer.filled().get(p.clone())).collect();
                 self.counts.served += 1;
-                self.answer_call(attempt.request, 200, &answer.lines, &parts);
+                self.guest_ended(attempt.request, Ended::Served);
+                let mut lines = answer.lines;
+                lines.extend_from_slice(self.gate_lines().as_bytes());
+                self.answer_call(attempt.request, 200, &lines, &parts);
                 self.pool.give(buffer);
             }
         }
@@ -209,6 +234,9 @@
         if error.stage != Stage::Connecting && matches!(error.cause, Cause::Socket(_) | Cause::Closed) {
             self.hold_until = self.balancer.now() + HOLD_FOR;
         }
+        if matches!(error.report(), Report::Broken | Report::Error) {
+            self.may_have_run(attempt);
+        }
         let upstream = self.connections.upstream(handle).map(|c| c.upstream.0);
         debug!(self.log, "attempt failed"; "request" => attempt.request.number(), "number" => attempt.number,
             "upstream" => upstream, "stage" => ?error.stage, "cause" => ?error.cause);
@@ -216,14 +244,22 @@
     }
 
     /// An attempt that never got a connection.
-    pub(super) fn not_begun(&mut self, attempt: Attempt, upstream: Upstream, cause: Cause) {
+    pub(super) fn not_begun(&mut self, attempt: Attempt, upstream: Upstream, to: SocketAddr, cause: Cause) {
         let error = AttemptError { stage: Stage::Connecting, cause };
         self.counts.attempts_failed += 1;
         debug!(self.log, "attempt not begun"; "request" => attempt.request.number(), "number" => attempt.number,
             "upstream" => upstream.0, "cause" => ?error.cause);
+        self.peer_ended(to, Some(error.report()), 0, None);
         self.report(attempt, error.report());
     }
 
+    /// An attempt was written whole and not sent back unseen: from here on its request may have run.
+    fn may_have_run(&mut self, attempt: Attempt) {
+        if let Some(r) = self.requests.get_mut(attempt.request) {
+            r.may_have_run = true;
+        }
+    }
+
     pub(super) fn report(&mut self, attempt: Attempt, report: Report) {
         let turn = self.balancer.report(attempt, report);
         self.absorb(turn);
@@ -231,6 +267,9 @@
     }
 
     pub(super) fn finish_attempt(&mut self, handle: Handle, attempt: Attempt, report: Report, keep: bool) {
+        if let Some(to) = self.connections.upstream(handle).map(|c| c.to) {
+            self.peer_ended(to, Some(report), 0, None);
+        }
         let turn = self.balancer.report(attempt, report);
         self.absorb(turn);
         self.wind_up(handle, attempt, keep);
@@ -260,6 +299,13 @@
             self.requests.get_mut(attempt.request).and_then(|r| r.attempts.get_mut(attempt.number as usize));
         let handle = slot.and_then(Option::take);
         debug!(self.log, "called off"; "request" => attempt.request.number(), "number" => attempt.number);
+        let called_off = handle.and_then(|h| self.connections.upstream(h)).map(|c| (c.to, c.work));
+        if let Some((to, work)) = called_off {
+            if matches!(work, Work::Busy(_, Stage::Waiting | Stage::Reading)) {
+                self.may_have_run(attempt);
+            }
+            self.peer_ended(to, None, 0, None);
+        }
         handle.into_iter().for_each(|h| self.close_upstream(h));
         self.forget_if_done(attempt.request);
     }
--- a/crates/sidecar/src/lifecycle/mod.rs
+++ b/crates/sidecar/src/lifecycle/mod.rs
@@ -1,5 +1,6 @@
 //! How the process starts and stops: configuration, log, sockets, signals.
 pub mod config;
+pub mod gateway;
 pub mod logging;
 pub mod start;
 pub mod stop;
--- a/crates/sidecar/src/lifecycle/start.rs
+++ b/crates/sidecar/src/lifecycle/start.rs
@@ -42,13 +42,7 @@
     info!(log, "started"; "listen" => listening, "discovery" => config.discovery.to_string(),
         "known" => config.known.len(), "seq" => config.seq, "memory_mb" => config.memory_mb,
         "sockets" => config.sockets, "version" => env!("CARGO_PKG_VERSION"));
-    let bounds = Bounds {
-        descriptors: config.sockets,
-        buffer_bytes: (config.memory_mb as f64 * 1e6 * BUFFER_SHARE) as usize,
-        connect_limit: config.settings.connect_limit,
-        whole_limit: whole_limit(&config.settings),
-        idle_close: config.front.idle_close,
-    };
+    let bounds = bounds(&config);
     let (discovery, seq) = (config.discovery, config.seq);
     let (settings, seed, clock) = (config.settings, config.seed, Clock::system());
     let balancer = match make {
@@ -65,7 +59,8 @@
         stops,
         reloads,
         reread: Box::new(move || config::reread(var).map(|new| new.discovery)),
-        discovery,
+        discovery: Some(discovery),
+        gate: None,
         seq,
         bounds,
         log: log.clone(),
@@ -78,13 +73,24 @@
     ended.map_err(|e| format!("the loop has failed: {e}"))
 }
 
+/// What a loop keeps to by its configuration.
+pub(crate) fn bounds(config: &config::Config) -> Bounds {
+    Bounds {
+        descriptors: config.sockets,
+        buffer_bytes: (config.memory_mb as f64 * 1e6 * BUFFER_SHARE) as usize,
+        connect_limit: config.settings.connect_limit,
+        whole_limit: whole_limit(&config.settings),
+        idle_close: config.front.idle_close,
+    }
+}
+
 /// An answer is sent in one go, and its 64 KiB at most are a moment's work: a part of the shortest aim is plenty.
 fn whole_limit(settings: &Settings) -> Micros {
     let shortest = settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
     (shortest / WHOLE_PART).max(WHOLE_LEAST)
 }
 
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+pub(crate) fn listen(at: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
     // A restart comes back under the same address while old connections still fade out.
     socket.set_reuse_address(true)?;
@@ -95,7 +101,7 @@
 }
 
 /// A stream that becomes readable when one of these signals comes.
-fn signals(which: &[i32]) -> io::Result<UnixStream> {
+pub(crate) fn signals(which: &[i32]) -> io::Result<UnixStream> {
     let (read, write) = UnixStream::pair()?;
     read.set_nonblocking(true)?;
     for signal in which {
--- a/crates/sidecar/src/memory/connections.rs
+++ b/crates/sidecar/src/memory/connections.rs
@@ -1,5 +1,5 @@
 //! All open connections, which of them stand idle towards upstreams, and how many descriptors they may take.
-use crate::wire::{application, discovery, upstream};
+use crate::wire::{application, discovery, peer, upstream};
 use silvercross_core::interface::Micros;
 use silvercross_facade::Upstream;
 use silvercross_net::table::{Handle, Table};
@@ -13,6 +13,8 @@
     Upstream(upstream::Conn),
     /// To discovery.
     Discovery(discovery::Conn),
+    /// To a far gateway, to hear what it offers.
+    Peer(peer::Conn),
 }
 
 /// Idle connections kept to one upstream: enough for what is out there at once on a busy day.
@@ -129,7 +131,7 @@
                     }
                 }
             }
-            Connection::Discovery(_) => {}
+            Connection::Discovery(_) | Connection::Peer(_) => {}
         }
         Some(removed)
     }
@@ -196,6 +198,14 @@
         self.table.iter().filter_map(since).min().map(|(_, _, h)| h)
     }
 
+    /// A connection on which a far gateway is asked for its offer.
+    pub fn peer(&mut self, handle: Handle) -> Option<&mut peer::Conn> {
+        match self.table.get_mut(handle) {
+            Some(Connection::Peer(c)) => Some(c),
+            _ => None,
+        }
+    }
+
     /// The handles of all connections to discovery.
     pub fn to_discovery(&self) -> Vec<Handle> {
         let of = |(h, c): (Handle, &Connection)| matches!(c, Connection::Discovery(_)).then_some(h);
--- a/crates/sidecar/src/memory/requests.rs
+++ b/crates/sidecar/src/memory/requests.rs
@@ -1,4 +1,5 @@
 //! The requests that are being served: what further attempts need of them, and who waits for them.
+use silvercross_core::interface::Micros;
 use silvercross_net::buffers::Buffer;
 use silvercross_net::table::Handle;
 
@@ -12,6 +13,10 @@
     pub id: Box<str>,
     /// How many of these bytes are head.
     pub head: usize,
+    /// An attempt of it was written whole and not sent back unseen: it may have run.
+    pub may_have_run: bool,
+    /// Come over the link: when, and how much work its sender expected.
+    pub guest: Option<(Micros, f64)>,
     /// The connection of each attempt, by its number; `None` once that has ended.
     pub attempts: Vec<Option<Handle>>,
 }
--- a/crates/sidecar/src/wire/application.rs
+++ b/crates/sidecar/src/wire/application.rs
@@ -1,5 +1,7 @@
 //! The application's side: its requests read, its answers written.
+use super::peer;
 use silvercross_core::interface::Micros;
+use silvercross_gateway::hops;
 use silvercross_net::buffers::{Buffer, Pool};
 use silvercross_net::http::{self, Bad, Framing};
 use silvercross_net::registry::{Interest, Watched};
@@ -173,8 +175,10 @@
 pub enum Asked {
     /// Whether the sidecar is ready.
     Health,
+    /// What a gateway offers over its link.
+    Offer,
     /// A call to be placed.
-    Call(Call),
+    Call(Box<Call>),
     /// What is not served here: the status to answer with.
     NotServed(u16),
 }
@@ -200,6 +204,8 @@
     pub repeat: bool,
     /// It writes.
     pub write: bool,
+    /// The mark of the sites it has left.
+    pub hops: Option<String>,
     /// The head as it goes on, less its last lines.
     pub head: Vec<u8>,
     /// Where its body lies among the bytes read.
@@ -243,7 +249,10 @@
     let asked = match (head.method, path) {
         ("GET", "/healthz") => Asked::Health,
         (_, "/healthz") => Asked::NotServed(405),
-        ("GET" | "POST", p) if p == "/api" || p.starts_with("/api/") => Asked::Call(call(&head, body)?),
+        ("GET", peer::OFFER_PATH) => Asked::Offer,
+        ("GET" | "POST", p) if p == "/api" || p.starts_with("/api/") => {
+            Asked::Call(Box::new(call(&head, body)?))
+        }
         (_, p) if p == "/api" || p.starts_with("/api/") => Asked::NotServed(405),
         _ => Asked::NotServed(404),
     };
@@ -296,6 +305,7 @@
         budget: number(TIME_LEFT)?.map(|ms| (ms * 1e3) as Micros),
         cost_hint: number(HINT)?.map(|us| us.round() as Micros),
         repeat,
+        hops: h.one(hops::HEADER)?.map(str::to_string),
         write: facts.split(',').any(|f| f.trim() == "update=1"),
         head: forwarded,
         body,
@@ -312,7 +322,7 @@
 
     fn call_of(text: &str) -> Call {
         match front(text.as_bytes()) {
-            Ok(Front::Whole(Asked::Call(call), _, _)) => call,
+            Ok(Front::Whole(Asked::Call(call), _, _)) => *call,
             other => panic!("no call but {other:?}"),
         }
     }
--- a/crates/sidecar/src/wire/mod.rs
+++ b/crates/sidecar/src/wire/mod.rs
@@ -1,4 +1,5 @@
-//! What is spoken on the wire with each of the three sides the sidecar talks to.
+//! What is spoken on the wire with each of the sides the sidecar, or a gateway, talks to.
 pub mod application;
 pub mod discovery;
+pub mod peer;
 pub mod upstream;
--- /dev/null
+++ b/crates/sidecar/src/wire/peer.rs
@@ -0,0 +1,87 @@
+//! A gateway's side towards a far gateway when nothing is asked of it: a kept connection on which its offer is asked for now
+//! and then. What is offered comes in one header line, as it does with every answer over the link.
+use silvercross_core::interface::Micros;
+use silvercross_gateway::statement;
+use silvercross_net::http;
+use silvercross_net::registry::{Interest, Watched};
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+
+/// Where an offer is asked for.
+pub const OFFER_PATH: &str = "/gateway/offer";
+/// An answer with an offer is no longer than this.
+const LONGEST: usize = 4096;
+
+/// A connection to a far gateway.
+pub struct Conn {
+    /// Its socket.
+    pub socket: Watched<TcpStream>,
+    /// Which far gateway.
+    pub peer: usize,
+    /// When it was asked last, and has not answered since.
+    pub asked: Option<Micros>,
+    output: Vec<u8>,
+    input: Vec<u8>,
+}
+
+impl Conn {
+    /// A connection on its way up.
+    pub fn new(socket: Watched<TcpStream>, peer: usize) -> Self {
+        Conn { socket, peer, asked: None, output: Vec::new(), input: Vec::new() }
+    }
+
+    /// Ask for the offer.
+    pub fn ask(&mut self, now: Micros) -> io::Result<()> {
+        self.asked = Some(now);
+        self.output = format!("GET {OFFER_PATH} HTTP/1.1\r\nHost: gateway\r\n\r\n").into_bytes();
+        self.flush()
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        while !self.output.is_empty() {
+            match self.socket.get().write(&self.output) {
+                Ok(n) => drop(self.output.drain(..n)),
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    return self.socket.set(Interest::Both)
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.socket.set(Interest::Read)
+    }
+
+    /// Carry it on: the value of the offer's header once an answer is whole. An answer without one is an error: that is no
+    /// gateway.
+    pub fn advance(&mut self) -> io::Result<Option<String>> {
+        if let Some(e) = self.socket.get().take_error()? {
+            return Err(e);
+        }
+        self.flush()?;
+        let mut bytes = [0; 1024];
+        loop {
+            match self.socket.get().read(&mut bytes) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(n) => self.input.extend_from_slice(&bytes[..n]),
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    break
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+            if self.input.len() > LONGEST {
+                return Err(io::Error::other("an answer too long for an offer"));
+            }
+        }
+        let mut lines = http::lines();
+        let bad = |b: http::Bad| io::Error::other(format!("{b:?}"));
+        let Some(head) = http::answer_head(&self.input, &mut lines).map_err(bad)? else { return Ok(None) };
+        let value = head.headers.one(statement::HEADER).map_err(bad)?.map(str::to_string);
+        let Some(body) = http::body(&self.input, head.len, head.framing, false).map_err(bad)? else {
+            return Ok(None);
+        };
+        self.input.drain(..body.end);
+        self.asked = None;
+        value.map(Some).ok_or_else(|| io::Error::other("it states no offer"))
+    }
+}
--- a/crates/sidecar/src/wire/upstream.rs
+++ b/crates/sidecar/src/wire/upstream.rs
@@ -2,6 +2,7 @@
 use super::application::TIME_LEFT;
 use silvercross_core::interface::Micros;
 use silvercross_facade::{Attempt, Report, Upstream};
+use silvercross_gateway::statement;
 use silvercross_net::buffers::{Buffer, Pool};
 use silvercross_net::http::{self, Bad};
 use silvercross_net::registry::{Interest, Watched};
@@ -67,6 +68,8 @@
     pub report: Report,
     /// Its header lines, as they go on.
     pub lines: Vec<u8>,
+    /// What a far gateway offers with it.
+    pub offer: Option<String>,
     /// Where its body lies.
     pub parts: Vec<Range<usize>>,
     /// The connection may carry another request.
@@ -100,6 +103,8 @@
     pub held: bool,
     /// Whether the timer for that is set.
     pub timed: bool,
+    /// When the present request was begun on it.
+    pub sent_at: Micros,
     /// Interim answers that have come ahead of the present one.
     pub interim: u32,
 }
@@ -259,8 +264,10 @@
         _ => Report::Error,
     };
     let mut lines = Vec::new();
-    head.headers.forward(&mut lines, &[]);
-    Ok(Some(Answer { report, lines, parts: body.parts, keep_alive }))
+    head.headers.forward(&mut lines, &[statement::HEADER]);
+    // Stated twice it could be read in two ways, and is not read at all.
+    let offer = head.headers.one(statement::HEADER).ok().flatten().map(str::to_string);
+    Ok(Some(Answer { report, lines, offer, parts: body.parts, keep_alive }))
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/sidecar/tests/gateway.rs
@@ -0,0 +1,172 @@
+//! Two gateways as processes, a far site of stand-in servers, and a client in a sidecar's place: what crosses, what does not,
+//! and what is said of it.
+mod common;
+
+use common::*;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+struct Gateway {
+    child: Child,
+    near: SocketAddr,
+    link: SocketAddr,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+static STARTED: AtomicUsize = AtomicUsize::new(0);
+
+fn gateway(site: &str, far: &str, peer: SocketAddr, servers: &[SocketAddr]) -> Gateway {
+    let n = STARTED.fetch_add(1, Ordering::SeqCst);
+    let at = |name: &str| {
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("gw-{}-{n}-{name}", std::process::id()))
+    };
+    let known: Vec<String> = servers
+        .iter()
+        .enumerate()
+        .map(|(i, a)| {
+            entry(&format!("s-{i}"), *a, "ready").replace("\"site\":\"a\"", &format!("\"site\":\"{site}\""))
+        })
+        .collect();
+    let my_zone = if site == "home" { 0 } else { 1 };
+    let settings = config(nowhere(), &known, 1024)
+        .replace("\"areas\":[\"a\"]", &format!("\"areas\":[\"home\",\"far\"],\"my_zone\":{my_zone}"));
+    std::fs::write(at("settings.json"), settings).expect("written");
+    let text = format!(
+        "name = \"{site}\"\nsite = \"{site}\"\nfar = \"{far}\"\nsettings = {:?}\n[near]\nlisten = \"127.0.0.1:0\"\n\
+         [link]\nlisten = \"127.0.0.1:0\"\npeers = [\"{peer}\"]\nask_ms = 50\n",
+        at("settings.json")
+    );
+    std::fs::write(at("gateway.toml"), text).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_silvercross"));
+    command.env_clear().arg("gateway").arg("--config").arg(at("gateway.toml"));
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    let mut child = command.spawn().expect("started");
+    let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+    let first = lines.next().expect("a line").expect("text");
+    thread::spawn(move || lines.for_each(drop));
+    let said: serde_json::Value =
+        serde_json::from_str(&first).unwrap_or_else(|_| panic!("not started: {first}"));
+    let address = |key: &str| said[key].as_str().and_then(|a| a.parse().ok()).expect("an address");
+    Gateway { child, near: address("near"), link: address("link") }
+}
+
+fn client(at: SocketAddr) -> Option<Client> {
+    let stream = TcpStream::connect(at).ok()?;
+    stream.set_read_timeout(Some(LONG)).expect("set");
+    Some(Client { read: BufReader::new(stream.try_clone().ok()?), write: stream })
+}
+
+/// The near side lets nobody in before it has heard an offer.
+fn near(g: &Gateway) -> Client {
+    until("an offer", || {
+        let mut c = client(g.near)?;
+        // One that came before the door was first closed is told that there is no room.
+        c.write.write_all(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").ok()?;
+        (read_message(&mut c.read)?.status() == 200).then_some(c)
+    })
+}
+
+fn pair(servers: &[SocketAddr]) -> (Gateway, Gateway) {
+    let far = gateway("far", "home", nowhere(), servers);
+    let home = gateway("home", "far", far.link, &[]);
+    (home, far)
+}
+
+fn unseen(m: &Message) -> bool {
+    m.status() == 503 && m.header("x-unprocessed") == Some("1")
+}
+
+#[test]
+fn a_call_crosses_once_and_its_answer_comes_back() {
+    let server = Upstream::start(ok("from afar"));
+    let (home, far) = pair(&[server.address]);
+    let mut c = near(&home);
+    let answer = c.ask(&call("commit", 5_000, "order"));
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"from afar"[..]));
+    assert_eq!(answer.header("x-gateway-offer"), None, "what gateways say to each other stays between them");
+    let seen = server.seen.lock().expect("whole");
+    assert_eq!(
+        (seen.len(), seen[0].header("x-gateway-hops"), seen[0].body.as_slice()),
+        (1, Some("home"), &b"order"[..])
+    );
+    drop(seen);
+    // What has crossed, or left this site before, goes nowhere; nor does what comes over the link without its hops.
+    for (at, mark) in
+        [(home.near, "far"), (home.near, "home"), (far.link, "far"), (far.link, "home,far"), (far.link, ",")]
+    {
+        let text = call("read", 5_000, "").replace("Host:", &format!("X-Gateway-Hops: {mark}\r\nHost:"));
+        let answer = client(at).expect("open").ask(&text);
+        assert!(unseen(&answer), "{mark}: {}", answer.head);
+    }
+    let answer = client(far.link).expect("open").ask(&call("read", 5_000, ""));
+    assert!(unseen(&answer), "{}", answer.head);
+    assert_eq!(server.requests(), 1);
+    let offer = client(far.link).expect("open").ask("GET /gateway/offer HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(offer.header("x-gateway-offer").is_some_and(|v| v.contains("slots=")), "{}", offer.head);
+}
+
+#[test]
+fn what_may_have_run_over_there_fails_and_is_sent_nowhere_again() {
+    let servers = [Upstream::start(Does::Closes), Upstream::start(Does::Closes)];
+    let (home, _far) = pair(&servers.each_ref().map(|s| s.address));
+    let answer = near(&home).ask(&call("commit", 5_000, "order"));
+    assert_eq!((answer.status(), answer.header("x-unprocessed")), (502, None), "{}", answer.head);
+    assert_eq!(servers.iter().map(Upstream::requests).sum::<usize>(), 1);
+}
+
+#[test]
+fn what_was_sent_back_unseen_over_there_is_sent_back_unseen() {
+    let full = "HTTP/1.1 503 X\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+    let server = Upstream::start(Does::Says(full.into()));
+    let (home, _far) = pair(&[server.address]);
+    let answer = near(&home).ask(&call("commit", 5_000, "order"));
+    assert!(unseen(&answer), "{}", answer.head);
+}
+
+#[test]
+fn with_the_far_gateway_gone_nobody_is_let_in_until_one_is_back() {
+    let server = Upstream::start(ok("from afar"));
+    let (home, far) = pair(&[server.address]);
+    assert_eq!(near(&home).ask(&call("read", 5_000, "")).status(), 200);
+    drop(far);
+    until("the closed door", || client(home.near).is_none().then_some(()));
+}
+
+#[test]
+fn a_peer_that_is_no_gateway_is_never_trusted() {
+    // It answers what is asked of it with something else, with a huge offer, and with a negative one.
+    for offer in [
+        "",
+        "X-Gateway-Offer: life=1;seq=1;slots=999999999;for_ms=1000\r\n",
+        "X-Gateway-Offer: life=1;seq=1;slots=-4;for_ms=1000\r\n",
+    ] {
+        let peer =
+            Upstream::start(Does::Says(format!("HTTP/1.1 200 OK\r\n{offer}Content-Length: 0\r\n\r\n")));
+        let home = gateway("home", "far", peer.address, &[]);
+        until("some questions", || (peer.requests() >= 3).then_some(()));
+        assert!(client(home.near).is_none(), "{offer}");
+    }
+}
+
+#[test]
+fn a_gateway_drains_and_ends() {
+    let server = Upstream::start(ok("from afar"));
+    let (home, mut far) = pair(&[server.address]);
+    assert_eq!(near(&home).ask(&call("read", 5_000, "")).status(), 200);
+    let told =
+        Command::new("sh").arg("-c").arg(format!("kill -TERM {}", far.child.id())).status().expect("run");
+    assert!(told.success());
+    let status = until("its end", || far.child.try_wait().expect("asked"));
+    assert!(status.success());
+    until("the closed door", || client(home.near).is_none().then_some(()));
+}
