--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -418,12 +418,22 @@
 
     /// How long a message takes one way; `dice` from 0 to 1 draws the jitter.
     pub fn delay(&self, sidecar: usize, server: usize, dice: f64) -> Micros {
+        self.delay_from(self.sidecar_site[sidecar], server, dice)
+    }
+
+    /// The same from a site.
+    pub fn delay_from(&self, site: usize, server: usize, dice: f64) -> Micros {
         let n = &self.script.network;
-        let same = self.sidecar_site[sidecar] == self.target_site[server];
+        let same = site == self.target_site[server];
         let base = if same { n.same_ms } else { n.cross_ms * self.slow_link };
         ms(base * (1.0 + n.jitter * dice))
     }
 
+    /// Whether bytes pass between two sites.
+    pub fn joined(&self, a: usize, b: usize) -> bool {
+        a == b || (self.cut[a] == 0 && self.cut[b] == 0)
+    }
+
     /// The group in which repeats of an ask are dropped, seen from a server.
     fn group(&self, class: usize, server: usize) -> u64 {
         match self.script.classes[class].group {
--- a/crates/rehearse/src/commands.rs
+++ b/crates/rehearse/src/commands.rs
@@ -31,6 +31,9 @@
     Sidecar {
         /// Who decides.
         policy: String,
+        /// Be a gateway by this file instead.
+        #[arg(long)]
+        gateway: Option<PathBuf>,
     },
     /// Be the bare forwarder that `load` measures beside the sidecar.
     #[command(hide = true)]
@@ -187,7 +190,7 @@
             );
             Ok(true)
         }
-        Command::Sidecar { policy } => sidecar(&policy),
+        Command::Sidecar { policy, gateway } => sidecar(&policy, gateway.as_deref()),
         Command::Forward { to } => load::forward(to).map(|()| true),
         Command::Load { steps, each, upstreams, body, sidecar, json } => {
             let usable = |s: &f64| (1.0..=1e6).contains(s);
@@ -258,13 +261,16 @@
 }
 
 /// Serve as a sidecar until told to stop, or until whoever started it is gone.
-fn sidecar(policy: &str) -> Result<bool, String> {
+fn sidecar(policy: &str, gateway: Option<&Path>) -> Result<bool, String> {
     let policy = Policy::named(policy).ok_or_else(|| format!("no policy {policy:?}"))?;
     std::thread::spawn(|| {
         // Nothing is ever said on it: its end is that of the rehearsal, however that came about.
         let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
         std::process::exit(0);
     });
+    if let Some(file) = gateway {
+        return silvercross_sidecar::lifecycle::gateway::run(file).map(|()| true);
+    }
     let make = (policy != Policy::Module).then(|| -> silvercross_facade::Make {
         Box::new(move |settings, seed, now| policy.make(settings, seed, now))
     });
--- a/crates/rehearse/src/sockets/mod.rs
+++ b/crates/rehearse/src/sockets/mod.rs
@@ -1,6 +1,7 @@
 //! The driver on loopback sockets, in real time: the emulator's servers and its list service listen on ports of the
 //! machine's choice, real sidecars run as processes, clients speak to them; all but the sidecars in one loop. The delay of
 //! the network is kept by holding messages back. Times are measured: a run in which this loop was late is void.
+mod gateways;
 mod processes;
 mod wire;
 
@@ -61,6 +62,7 @@
     CalledOff(usize),
     HangUp(usize),
     GiveUp(usize),
+    Pass(u64),
     Alive,
     Look,
 }
@@ -70,6 +72,8 @@
     of: usize,
     server: usize,
     conn: Option<Handle>,
+    /// Where it comes from: the client's site, or a gateway's.
+    site: usize,
     delay: Micros,
     fresh: bool,
 }
@@ -100,6 +104,10 @@
     },
     /// A sidecar's connection to the list service.
     List { wire: Wire, sidecar: usize, asker: u64, asked: bool, headed: bool },
+    /// Where a gateway finds a far one: in front of that one's link, with the way between the sites.
+    LinkListener { socket: Watched<TcpListener>, from: usize, to: usize, fillers: Vec<Socket> },
+    /// One end of a connection over the link.
+    Link(Box<gateways::Link>),
     /// A client's connection to its sidecar.
     Client { wire: Wire, sidecar: usize, of: Option<usize>, used: bool },
 }
@@ -120,6 +128,7 @@
     table: Table<Conn>,
     listeners: Vec<Vec<Option<(Handle, SocketAddr)>>>,
     sidecars: Vec<Sidecar>,
+    gateways: Vec<gateways::Gateway>,
     tries: Vec<Try>,
     tries_of: Vec<u32>,
     open: Vec<HashSet<usize>>,
@@ -168,15 +177,29 @@
     let _ = SockRef::from(socket).set_linger(Some(Duration::ZERO));
 }
 
+/// A listening socket that is to be as silent as a machine that is cut off, or no longer.
+fn shut_or_open(socket: &mut Watched<TcpListener>, fillers: &mut Vec<Socket>, at: SocketAddr, cut: bool) {
+    if cut && fillers.is_empty() {
+        // A queue with no room drops what knocks, as a silent machine does: nobody is told no.
+        let _ = socket.set(Interest::Nothing);
+        let _ = SockRef::from(socket.get()).listen(0);
+        fillers.extend((0..2).filter_map(|_| connect(at).ok()));
+    } else if !cut && !fillers.is_empty() {
+        fillers.clear();
+        let _ = SockRef::from(socket.get()).listen(BACKLOG);
+        while let Ok((waiting, _)) = socket.get().accept() {
+            reset(&waiting);
+        }
+        let _ = socket.set(Interest::Read);
+    }
+}
+
 fn chunk(line: &str) -> String {
     format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
 }
 
 /// Play a script on sockets, with these sidecars. The error is one plain line.
 pub fn play(script: &Script, seed: u64, program: &Program, log: &Logger) -> Result<Figures, String> {
-    if script.gateway.is_some() {
-        return Err("scripts with gateways are played in simulated time: add --mode virtual".into());
-    }
     let mut driver =
         Driver::new(script, seed, program, log).map_err(|e| format!("cannot set the stand-ins up: {e}"))?;
     let stop = driver.stop.clone();
@@ -202,6 +225,7 @@
         let mut driver = Driver {
             listeners: vec![vec![None; sites]; servers],
             sidecars: Vec::new(),
+            gateways: Vec::new(),
             tries: Vec::new(),
             tries_of: vec![0; asks],
             open: vec![HashSet::new(); script.sidecars()],
@@ -234,6 +258,7 @@
             let (_, at) = driver.add_listener(|socket| Conn::ListListener { socket, sidecar })?;
             driver.sidecars.push(Sidecar { process: None, life: 0, at: None, idle: Vec::new(), list_at: at });
         }
+        driver.add_gateways()?;
         Ok(driver)
     }
 
@@ -289,6 +314,9 @@
         let (script, site) = (&self.world.script, self.world.sidecar_site(sidecar));
         let kinds = script.machine_kinds();
         let host = |l: &Listed| {
+            if l.server >= self.listeners.len() {
+                return self.gateway_host(l);
+            }
             // Where nothing listens any more an address is still due; it is gone or draining then, or refuses.
             let dial = self.listeners[l.server][site].map_or(SocketAddr::from(([127, 0, 0, 1], 9)), |x| x.1);
             serde_json::json!({
@@ -314,7 +342,7 @@
         });
         let path = processes::write_config(self.folder.path(), i, &config)?;
         let wake = self.wake.0.try_clone().map_err(|e| e.to_string())?;
-        let process = Process::start(&self.program, &path, i, life, self.started.0.clone(), wake)?;
+        let process = Process::start(&self.program, &[], &path, i, life, self.started.0.clone(), wake)?;
         let s = &mut self.sidecars[i];
         (s.process, s.life, s.at) = (Some(process), life, None);
         Ok(())
@@ -328,6 +356,7 @@
         self.world.advance(0, &mut events);
         self.events = events;
         self.do_events(0);
+        self.start_gateways()?;
         let up: Vec<usize> = (0..self.sidecars.len()).filter(|i| self.world.sidecar_up(*i)).collect();
         for i in &up {
             self.spawn(*i)?;
@@ -351,6 +380,9 @@
     }
 
     fn has_started(&mut self, s: &Started) -> Result<(), String> {
+        if s.number >= self.sidecars.len() {
+            return self.gateway_started(s);
+        }
         let sidecar = &mut self.sidecars[s.number];
         if sidecar.life != s.life {
             return Ok(());
@@ -427,6 +459,7 @@
         for s in &mut self.sidecars {
             s.process = None;
         }
+        self.gateways.iter_mut().for_each(|g| g.process = None);
         let (p99, worst) = (self.late.value_at_quantile(0.99) as Micros, self.late.max() as Micros);
         if self.void.is_none() && (p99 > LATE.0 || worst > LATE.1) {
             let figures = format!("p99 {:.1} ms, worst {:.1} ms", p99 as f64 / 1e3, worst as f64 / 1e3);
@@ -475,8 +508,8 @@
                     }
                 }
                 Event::Silent { .. } | Event::Cut { .. } => self.mute_as_cut(),
-                // Refused at the start: gateways are played in simulated time.
-                Event::Gateway { .. } | Event::GatewayDrains { .. } => {}
+                Event::Gateway { number, up } => self.gateway_turns(number, up),
+                Event::GatewayDrains { number } => self.gateway_drains(number),
                 Event::List(out) => self.list_said(now, out),
                 Event::Sidecar { number, up: true } => {
                     info!(self.log, "sidecar starts"; "sidecar" => number, "at_ms" => now / 1000);
@@ -509,6 +542,7 @@
 
     /// Silence what cannot be reached, and let what can be reached again answer: what was silent is reset then.
     fn mute_as_cut(&mut self) {
+        self.mute_links();
         for server in 0..self.listeners.len() {
             for site in 0..self.listeners[server].len() {
                 let cut = !self.world.reaches_from(site, server);
@@ -526,19 +560,7 @@
                 let Some(Conn::Listener { socket, fillers, .. }) = self.table.get_mut(handle) else {
                     continue;
                 };
-                if cut && fillers.is_empty() {
-                    // A queue with no room drops what knocks, as a silent machine does: nobody is told no.
-                    let _ = socket.set(Interest::Nothing);
-                    let _ = SockRef::from(socket.get()).listen(0);
-                    fillers.extend((0..2).filter_map(|_| connect(at).ok()));
-                } else if !cut && !fillers.is_empty() {
-                    fillers.clear();
-                    let _ = SockRef::from(socket.get()).listen(BACKLOG);
-                    while let Ok((waiting, _)) = socket.get().accept() {
-                        reset(&waiting);
-                    }
-                    let _ = socket.set(Interest::Read);
-                }
+                shut_or_open(socket, fillers, at, cut);
             }
         }
     }
@@ -652,6 +674,8 @@
                     self.askers.extend(made.map(|h| (asker, h)));
                 }
             }
+            Some(Conn::LinkListener { .. }) => self.link_accept(handle),
+            Some(Conn::Link(_)) => self.link_ready(now, handle),
             Some(Conn::Server { .. }) => self.server_ready(now, handle),
             Some(Conn::List { .. }) => self.list_ready(now, handle),
             Some(Conn::Client { .. }) => self.client_ready(now, handle),
@@ -681,10 +705,11 @@
     }
 
     fn server_ready(&mut self, now: Micros, handle: Handle) {
-        let Some(Conn::Server { wire, server, job, fresh, muted, begun, .. }) = self.table.get_mut(handle)
+        let Some(Conn::Server { wire, server, site, job, fresh, muted, begun }) = self.table.get_mut(handle)
         else {
             return;
         };
+        let site = *site;
         let (server, job, was_fresh) = (*server, *job, *fresh);
         // A muted one wakes only when its other end is gone for good.
         let done = if *muted { Ok(true) } else { wire.pump() };
@@ -720,11 +745,12 @@
         }
         let sidecar = self.tries[of].sidecar;
         let dice = unit(self.world.seed ^ 0xde1a, new as u64);
-        let delay = self.world.delay(sidecar, server, dice);
-        self.jobs.push(Job { of, server, conn: Some(handle), delay, fresh: was_fresh });
+        let delay = self.world.delay_from(site, server, dice);
+        self.jobs.push(Job { of, server, conn: Some(handle), site, delay, fresh: was_fresh });
         let crosses = self.world.sidecar_site(sidecar) != self.world.site(server);
         self.tally.sent(now, server, crosses);
-        self.world.checker.sent(sent, of as u64, sidecar, server);
+        let sender = self.sender(sidecar, site);
+        self.world.checker.sent(sent, of as u64, sender, server);
         // A new connection's set-up has taken no time here: its first request pays for the way there and back.
         let way = if was_fresh { 3 * delay } else { delay };
         self.at(now + way, What::Reach(new));
@@ -794,6 +820,7 @@
             }
             What::GiveUp(t) if !self.tries[t].over => self.hang_up(t),
             What::HangUp(_) | What::GiveUp(_) => {}
+            What::Pass(number) => self.pass(now, Handle::from_number(number)),
             What::Alive => {
                 if self.world.list.is_well() {
                     let watching: Vec<u64> = self.world.list.watching().collect();
@@ -815,6 +842,7 @@
                         return Err(format!("sidecar n{i} ended by itself: {how}"));
                     }
                 }
+                self.look_after_gateways()?;
                 self.at(now + LOOK, What::Look);
             }
         }
@@ -823,8 +851,7 @@
 
     fn reach(&mut self, now: Micros, job: usize) {
         let j = self.jobs[job];
-        let sidecar = self.tries[j.of].sidecar;
-        if !self.world.reaches(sidecar, j.server) || !self.world.servers[j.server].up {
+        if !self.world.reaches_from(j.site, j.server) || !self.world.servers[j.server].up {
             // Its connection is silent, or has been reset with the process.
             return;
         }
--- a/crates/rehearse/src/sockets/processes.rs
+++ b/crates/rehearse/src/sockets/processes.rs
@@ -30,6 +30,8 @@
     pub life: u32,
     /// Where it listens; `None`: it ended before it said so.
     pub at: Option<SocketAddr>,
+    /// Where a gateway listens for the other side.
+    pub link: Option<SocketAddr>,
 }
 
 /// A running sidecar. Dropping it ends it.
@@ -44,6 +46,7 @@
     /// Start one; `started` and then a byte on `wake` come once it has said where it listens.
     pub fn start(
         program: &Program,
+        role: &[&str],
         config: &Path,
         number: usize,
         life: u32,
@@ -51,7 +54,7 @@
         wake: UnixStream,
     ) -> Result<Self, String> {
         let mut command = Command::new(&program.path);
-        command.args(&program.args).env_clear().env("PROXY_CONFIG", config);
+        command.args(&program.args).args(role).env_clear().env("PROXY_CONFIG", config);
         command.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(|e| format!("{}: {e}", program.path.display()))?;
         let alive = child.stdin.take();
@@ -60,17 +63,19 @@
         let kept = last.clone();
         thread::spawn(move || {
             let mut told = false;
-            let tell = |at| {
-                let _ = started.send(Started { number, life, at });
+            let tell = |at, link| {
+                let _ = started.send(Started { number, life, at, link });
                 let _ = (&wake).write_all(b"s");
             };
             for line in lines.into_iter().flat_map(|l| l.lines().map_while(io::Result::ok)) {
                 if !told {
                     let value: Option<serde_json::Value> = serde_json::from_str(&line).ok();
-                    let at = value.as_ref().and_then(|v| v["listen"].as_str()).and_then(|a| a.parse().ok());
+                    let said =
+                        |key: &str| value.as_ref().and_then(|v| v[key].as_str()).and_then(|a| a.parse().ok());
+                    let at = said("listen").or_else(|| said("near"));
                     if at.is_some() {
                         told = true;
-                        tell(at);
+                        tell(at, said("link"));
                     }
                 }
                 if let Ok(mut kept) = kept.lock() {
@@ -81,7 +86,7 @@
                 }
             }
             if !told {
-                tell(None);
+                tell(None, None);
             }
         });
         Ok(Process { child, _alive: alive, last })
@@ -93,6 +98,12 @@
         Some(format!("{status}: {}", self.last_line()))
     }
 
+    /// Ask it to stop, as a planned restart does.
+    pub fn ask_to_stop(&self) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &pid]).stderr(Stdio::null()).status();
+    }
+
     /// The last line it logged.
     pub fn last_line(&self) -> String {
         let last = self.last.lock().ok().and_then(|l| l.back().cloned());
