--- a/crates/sidecar/src/event_loop/gateway_side.rs
+++ b/crates/sidecar/src/event_loop/gateway_side.rs
@@ -310,3 +310,16 @@
     out.extend_from_slice(format!("{}: {}\r\n", hops::HEADER, mark.value()).as_bytes());
     out
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_head_goes_on_with_one_mark_and_all_else_of_it() {
+        let mark = Hops::read(Some("home")).expect("a mark");
+        let head = b"POST /api HTTP/1.1\r\nHost: a\r\nx-gateway-hops: forged\r\nX-Gateway-Hops: twice\r\nX-Other: 1\r\n";
+        let text = String::from_utf8(with_mark(head, &mark)).expect("text");
+        assert_eq!(text, "POST /api HTTP/1.1\r\nHost: a\r\nX-Other: 1\r\nX-Gateway-Hops: home\r\n");
+    }
+}
