A gateway's closed door ends the connections that were busy as it closed

At fault: connections that waited for answers as the door closed were kept after them (answer, applications.rs), and what their sidecars sent on them was sent back unseen, which teaches the module that all is slow. Ruled out: the link and the offers, which had ended by then; the simulated driver closes such connections.

--- a/crates/emulator/src/figures.rs
+++ b/crates/emulator/src/figures.rs
@@ -31,7 +31,7 @@
 }
 
 /// A second of a run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Window {
     /// When it began, in seconds.
     pub t: f64,
@@ -43,6 +43,8 @@
     pub p50_ms: f64,
     /// See there.
     pub p99_ms: f64,
+    /// Share of its worth that the clients of each site earned, in the script's order.
+    pub by_site: Vec<f64>,
     /// Share of the sidecars' attempts sent in it that left their site.
     pub crossed: f64,
 }
@@ -212,6 +214,7 @@
     let mut windows: Vec<(f64, f64, Histogram<u64>)> = (0..n).map(|_| (0.0, 0.0, times())).collect();
     let mut classes = vec![(0.0, 0.0); script.classes.len()];
     let mut sites = vec![(0.0, 0.0); script.sites.len()];
+    let mut site_windows = vec![sites.clone(); n];
     let site_of: Vec<usize> =
         script.sites.iter().enumerate().flat_map(|(i, s)| std::iter::repeat_n(i, s.sidecars)).collect();
     let mut f = Figures { script: script.name.clone(), seed, ..Figures::default() };
@@ -245,6 +248,8 @@
         classes[ask.class].1 += earned;
         sites[site_of[ask.sidecar]].0 += class.worth;
         sites[site_of[ask.sidecar]].1 += earned;
+        let there = &mut site_windows[(ask.at / WINDOW) as usize][site_of[ask.sidecar]];
+        (there.0, there.1) = (there.0 + class.worth, there.1 + earned);
     }
     let share = |(offered, earned): (f64, f64)| if offered > 0.0 { rounded(earned / offered) } else { 1.0 };
     f.served_worth = share(classes.iter().fold((0.0, 0.0), |s, c| (s.0 + c.0, s.1 + c.1)));
@@ -266,6 +271,7 @@
             served_worth: share((w.0, w.1)),
             p50_ms: percentile(&w.2, 0.5),
             p99_ms: percentile(&w.2, 0.99),
+            by_site: site_windows[i].iter().map(|w| share(*w)).collect(),
             crossed: crossed(i),
         })
         .collect();
--- a/crates/emulator/src/virtual_time.rs
+++ b/crates/emulator/src/virtual_time.rs
@@ -974,7 +974,7 @@
         }
         let among = self.far_gateways(half);
         let Half::In { offer } = &mut self.halves[half] else { return };
-        let s = offer.state(among);
+        let s = offer.state(self.now, among);
         let (servers, home) = (self.world.servers.len(), self.world.sidecar_site(sidecar));
         for g in 0..self.world.script.gateways() {
             let target = servers + 2 * g;
@@ -997,7 +997,7 @@
         let Some(half) = from else { return };
         let among = self.far_gateways(inward);
         let Half::In { offer } = &mut self.halves[inward] else { return };
-        let (s, now) = (offer.state(among), self.now);
+        let (s, now) = (offer.state(self.now, among), self.now);
         if let Half::Out { peers, .. } = &mut self.halves[half] {
             peers.heard(now, inward / 2, s);
         }
@@ -1043,7 +1043,7 @@
             }
             Half::In { offer } => {
                 let hops = self.tries[of].hops.clone();
-                hops.arrive(&home).ok().filter(|()| offer.admit()).map(|()| hops)
+                hops.arrive(&home).ok().filter(|()| offer.admit(self.now)).map(|()| hops)
             }
         };
         let Some(hops) = hops.filter(|_| left > 0) else {
@@ -1080,9 +1080,10 @@
     /// What a gateway's inward half learns of a guest that is done.
     fn guest_ended(&mut self, t: usize, how: Ended) {
         let (took, expected) = (self.now - self.tries[t].began, self.world.asks[self.tries[t].ask].expected);
+        let left = self.tries[t].deadline - self.tries[t].began;
         let half = self.half_of(self.tries[t].sidecar);
         if let Some(Half::In { offer }) = half.map(|h| &mut self.halves[h]) {
-            offer.ended(self.now, how, took, expected);
+            offer.ended(self.now, how, took, expected, left);
         }
     }
 
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -18,6 +18,11 @@
 const GROW: f64 = 0.1;
 const GROW_EVERY: Micros = 200_000;
 const IN_USE: f64 = 0.6;
+/// A guest that took more than this share of the time it had left found a queue, whatever is usual: what is usual may have been
+/// learnt from queues.
+const SLOW_SHARE: f64 = 0.33;
+/// Crowded with a single guest, home takes none at all for so long, twice as long each time.
+const PAUSE: (Micros, Micros) = (1_000_000, 8_000_000);
 /// What the first answers say is not yet "usual": so many are simply averaged.
 const LEARN: f64 = 20.0;
 
@@ -61,6 +66,8 @@
     lately: f64,
     halved_at: Micros,
     grown_at: Micros,
+    pause: Micros,
+    closed_until: Micros,
     draining: bool,
 }
 
@@ -82,13 +89,15 @@
             lately: 0.0,
             halved_at: now - HALVE_EVERY,
             grown_at: now,
+            pause: PAUSE.0,
+            closed_until: now,
             draining: false,
         }
     }
 
     /// How many guests may be at work now.
-    pub fn slots(&self) -> u32 {
-        if self.draining {
+    pub fn slots(&self, now: Micros) -> u32 {
+        if self.draining || now < self.closed_until {
             0
         } else {
             self.slots as u32
@@ -101,8 +110,8 @@
     }
 
     /// Whether one more guest may come in; it is at work then, until [`Offer::ended`].
-    pub fn admit(&mut self) -> bool {
-        if self.at_work >= self.slots() {
+    pub fn admit(&mut self, now: Micros) -> bool {
+        if self.at_work >= self.slots(now) {
             self.refused += 1;
             return false;
         }
@@ -110,13 +119,16 @@
         true
     }
 
-    /// A guest is done. `took` over `expected`: its work as its sender guessed it, or the same for all of a class.
-    pub fn ended(&mut self, now: Micros, how: Ended, took: Micros, expected: f64) {
+    /// A guest is done; `left`: the time it had when it came. `took` over `expected`: its work as its sender guessed it, or the same for all of a class.
+    pub fn ended(&mut self, now: Micros, how: Ended, took: Micros, expected: f64, left: Micros) {
         let used = f64::from(self.at_work) >= IN_USE * self.slots;
         self.at_work = self.at_work.saturating_sub(1);
         let most = if self.seen < LEARN { f64::MAX } else { SURPRISE * self.usual };
+        let slow = took as f64 > SLOW_SHARE * left as f64;
         let ratio = match how {
             Ended::Left => return,
+            Ended::Served if slow && self.seen < LEARN => return self.halve(now),
+            Ended::Served if slow => most,
             // One that home could not serve in time took as long as counts.
             Ended::TurnedAway | Ended::Failed if self.seen < LEARN => return self.halve(now),
             Ended::TurnedAway | Ended::Failed => most,
@@ -138,6 +150,7 @@
             self.grown_at = now;
             let more = (self.slots * GROW).max(1.0);
             self.slots = (self.slots + more).min(f64::from(self.limits.most));
+            self.pause = PAUSE.0;
         }
     }
 
@@ -146,13 +159,18 @@
             return;
         }
         (self.halved_at, self.grown_at) = (now, now + HALVE_EVERY);
+        if self.slots < 2.0 {
+            // Even one is too many: what home can do is all its own for a while, and then one finds out.
+            self.closed_until = now + self.pause;
+            self.pause = (2 * self.pause).min(PAUSE.1);
+        }
         self.slots = (self.slots / 2.0).max(f64::from(self.limits.first.min(1)));
     }
 
     /// What to state now to one of so many far gateways: its part.
-    pub fn state(&mut self, among: u32) -> Statement {
+    pub fn state(&mut self, now: Micros, among: u32) -> Statement {
         self.seq += 1;
-        let slots = self.slots().div_ceil(among.max(1));
+        let slots = self.slots(now).div_ceil(among.max(1));
         Statement { life: self.life, seq: self.seq, slots, holds: self.limits.holds }
     }
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -60,22 +60,33 @@
     let mut serve = |offer: &mut Offer, n: usize, took: Micros| {
         for _ in 0..n {
             now += 10 * MS;
-            while offer.admit() {}
-            offer.ended(now, Ended::Served, took, 40_000.0);
+            while offer.admit(now) {}
+            offer.ended(now, Ended::Served, took, 40_000.0, S);
         }
     };
     serve(&mut offer, 100, 50 * MS);
-    let after_a_second = offer.slots();
+    let after_a_second = offer.slots(S);
     assert!((5..=9).contains(&after_a_second), "{after_a_second}");
     serve(&mut offer, 2_000, 50 * MS);
-    assert_eq!(offer.slots(), 100, "all that the settings allow");
+    assert_eq!(offer.slots(21 * S), 100, "all that the settings allow");
     // Home turns slow: within a second of it, guests are down to a half and less.
     serve(&mut offer, 100, 200 * MS);
-    assert!(offer.slots() <= 50, "{}", offer.slots());
+    assert!(offer.slots(22 * S) <= 50, "{}", offer.slots(22 * S));
     serve(&mut offer, 400, 200 * MS);
-    assert!(offer.slots() <= 4, "{}", offer.slots());
+    assert!(offer.slots(26 * S) <= 4, "{}", offer.slots(26 * S));
     offer.drain();
-    assert_eq!((offer.slots(), offer.admit(), offer.state(2).slots), (0, false, 0));
+    assert_eq!((offer.slots(99 * S), offer.admit(99 * S), offer.state(99 * S, 2).slots), (0, false, 0));
+}
+
+#[test]
+fn an_offer_made_where_home_is_overloaded_from_the_start_does_not_grow() {
+    let mut offer = Offer::new(LIMITS, 1, 0);
+    for n in 0..2_000 {
+        let now = n * 20 * MS;
+        while offer.admit(now) {}
+        offer.ended(now, Ended::Served, 300 * MS, 40_000.0, 600 * MS);
+        assert!(offer.slots(now) <= LIMITS.first, "{}", offer.slots(now));
+    }
 }
 
 #[test]
@@ -149,11 +160,11 @@
         for (what, i, wait) in events {
             now += wait * MS;
             match what {
-                0 | 1 => guests += u32::from(offer.admit()),
+                0 | 1 => guests += u32::from(offer.admit(now)),
                 2 if guests > 0 => {
                     guests -= 1;
                     let how = [Ended::Served, Ended::TurnedAway, Ended::Left][i];
-                    offer.ended(now, how, (wait + 1) * MS, 40_000.0);
+                    offer.ended(now, how, (wait + 1) * MS, 40_000.0, S);
                 }
                 3 => {
                     seq += 1;
@@ -173,7 +184,7 @@
                 8 => drop(peers.next(now)),
                 _ => {}
             }
-            prop_assert!(offer.slots() <= 100 && offer.at_work == guests && guests <= 100);
+            prop_assert!(offer.slots(now) <= 100 && offer.at_work == guests && guests <= 100);
             prop_assert_eq!(peers.out(i), out[i]);
             prop_assert!(peers.next(now).is_none_or(|at| at > now));
         }
--- a/crates/sidecar/src/event_loop/applications.rs
+++ b/crates/sidecar/src/event_loop/applications.rs
@@ -2,7 +2,7 @@
 use super::gateway_side::Gate;
 use super::{EventLoop, Wake};
 use crate::memory::connections::Connection;
-use crate::memory::requests::Request;
+use crate::memory::requests::{Guest, Request};
 use crate::wire::application::{self, Asked, Call, Front, Got, State};
 use silvercross_core::interface::Micros;
 use silvercross_facade::Request as Placed;
@@ -360,9 +360,9 @@
     }
 
     /// A guest that was let in came to nothing.
-    fn give_back(&mut self, guest: Option<(Micros, f64)>) {
-        if let (Some(Gate::In(i)), Some((began, _))) = (self.gate.as_mut(), guest) {
-            i.offer.ended(began, Ended::Left, 0, 1.0);
+    fn give_back(&mut self, guest: Option<Guest>) {
+        if let (Some(Gate::In(i)), Some(g)) = (self.gate.as_mut(), guest) {
+            i.offer.ended(g.began, Ended::Left, 0, g.expected, g.left);
         }
     }
 
@@ -409,9 +409,10 @@
     pub(super) fn answer(&mut self, handle: Handle, status: u16, lines: &[u8], parts: &[&[u8]]) {
         let now = self.balancer.now();
         self.stop.iter_mut().for_each(|s| s.note_activity(now));
-        let stopping = self.stop.is_some();
+        // Through a door that is closed no connection stays open: what came on it would only be sent back.
+        let ends = self.stop.is_some() || self.listener.is_none();
         let Some(c) = self.connections.application(handle) else { return };
-        c.close |= stopping;
+        c.close |= ends;
         let Some(mut output) = c.output.take().or_else(|| self.pool.take_for_answer()) else {
             self.warn_limit("buffers");
             return self.close_application(handle);
--- a/crates/sidecar/src/event_loop/gateway_side.rs
+++ b/crates/sidecar/src/event_loop/gateway_side.rs
@@ -5,6 +5,7 @@
 use crate::lifecycle::logging::Paced;
 use crate::lifecycle::start;
 use crate::memory::connections::Connection;
+use crate::memory::requests::Guest;
 use crate::wire::application::Call;
 use crate::wire::peer;
 use silvercross_core::interface::Micros;
@@ -87,7 +88,7 @@
         &mut self,
         call: &mut Call,
         left: Option<Micros>,
-    ) -> Result<Option<(Micros, f64)>, &'static str> {
+    ) -> Result<Option<Guest>, &'static str> {
         let now = self.balancer.now();
         let Some(gate) = self.gate.as_mut() else { return Ok(None) };
         let mark = Hops::read(call.hops.as_deref()).map_err(hops::Refused::reason)?;
@@ -103,10 +104,11 @@
             }
             Gate::In(i) => {
                 mark.arrive(&i.home).map_err(hops::Refused::reason)?;
-                if !i.offer.admit() {
+                if !i.offer.admit(now) {
                     return Err("this side has no room");
                 }
-                (mark, Some((now, if expected > 0.0 { expected } else { 1_000.0 })))
+                let expected = if expected > 0.0 { expected } else { 1_000.0 };
+                (mark, Some(Guest { began: now, expected, left }))
             }
         };
         call.head = with_mark(&call.head, &mark);
@@ -117,20 +119,20 @@
     pub(super) fn guest_ended(&mut self, request: Handle, how: Ended) {
         let now = self.balancer.now();
         let guest = self.requests.get_mut(request).and_then(|r| r.guest.take());
-        if let (Some(Gate::In(i)), Some((began, expected))) = (self.gate.as_mut(), guest) {
-            i.offer.ended(now, how, now - began, expected);
+        if let (Some(Gate::In(i)), Some(g)) = (self.gate.as_mut(), guest) {
+            i.offer.ended(now, how, now - g.began, g.expected, g.left);
         }
     }
 
     /// The header lines that a gateway adds to an answer: on the link, what it offers.
     pub(super) fn gate_lines(&mut self) -> String {
-        let stopping = self.stop.is_some();
+        let (stopping, now) = (self.stop.is_some(), self.balancer.now());
         match self.gate.as_mut() {
             Some(Gate::In(i)) => {
                 if stopping {
                     i.offer.drain();
                 }
-                format!("{}: {}\r\n", statement::HEADER, i.offer.state(i.among).value())
+                format!("{}: {}\r\n", statement::HEADER, i.offer.state(now, i.among).value())
             }
             _ => String::new(),
         }
--- a/crates/sidecar/src/memory/requests.rs
+++ b/crates/sidecar/src/memory/requests.rs
@@ -3,6 +3,17 @@
 use silvercross_net::buffers::Buffer;
 use silvercross_net::table::Handle;
 
+/// What is kept of a request that has come over a gateway's link.
+#[derive(Clone, Copy, Debug)]
+pub struct Guest {
+    /// When it came.
+    pub began: Micros,
+    /// How much work its sender expected, in microseconds.
+    pub expected: f64,
+    /// How much time it had left.
+    pub left: Micros,
+}
+
 /// A request taken from an application.
 pub struct Request {
     /// The connection that waits for the answer; `None` once answered, or when the client hung up.
@@ -15,8 +26,8 @@
     pub head: usize,
     /// An attempt of it was written whole and not sent back unseen: it may have run.
     pub may_have_run: bool,
-    /// Come over the link: when, and how much work its sender expected.
-    pub guest: Option<(Micros, f64)>,
+    /// It has come over the link.
+    pub guest: Option<Guest>,
     /// The connection of each attempt, by its number; `None` once that has ended.
     pub attempts: Vec<Option<Handle>>,
 }
--- a/crates/sidecar/tests/gateway.rs
+++ b/crates/sidecar/tests/gateway.rs
@@ -142,6 +142,20 @@
     until("the closed door", || client(home.near).is_none().then_some(()));
 }
 
+/// Seen: with the link cut, connections that were busy as the door closed stayed, and all that came on them was sent back
+/// unseen; to the sidecars' modules that said that everything is slow, home too.
+#[test]
+fn a_connection_that_was_busy_as_the_door_closed_ends_with_its_answer() {
+    let server = Upstream::start(Does::Hangs);
+    let (home, far) = pair(&[server.address]);
+    let mut c = near(&home);
+    c.say(&call("commit", 50_000, "order"));
+    until("the order over there", || (server.requests() == 1).then_some(()));
+    drop(far);
+    let answer = c.hear();
+    assert_eq!((answer.status(), answer.header("connection")), (502, Some("close")), "{}", answer.head);
+}
+
 #[test]
 fn a_peer_that_is_no_gateway_is_never_trusted() {
     // It answers what is asked of it with something else, with a huge offer, and with a negative one.
