--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -18,9 +18,6 @@
 const GROW: f64 = 0.1;
 const GROW_EVERY: Micros = 200_000;
 const IN_USE: f64 = 0.6;
-/// Guests pile up before any of them turns late: no more are taken than so many times those usually at work, and so many.
-const PILE: (f64, f64) = (2.0, 3.0);
-const PILE_LEARN: f64 = 0.03;
 /// A guest that took more than this share of the time it had left found a queue, whatever is usual: what is usual may have been
 /// learnt from queues.
 const SLOW_SHARE: f64 = 0.33;
@@ -69,8 +66,6 @@
     lately: f64,
     halved_at: Micros,
     grown_at: Micros,
-    /// Guests at work, as a rule.
-    usually_in: f64,
     pause: Micros,
     closed_until: Micros,
     draining: bool,
@@ -94,7 +89,6 @@
             lately: 0.0,
             halved_at: now - HALVE_EVERY,
             grown_at: now,
-            usually_in: 0.0,
             pause: PAUSE.0,
             closed_until: now,
             draining: false,
@@ -117,13 +111,11 @@
 
     /// Whether one more guest may come in; it is at work then, until [`Offer::ended`].
     pub fn admit(&mut self, now: Micros) -> bool {
-        let piled = f64::from(self.at_work) >= PILE.0 * self.usually_in + PILE.1;
-        if self.at_work >= self.slots(now) || piled {
+        if self.at_work >= self.slots(now) {
             self.refused += 1;
             return false;
         }
         self.at_work += 1;
-        self.usually_in += (f64::from(self.at_work) - self.usually_in) * PILE_LEARN;
         true
     }
 
