--- a/crates/rehearse/src/commands.rs
+++ b/crates/rehearse/src/commands.rs
@@ -112,6 +112,9 @@
     /// The seed; the script's own unless given.
     #[arg(long)]
     seed: Option<u64>,
+    /// The script's gateways as they are, taken out (each site for itself), or taken out with all servers listed everywhere.
+    #[arg(long, value_enum, default_value = "on")]
+    gateway: Gateways,
 }
 
 #[derive(Debug, Args)]
@@ -132,9 +135,6 @@
     /// Another build of the sidecar, on sockets.
     #[arg(long)]
     sidecar: Option<PathBuf>,
-    /// The script's gateways as they are, taken out (each site for itself), or taken out with all servers listed everywhere.
-    #[arg(long, value_enum, default_value = "on")]
-    gateway: Gateways,
     /// Leave the plain policies out.
     #[arg(long)]
     no_baselines: bool,
@@ -154,6 +154,16 @@
 }
 
 impl How {
+    fn take_out(&self, script: &mut Script) {
+        if matches!(self.gateway, Gateways::On) {
+            return;
+        }
+        script.gateway = None;
+        script.list.own_site = matches!(self.gateway, Gateways::Off);
+        // What happens to gateways has no meaning then.
+        script.faults.retain(|f| !matches!(f.kind, Trouble::GatewaysDie | Trouble::GatewaysDrain));
+    }
+
     fn of(&self, script: &Script) -> (Mode, u64) {
         let mode = match self.mode {
             None => script.mode,
@@ -206,10 +216,10 @@
         }
         Command::List { folder } => list(&folder),
         Command::Repeat { script, times, same_seed, how } => {
-            repeat(&read(&script)?, times, same_seed, &how, &log)
+            repeat(read(&script)?, times, same_seed, &how, &log)
         }
         Command::Compare { script, a, b, times, how } => {
-            compare(&read(&script)?, &Side::named(&a)?, &Side::named(&b)?, times, &how, &log)
+            compare(read(&script)?, &Side::named(&a)?, &Side::named(&b)?, times, &how, &log)
         }
     }
 }
@@ -301,12 +311,7 @@
 
 fn run_once(args: &RunArgs, log: &Logger) -> Result<bool, String> {
     let mut script = read(&args.script)?;
-    if !matches!(args.gateway, Gateways::On) {
-        script.gateway = None;
-        script.list.own_site = matches!(args.gateway, Gateways::Off);
-        // What happens to gateways has no meaning then.
-        script.faults.retain(|f| !matches!(f.kind, Trouble::GatewaysDie | Trouble::GatewaysDrain));
-    }
+    args.how.take_out(&mut script);
     let (mode, seed) = args.how.of(&script);
     let side = match &args.sidecar {
         Some(path) => Side::Build(path.clone()),
@@ -401,6 +406,11 @@
     "rules.broken",
 ];
 
+fn shown(script: &Script) -> Vec<String> {
+    let sites = script.sites.iter().filter(|_| script.sites.len() > 1).map(|s| format!("by_site.{}", s.name));
+    SHOWN.iter().map(|s| s.to_string()).chain(sites).collect()
+}
+
 /// Mean and standard deviation.
 fn spread(values: &[f64]) -> (f64, f64) {
     let n = values.len().max(1) as f64;
@@ -409,7 +419,9 @@
     (mean, (squares / (n - 1.0).max(1.0)).sqrt())
 }
 
-fn repeat(script: &Script, times: u64, same_seed: bool, how: &How, log: &Logger) -> Result<bool, String> {
+fn repeat(mut script: Script, times: u64, same_seed: bool, how: &How, log: &Logger) -> Result<bool, String> {
+    how.take_out(&mut script);
+    let script = &script;
     let (mode, seed) = how.of(script);
     let mut runs = Vec::new();
     for n in 0..times.max(1) {
@@ -421,7 +433,7 @@
     runs.retain(|f| f.void.is_none());
     println!("{}: {} runs, {void} void", script.name, runs.len());
     println!("  {:<18} {:>10} {:>10} {:>10} {:>10}", "figure", "mean", "deviation", "least", "most");
-    for name in SHOWN {
+    for name in &shown(script) {
         let values: Vec<f64> = runs.iter().filter_map(|f| f.named(name)).collect();
         let (mean, dev) = spread(&values);
         let (least, most) = values.iter().fold((f64::MAX, f64::MIN), |m, v| (m.0.min(*v), m.1.max(*v)));
@@ -430,7 +442,16 @@
     Ok(void == 0 && runs.iter().all(|f| f.rules.broken() == 0))
 }
 
-fn compare(script: &Script, a: &Side, b: &Side, times: u64, how: &How, log: &Logger) -> Result<bool, String> {
+fn compare(
+    mut script: Script,
+    a: &Side,
+    b: &Side,
+    times: u64,
+    how: &How,
+    log: &Logger,
+) -> Result<bool, String> {
+    how.take_out(&mut script);
+    let script = &script;
     let (mode, seed) = how.of(script);
     let builds = matches!(a, Side::Build(_)) || matches!(b, Side::Build(_));
     let mode = if builds { Mode::Sockets } else { mode };
@@ -444,7 +465,7 @@
     pairs.retain(|p| p.0.void.is_none() && p.1.void.is_none());
     println!("{}: a = {}, b = {}, {} pairs, {void} void", script.name, a.name(), b.name(), pairs.len());
     println!("  {:<18} {:>10} {:>10} {:>10} {:>10}", "figure", "a", "b", "b - a", "deviation");
-    for name in SHOWN {
+    for name in &shown(script) {
         let of = |f: fn(&(Figures, Figures)) -> &Figures| -> Vec<f64> {
             pairs.iter().filter_map(|p| f(p).named(name)).collect()
         };
--- a/crates/sidecar/src/event_loop/gateway_side.rs
+++ b/crates/sidecar/src/event_loop/gateway_side.rs
@@ -199,7 +199,7 @@
         let now = self.balancer.now();
         let Some(Gate::Out(o)) = self.gate.as_mut() else { return };
         let open: Vec<bool> = (0..o.at.len()).map(|p| o.peers.has_room(now, p)).collect();
-        let takes = o.peers.is_open(now, o.aim) || self.stop.is_some();
+        let takes = o.peers.is_open(now, o.aim);
         let changed = open != o.told;
         o.told.clone_from(&open);
         let hosts = changed.then(|| o.hosts(&open));
@@ -207,7 +207,10 @@
             info!(self.log, "far gateways with room"; "open" => open.iter().filter(|o| **o).count(), "of" => open.len());
             self.tell(&News::List { whole: true, hosts });
         }
-        self.take_connections(takes);
+        // A planned restart has its own way with the door.
+        if self.stop.is_none() {
+            self.take_connections(takes);
+        }
     }
 
     /// Take connections from home's sidecars, or none: refused, their modules know that nothing ran, and leave the gateway
