--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -18,9 +18,6 @@
 const GROW: f64 = 0.1;
 const GROW_EVERY: Micros = 200_000;
 const IN_USE: f64 = 0.6;
-/// Having just refused one, it states no room for so long: the other side's door closes, where each further refusal would teach
-/// whoever sends there that all is slow.
-const REFUSED: Micros = 200_000;
 /// A guest that took more than this share of the time it had left found a queue, whatever is usual: what is usual may have been
 /// learnt from queues.
 const SLOW_SHARE: f64 = 0.33;
@@ -69,7 +66,6 @@
     lately: f64,
     halved_at: Micros,
     grown_at: Micros,
-    refused_at: Option<Micros>,
     pause: Micros,
     closed_until: Micros,
     draining: bool,
@@ -93,7 +89,6 @@
             lately: 0.0,
             halved_at: now - HALVE_EVERY,
             grown_at: now,
-            refused_at: None,
             pause: PAUSE.0,
             closed_until: now,
             draining: false,
@@ -118,7 +113,6 @@
     pub fn admit(&mut self, now: Micros) -> bool {
         if self.at_work >= self.slots(now) {
             self.refused += 1;
-            self.refused_at = Some(now);
             return false;
         }
         self.at_work += 1;
@@ -176,8 +170,7 @@
     /// What to state now to one of so many far gateways: its part.
     pub fn state(&mut self, now: Micros, among: u32) -> Statement {
         self.seq += 1;
-        let refuses = self.refused_at.is_some_and(|at| now < at + REFUSED);
-        let slots = if refuses { 0 } else { self.slots(now).div_ceil(among.max(1)) };
+        let slots = self.slots(now).div_ceil(among.max(1));
         Statement { life: self.life, seq: self.seq, slots, holds: self.limits.holds }
     }
 }
