--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -56,8 +56,11 @@
 const RETRY_CAP: f64 = 5.0;
 /// Rates are counted over about this time.
 const RATE_OVER: f64 = 6e6;
-/// Part of the cold budget used: what a warm upstream can do is known roughly.
-const COLD_CARE: f64 = 0.6;
+/// Part of the cold budget used, and of a span's worth saved up: in any span no more than all of it.
+const COLD_CARE: f64 = 0.8;
+const COLD_SAVED: f64 = 0.125;
+/// A request heavier than so many usual ones goes to no cold upstream: alone it could spend all there is.
+const COLD_HEAVY: f64 = 5.0;
 /// Refuse what would meet its aim more seldom than this, by how far answers are seen to overrun what was
 /// expected, within these bounds: blind placement among many scatters them.
 const IN_TIME_LEAST: f64 = 0.7;
@@ -143,7 +146,7 @@
         if kind != ListKind::Patch {
             self.upstreams.iter_mut().for_each(|u| u.listed = false);
         }
-        let least = self.usual.iter().map(|k| k.per_unit * k.unit).fold(f64::MAX, f64::min);
+        let most = self.usual_most();
         for e in entries {
             let i = e.upstream.0 as usize;
             let (first_turn, known) = (self.random(), self.upstreams.len());
@@ -158,12 +161,12 @@
                 // A new process, cold again, or another one under a number that is free: no history. Hundreds
                 // start at different points of rotation and cold budget.
                 *u = Upstream { out: u.out, work_out: u.work_out, ..Upstream::new(*e) };
-                (u.turns, u.saved, u.saved_at) = (first_turn, first_turn * least, self.now);
+                (u.turns, u.saved, u.saved_at) = (first_turn, -first_turn * most, self.now);
             }
             u.entry = *e;
             u.listed = e.lifecycle == Lifecycle::Running;
             let (kinds, zones) = (self.kinds.len().max(e.kind as usize + 1), e.zone as usize + 1);
-            self.kinds.resize(kinds, Kind { slow: 1.0, seen: 0.0 });
+            self.kinds.resize(kinds, Kind::new(self.now));
             self.zones.resize(self.zones.len().max(zones), Seen { slow: 1.0, fed: LONG_AGO });
         }
     }
@@ -290,6 +293,7 @@
         // Work that an upstream of full capacity serves this balancer in a microsecond; counted anew below.
         let warm_rate = self.served_rate.now(self.now, RATE_OVER) / self.whole.max(1.0);
         self.whole = 0.0;
+        let mut wholes = vec![0.0; self.kinds.len()];
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
         let slack = TURN_SLACK * c.aim as f64;
         // A window of the ring: so many can be kept an eye on, in each zone; those doing badly hardly count.
@@ -303,7 +307,9 @@
             let u = &self.upstreams[i];
             let here = u.entry.zone == ours;
             listed_here += u32::from(here && u.listed);
-            self.whole += if u.listed { self.cold_share(u).unwrap_or(1.0) } else { 0.0 };
+            let share = if u.listed { self.cold_share(u).unwrap_or(1.0) } else { 0.0 };
+            self.whole += share;
+            wholes[u.entry.kind as usize] += if u.state == State::Unknown { 0.0 } else { share };
             let grouped = group.is_none_or(|(g, f)| u.within(g, &self.upstreams[f].entry));
             if !u.listed || !grouped || !roomy || p.attempts.iter().any(|a| a.upstream == i) {
                 continue;
@@ -321,6 +327,7 @@
                 to.push(Choice { place, i, zone: u.entry.zone, excluded: u.excluded(), time, usual });
             }
         }
+        self.kinds.iter_mut().zip(wholes).for_each(|(k, whole)| k.whole = whole);
         let few = |open: f64| open < f64::from(listed_here) * SPILL_SHARE;
         if few(f64::from(open_here)) || pool.is_empty() {
             // The page's spill: other zones in this balancer's own order, until half as many are there again.
@@ -449,7 +456,10 @@
             Outcome::Served | Outcome::Error | Outcome::Full => {
                 self.life(a.upstream);
                 let served = outcome == Outcome::Served;
-                self.served_rate.add(self.now, RATE_OVER, if served { work } else { 0.0 });
+                let of_kind = &mut self.kinds[self.upstreams[a.upstream].entry.kind as usize].served;
+                for rate in [&mut self.served_rate, of_kind] {
+                    rate.add(self.now, RATE_OVER, if served { work } else { 0.0 });
+                }
                 let took = if served { e.elapsed } else { self.set.classes[p.class].aim };
                 self.learn(p.class, p.unit, a.upstream, took, outcome != Outcome::Error);
             }
@@ -559,17 +569,27 @@
         (grown < 1.0).then(|| self.set.cold_from + (1.0 - self.set.cold_from) * grown.max(0.0))
     }
 
-    /// What this balancer may send a cold upstream: the multiple of the cold share of what a warm one serves
-    /// it, saved up from a random start: hundreds whose part is under one request come one by one. One
-    /// request a span for all balancers together is always safe, and needed where all is cold.
+    /// What this balancer may send a cold upstream: the multiple of the cold share of what a warm one of its
+    /// kind serves it, in debt from a random start: a request goes when the last one's work is paid off, so
+    /// hundreds whose part is under one request come one by one, heavy and light alike. One request a span for
+    /// all balancers together is always safe, and needed where all is cold.
     fn cold_room(&mut self, i: usize, work: f64, warm_rate: f64) -> bool {
-        let (now, span) = (self.now, self.set.fall_span as f64);
+        let (now, span, most) = (self.now, self.set.fall_span as f64, self.usual_most());
         let Some(share) = self.cold_share(&self.upstreams[i]) else { return true };
-        let rate = self.set.fall_multiple * share * warm_rate * COLD_CARE;
+        let kind = &self.kinds[self.upstreams[i].entry.kind as usize];
+        let like = if kind.whole >= 1.0 { kind.served.now(now, RATE_OVER) / kind.whole } else { warm_rate };
+        let rate = self.set.fall_multiple * share * like * COLD_CARE;
         let rate = rate.max(work / (span * self.set.instances.max(1) as f64));
         let u = &mut self.upstreams[i];
-        u.saved = (u.saved + rate * (now - u.saved_at).max(0) as f64).min((rate * span / 4.0).max(work));
+        // A budget that had to be saved up whole, and was cut to the little that so small a part may save, was
+        // lost to each light request.
+        u.saved = (u.saved + rate * (now - u.saved_at).max(0) as f64).min(rate * span * COLD_SAVED);
         u.saved_at = now;
-        u.saved >= work
+        u.saved >= 0.0 && work <= COLD_HEAVY * most
+    }
+
+    /// The work of a usual request of the heaviest class.
+    fn usual_most(&self) -> f64 {
+        self.usual.iter().map(|k| k.per_unit * k.unit).fold(0.0, f64::max)
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -22,11 +22,20 @@
     pub fed: Micros,
 }
 
-/// A machine kind's answer time as a multiple of the usual, and how many answers told.
+/// A machine kind's answer time as a multiple of the usual, how many answers told, what its upstreams serve, and how
+/// many of those met there are, cold ones by the share of their capacity.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Kind {
     pub slow: f64,
     pub seen: f64,
+    pub served: Rate,
+    pub whole: f64,
+}
+
+impl Kind {
+    pub fn new(now: Micros) -> Self {
+        Kind { slow: 1.0, seen: 0.0, served: Rate::new(now), whole: 0.0 }
+    }
 }
 
 #[derive(Clone, Debug)]
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -342,6 +342,43 @@
     assert!(sent >= 10, "the cold one is taken up: {sent}");
 }
 
+#[test]
+fn quiet_sidecars_feed_a_cold_upstream_light_and_heavy_requests_alike() {
+    // A hundred sidecars of a few requests a second, some light and some heavy. A budget that had to be saved up
+    // whole, and was cut back at each light request, let next to no work through: the cold stayed idle, and so cold.
+    let mut set = settings();
+    (set.instances, set.cold_from) = (100, 0.2);
+    let (mut work, mut warm) = ([0.0; 20], 0.0);
+    for seed in 0..100 {
+        let mut desk = Desk::seeded(set.clone(), &[0; 6], seed);
+        let mut ask = |desk: &mut Desk| {
+            let (id, hint) = (desk.next, [1, 2, 4, 8, 16, 32, 64, 128][desk.next as usize * 5 % 8] * MS);
+            desk.next += 1;
+            let out = desk.event(Event::Request(NewRequest { cost_hint: Some(hint), ..request(id, 0) }));
+            let to = first_send(&out).expect("there is room for all");
+            desk.end(id, 0, Outcome::Served, hint);
+            desk.now += 200 * MS;
+            (to, hint as f64)
+        };
+        for _ in 0..60 {
+            warm += ask(&mut desk).1;
+        }
+        let cold = Entry { last_start: Some(desk.now), ..entry(6, 0) };
+        desk.list(ListKind::Patch, &[cold]);
+        for step in &mut work {
+            let (to, hint) = ask(&mut desk);
+            *step += if to == 6 { hint } else { 0.0 };
+        }
+    }
+    // Served in 12 s by six; in a span of 3 s, 15 steps here, the cold one may get the multiple of its least share.
+    let usual = warm / 6.0 / 12.0 * 3.0;
+    let (span, got) = (15, work.iter().sum::<f64>());
+    let most = work.windows(span).map(|w| w.iter().sum::<f64>()).fold(0.0, f64::max);
+    let allowed = set.fall_multiple * (0.2 + 0.8 * 4.0 * S as f64 / set.warm_within as f64) * usual;
+    assert!(most <= allowed, "{most:.0} in a span, {allowed:.0} allowed");
+    assert!(got >= 0.3 * set.fall_multiple * 0.2 * usual, "{got:.0} of {usual:.0} that a warm one gets");
+}
+
 #[test]
 fn time_outs_at_the_clients_limit_make_a_zone_look_crowded() {
     // In a collapse only the fast answers come: without the time-outs all would look well.
