--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -571,8 +571,8 @@
 
     /// What this balancer may send a cold upstream: the multiple of the cold share of what a warm one of its
     /// kind serves it, in debt from a random start: a request goes when the last one's work is paid off, so
-    /// hundreds whose part is under one request come one by one, heavy and light alike. One request a span for
-    /// all balancers together is always safe, and needed where all is cold.
+    /// hundreds whose part is under one request come one by one, heavy and light alike. One request a span
+    /// for all balancers together is always safe, and needed where all is cold.
     fn cold_room(&mut self, i: usize, work: f64, warm_rate: f64) -> bool {
         let (now, span, most) = (self.now, self.set.fall_span as f64, self.usual_most());
         let Some(share) = self.cold_share(&self.upstreams[i]) else { return true };
@@ -581,8 +581,8 @@
         let rate = self.set.fall_multiple * share * like * COLD_CARE;
         let rate = rate.max(work / (span * self.set.instances.max(1) as f64));
         let u = &mut self.upstreams[i];
-        // A budget that had to be saved up whole, and was cut to the little that so small a part may save, was
-        // lost to each light request.
+        // A budget that had to be saved up whole, and was cut to the little that so small a part may save,
+        // was lost to each light request.
         u.saved = (u.saved + rate * (now - u.saved_at).max(0) as f64).min(rate * span * COLD_SAVED);
         u.saved_at = now;
         u.saved >= 0.0 && work <= COLD_HEAVY * most
