--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -197,15 +197,6 @@
         (u.state, u.failures, u.broken, u.last_life) = (State::Online, 0, 0, self.now);
     }
 
-    /// An answer to an attempt sent at `sent`, the first since connections failed, and not amid answers: what
-    /// could not be reached has most likely started anew, and is cold before the list can say so.
-    fn returned(&mut self, i: usize, sent: Micros) {
-        let (debt, u) = (self.random() * self.usual_most(), &mut self.upstreams[i]);
-        if u.down_at > u.last_life + AMID.0 && sent > u.down_at {
-            (u.began, u.saved, u.saved_at) = (Some(u.down_at), -debt, self.now);
-        }
-    }
-
     /// A transport failure of an attempt sent at `sent`.
     fn failure(&mut self, i: usize, sent: Micros) {
         let now = self.now;
@@ -463,7 +454,6 @@
         match outcome {
             // Signs of life. A full queue would have taken the aim at least: it tells of crowding.
             Outcome::Served | Outcome::Error | Outcome::Full => {
-                self.returned(a.upstream, a.sent);
                 self.life(a.upstream);
                 let served = outcome == Outcome::Served;
                 let of_kind = &mut self.kinds[self.upstreams[a.upstream].entry.kind as usize].served;
@@ -474,11 +464,7 @@
                 self.learn(p.class, p.unit, a.upstream, took, outcome != Outcome::Error);
             }
             Outcome::TimedOut if a.own_limit && !a.suspected => self.failure(a.upstream, a.sent),
-            Outcome::ConnectFailed | Outcome::Reset => {
-                let u = &mut self.upstreams[a.upstream];
-                u.down_at = if outcome == Outcome::Reset { u.down_at } else { self.now };
-                self.failure(a.upstream, a.sent);
-            }
+            Outcome::ConnectFailed | Outcome::Reset => self.failure(a.upstream, a.sent),
             // The client's time was up: no fault of the upstream's is proven, but that long it took at least.
             Outcome::TimedOut => self.learn(p.class, p.unit, a.upstream, e.elapsed, true),
             Outcome::Cancelled | Outcome::Moot => {}
@@ -578,7 +564,7 @@
     // --- cold budget ---
     /// The least share of its capacity a started upstream has now; `None` once warm.
     fn cold_share(&self, u: &Upstream) -> Option<f64> {
-        let age = self.now - u.entry.last_start.max(u.began)?;
+        let age = self.now - u.entry.last_start?;
         let grown = age as f64 / self.set.warm_within.max(1) as f64;
         (grown < 1.0).then(|| self.set.cold_from + (1.0 - self.set.cold_from) * grown.max(0.0))
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -49,9 +49,6 @@
     pub streak_start: Micros,
     pub last_failure: Micros,
     pub last_life: Micros,
-    /// When a connection last failed, and from when it is taken to run anew since it could be reached again.
-    pub down_at: Micros,
-    pub began: Option<Micros>,
     pub scouts: u32,
     /// How slow it is by its own answers.
     pub seen: Seen,
@@ -249,8 +246,6 @@
             streak_start: LONG_AGO,
             last_failure: LONG_AGO,
             last_life: LONG_AGO,
-            down_at: LONG_AGO,
-            began: None,
             scouts: 0,
             seen: Seen { slow: 1.0, fed: LONG_AGO },
             out: 0,
