--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -29,8 +29,9 @@
 /// Late by twice the best: a turn in two to this power, but this at least; this share of the aim is nothing.
 const TURN: (i32, f64) = (9, 0.02);
 const TURN_SLACK: f64 = 0.05;
-/// How long an upstream's state lasts: as many share the turns as answer once in it, but so many at least.
-const WATCH_SPAN: f64 = 2e6;
+/// As many share the turns as answer once in this time, but so many at least: hundreds of sidecars change
+/// an upstream's state within it, and few connections are then kept busy rather than many opened.
+const WATCH_SPAN: f64 = 0.25e6;
 const WATCH_LEAST: f64 = 2.0;
 /// Crossings by chance, as a multiple of the gain's share of the time; the way there and back takes some.
 const CROSS_GAIN: f64 = 8.0;
@@ -48,9 +49,9 @@
 /// An error counts like an answer so many times as slow as usual: passed over softly, never excluded.
 const ERROR_SLOW: f64 = 12.0;
 /// Crowding fades like this without answers; an own part over so many own requests, within these bounds.
-const FADE: f64 = 4e6;
+const FADE: f64 = 2e6;
 const HOLD_REQUESTS: f64 = 60.0;
-const HOLD: (f64, f64) = (8e6, 30e6);
+const HOLD: (f64, f64) = (4e6, 10e6);
 /// Second tries: this share of first ones, saved up to the cap: more turns overload into collapse.
 const RETRY_SHARE: f64 = 0.02;
 const RETRY_CAP: f64 = 5.0;
