--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -369,7 +369,7 @@
     let (mut work, mut warm) = ([0.0; 20], 0.0);
     for seed in 0..100 {
         let mut desk = Desk::seeded(set.clone(), &[0; 6], seed);
-        let mut ask = |desk: &mut Desk| {
+        let ask = |desk: &mut Desk| {
             let (id, hint) = (desk.next, [1, 2, 4, 8, 16, 32, 64, 128][desk.next as usize * 5 % 8] * MS);
             desk.next += 1;
             let out = desk.event(Event::Request(NewRequest { cost_hint: Some(hint), ..request(id, 0) }));
