--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -303,6 +303,9 @@
     // A sidecar that meets each of thirty once a minute knows none of them; of a few it knows the bad ones.
     let mut few = Desk::new(settings(), &[0; 30]);
     assert!((2..=4).contains(&met(&mut few, 60, 480 * MS)));
+    // Fifteen a second: round all thirty, each is known by an answer 2 s old, which a hundred others have outdated.
+    let mut some = Desk::new(settings(), &[0; 30]);
+    assert!((3..=8).contains(&met(&mut some, 300, 47 * MS)));
     let (mut many, mut seen) = (Desk::new(settings(), &[0; 30]), [false; 30]);
     for _ in 0..1000 {
         let (id, to) = many.sent(0);
