Where all is cold heavy requests have a place, and no budget is worked out for warm servers

Seen on reading the change again: requests of over five usual ones went to no cold upstream, also where nothing warm is listed, so a fleet that starts as a whole refused them until it was warm. The floor of the budget went by the present request's work, so debts made in usual requests were paid off too slowly by light ones. The usual work was worked out for each upstream at each pick, warm ones too, and served_rate was the sum of what the kinds hold.

Change, policy.rs: the bar on weight stands only while a warm upstream is listed; the floor is one usual request a span; the usual is looked up for cold upstreams only; served_rate is gone. The test fails with the bar in force.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -292,7 +292,8 @@
         let group = self.allowed(p)?;
         let (c, ours, work) = (self.set.classes[p.class], self.set.my_zone, p.work);
         // Work that an upstream of full capacity serves this balancer in a microsecond; counted anew below.
-        let warm_rate = self.served_rate.now(self.now, RATE_OVER) / self.whole.max(1.0);
+        let served: f64 = self.kinds.iter().map(|k| k.served.now(self.now, RATE_OVER)).sum();
+        let warm_rate = served / self.whole.max(1.0);
         self.whole = 0.0;
         let mut wholes = vec![0.0; self.kinds.len()];
         let usual = self.usual[p.class].per_unit * self.usual[p.class].unit;
@@ -301,14 +302,16 @@
         let watch = (self.asked_rate.now(self.now, RATE_OVER) * WATCH_SPAN).max(WATCH_LEAST);
         let mut watched = vec![0.0; self.zones.len()];
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
-        let (mut listed_here, mut open_here, mut nearest) = (0, 0, None::<usize>);
+        let (mut listed_here, mut open_here, mut nearest, mut warm) = (0, 0, None::<usize>, false);
         for place in 0..self.ring.len() {
             let i = self.ring[place];
             let roomy = self.cold_room(i, work, warm_rate);
             let u = &self.upstreams[i];
             let here = u.entry.zone == ours;
             listed_here += u32::from(here && u.listed);
-            let share = if u.listed { self.cold_share(u).unwrap_or(1.0) } else { 0.0 };
+            let cold = self.cold_share(u);
+            warm |= u.listed && cold.is_none();
+            let share = if u.listed { cold.unwrap_or(1.0) } else { 0.0 };
             self.whole += share;
             wholes[u.entry.kind as usize] += if u.state == State::Unknown { 0.0 } else { share };
             let grouped = group.is_none_or(|(g, f)| u.within(g, &self.upstreams[f].entry));
@@ -328,6 +331,7 @@
                 to.push(Choice { place, i, zone: u.entry.zone, excluded: u.excluded(), time, usual });
             }
         }
+        self.any_warm = warm;
         self.kinds.iter_mut().zip(wholes).for_each(|(k, whole)| k.whole = whole);
         let few = |open: f64| open < f64::from(listed_here) * SPILL_SHARE;
         if few(f64::from(open_here)) || pool.is_empty() {
@@ -458,9 +462,7 @@
                 self.life(a.upstream);
                 let served = outcome == Outcome::Served;
                 let of_kind = &mut self.kinds[self.upstreams[a.upstream].entry.kind as usize].served;
-                for rate in [&mut self.served_rate, of_kind] {
-                    rate.add(self.now, RATE_OVER, if served { work } else { 0.0 });
-                }
+                of_kind.add(self.now, RATE_OVER, if served { work } else { 0.0 });
                 let took = if served { e.elapsed } else { self.set.classes[p.class].aim };
                 self.learn(p.class, p.unit, a.upstream, took, outcome != Outcome::Error);
             }
@@ -575,18 +577,21 @@
     /// hundreds whose part is under one request come one by one, heavy and light alike. One request a span
     /// for all balancers together is always safe, and needed where all is cold.
     fn cold_room(&mut self, i: usize, work: f64, warm_rate: f64) -> bool {
-        let (now, span, most) = (self.now, self.set.fall_span as f64, self.usual_most());
+        let (now, span) = (self.now, self.set.fall_span as f64);
         let Some(share) = self.cold_share(&self.upstreams[i]) else { return true };
         let kind = &self.kinds[self.upstreams[i].entry.kind as usize];
         let like = if kind.whole >= 1.0 { kind.served.now(now, RATE_OVER) / kind.whole } else { warm_rate };
         let rate = self.set.fall_multiple * share * like * COLD_CARE;
-        let rate = rate.max(work / (span * self.set.instances.max(1) as f64));
+        let usual = self.usual_most();
+        let rate = rate.max(usual / (span * self.set.instances.max(1) as f64));
+        // Where all is cold a heavy request has nowhere else to go, and pays for it by a longer debt.
+        let heaviest = if self.any_warm { COLD_HEAVY * usual } else { f64::MAX };
         let u = &mut self.upstreams[i];
         // A budget that had to be saved up whole, and was cut to the little that so small a part may save,
         // was lost to each light request.
         u.saved = (u.saved + rate * (now - u.saved_at).max(0) as f64).min(rate * span * COLD_SAVED);
         u.saved_at = now;
-        u.saved >= 0.0 && work <= COLD_HEAVY * most
+        u.saved >= 0.0 && work <= heaviest
     }
 
     /// The work of a usual request of the heaviest class.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -160,16 +160,17 @@
     pub(crate) retry_tokens: f64,
     pub(crate) worth_seen: f64,
     pub(crate) work_seen: f64,
-    /// Work served in a microsecond, fading, for the cold budget.
+    /// How long an upstream's own part is held without answers, in microseconds.
     pub(crate) hold: f64,
     /// Listed upstreams, cold ones by the share of their capacity, as of the last pick.
     pub(crate) whole: f64,
+    /// One of them is warm.
+    pub(crate) any_warm: bool,
     pub(crate) spread: f64,
     /// First tries asked for.
     pub(crate) asked_rate: Rate,
     /// Upstreams in this balancer's own random order.
     pub(crate) ring: Vec<usize>,
-    pub(crate) served_rate: Rate,
 }
 
 impl Balancer {
@@ -198,10 +199,10 @@
             work_seen: 0.0,
             hold: 1e7,
             whole: 0.0,
+            any_warm: false,
             spread: 1.0,
             asked_rate: Rate::new(now),
             ring: Vec::new(),
-            served_rate: Rate::new(now),
         }
     }
 }
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -400,6 +400,22 @@
     assert!(got >= 0.3 * set.fall_multiple * 0.2 * usual, "{got:.0} of {usual:.0} that a warm one gets");
 }
 
+#[test]
+fn where_all_is_cold_a_heavy_request_still_has_a_place() {
+    let mut desk = Desk::new(Settings { warm_within: 90 * S, ..settings() }, &[0; 4]);
+    let cold: Vec<_> = (0..4).map(|i| Entry { last_start: Some(desk.now), ..entry(i, 0) }).collect();
+    desk.list(ListKind::Whole, &cold);
+    let mut sent = |id: u64, hint: Micros| {
+        desk.now += S;
+        let out = desk.event(Event::Request(NewRequest { cost_hint: Some(hint), ..request(id, 0) }));
+        let placed = first_send(&out).is_some();
+        placed.then(|| desk.end(id, 0, Outcome::Served, hint)).is_some()
+    };
+    assert!((0..20).filter(|id| sent(*id, 10 * MS)).count() > 3, "light ones tell what is usual");
+    let placed = (20..25).any(|id| sent(id, 3 * S));
+    assert!(placed, "refused for its weight as long as the fleet is cold");
+}
+
 #[test]
 fn time_outs_at_the_clients_limit_make_a_zone_look_crowded() {
     // In a collapse only the fast answers come: without the time-outs all would look well.
