--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -350,4 +350,9 @@
 pub trait Decide {
     /// Take one event in, at the time it happened, and append what is to be done.
     fn decide(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>);
+
+    /// Whether an upstream would not be picked now, for its failures or its drain. Changes nothing.
+    fn avoids(&self, _now: Micros, _upstream: UpstreamId) -> bool {
+        false
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,4 +17,8 @@
     ) {
         self.handle(now, event, out);
     }
+
+    fn avoids(&self, now: interface::Micros, upstream: interface::UpstreamId) -> bool {
+        self.avoids(now, upstream)
+    }
 }
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -186,6 +186,11 @@
         }
     }
 
+    /// Whether an upstream would not be picked now, for its failures or its drain.
+    pub fn avoids(&self, now: Micros, u: UpstreamId) -> bool {
+        self.upstreams.get(u.0 as usize).is_none_or(|u| !u.listed || now < u.until())
+    }
+
     fn life(&mut self, i: usize) {
         self.last_life = self.now;
         if self.blamed {
--- a/crates/facade/src/lib.rs
+++ b/crates/facade/src/lib.rs
@@ -368,6 +368,14 @@
         self.known.len()
     }
 
+    /// How many upstreams are in the list, and how many of those the module avoids now.
+    pub fn rotation(&self) -> (usize, usize) {
+        let now = self.now();
+        let held = self.known.iter().filter(|k| k.gone_since.is_none());
+        let avoided = |k: &&Known| !k.listed || self.module.avoids(now, k.entry.upstream);
+        (held.clone().count(), held.filter(avoided).count())
+    }
+
     /// An upstream's name in the list; empty for a number that is not in use.
     pub fn name_of(&self, upstream: Upstream) -> &str {
         self.known.get(upstream.0 as usize).map_or("", |k| &k.name)
@@ -394,10 +402,11 @@
         let now = self.now();
         let class = self.settings.classes.get(r.class as usize);
         let whole = class.map_or(0, |c| c.deadline);
-        // Stopping, there is less time than the client would give.
-        let left = self.stop_at.map_or(Micros::MAX, |at| (at - now).max(0));
-        let budget = r.budget.unwrap_or(whole).min(whole.max(LONGEST_BUDGET)).min(left);
-        let deadline = now + budget - MARGIN.min(budget / MARGIN_SHARE);
+        let budget = r.budget.unwrap_or(whole).min(whole.max(LONGEST_BUDGET));
+        // Stopping, there is less time than the client would give. The module hears what the client gives all the same: it
+        // would take a budget that was cut here for a client's late repeat, and refuse what can still be in time.
+        let left = budget.min(self.stop_at.map_or(Micros::MAX, |at| (at - now).max(0)));
+        let deadline = now + left - MARGIN.min(left / MARGIN_SHARE);
         self.open.insert(r.handle, Open { deadline, over: false, attempts: Vec::new() });
         self.set(deadline + BACKSTOP, Due::Backstop(r.handle));
         self.drive(
--- a/crates/net/src/buffers.rs
+++ b/crates/net/src/buffers.rs
@@ -93,7 +93,15 @@
 impl Pool {
     /// A pool that may use so many bytes.
     pub fn new(bytes: usize) -> Self {
-        Pool { free: Vec::new(), out: 0, limit: (bytes / SIZE).max(8) }
+        let mut new = Pool { free: Vec::new(), out: 0, limit: 0 };
+        new.hold(bytes);
+        new
+    }
+
+    /// Keep to so many bytes from now on; what is out beyond them stays until it comes back.
+    pub fn hold(&mut self, bytes: usize) {
+        self.limit = (bytes / SIZE).max(8);
+        self.free.truncate(self.limit.saturating_sub(self.out));
     }
 
     /// An empty buffer; `None` at the limit, less what is kept for answers.
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -277,13 +277,17 @@
 /// So many whole chunks are merged while more are awaited.
 pub const MANY_CHUNKS: usize = 64;
 
-fn reason(status: u16) -> &'static str {
+/// What goes with a status in an answer.
+pub fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
--- a/crates/sidecar/src/event_loop.rs
+++ b/crates/sidecar/src/event_loop.rs
@@ -4,6 +4,7 @@
 mod applications;
 mod discovery_side;
 pub mod gateway_side;
+mod operators;
 mod upstreams;
 
 #[cfg(test)]
@@ -11,6 +12,8 @@
 
 use self::gateway_side::Gate;
 use crate::lifecycle::logging::Paced;
+use crate::lifecycle::seat::Seat;
+use crate::lifecycle::start::listen;
 use crate::lifecycle::stop::Stop;
 use crate::memory::connections::{Connection, Connections};
 use crate::memory::requests::Request;
@@ -18,6 +21,7 @@
 use crate::wire::discovery::Purpose;
 use crate::wire::upstream::{AttemptError, Cause, Stage, Work};
 use applications::IDLE;
+use operators::Door;
 use polling::Events;
 use silvercross_core::interface::Micros;
 use silvercross_facade::{Attempt, Balancer, Step, Turn};
@@ -42,6 +46,11 @@
 /// Idle connections to upstreams are retired at this part of the time after which the upstream closes them: a
 /// request written to one that is just being closed ends as a reset.
 const RETIRE: f64 = 0.5;
+/// Two processes of one sidecar leave this part of the descriptors to what either opens before the other hears of it; each
+/// keeps a reserve of its own besides.
+const BESIDE: usize = 8;
+/// Without a word from discovery for so long, the list known from the start has to do: whoever starts this process waits 6 s.
+const DARK: Micros = 4_000_000;
 /// Where the settings do not say when upstreams close.
 const RETIRE_UNSTATED: Micros = 5_000_000;
 
@@ -94,8 +103,10 @@
     pub registry: Registry,
     /// The decisions.
     pub balancer: Balancer<Wake>,
-    /// Where applications connect; not blocking.
-    pub listener: TcpListener,
+    /// Where applications connect; not blocking. `None`: it listens later.
+    pub listener: Option<TcpListener>,
+    /// At which address.
+    pub listen_at: SocketAddr,
     /// Becomes readable when the process is to stop; not blocking.
     pub stops: UnixStream,
     /// Becomes readable when the configuration is to be read again; not blocking.
@@ -106,6 +117,12 @@
     pub discovery: Option<SocketAddr>,
     /// What it is of a gateway, if it is one.
     pub gate: Option<Gate>,
+    /// Where operators connect; not blocking.
+    pub door: Option<TcpListener>,
+    /// The classes' names.
+    pub classes: Vec<String>,
+    /// This process's seat beside another one of the same sidecar.
+    pub seat: Option<Seat>,
     /// The version of the list that the balancer was started with.
     pub seq: u64,
     /// What to keep to.
@@ -145,11 +162,22 @@
     steps: VecDeque<Step<Wake>>,
     discovery: Option<SocketAddr>,
     gate: Option<Gate>,
+    door: Door,
+    seat: Option<Seat>,
+    /// Another process of this sidecar lives: what the two may hold is shared.
+    paired: bool,
+    /// Discovery has told this process its list.
+    told: bool,
+    started: Micros,
+    /// It has said that it serves.
+    serves: bool,
     seq: u64,
     watch: Option<Handle>,
     bounds: Bounds,
     retire: Micros,
     stop: Option<Stop>,
+    /// Stopping beside a successor that serves: nothing new is taken from then on.
+    heir: bool,
     counts: Counts,
     sweeps: u64,
     at_limit: Paced,
@@ -163,12 +191,17 @@
 impl EventLoop {
     /// Everything registered, nothing served yet.
     pub fn new(parts: Parts) -> io::Result<Self> {
-        let Parts { registry, balancer, listener, stops, reloads, reread, discovery, gate, seq, bounds, log } =
-            parts;
+        let Parts { registry, balancer, listener, stops, reloads, reread, discovery, gate, .. } = parts;
+        let Parts { listen_at, door, classes, seat, seq, bounds, log, .. } = parts;
         let retire = bounds.idle_close.map_or(RETIRE_UNSTATED, |t| (t as f64 * RETIRE) as Micros);
         Ok(EventLoop {
-            listen_at: listener.local_addr()?,
-            listener: Some(registry.watch(listener, LISTENER, Interest::Read)?),
+            listen_at,
+            listener: listener.map(|l| registry.watch(l, LISTENER, Interest::Read)).transpose()?,
+            door: Door::new(door, &registry, &classes)?,
+            paired: false,
+            told: false,
+            started: balancer.now(),
+            serves: false,
             stops: registry.watch(stops, STOPS, Interest::Read)?,
             reloads: registry.watch(reloads, RELOADS, Interest::Read)?,
             reread,
@@ -180,11 +213,13 @@
             steps: VecDeque::new(),
             discovery,
             gate,
+            seat,
             seq,
             watch: None,
             bounds,
             retire,
             stop: None,
+            heir: false,
             counts: Counts::default(),
             sweeps: 0,
             at_limit: Paced::default(),
@@ -201,6 +236,7 @@
         self.balancer.wake_at(now + SWEEP, Wake::Sweep);
         // A gateway that has heard no offer yet takes nobody in.
         self.guarded(None, Self::ask_peers);
+        self.look_beside();
         loop {
             let wake = self.tick();
             if self.may_end() {
@@ -209,9 +245,15 @@
             }
             let limit = wake.map(|at| Duration::from_micros((at - self.balancer.now()).max(0) as u64));
             self.registry.wait(&mut events, limit)?;
-            for event in events.iter() {
+            // Operators first: they wait a second, whatever else this turn brings.
+            for event in events.iter().filter(|e| Door::is_key(e.key)) {
+                self.guarded(None, |l| l.door_ready(event.key));
+            }
+            for event in events.iter().filter(|e| !Door::is_key(e.key)) {
                 match event.key {
-                    LISTENER => self.guarded(None, Self::accept),
+                    LISTENER => self.guarded(None, |l| {
+                        l.accept();
+                    }),
                     STOPS => self.begin_stop(),
                     RELOADS => self.guarded(None, Self::reload),
                     key => {
@@ -364,6 +406,9 @@
             Wake::Sweep => self.sweep(now),
             Wake::Stopping => {
                 if let Some(stop) = self.stop {
+                    if self.heir {
+                        self.guarded(None, Self::hand_over);
+                    }
                     self.balancer.wake_at(stop.look_again(now), Wake::Stopping);
                 }
             }
@@ -383,6 +428,8 @@
             self.spare(handle);
         }
         self.ask_peers();
+        self.door.sweep(now);
+        self.look_beside();
         // Whatever stopped accepting, it is tried again.
         self.listen_again();
         self.sweeps += 1;
@@ -433,8 +480,13 @@
         let stop = Stop::begin(now, self.balancer.longest_deadline());
         info!(self.log, "stopping"; "open" => self.balancer.unanswered());
         self.stop = Some(stop);
+        self.heir = self.seat.as_ref().is_some_and(Seat::has_successor);
         self.balancer.answer_by(stop.answer_by());
         self.balancer.wake_at(stop.look_again(now), Wake::Stopping);
+        if self.heir {
+            // New connections go to the successor; those that are open end with their next answer, or when idle.
+            return self.hand_over();
+        }
         // Clients use the connections they have for as long as these stand. Closing those between two requests
         // sends them to new ones, which are still accepted, and soon to nowhere.
         for handle in self.connections.from_applications() {
@@ -448,14 +500,79 @@
         }
     }
 
+    /// Take all that waits at the door for applications, then close it: the successor's stays open. Between the last accept and the
+    /// close nothing is done.
+    fn hand_over(&mut self) {
+        while self.listener.is_some() && self.accept() {}
+        if self.listener.is_some() && !self.connections.closed_to_applications() {
+            self.listener = None;
+        }
+    }
+
+    // --- beside another process ---
+
+    /// Discovery's list is held, or discovery has been dark for so long that the known one has to do.
+    fn list_is_held(&self) -> bool {
+        self.told || self.discovery.is_none() || self.balancer.now() >= self.started + DARK
+    }
+
+    /// Whether another process of this sidecar lives beside this one, and what that changes.
+    fn look_beside(&mut self) {
+        let Some(seat) = &mut self.seat else { return };
+        let beside = seat.neighbour_says();
+        let (all, paired) = (self.bounds.descriptors, beside.is_some());
+        if paired {
+            seat.say(self.serves, self.connections.len());
+        }
+        if paired != self.paired {
+            self.paired = paired;
+            info!(self.log, "beside another process"; "paired" => paired);
+            self.pool.hold(self.bounds.buffer_bytes / if paired { 2 } else { 1 });
+        }
+        // What the other holds is a moment old: what either may open meanwhile stays free.
+        let held = beside.map(|said| said.map_or(all, |s| s.held) + all / BESIDE);
+        self.connections.hold(held.map_or(all, |held| all.saturating_sub(held).max(all / 2)));
+        while self.connections.over_outwards() && self.spare_upstream() {}
+        self.begin_to_serve();
+    }
+
+    /// A process that was started beside another one listens, and says so, once it can serve.
+    fn begin_to_serve(&mut self) {
+        let can = self.list_is_held() && self.balancer.ready();
+        if self.stop.is_some() || !can || self.seat.is_none() || self.serves {
+            return;
+        }
+        if self.listener.is_none() {
+            let made =
+                listen(self.listen_at, true).and_then(|l| self.registry.watch(l, LISTENER, Interest::Read));
+            match made {
+                Ok(listener) => self.listener = Some(listener),
+                // The next look tries again.
+                Err(e) => return warn!(self.log, "cannot listen"; "error" => e.to_string()),
+            }
+        }
+        self.serves = true;
+        let held = self.connections.len();
+        self.seat.iter_mut().for_each(|s| s.say(true, held));
+        info!(self.log, "serving");
+    }
+
     /// Whether all that was taken is done with. What the machine has accepted or received and the loop has not yet
     /// seen counts as taken, so it looks once more before it says yes.
     fn may_end(&mut self) -> bool {
-        let over = |l: &mut Self| l.stop.is_some_and(|s| s.may_end(l.balancer.now(), l.busy()));
+        let over = |l: &mut Self| match l.stop {
+            Some(s) if l.heir => {
+                l.listener.is_none() && l.connections.applications == 0 || s.is_due(l.balancer.now())
+            }
+            Some(s) => s.may_end(l.balancer.now(), l.busy()),
+            None => false,
+        };
         if !over(self) {
             return false;
         }
-        self.guarded(None, Self::accept);
+        self.guarded(None, |l| {
+            l.accept();
+        });
         for handle in self.connections.from_applications() {
             self.guarded(Some(handle), |l| l.ready(handle));
         }
--- a/crates/sidecar/src/event_loop/applications.rs
+++ b/crates/sidecar/src/event_loop/applications.rs
@@ -31,17 +31,19 @@
 const LINGER: Micros = 1_000_000;
 
 impl EventLoop {
-    pub(super) fn accept(&mut self) {
+    /// Accept what waits; `false` once nothing more can be accepted just now.
+    pub(super) fn accept(&mut self) -> bool {
         for _ in 0..ACCEPTS {
             if self.connections.closed_to_applications() && !self.spare_application() {
                 // They wait in the machine's queue until a connection has ended.
                 self.heed_listener(Interest::Nothing);
-                return self.warn_limit("connections");
+                self.warn_limit("connections");
+                return false;
             }
-            let Some(listener) = &self.listener else { return };
+            let Some(listener) = &self.listener else { return false };
             let socket = match listener.get().accept() {
                 Ok((socket, _)) => socket,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
                 {
@@ -54,7 +56,7 @@
                     if !self.spare_upstream() && !self.spare_application() {
                         self.heed_listener(Interest::Nothing);
                     }
-                    return;
+                    return false;
                 }
             };
             let now = self.balancer.now();
@@ -72,6 +74,7 @@
                 warn!(self.log, "a connection could not be watched"; "error" => e.to_string());
             }
         }
+        true
     }
 
     fn heed_listener(&mut self, interest: Interest) {
@@ -252,6 +255,10 @@
     }
 
     pub(super) fn take_call(&mut self, handle: Handle, mut call: Call, end: usize) {
+        let counted = self.door.figures.class(&call.class);
+        if let Some(c) = self.connections.application(handle) {
+            c.counted = counted;
+        }
         let Some(class) = self.balancer.class_named(&call.class) else {
             return self.refuse_bad(handle, Bad::Malformed("an unknown service class"));
         };
@@ -412,6 +419,10 @@
         // Through a door that is closed no connection stays open: what came on it would only be sent back.
         let ends = self.stop.is_some() || self.listener.is_none();
         let Some(c) = self.connections.application(handle) else { return };
+        // This is where a request has its final answer.
+        if let Some(class) = c.counted.take() {
+            self.door.figures.answered(class, status);
+        }
         c.close |= ends;
         let Some(mut output) = c.output.take().or_else(|| self.pool.take_for_answer()) else {
             self.warn_limit("buffers");
--- a/crates/sidecar/src/event_loop/discovery_side.rs
+++ b/crates/sidecar/src/event_loop/discovery_side.rs
@@ -71,8 +71,12 @@
             let entries = if let News::List { hosts, .. } = &t.news { hosts.len() } else { 0 };
             debug!(self.log, "list"; "seq" => t.seq, "entries" => entries);
             self.seq = t.seq;
+            self.told = true;
             self.tell(&t.news);
         }
+        if has_told {
+            self.begin_to_serve();
+        }
         match (fault, purpose) {
             (None, Purpose::Call) if has_told => drop(self.connections.remove(handle)),
             (Some(_), Purpose::Call) if has_told => drop(self.connections.remove(handle)),
--- a/crates/sidecar/src/event_loop/gateway_side.rs
+++ b/crates/sidecar/src/event_loop/gateway_side.rs
@@ -220,7 +220,7 @@
             return;
         }
         if takes {
-            let made = start::listen(self.listen_at)
+            let made = start::listen(self.listen_at, false)
                 .and_then(|l| self.registry.watch(l, super::LISTENER, Interest::Read));
             match made {
                 Ok(listener) => self.listener = Some(listener),
@@ -229,7 +229,7 @@
             }
             return;
         }
-        self.accept();
+        let _ = self.accept();
         self.listener = None;
         for handle in self.connections.from_applications() {
             // One that has just come may be written to already, and is answered whatever there is room for.
--- a/crates/sidecar/src/event_loop/upstreams.rs
+++ b/crates/sidecar/src/event_loop/upstreams.rs
@@ -151,7 +151,12 @@
             return self.close_upstream(handle);
         };
         let had_begun = matches!(c.work, Work::Busy(_, Stage::Reading));
-        match c.advance() {
+        let unsent = matches!(c.work, Work::Busy(_, Stage::Connecting | Stage::Writing));
+        let done = c.advance();
+        if unsent && matches!(c.work, Work::Busy(_, Stage::Waiting | Stage::Reading)) {
+            self.door.figures.relayed();
+        }
+        match done {
             Ok(Progress::Blocked) => {
                 if !had_begun && matches!(c.work, Work::Busy(_, Stage::Reading)) {
                     c.since = self.balancer.now();
--- a/crates/sidecar/src/lifecycle/config.rs
+++ b/crates/sidecar/src/lifecycle/config.rs
@@ -14,6 +14,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where operators connect, if anywhere.
+    pub management: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Memory it may use, in MB.
@@ -39,6 +41,8 @@
     #[serde(default)]
     discovery: String,
     #[serde(default)]
+    management: String,
+    #[serde(default)]
     seed: serde_json::Value,
     #[serde(default)]
     limits: Limits,
@@ -97,7 +101,12 @@
             }
         }
     };
+    let management = var("PROXY_MANAGEMENT").unwrap_or_else(|| file.management.clone());
     Ok(Config {
+        management: match management.as_str() {
+            "" => None,
+            _ => Some(address("PROXY_MANAGEMENT", &file.management)?),
+        },
         name: var("PROXY_NAME").unwrap_or(file.name),
         listen: address("PROXY_LISTEN", &file.listen)?,
         discovery: address("PROXY_DISCOVERY", &file.discovery)?,
--- a/crates/sidecar/src/lifecycle/gateway.rs
+++ b/crates/sidecar/src/lifecycle/gateway.rs
@@ -125,10 +125,10 @@
             return Err(format!("bad gateway file {shown}: {name:?} is not among the settings' areas"));
         }
     }
-    let near =
-        start::listen(file.near.listen).map_err(|e| format!("cannot listen on {}: {e}", file.near.listen))?;
-    let link =
-        start::listen(file.link.listen).map_err(|e| format!("cannot listen on {}: {e}", file.link.listen))?;
+    let near = start::listen(file.near.listen, false)
+        .map_err(|e| format!("cannot listen on {}: {e}", file.near.listen))?;
+    let link = start::listen(file.link.listen, false)
+        .map_err(|e| format!("cannot listen on {}: {e}", file.link.listen))?;
     let (log, flush) = logging::start(&file.name, level);
     let at = |l: &TcpListener| l.local_addr().map_or_else(|e| e.to_string(), |a| a.to_string());
     info!(log, "gateway started"; "near" => at(&near), "link" => at(&link), "site" => &file.site, "far" => &file.far,
@@ -165,7 +165,7 @@
 ) -> Result<(), String> {
     let fault = |e: std::io::Error| format!("the inward half: {e}");
     let bounds = bounds(&c);
-    let balancer = Balancer::new(c.settings, c.front, c.seed, &c.known, Clock::system());
+    let balancer = Balancer::new(c.settings, c.front.clone(), c.seed, &c.known, Clock::system());
     let l = &file.link;
     let limits = Limits { first: l.first, most: l.most, holds: Micros::from(l.holds_ms) * 1000 };
     // A life's number is its start: no two of one gateway are alike.
@@ -175,7 +175,8 @@
     let made = EventLoop::new(Parts {
         registry: Registry::new().map_err(fault)?,
         balancer,
-        listener: link,
+        listen_at: link.local_addr().map_err(fault)?,
+        listener: Some(link),
         stops: start::signals(&[SIGTERM, SIGINT]).map_err(fault)?,
         reloads: start::signals(&[SIGHUP]).map_err(fault)?,
         reread: Box::new(move || {
@@ -184,6 +185,9 @@
         }),
         discovery: Some(c.discovery),
         gate: Some(gate),
+        door: None,
+        classes: c.front.classes.clone(),
+        seat: None,
         seq: c.seq,
         bounds,
         log,
@@ -214,13 +218,17 @@
     let made = EventLoop::new(Parts {
         registry: Registry::new().map_err(fault)?,
         balancer,
-        listener: near,
+        listen_at: near.local_addr().map_err(fault)?,
+        listener: Some(near),
         stops: start::signals(&[SIGTERM, SIGINT]).map_err(fault)?,
         // Of what can be read again nothing concerns this half.
         reloads: never,
         reread: Box::new(|| Err("the outward half has nothing to read again".into())),
         discovery: None,
         gate: Some(Gate::Out(gate)),
+        door: None,
+        classes: Vec::new(),
+        seat: None,
         seq: 0,
         bounds,
         log,
--- a/crates/sidecar/src/lifecycle/start.rs
+++ b/crates/sidecar/src/lifecycle/start.rs
@@ -1,4 +1,5 @@
 //! Start: configuration, log, listening socket, signals, then the loop until it ends.
+use super::seat::Seat;
 use super::{config, logging};
 use crate::event_loop::{Bounds, EventLoop, Parts};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -11,6 +12,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
+use std::path::Path;
 
 /// Connections the machine accepts before the loop does.
 const BACKLOG: i32 = 1024;
@@ -35,16 +37,34 @@
     let (stops, reloads) = (signals(&[SIGTERM, SIGINT]), signals(&[SIGHUP]));
     let stops = stops.map_err(|e| format!("cannot catch signals: {e}"))?;
     let reloads = reloads.map_err(|e| format!("cannot catch signals: {e}"))?;
-    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    // Only what operators can ask for its readiness is ever started beside another.
+    let beside = config.management.is_some();
+    let clock = Clock::system();
+    let shared = var("TMPDIR").filter(|_| beside);
+    let seat = shared.and_then(|dir| Seat::take(Path::new(&dir), clock.now()));
+    // Beside an old process that serves, this one listens once it can serve too.
+    let listener = match seat.as_ref().is_some_and(Seat::has_neighbour) {
+        true => None,
+        false => Some(
+            listen(config.listen, beside).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?,
+        ),
+    };
+    let door = match config.management {
+        Some(at) => Some(listen(at, false).map_err(|e| format!("cannot listen on {at}: {e}"))?),
+        None => None,
+    };
     let registry = Registry::new().map_err(|e| format!("no poller: {e}"))?;
     let (log, flush) = logging::start(&config.name, level);
-    let listening = listener.local_addr().map_or_else(|_| config.listen.to_string(), |a| a.to_string());
-    info!(log, "started"; "listen" => listening, "discovery" => config.discovery.to_string(),
+    let listen_at = listener.as_ref().and_then(|l| l.local_addr().ok()).unwrap_or(config.listen);
+    let management =
+        door.as_ref().and_then(|d| d.local_addr().ok()).map_or_else(String::new, |a| a.to_string());
+    info!(log, "started"; "listen" => listen_at.to_string(), "management" => management, "discovery" => config.discovery.to_string(),
         "known" => config.known.len(), "seq" => config.seq, "memory_mb" => config.memory_mb,
         "sockets" => config.sockets, "version" => env!("CARGO_PKG_VERSION"));
     let bounds = bounds(&config);
     let (discovery, seq) = (config.discovery, config.seq);
-    let (settings, seed, clock) = (config.settings, config.seed, Clock::system());
+    let (settings, seed) = (config.settings, config.seed);
+    let classes = config.front.classes.clone();
     let balancer = match make {
         None => Balancer::new(settings, config.front, seed, &config.known, clock),
         Some(make) => {
@@ -56,11 +76,15 @@
         registry,
         balancer,
         listener,
+        listen_at,
         stops,
         reloads,
         reread: Box::new(move || config::reread(var).map(|new| new.discovery)),
         discovery: Some(discovery),
         gate: None,
+        door,
+        classes,
+        seat,
         seq,
         bounds,
         log: log.clone(),
@@ -90,10 +114,12 @@
     (shortest / WHOLE_PART).max(WHOLE_LEAST)
 }
 
-pub(crate) fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+/// Listen at an address; `beside`: another process of this sidecar may listen there too.
+pub(crate) fn listen(at: SocketAddr, beside: bool) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
     // A restart comes back under the same address while old connections still fade out.
     socket.set_reuse_address(true)?;
+    socket.set_reuse_port(beside)?;
     socket.set_nonblocking(true)?;
     socket.bind(&at.into())?;
     socket.listen(BACKLOG)?;
--- a/crates/sidecar/src/lifecycle/stop.rs
+++ b/crates/sidecar/src/lifecycle/stop.rs
@@ -43,7 +43,12 @@
     /// Whether the process may end, with so many connections that are still in the middle of something.
     pub fn may_end(&self, now: Micros, busy: usize) -> bool {
         let quiet = busy == 0 && now >= self.began + LISTEN_FOR && now >= self.active + QUIET;
-        quiet || now >= self.end_by()
+        quiet || self.is_due(now)
+    }
+
+    /// Whether it ends whatever is left.
+    pub fn is_due(&self, now: Micros) -> bool {
+        now >= self.end_by()
     }
 
     /// When to ask again.
--- a/crates/sidecar/src/memory/connections.rs
+++ b/crates/sidecar/src/memory/connections.rs
@@ -40,8 +40,20 @@
 impl Connections {
     /// For a process that may hold so many descriptors.
     pub fn new(descriptors: usize) -> Self {
-        let most = descriptors.saturating_sub(RESERVE).clamp(16, Handle::MOST);
-        Connections { table: Table::default(), idle: BTreeMap::new(), most, applications: 0 }
+        let mut new =
+            Connections { table: Table::default(), idle: BTreeMap::new(), most: 0, applications: 0 };
+        new.hold(descriptors);
+        new
+    }
+
+    /// Keep to so many descriptors from now on; what is open beyond them goes as it ends.
+    pub fn hold(&mut self, descriptors: usize) {
+        self.most = descriptors.saturating_sub(RESERVE).clamp(16, Handle::MOST);
+    }
+
+    /// Whether more than the part for upstreams and discovery is taken.
+    pub fn over_outwards(&self) -> bool {
+        self.table.len() - self.applications > self.half()
     }
 
     /// Whether the part for upstreams and discovery is taken.
--- a/crates/sidecar/src/wire/application.rs
+++ b/crates/sidecar/src/wire/application.rs
@@ -37,6 +37,8 @@
     pub close: bool,
     /// Accepted past the limit: told no, whatever it asks.
     pub turned_away: bool,
+    /// Where the request that is owed an answer is counted.
+    pub counted: Option<usize>,
     /// It has carried a request.
     pub used: bool,
     /// When its state last changed.
@@ -72,6 +74,7 @@
             output: None,
             close: false,
             turned_away,
+            counted: None,
             used: false,
             since: now,
             ahead: 0,
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -208,6 +208,11 @@
         self.asked.lock().expect("whole").len()
     }
 
+    /// Wait until so many watches were told.
+    pub fn told(&self, watches: usize) {
+        until("a watch", || (self.watches() >= watches).then_some(()));
+    }
+
     /// End the newest watch with its last chunk, and keep its connection.
     pub fn end_chunks(&self) {
         let mut watches = self.watches.lock().expect("whole");
@@ -230,6 +235,8 @@
 pub struct Sidecar {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where operators connect.
+    pub management: Option<SocketAddr>,
     pub log: Arc<Mutex<Vec<String>>>,
     pub config: PathBuf,
 }
@@ -294,7 +301,8 @@
         let address = said["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
         let config = command.get_envs().find(|(name, _)| *name == "PROXY_CONFIG").and_then(|(_, v)| v);
         let config = PathBuf::from(config.expect("named"));
-        Sidecar { child, address, log, config }
+        let management = said["management"].as_str().and_then(|a| a.parse().ok());
+        Sidecar { child, address, management, log, config }
     }
 
     pub fn connect(&self) -> Client {
--- /dev/null
+++ b/crates/sidecar/tests/in_service.rs
@@ -0,0 +1,273 @@
+//! What operators do with the running program: ask its door, replace its settings, replace the process.
+mod common;
+use common::*;
+use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const LONG_LEFT: u64 = 6_000;
+
+/// A program with a door at a port of the machine's choice.
+fn with_door(config: &str) -> Sidecar {
+    let mut command = command(config);
+    command.env("PROXY_MANAGEMENT", "127.0.0.1:0");
+    Sidecar::run(command)
+}
+
+fn said(at: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(at).expect("accepted");
+    stream.set_read_timeout(Some(LONG)).expect("set");
+    stream.write_all(text.as_bytes()).expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("a whole answer, then the end");
+    answer
+}
+
+fn get(at: SocketAddr, path: &str) -> String {
+    said(at, &format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n"))
+}
+
+fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+}
+
+/// A figure by its line's beginning.
+fn figure(at: SocketAddr, name: &str) -> u64 {
+    let answer = get(at, "/admin/stats");
+    let of = |l: &str| l.strip_prefix(name).and_then(|rest| rest.trim().parse().ok());
+    answer.lines().find_map(of).unwrap_or_else(|| panic!("no {name} in {answer}"))
+}
+
+fn by_class(at: SocketAddr, what: &str, class: &str) -> u64 {
+    figure(at, &format!("svc_{what}_total{{priority=\"{class}\"}}"))
+}
+
+fn healthy(at: SocketAddr) -> bool {
+    // Before it listens, and after its end, nobody says anything.
+    let Ok(mut stream) = TcpStream::connect(at) else { return false };
+    let mut answer = String::new();
+    let asked = stream.write_all(b"GET /admin/health HTTP/1.1\r\n\r\n");
+    asked.is_ok() && stream.read_to_string(&mut answer).is_ok() && status(&answer) == 200
+}
+
+#[test]
+fn the_door_answers_each_call_and_no_other() {
+    let discovery = Discovery::start(list(1, true, &[]));
+    let up = Upstream::start(ok("served"));
+    let sidecar = with_door(&config(discovery.address, &[entry("s-1", up.address, "ready")], 1024));
+    let door = sidecar.management.expect("a door");
+    assert_eq!(status(&get(door, "/admin/health")), 503, "no list was told");
+    discovery.told(1);
+    let tell = list(2, true, &[entry("s-1", up.address, "ready"), entry("s-2", up.address, "draining")]);
+    discovery.tell(&tell);
+    until("the yes", || healthy(door).then_some(()));
+    assert_eq!((figure(door, "svc_registry_entries"), figure(door, "svc_out_of_rotation")), (2, 1));
+    assert_eq!(status(&get(door, "/admin")), 404);
+    assert_eq!(status(&said(door, "POST /admin/stats HTTP/1.1\r\nContent-Length: 0\r\n\r\n")), 405);
+    assert_eq!(status(&said(door, "what?\r\n\r\n")), 400);
+    let long = format!("GET /admin/stats HTTP/1.1\r\nX: {}\r\n\r\n", "a".repeat(5_000));
+    assert_eq!(status(&said(door, &long)), 431);
+    assert_eq!(status(&get(sidecar.address, "/admin/stats").replace('\0', "")), 404, "not at the other port");
+}
+
+#[test]
+fn without_an_address_there_is_no_door() {
+    let sidecar = Sidecar::start(nowhere(), &[]);
+    assert_eq!(sidecar.management, None);
+}
+
+#[test]
+fn the_figures_are_what_clients_and_upstreams_saw() {
+    let up = Upstream::start(ok("served"));
+    let bad = Upstream::start(Does::Says("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n".into()));
+    for (upstream, what) in [(&up, "fulfilled"), (&bad, "faulted")] {
+        let sidecar = with_door(&config(nowhere(), &[entry("s-1", upstream.address, "ready")], 1024));
+        let door = sidecar.management.expect("a door");
+        let mut client = sidecar.connect();
+        for _ in 0..7 {
+            client.ask(&call("commit", LONG_LEFT, ""));
+        }
+        assert_eq!((by_class(door, what, "commit"), by_class(door, what, "read")), (7, 0));
+        assert_eq!(figure(door, "svc_relayed_total"), upstream.requests() as u64);
+        assert_eq!(figure(door, "svc_open_requests"), 0);
+    }
+    // Nothing to send to: refused, and nothing was relayed.
+    let sidecar = with_door(&config(nowhere(), &[], 1024));
+    let door = sidecar.management.expect("a door");
+    assert_eq!(sidecar.connect().ask(&call("read", LONG_LEFT, "")).status(), 503);
+    assert_eq!((by_class(door, "throttled", "read"), figure(door, "svc_relayed_total")), (1, 0));
+}
+
+#[test]
+fn the_door_stays_open_where_applications_and_silent_callers_take_all() {
+    let (_go, does) = waits("served");
+    let up = Upstream::start(does);
+    let sidecar = with_door(&config(nowhere(), &[entry("s-1", up.address, "ready")], 64));
+    let door = sidecar.management.expect("a door");
+    // Requests that hang (so few that the module, which knows nothing yet, refuses none), connections beyond the limit, and callers that say nothing.
+    let mut hanging: Vec<Client> = (0..4).map(|_| sidecar.connect()).collect();
+    hanging.iter_mut().for_each(|c| c.say(&call("commit", LONG_LEFT, "")));
+    let _crowd: Vec<Client> = (0..80).map(|_| sidecar.connect()).collect();
+    let _silent: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(door).expect("accepted")).collect();
+    until("the figures", || (figure(door, "svc_open_requests") == 4).then_some(()));
+    assert_eq!(status(&get(door, "/admin/health")), 503, "no list was told yet");
+}
+
+#[test]
+fn a_stopping_process_says_no() {
+    let (go, does) = waits("served");
+    let up = Upstream::start(does);
+    let mut sidecar = with_door(&config(nowhere(), &[entry("s-1", up.address, "ready")], 1024));
+    let door = sidecar.management.expect("a door");
+    until("the yes", || healthy(door).then_some(()));
+    let mut client = sidecar.connect();
+    client.say(&call("commit", LONG_LEFT, ""));
+    until("the attempt", || (up.requests() == 1).then_some(()));
+    sidecar.terminate();
+    until("the no", || get(door, "/admin/health").contains("stopping").then_some(()));
+    assert_eq!(figure(door, "svc_open_requests"), 1);
+    go.send(()).expect("waited for");
+    assert_eq!(client.hear().status(), 200);
+    assert!(sidecar.ended().success());
+}
+
+/// A port that nobody else gets while this lives; nothing listens on it by itself.
+struct Port {
+    _held: socket2::Socket,
+    at: SocketAddr,
+}
+
+impl Port {
+    fn reserve() -> Port {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.set_reuse_address(true).expect("set");
+        socket.set_reuse_port(true).expect("set");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        let at = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("bound");
+        Port { _held: socket, at }
+    }
+}
+
+fn shared_folder(name: &str) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    std::fs::create_dir_all(&dir).expect("made");
+    dir
+}
+
+fn beside(config: &str, at: SocketAddr, dir: &PathBuf) -> Command {
+    let mut command = command(config);
+    command.env("PROXY_LISTEN", at.to_string()).env("PROXY_MANAGEMENT", "127.0.0.1:0").env("TMPDIR", dir);
+    command
+}
+
+#[derive(Default)]
+struct Seen {
+    asked: AtomicUsize,
+    served: AtomicUsize,
+    /// Requests that met a refused or reset connection, or one that ended without a word.
+    turned: Mutex<Vec<String>>,
+    /// Statuses other than 200.
+    other: Mutex<Vec<u16>>,
+}
+
+/// A client that keeps its connection for as long as it is let, and counts what its requests meet.
+fn client(at: SocketAddr, seen: &Seen, over: &AtomicBool) {
+    let mut kept: Option<Client> = None;
+    while !over.load(Ordering::SeqCst) {
+        let text = call("commit", LONG_LEFT, "an order");
+        let id = text.lines().nth(2).expect("an id").to_string();
+        seen.asked.fetch_add(1, Ordering::SeqCst);
+        let answer = kept.take().or_else(|| connect(at)).and_then(|mut c| {
+            c.write.write_all(text.as_bytes()).ok()?;
+            let answer = read_message(&mut c.read)?;
+            kept = (answer.header("connection") != Some("close")).then_some(c);
+            Some(answer.status())
+        });
+        match answer {
+            Some(200) => drop(seen.served.fetch_add(1, Ordering::SeqCst)),
+            Some(status) => seen.other.lock().expect("whole").push(status),
+            None => seen.turned.lock().expect("whole").push(id),
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+fn connect(at: SocketAddr) -> Option<Client> {
+    let stream = TcpStream::connect(at).ok()?;
+    stream.set_read_timeout(Some(LONG)).ok()?;
+    Some(Client { read: std::io::BufReader::new(stream.try_clone().ok()?), write: stream })
+}
+
+#[test]
+fn fifty_upgrades_under_load_lose_nothing() {
+    const UPGRADES: usize = 50;
+    let up = Upstream::start(ok("served"));
+    let discovery = Discovery::start(list(1, true, &[entry("s-1", up.address, "ready")]));
+    let (port, dir) = (Port::reserve(), shared_folder("upgrades"));
+    let file = config(discovery.address, &[entry("s-1", up.address, "ready")], 1024);
+    let mut old = Sidecar::run(beside(&file, port.at, &dir));
+    until("the first yes", || healthy(old.management.expect("a door")).then_some(()));
+    let (seen, over) = (Arc::new(Seen::default()), Arc::new(AtomicBool::new(false)));
+    // So few that the module, which knows nothing at its start, refuses none.
+    let clients: Vec<_> = (0..4)
+        .map(|_| {
+            let (seen, over, at) = (seen.clone(), over.clone(), port.at);
+            thread::spawn(move || client(at, &seen, &over))
+        })
+        .collect();
+    for _ in 0..UPGRADES {
+        let new = Sidecar::run(beside(&file, port.at, &dir));
+        until("the yes", || healthy(new.management.expect("a door")).then_some(()));
+        let before = seen.served.load(Ordering::SeqCst);
+        old.terminate();
+        assert!(old.ended().success());
+        until("service", || (seen.served.load(Ordering::SeqCst) > before + 20).then_some(()));
+        old = new;
+    }
+    over.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|c| c.join().expect("a client's end"));
+    let ran: HashSet<String> = up
+        .seen
+        .lock()
+        .expect("whole")
+        .iter()
+        .filter_map(|m| m.head.lines().find(|l| l.starts_with("X-Correlation-Id")).map(str::to_string))
+        .collect();
+    let turned = seen.turned.lock().expect("whole");
+    assert_eq!(turned.iter().filter(|id| ran.contains(*id)).count(), 0, "lost: it ran and nobody was told");
+    assert_eq!(*seen.other.lock().expect("whole"), Vec::<u16>::new());
+    assert!(turned.len() <= 2 * UPGRADES, "{} of {:?} met a closed door", turned.len(), seen.asked);
+    println!("{} of {:?} requests met a closed door", turned.len(), seen.asked);
+}
+
+#[test]
+fn a_successor_that_dies_or_never_gets_ready_changes_nothing() {
+    let up = Upstream::start(ok("served"));
+    let discovery = Discovery::start(list(1, true, &[entry("s-1", up.address, "ready")]));
+    let (port, dir) = (Port::reserve(), shared_folder("dies"));
+    let file = config(discovery.address, &[entry("s-1", up.address, "ready")], 1024);
+    let mut old = Sidecar::run(beside(&file, port.at, &dir));
+    until("the first yes", || healthy(old.management.expect("a door")).then_some(()));
+    // One that finds no list yet takes no connections: its known list is empty and discovery is dark.
+    let dark = Sidecar::run(beside(&config(nowhere(), &[], 1024), port.at, &dir));
+    assert!(!healthy(dark.management.expect("a door")));
+    for _ in 0..20 {
+        assert_eq!(old.connect().ask(&call("commit", LONG_LEFT, "")).status(), 200);
+    }
+    drop(dark);
+    // With its would-be successor gone it stops as ever: it goes on taking connections for a while.
+    let mut client = old.connect();
+    assert_eq!(client.ask(&call("commit", LONG_LEFT, "")).status(), 200);
+    old.terminate();
+    until("the stop", || old.has_logged("stopping").then_some(()));
+    assert_eq!(old.connect().ask(&call("commit", LONG_LEFT, "")).status(), 200);
+    assert!(old.ended().success());
+}
