Settings that SIGHUP brings are taken whole in one step under open requests

Change: crates/settings checks a file by itself and against the one in force; Balancer::reconfigure gives new and changed classes slots of their own; Event::Settings takes them to the module, where an open request keeps its class and its attempts.

Seen to fail without it: three tests of the facade and new_settings_are_taken_whole_... with 23 broken files under an open request.

--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -40,7 +40,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Micros,
@@ -249,6 +249,13 @@
         /// The entries; none when broken.
         entries: &'a [Entry],
     },
+    /// Other settings hold from now on. A class that open requests or late outcomes name stands where it stood.
+    Settings {
+        /// The new ones.
+        settings: &'a Settings,
+        /// For each class, which one of before tells how long it usually takes.
+        from: &'a [Option<u32>],
+    },
     /// A request was taken.
     Request(NewRequest),
     /// An attempt ended; each attempt sent ends once.
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -85,6 +85,11 @@
     (parts, time, usual)
 }
 
+/// What is taken of a class before its answers tell.
+fn guess(c: &Class) -> Usual {
+    Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0, votes: 0 }
+}
+
 impl Balancer {
     /// A new instance, at its start; its first event should be the stale copy of the list.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
@@ -93,8 +98,6 @@
         for i in (1..zone_order.len()).rev() {
             zone_order.swap(i, (rng.next_u64() % (i as u64 + 1)) as usize);
         }
-        let guess =
-            |c: &Class| Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0, votes: 0 };
         let usual = settings.classes.iter().map(guess).collect();
         let (spread, retry_tokens) = (1.5, RETRY_CAP / 2.0);
         Balancer { zone_order, usual, spread, retry_tokens, ..Balancer::blank(settings, rng, now) }
@@ -105,6 +108,11 @@
         self.now = now;
         match event {
             Event::List { kind, entries } => self.on_list(kind, entries, out),
+            Event::Settings { settings, from } => {
+                let known = |f: &Option<u32>| f.and_then(|f| self.usual.get(f as usize).copied());
+                let usual = settings.classes.iter().zip(from).map(|(c, f)| known(f).unwrap_or(guess(c)));
+                (self.usual, self.set) = (usual.collect(), settings.clone());
+            }
             Event::Request(r) => self.on_request(r, out),
             Event::AttemptEnded(e) => self.on_ended(e, out),
             Event::StreamStarted { request, attempt } => {
@@ -389,7 +397,7 @@
         let own_limit = limit < p.deadline - now;
         // Where no second copy may go out, a late first answer has to be given up before another is tried.
         let retry = self.set.classes[p.class].effect != Effect::Once && !self.set.second_copies;
-        let more = p.attempts.len() + 1 < self.set.attempts_cap as usize;
+        let more = p.attempts.len() + 1 < p.cap;
         let cut = own_limit && retry && more && now + limit < p.aim_at;
         let expected = self.slowness(&self.upstreams[i]) * (work + self.upstreams[i].work_out);
         let u = &mut self.upstreams[i];
@@ -431,7 +439,7 @@
     fn again(&mut self, id: RequestId, p: &mut Pending, cost: f64, out: &mut Vec<Action>) -> bool {
         let c = &self.set.classes[p.class];
         let end = if c.late_worth > 0.0 { p.deadline } else { p.deadline.min(p.aim_at) };
-        if p.attempts.len() >= self.set.attempts_cap as usize
+        if p.attempts.len() >= p.cap
             || (p.out > 0 && !self.set.second_copies)
             || (self.now as f64 + p.work * 0.5 > end as f64)
             || self.retry_tokens < cost
@@ -533,7 +541,9 @@
         k.unit = if k.seen == 0.0 { unit } else { k.unit + (unit - k.unit) * 0.02 };
         let (work, usual) = (k.per_unit * unit, k.per_unit * k.unit);
         let aim_at = began + (c.aim + (c.aim_stretch * work) as Micros).min(c.deadline);
-        let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work);
+        // Settings may change while it is open: it ends under those it was taken with.
+        let cap = self.set.attempts_cap as usize;
+        let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work, cap);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
         self.asked_rate.add(self.now, RATE_OVER, 1.0);
         self.hold = (HOLD_REQUESTS / self.asked_rate.now(self.now, RATE_OVER)).clamp(HOLD.0, HOLD.1);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -121,6 +121,8 @@
     pub deadline: Micros,
     pub unit: f64,
     pub work: f64,
+    /// The most attempts it may have.
+    pub cap: usize,
     pub attempts: Vec<Attempt>,
     pub out: u32,
     pub over: bool,
@@ -230,9 +232,9 @@
 }
 
 impl Pending {
-    pub fn new(class: usize, aim_at: Micros, deadline: Micros, unit: f64, work: f64) -> Self {
+    pub fn new(class: usize, aim_at: Micros, deadline: Micros, unit: f64, work: f64, cap: usize) -> Self {
         let (attempts, out, over, streaming) = (Vec::new(), 0, false, false);
-        Pending { class, aim_at, deadline, unit, work, attempts, out, over, streaming }
+        Pending { class, aim_at, deadline, unit, work, cap, attempts, out, over, streaming }
     }
 }
 
--- a/crates/emulator/src/baselines.rs
+++ b/crates/emulator/src/baselines.rs
@@ -186,6 +186,7 @@
                     out.extend(off.filter(|_| self.settings.may_cancel));
                 }
             }
+            Event::Settings { settings, .. } => self.settings = settings.clone(),
             Event::StreamStarted { .. } | Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
--- a/crates/facade/src/lib.rs
+++ b/crates/facade/src/lib.rs
@@ -232,6 +232,9 @@
 }
 
 struct Open {
+    class: u32,
+    /// The most attempts, by the settings it was taken with.
+    cap: u32,
     deadline: Micros,
     over: bool,
     attempts: Vec<Sent>,
@@ -355,7 +358,11 @@
 
     /// The longest deadline of a class.
     pub fn longest_deadline(&self) -> Micros {
-        self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
+        let (held, names) = (self.classes_held(), &self.front.classes);
+        let in_force =
+            |i: &usize| held.contains(&(*i as u32)) || names.get(*i).is_some_and(|n| !n.is_empty());
+        let classes = self.settings.classes.iter().enumerate().filter(|(i, _)| in_force(i));
+        classes.map(|(_, c)| c.deadline).max().unwrap_or(0)
     }
 
     /// Whether a request is still owed an answer.
@@ -389,7 +396,57 @@
 
     /// The number of a class, if there is one of that name.
     pub fn class_named(&self, name: &str) -> Option<u32> {
-        self.front.classes.iter().position(|c| c == name).map(|i| i as u32)
+        // A slot without a name holds a class that is no more.
+        self.front.classes.iter().position(|c| c == name && !c.is_empty()).map(|i| i as u32)
+    }
+
+    /// The classes that something open, or an attempt still out, names.
+    fn classes_held(&self) -> HashSet<u32> {
+        self.open.values().map(|o| o.class).collect()
+    }
+
+    /// Other settings hold from now on. A class that is as it was keeps its slot; one that came or changed gets another, so
+    /// that what is open ends under the class it was taken with.
+    pub fn reconfigure(&mut self, settings: Settings, front: Front) -> Turn<W> {
+        let (now, held) = (self.now(), self.classes_held());
+        let old = std::mem::take(&mut self.front.classes);
+        let mut classes = self.settings.classes.clone();
+        let mut names = vec![String::new(); classes.len()];
+        let mut from: Vec<Option<u32>> = (0..classes.len() as u32).map(Some).collect();
+        let before = |name: &String| old.iter().position(|o| o == name);
+        let (same, other): (Vec<_>, Vec<_>) = front
+            .classes
+            .iter()
+            .zip(&settings.classes)
+            .partition(|(name, class)| before(name).is_some_and(|i| classes[i] == **class));
+        for (name, _) in same {
+            before(name).into_iter().for_each(|i| names[i] = name.clone());
+        }
+        for (name, class) in other {
+            let free = (0..classes.len()).find(|i| names[*i].is_empty() && !held.contains(&(*i as u32)));
+            let slot = free.unwrap_or(classes.len());
+            if slot == classes.len() {
+                classes.push(*class);
+                names.push(String::new());
+                from.push(None);
+            }
+            (classes[slot], names[slot]) = (*class, name.clone());
+            from[slot] = before(name).map(|i| i as u32);
+        }
+        // Free slots at the end hold nothing.
+        while names.last().is_some_and(String::is_empty) && !held.contains(&(names.len() as u32 - 1)) {
+            names.pop();
+            classes.pop();
+            from.pop();
+        }
+        let zone = front.zones.get(settings.my_zone as usize);
+        let my_zone = zone.map_or(self.settings.my_zone, |z| index(&mut self.front.zones, z));
+        let zones = self.settings.zones.max(settings.zones).max(my_zone + 1);
+        (self.front.classes, self.front.tenants) = (names, front.tenants);
+        self.settings = Settings { classes, my_zone, zones, ..settings };
+        let settings = self.settings.clone();
+        self.drive(now, Event::Settings { settings: &settings, from: &from });
+        self.turn()
     }
 
     /// The number of a tenant; 0 for none and for one the settings do not name.
@@ -407,7 +464,8 @@
         // would take a budget that was cut here for a client's late repeat, and refuse what can still be in time.
         let left = budget.min(self.stop_at.map_or(Micros::MAX, |at| (at - now).max(0)));
         let deadline = now + left - MARGIN.min(left / MARGIN_SHARE);
-        self.open.insert(r.handle, Open { deadline, over: false, attempts: Vec::new() });
+        let (class, cap) = (r.class, self.settings.attempts_cap);
+        self.open.insert(r.handle, Open { class, cap, deadline, over: false, attempts: Vec::new() });
         self.set(deadline + BACKSTOP, Due::Backstop(r.handle));
         self.drive(
             now,
@@ -614,7 +672,7 @@
         if let Some(known) = self.known.get_mut(upstream.0 as usize) {
             known.out += 1;
         }
-        if now >= open.deadline || attempt.number >= self.settings.attempts_cap {
+        if now >= open.deadline || attempt.number >= open.cap {
             return self.end(now, attempt, Outcome::Moot);
         }
         let Some(to) = self.known.get(upstream.0 as usize).and_then(|k| k.dial) else {
--- a/crates/facade/tests/facade.rs
+++ b/crates/facade/tests/facade.rs
@@ -364,3 +364,76 @@
     };
     assert_eq!(play(), play());
 }
+
+/// Settings with these classes: name, effect, deadline.
+fn settings_of(
+    classes: &[(&str, &str, f64)],
+    attempts: u32,
+) -> (silvercross_core::interface::Settings, silvercross_settings::Front) {
+    let class = |(name, effect, deadline): &(&str, &str, f64)| {
+        format!(r#"{{"name":"{name}","aim_s":0.5,"deadline_s":{deadline},"effect":"{effect}"}}"#)
+    };
+    let classes: Vec<_> = classes.iter().map(class).collect();
+    let text = format!(
+        r#"{{"areas":["a","b"],"classes":[{}],"limits":{{"attempts_cap":{attempts},"may_cancel":true}},"rules":{{}}}}"#,
+        classes.join(",")
+    );
+    silvercross_settings::read_value(serde_json::from_str(&text).expect("JSON")).expect("settings")
+}
+
+#[test]
+fn an_open_request_ends_under_the_class_it_was_taken_with() {
+    let mut b = Bench::new(&[host(1), host(2)]);
+    let (_, steps) = b.ask(ONCE, 2 * S);
+    let open = sends(&steps)[0].0;
+    // The class may be repeated from now on; what is open was taken as one that may not.
+    let (settings, front) = settings_of(&[("commit", "repeatable", 2.0), ("new", "once", 1.0)], 4);
+    b.balancer.reconfigure(settings, front);
+    let commit = b.balancer.class_named("commit").expect("named");
+    assert_ne!(commit, ONCE, "its slot is in use");
+    assert_eq!(b.balancer.class_named("read"), None, "dropped");
+    assert!(b.balancer.class_named("new").is_some());
+    let steps = b.report(open, Report::Error);
+    assert!(sends(&steps).is_empty() && steps.iter().any(|s| matches!(s, Step::Fail { .. })), "{steps:?}");
+    // A new one is taken under the new class, and is sent again after an error.
+    b.serve_quickly(200, commit);
+    let (_, steps) = b.ask(commit, 2 * S);
+    let steps = b.report(sends(&steps)[0].0, Report::Error);
+    assert_eq!(sends(&steps).len(), 1, "{steps:?}");
+}
+
+#[test]
+fn the_attempts_of_an_open_request_are_those_it_was_taken_with() {
+    let mut b = Bench::new(&[host(1), host(2), host(3)]);
+    b.serve_quickly(200, REPEATABLE);
+    let (_, steps) = b.ask(REPEATABLE, 2 * S);
+    let (settings, front) = settings_of(&[("read", "repeatable", 2.0)], 1);
+    b.balancer.reconfigure(settings, front);
+    let steps = b.report(sends(&steps)[0].0, Report::NotConnected);
+    assert_eq!(sends(&steps).len(), 1, "taken with four: {steps:?}");
+    let read = b.balancer.class_named("read").expect("named");
+    let (_, steps) = b.ask(read, 2 * S);
+    let steps = b.report(sends(&steps)[0].0, Report::NotConnected);
+    assert!(sends(&steps).is_empty(), "taken with one: {steps:?}");
+}
+
+#[test]
+fn a_thousand_changes_take_no_more_slots_than_what_is_open() {
+    let mut b = Bench::new(&[host(1)]);
+    let (_, steps) = b.ask(ONCE, 2 * S);
+    let open = sends(&steps)[0].0;
+    let mut most = 0;
+    for n in 0..1_000 {
+        let name = format!("c{n}");
+        let (settings, front) = settings_of(&[(&name, "once", 1.0 + f64::from(n)), ("read", "once", 1.0)], 3);
+        b.balancer.reconfigure(settings, front);
+        most = most.max(b.balancer.class_named(&name).expect("named"));
+        assert_eq!(b.balancer.class_named(""), None);
+    }
+    assert!(most < 8, "{most}");
+    assert_eq!(b.balancer.longest_deadline(), 1_000 * S);
+    b.report(open, Report::Served);
+    let (settings, front) = settings_of(&[("read", "once", 1.0)], 3);
+    b.balancer.reconfigure(settings, front);
+    assert_eq!(b.balancer.longest_deadline(), S, "what nothing names any more has no say");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -158,6 +158,72 @@
     1
 }
 
+/// Check a settings object, and against the one in force where there is one: what is wrong, by its key.
+pub fn check(value: &serde_json::Value, in_force: Option<&serde_json::Value>) -> Result<(), String> {
+    if let Some(in_force) = in_force {
+        lacks(value, in_force, "settings")?;
+    }
+    let text =
+        |c: &serde_json::Value, key: &str| c.get(key).and_then(|v| v.as_str()).unwrap_or("").to_string();
+    let classes = value.get("classes").and_then(|c| c.as_array()).filter(|c| !c.is_empty());
+    let classes = classes.ok_or("settings.classes: no class of requests")?;
+    let mut names = std::collections::HashSet::new();
+    for (i, c) in classes.iter().enumerate() {
+        let key = format!("settings.classes[{i}]");
+        let name = text(c, "name");
+        if name.is_empty() {
+            return Err(format!("{key}.name: a class has a name"));
+        }
+        if !names.insert(name.clone()) {
+            return Err(format!("{key}.name: {name:?} stands twice"));
+        }
+        for part in ["aim_s", "deadline_s"] {
+            positive(c.get(part)).map_err(|why| format!("{key}.{part}: {why}"))?;
+        }
+        if text(c, "effect") == "by_key" {
+            if let Some(ttl) = c.get("key_ttl_s") {
+                positive(Some(ttl)).map_err(|why| format!("{key}.key_ttl_s: {why}"))?;
+            }
+        }
+    }
+    if let Some(cap) = value.get("limits").and_then(|l| l.get("attempts_cap")) {
+        positive(Some(cap)).map_err(|why| format!("settings.limits.attempts_cap: {why}"))?;
+    }
+    Ok(())
+}
+
+fn positive(value: Option<&serde_json::Value>) -> Result<(), String> {
+    match value.and_then(|v| v.as_f64()) {
+        Some(x) if x.is_finite() && x > 0.0 => Ok(()),
+        _ => Err(format!("{} is no positive number", value.map_or("nothing".into(), |v| v.to_string()))),
+    }
+}
+
+/// Every key that stands in the object in force has to stand in the new one too; in a list of objects, every key that all
+/// of them have.
+pub fn lacks(value: &serde_json::Value, in_force: &serde_json::Value, at: &str) -> Result<(), String> {
+    use serde_json::Value::{Array, Object};
+    match (in_force, value) {
+        (Object(old), Object(new)) => old.iter().try_for_each(|(key, was)| {
+            let at = format!("{at}.{key}");
+            new.get(key).ok_or(format!("{at}: it is missing")).and_then(|is| lacks(is, was, &at))
+        }),
+        (Object(_), _) => Err(format!("{at}: it is no object")),
+        (Array(old), Array(new)) => {
+            let Some((first, rest)) = old.split_first() else { return Ok(()) };
+            let Object(first) = first else { return Ok(()) };
+            let common = |key: &&String| rest.iter().all(|o| o.get(key.as_str()).is_some());
+            let common: Vec<_> = first.keys().filter(common).collect();
+            new.iter().enumerate().try_for_each(|(i, is)| {
+                let missing = common.iter().find(|key| is.get(key.as_str()).is_none());
+                missing.map_or(Ok(()), |key| Err(format!("{at}[{i}].{key}: it is missing")))
+            })
+        }
+        (Array(_), _) => Err(format!("{at}: it is no list")),
+        _ => Ok(()),
+    }
+}
+
 /// Read the settings object from its text.
 pub fn read(text: &str) -> Result<Settings, String> {
     core_settings(&serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?)
@@ -242,3 +308,62 @@
         stream: c.stream,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::{json, Value};
+
+    fn good() -> Value {
+        json!({"areas": ["a"], "rules": {"cold_from": 0.3}, "limits": {"attempts_cap": 3}, "classes": [
+            {"name": "a", "aim_s": 0.5, "deadline_s": 2.0, "effect": "repeatable"},
+            {"name": "b", "aim_s": 0.5, "deadline_s": 2.0, "effect": "by_key", "key_ttl_s": 30.0}]})
+    }
+
+    fn changed(path: &str, to: Option<Value>) -> Value {
+        let mut value = good();
+        let (parent, key) = path.rsplit_once('/').expect("a path");
+        let parent = value.pointer_mut(parent).expect("there");
+        match (to, parent) {
+            (Some(to), parent) => parent[key] = to,
+            (None, Value::Object(o)) => drop(o.remove(key)),
+            (None, _) => unreachable!("only keys are taken away"),
+        }
+        value
+    }
+
+    #[test]
+    fn each_fault_is_told_by_its_key() {
+        let cases = [
+            ("/classes", Some(json!([])), "settings.classes:"),
+            ("/classes", Some(json!({})), "settings.classes:"),
+            ("/classes", None, "settings.classes:"),
+            ("/classes/1/name", Some(json!("a")), "settings.classes[1].name:"),
+            ("/classes/0/name", Some(json!("")), "settings.classes[0].name:"),
+            ("/classes/0/aim_s", Some(json!(0)), "settings.classes[0].aim_s:"),
+            ("/classes/0/deadline_s", Some(json!(-2.0)), "settings.classes[0].deadline_s:"),
+            ("/classes/1/deadline_s", Some(json!("2")), "settings.classes[1].deadline_s:"),
+            ("/classes/1/deadline_s", Some(Value::Null), "settings.classes[1].deadline_s:"),
+            ("/classes/1/deadline_s", None, "settings.classes[1].deadline_s:"),
+            ("/classes/1/effect", None, "settings.classes[1].effect:"),
+            ("/classes/1/key_ttl_s", Some(json!(0)), "settings.classes[1].key_ttl_s:"),
+            ("/limits/attempts_cap", Some(json!(0)), "settings.limits.attempts_cap:"),
+            ("/limits/attempts_cap", None, "settings.limits.attempts_cap:"),
+            ("/limits", Some(json!(3)), "settings.limits:"),
+            ("/rules/cold_from", None, "settings.rules.cold_from:"),
+            ("/areas", None, "settings.areas:"),
+        ];
+        for (path, to, key) in cases {
+            let why = check(&changed(path, to.clone()), Some(&good())).expect_err(path);
+            assert!(why.starts_with(key), "{path} {to:?}: {why}");
+        }
+        assert_eq!(check(&good(), Some(&good())), Ok(()));
+        assert_eq!(check(&good(), None), Ok(()));
+    }
+
+    #[test]
+    fn a_key_that_only_some_classes_had_may_be_missing_in_a_new_one() {
+        let class = json!({"name": "c", "aim_s": 1, "deadline_s": 3, "effect": "once"});
+        assert_eq!(check(&changed("/classes", Some(json!([class]))), Some(&good())), Ok(()));
+    }
+}
--- a/crates/sidecar/src/event_loop.rs
+++ b/crates/sidecar/src/event_loop.rs
@@ -24,10 +24,12 @@
 use operators::Door;
 use polling::Events;
 use silvercross_core::interface::Micros;
+use silvercross_core::interface::Settings;
 use silvercross_facade::{Attempt, Balancer, Step, Turn};
 use silvercross_net::buffers::Pool;
 use silvercross_net::registry::{Interest, Registry, Watched};
 use silvercross_net::table::{Handle, Table};
+use silvercross_settings::Front;
 use slog::{error, info, warn, Logger};
 use std::collections::{HashSet, VecDeque};
 use std::io::{self, Read};
@@ -94,8 +96,21 @@
     pub idle_close: Option<Micros>,
 }
 
-/// Reads the configuration file again: where discovery is now, or one plain line.
-pub type Reread = Box<dyn Fn() -> Result<SocketAddr, String>>;
+/// Idle connections to upstreams are closed after this.
+fn retire(bounds: &Bounds) -> Micros {
+    bounds.idle_close.map_or(RETIRE_UNSTATED, |t| (t as f64 * RETIRE) as Micros)
+}
+
+/// What a configuration file that was read again brings.
+pub struct Anew {
+    /// Where discovery is now.
+    pub discovery: SocketAddr,
+    /// Other settings, the names behind them, and what the loop keeps to by them.
+    pub settings: Option<(Settings, Front, Bounds)>,
+}
+
+/// Reads the configuration file again: all of it good, or one plain line. What it returns is in force from then on.
+pub type Reread = Box<dyn FnMut() -> Result<Anew, String>>;
 
 /// What the loop is made of.
 pub struct Parts {
@@ -193,7 +208,7 @@
     pub fn new(parts: Parts) -> io::Result<Self> {
         let Parts { registry, balancer, listener, stops, reloads, reread, discovery, gate, .. } = parts;
         let Parts { listen_at, door, classes, seat, seq, bounds, log, .. } = parts;
-        let retire = bounds.idle_close.map_or(RETIRE_UNSTATED, |t| (t as f64 * RETIRE) as Micros);
+        let retire = retire(&bounds);
         Ok(EventLoop {
             listen_at,
             listener: listener.map(|l| registry.watch(l, LISTENER, Interest::Read)).transpose()?,
@@ -451,17 +466,28 @@
 
     // --- reload ---
 
-    /// The configuration's file has been replaced. Of what is in it only discovery's address can change while the
-    /// process runs; the list, the connections and what was learned stay.
+    /// The configuration's file has been replaced. Its settings and discovery's address hold from now on; the list, the
+    /// connections, what was learned and what is open stay. Addresses and limits of the process take a restart.
     fn reload(&mut self) {
         drain(self.reloads.get());
-        if self.stop.is_some() {
-            return;
-        }
-        let to = match (self.reread)() {
-            Ok(to) => to,
+        // Stopping, too: for as long as connections stay open their clients go by the new settings.
+        let new = (self.reread)();
+        self.door.figures.reread(new.is_ok());
+        let new = match new {
+            Ok(new) => new,
             Err(why) => return warn!(self.log, "the configuration stays as it was"; "why" => why),
         };
+        if let Some((settings, front, bounds)) = new.settings {
+            self.door.figures.classes_are(&front.classes);
+            let turn = self.balancer.reconfigure(settings, front);
+            self.absorb(turn);
+            // What the process may hold is not the file's to change while it runs.
+            let (descriptors, buffer_bytes) = (self.bounds.descriptors, self.bounds.buffer_bytes);
+            self.bounds = Bounds { descriptors, buffer_bytes, ..bounds };
+            self.retire = retire(&self.bounds);
+            self.do_steps();
+        }
+        let to = new.discovery;
         info!(self.log, "reloaded"; "discovery" => to.to_string(), "before" => self.discovery.map(|d| d.to_string()));
         if Some(to) != self.discovery {
             self.discovery_moved(to);
--- a/crates/sidecar/src/lifecycle/config.rs
+++ b/crates/sidecar/src/lifecycle/config.rs
@@ -30,6 +30,8 @@
     pub settings: Settings,
     /// The names behind them.
     pub front: Front,
+    /// The whole file, against which the next one is held.
+    pub file: serde_json::Value,
 }
 
 #[derive(Deserialize)]
@@ -72,24 +74,39 @@
     parse(&text, var).map_err(|e| format!("bad configuration {path}: {e}"))
 }
 
-/// Read the configuration again, of a process that has been told to. What the file says of discovery holds over the
-/// variable that the process was started with: a variable can't be replaced, and would pin the old address for good.
-pub fn reread(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    read(|name| var(name).filter(|_| name != "PROXY_DISCOVERY"))
+/// Read the configuration again, of a process that has been told to: whole and good, and with every key that the one in
+/// force has, or nothing is taken. What the file says of discovery holds over the variable that the process was started
+/// with: a variable can't be replaced, and would pin the old address for good.
+pub fn reread(var: impl Fn(&str) -> Option<String>, in_force: &serde_json::Value) -> Result<Config, String> {
+    let new = read(|name| var(name).filter(|_| name != "PROXY_DISCOVERY"))?;
+    held_against(&new.file, in_force)?;
+    Ok(new)
+}
+
+fn held_against(new: &serde_json::Value, in_force: &serde_json::Value) -> Result<(), String> {
+    let keys = in_force.as_object().into_iter().flatten().map(|(key, _)| key);
+    keys.filter(|key| new.get(key.as_str()).is_none())
+        .map(|key| Err(format!("{key}: it is missing")))
+        .collect::<Result<(), _>>()?;
+    for key in ["settings", "limits"] {
+        if let (Some(new), Some(old)) = (new.get(key), in_force.get(key)) {
+            silvercross_settings::lacks(new, old, key)?;
+        }
+    }
+    Ok(())
 }
 
 /// Read the configuration's text. Where a variable says the same as the file, the variable holds.
 pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let whole_file: serde_json::Value = serde_json::from_str(text).map_err(|e| one_line(&e.to_string()))?;
     let file: File = serde_json::from_str(text).map_err(|e| one_line(&e.to_string()))?;
+    silvercross_settings::check(&file.settings, None).map_err(|e| one_line(&e))?;
     let address = |name: &str, fallback: &str| {
         let text = var(name).unwrap_or_else(|| fallback.to_string());
         text.parse::<SocketAddr>()
             .map_err(|_| format!("{name} {text:?} is no address such as 127.0.0.1:3000"))
     };
     let (settings, front) = silvercross_settings::read_value(file.settings).map_err(|e| one_line(&e))?;
-    if settings.classes.is_empty() {
-        return Err("settings: no class of requests".into());
-    }
     let (known, seq) = match file.known {
         serde_json::Value::Null => (Vec::new(), 0),
         list => {
@@ -117,6 +134,7 @@
         seq,
         settings,
         front,
+        file: whole_file,
     })
 }
 
@@ -164,6 +182,24 @@
         assert_eq!(c.front.idle_close, Some(60_000_000));
     }
 
+    #[test]
+    fn a_file_that_lacks_what_the_one_in_force_has_is_turned_down() {
+        let of = |text: &str| parse(text, none).expect("good").file;
+        let good = of(GOOD);
+        assert_eq!(held_against(&good, &good), Ok(()));
+        for (from, to, key) in [
+            ("\"discovery\":", "\"discover\":", "discovery:"),
+            ("\"cores\":1.0,", "", "limits.cores:"),
+            ("\"areas\":[\"a\"],", "", "settings.areas:"),
+            (",\"limits\":{\"idle_close_s\":60.0}", ",\"limits\":{}", "settings.limits.idle_close_s:"),
+        ] {
+            let text = GOOD.replacen(from, to, 1);
+            let new: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+            let why = held_against(&new, &good).expect_err(key);
+            assert!(why.starts_with(key), "{why}");
+        }
+    }
+
     #[test]
     fn a_variable_holds_over_the_file() {
         let c = parse(GOOD, |v| (v == "PROXY_LISTEN").then(|| "127.0.0.2:9".to_string())).expect("good");
--- a/crates/sidecar/src/lifecycle/gateway.rs
+++ b/crates/sidecar/src/lifecycle/gateway.rs
@@ -2,7 +2,7 @@
 //! own, with nothing shared but the log. Their settings are checked as a whole before anything listens.
 use super::{config, logging, start};
 use crate::event_loop::gateway_side::{Gate, Inward, Outward};
-use crate::event_loop::{Bounds, EventLoop, Parts};
+use crate::event_loop::{Anew, Bounds, EventLoop, Parts};
 use serde::Deserialize;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use silvercross_core::interface::Micros;
@@ -152,7 +152,7 @@
     Bounds {
         descriptors: config.sockets / 2,
         buffer_bytes: config.memory_mb * 300_000,
-        ..start::bounds(config)
+        ..start::bounds_of(config)
     }
 }
 
@@ -181,7 +181,8 @@
         reloads: start::signals(&[SIGHUP]).map_err(fault)?,
         reread: Box::new(move || {
             let text = std::fs::read_to_string(&path).map_err(|e| e.to_string())?;
-            config::parse(&text, |_| None).map(|new| new.discovery)
+            let new = config::parse(&text, |_| None)?;
+            Ok(Anew { discovery: new.discovery, settings: None })
         }),
         discovery: Some(c.discovery),
         gate: Some(gate),
--- a/crates/sidecar/src/lifecycle/start.rs
+++ b/crates/sidecar/src/lifecycle/start.rs
@@ -1,7 +1,7 @@
 //! Start: configuration, log, listening socket, signals, then the loop until it ends.
 use super::seat::Seat;
 use super::{config, logging};
-use crate::event_loop::{Bounds, EventLoop, Parts};
+use crate::event_loop::{Anew, Bounds, EventLoop, Parts};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use silvercross_core::interface::Micros;
 use silvercross_core::interface::Settings;
@@ -61,7 +61,8 @@
     info!(log, "started"; "listen" => listen_at.to_string(), "management" => management, "discovery" => config.discovery.to_string(),
         "known" => config.known.len(), "seq" => config.seq, "memory_mb" => config.memory_mb,
         "sockets" => config.sockets, "version" => env!("CARGO_PKG_VERSION"));
-    let bounds = bounds(&config);
+    let bounds = bounds_of(&config);
+    let mut in_force = config.file;
     let (discovery, seq) = (config.discovery, config.seq);
     let (settings, seed) = (config.settings, config.seed);
     let classes = config.front.classes.clone();
@@ -79,7 +80,12 @@
         listen_at,
         stops,
         reloads,
-        reread: Box::new(move || config::reread(var).map(|new| new.discovery)),
+        reread: Box::new(move || {
+            let new = config::reread(var, &in_force)?;
+            let (discovery, bounds) = (new.discovery, bounds_of(&new));
+            in_force = new.file;
+            Ok(Anew { discovery, settings: Some((new.settings, new.front, bounds)) })
+        }),
         discovery: Some(discovery),
         gate: None,
         door,
@@ -98,7 +104,7 @@
 }
 
 /// What a loop keeps to by its configuration.
-pub(crate) fn bounds(config: &config::Config) -> Bounds {
+pub(crate) fn bounds_of(config: &config::Config) -> Bounds {
     Bounds {
         descriptors: config.sockets,
         buffer_bytes: (config.memory_mb as f64 * 1e6 * BUFFER_SHARE) as usize,
--- a/crates/sidecar/tests/in_service.rs
+++ b/crates/sidecar/tests/in_service.rs
@@ -271,3 +271,61 @@
     assert_eq!(old.connect().ask(&call("commit", LONG_LEFT, "")).status(), 200);
     assert!(old.ended().success());
 }
+
+#[test]
+fn new_settings_are_taken_whole_and_broken_ones_not_at_all_under_open_requests() {
+    let (go, does) = waits("served");
+    let up = Upstream::start(does);
+    let good = config(nowhere(), &[entry("s-1", up.address, "ready")], 1024);
+    let sidecar = with_door(&good);
+    let door = sidecar.management.expect("a door");
+    let mut open = sidecar.connect();
+    open.say(&call("commit", LONG_LEFT, ""));
+    until("the attempt", || (up.requests() == 1).then_some(()));
+    let class = r#"{"name":"commit","aim_s":2.5,"deadline_s":6.0,"effect":"once","importance":1.0}"#;
+    let broken: Vec<String> = [
+        (good.as_str(), ""),
+        ("}", ""),
+        (class, r#"{"name":"commit","aim_s":2.5,"deadline_s":0,"effect":"once","importance":1.0}"#),
+        (class, r#"{"name":"commit","aim_s":2.5,"deadline_s":-6.0,"effect":"once","importance":1.0}"#),
+        (class, r#"{"name":"commit","aim_s":-1,"deadline_s":6.0,"effect":"once","importance":1.0}"#),
+        (class, r#"{"name":"commit","aim_s":2.5,"deadline_s":"6","effect":"once","importance":1.0}"#),
+        (class, r#"{"name":"commit","aim_s":2.5,"deadline_s":null,"effect":"once","importance":1.0}"#),
+        (class, r#"{"name":"commit","aim_s":2.5,"deadline_s":1e999,"effect":"once","importance":1.0}"#),
+        (class, r#"{"name":"commit","aim_s":2.5,"deadline_s":NaN,"effect":"once","importance":1.0}"#),
+        (class, r#"{"name":"commit","aim_s":2.5,"effect":"once","importance":1.0}"#),
+        (class, r#"{"name":"commit","aim_s":2.5,"deadline_s":6.0,"effect":"odd","importance":1.0}"#),
+        (class, r#"{"name":"commit","aim_s":2.5,"deadline_s":6.0,"importance":1.0}"#),
+        (class, r#"{"name":"commit","aim_s":2.5,"deadline_s":6.0,"effect":"once"}"#),
+        (class, r#"{"name":"read","aim_s":2.5,"deadline_s":6.0,"effect":"once","importance":1.0}"#),
+        (class, r#"{"aim_s":2.5,"deadline_s":6.0,"effect":"once","importance":1.0}"#),
+        (class, "7"),
+        (r#""attempts_cap":4"#, r#""attempts_cap":0"#),
+        (r#""attempts_cap":4"#, r#""attempts_cap":-4"#),
+        (r#""attempts_cap":4"#, r#""attempts_cap":2.5"#),
+        (r#""attempts_cap":4,"#, ""),
+        (r#""rules":{"drain_grace_s":2.0}"#, r#""rules":{}"#),
+        (r#""settings":"#, r#""setting":"#),
+        (r#""memory_mb":192,"#, ""),
+    ]
+    .iter()
+    .map(|(from, to)| good.replacen(from, to, 1))
+    .collect();
+    for (n, text) in broken.iter().enumerate() {
+        sidecar.reload(text);
+        until("a refusal", || (figure(door, "svc_cfg_invalid_total") == n as u64 + 1).then_some(()));
+    }
+    assert_eq!(figure(door, "svc_cfg_accepted_total"), 0);
+    // One class comes, one is dropped.
+    sidecar.reload(&good.replacen("\"name\":\"commit\"", "\"name\":\"order\"", 1));
+    until("the new file", || (figure(door, "svc_cfg_accepted_total") == 1).then_some(()));
+    assert_eq!(by_class(door, "fulfilled", "order"), 0);
+    let mut client = sidecar.connect();
+    assert_eq!(client.ask(&call("commit", LONG_LEFT, "")).status(), 400, "dropped");
+    let mut client = sidecar.connect();
+    client.say(&call("order", LONG_LEFT, ""));
+    until("its attempt", || (up.requests() == 2).then_some(()));
+    go.send(()).and_then(|()| go.send(())).expect("waited for");
+    assert_eq!((open.hear().status(), client.hear().status()), (200, 200));
+    assert_eq!((by_class(door, "fulfilled", "commit"), by_class(door, "fulfilled", "order")), (1, 1));
+}
