--- a/crates/sidecar/src/lifecycle/config.rs
+++ b/crates/sidecar/src/lifecycle/config.rs
@@ -86,8 +86,7 @@
 fn held_against(new: &serde_json::Value, in_force: &serde_json::Value) -> Result<(), String> {
     let keys = in_force.as_object().into_iter().flatten().map(|(key, _)| key);
     keys.filter(|key| new.get(key.as_str()).is_none())
-        .map(|key| Err(format!("{key}: it is missing")))
-        .collect::<Result<(), _>>()?;
+        .try_for_each(|key| Err(format!("{key}: it is missing")))?;
     for key in ["settings", "limits"] {
         if let (Some(new), Some(old)) = (new.get(key), in_force.get(key)) {
             silvercross_settings::lacks(new, old, key)?;
