--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -116,9 +116,12 @@
             Event::Request(r) => self.on_request(r, out),
             Event::AttemptEnded(e) => self.on_ended(e, out),
             Event::StreamStarted { request, attempt } => {
-                let Some(p) = self.pending.get_mut(&request) else { return };
+                let Some(mut p) = self.pending.remove(&request) else { return };
                 p.streaming = true;
                 p.attempts.get(attempt as usize).map(|a| a.upstream).into_iter().for_each(|u| self.life(u));
+                // The client has one answer begun: other copies are of no use.
+                self.call_off(request, &mut p, Some(attempt), out);
+                self.pending.insert(request, p);
             }
             Event::RequestGone { request } => self.close(request, out),
             Event::Timer { token: LIST_TOKEN } if !self.subscribed && !self.asked => {
@@ -487,7 +490,7 @@
         }
         if e.over || outcome == Outcome::Served {
             p.over = true;
-            self.call_off(id, &mut p, out);
+            self.call_off(id, &mut p, None, out);
         }
         let cost = f64::from(!matches!(outcome, Outcome::Full | Outcome::ConnectFailed));
         if !p.over && !p.streaming && !self.again(id, &mut p, cost, out) && p.out == 0 {
@@ -498,12 +501,13 @@
         }
     }
 
-    fn call_off(&mut self, id: RequestId, p: &mut Pending, out: &mut Vec<Action>) {
+    fn call_off(&mut self, id: RequestId, p: &mut Pending, keep: Option<u32>, out: &mut Vec<Action>) {
         if !self.set.may_cancel {
             return;
         }
         let still = |a: &(usize, &mut Attempt)| a.1.ended.is_none() && !a.1.ordered_off;
-        for (k, a) in p.attempts.iter_mut().enumerate().filter(still) {
+        let other = |a: &(usize, &mut Attempt)| keep != Some(a.0 as u32);
+        for (k, a) in p.attempts.iter_mut().enumerate().filter(still).filter(other) {
             a.ordered_off = true;
             out.push(Action::Cancel { request: id, attempt: k as u32 });
         }
@@ -512,7 +516,7 @@
     fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(mut p) = self.pending.remove(&id) else { return };
         p.over = true;
-        self.call_off(id, &mut p, out);
+        self.call_off(id, &mut p, None, out);
         if p.out > 0 {
             self.pending.insert(id, p);
         }
--- a/crates/facade/src/lib.rs
+++ b/crates/facade/src/lib.rs
@@ -33,6 +33,9 @@
 /// The most zones or machine kinds that may turn up in lists: the module keeps a record for each.
 const NAMES: usize = 4096;
 
+/// No time limit.
+const FAR: Micros = Micros::MAX / 4;
+
 /// Makes what decides, from its settings, its seed and the time of its start.
 pub type Make = Box<dyn FnOnce(Settings, u64, Micros) -> Box<dyn Decide>>;
 
@@ -227,6 +230,10 @@
 struct Sent {
     upstream: u32,
     at: Micros,
+    /// How long it is waited for, once the request's last byte has come.
+    limit: Option<Micros>,
+    /// When its answer began to go on to the client.
+    begun: Option<Micros>,
     until: Micros,
     ended: bool,
 }
@@ -238,6 +245,9 @@
     deadline: Micros,
     over: bool,
     attempts: Vec<Sent>,
+    /// Its body is still coming: how long its client waits from the last byte on, and the module's timers that run from
+    /// there.
+    coming: Option<(Micros, Vec<(Micros, u64)>)>,
 }
 
 enum Due<W> {
@@ -456,6 +466,15 @@
 
     /// A request has been taken: where does it go?
     pub fn pick(&mut self, r: Request) -> Turn<W> {
+        self.place(r, false)
+    }
+
+    /// The same for one whose body is still coming: its time counts from [`Balancer::whole`] on.
+    pub fn pick_coming(&mut self, r: Request) -> Turn<W> {
+        self.place(r, true)
+    }
+
+    fn place(&mut self, r: Request, coming: bool) -> Turn<W> {
         let now = self.now();
         let class = self.settings.classes.get(r.class as usize);
         let whole = class.map_or(0, |c| c.deadline);
@@ -464,9 +483,13 @@
         // would take a budget that was cut here for a client's late repeat, and refuse what can still be in time.
         let left = budget.min(self.stop_at.map_or(Micros::MAX, |at| (at - now).max(0)));
         let deadline = now + left - MARGIN.min(left / MARGIN_SHARE);
-        let (class, cap) = (r.class, self.settings.attempts_cap);
-        self.open.insert(r.handle, Open { class, cap, deadline, over: false, attempts: Vec::new() });
-        self.set(deadline + BACKSTOP, Due::Backstop(r.handle));
+        let deadline = if coming { self.stop_at.unwrap_or(FAR) } else { deadline };
+        let (class, cap, attempts) = (r.class, self.settings.attempts_cap, Vec::new());
+        let coming = coming.then(|| (budget, Vec::new()));
+        self.open.insert(r.handle, Open { class, cap, deadline, over: false, attempts, coming });
+        if deadline < FAR {
+            self.set(deadline + BACKSTOP, Due::Backstop(r.handle));
+        }
         self.drive(
             now,
             Event::Request(NewRequest {
@@ -483,9 +506,51 @@
         self.turn()
     }
 
+    /// The last byte of a request that was coming is here: from now on its time counts, and that of its attempts.
+    pub fn whole(&mut self, request: Handle) -> Turn<W> {
+        let (now, stop_at) = (self.now(), self.stop_at);
+        let Some(open) = self.open.get_mut(&request) else { return self.turn() };
+        let Some((budget, timers)) = open.coming.take() else { return self.turn() };
+        let left = budget.min(stop_at.map_or(Micros::MAX, |at| (at - now).max(0)));
+        open.deadline = now + left - MARGIN.min(left / MARGIN_SHARE);
+        let deadline = open.deadline;
+        let mut limits = Vec::new();
+        for (number, a) in open.attempts.iter_mut().enumerate().filter(|(_, a)| !a.ended) {
+            (a.at, a.until) = (now, a.limit.map_or(deadline, |l| (now + l).min(deadline)));
+            limits.push((a.until, Attempt { request, number: number as u32 }));
+        }
+        limits.into_iter().for_each(|(until, attempt)| self.set(until, Due::Limit(attempt)));
+        timers.into_iter().for_each(|(after, token)| self.set(now + after, Due::Module(token)));
+        self.set(deadline + BACKSTOP, Due::Backstop(request));
+        self.turn()
+    }
+
+    /// An attempt's answer begins to go on to the client before it is whole: it can't be replaced any more, and no limit
+    /// of time cuts it.
+    pub fn begun(&mut self, attempt: Attempt) -> Turn<W> {
+        let now = self.now();
+        if let Some(open) = self.open.get_mut(&attempt.request).filter(|o| !o.over) {
+            open.deadline = FAR;
+            if let Some(a) = open.attempts.get_mut(attempt.number as usize).filter(|a| !a.ended) {
+                (a.until, a.begun) = (FAR, Some(now));
+                let request = RequestId(attempt.request.number());
+                self.drive(now, Event::StreamStarted { request, attempt: attempt.number });
+            }
+        }
+        self.turn()
+    }
+
     /// An attempt has ended. Reports of attempts given up before are passed over.
     pub fn report(&mut self, attempt: Attempt, report: Report) -> Turn<W> {
         let now = self.now();
+        if report != Report::Served {
+            let open = self.open.get_mut(&attempt.request);
+            let has_begun = |o: &&mut Open| {
+                o.attempts.get(attempt.number as usize).is_some_and(|a| a.begun.is_some() && !a.ended)
+            };
+            // Its client has part of an answer: there is no other one to give.
+            open.filter(has_begun).into_iter().for_each(|o| o.over = true);
+        }
         self.end(now, attempt, outcome(report));
         self.settle(now);
         self.turn()
@@ -554,7 +619,8 @@
         self.stop_at = Some(at);
         let mut cut = Vec::new();
         for (&request, open) in &mut self.open {
-            if open.deadline > at {
+            // What is being passed on goes on until the process ends.
+            if open.deadline > at && open.attempts.iter().all(|a| a.begun.is_none()) {
                 open.deadline = at;
                 cut.push((request, open.attempts.len()));
                 open.attempts.iter_mut().for_each(|a| a.until = a.until.min(at));
@@ -597,7 +663,8 @@
         if let Some(known) = self.known.get_mut(sent.upstream as usize) {
             known.out = known.out.saturating_sub(1);
         }
-        let elapsed = now - sent.at;
+        // What is passed on takes as long as its client: the answer's time is that of its first bytes.
+        let elapsed = sent.begun.unwrap_or(now) - sent.at;
         if outcome == Outcome::Served && !open.over {
             open.over = true;
             self.steps.push(Step::Serve { attempt });
@@ -651,7 +718,13 @@
                         self.steps.push(Step::Fail { request });
                     }
                 }
-                Action::Timer { after, token } => self.set(now + after.max(0), Due::Module(token)),
+                Action::Timer { after, token } => {
+                    let open = self.open.get_mut(&Handle::from_number(token));
+                    match open.and_then(|o| o.coming.as_mut()) {
+                        Some((_, timers)) => timers.push((after.max(0), token)),
+                        None => self.set(now + after.max(0), Due::Module(token)),
+                    }
+                }
                 Action::Subscribe(on) => self.steps.push(Step::Watch(on)),
                 Action::FetchList => self.steps.push(Step::FetchList),
                 Action::CloseIdle(u) => self.steps.push(Step::CloseIdle(Upstream(u.0))),
@@ -666,9 +739,13 @@
     fn send(&mut self, now: Micros, request: Handle, upstream: UpstreamId, limit: Option<Micros>) {
         // A request that has its answer is never sent again, whatever the module says.
         let Some(open) = self.open.get_mut(&request).filter(|o| !o.over) else { return };
-        let until = limit.map_or(open.deadline, |l| (now + l).min(open.deadline));
+        let until = match open.coming {
+            Some(_) => open.deadline,
+            None => limit.map_or(open.deadline, |l| (now + l).min(open.deadline)),
+        };
+        let told = open.coming.as_ref().map_or(until - now, |(budget, _)| limit.unwrap_or(*budget));
         let attempt = Attempt { request, number: open.attempts.len() as u32 };
-        open.attempts.push(Sent { upstream: upstream.0, at: now, until, ended: false });
+        open.attempts.push(Sent { upstream: upstream.0, at: now, limit, begun: None, until, ended: false });
         if let Some(known) = self.known.get_mut(upstream.0 as usize) {
             known.out += 1;
         }
@@ -678,8 +755,10 @@
         let Some(to) = self.known.get(upstream.0 as usize).and_then(|k| k.dial) else {
             return self.end(now, attempt, Outcome::ConnectFailed);
         };
-        self.set(until, Due::Limit(attempt));
-        self.steps.push(Step::Send { attempt, upstream: Upstream(upstream.0), to, limit: until - now });
+        if until < FAR {
+            self.set(until, Due::Limit(attempt));
+        }
+        self.steps.push(Step::Send { attempt, upstream: Upstream(upstream.0), to, limit: told });
     }
 
     /// The number for an upstream not heard of before: that of one long gone, or a new one. The module was told that
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod buffers;
 pub mod http;
 pub mod registry;
+pub mod stream;
 pub mod table;
--- a/crates/sidecar/src/event_loop.rs
+++ b/crates/sidecar/src/event_loop.rs
@@ -5,6 +5,7 @@
 mod discovery_side;
 pub mod gateway_side;
 mod operators;
+mod streams;
 mod upstreams;
 
 #[cfg(test)]
@@ -322,6 +323,7 @@
                     self.absorb(turn);
                     self.answer_call(request, 502, b"", &[b"failed\n"]);
                 }
+                State::Passing(request, _) => self.hung_up(handle, request),
                 _ => self.close_application(handle),
             },
             Some(Connection::Upstream(c)) => match c.work {
--- a/crates/sidecar/src/event_loop/applications.rs
+++ b/crates/sidecar/src/event_loop/applications.rs
@@ -4,10 +4,11 @@
 use crate::memory::connections::Connection;
 use crate::memory::requests::{Guest, Request};
 use crate::wire::application::{self, Asked, Call, Front, Got, State};
+use crate::wire::upstream::{Cause, Stage, Work};
 use silvercross_core::interface::Micros;
 use silvercross_facade::Request as Placed;
 use silvercross_gateway::offer::Ended;
-use silvercross_net::http::{self, Bad};
+use silvercross_net::http::{self, Bad, Framing};
 use silvercross_net::registry::Interest;
 use silvercross_net::table::Handle;
 use slog::{debug, warn};
@@ -15,9 +16,9 @@
 
 /// A client gets this long to take an answer.
 const STALL: Micros = 10_000_000;
-/// And this long to send a request, from its first byte, whatever trickles in meanwhile; the first one on a connection
+/// And this long to send a request, from its first byte, and longer only as its bytes come at a rate that is no trickle; the first one on a connection
 /// has to be whole so soon after the connection was made.
-const SEND: Micros = 2_500_000;
+pub(super) const SEND: Micros = 2_500_000;
 const SEND_FIRST: Micros = 2_700_000;
 /// A connection on which no request is open is closed after this.
 pub(super) const IDLE: Micros = 2_000_000;
@@ -114,8 +115,22 @@
     /// What was begun on a connection has not come through in time.
     pub(super) fn stalled(&mut self, handle: Handle) {
         let Some(c) = self.connections.application(handle) else { return };
-        if c.state != State::Reading {
-            return self.close_application(handle);
+        match c.state {
+            State::Reading => {}
+            State::Waiting(request) => return self.upload_stalled(handle, request),
+            State::Passing(_, upstream) => {
+                let attempt = match self.connections.upstream(upstream).map(|c| c.work) {
+                    Some(Work::Busy(attempt, Stage::Passing)) => attempt,
+                    _ => return self.close_application(handle),
+                };
+                return self.broken_off(upstream, attempt, Cause::NotInTime);
+            }
+            State::Answering | State::Lingering => return self.close_application(handle),
+        }
+        let by = c.send_by.unwrap_or(0) + Self::time_for(c.received);
+        if by > self.balancer.now() {
+            c.stalled_at = Some(by);
+            return self.balancer.wake_at(by, Wake::Stall(handle));
         }
         self.counts.bad += 1;
         c.close = true;
@@ -132,12 +147,14 @@
                 }
             }
             State::Answering => self.flush(handle),
+            State::Passing(request, upstream) => self.passing_ready(handle, request, upstream),
             State::Waiting(request) => {
                 // More may be sent ahead, within one buffer. What matters is whether the client is still there.
                 let full = c.input.as_ref().is_some_and(|b| b.is_full());
                 let gone = if full { !matches!(c.socket.get().take_error(), Ok(None)) } else { false };
                 let got = if full { Got::Bytes } else { c.read(&mut self.pool) };
-                if c.input.is_some() {
+                let coming = self.requests.get(request).is_some_and(Request::is_coming);
+                if c.input.is_some() && !coming {
                     c.ahead_since.get_or_insert(self.balancer.now());
                 }
                 if gone || got == Got::Closed {
@@ -145,6 +162,9 @@
                 } else if got == Got::NoBuffer || c.input.as_ref().is_some_and(|b| b.is_full()) {
                     let _ = c.socket.set(Interest::Nothing);
                 }
+                if coming {
+                    self.upload_ready(request);
+                }
             }
             State::Reading => match c.read(&mut self.pool) {
                 Got::Bytes => {
@@ -197,21 +217,44 @@
                 c.stalled_at = None;
                 return;
             };
-            match application::front(input.filled()) {
+            let mut front = application::front(input.filled());
+            if let Ok(Front::Partial(_)) = front {
+                application::tighten(input);
+                if input.is_full() {
+                    // Not even without the framing of its chunks does it fit.
+                    front = application::large(input.filled());
+                }
+            }
+            match front {
                 Ok(Front::Partial(expects)) => {
-                    application::tighten(input);
-                    if input.is_full() {
-                        self.refuse_bad(handle, Bad::BodyTooLarge);
-                        continue;
-                    }
                     let first = (!c.used).then(|| c.since + SEND_FIRST - self.balancer.now());
                     if expects {
                         self.say_continue(handle);
                     }
-                    self.may_stall(handle, first.unwrap_or(SEND).min(SEND));
+                    let (span, now) = (first.unwrap_or(SEND).min(SEND), self.balancer.now());
+                    if let Some(c) = self.connections.application(handle) {
+                        c.send_by.get_or_insert(now + span);
+                    }
+                    self.may_stall(handle, span);
                     return;
                 }
                 Err(bad) => self.refuse_bad(handle, bad),
+                Ok(Front::Large(call, head, framing, keep_alive)) => {
+                    let unsent = input.filled().len() == head;
+                    c.close = !keep_alive || self.stop.is_some();
+                    if c.turned_away {
+                        self.counts.refused += 1;
+                        c.close = true;
+                        c.input.take().into_iter().for_each(|b| self.pool.give(b));
+                        self.answer(handle, 503, b"", &[b"at the limit of connections\n"]);
+                    } else {
+                        // With a part of the body here its sender has had its word, or did not wait for it.
+                        if call.expects && unsent {
+                            self.say_continue(handle);
+                        }
+                        self.take_call(handle, *call, head, Some(framing));
+                    }
+                }
                 Ok(Front::Whole(asked, end, keep_alive)) => {
                     c.close = !keep_alive || self.stop.is_some();
                     c.stalled_at = None;
@@ -239,7 +282,7 @@
                             let lines: &[u8] = if status == 405 { b"Allow: GET, POST\r\n" } else { b"" };
                             self.answer(handle, status, lines, &[b"not served here\n"]);
                         }
-                        Asked::Call(call) => self.take_call(handle, *call, end),
+                        Asked::Call(call) => self.take_call(handle, *call, end, None),
                     }
                 }
             }
@@ -254,7 +297,8 @@
         }
     }
 
-    pub(super) fn take_call(&mut self, handle: Handle, mut call: Call, end: usize) {
+    /// Place a call. `large`: its body is passed on as it comes, and is framed like this; `end` is that of its head.
+    pub(super) fn take_call(&mut self, handle: Handle, mut call: Call, end: usize, large: Option<Framing>) {
         let counted = self.door.figures.class(&call.class);
         if let Some(c) = self.connections.application(handle) {
             c.counted = counted;
@@ -286,13 +330,46 @@
             return self.no_room(handle);
         };
         let Some(c) = self.connections.application(handle) else { return };
-        let Some(input) = c.input.as_mut() else { return };
-        let mut fits = bytes.append(&call.head);
-        for part in &call.body.parts {
-            fits &= input.filled().get(part.clone()).is_some_and(|b| bytes.append(b));
+        let Some(mut input) = c.input.take() else {
+            self.give_back(guest);
+            return self.pool.give(bytes);
+        };
+        let (mut fits, mut upload) = (true, None);
+        match large {
+            None => {
+                fits = bytes.append(&call.head);
+                for part in &call.body.parts {
+                    fits &= input.filled().get(part.clone()).is_some_and(|b| bytes.append(b));
+                }
+                input.consume(end);
+            }
+            Some(framing) => {
+                input.consume(end);
+                match self.begin_upload(&mut input, &call, framing, &mut bytes) {
+                    Ok(begun) => upload = Some(begun),
+                    Err(bad) => {
+                        self.pool.give(bytes);
+                        self.pool.give(input);
+                        self.give_back(guest);
+                        return self.refuse_bad(handle, bad);
+                    }
+                }
+            }
+        }
+        let coming = upload.as_ref().is_some_and(|u| !u.body.is_done());
+        let Some(c) = self.connections.application(handle) else {
+            self.pool.give(input);
+            return self.pool.give(bytes);
+        };
+        let input = c.input.insert(input);
+        c.old = call.old;
+        let received = std::mem::take(&mut c.received);
+        if coming {
+            c.received = received;
+        } else {
+            (c.stalled_at, c.send_by) = (None, None);
         }
-        input.consume(end);
-        if !input.is_empty() {
+        if !input.is_empty() && !coming {
             // What came behind it in the same bytes waits from now on at the latest.
             c.ahead_since.get_or_insert(self.balancer.now());
             c.ahead += 1;
@@ -309,6 +386,7 @@
             bytes: Some(bytes),
             head: call.head.len(),
             may_have_run: false,
+            upload,
             guest,
             attempts: Vec::new(),
             id,
@@ -324,7 +402,12 @@
         c.state = State::Waiting(request);
         c.since = self.balancer.now();
         self.counts.taken += 1;
-        let turn = self.balancer.pick(Placed {
+        if coming {
+            let now = self.balancer.now();
+            c.send_by.get_or_insert(now + SEND);
+            self.may_stall(handle, SEND);
+        }
+        let placed = Placed {
             handle: request,
             class,
             tenant: call.tenant.map_or(0, |t| self.balancer.tenant_named(&t)),
@@ -333,7 +416,8 @@
             cost_hint: call.cost_hint,
             repeat: call.repeat,
             write: call.write,
-        });
+        };
+        let turn = if coming { self.balancer.pick_coming(placed) } else { self.balancer.pick(placed) };
         self.absorb(turn);
     }
 
@@ -407,10 +491,24 @@
     /// Write an answer to whoever waits for a call, if anyone still does.
     pub(super) fn answer_call(&mut self, request: Handle, status: u16, lines: &[u8], parts: &[&[u8]]) {
         let Some(r) = self.requests.get_mut(request) else { return };
+        let coming = r.is_coming();
+        r.upload = None;
         r.bytes.take().into_iter().for_each(|b| self.pool.give(b));
         let client = r.client.take();
         self.forget_if_done(request);
-        client.into_iter().for_each(|c| self.answer(c, status, lines, parts));
+        let Some(client) = client else { return };
+        if let Some(c) = self.connections.application(client) {
+            if let State::Passing(..) = c.state {
+                // It has part of another answer already.
+                return self.cut_off(client);
+            }
+            if coming {
+                // Where the next request would begin is not known.
+                c.close = true;
+                c.input.take().into_iter().for_each(|b| self.pool.give(b));
+            }
+        }
+        self.answer(client, status, lines, parts);
     }
 
     pub(super) fn answer(&mut self, handle: Handle, status: u16, lines: &[u8], parts: &[&[u8]]) {
@@ -433,6 +531,7 @@
             || http::write_answer(&mut output, status, b"", parts, c.close);
         c.output = Some(output);
         (c.state, c.since, c.used) = (State::Answering, now, true);
+        (c.stalled_at, c.send_by) = (None, None);
         if !written {
             return self.close_application(handle);
         }
@@ -446,6 +545,7 @@
             Ok(true) if c.close => self.linger(handle),
             Ok(true) => {
                 (c.state, c.since, c.stalled_at) = (State::Reading, now, None);
+                c.received = c.input.as_ref().map_or(0, |b| b.filled().len());
                 match c.socket.set(Interest::Read) {
                     Ok(()) => self.take_requests(handle),
                     Err(_) => self.close_application(handle),
--- a/crates/sidecar/src/event_loop/upstreams.rs
+++ b/crates/sidecar/src/event_loop/upstreams.rs
@@ -20,6 +20,8 @@
 const HOLD_FOR: Micros = 10_000_000;
 /// A connection rests for so long between two requests.
 const REST: Micros = 5_000;
+/// A body that is passed on is carried so many buffers far in a turn.
+const FEEDS: usize = 4;
 /// `EINPROGRESS` on Linux.
 const IN_PROGRESS: i32 = 115;
 
@@ -30,7 +32,9 @@
             return self.report(attempt, Report::NotTried);
         };
         r.attempts.resize(attempt.number as usize + 1, None);
-        if r.bytes.is_none() {
+        let more = r.is_coming();
+        // What has gone past its buffer is held no more, and can't be sent again.
+        if r.bytes.is_none() || r.upload.as_ref().is_some_and(|u| u.by.is_some()) {
             return self.report(attempt, Report::NotTried);
         }
         if !self.peer_sent(to) {
@@ -62,6 +66,7 @@
         };
         c.sent_at = now;
         (c.buffer, c.interim, c.held, c.timed) = (Some(buffer), 0, held, false);
+        (c.more, c.passing) = (more, None);
         c.work = Work::Busy(attempt, if reused { Stage::Writing } else { Stage::Connecting });
         debug!(self.log, "attempt"; "request" => attempt.request.number(), "number" => attempt.number,
             "upstream" => upstream.0, "host" => self.balancer.name_of(upstream), "limit_us" => limit, "reused" => reused);
@@ -139,21 +144,38 @@
                 held: false,
                 timed: false,
                 sent_at: since,
+                more: false,
+                passing: None,
             }))
         });
         made.ok().flatten().ok_or(Cause::NoRoom)
     }
 
     pub(super) fn upstream_ready(&mut self, handle: Handle) {
-        let Some(c) = self.connections.upstream(handle) else { return };
-        let Work::Busy(attempt, _) = c.work else {
+        // A body that is passed on goes on while its client has more, but others have their turn.
+        for _ in 0..FEEDS {
+            if !self.upstream_moves(handle) {
+                return;
+            }
+        }
+    }
+
+    /// Carry an attempt on; `true` where it was given more of its request to write.
+    fn upstream_moves(&mut self, handle: Handle) -> bool {
+        let Some(c) = self.connections.upstream(handle) else { return false };
+        let Work::Busy(attempt, stage) = c.work else {
             // An idle connection has nothing to say but that it ends.
-            return self.close_upstream(handle);
+            self.close_upstream(handle);
+            return false;
         };
+        if stage == Stage::Passing {
+            self.pass(handle);
+            return false;
+        }
         let had_begun = matches!(c.work, Work::Busy(_, Stage::Reading));
         let unsent = matches!(c.work, Work::Busy(_, Stage::Connecting | Stage::Writing));
         let done = c.advance();
-        if unsent && matches!(c.work, Work::Busy(_, Stage::Waiting | Stage::Reading)) {
+        if unsent && !c.more && matches!(c.work, Work::Busy(_, Stage::Waiting | Stage::Reading)) {
             self.door.figures.relayed();
         }
         match done {
@@ -170,8 +192,18 @@
                 self.balancer.wake_at(at, Wake::Release(handle, attempt));
             }
             Ok(Progress::Answered(answer)) => self.answered(handle, attempt, answer),
+            Ok(Progress::Begun(begun)) => self.begun(handle, attempt, begun),
+            Ok(Progress::Wants) => {
+                let fed = self.feed(handle, attempt);
+                if let Some(c) = self.connections.upstream(handle) {
+                    // With nothing to write, what comes may be its end or an early answer.
+                    let _ = c.socket.set(if fed { Interest::Both } else { Interest::Read });
+                }
+                return fed;
+            }
             Err(error) => self.attempt_failed(handle, attempt, error),
         }
+        false
     }
 
     /// The connection of an attempt whose last byte was held back has stood for long enough.
@@ -189,12 +221,19 @@
         let limit = self.bounds.whole_limit;
         let late = |l: &mut Self| match l.connections.upstream(handle) {
             Some(c) if c.since + limit <= now => match c.work {
+                // Slow is not still: what has come at a fair rate has its time.
+                Work::Busy(_, Stage::Reading) if Self::half_by(c, limit) > now => None,
                 Work::Busy(attempt, Stage::Reading) => Some(attempt),
                 _ => None,
             },
             _ => None,
         };
         if late(self).is_none() {
+            let Some(c) = self.connections.upstream(handle) else { return };
+            let (by, reading) = (Self::half_by(c, limit), matches!(c.work, Work::Busy(_, Stage::Reading)));
+            if reading && by > now {
+                self.balancer.wake_at(by, Wake::Half(handle));
+            }
             return;
         }
         self.upstream_ready(handle);
@@ -204,6 +243,11 @@
         }
     }
 
+    /// By when an answer that has begun should be whole, by what has come of it.
+    fn half_by(c: &upstream::Conn, limit: Micros) -> Micros {
+        c.since + limit + Self::time_for(c.buffer.as_ref().map_or(0, |b| b.filled().len()))
+    }
+
     /// A whole answer has come: the module hears of it, and the client gets it if it is the first.
     pub(super) fn answered(&mut self, handle: Handle, attempt: Attempt, answer: Answer) {
         debug!(self.log, "answer"; "request" => attempt.request.number(), "number" => attempt.number,
@@ -306,7 +350,7 @@
         debug!(self.log, "called off"; "request" => attempt.request.number(), "number" => attempt.number);
         let called_off = handle.and_then(|h| self.connections.upstream(h)).map(|c| (c.to, c.work));
         if let Some((to, work)) = called_off {
-            if matches!(work, Work::Busy(_, Stage::Waiting | Stage::Reading)) {
+            if matches!(work, Work::Busy(_, Stage::Waiting | Stage::Reading | Stage::Passing)) {
                 self.may_have_run(attempt);
             }
             self.peer_ended(to, None, 0, None);
--- a/crates/sidecar/src/memory/requests.rs
+++ b/crates/sidecar/src/memory/requests.rs
@@ -1,6 +1,7 @@
 //! The requests that are being served: what further attempts need of them, and who waits for them.
 use silvercross_core::interface::Micros;
 use silvercross_net::buffers::Buffer;
+use silvercross_net::stream::Decoder;
 use silvercross_net::table::Handle;
 
 /// What is kept of a request that has come over a gateway's link.
@@ -14,12 +15,26 @@
     pub left: Micros,
 }
 
+/// The body of a request that is passed on as it comes.
+pub struct Upload {
+    /// What is still to come of it.
+    pub body: Decoder,
+    /// It goes on in chunks.
+    pub chunked: bool,
+    /// The attempt that has been given more than `Request::bytes` holds: no other one can have the whole any more.
+    pub by: Option<u32>,
+    /// When something of it last went on.
+    pub moved: Micros,
+}
+
 /// A request taken from an application.
 pub struct Request {
     /// The connection that waits for the answer; `None` once answered, or when the client hung up.
     pub client: Option<Handle>,
     /// The head as it goes on, less its last lines, then the body. Given back with the answer.
     pub bytes: Option<Buffer>,
+    /// Its body, where that is larger than a buffer.
+    pub upload: Option<Upload>,
     /// Its correlation id.
     pub id: Box<str>,
     /// How many of these bytes are head.
@@ -33,6 +48,11 @@
 }
 
 impl Request {
+    /// Whether more of its body is still to come.
+    pub fn is_coming(&self) -> bool {
+        self.upload.as_ref().is_some_and(|u| !u.body.is_done())
+    }
+
     /// Nobody waits for it and nothing is out for it.
     pub fn is_done(&self) -> bool {
         self.client.is_none() && self.attempts.iter().all(Option::is_none)
--- a/crates/sidecar/src/wire/application.rs
+++ b/crates/sidecar/src/wire/application.rs
@@ -17,6 +17,8 @@
     Reading,
     /// A request was taken and is owed an answer.
     Waiting(Handle),
+    /// The answer to this request is passed on as it comes on that connection.
+    Passing(Handle, Handle),
     /// An answer is being written.
     Answering,
     /// All is written and our end closed; what still comes is thrown away, so that no reset overtakes the answer.
@@ -37,6 +39,12 @@
     pub close: bool,
     /// Accepted past the limit: told no, whatever it asks.
     pub turned_away: bool,
+    /// Bytes read since the last request was taken.
+    pub received: usize,
+    /// By when the present request must be whole, but for the time that its bytes may take.
+    pub send_by: Option<Micros>,
+    /// Its client speaks HTTP/1.0.
+    pub old: bool,
     /// Where the request that is owed an answer is counted.
     pub counted: Option<usize>,
     /// It has carried a request.
@@ -74,6 +82,9 @@
             output: None,
             close: false,
             turned_away,
+            received: 0,
+            send_by: None,
+            old: false,
             counted: None,
             used: false,
             since: now,
@@ -102,7 +113,10 @@
             }
             match self.socket.get().read(room) {
                 Ok(0) => break Got::Closed,
-                Ok(n) => input.add(n),
+                Ok(n) => {
+                    self.received += n;
+                    input.add(n);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break Got::Bytes,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => break Got::Closed,
@@ -209,6 +223,10 @@
     pub write: bool,
     /// The mark of the sites it has left.
     pub hops: Option<String>,
+    /// HTTP/1.0.
+    pub old: bool,
+    /// It waits for a word before it sends its body.
+    pub expects: bool,
     /// The head as it goes on, less its last lines.
     pub head: Vec<u8>,
     /// Where its body lies among the bytes read.
@@ -220,6 +238,9 @@
 pub enum Front {
     /// Not whole yet; `true`: its sender waits for a word before it sends the body.
     Partial(bool),
+    /// A call whose body is larger than a buffer: the call, the bytes of its head, how its body is framed, and whether the
+    /// connection may carry another.
+    Large(Box<Call>, usize, Framing, bool),
     /// A whole request: what it asks, the bytes it takes, and whether the connection may carry another.
     Whole(Asked, usize, bool),
 }
@@ -244,17 +265,21 @@
     // A line end or two before a request is passed over, as HTTP asks.
     let Some(head) = http::request_head(bytes, &mut room)? else { return Ok(Front::Partial(false)) };
     let expects = head.headers.lists("expect", "100-continue") && bytes.len() == head.len;
-    let Some(body) = http::body(bytes, head.len, head.framing, false)? else {
-        return Ok(Front::Partial(expects));
+    let path = http::origin_form(head.target).split('?').next().unwrap_or("");
+    let is_call = matches!(head.method, "GET" | "POST") && (path == "/api" || path.starts_with("/api/"));
+    let body = match http::body(bytes, head.len, head.framing, false) {
+        Ok(Some(body)) => body,
+        Ok(None) => return Ok(Front::Partial(expects)),
+        Err(Bad::BodyTooLarge) if is_call => return large(bytes),
+        Err(bad) => return Err(bad),
     };
     let end = body.end;
-    let path = head.target.split('?').next().unwrap_or("");
     let asked = match (head.method, path) {
         ("GET", "/healthz") => Asked::Health,
         (_, "/healthz") => Asked::NotServed(405),
         ("GET", peer::OFFER_PATH) => Asked::Offer,
         ("GET" | "POST", p) if p == "/api" || p.starts_with("/api/") => {
-            Asked::Call(Box::new(call(&head, body)?))
+            Asked::Call(Box::new(call(&head, Some(body))?))
         }
         (_, p) if p == "/api" || p.starts_with("/api/") => Asked::NotServed(405),
         _ => Asked::NotServed(404),
@@ -262,6 +287,13 @@
     Ok(Front::Whole(asked, end, head.keep_alive))
 }
 
+/// The call at the front of `bytes` that does not fit into one buffer with its body.
+pub fn large(bytes: &[u8]) -> Result<Front, Bad> {
+    let mut room = http::lines();
+    let head = http::request_head(bytes, &mut room)?.ok_or(Bad::HeadTooLarge)?;
+    Ok(Front::Large(Box::new(call(&head, None)?), head.len, head.framing, head.keep_alive))
+}
+
 /// Save room in an input whose request is not whole, where its body comes in chunks.
 pub fn tighten(input: &mut Buffer) {
     let mut room = http::lines();
@@ -272,7 +304,8 @@
     http::merge_chunks(input, chunked, if input.is_full() { 2 } else { http::MANY_CHUNKS });
 }
 
-fn call(head: &http::RequestHead<'_, '_>, body: http::Body) -> Result<Call, Bad> {
+/// `body`: where it lies; `None`: it is passed on as it comes.
+fn call(head: &http::RequestHead<'_, '_>, body: Option<http::Body>) -> Result<Call, Bad> {
     let h = &head.headers;
     let number = |name: &str| match h.one(name)? {
         None => Ok(None),
@@ -293,12 +326,22 @@
         Some(_) => return Err(Bad::Malformed("a repeat mark that is neither 0 nor 1")),
     };
     let facts = h.one(FACTS)?.unwrap_or("");
-    let mut forwarded = format!("{} {} HTTP/1.1\r\n", head.method, head.target).into_bytes();
+    let mut forwarded =
+        format!("{} {} HTTP/1.1\r\n", head.method, http::origin_form(head.target)).into_bytes();
     h.forward(&mut forwarded, &[TIME_LEFT]);
-    let length: usize = body.parts.iter().map(|p| p.len()).sum();
-    if length > 0 || head.framing == Framing::Chunked || head.method == "POST" {
-        forwarded.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+    let length = match (&body, head.framing) {
+        (Some(body), _) => Some(body.parts.iter().map(|p| p.len()).sum()),
+        (None, Framing::Length(n)) => Some(n),
+        (None, _) => None,
+    };
+    match length {
+        None => forwarded.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+        Some(n) if n > 0 || head.framing == Framing::Chunked || head.method == "POST" => {
+            forwarded.extend_from_slice(format!("Content-Length: {n}\r\n").as_bytes());
+        }
+        Some(_) => {}
     }
+    let body = body.unwrap_or(http::Body { parts: Vec::new(), end: head.len });
     Ok(Call {
         id: id.to_string(),
         has_key: h.one(IDEMPOTENCY)?.is_some_and(|key| !key.is_empty()),
@@ -310,6 +353,8 @@
         repeat,
         hops: h.one(hops::HEADER)?.map(str::to_string),
         write: facts.split(',').any(|f| f.trim() == "update=1"),
+        old: head.old,
+        expects: h.lists("expect", "100-continue"),
         head: forwarded,
         body,
     })
--- a/crates/sidecar/src/wire/upstream.rs
+++ b/crates/sidecar/src/wire/upstream.rs
@@ -4,8 +4,10 @@
 use silvercross_facade::{Attempt, Report, Upstream};
 use silvercross_gateway::statement;
 use silvercross_net::buffers::{Buffer, Pool};
-use silvercross_net::http::{self, Bad};
+use silvercross_net::http::{self, Bad, Framing};
 use silvercross_net::registry::{Interest, Watched};
+use silvercross_net::stream::Decoder;
+use silvercross_net::table::Handle;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
@@ -21,6 +23,8 @@
     Waiting,
     /// Part of the answer has come.
     Reading,
+    /// The answer goes on to the client as it comes.
+    Passing,
 }
 
 /// What ended an attempt.
@@ -76,6 +80,31 @@
     pub keep_alive: bool,
 }
 
+/// An answer too large for a buffer, of which the head has come.
+#[derive(Debug, PartialEq)]
+pub struct Begun {
+    /// Its header lines, as they go on.
+    pub lines: Vec<u8>,
+    /// The bytes of its head.
+    pub head: usize,
+    /// How its body is framed.
+    pub framing: Framing,
+    /// The connection may carry another request.
+    pub keep_alive: bool,
+}
+
+/// An answer that goes on as it comes.
+pub struct Passing {
+    /// Whose it is.
+    pub client: Handle,
+    /// What is still to come of it.
+    pub body: Decoder,
+    /// It goes on in chunks.
+    pub chunked: bool,
+    /// The connection may carry another request afterwards.
+    pub keep_alive: bool,
+}
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
@@ -107,6 +136,10 @@
     pub sent_at: Micros,
     /// Interim answers that have come ahead of the present one.
     pub interim: u32,
+    /// More of the present request's body is to come.
+    pub more: bool,
+    /// The answer that goes on as it comes.
+    pub passing: Option<Passing>,
 }
 
 /// How far [`Conn::advance`] has come.
@@ -116,6 +149,10 @@
     Blocked,
     /// All but the last byte is written.
     Held,
+    /// What has come of the request is written, and more of it is awaited.
+    Wants,
+    /// An answer that is too large to be read whole.
+    Begun(Begun),
     /// The answer is here.
     Answered(Answer),
 }
@@ -143,7 +180,7 @@
         let buffer = self.buffer.as_mut().ok_or(Cause::NoRoom)?;
         if *stage == Stage::Writing {
             while !buffer.is_empty() {
-                let held = usize::from(self.held);
+                let held = usize::from(self.held && !self.more);
                 if held == buffer.filled().len() {
                     // All but the last byte is out. An upstream that closes or resets this connection now, or says
                     // something out of turn, has not got the request: it never ran.
@@ -158,17 +195,29 @@
                     Ok(0) => return Err(Cause::Closed),
                     Ok(n) => buffer.consume(n),
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                        self.socket.set(Interest::Write).map_err(Cause::Socket)?;
+                        let watched = if self.more { Interest::Both } else { Interest::Write };
+                        self.socket.set(watched).map_err(Cause::Socket)?;
+                        if self.more && speaks(&self.socket)? {
+                            break;
+                        }
                         return Ok(Progress::Blocked);
                     }
                     Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                     Err(e) => return Err(Cause::Socket(e)),
                 }
             }
-            *stage = Stage::Waiting;
+            if self.more && !speaks(&self.socket)? {
+                return Ok(Progress::Wants);
+            }
             self.socket.set(Interest::Read).map_err(Cause::Socket)?;
-            // The answer cannot be here yet; readiness will tell.
-            return Ok(Progress::Blocked);
+            if !self.more {
+                *stage = Stage::Waiting;
+                // The answer cannot be here yet; readiness will tell.
+                return Ok(Progress::Blocked);
+            }
+            // It answers a request that it has not got whole: nothing more of that is sent.
+            *stage = Stage::Reading;
+            buffer.consume(buffer.filled().len());
         }
         loop {
             let room = buffer.room();
@@ -188,13 +237,27 @@
                 // Only interim answers so far: the answer itself has not begun.
                 *stage = Stage::Waiting;
             }
-            if let Some(answer) = read_answer(buffer.filled(), n == 0).map_err(Cause::Answer)? {
-                return Ok(Progress::Answered(answer));
+            match read_answer(buffer.filled(), n == 0) {
+                Ok(None) => {}
+                Ok(Some(mut answer)) => {
+                    answer.keep_alive &= !self.more;
+                    return Ok(Progress::Answered(answer));
+                }
+                Err(Bad::BodyTooLarge) if !self.more => {
+                    let begun = large_answer(buffer.filled()).map_err(Cause::Answer)?;
+                    return begun.map(Progress::Begun).ok_or(Cause::Answer(Bad::BodyTooLarge));
+                }
+                Err(bad) => return Err(Cause::Answer(bad)),
             }
             if n == 0 {
                 return Err(Cause::Closed);
             }
             tighten(buffer);
+            if buffer.is_full() {
+                // The framing of its chunks alone fills a buffer.
+                let begun = large_answer(buffer.filled()).map_err(Cause::Answer)?;
+                return begun.map(Progress::Begun).ok_or(Cause::Answer(Bad::BodyTooLarge));
+            }
         }
     }
 
@@ -205,6 +268,19 @@
     }
 }
 
+/// Whether something has come where nothing is due yet; an end is an error.
+fn speaks(socket: &Watched<TcpStream>) -> Result<bool, Cause> {
+    match socket.get().peek(&mut [0]) {
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(false),
+        Err(e) => Err(Cause::Socket(e)),
+        Ok(0) => Err(Cause::Closed),
+        Ok(_) => Ok(true),
+    }
+}
+
+/// Room in an attempt's buffer for the line that [`compose`] adds.
+pub const TIME_LINE: usize = 64;
+
 /// Fill a buffer with an attempt's bytes: the request's own head and body, and how long this attempt is waited for.
 /// `None` if no buffer can be had or they do not fit.
 pub fn compose(pool: &mut Pool, head: &[u8], body: &[u8], limit: Micros) -> Option<Buffer> {
@@ -249,10 +325,8 @@
 pub fn read_answer(bytes: &[u8], closed: bool) -> Result<Option<Answer>, Bad> {
     let mut room = http::lines();
     let Some(head) = http::answer_head(bytes, &mut room)? else { return Ok(None) };
-    if head.status == 200 && head.framing == http::Framing::UntilClose {
-        // Nothing tells where it ends, so what a broken connection leaves of it would pass for the whole.
-        return Err(Bad::Malformed("an answer without a length"));
-    }
+    // One without a length is whole when its connection ends in order. What a reset leaves of it never comes here: a
+    // read that fails is no end.
     let Some(body) = http::body(bytes, head.len, head.framing, closed)? else { return Ok(None) };
     // Bytes behind the answer belong to nothing: such a connection is not used again.
     let keep_alive = head.keep_alive && body.end == bytes.len();
@@ -270,6 +344,17 @@
     Ok(Some(Answer { report, lines, offer, parts: body.parts, keep_alive }))
 }
 
+/// The head of an answer that is passed on as it comes; `None` for one that is not.
+fn large_answer(bytes: &[u8]) -> Result<Option<Begun>, Bad> {
+    let mut room = http::lines();
+    let Some(head) = http::answer_head(bytes, &mut room)?.filter(|h| h.status == 200) else {
+        return Ok(None);
+    };
+    let mut lines = Vec::new();
+    head.headers.forward(&mut lines, &[statement::HEADER]);
+    Ok(Some(Begun { lines, head: head.len, framing: head.framing, keep_alive: head.keep_alive }))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -306,7 +391,6 @@
     fn a_spoilt_answer_is_known_by_its_head() {
         let judged = |lines: &str| read_answer(format!("HTTP/1.1 200 OK\r\n{lines}\r\n").as_bytes(), false);
         for lines in [
-            "",
             "Content-Length: 3221225472\r\n",
             "Content-Length: -1\r\n",
             "Content-Length: 5x\r\n",
