--- a/crates/facade/tests/facade.rs
+++ b/crates/facade/tests/facade.rs
@@ -437,3 +437,59 @@
     b.balancer.reconfigure(settings, front);
     assert_eq!(b.balancer.longest_deadline(), S, "what nothing names any more has no say");
 }
+
+impl Bench {
+    fn ask_coming(&mut self, class: u32, budget: Micros) -> (Handle, Steps) {
+        let handle = self.handles.insert_with(|_| Ok::<_, ()>(())).expect("made").expect("room");
+        let (key, cost_hint, budget) = (None, None, Some(budget));
+        let (repeat, write) = (false, false);
+        let request = Request { handle, class, tenant: 0, key, budget, cost_hint, repeat, write };
+        (handle, self.balancer.pick_coming(request).steps)
+    }
+}
+
+#[test]
+fn the_time_of_a_request_counts_from_its_last_byte() {
+    let mut b = Bench::new(&[host(0), host(1)]);
+    let (request, steps) = b.ask_coming(REPEATABLE, S);
+    assert_eq!(sends(&steps).len(), 1);
+    assert_eq!(sends(&steps)[0].3, S, "the upstream is told what the client gives");
+    let waited = b.pass(20 * S);
+    assert!(answers(&waited) == 0 && sends(&waited).is_empty(), "it is still coming: {waited:?}");
+    b.balancer.whole(request);
+    assert_eq!(answers(&b.pass(900 * MS)), 0);
+    assert_eq!(answers(&b.pass(200 * MS)), 1, "now its time is up");
+    assert_eq!(b.balancer.unanswered(), 0);
+}
+
+#[test]
+fn an_answer_that_has_begun_is_neither_cut_nor_replaced() {
+    let mut b = Bench::new(&[host(0), host(1)]);
+    b.serve_quickly(200, REPEATABLE);
+    let (_, steps) = b.ask(REPEATABLE, 2 * S);
+    let first = sends(&steps)[0].0;
+    // A second copy is out as the first begins: it is called off.
+    let second = sends(&b.pass(300 * MS))[0].0;
+    let steps = b.balancer.begun(first).steps;
+    assert!(steps.contains(&Step::Cancel { attempt: second }), "{steps:?}");
+    let passed = b.pass(60 * S);
+    assert!(answers(&passed) == 0 && sends(&passed).is_empty(), "{passed:?}");
+    assert_eq!(b.balancer.unanswered(), 1);
+    // It breaks off: there is no other answer to give.
+    let steps = b.report(first, Report::Broken);
+    assert!(answers(&steps) == 0 && sends(&steps).is_empty(), "{steps:?}");
+    assert_eq!((b.balancer.unanswered(), answers(&b.pass(10 * S))), (0, 0));
+}
+
+#[test]
+fn a_stop_ends_what_is_coming_but_not_what_is_passed_on() {
+    let mut b = Bench::new(&[host(0), host(1)]);
+    let (_, steps) = b.ask(REPEATABLE, S);
+    let passing = sends(&steps)[0].0;
+    b.balancer.begun(passing);
+    b.ask_coming(ONCE, S);
+    let at = b.clock.get() + 2 * S;
+    b.balancer.answer_by(at);
+    assert_eq!(answers(&b.pass(3 * S)), 1, "the one that is coming");
+    assert_eq!(b.report(passing, Report::Served), [Step::Serve { attempt: passing }]);
+}
--- a/crates/sidecar/tests/in_service.rs
+++ b/crates/sidecar/tests/in_service.rs
@@ -329,3 +329,28 @@
     assert_eq!((open.hear().status(), client.hear().status()), (200, 200));
     assert_eq!((by_class(door, "fulfilled", "commit"), by_class(door, "fulfilled", "order")), (1, 1));
 }
+
+#[test]
+fn a_successor_serves_in_the_dark_from_the_known_list_and_outlives_the_old_one_killed() {
+    let up = Upstream::start(ok("served"));
+    let (port, dir) = (Port::reserve(), shared_folder("dark"));
+    // Discovery answers nobody: each process has to do with the list it knew.
+    let file = config(nowhere(), &[entry("s-1", up.address, "ready")], 1024);
+    let mut old = Sidecar::run(beside(&file, port.at, &dir));
+    until("the first yes", || healthy(old.management.expect("a door")).then_some(()));
+    let new = Sidecar::run(beside(&file, port.at, &dir));
+    // New settings may come to either in the meantime.
+    old.reload(&file);
+    new.reload(&file);
+    until("the yes", || healthy(new.management.expect("a door")).then_some(()));
+    until("the new file", || {
+        let taken = |s: &Sidecar| figure(s.management.expect("a door"), "svc_cfg_accepted_total") == 1;
+        (taken(&old) && taken(&new)).then_some(())
+    });
+    old.child.kill().expect("killed");
+    old.ended();
+    for _ in 0..20 {
+        assert_eq!(new.connect().ask(&call("commit", LONG_LEFT, "")).status(), 200);
+    }
+    until("both seats", || new.has_logged("\"paired\":false").then_some(()));
+}
