--- a/crates/facade/tests/facade.rs
+++ b/crates/facade/tests/facade.rs
@@ -58,12 +58,22 @@
         Bench { clock, balancer, handles: Table::default() }
     }
 
-    fn ask(&mut self, class: u32, budget: Micros) -> (Handle, Steps) {
+    fn request(&mut self, class: u32, budget: Micros) -> Request {
         let handle = self.handles.insert_with(|_| Ok::<_, ()>(())).expect("made").expect("room");
         let (key, cost_hint, budget) = (None, None, Some(budget));
         let (repeat, write) = (false, false);
-        let request = Request { handle, class, tenant: 0, key, budget, cost_hint, repeat, write };
-        (handle, self.balancer.pick(request).steps)
+        Request { handle, class, tenant: 0, key, budget, cost_hint, repeat, write }
+    }
+
+    fn ask(&mut self, class: u32, budget: Micros) -> (Handle, Steps) {
+        let request = self.request(class, budget);
+        (request.handle, self.balancer.pick(request).steps)
+    }
+
+    /// The same for one whose body is still coming.
+    fn ask_coming(&mut self, class: u32, budget: Micros) -> (Handle, Steps) {
+        let request = self.request(class, budget);
+        (request.handle, self.balancer.pick_coming(request).steps)
     }
 
     /// Let time pass, waking as often as the facade asks.
@@ -438,16 +448,6 @@
     assert_eq!(b.balancer.longest_deadline(), S, "what nothing names any more has no say");
 }
 
-impl Bench {
-    fn ask_coming(&mut self, class: u32, budget: Micros) -> (Handle, Steps) {
-        let handle = self.handles.insert_with(|_| Ok::<_, ()>(())).expect("made").expect("room");
-        let (key, cost_hint, budget) = (None, None, Some(budget));
-        let (repeat, write) = (false, false);
-        let request = Request { handle, class, tenant: 0, key, budget, cost_hint, repeat, write };
-        (handle, self.balancer.pick_coming(request).steps)
-    }
-}
-
 #[test]
 fn the_time_of_a_request_counts_from_its_last_byte() {
     let mut b = Bench::new(&[host(0), host(1)]);
