--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -133,8 +133,10 @@
     pub max_retry_after: Option<Micros>,
     /// Clients mark their repeats.
     pub marks_repeats: bool,
-    /// A listed size says how large an upstream is.
-    pub sized: bool,
+    /// A listed size is the nominal one over one and the requests held a core, so it moves with load.
+    pub live_sizes: bool,
+    /// An upstream that met a request's subject lately does less work for it.
+    pub warm_keys: bool,
 }
 
 /// What the list says of an upstream's life.
@@ -165,6 +167,8 @@
     pub kind: u32,
     /// Its listed size, to be compared with that of others.
     pub size: f64,
+    /// A digest of its name, the same at every instance.
+    pub digest: u64,
 }
 
 /// How list news is to be read.
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -33,6 +33,8 @@
 /// an upstream's state within it, and few connections are then kept busy rather than many opened.
 const WATCH_SPAN: f64 = 0.25e6;
 const WATCH_LEAST: f64 = 2.0;
+/// A subject's home is passed over when this much later than the turns, or holding so much more than the mean.
+const HOME: (f64, f64) = (1.5, 1.5);
 /// Crossings by chance, as a multiple of the gain's share of the time; the way there and back takes some.
 const CROSS_GAIN: f64 = 8.0;
 const CROSS_WAY: f64 = 20e3;
@@ -85,6 +87,14 @@
     (parts, time, usual)
 }
 
+/// An upstream's rank among a subject's homes, the same at every balancer (splitmix64).
+fn mixed(key: u64, digest: u64) -> u64 {
+    let z = (key ^ digest.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
 /// What is taken of a class before its answers tell.
 fn guess(c: &Class) -> Usual {
     Usual { per_unit: c.aim as f64 * 0.12, unit: 1.0, seen: 0.0, budget: 0, votes: 0 }
@@ -176,6 +186,8 @@
                 (u.turns, u.saved, u.saved_at) = (first_turn, -first_turn * most, self.now);
             }
             u.entry = *e;
+            u.nominal = u.nominal.max(e.size);
+            u.held = if self.set.live_sizes && e.size > 0.0 { u.nominal / e.size - 1.0 } else { 0.0 };
             u.listed = e.lifecycle == Lifecycle::Running;
             let (kinds, zones) = (self.kinds.len().max(e.kind as usize + 1), e.zone as usize + 1);
             self.kinds.resize(kinds, Kind::new(self.now));
@@ -318,6 +330,8 @@
         let watch = (self.asked_rate.now(self.now, RATE_OVER) * WATCH_SPAN).max(WATCH_LEAST);
         let mut watched = vec![0.0; self.zones.len()];
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
+        // Where upstreams keep subjects warm, and the list tells how many requests each holds, a subject has a home.
+        let home = p.key.filter(|_| self.set.warm_keys && self.set.live_sizes);
         let (mut listed_here, mut open_here, mut nearest, mut warm) = (0, 0, None::<usize>, false);
         for place in 0..self.ring.len() {
             let i = self.ring[place];
@@ -339,12 +353,20 @@
                 continue;
             }
             open_here += u32::from(here);
-            if watched[u.entry.zone as usize] < watch {
+            if home.is_some() || watched[u.entry.zone as usize] < watch {
                 let own = u.seen.faded(self.now, self.hold).max(1.0);
                 watched[u.entry.zone as usize] += own.powi(-TURN.0);
                 let (slow, to) = (self.slowness(u), if here { &mut pool } else { &mut away });
                 let (time, usual) = (slow * (work + u.work_out), slow * (usual + 0.5 * u.work_out));
-                to.push(Choice { place, i, zone: u.entry.zone, excluded: u.excluded(), time, usual });
+                to.push(Choice {
+                    place,
+                    i,
+                    zone: u.entry.zone,
+                    excluded: u.excluded(),
+                    time,
+                    usual,
+                    held: u.held,
+                });
             }
         }
         self.any_warm = warm;
@@ -379,6 +401,15 @@
             let i = nearest.filter(|_| p.attempts.is_empty())?;
             return Some((i, self.slowness(&self.upstreams[i]) * usual));
         }
+        if let Some(key) = home {
+            let (_, late, usual) = turns(&pool, slack);
+            let held = pool.iter().map(|c| c.held).sum::<f64>() / pool.len() as f64;
+            let fits = |c: &&Choice| c.time <= late * HOME.0 && c.held + 1.0 <= (held + 1.0) * HOME.1;
+            let order = |c: &&Choice| mixed(key, self.upstreams[c.i].entry.digest);
+            if let Some(c) = pool.iter().filter(fits).min_by_key(order) {
+                return Some((c.i, usual));
+            }
+        }
         // Each time round an upstream earns its part of a turn, and is passed over until it has a whole one.
         let (parts, _, usual) = turns(&pool, slack);
         let from = pool.iter().position(|c| c.place > self.turn).unwrap_or(0);
@@ -547,7 +578,7 @@
         let aim_at = began + (c.aim + (c.aim_stretch * work) as Micros).min(c.deadline);
         // Settings may change while it is open: it ends under those it was taken with.
         let cap = self.set.attempts_cap as usize;
-        let mut p = Pending::new(class, aim_at, self.now + r.budget, unit, work, cap);
+        let mut p = Pending::new(class, r.key, aim_at, self.now + r.budget, unit, work, cap);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_CAP);
         self.asked_rate.add(self.now, RATE_OVER, 1.0);
         self.hold = (HOLD_REQUESTS / self.asked_rate.now(self.now, RATE_OVER)).clamp(HOLD.0, HOLD.1);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -42,6 +42,9 @@
 pub(crate) struct Upstream {
     pub listed: bool,
     pub entry: Entry,
+    /// The largest size listed, and the requests held a core by the last one, where sizes move with load.
+    pub nominal: f64,
+    pub held: f64,
     pub state: State,
     pub failures: u32,
     /// Failures since its last sign of life that were not counted.
@@ -71,6 +74,8 @@
     pub excluded: bool,
     pub time: f64,
     pub usual: f64,
+    /// Requests held there a core, as listed.
+    pub held: f64,
 }
 
 /// Something counted, fading with time: its rate in a microsecond.
@@ -117,6 +122,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Pending {
     pub class: usize,
+    pub key: Option<u64>,
     pub aim_at: Micros,
     pub deadline: Micros,
     pub unit: f64,
@@ -232,9 +238,17 @@
 }
 
 impl Pending {
-    pub fn new(class: usize, aim_at: Micros, deadline: Micros, unit: f64, work: f64, cap: usize) -> Self {
+    pub fn new(
+        class: usize,
+        key: Option<u64>,
+        aim_at: Micros,
+        deadline: Micros,
+        unit: f64,
+        work: f64,
+        cap: usize,
+    ) -> Self {
         let (attempts, out, over, streaming) = (Vec::new(), 0, false, false);
-        Pending { class, aim_at, deadline, unit, work, cap, attempts, out, over, streaming }
+        Pending { class, key, aim_at, deadline, unit, work, cap, attempts, out, over, streaming }
     }
 }
 
@@ -243,6 +257,8 @@
         Upstream {
             listed: false,
             entry,
+            nominal: 0.0,
+            held: 0.0,
             state: State::Unknown,
             failures: 0,
             broken: 0,
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -49,7 +49,8 @@
         peer_messages: false,
         max_retry_after: Some(2 * S),
         marks_repeats: false,
-        sized: false,
+        live_sizes: false,
+        warm_keys: false,
     }
 }
 
@@ -62,6 +63,7 @@
         cell: zone * 10 + id % 2,
         kind: 0,
         size: 1.0,
+        digest: u64::from(id),
     }
 }
 
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -222,6 +222,7 @@
             cell: part.whole_or("cohort", 0)? as u32,
             kind: index("machine")?,
             size: part.number_if("scale")?.unwrap_or(1.0),
+            digest: silvercross_settings::digest(part.need("upstream")?),
         },
     })
 }
--- a/crates/emulator/src/script.rs
+++ b/crates/emulator/src/script.rs
@@ -836,7 +836,8 @@
             peer_messages: false,
             max_retry_after: (o.retry_after_ms > 0.0).then(|| ms(o.retry_after_ms)),
             marks_repeats: true,
-            sized: false,
+            live_sizes: false,
+            warm_keys: false,
         };
         let front = Front {
             classes: self.classes.iter().map(|c| c.name.clone()).collect(),
--- a/crates/facade/src/lib.rs
+++ b/crates/facade/src/lib.rs
@@ -807,6 +807,7 @@
                 cell: h.cell,
                 kind: index(&mut self.front.kinds, &h.kind),
                 size: h.size,
+                digest: silvercross_settings::digest(&h.name),
             };
             let id = match self.ids.get(&h.name) {
                 Some(id) => *id,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -54,6 +54,8 @@
     discovery: String,
     #[serde(default)]
     weights: String,
+    #[serde(default)]
+    family_info: InfoFamily,
     limits: InfoLimits,
     rules: InfoRules,
     #[serde(default)]
@@ -97,6 +99,12 @@
     marks_retry: bool,
 }
 
+#[derive(Deserialize, Default)]
+struct InfoFamily {
+    #[serde(default)]
+    warm_keys: bool,
+}
+
 #[derive(Deserialize)]
 struct InfoLimits {
     #[serde(default = "one_u32")]
@@ -281,7 +289,8 @@
         peer_messages: l.peer_messages,
         max_retry_after: l.retry_after.then(|| seconds(l.max_retry_after_s)),
         marks_repeats: info.clients.marks_retry,
-        sized: matches!(info.weights.as_str(), "nominal" | "rough" | "live"),
+        live_sizes: info.weights == "live",
+        warm_keys: info.family_info.warm_keys,
     })
 }
 
