--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -133,8 +133,6 @@
     pub max_retry_after: Option<Micros>,
     /// Clients mark their repeats.
     pub marks_repeats: bool,
-    /// A listed size is the nominal one over one and the requests held a core, so it moves with load.
-    pub live_sizes: bool,
     /// An upstream that met a request's subject lately does less work for it.
     pub warm_keys: bool,
 }
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -33,8 +33,8 @@
 /// an upstream's state within it, and few connections are then kept busy rather than many opened.
 const WATCH_SPAN: f64 = 0.25e6;
 const WATCH_LEAST: f64 = 2.0;
-/// A subject's home is passed over when this much later than the turns, or holding so much more than the mean.
-const HOME: (f64, f64) = (1.5, 1.5);
+/// A subject's home is passed over when so many times as late as the turns.
+const HOME_LATE: f64 = 1.5;
 /// Crossings by chance, as a multiple of the gain's share of the time; the way there and back takes some.
 const CROSS_GAIN: f64 = 8.0;
 const CROSS_WAY: f64 = 20e3;
@@ -186,8 +186,6 @@
                 (u.turns, u.saved, u.saved_at) = (first_turn, -first_turn * most, self.now);
             }
             u.entry = *e;
-            u.nominal = u.nominal.max(e.size);
-            u.held = if self.set.live_sizes && e.size > 0.0 { u.nominal / e.size - 1.0 } else { 0.0 };
             u.listed = e.lifecycle == Lifecycle::Running;
             let (kinds, zones) = (self.kinds.len().max(e.kind as usize + 1), e.zone as usize + 1);
             self.kinds.resize(kinds, Kind::new(self.now));
@@ -330,8 +328,8 @@
         let watch = (self.asked_rate.now(self.now, RATE_OVER) * WATCH_SPAN).max(WATCH_LEAST);
         let mut watched = vec![0.0; self.zones.len()];
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
-        // Where upstreams keep subjects warm, and the list tells how many requests each holds, a subject has a home.
-        let home = p.key.filter(|_| self.set.warm_keys && self.set.live_sizes);
+        // Where upstreams keep subjects warm, each subject has a home.
+        let home = p.key.filter(|_| self.set.warm_keys);
         let (mut listed_here, mut open_here, mut nearest, mut warm) = (0, 0, None::<usize>, false);
         for place in 0..self.ring.len() {
             let i = self.ring[place];
@@ -358,15 +356,7 @@
                 watched[u.entry.zone as usize] += own.powi(-TURN.0);
                 let (slow, to) = (self.slowness(u), if here { &mut pool } else { &mut away });
                 let (time, usual) = (slow * (work + u.work_out), slow * (usual + 0.5 * u.work_out));
-                to.push(Choice {
-                    place,
-                    i,
-                    zone: u.entry.zone,
-                    excluded: u.excluded(),
-                    time,
-                    usual,
-                    held: u.held,
-                });
+                to.push(Choice { place, i, zone: u.entry.zone, excluded: u.excluded(), time, usual });
             }
         }
         self.any_warm = warm;
@@ -401,17 +391,13 @@
             let i = nearest.filter(|_| p.attempts.is_empty())?;
             return Some((i, self.slowness(&self.upstreams[i]) * usual));
         }
-        if let Some(key) = home {
-            let (_, late, usual) = turns(&pool, slack);
-            let held = pool.iter().map(|c| c.held).sum::<f64>() / pool.len() as f64;
-            let fits = |c: &&Choice| c.time <= late * HOME.0 && c.held + 1.0 <= (held + 1.0) * HOME.1;
-            let order = |c: &&Choice| mixed(key, self.upstreams[c.i].entry.digest);
-            if let Some(c) = pool.iter().filter(fits).min_by_key(order) {
-                return Some((c.i, usual));
-            }
+        let (parts, late, usual) = turns(&pool, slack);
+        let rank = |c: &&Choice| mixed(home.unwrap_or(0), self.upstreams[c.i].entry.digest);
+        let at_home = pool.iter().filter(|c| home.is_some() && c.time <= late * HOME_LATE).min_by_key(rank);
+        if let Some(c) = at_home {
+            return Some((c.i, usual));
         }
         // Each time round an upstream earns its part of a turn, and is passed over until it has a whole one.
-        let (parts, _, usual) = turns(&pool, slack);
         let from = pool.iter().position(|c| c.place > self.turn).unwrap_or(0);
         for k in from..from + 2 * pool.len() {
             let (c, part) = (pool[k % pool.len()], parts[k % pool.len()]);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -42,9 +42,6 @@
 pub(crate) struct Upstream {
     pub listed: bool,
     pub entry: Entry,
-    /// The largest size listed, and the requests held a core by the last one, where sizes move with load.
-    pub nominal: f64,
-    pub held: f64,
     pub state: State,
     pub failures: u32,
     /// Failures since its last sign of life that were not counted.
@@ -74,8 +71,6 @@
     pub excluded: bool,
     pub time: f64,
     pub usual: f64,
-    /// Requests held there a core, as listed.
-    pub held: f64,
 }
 
 /// Something counted, fading with time: its rate in a microsecond.
@@ -257,8 +252,6 @@
         Upstream {
             listed: false,
             entry,
-            nominal: 0.0,
-            held: 0.0,
             state: State::Unknown,
             failures: 0,
             broken: 0,
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -49,7 +49,6 @@
         peer_messages: false,
         max_retry_after: Some(2 * S),
         marks_repeats: false,
-        live_sizes: false,
         warm_keys: false,
     }
 }
--- a/crates/emulator/src/script.rs
+++ b/crates/emulator/src/script.rs
@@ -836,7 +836,6 @@
             peer_messages: false,
             max_retry_after: (o.retry_after_ms > 0.0).then(|| ms(o.retry_after_ms)),
             marks_repeats: true,
-            live_sizes: false,
             warm_keys: false,
         };
         let front = Front {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -53,8 +53,6 @@
     #[serde(default)]
     discovery: String,
     #[serde(default)]
-    weights: String,
-    #[serde(default)]
     family_info: InfoFamily,
     limits: InfoLimits,
     rules: InfoRules,
@@ -289,7 +287,6 @@
         peer_messages: l.peer_messages,
         max_retry_after: l.retry_after.then(|| seconds(l.max_retry_after_s)),
         marks_repeats: info.clients.marks_retry,
-        live_sizes: info.weights == "live",
         warm_keys: info.family_info.warm_keys,
     })
 }
