--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -544,8 +544,9 @@
         p.over = true;
         let harmless = matches!(self.allowed(p), Some(None | Some((DedupGroup::All, _))));
         // Coming back pays only while the aim can still be met; else stay away longest.
-        let soon = self.now + RETURN + p.work as Micros <= p.aim_at;
-        let retry_after = self.set.max_retry_after.map(|m| if soon { RETURN.min(m) } else { m });
+        let slack = p.aim_at - self.now - 2 * p.work as Micros;
+        let soon = if slack > RETURN { RETURN } else { slack / 2 };
+        let retry_after = self.set.max_retry_after.map(|m| if slack > 0 { soon.min(m) } else { m });
         out.push(if harmless { Action::Refuse { request, retry_after } } else { Action::Fail { request } });
     }
 
