silvercross migrate: an old configuration's counterpart for the new shape, with a dry run

A file that is there is never replaced; what the program would not start with is not written. settings.family_info.warm_keys is read for both fronts, off unless stated, and checked; so is settings.discovery. Tests: the program's own, on loopback: a dry run, files in the way, and a migrated file that starts and serves from a list that comes unasked.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,8 @@
 //! The settings object that a deployment hands each instance, turned into the core's words. Unknown keys are
 //! skipped. Both fronts read it here, so that they cannot come to read it differently.
 #![forbid(unsafe_code)]
+pub mod migrate;
+
 use serde::Deserialize;
 use silvercross_core::interface::{Class, DedupGroup, Effect, Micros, Prices, Settings, Tenant};
 
@@ -192,6 +194,14 @@
             }
         }
     }
+    if let Some(warm) = value.get("family_info").and_then(|f| f.get("warm_keys")) {
+        if !warm.is_boolean() {
+            return Err(format!("settings.family_info.warm_keys: {warm} is neither true nor false"));
+        }
+    }
+    if let Some(how) = value.get("discovery").filter(|how| *how != "pushed" && *how != "on_request") {
+        return Err(format!("settings.discovery: {how} is neither \"pushed\" nor \"on_request\""));
+    }
     if let Some(cap) = value.get("limits").and_then(|l| l.get("attempts_cap")) {
         positive(Some(cap)).map_err(|why| format!("settings.limits.attempts_cap: {why}"))?;
     }
@@ -358,6 +368,8 @@
             ("/limits", Some(json!(3)), "settings.limits:"),
             ("/rules/cold_from", None, "settings.rules.cold_from:"),
             ("/areas", None, "settings.areas:"),
+            ("/discovery", Some(json!("asked")), "settings.discovery:"),
+            ("/family_info", Some(json!({"warm_keys": "yes"})), "settings.family_info.warm_keys:"),
         ];
         for (path, to, key) in cases {
             let why = check(&changed(path, to.clone()), Some(&good())).expect_err(path);
@@ -367,6 +379,15 @@
         assert_eq!(check(&good(), None), Ok(()));
     }
 
+    #[test]
+    fn warm_keys_are_off_unless_stated() {
+        let stated = |info: Value| read_value(changed("/family_info", Some(info))).expect("good").0.warm_keys;
+        assert!(!read_value(good()).expect("good").0.warm_keys);
+        assert!(
+            !stated(json!({})) && !stated(json!({"warm_keys": false})) && stated(json!({"warm_keys": true}))
+        );
+    }
+
     #[test]
     fn a_key_that_only_some_classes_had_may_be_missing_in_a_new_one() {
         let class = json!({"name": "c", "aim_s": 1, "deadline_s": 3, "effect": "once"});
--- a/crates/sidecar/src/lifecycle/mod.rs
+++ b/crates/sidecar/src/lifecycle/mod.rs
@@ -2,6 +2,7 @@
 pub mod config;
 pub mod gateway;
 pub mod logging;
+pub mod migrate;
 pub mod seat;
 pub mod start;
 pub mod stop;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -22,12 +22,15 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Write the counterpart of a configuration for the shape in which a pool of sidecars is told the list unasked.
+    Migrate(lifecycle::migrate::Order),
 }
 
 fn main() -> ExitCode {
     let ended = match Cli::parse().command {
         None => lifecycle::run(),
         Some(Role::Gateway { config }) => lifecycle::gateway::run(&config),
+        Some(Role::Migrate(order)) => lifecycle::migrate::run(&order, &mut std::io::stdout()),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
