--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -101,6 +101,8 @@
     pub over_share_worth: f64,
     /// Worth is counted for each unit of work, not for each request.
     pub worth_by_work: bool,
+    /// The part of the result that counts all worth alike; the rest goes by what is served worst.
+    pub whole: f64,
     /// Points taken off.
     pub prices: Prices,
     /// The list comes only when asked for.
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -70,6 +70,7 @@
 const SPREAD: (f64, f64) = (0.4, 3.0);
 const SPREAD_STEP: f64 = 0.1;
 /// The bar moves so far with the worth of work against the mean; it is higher where nothing is out to tell.
+const RANK_POWER: f64 = 0.5;
 const RANK: (f64, f64) = (0.6, 1.5);
 const IDLE_BAR: f64 = 2.0;
 /// A queue clears in about this time: a client turned away need not come back sooner.
@@ -575,7 +576,9 @@
         let Some((i, expected)) = self.pick(&p) else { return self.give_up(r.id, &mut p, out) };
         // Refuse early what cannot meet its aim, least worth per work first; none for its own weight.
         let left = (aim_at.min(p.deadline) - self.now) as f64;
-        let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).sqrt().clamp(RANK.0, RANK.1);
+        // The bar goes by worth so far as the result does: the worst-served class counts by itself.
+        let rank = (density * self.work_seen / self.worth_seen.max(1e-9)).powf(RANK_POWER * self.set.whole);
+        let rank = rank.clamp(RANK.0, RANK.1);
         let bar = if self.pending.is_empty() { IDLE_BAR } else { 1.0 };
         if c.late_worth == 0.0 && expected * self.spread > left * rank * bar {
             // Unfed, the usual of a class fades while nothing is out: none is barred for good.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -33,6 +33,7 @@
         tenants: Vec::new(),
         over_share_worth: 1.0,
         worth_by_work: false,
+        whole: 1.0,
         prices: Prices::default(),
         list_on_request: true,
         must_ask_in: 10 * S,
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -139,6 +139,28 @@
     assert!(dear > cheap, "{dear} of the dear class sent, {cheap} of the cheap one");
 }
 
+#[test]
+fn where_the_worst_served_class_counts_worth_orders_refusals_less() {
+    // The cheap class took nearly all refusals, and the result counts the class that is served worst.
+    let sent = |whole: f64| {
+        let mut set = Settings { whole, ..settings() };
+        set.classes[0].worth = 8.0;
+        let mut desk = Desk::new(set, &[0; 6]);
+        for _ in 0..40 {
+            desk.spread(0, 1);
+            desk.spread(2, 1);
+        }
+        for _ in 0..40 {
+            crowd(&mut desk, 0, 4, 300 * MS);
+            crowd(&mut desk, 2, 4, 300 * MS);
+        }
+        let _out = desk.ask(0);
+        (0..8).filter(|_| first_send(&desk.ask(2).1).is_some()).count()
+    };
+    let (by_worth, alike) = (sent(1.0), sent(0.0));
+    assert!(alike > by_worth, "of the cheap class {alike} and {by_worth} sent");
+}
+
 #[test]
 fn a_light_request_that_waits_does_not_make_its_upstream_look_slow() {
     // With hints, light requests wait as long as heavy ones. Their ratio alone would refuse all.
--- a/crates/emulator/src/script.rs
+++ b/crates/emulator/src/script.rs
@@ -820,6 +820,7 @@
             tenants: Vec::new(),
             over_share_worth: 1.0,
             worth_by_work: false,
+            whole: 1.0,
             prices: Prices { cross_zone: o.cross_price, ..Prices::default() },
             list_on_request: true,
             must_ask_in: seconds(o.must_ask_s),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -56,6 +56,8 @@
     discovery: String,
     #[serde(default)]
     family_info: InfoFamily,
+    #[serde(default)]
+    goal: InfoGoal,
     limits: InfoLimits,
     rules: InfoRules,
     #[serde(default)]
@@ -99,6 +101,18 @@
     marks_retry: bool,
 }
 
+#[derive(Deserialize)]
+#[serde(default)]
+struct InfoGoal {
+    whole: f64,
+}
+
+impl Default for InfoGoal {
+    fn default() -> Self {
+        InfoGoal { whole: 1.0 }
+    }
+}
+
 #[derive(Deserialize, Default)]
 struct InfoFamily {
     #[serde(default)]
@@ -199,6 +213,11 @@
             return Err(format!("settings.family_info.warm_keys: {warm} is neither true nor false"));
         }
     }
+    if let Some(whole) = value.get("goal").and_then(|g| g.get("whole")) {
+        if !whole.as_f64().is_some_and(|w| (0.0..=1.0).contains(&w)) {
+            return Err(format!("settings.goal.whole: {whole} is not from 0 to 1"));
+        }
+    }
     if let Some(how) = value.get("discovery").filter(|how| *how != "pushed" && *how != "on_request") {
         return Err(format!("settings.discovery: {how} is neither \"pushed\" nor \"on_request\""));
     }
@@ -275,6 +294,7 @@
             .collect(),
         over_share_worth: info.over_share_worth,
         worth_by_work: info.counted_by == "work",
+        whole: info.goal.whole,
         prices: Prices {
             cross_zone: p.cross_zone,
             waste: p.waste,
@@ -369,6 +389,7 @@
             ("/rules/cold_from", None, "settings.rules.cold_from:"),
             ("/areas", None, "settings.areas:"),
             ("/discovery", Some(json!("asked")), "settings.discovery:"),
+            ("/goal", Some(json!({"whole": 1.5})), "settings.goal.whole:"),
             ("/family_info", Some(json!({"warm_keys": "yes"})), "settings.family_info.warm_keys:"),
         ];
         for (path, to, key) in cases {
