--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -328,6 +328,7 @@
         // A window of the ring: so many can be kept an eye on, in each zone; those doing badly hardly count.
         let watch = (self.asked_rate.now(self.now, RATE_OVER) * WATCH_SPAN).max(WATCH_LEAST);
         let mut watched = vec![0.0; self.zones.len()];
+        let crowds: Vec<f64> = self.zones.iter().map(|z| z.faded(self.now, FADE)).collect();
         let (mut pool, mut away): (Vec<Choice>, Vec<Choice>) = Default::default();
         // Where upstreams keep subjects warm, each subject has a home.
         let home = p.key.filter(|_| self.set.warm_keys);
@@ -353,9 +354,10 @@
             }
             open_here += u32::from(here);
             if home.is_some() || watched[u.entry.zone as usize] < watch {
-                let own = u.seen.faded(self.now, self.hold).max(1.0);
-                watched[u.entry.zone as usize] += own.powi(-TURN.0);
-                let (slow, to) = (self.slowness(u), if here { &mut pool } else { &mut away });
+                let (own, zone) = (u.seen.faded(self.now, self.hold), u.entry.zone as usize);
+                watched[zone] += if home.is_none() { own.max(1.0).powi(-TURN.0) } else { 0.0 };
+                let slow = self.kinds[u.entry.kind as usize].slow * crowds[zone] * own;
+                let to = if here { &mut pool } else { &mut away };
                 let (time, usual) = (slow * (work + u.work_out), slow * (usual + 0.5 * u.work_out));
                 to.push(Choice { place, i, zone: u.entry.zone, excluded: u.excluded(), time, usual });
             }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -98,6 +98,10 @@
 impl Seen {
     /// The multiple now, fading to one over this time without answers.
     pub fn faded(&self, now: Micros, over: f64) -> f64 {
+        // Nothing is left of it to count after so long; a large fleet's picks ask for many.
+        if self.slow == 1.0 || (now - self.fed) as f64 > 40.0 * over {
+            return 1.0;
+        }
         1.0 + (self.slow - 1.0) * (-((now - self.fed).max(0) as f64) / over).exp()
     }
 }
