migrate: --to names the new file, and a key that nobody knows is refused by its name

A slip of the pen in an old file (lissten, settings.wieghts) went on into the new one unseen. Keys of the configuration and of the platform's settings object are known, read or not; any other is one plain line, and nothing is written. Tests with both slips.

--- a/crates/settings/src/migrate.rs
+++ b/crates/settings/src/migrate.rs
@@ -3,6 +3,40 @@
 //! over, and decides nothing that a file does not say.
 use serde_json::{json, Map, Value};
 
+/// The keys that a configuration has.
+const FILE: &[&str] =
+    &["name", "listen", "discovery", "management", "admin", "seed", "limits", "known", "settings"];
+/// The keys that the platform's settings object has; those that no decision reads are carried all the same.
+const SETTINGS: &[&str] = &[
+    "areas",
+    "balancers",
+    "classes",
+    "clients",
+    "counted_by",
+    "discovery",
+    "family_info",
+    "goal",
+    "kind_of_service",
+    "limits",
+    "me",
+    "my_zone",
+    "over_share_worth",
+    "prices",
+    "report",
+    "round_s",
+    "rules",
+    "shapes",
+    "stages",
+    "tenants",
+    "tier",
+    "weights",
+];
+
+fn known_only(object: &Map<String, Value>, at: &str, known: &[&str]) -> Result<(), String> {
+    let odd = object.keys().find(|key| !known.contains(&key.as_str()));
+    odd.map_or(Ok(()), |key| Err(format!("{at}{key}: it is not known here: mend its name, or take it out")))
+}
+
 /// What the old file cannot tell of the new deployment.
 #[derive(Clone, Debug, Default)]
 pub struct Target {
@@ -37,6 +71,9 @@
     let settings = file.get("settings").ok_or("settings: it is missing")?;
     crate::check(settings, None)?;
     let mut settings = settings.as_object().ok_or("settings: it is no object")?.clone();
+    // A key that nobody knows is a slip of the pen, or of a newer form than this program's: no counterpart can be given.
+    known_only(&file, "", FILE)?;
+    known_only(&settings, "settings.", SETTINGS)?;
     let (mut changed, mut left) = (Vec::new(), Vec::new());
     if settings.get("discovery").and_then(Value::as_str) == Some("pushed") {
         return Err("settings.discovery: it is \"pushed\" already: this file has the new shape".into());
@@ -134,7 +171,7 @@
     use super::*;
 
     fn old() -> Value {
-        json!({"name": "n3", "listen": "127.0.0.1:3000", "discovery": "127.0.0.1:8500", "seed": "8c", "extra": {"kept": 1},
+        json!({"name": "n3", "listen": "127.0.0.1:3000", "discovery": "127.0.0.1:8500", "seed": "8c", "admin": "127.0.0.1:9",
             "limits": {"memory_mb": 192, "sockets": 1024},
             "known": {"seq": 41, "whole": true, "hosts": [{"host": "s-1", "dial": "127.0.0.1:1", "site": "a", "class": "k",
                 "block": 0, "health": "ready"}]},
@@ -162,7 +199,7 @@
         for path in [
             "/name",
             "/seed",
-            "/extra",
+            "/admin",
             "/limits",
             "/settings/classes",
             "/settings/limits",
@@ -204,6 +241,8 @@
             told(&|f| f["settings"]["discovery"] = json!("pushed"), &none).starts_with("settings.discovery:")
         );
         assert!(told(&|f| f["settings"]["classes"] = json!([]), &none).starts_with("settings.classes:"));
+        assert!(told(&|f| f["lissten"] = json!("x"), &none).starts_with("lissten:"));
+        assert!(told(&|f| f["settings"]["wieghts"] = json!("x"), &none).starts_with("settings.wieghts:"));
         assert!(told(&|f| *f = json!([]), &none).starts_with("the file:"));
         assert!(told(&|f| *f = json!({}), &none).starts_with("settings:"));
         let few = Target { sidecars: Some(1), ..Target::default() };
--- a/crates/sidecar/src/lifecycle/migrate.rs
+++ b/crates/sidecar/src/lifecycle/migrate.rs
@@ -11,7 +11,7 @@
     old: PathBuf,
     /// Where the new one is written; a file that is there already is left alone.
     #[arg(long, required_unless_present = "dry_run")]
-    output: Option<PathBuf>,
+    to: Option<PathBuf>,
     /// Change nothing: only say what would be changed, and what could not be carried over.
     #[arg(long)]
     dry_run: bool,
@@ -53,7 +53,7 @@
     // What this program would not start with must not be written.
     super::config::parse(&text, |_| None)
         .map_err(|why| format!("{shown}: what came of it is no good: {why}"))?;
-    if let Some(output) = order.output.as_deref().filter(|_| !order.dry_run) {
+    if let Some(output) = order.to.as_deref().filter(|_| !order.dry_run) {
         write_new(output, &text).map_err(|e| format!("cannot write {}: {e}", output.display()))?;
     }
     let mut told = String::new();
--- a/crates/sidecar/tests/migrate.rs
+++ b/crates/sidecar/tests/migrate.rs
@@ -29,7 +29,7 @@
     let dir = place("dry");
     let old = config(nowhere(), &[entry("s-1", nowhere(), "ready")], 1024);
     std::fs::write(dir.join("old.json"), &old).expect("written");
-    for more in [&["--dry-run"][..], &["--dry-run", "--output", "new.json"]] {
+    for more in [&["--dry-run"][..], &["--dry-run", "--to", "new.json"]] {
         let out = migrate(&dir, more);
         let told = String::from_utf8_lossy(&out.stdout).into_owned();
         assert!(out.status.success(), "{told}");
@@ -48,7 +48,7 @@
     std::fs::write(dir.join("old.json"), &old).expect("written");
     std::fs::write(dir.join("new.json"), "mine").expect("written");
     for output in ["new.json", "old.json"] {
-        let out = migrate(&dir, &["--output", output]);
+        let out = migrate(&dir, &["--to", output]);
         assert_eq!(out.status.code(), Some(1));
         assert!(String::from_utf8_lossy(&out.stderr).contains("cannot write"), "{out:?}");
     }
@@ -56,7 +56,7 @@
     assert_eq!(std::fs::read_to_string(dir.join("old.json")).expect("read"), old);
     assert_eq!(files(&dir), ["new.json", "old.json"], "nothing is left behind");
     std::fs::write(dir.join("old.json"), old.replace("on_request", "pushed")).expect("written");
-    let out = migrate(&dir, &["--output", "other.json"]);
+    let out = migrate(&dir, &["--to", "other.json"]);
     let told = String::from_utf8_lossy(&out.stderr).into_owned();
     assert_eq!((out.status.code(), told.lines().count()), (Some(1), 1), "{told}");
     assert!(told.contains("settings.discovery:"), "{told}");
@@ -74,7 +74,7 @@
     let out = migrate(
         &dir,
         &[
-            "--output",
+            "--to",
             "new.json",
             "--discovery",
             &at,
