--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -120,9 +120,9 @@
     assert!(sent >= 15, "{sent} of 20 sent after a rest");
 }
 
-#[test]
-fn least_worth_per_work_is_refused_first() {
-    let mut set = settings();
+/// Of eight requests each of a cheap class and of one worth eight times as much, how many are sent into a crowd.
+fn sent_into_a_crowd(whole: f64, answers_take: Micros) -> (usize, usize) {
+    let mut set = Settings { whole, ..settings() };
     set.classes[0].worth = 8.0;
     let mut desk = Desk::new(set, &[0; 6]);
     for _ in 0..40 {
@@ -130,34 +130,24 @@
         desk.spread(2, 1);
     }
     for _ in 0..40 {
-        crowd(&mut desk, 0, 4, 420 * MS);
-        crowd(&mut desk, 2, 4, 420 * MS);
+        crowd(&mut desk, 0, 4, answers_take);
+        crowd(&mut desk, 2, 4, answers_take);
     }
     let _out = desk.ask(0);
-    let count = |desk: &mut Desk, class| (0..8).filter(|_| first_send(&desk.ask(class).1).is_some()).count();
-    let (cheap, dear) = (count(&mut desk, 2), count(&mut desk, 0));
+    let mut count = |class| (0..8).filter(|_| first_send(&desk.ask(class).1).is_some()).count();
+    (count(2), count(0))
+}
+
+#[test]
+fn least_worth_per_work_is_refused_first() {
+    let (cheap, dear) = sent_into_a_crowd(1.0, 420 * MS);
     assert!(dear > cheap, "{dear} of the dear class sent, {cheap} of the cheap one");
 }
 
 #[test]
 fn where_the_worst_served_class_counts_worth_orders_refusals_less() {
     // The cheap class took nearly all refusals, and the result counts the class that is served worst.
-    let sent = |whole: f64| {
-        let mut set = Settings { whole, ..settings() };
-        set.classes[0].worth = 8.0;
-        let mut desk = Desk::new(set, &[0; 6]);
-        for _ in 0..40 {
-            desk.spread(0, 1);
-            desk.spread(2, 1);
-        }
-        for _ in 0..40 {
-            crowd(&mut desk, 0, 4, 300 * MS);
-            crowd(&mut desk, 2, 4, 300 * MS);
-        }
-        let _out = desk.ask(0);
-        (0..8).filter(|_| first_send(&desk.ask(2).1).is_some()).count()
-    };
-    let (by_worth, alike) = (sent(1.0), sent(0.0));
+    let ((by_worth, _), (alike, _)) = (sent_into_a_crowd(1.0, 300 * MS), sent_into_a_crowd(0.0, 300 * MS));
     assert!(alike > by_worth, "of the cheap class {alike} and {by_worth} sent");
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -391,9 +391,10 @@
     }
 
     #[test]
-    fn warm_keys_are_off_unless_stated() {
+    fn what_is_not_stated_is_as_before() {
         let stated = |info: Value| read_value(changed("/family_info", Some(info))).expect("good").0.warm_keys;
         assert!(!read_value(good()).expect("good").0.warm_keys);
+        assert_eq!(read_value(good()).expect("good").0.whole, 1.0, "all of the result, unless stated");
         assert!(
             !stated(json!({})) && !stated(json!({"warm_keys": false})) && stated(json!({"warm_keys": true}))
         );
