--- a/crates/emulator/tests/scenarios.rs
+++ b/crates/emulator/tests/scenarios.rs
@@ -9,6 +9,8 @@
     let mut paths: Vec<_> =
         std::fs::read_dir(folder).expect("a folder").map(|e| e.expect("an entry").path()).collect();
     paths.sort();
+    // Those of a fleet of processes are played by the rehearsal's own tests.
+    paths.retain(|p| !std::fs::read_to_string(p).expect("text").contains("[fleet]"));
     let read = |p: &std::path::PathBuf| {
         let script = Script::parse(&std::fs::read_to_string(p).expect("text")).expect("a good script");
         assert_eq!(Some(script.name.as_str()), p.file_stem().and_then(|s| s.to_str()));
--- a/crates/rehearse/src/commands.rs
+++ b/crates/rehearse/src/commands.rs
@@ -1,5 +1,6 @@
 //! The commands. Results go to standard output, progress and faults to standard error; what a command comes to is its
 //! exit code: 0 all held, 1 unusable input, 2 usage, 3 an expectation or a rule failed.
+use crate::fleet;
 use crate::load;
 use crate::log::{self, Form};
 use crate::play::{self, Side};
@@ -62,6 +63,8 @@
         #[arg(long)]
         json: Option<PathBuf>,
     },
+    /// Draw schedules of faults for a fleet by seed, play each in simulated time, shrink what fails.
+    Hunt(fleet::commands::HuntArgs),
     /// Read a script and say what is wrong with it.
     Check {
         /// The script.
@@ -185,8 +188,15 @@
     // What is only started by others logs as what it stands for.
     let log = log::start(cli.log);
     match cli.command {
-        Command::Run(args) => run_once(&args, &log),
+        Command::Run(args) => match fleet::commands::read(&args.script)? {
+            Some(script) => run_fleet(&script, &args, &log),
+            None => run_once(&args, &log),
+        },
+        Command::Hunt(args) => fleet::commands::hunting(&args),
         Command::Check { script } => {
+            if let Some(s) = fleet::commands::read(&script)? {
+                return Ok(fleet::commands::check(&s));
+            }
             let s = read(&script)?;
             println!(
                 "{}: {} servers, {} sidecars, {} classes, {} faults, {} expectations over {} s",
@@ -294,8 +304,13 @@
     paths.sort();
     let mut good = true;
     for path in paths {
-        match read(&path) {
-            Ok(s) => println!("{:<20} {}", s.name, s.about),
+        let said = match fleet::commands::read(&path) {
+            Ok(Some(s)) => Ok((s.name, s.about)),
+            Ok(None) => read(&path).map(|s| (s.name, s.about)),
+            Err(why) => Err(why),
+        };
+        match said {
+            Ok((name, about)) => println!("{name:<20} {about}"),
             Err(why) => {
                 good = false;
                 eprintln!("{why}");
@@ -309,6 +324,16 @@
     }
 }
 
+fn run_fleet(script: &fleet::FleetScript, args: &RunArgs, log: &Logger) -> Result<bool, String> {
+    let side = args.sidecar.as_ref().map_or(Side::Policy(Policy::Module), |p| Side::Build(p.clone()));
+    let program = match args.how.mode {
+        Some(ModeArg::Sockets) => Some(play::program(&side)?),
+        Some(ModeArg::Virtual) | None => None,
+    };
+    let seed = args.how.seed.unwrap_or(script.seed);
+    fleet::commands::run(script, seed, program.as_ref(), args.json.as_deref(), log)
+}
+
 fn run_once(args: &RunArgs, log: &Logger) -> Result<bool, String> {
     let mut script = read(&args.script)?;
     args.how.take_out(&mut script);
--- /dev/null
+++ b/crates/witness/src/history.rs
@@ -0,0 +1,145 @@
+//! What happened, in order of time. Times are microseconds on the driver's one clock.
+use serde::{Deserialize, Serialize};
+
+/// A process of the fleet, counted by its start: a restart is another one.
+pub type Process = usize;
+/// Microseconds on the driver's clock.
+pub type Micros = i64;
+
+/// How somebody holds a member to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Held {
+    /// There.
+    Alive,
+    /// In doubt.
+    Suspect,
+    /// Gone without a word.
+    Failed,
+    /// Gone by its own word.
+    Left,
+}
+
+impl Held {
+    /// Whether it counts as there.
+    pub fn is_live(self) -> bool {
+        matches!(self, Held::Alive | Held::Suspect)
+    }
+}
+
+/// A member in somebody's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Its identity, as it is shown.
+    pub id: String,
+    /// How it is held to be.
+    pub state: Held,
+    /// How new that is.
+    pub incarnation: u64,
+}
+
+/// One process' list, as it was asked for and told.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Look {
+    /// Whose.
+    pub by: Process,
+    /// The identity it says it has.
+    pub id: String,
+    /// The view it tells.
+    pub view: String,
+    /// How many it says send.
+    pub senders: Option<usize>,
+    /// All others in its list.
+    pub others: Vec<Seen>,
+    /// Upstreams that it holds to be draining.
+    #[serde(default)]
+    pub drains: Vec<String>,
+}
+
+/// What was done, or seen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// A process was started on a machine.
+    Started {
+        /// Which.
+        process: Process,
+        /// On which machine.
+        machine: usize,
+    },
+    /// A process is no more; `told`: it was asked to end, and could say so.
+    Ended {
+        /// Which.
+        process: Process,
+        /// Whether it left by its own word.
+        told: bool,
+    },
+    /// A process was stopped, slowed or otherwise kept from its work.
+    Hampered {
+        /// Which.
+        process: Process,
+    },
+    /// It is let alone again.
+    Free {
+        /// Which.
+        process: Process,
+    },
+    /// Datagrams and connections from the first machine's processes to the second's get through, or not. `pairs` holds
+    /// all that don't, in place of what held before.
+    Cut {
+        /// Machines, from and to.
+        pairs: Vec<(usize, usize)>,
+    },
+    /// All links have been well, and all processes let alone, since now.
+    Calm,
+    /// An upstream's drain was told to a process by its own list.
+    DrainTold {
+        /// The upstream.
+        host: String,
+    },
+    /// A process told its list. Asked at the event's time, answered by `end`.
+    Look(Look),
+    /// A client's request: asked at the event's time, answered by `end`.
+    Request {
+        /// Which process it went to.
+        process: Process,
+        /// The answer's status; 0: none.
+        status: u16,
+    },
+}
+
+/// One entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    /// When it began.
+    pub at: Micros,
+    /// When it was over; the same for what takes no time.
+    pub end: Micros,
+    /// What it was.
+    pub what: What,
+}
+
+/// All of it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct History {
+    /// In order of their beginning.
+    pub events: Vec<Event>,
+}
+
+impl History {
+    /// Something that took no time.
+    pub fn now(&mut self, at: Micros, what: What) {
+        self.events.push(Event { at, end: at, what });
+    }
+
+    /// Something that was asked and answered.
+    pub fn took(&mut self, at: Micros, end: Micros, what: What) {
+        self.events.push(Event { at, end, what });
+    }
+
+    /// In order, as checkers want it: drivers may have noted an answer after what came later.
+    pub fn sorted(mut self) -> Self {
+        self.events.sort_by_key(|e| e.at);
+        self
+    }
+}
