--- a/crates/facade/src/lib.rs
+++ b/crates/facade/src/lib.rs
@@ -609,6 +609,45 @@
         self.turn()
     }
 
+    /// Another sidecar's word that this start of an upstream drains, ahead of the own list; or (`drains` false) that word is
+    /// over, and the own list had it ready all the time. It never makes an upstream ready that its own list doesn't.
+    pub fn told_drain(&mut self, name: &str, born_ms: u64, drains: bool) -> Turn<W> {
+        let now = self.now();
+        let born = (born_ms > 0).then(|| (born_ms.min(1 << 52) * 1000) as Micros);
+        let known = self.ids.get(name).and_then(|id| self.known.get_mut(*id as usize).map(|k| (*id, k)));
+        let fits = |k: &&mut Known| {
+            let state = if drains { Lifecycle::Running } else { Lifecycle::Draining };
+            k.gone_since.is_none() && k.entry.lifecycle == state && k.entry.last_start <= born
+        };
+        if let Some((id, known)) = known.filter(|(_, k)| fits(&k)) {
+            known.entry.lifecycle = if drains { Lifecycle::Draining } else { Lifecycle::Running };
+            known.listed = !drains;
+            let entry = known.entry;
+            if drains {
+                self.steps.push(Step::CloseIdle(Upstream(id)));
+            }
+            self.drive(now, Event::List { kind: ListKind::Patch, entries: &[entry] });
+        }
+        self.turn()
+    }
+
+    /// So many sidecars send from now on, where the settings named a number.
+    pub fn senders_are(&mut self, senders: u32) -> Turn<W> {
+        let now = self.now();
+        if senders > 0 && senders != self.settings.instances {
+            self.settings.instances = senders;
+            let from: Vec<Option<u32>> = (0..self.settings.classes.len() as u32).map(Some).collect();
+            let settings = self.settings.clone();
+            self.drive(now, Event::Settings { settings: &settings, from: &from });
+        }
+        self.turn()
+    }
+
+    /// How many sidecars send, by the settings in force.
+    pub fn senders(&self) -> u32 {
+        self.settings.instances
+    }
+
     /// Have [`Step::Wake`] come at that time.
     pub fn wake_at(&mut self, at: Micros, wake: W) {
         self.set(at, Due::Network(wake));
--- a/crates/management/src/call.rs
+++ b/crates/management/src/call.rs
@@ -11,6 +11,8 @@
     Health,
     /// The figures.
     Stats,
+    /// Who is in the fleet.
+    Members,
     /// Something that is not here.
     NotFound,
     /// Something that is here, by another method.
@@ -27,7 +29,8 @@
     Ok(Some(match (head.method, path) {
         ("GET", "/admin/health") => Call::Health,
         ("GET", "/admin/stats") => Call::Stats,
-        (_, "/admin/health" | "/admin/stats") => Call::NotAllowed,
+        ("GET", "/admin/members") => Call::Members,
+        (_, "/admin/health" | "/admin/stats" | "/admin/members") => Call::NotAllowed,
         _ => Call::NotFound,
     }))
 }
--- a/crates/members/src/drains.rs
+++ b/crates/members/src/drains.rs
@@ -63,9 +63,15 @@
     }
 
     /// The own list has come to this version: what others told up to it is in it, or over.
-    pub fn list_is(&mut self, seq: u64) {
+    /// Returned are those that are over by it.
+    pub fn list_is(&mut self, seq: u64, whole: bool) -> Vec<Drain> {
         self.list = seq;
+        if whole {
+            self.own.clear();
+        }
+        let over: Vec<Drain> = self.held.values().filter(|d| d.seq <= seq).cloned().collect();
         self.held.retain(|_, d| d.seq > seq);
+        over
     }
 
     /// Whether another member's word says that this start of an upstream drains.
@@ -95,12 +101,12 @@
     #[test]
     fn it_holds_until_the_own_list_is_as_new_however_long_that_takes() {
         let mut d = Drains::default();
-        d.list_is(10);
+        assert!(d.list_is(10, true).is_empty());
         assert!(!d.hear(&drain("a", 10)), "the own list has said so, or that it is over");
         assert!(d.hear(&drain("a", 12)) && !d.hear(&drain("a", 12)));
-        d.list_is(11);
+        assert!(d.list_is(11, false).is_empty());
         assert!(d.holds("a", 7) && !d.holds("a", 8) && !d.holds("b", 7), "of this start of it alone");
-        d.list_is(12);
+        assert_eq!(d.list_is(12, false), [drain("a", 12)]);
         assert!(!d.holds("a", 7));
         assert!(!d.hear(&drain("a", 12)), "an old word does not bring it back");
     }
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -249,6 +249,11 @@
         self.drains.holds(host, born_ms)
     }
 
+    /// The upstreams that are known to drain, by the own list or another's word.
+    pub fn drained(&self) -> impl Iterator<Item = &str> {
+        self.drains.all().map(|d| d.host.as_str())
+    }
+
     /// How many drains heard from others hold.
     pub fn drains_heard(&self) -> usize {
         self.drains.heard()
@@ -300,8 +305,14 @@
     // --- what comes in ---
 
     /// The own list has come to this version, and says this of its upstreams: each name, last start, and whether it drains.
-    pub fn list_is<'a>(&mut self, seq: u64, entries: impl Iterator<Item = (&'a str, u64, bool)>) {
-        self.drains.list_is(seq);
+    /// Returned are other members' words that are over by it.
+    pub fn list_is<'a>(
+        &mut self,
+        seq: u64,
+        whole: bool,
+        entries: impl Iterator<Item = (&'a str, u64, bool)>,
+    ) -> Vec<Drain> {
+        let over = self.drains.list_is(seq, whole);
         for (host, born_ms, draining) in entries {
             if !draining {
                 self.drains.own_over(host);
@@ -312,6 +323,7 @@
                 self.rumours.add(Rumour::Drain(drain));
             }
         }
+        over
     }
 
     /// A datagram has come.
@@ -371,6 +383,10 @@
         match message {
             Message::Ping { probe, to, at, held, digest } => {
                 if to != self.me.id {
+                    // Whoever was here before is gone. The one who looks for it may know a fleet that this one does not.
+                    if self.table.get(from.id).is_none_or(|s| !s.state.is_live()) {
+                        self.exchange_with(at);
+                    }
                     return;
                 }
                 self.hear_of_myself(held);
--- a/crates/rehearse/src/fleet/sim.rs
+++ b/crates/rehearse/src/fleet/sim.rs
@@ -219,7 +219,7 @@
         self.at.insert(at, number);
         self.detected.remove(&self.procs[number].members.me().id);
         self.history.now(self.now, What::Started { process: number, machine });
-        self.procs[number].members.list_is(self.seq.min(1), std::iter::empty());
+        self.procs[number].members.list_is(self.seq.min(1), true, std::iter::empty());
         self.pump(number);
     }
 
@@ -484,7 +484,7 @@
         let (seq, hosts) = (self.seq, self.drained.clone());
         for m in self.script.machines(&fault.who) {
             for n in self.running_on(m) {
-                self.procs[n].members.list_is(seq, hosts.iter().map(|h| (h.as_str(), 7, true)));
+                self.procs[n].members.list_is(seq, true, hosts.iter().map(|h| (h.as_str(), 7, true)));
                 self.procs[n].listed.clone_from(&hosts);
                 self.pump(n);
             }
--- a/crates/sidecar/src/event_loop.rs
+++ b/crates/sidecar/src/event_loop.rs
@@ -3,6 +3,7 @@
 //! kind of neighbour, are in the files of the folder `event_loop/`.
 mod applications;
 mod discovery_side;
+mod fleet_side;
 pub mod gateway_side;
 mod operators;
 mod streams;
@@ -12,6 +13,7 @@
 mod tests;
 
 use self::gateway_side::Gate;
+use crate::lifecycle::fleet::Peers;
 use crate::lifecycle::logging::Paced;
 use crate::lifecycle::seat::Seat;
 use crate::lifecycle::start::listen;
@@ -22,6 +24,7 @@
 use crate::wire::discovery::Purpose;
 use crate::wire::upstream::{AttemptError, Cause, Stage, Work};
 use applications::IDLE;
+use fleet_side::Fleet;
 use operators::Door;
 use polling::Events;
 use silvercross_core::interface::Micros;
@@ -74,6 +77,8 @@
     Sweep,
     /// Stopping: see whether all is done.
     Stopping,
+    /// Membership has something to do.
+    Fleet,
 }
 
 /// Read a signal's stream empty.
@@ -139,6 +144,8 @@
     pub classes: Vec<String>,
     /// This process's seat beside another one of the same sidecar.
     pub seat: Option<Seat>,
+    /// What makes it a member of a fleet, if it is one.
+    pub peers: Option<Peers>,
     /// The version of the list that the balancer was started with.
     pub seq: u64,
     /// What to keep to.
@@ -180,6 +187,10 @@
     gate: Option<Gate>,
     door: Door,
     seat: Option<Seat>,
+    fleet: Option<Fleet>,
+    view: Option<silvercross_members::View>,
+    view_told: Paced,
+    members_told: Paced,
     /// Another process of this sidecar lives: what the two may hold is shared.
     paired: bool,
     /// Discovery has told this process its list.
@@ -208,12 +219,16 @@
     /// Everything registered, nothing served yet.
     pub fn new(parts: Parts) -> io::Result<Self> {
         let Parts { registry, balancer, listener, stops, reloads, reread, discovery, gate, .. } = parts;
-        let Parts { listen_at, door, classes, seat, seq, bounds, log, .. } = parts;
+        let Parts { listen_at, door, classes, seat, peers, seq, bounds, log, .. } = parts;
         let retire = retire(&bounds);
         Ok(EventLoop {
             listen_at,
             listener: listener.map(|l| registry.watch(l, LISTENER, Interest::Read)).transpose()?,
             door: Door::new(door, &registry, &classes)?,
+            fleet: peers.map(|p| Fleet::new(p, &registry, balancer.senders())).transpose()?,
+            view: None,
+            view_told: Paced::default(),
+            members_told: Paced::default(),
             paired: false,
             told: false,
             started: balancer.now(),
@@ -253,6 +268,7 @@
         // A gateway that has heard no offer yet takes nobody in.
         self.guarded(None, Self::ask_peers);
         self.look_beside();
+        self.guarded(None, Self::mind_fleet);
         loop {
             let wake = self.tick();
             if self.may_end() {
@@ -265,7 +281,7 @@
             for event in events.iter().filter(|e| Door::is_key(e.key)) {
                 self.guarded(None, |l| l.door_ready(event.key));
             }
-            for event in events.iter().filter(|e| !Door::is_key(e.key)) {
+            for event in events.iter().filter(|e| !Door::is_key(e.key) && !Fleet::is_key(e.key)) {
                 match event.key {
                     LISTENER => self.guarded(None, |l| {
                         l.accept();
@@ -278,6 +294,10 @@
                     }
                 }
             }
+            // Peers last: no client waits for them.
+            for event in events.iter().filter(|e| Fleet::is_key(e.key)) {
+                self.guarded(None, |l| l.fleet_ready(event.key));
+            }
         }
     }
 
@@ -420,6 +440,7 @@
                     at => self.balancer.wake_at(at, wake),
                 }
             }
+            Wake::Fleet => self.fleet_woken(),
             Wake::Sweep => self.sweep(now),
             Wake::Stopping => {
                 if let Some(stop) = self.stop {
@@ -483,6 +504,7 @@
             self.door.figures.classes_are(&front.classes);
             let turn = self.balancer.reconfigure(settings, front);
             self.absorb(turn);
+            self.fleet_reconfigured();
             // What the process may hold is not the file's to change while it runs.
             let (descriptors, buffer_bytes) = (self.bounds.descriptors, self.bounds.buffer_bytes);
             self.bounds = Bounds { descriptors, buffer_bytes, ..bounds };
@@ -508,6 +530,7 @@
         let stop = Stop::begin(now, self.balancer.longest_deadline());
         info!(self.log, "stopping"; "open" => self.balancer.unanswered());
         self.stop = Some(stop);
+        self.guarded(None, Self::leave_fleet);
         self.heir = self.seat.as_ref().is_some_and(Seat::has_successor);
         self.balancer.answer_by(stop.answer_by());
         self.balancer.wake_at(stop.look_again(now), Wake::Stopping);
--- a/crates/sidecar/src/event_loop/discovery_side.rs
+++ b/crates/sidecar/src/event_loop/discovery_side.rs
@@ -67,14 +67,16 @@
         let purpose = c.purpose;
         let (told, fault) = c.read(now);
         let has_told = !told.is_empty();
-        for t in told {
+        for mut t in told {
             let entries = if let News::List { hosts, .. } = &t.news { hosts.len() } else { 0 };
             debug!(self.log, "list"; "seq" => t.seq, "entries" => entries);
             self.seq = t.seq;
             self.told = true;
+            self.list_for_fleet(t.seq, &mut t.news);
             self.tell(&t.news);
         }
         if has_told {
+            self.mind_fleet();
             self.begin_to_serve();
         }
         match (fault, purpose) {
--- a/crates/sidecar/src/event_loop/operators.rs
+++ b/crates/sidecar/src/event_loop/operators.rs
@@ -108,8 +108,12 @@
         match call {
             Ok(Call::Health) if self.can_serve() => answer(200, "ready\n"),
             Ok(Call::Health) => answer(503, if self.stop.is_some() { "stopping\n" } else { "not ready\n" }),
-            Ok(Call::Stats) => answer(200, &self.door.figures.text(&self.gauges())),
-            Ok(Call::NotFound) => answer(404, "here are /admin/health and /admin/stats\n"),
+            Ok(Call::Stats) => answer(200, &(self.door.figures.text(&self.gauges()) + &self.fleet_figures())),
+            Ok(Call::Members) => match self.fleet_told() {
+                Some(told) => answer(200, &told),
+                None => answer(404, "this sidecar is in no fleet: it was started without --fleet\n"),
+            },
+            Ok(Call::NotFound) => answer(404, "here are /admin/health, /admin/stats and /admin/members\n"),
             Ok(Call::NotAllowed) => answer(405, "only GET\n"),
             Err(Bad::HeadTooLarge | Bad::BodyTooLarge) => answer(431, "the call is too large\n"),
             Err(Bad::Malformed(why)) => answer(400, &format!("{why}\n")),
--- a/crates/sidecar/src/event_loop/tests.rs
+++ b/crates/sidecar/src/event_loop/tests.rs
@@ -44,6 +44,7 @@
         door: None,
         classes: vec!["read".into()],
         seat: None,
+        peers: None,
         seq: 0,
         bounds,
         log: Logger::root(slog::Discard, slog::o!()),
--- a/crates/sidecar/src/lifecycle/mod.rs
+++ b/crates/sidecar/src/lifecycle/mod.rs
@@ -1,7 +1,9 @@
 //! How the process starts and stops: configuration, log, sockets, signals.
 pub mod config;
+pub mod fleet;
 pub mod gateway;
 pub mod logging;
+pub mod members;
 pub mod migrate;
 pub mod seat;
 pub mod start;
--- a/crates/sidecar/src/lifecycle/start.rs
+++ b/crates/sidecar/src/lifecycle/start.rs
@@ -1,6 +1,6 @@
 //! Start: configuration, log, listening socket, signals, then the loop until it ends.
 use super::seat::Seat;
-use super::{config, logging};
+use super::{config, fleet, logging};
 use crate::event_loop::{Anew, Bounds, EventLoop, Parts};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use silvercross_core::interface::Micros;
@@ -24,15 +24,17 @@
 const WHOLE_LEAST: Micros = 100_000;
 
 /// Run the sidecar until it is told to stop. The error is one plain line.
-pub fn run() -> Result<(), String> {
-    run_deciding(None)
+pub fn run(fleet: Option<&Path>) -> Result<(), String> {
+    run_deciding(None, fleet)
 }
 
 /// The same with something else in the module's place, where the two are compared.
-pub fn run_deciding(make: Option<Make>) -> Result<(), String> {
+pub fn run_deciding(make: Option<Make>, fleet: Option<&Path>) -> Result<(), String> {
     let var = |name: &str| std::env::var(name).ok();
     let level = logging::level(var("SILVERCROSS_LOG").as_deref())?;
     let config = config::read(var)?;
+    let fleet = fleet.map(Path::to_path_buf).or_else(|| var("PROXY_FLEET").map(Into::into));
+    let fleet = fleet.map(|path| fleet::read(&path)).transpose()?;
     // First of all: until they are caught these signals kill.
     let (stops, reloads) = (signals(&[SIGTERM, SIGINT]), signals(&[SIGHUP]));
     let stops = stops.map_err(|e| format!("cannot catch signals: {e}"))?;
@@ -53,6 +55,8 @@
         Some(at) => Some(listen(at, false).map_err(|e| format!("cannot listen on {at}: {e}"))?),
         None => None,
     };
+    let peers = fleet.map(|f| fleet::join(&f, &config.name, clock.now())).transpose()?;
+    let fleet_at = peers.as_ref().map_or_else(String::new, |p| p.at.to_string());
     let registry = Registry::new().map_err(|e| format!("no poller: {e}"))?;
     let (log, flush) = logging::start(&config.name, level);
     let listen_at = listener.as_ref().and_then(|l| l.local_addr().ok()).unwrap_or(config.listen);
@@ -60,7 +64,7 @@
         door.as_ref().and_then(|d| d.local_addr().ok()).map_or_else(String::new, |a| a.to_string());
     info!(log, "started"; "listen" => listen_at.to_string(), "management" => management, "discovery" => config.discovery.to_string(),
         "known" => config.known.len(), "seq" => config.seq, "memory_mb" => config.memory_mb,
-        "sockets" => config.sockets, "version" => env!("CARGO_PKG_VERSION"));
+        "sockets" => config.sockets, "fleet" => fleet_at, "version" => env!("CARGO_PKG_VERSION"));
     let bounds = bounds_of(&config);
     let mut in_force = config.file;
     let (discovery, seq) = (config.discovery, config.seq);
@@ -91,6 +95,7 @@
         door,
         classes,
         seat,
+        peers,
         seq,
         bounds,
         log: log.clone(),
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -10,6 +10,9 @@
 #[derive(Parser)]
 #[command(name = "silvercross", version)]
 struct Cli {
+    /// Be a member of the fleet that this file names; else PROXY_FLEET, else of none. deploy/fleet.example.toml shows one.
+    #[arg(long)]
+    fleet: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Role>,
 }
@@ -22,13 +25,17 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Ask a running sidecar who is in its fleet.
+    Members(lifecycle::members::Order),
     /// Write the counterpart of a configuration for the shape in which a pool of sidecars is told the list unasked.
     Migrate(lifecycle::migrate::Order),
 }
 
 fn main() -> ExitCode {
-    let ended = match Cli::parse().command {
-        None => lifecycle::run(),
+    let cli = Cli::parse();
+    let ended = match cli.command {
+        None => lifecycle::run(cli.fleet.as_deref()),
+        Some(Role::Members(order)) => lifecycle::members::run(&order, &mut std::io::stdout()),
         Some(Role::Gateway { config }) => lifecycle::gateway::run(&config),
         Some(Role::Migrate(order)) => lifecycle::migrate::run(&order, &mut std::io::stdout()),
     };
--- /dev/null
+++ b/crates/sidecar/src/wire/fleet.rs
@@ -0,0 +1,144 @@
+//! An exchange between members: one HTTP/1.1 call with a body, one answer, then the connection ends.
+use silvercross_core::interface::Micros;
+use silvercross_members::wire::EXCHANGE_MOST;
+use silvercross_net::http;
+use silvercross_net::registry::{Interest, Watched};
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+
+/// Where exchanges are asked for.
+const PATH: &str = "/fleet/exchange";
+/// Read in one turn of the loop.
+const A_TURN: usize = 256 * 1024;
+
+/// A connection for one exchange.
+pub struct Conn {
+    socket: Watched<TcpStream>,
+    /// Since when.
+    pub since: Micros,
+    asks: bool,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+}
+
+/// What has come of it.
+#[derive(Debug, PartialEq)]
+pub enum Got {
+    /// It waits for the socket.
+    Nothing,
+    /// The other side's part, whole.
+    Body(Vec<u8>),
+    /// It is over.
+    Ended,
+}
+
+impl Conn {
+    /// One that this side begins; on its way up.
+    pub fn asking(socket: Watched<TcpStream>, since: Micros, body: &[u8]) -> Self {
+        let head = format!(
+            "POST {PATH} HTTP/1.1\r\nHost: fleet\r\nContent-Type: application/octet-stream\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            body.len()
+        );
+        let output = [head.as_bytes(), body].concat();
+        Conn { socket, since, asks: true, input: Vec::new(), output, written: 0 }
+    }
+
+    /// One that was accepted.
+    pub fn asked(socket: Watched<TcpStream>, since: Micros) -> Self {
+        Conn { socket, since, asks: false, input: Vec::new(), output: Vec::new(), written: 0 }
+    }
+
+    /// Answer; what the socket does not take now goes out later.
+    pub fn answer(&mut self, status: u16, body: &[u8]) -> Got {
+        let head = format!(
+            "HTTP/1.1 {status} {}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            http::reason(status),
+            body.len()
+        );
+        self.output = [head.as_bytes(), body].concat();
+        self.advance()
+    }
+
+    /// Whether this side began it.
+    pub fn is_asking(&self) -> bool {
+        self.asks
+    }
+
+    /// Carry it on.
+    pub fn advance(&mut self) -> Got {
+        match self.step() {
+            Ok(got) => got,
+            Err(_) => Got::Ended,
+        }
+    }
+
+    fn step(&mut self) -> io::Result<Got> {
+        while self.written < self.output.len() {
+            match self.socket.get().write(&self.output[self.written..]) {
+                Ok(0) => return Ok(Got::Ended),
+                Ok(n) => self.written += n,
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    self.socket.set(Interest::Both)?;
+                    return Ok(Got::Nothing);
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        if !self.asks && !self.output.is_empty() {
+            self.socket.get().shutdown(std::net::Shutdown::Write)?;
+        }
+        self.socket.set(Interest::Read)?;
+        let mut piece = [0; 16 * 1024];
+        let mut read = 0;
+        while read < A_TURN {
+            match self.socket.get().read(&mut piece) {
+                Ok(0) => return Ok(Got::Ended),
+                Ok(n) => {
+                    read += n;
+                    if !self.asks && !self.output.is_empty() {
+                        // Answered: what still comes is thrown away until the other end closes.
+                        continue;
+                    }
+                    self.input.extend_from_slice(&piece[..n]);
+                    if self.input.len() > EXCHANGE_MOST + 4096 {
+                        return Ok(Got::Ended);
+                    }
+                }
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    break
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.whole()
+    }
+
+    /// The other side's part, once it is all there.
+    fn whole(&mut self) -> io::Result<Got> {
+        let bad = |b: http::Bad| io::Error::other(format!("{b:?}"));
+        let mut lines = http::lines();
+        let (len, framing) = if self.asks {
+            match http::answer_head(&self.input, &mut lines).map_err(bad)? {
+                None => return Ok(Got::Nothing),
+                Some(head) if head.status != 200 => return Ok(Got::Ended),
+                Some(head) => (head.len, head.framing),
+            }
+        } else {
+            match http::request_head(&self.input, &mut lines).map_err(bad)? {
+                None => return Ok(Got::Nothing),
+                Some(head) if head.method != "POST" || head.target != PATH => return Ok(Got::Ended),
+                Some(head) => (head.len, head.framing),
+            }
+        };
+        let http::Framing::Length(n) = framing else { return Ok(Got::Ended) };
+        if n > EXCHANGE_MOST || self.input.len() < len + n {
+            return Ok(if n > EXCHANGE_MOST { Got::Ended } else { Got::Nothing });
+        }
+        let body = self.input[len..len + n].to_vec();
+        self.input.clear();
+        Ok(Got::Body(body))
+    }
+}
