--- a/crates/rehearse/src/fleet/mod.rs
+++ b/crates/rehearse/src/fleet/mod.rs
@@ -5,9 +5,11 @@
 pub mod figures;
 pub mod hunt;
 pub mod links;
+pub mod relay;
 pub mod script;
 pub mod sim;
 pub mod sockets;
+pub mod stand_ins;
 
 pub use figures::FleetFigures;
 pub use script::FleetScript;
--- a/crates/rehearse/src/sockets/gateways.rs
+++ b/crates/rehearse/src/sockets/gateways.rs
@@ -130,7 +130,7 @@
             vec!["--gateway", &config]
         };
         let process =
-            Process::start(&self.program, &role, &path, number, life, self.started.0.clone(), wake)?;
+            Process::start(&self.program, &role, None, &path, number, life, self.started.0.clone(), wake)?;
         let gateway = &mut self.gateways[g];
         (gateway.process, gateway.life, gateway.near, gateway.link) = (Some(process), life, None, None);
         gateway.drains = false;
--- a/crates/rehearse/src/sockets/mod.rs
+++ b/crates/rehearse/src/sockets/mod.rs
@@ -5,11 +5,10 @@
 mod processes;
 mod wire;
 
-pub use processes::Program;
+pub use processes::{write_config, Process, Program, Started};
 
 use hdrhistogram::Histogram;
 use polling::Events;
-use processes::{Process, Started};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use silvercross_core::interface::Micros;
 use silvercross_emulator::chance::{mix, unit};
@@ -342,7 +341,7 @@
         });
         let path = processes::write_config(self.folder.path(), i, &config)?;
         let wake = self.wake.0.try_clone().map_err(|e| e.to_string())?;
-        let process = Process::start(&self.program, &[], &path, i, life, self.started.0.clone(), wake)?;
+        let process = Process::start(&self.program, &[], None, &path, i, life, self.started.0.clone(), wake)?;
         let s = &mut self.sidecars[i];
         (s.process, s.life, s.at) = (Some(process), life, None);
         Ok(())
--- a/crates/rehearse/src/sockets/processes.rs
+++ b/crates/rehearse/src/sockets/processes.rs
@@ -32,6 +32,10 @@
     pub at: Option<SocketAddr>,
     /// Where a gateway listens for the other side.
     pub link: Option<SocketAddr>,
+    /// Where operators connect.
+    pub management: Option<SocketAddr>,
+    /// Where it takes what other members of its fleet send.
+    pub fleet: Option<SocketAddr>,
 }
 
 /// A running sidecar. Dropping it ends it.
@@ -47,6 +51,7 @@
     pub fn start(
         program: &Program,
         role: &[&str],
+        fleet: Option<&Path>,
         config: &Path,
         number: usize,
         life: u32,
@@ -55,6 +60,9 @@
     ) -> Result<Self, String> {
         let mut command = Command::new(&program.path);
         command.args(&program.args).args(role).env_clear().env("PROXY_CONFIG", config);
+        if let Some(fleet) = fleet {
+            command.env("PROXY_FLEET", fleet);
+        }
         command.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(|e| format!("{}: {e}", program.path.display()))?;
         let alive = child.stdin.take();
@@ -63,8 +71,8 @@
         let kept = last.clone();
         thread::spawn(move || {
             let mut told = false;
-            let tell = |at, link| {
-                let _ = started.send(Started { number, life, at, link });
+            let tell = |at, link, management, fleet| {
+                let _ = started.send(Started { number, life, at, link, management, fleet });
                 let _ = (&wake).write_all(b"s");
             };
             for line in lines.into_iter().flat_map(|l| l.lines().map_while(io::Result::ok)) {
@@ -75,7 +83,7 @@
                     let at = said("listen").or_else(|| said("near"));
                     if at.is_some() {
                         told = true;
-                        tell(at, said("link"));
+                        tell(at, said("link"), said("management"), said("fleet"));
                     }
                 }
                 if let Ok(mut kept) = kept.lock() {
@@ -86,7 +94,7 @@
                 }
             }
             if !told {
-                tell(None, None);
+                tell(None, None, None, None);
             }
         });
         Ok(Process { child, _alive: alive, last })
@@ -100,8 +108,13 @@
 
     /// Ask it to stop, as a planned restart does.
     pub fn ask_to_stop(&self) {
+        self.signal("TERM");
+    }
+
+    /// Send it a signal by name.
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-TERM", &pid]).stderr(Stdio::null()).status();
+        let _ = Command::new("kill").args([&format!("-{name}"), &pid]).stderr(Stdio::null()).status();
     }
 
     /// The last line it logged.
