An exchange's answer that comes together with the connection's end is taken

Seen on five real processes: one that came back elsewhere was known to all and knew nobody for 28 periods, or for good; 133 exchanges where 25 are due. In wire/fleet.rs a read of 0 bytes ended the connection before what had come with it was looked at, so that the answer was lost whenever it and the end were there in one turn. Ruled out: the relays (the same with simulated links), the table.

--- a/crates/sidecar/src/wire/fleet.rs
+++ b/crates/sidecar/src/wire/fleet.rs
@@ -91,10 +91,14 @@
         }
         self.socket.set(Interest::Read)?;
         let mut piece = [0; 16 * 1024];
-        let mut read = 0;
+        let (mut read, mut closed) = (0, false);
         while read < A_TURN {
             match self.socket.get().read(&mut piece) {
-                Ok(0) => return Ok(Got::Ended),
+                // What came with the end may be all there is to come.
+                Ok(0) => {
+                    closed = true;
+                    break;
+                }
                 Ok(n) => {
                     read += n;
                     if !self.asks && !self.output.is_empty() {
@@ -113,11 +117,17 @@
                 Err(e) => return Err(e),
             }
         }
-        self.whole()
+        match self.whole()? {
+            Got::Nothing if closed => Ok(Got::Ended),
+            got => Ok(got),
+        }
     }
 
     /// The other side's part, once it is all there.
     fn whole(&mut self) -> io::Result<Got> {
+        if self.input.is_empty() {
+            return Ok(Got::Nothing);
+        }
         let bad = |b: http::Bad| io::Error::other(format!("{b:?}"));
         let mut lines = http::lines();
         let (len, framing) = if self.asks {
@@ -142,3 +152,45 @@
         Ok(Got::Body(body))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use silvercross_net::registry::Registry;
+    use std::net::TcpListener;
+
+    /// A pair of connected sockets, the first one watched and not blocking.
+    fn pair() -> (Registry, Watched<TcpStream>, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+        let near = TcpStream::connect(listener.local_addr().expect("known")).expect("connected");
+        let (far, _) = listener.accept().expect("accepted");
+        near.set_nonblocking(true).expect("set");
+        let registry = Registry::new().expect("made");
+        let near = registry.watch(near, 1, Interest::Both).expect("watched");
+        (registry, near, far)
+    }
+
+    #[test]
+    fn an_answer_that_comes_together_with_the_end_is_an_answer() {
+        let (_registry, near, mut far) = pair();
+        let mut conn = Conn::asking(near, 0, b"mine");
+        assert_eq!(conn.advance(), Got::Nothing);
+        let mut asked = [0; 4096];
+        assert!(far.read(&mut asked).expect("asked") > 0);
+        far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ntheirs").expect("written");
+        drop(far);
+        // Both are there before this side looks: on loopback a closed end is seen at once.
+        let got = loop {
+            match conn.advance() {
+                Got::Nothing => {}
+                got => break got,
+            }
+        };
+        assert_eq!(got, Got::Body(b"theirs".to_vec()));
+        let (_registry, near, far) = pair();
+        let mut conn = Conn::asking(near, 0, b"mine");
+        drop(far);
+        let ended = (0..10_000).any(|_| conn.advance() == Got::Ended);
+        assert!(ended, "an end with no answer is an end");
+    }
+}
