Replica and records: Raft without I/O, the state it holds, a judge and schedules by seed

Need: losing a machine with its disk must lose nothing that was promised; today nothing is held for another sidecar.

Nothing of it is in the sidecar yet.

--- /dev/null
+++ b/crates/records/src/holder.rs
@@ -0,0 +1,141 @@
+//! A process's copy of one group: the replica, the state its log makes, and who waits for which entry.
+use crate::command::Outcome;
+use crate::machine::{Logged, Machine};
+use crate::Micros;
+use serde::{Deserialize, Serialize};
+use silvercross_replica::{Apply, Ended, Entry, Index, Payload, Refused, Replica, Term};
+use std::collections::BTreeMap;
+
+/// Entries behind the last snapshot before the next one is made.
+pub const SNAPSHOT_EVERY: usize = 8_192;
+/// Bytes of entries behind it, likewise.
+pub const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Who waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Waiter {
+    /// Which process.
+    pub by: u64,
+    /// Its session.
+    pub session: u64,
+    /// Its number.
+    pub number: u64,
+}
+
+/// An entry's command, with when the leader that made it took office, by the log's time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// When the leader took office.
+    pub office_ms: u64,
+    /// What is to be done.
+    pub logged: Logged,
+}
+
+/// One copy of one group.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    /// The log.
+    pub replica: Replica,
+    /// The state it made.
+    pub machine: Machine,
+    waiting: BTreeMap<Index, (Term, Waiter)>,
+    bytes: usize,
+    snapshot_every: usize,
+    sessions_kept: bool,
+}
+
+impl Holder {
+    /// Round a replica, as it starts.
+    pub fn new(replica: Replica, snapshot_every: usize) -> Self {
+        let waiting = BTreeMap::new();
+        Holder {
+            replica,
+            machine: Machine::default(),
+            waiting,
+            bytes: 0,
+            snapshot_every,
+            sessions_kept: true,
+        }
+    }
+
+    /// Snapshots forget the sessions: broken on purpose.
+    #[cfg(feature = "mutants")]
+    pub fn forget_sessions(&mut self) {
+        self.sessions_kept = false;
+    }
+
+    /// Put a command into the log, if this copy leads; it waits for its entry.
+    pub fn ask(
+        &mut self,
+        now: Micros,
+        waiter: Waiter,
+        below: u64,
+        command: crate::Command,
+    ) -> Result<(), Refused> {
+        let office_ms = self.replica.office_began_ms().unwrap_or(0);
+        let Waiter { by, session, number } = waiter;
+        let line =
+            Line { office_ms: office_ms.max(1), logged: Logged { by, session, number, below, command } };
+        let bytes = postcard::to_allocvec(&line).unwrap_or_default();
+        let (index, term) = self.replica.propose(now, bytes)?;
+        self.waiting.insert(index, (term, waiter));
+        Ok(())
+    }
+
+    /// Apply what is committed; who is told what.
+    pub fn apply(&mut self) -> Vec<(Waiter, Outcome)> {
+        let mut told = Vec::new();
+        while let Some(next) = self.replica.poll_apply() {
+            match next {
+                Apply::Restore(snapshot) => match Machine::restore(&snapshot.data) {
+                    Some(machine) => (self.machine, self.bytes) = (machine, 0),
+                    // Another version's state: what it says can't be known here, so this copy ends.
+                    None => self.replica.write_failed(),
+                },
+                Apply::Entry(index, entry) => {
+                    let waiter = self.waiting.remove(&index).filter(|w| w.0 == entry.term);
+                    let outcome = self.apply_entry(index, entry);
+                    told.extend(outcome.and_then(|o| Some((waiter?.1, o))));
+                }
+            }
+        }
+        if !self.replica.is_leader() {
+            // Their entries may still be committed or not: whoever waits asks again elsewhere.
+            self.waiting.clear();
+        }
+        if self.replica.log().len() >= self.snapshot_every || self.bytes >= SNAPSHOT_BYTES {
+            self.bytes = 0;
+            let data = self.snapshot();
+            self.replica.compact(data);
+        }
+        told
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        #[cfg(feature = "mutants")]
+        if !self.sessions_kept {
+            return self.machine.snapshot_without_sessions();
+        }
+        let _ = self.sessions_kept;
+        self.machine.snapshot()
+    }
+
+    fn apply_entry(&mut self, index: Index, entry: Entry) -> Option<Outcome> {
+        self.bytes += entry.bytes();
+        let Payload::Command(bytes) = entry.payload else {
+            self.machine.time_is(entry.at_ms);
+            return None;
+        };
+        // A line that a later version wrote and this one can't read would make the states differ: this copy ends.
+        let Ok(line) = postcard::from_bytes::<Line>(&bytes) else {
+            self.replica.write_failed();
+            return None;
+        };
+        Some(self.machine.apply(index, entry.at_ms, line.office_ms, line.logged))
+    }
+
+    /// Why this copy does nothing any more.
+    pub fn ended(&self) -> Option<Ended> {
+        self.replica.ended()
+    }
+}
--- a/crates/rehearse/src/fleet/commands.rs
+++ b/crates/rehearse/src/fleet/commands.rs
@@ -1,5 +1,5 @@
 //! The commands on scripts of a fleet: `run`, `check` and `hunt`.
-use super::{hunt, sim, sockets, FleetFigures, FleetScript};
+use super::{hunt, sockets, FleetFigures, FleetScript};
 use crate::sockets::Program;
 use clap::Args;
 use slog::Logger;
@@ -56,7 +56,7 @@
     log: &Logger,
 ) -> Result<bool, String> {
     let figures = match program {
-        None => sim::play(script, seed),
+        None => hunt::play_any(script, seed),
         Some(program) => sockets::play(script, seed, program, log)?,
     };
     let to_stdout = json == Some(Path::new("-"));
@@ -102,7 +102,7 @@
         println!("  seed {seed}: {}", figures.breaches.first().map_or("", String::as_str));
     }
     if let Some((seed, _)) = found.first() {
-        let least = hunt::shrink(&hunt::draw(&script, *seed), *seed);
+        let least = hunt::shrink(&hunt::draw_any(&script, *seed), *seed);
         let text = format!("# Shrunk from seed {seed}.\n{}", hunt::as_text(&least)?);
         match &args.to {
             Some(path) => std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?,
--- a/crates/rehearse/src/fleet/figures.rs
+++ b/crates/rehearse/src/fleet/figures.rs
@@ -89,10 +89,15 @@
             expectations: Vec::new(),
             views,
         };
-        new.expectations = script.expects.iter().map(|e| new.holds(e)).collect();
+        new.expected(script);
         new
     }
 
+    /// Hold the figures against what the script expects.
+    pub fn expected(&mut self, script: &FleetScript) {
+        self.expectations = script.expects.iter().map(|e| self.holds(e)).collect();
+    }
+
     fn holds(&self, e: &Expect) -> (String, Option<f64>, bool) {
         let value = self.figures.get(&e.figure).copied();
         let held = value.is_some_and(|v| e.least.is_none_or(|l| v >= l) && e.most.is_none_or(|m| v <= m));
--- a/crates/rehearse/src/fleet/hunt.rs
+++ b/crates/rehearse/src/fleet/hunt.rs
@@ -27,8 +27,16 @@
             who
         };
         let lasts = Some(1.0 + pick(300) as f64 / 10.0);
-        let mut fault =
-            Fault { at, kind: Kind::Cut, lasts, who: Vec::new(), to: Vec::new(), one_way: false, much: 0.0 };
+        let mut fault = Fault {
+            at,
+            kind: Kind::Cut,
+            lasts,
+            who: Vec::new(),
+            to: Vec::new(),
+            one_way: false,
+            leader: false,
+            much: 0.0,
+        };
         match pick(16) {
             0..=2 => {
                 fault.who = few(&mut pick, members / 2);
@@ -81,6 +89,7 @@
                 who: vec![m],
                 to: vec![],
                 one_way: false,
+                leader: false,
                 much: 0.0,
             });
         }
@@ -90,9 +99,25 @@
     new
 }
 
+/// A schedule for what the script plays: membership, or what the fleet holds.
+pub fn draw_any(script: &FleetScript, seed: u64) -> FleetScript {
+    match script.records {
+        None => draw(script, seed),
+        Some(_) => crate::records::draw::draw(script, seed),
+    }
+}
+
+/// Play a script in simulated time, whatever it is about.
+pub fn play_any(script: &FleetScript, seed: u64) -> FleetFigures {
+    match script.records {
+        None => sim::play(script, seed),
+        Some(_) => crate::records::sim::play(script, seed, None).0,
+    }
+}
+
 /// Take out of a failing schedule what it fails without, until nothing more can go.
 pub fn shrink(script: &FleetScript, seed: u64) -> FleetScript {
-    let fails = |s: &FleetScript| !sim::play(s, seed).is_good();
+    let fails = |s: &FleetScript| !play_any(s, seed).is_good();
     let mut least = script.clone();
     loop {
         let before = least.clone();
@@ -138,7 +163,7 @@
                 if seed >= to {
                     return;
                 }
-                let figures = sim::play(&draw(script, seed), seed);
+                let figures = play_any(&draw_any(script, seed), seed);
                 if !figures.is_good() {
                     if let Ok(mut found) = found.lock() {
                         found.push((seed, figures));
--- a/crates/rehearse/src/fleet/script.rs
+++ b/crates/rehearse/src/fleet/script.rs
@@ -22,6 +22,9 @@
     pub seed: u64,
     /// The fleet.
     pub fleet: Fleet,
+    /// What the fleet holds for its clients; none: nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub records: Option<Holding>,
     /// What breaks, in order of time.
     #[serde(default, rename = "fault")]
     pub faults: Vec<Fault>,
@@ -90,6 +93,64 @@
     0.2
 }
 
+/// What the fleet holds, and who asks for it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Holding {
+    /// Groups.
+    #[serde(default = "a_group")]
+    pub groups: u32,
+    /// Voters wanted in each.
+    #[serde(default = "three")]
+    pub holders: usize,
+    /// A holder that is away for so long is replaced, in periods.
+    #[serde(default = "replace_after")]
+    pub replace_after: f64,
+    /// Clients that ask one thing after the other, of processes by chance.
+    #[serde(default = "clients")]
+    pub clients: usize,
+    /// Different keys that are asked for at a time.
+    #[serde(default = "keys")]
+    pub keys: usize,
+    /// How long a client thinks between two, in milliseconds.
+    #[serde(default = "think")]
+    pub think_ms: f64,
+    /// Entries between two snapshots.
+    #[serde(default = "snapshot_every")]
+    pub snapshot_every: usize,
+    /// The least election timeout, in periods.
+    #[serde(default = "election")]
+    pub election: f64,
+    /// Without a majority: serve unmarked, or refuse.
+    #[serde(default)]
+    pub refuse: bool,
+}
+
+fn a_group() -> u32 {
+    1
+}
+fn three() -> usize {
+    3
+}
+fn replace_after() -> f64 {
+    40.0
+}
+fn clients() -> usize {
+    6
+}
+fn keys() -> usize {
+    4
+}
+fn think() -> f64 {
+    40.0
+}
+fn snapshot_every() -> usize {
+    64
+}
+fn election() -> f64 {
+    3.0
+}
+
 /// The stated bound on a change, in periods: somebody probes (5), the suspicion runs out with nobody to shorten it (its least
 /// time, six times), all are told (twice the doublings); and as long again where members doubt themselves or were apart.
 pub fn bound(members: usize) -> f64 {
@@ -117,6 +178,9 @@
     /// Links: only from `who` to `to`, not back.
     #[serde(default, skip_serializing_if = "is_false")]
     pub one_way: bool,
+    /// Machines besides `who`: that of the process that leads the first group of the records when it begins.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub leader: bool,
     /// How much: a share, milliseconds, bytes a second, datagrams a second, parts in a million; as the kind says.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub much: f64,
@@ -181,6 +245,20 @@
     Drain,
     /// The lists of these machines' processes come up to date.
     ListAgain,
+    /// The machines' folders are copied aside.
+    KeepCopy,
+    /// Processes start on machines where none runs, with the copy that was kept: a backup restored.
+    StartOld,
+    /// Syncs of the machines' disks take `much` ms.
+    DiskSlow,
+    /// Syncs of the machines' disks end in an error.
+    DiskFails,
+    /// The machines' disks have no room for anything new.
+    DiskFull,
+    /// Killed in the middle of a write: the last one is there by half.
+    KillTorn,
+    /// An operator recovers the records on one of these machines.
+    Recover,
 }
 
 impl Kind {
@@ -235,6 +313,16 @@
         within("fleet.delay_ms", f.delay_ms, 0.0, 10_000.0)?;
         within("fleet.jitter_ms", f.jitter_ms, 0.0, 10_000.0)?;
         within("fleet.requests_per_s", f.requests_per_s, 0.0, 1_000.0)?;
+        if let Some(r) = &self.records {
+            within("records.groups", f64::from(r.groups), 1.0, 64.0)?;
+            if !matches!(r.holders, 1 | 3 | 5) {
+                return Err(format!("records.holders: {} is not 1, 3 or 5", r.holders));
+            }
+            within("records.clients", r.clients as f64, 0.0, 256.0)?;
+            within("records.keys", r.keys as f64, 1.0, 10_000.0)?;
+            within("records.election", r.election, 0.5, 1_000.0)?;
+            within("records.snapshot_every", r.snapshot_every as f64, 2.0, 1e6)?;
+        }
         for (i, fault) in self.faults.iter().enumerate() {
             let key = |k: &str| format!("fault {}, {k}", i + 1);
             within(&key("at"), fault.at, 0.0, f.length)?;
@@ -246,7 +334,8 @@
                 Kind::Loss | Kind::Duplicate | Kind::Reorder | Kind::Spoil | Kind::Replay
             );
             within(&key("much"), fault.much, 0.0, if share { 1.0 } else { 1e6 })?;
-            if fault.lasts.is_some() && !(fault.kind.is_link() || fault.kind == Kind::Pause) {
+            let lasts = matches!(fault.kind, Kind::Pause | Kind::DiskSlow | Kind::DiskFails | Kind::DiskFull);
+            if fault.lasts.is_some() && !(fault.kind.is_link() || lasts) {
                 return Err(format!(
                     "{}: only links and pauses last; end it with a fault of its own",
                     key("lasts")
@@ -265,6 +354,18 @@
         }
     }
 
+    /// The machines that a fault names, where one leads: all where it names none.
+    pub fn machines_of(&self, fault: &Fault, leader: Option<usize>) -> Vec<usize> {
+        if !fault.leader {
+            return self.machines(&fault.who);
+        }
+        let mut named = fault.who.clone();
+        named.extend(leader);
+        named.sort_unstable();
+        named.dedup();
+        named
+    }
+
     /// The machines that a fault names: all where it names none.
     pub fn machines(&self, named: &[usize]) -> Vec<usize> {
         if named.is_empty() {
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod load;
 pub mod log;
 pub mod play;
+pub mod records;
 pub mod report;
 pub mod sockets;
--- /dev/null
+++ b/crates/rehearse/src/records/mod.rs
@@ -0,0 +1,36 @@
+//! Rehearsals of what a fleet holds for others: a script with a table `[records]` played in simulated time on the deciding code
+//! alone ([`sim`]), with schedules drawn by seed ([`draw`]); on processes by [`crate::fleet::sockets`].
+pub mod draw;
+pub mod sim;
+
+use crate::fleet::{FleetFigures, FleetScript};
+use silvercross_witness::records::{check, Verdict};
+use silvercross_witness::History;
+use std::collections::BTreeMap;
+
+/// The judge's verdict on what was held, beside the figures of a run.
+pub fn judge(script: &FleetScript, history: &History, figures: &mut FleetFigures) {
+    let period = script.fleet.period_ms * 1e3;
+    let settle = script.settle().max(4.0 * script.records.as_ref().map_or(0.0, |r| r.election));
+    let v: Verdict = check(history, (settle * period) as i64);
+    let mut all: BTreeMap<String, f64> = BTreeMap::new();
+    let mut put = |name: &str, v: f64| {
+        all.insert(name.to_string(), v);
+    };
+    put("operations", v.operations.0 as f64);
+    put("answered", v.operations.1 as f64);
+    put("marked", v.marked as f64);
+    put("marked_same", v.same as f64);
+    put("effects", v.effects as f64);
+    put("too_hard", v.too_hard as f64);
+    v.answered_after.into_iter().for_each(|a| put("answered_after", a as f64 / period));
+    for (property, n) in &v.count {
+        put(&format!("breaches.{property}"), *n as f64);
+    }
+    let more = v.count.values().sum::<usize>() as f64;
+    *all.entry("breaches".into()).or_default() +=
+        more + figures.figures.get("breaches").copied().unwrap_or(0.0);
+    figures.figures.extend(all);
+    let words = v.breaches.iter().map(|b| format!("{:.1}: {}: {}", b.at as f64 / period, b.property, b.text));
+    figures.breaches.extend(words);
+}
--- a/crates/witness/src/history.rs
+++ b/crates/witness/src/history.rs
@@ -1,4 +1,5 @@
 //! What happened, in order of time. Times are microseconds on the driver's one clock.
+use crate::records::{Answer, Call};
 use serde::{Deserialize, Serialize};
 
 /// A process of the fleet, counted by its start: a restart is another one.
@@ -110,6 +111,38 @@
         /// The answer's status; 0: none.
         status: u16,
     },
+    /// Something was asked of a key of the records, and answered or not.
+    Operation {
+        /// Which process was asked.
+        process: Process,
+        /// The key.
+        key: String,
+        /// What was asked.
+        call: Call,
+        /// The answer.
+        answer: Option<Answer>,
+    },
+    /// A keyed request had its effect at an upstream, or at one of a group that drops repeats.
+    Effect {
+        /// Its key.
+        key: String,
+        /// Where.
+        by: String,
+    },
+    /// A client got an answer that was marked as held.
+    Marked {
+        /// The key.
+        key: String,
+        /// The answer, or a digest of it.
+        answer: String,
+    },
+    /// A client got an answer to a keyed request without the mark that claims to be its outcome.
+    Unmarked {
+        /// The key.
+        key: String,
+        /// The answer, or a digest of it.
+        answer: String,
+    },
 }
 
 /// One entry.
--- a/crates/witness/src/membership.rs
+++ b/crates/witness/src/membership.rs
@@ -335,7 +335,11 @@
                     wrong = Some(e.end);
                 }
             }
-            What::Request { .. } => {}
+            What::Request { .. }
+            | What::Operation { .. }
+            | What::Effect { .. }
+            | What::Marked { .. }
+            | What::Unmarked { .. } => {}
         }
     }
     c.at_end(end);
--- /dev/null
+++ b/crates/witness/src/records.rs
@@ -0,0 +1,214 @@
+//! What is promised of records, held against a history.
+//!
+//! | property | in words | broken by |
+//! | --- | --- | --- |
+//! | `not_linear` | operations on one key can be put into one order that respects time and answers | stale reads, forks of the log, what is applied twice or lost |
+//! | `twice` | a keyed request has its effect once | a take that two hold, a take that was lost |
+//! | `mark_lost` | an answer that was marked is the answer to that key ever after | an answer before its commit, before its sync, a lost or forgotten log |
+//! | `unanswered` | a settled while after calm, whatever is asked is answered | no way back to a leader |
+use crate::history::{History, Micros, What};
+use crate::linear::{self, Object, Operation, Verdict as Linear};
+use crate::membership::{Breach, MOST};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What is asked of a key. Values are numbers that clients never use twice; 0: none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    /// A document's value is to be this.
+    Put(u64),
+    /// The same, if it is the first now.
+    Cas(u64, u64),
+    /// What is it?
+    Get,
+    /// This client takes a keyed request.
+    Take(u64),
+    /// And holds its answer.
+    Hold(u64, u64),
+    /// And gives it back: it never ran.
+    Give(u64),
+}
+
+/// The answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Answer {
+    /// Done.
+    Done,
+    /// Not done: it was something else.
+    Other,
+    /// This.
+    Value(u64),
+    /// Nobody had taken it.
+    Yours,
+    /// Somebody has, and there is no answer.
+    Busy,
+}
+
+/// A key's state: nothing, taken by whom, or a value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum State {
+    /// Nothing.
+    None,
+    /// By this client.
+    Taken(u64),
+    /// This.
+    Value(u64),
+}
+
+/// A document, or a keyed request.
+pub struct Key;
+
+impl Object for Key {
+    type State = State;
+    type Call = Call;
+    type Answer = Answer;
+
+    fn first(&self) -> State {
+        State::None
+    }
+
+    fn after(&self, state: &State, call: &Call, answer: Option<&Answer>) -> Option<State> {
+        let value = match state {
+            State::Value(v) => *v,
+            _ => 0,
+        };
+        let (next, says) = match *call {
+            Call::Put(v) => (State::Value(v), Answer::Done),
+            Call::Cas(old, new) if old == value => (State::Value(new), Answer::Done),
+            Call::Cas(..) => (*state, Answer::Other),
+            Call::Get => (*state, Answer::Value(value)),
+            Call::Take(by) => match state {
+                State::None => (State::Taken(by), Answer::Yours),
+                State::Taken(_) => (*state, Answer::Busy),
+                State::Value(v) => (*state, Answer::Value(*v)),
+            },
+            Call::Hold(by, v) if *state == State::Taken(by) => (State::Value(v), Answer::Done),
+            Call::Hold(..) => (*state, Answer::Other),
+            Call::Give(by) if *state == State::Taken(by) => (State::None, Answer::Done),
+            Call::Give(_) => (*state, Answer::Other),
+        };
+        answer.is_none_or(|a| *a == says).then_some(next)
+    }
+}
+
+/// What came of a check.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// Promises broken; [`MOST`] of a kind in words.
+    pub breaches: Vec<Breach>,
+    /// How many of each.
+    pub count: BTreeMap<&'static str, usize>,
+    /// Operations, and how many of them were answered.
+    pub operations: (usize, usize),
+    /// Marked answers.
+    pub marked: usize,
+    /// Marked answers that were asked for again, and were the same.
+    pub same: usize,
+    /// Keys whose order was not found out: their history is too long for the search.
+    pub too_hard: usize,
+    /// Effects counted.
+    pub effects: usize,
+    /// From the last calm to the first answer behind it.
+    pub answered_after: Option<Micros>,
+}
+
+impl Verdict {
+    fn breach(&mut self, property: &'static str, at: Micros, text: String) {
+        let n = self.count.entry(property).or_default();
+        *n += 1;
+        if *n <= MOST {
+            self.breaches.push(Breach { property, at, text });
+        }
+    }
+}
+
+/// Hold a history against what is promised. `settle`: so long after calm everything that is asked is answered.
+pub fn check(history: &History, settle: Micros) -> Verdict {
+    let mut v = Verdict::default();
+    let mut keys: BTreeMap<&str, Vec<Operation<Call, Answer>>> = BTreeMap::new();
+    let mut effects: BTreeMap<&str, Vec<(Micros, &str)>> = BTreeMap::new();
+    let mut marks: BTreeMap<&str, (Micros, &str)> = BTreeMap::new();
+    let mut calm: Option<Micros> = None;
+    for e in &history.events {
+        match &e.what {
+            What::Calm => calm = Some(e.at),
+            What::Cut { .. } | What::Hampered { .. } | What::Ended { .. } => calm = None,
+            What::Operation { key, call, answer, .. } => {
+                v.operations.0 += 1;
+                v.operations.1 += usize::from(answer.is_some());
+                let ended = answer.is_some().then_some(e.end);
+                keys.entry(key).or_default().push(Operation {
+                    began: e.at,
+                    ended,
+                    call: *call,
+                    answer: *answer,
+                });
+            }
+            What::Effect { key, by } => {
+                v.effects += 1;
+                effects.entry(key).or_default().push((e.at, by));
+            }
+            What::Marked { key, answer } => match marks.get(key.as_str()) {
+                None => {
+                    v.marked += 1;
+                    marks.insert(key, (e.end, answer));
+                }
+                Some((_, before)) if *before == answer => v.same += 1,
+                Some((at, before)) => {
+                    let text = format!("{key}: {before:?} was marked at {at}, and {answer:?} later");
+                    v.breach("mark_lost", e.at, text);
+                }
+            },
+            _ => {}
+        }
+    }
+    // Whatever answered without a mark something else to a key that was marked before.
+    for e in &history.events {
+        if let What::Unmarked { key, answer } = &e.what {
+            if let Some((at, before)) = marks.get(key.as_str()).filter(|m| m.0 < e.at) {
+                if before != answer {
+                    let text =
+                        format!("{key}: {before:?} was marked at {at}, and the answer is {answer:?} later");
+                    v.breach("mark_lost", e.at, text);
+                }
+            }
+        }
+    }
+    for (key, ops) in &keys {
+        match linear::check(&Key, ops) {
+            Linear::Holds => {}
+            Linear::TooHard => v.too_hard += 1,
+            Linear::Broken { ordered } => {
+                let mut ops = ops.clone();
+                ops.sort_by_key(|o| o.ended.unwrap_or(i64::MAX));
+                let near = ops.iter().skip(ordered.saturating_sub(2)).take(5);
+                let text: Vec<String> =
+                    near.map(|o| format!("{}..{:?} {:?} {:?}", o.began, o.ended, o.call, o.answer)).collect();
+                let at = ops.get(ordered).map_or(0, |o| o.began);
+                v.breach("not_linear", at, format!("{key}: {}", text.join("; ")));
+            }
+        }
+    }
+    for (key, list) in effects.iter().filter(|(_, l)| l.len() > 1) {
+        let text = format!("{key} had its effect {} times: {list:?}", list.len());
+        v.breach("twice", list[1].0, text);
+    }
+    if let Some(calm) = calm {
+        let last = history.events.iter().map(|e| e.end).max().unwrap_or(0);
+        let bound = calm + settle;
+        for e in history.events.iter().filter(|e| e.at > calm) {
+            if let What::Operation { answer, key, .. } = &e.what {
+                let took = e.end - calm;
+                if answer.is_some() && v.answered_after.is_none_or(|a| took < a) {
+                    v.answered_after = Some(took);
+                }
+                if answer.is_none() && e.at > bound && e.end < last {
+                    v.breach("unanswered", e.at, format!("{key}: asked {} after calm", e.at - calm));
+                }
+            }
+        }
+    }
+    v
+}
