--- a/crates/rehearse/src/fleet/script.rs
+++ b/crates/rehearse/src/fleet/script.rs
@@ -257,6 +257,8 @@
     DiskFull,
     /// Killed in the middle of a write: the last one is there by half.
     KillTorn,
+    /// Processes are killed, and their machines' disks are lost with them.
+    Lose,
     /// An operator recovers the records on one of these machines.
     Recover,
 }
--- a/crates/rehearse/src/records/draw.rs
+++ b/crates/rehearse/src/records/draw.rs
@@ -68,9 +68,9 @@
             }
             14 if at >= wiped_until => {
                 // A machine lost with its disk; an empty one takes its place.
-                (f.kind, f.lasts, f.leader) = (Kind::Kill, None, true);
+                (f.kind, f.lasts, f.leader) = (Kind::Lose, None, true);
                 let back = at + 0.5 + pick(60) as f64 / 10.0;
-                new.faults.push(plain(back, Kind::StartEmpty));
+                new.faults.push(plain(back, Kind::Start));
                 wiped_until = at + copying;
             }
             15 if at >= wiped_until => {
--- a/crates/rehearse/src/records/sim.rs
+++ b/crates/rehearse/src/records/sim.rs
@@ -107,6 +107,8 @@
     versions: BTreeMap<(String, u64), u64>,
     marked: BTreeMap<String, u64>,
     faults_met: u64,
+    /// Machines that a fault with `leader` was about.
+    about: BTreeMap<usize, Vec<usize>>,
     ended: u64,
     rounds: u64,
 }
@@ -160,6 +162,7 @@
             versions: BTreeMap::new(),
             marked: BTreeMap::new(),
             faults_met: 0,
+            about: BTreeMap::new(),
             ended: 0,
             rounds: 0,
             script,
@@ -377,11 +380,10 @@
                             self.resume(n);
                         }
                     }
-                    _ => self
-                        .script
-                        .machines(&fault.who)
-                        .into_iter()
-                        .for_each(|m| self.disks[m] = Disk::default()),
+                    _ => {
+                        let about = self.about.remove(&i).unwrap_or_default();
+                        about.into_iter().for_each(|m| self.disks[m] = Disk::default());
+                    }
                 }
                 self.maybe_calm();
             }
@@ -475,6 +477,7 @@
     fn begin(&mut self, i: usize) {
         let mut fault = self.script.faults[i].clone();
         fault.who = self.script.machines_of(&fault, self.leader());
+        self.about.insert(i, fault.who.clone());
         if fault.kind.is_link() {
             self.links.begin(i, &fault);
             self.history.now(self.now, What::Cut { pairs: self.links.cut() });
@@ -493,6 +496,10 @@
                     self.kill(n, false);
                     self.start(m);
                 }
+                (Kind::Lose, there) => {
+                    there.into_iter().for_each(|n| self.kill(n, false));
+                    self.folders[m] = Folder { id: self.rng.next_u64() | 1, ..Folder::default() };
+                }
                 (Kind::Pause, Some(n)) => {
                     self.procs[n].paused = true;
                     self.history.now(self.now, What::Hampered { process: n });
--- a/crates/replica/src/follow.rs
+++ b/crates/replica/src/follow.rs
@@ -34,6 +34,7 @@
         }
         self.leader = Some(from);
         self.heard = Some(now);
+        self.vain = 0;
         self.put_off(now);
         true
     }
--- a/crates/replica/src/lead.rs
+++ b/crates/replica/src/lead.rs
@@ -58,6 +58,7 @@
             return;
         }
         self.figures.led += 1;
+        self.vain = 0;
         self.leader = Some(self.me);
         let at_ms = self.log.last_at_ms();
         self.role = Role::Leader(Lead {
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -12,6 +12,9 @@
 /// Messages that wait for their writes or to be fetched, at most; what is more is lost, as messages may be.
 const OUT: usize = 4096;
 
+/// Elections in vain that still double the timeout.
+const VAIN: u32 = 4;
+
 /// What a folder kept.
 #[derive(Clone, Debug, Default)]
 pub struct Durable {
@@ -151,6 +154,8 @@
     /// When a leader was last heard.
     pub(crate) heard: Option<Micros>,
     pub(crate) stand_at: Micros,
+    /// Elections that it stood in, one after the other, without a leader coming of them.
+    pub(crate) vain: u32,
     pub(crate) commit: Index,
     applied: Index,
     restore: bool,
@@ -192,6 +197,7 @@
             leader: None,
             heard: None,
             stand_at: now,
+            vain: 0,
             staged: Write { number: kept.writes + 1, ..Write::default() },
             writing: VecDeque::new(),
             done: kept.writes,
@@ -421,9 +427,9 @@
         !self.staged.is_empty() && self.ended.is_none()
     }
 
-    /// The next thing to make durable. Several may be under way, in order.
+    /// The next thing to make durable: one at a time, so that all that comes meanwhile shares the next sync.
     pub fn poll_write(&mut self) -> Option<Write> {
-        if !self.wants_write() {
+        if !self.wants_write() || !self.writing.is_empty() {
             return None;
         }
         let number = self.staged.number;
@@ -577,10 +583,12 @@
         self.back.is_none() && self.ended.is_none()
     }
 
-    /// The next time to stand, drawn anew (RP 5.2).
+    /// The next time to stand, drawn anew (RP 5.2); later and later while elections are in vain: where syncs take longer than
+    /// the timeout (RP 5.6 asks for the opposite), a term has to last until the votes are durable.
     pub(crate) fn put_off(&mut self, now: Micros) {
-        let spread = self.rng.next_u64() % self.config.election.max(1) as u64;
-        self.stand_at = now + self.config.election + spread as Micros;
+        let least = self.config.election << self.vain.min(VAIN);
+        let spread = self.rng.next_u64() % least.max(1) as u64;
+        self.stand_at = now + least + spread as Micros;
     }
 
     /// A later term: it follows in it (RP 5.1).
--- a/crates/replica/src/vote.rs
+++ b/crates/replica/src/vote.rs
@@ -17,6 +17,8 @@
         let term = self.hard.term + 1;
         if !trial {
             self.figures.stood += 1;
+            self.vain = (self.vain + 1).min(16);
+            self.put_off(now);
             self.hard.term = term;
             self.hard.vote = Some(self.me);
             self.stage_hard();
