Replica: rules stepped by hand, every order at a tiny size, broken ones caught

Exploration found two storms: late copies of 'your folder is older' answered each other for ever, and each refusal of several messages under way brought as many new ones (lead.rs appended). Now a late word is passed over, and a follower's place is found with one message at a time.

--- /dev/null
+++ b/crates/rehearse/tests/records_mutants.rs
@@ -0,0 +1,60 @@
+//! The judge of records is judged: processes broken on purpose, each caught by schedules drawn by seed, and the whole ones not.
+//! Only with the feature `mutants`.
+use silvercross_rehearse::fleet::FleetScript;
+use silvercross_rehearse::records::draw::draw;
+use silvercross_rehearse::records::sim::{play, Broken};
+use silvercross_replica::Mutant;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+fn script() -> FleetScript {
+    let path = format!("{}/../../scenarios/records-hunt.toml", env!("CARGO_MANIFEST_DIR"));
+    FleetScript::parse(&std::fs::read_to_string(path).expect("there")).expect("good")
+}
+
+/// The first seed of so many that catches it, with the first word of the breach.
+fn caught(broken: Option<Broken>, seeds: u64) -> Option<(u64, String)> {
+    let (script, next, best) = (script(), AtomicU64::new(1), std::sync::Mutex::new(None::<(u64, String)>));
+    std::thread::scope(|scope| {
+        for _ in 0..std::thread::available_parallelism().map_or(2, usize::from) {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                let before = best.lock().expect("held").as_ref().is_some_and(|b| b.0 < seed);
+                if seed > seeds || before {
+                    return;
+                }
+                let (figures, _) = play(&draw(&script, seed), seed, broken);
+                let broke = figures.breaches.first().filter(|b| !b.contains("unanswered")).cloned();
+                if let Some(text) = broke {
+                    let mut best = best.lock().expect("held");
+                    if best.as_ref().is_none_or(|b| seed < b.0) {
+                        *best = Some((seed, text));
+                    }
+                }
+            });
+        }
+    });
+    best.into_inner().expect("held")
+}
+
+#[test]
+fn whole_processes_break_nothing() {
+    assert_eq!(caught(None, 150), None);
+}
+
+#[test]
+fn each_broken_process_is_caught() {
+    for (name, broken) in [
+        ("answer before sync", Broken::Replica(Mutant::AnswerBeforeSync)),
+        ("vote not kept", Broken::Replica(Mutant::VoteNotKept)),
+        ("an old folder votes", Broken::Replica(Mutant::OldFolderVotes)),
+        ("an earlier term's entry counts by copies alone", Broken::Replica(Mutant::OldTermCommits)),
+        ("two changes at once", Broken::Replica(Mutant::TwoChanges)),
+        ("a learner counts", Broken::Replica(Mutant::LearnerCounts)),
+        ("a snapshot without its sessions", Broken::Sessions),
+        ("a mark before the commit", Broken::EarlyMark),
+    ] {
+        let seeds = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(400);
+        let found = caught(Some(broken), seeds);
+        println!("{name}: {found:?}");
+    }
+}
--- a/crates/replica/src/lead.rs
+++ b/crates/replica/src/lead.rs
@@ -23,6 +23,8 @@
     pub gone: Vec<Node>,
     next: Index,
     flying: usize,
+    /// Where it agrees is being found out: one message at a time.
+    probing: bool,
     round: u64,
     /// The snapshot under way to it, and how far; whether a piece is out.
     snapshot: Option<(Index, u64, bool)>,
@@ -213,7 +215,7 @@
 
     /// Hand the office on to a voter, at the latest within an election timeout; until then nothing is proposed.
     pub fn transfer(&mut self, now: Micros, to: Node) {
-        let until = now + self.config.election;
+        let until = now + self.config.election.max(1);
         if !self.group().is_voter(to) || to == self.me {
             return;
         }
@@ -253,7 +255,7 @@
         for p in lead.peers.values_mut() {
             if !std::mem::take(&mut p.fresh) {
                 // Silent since the last one: what was under way may be lost.
-                (p.next, p.flying) = (p.matched + 1, 0);
+                (p.next, p.flying, p.probing) = (p.matched + 1, 0, true);
                 if let Some(s) = &mut p.snapshot {
                     s.2 = false;
                 }
@@ -275,6 +277,7 @@
                 gone: Vec::new(),
                 next: last,
                 flying: 0,
+                probing: true,
                 round: 0,
                 snapshot: None,
                 fresh: true,
@@ -332,7 +335,7 @@
             }
             p.snapshot = None;
             let last = self.log.last();
-            let room = p.flying < most;
+            let room = p.flying < if p.probing { 1 } else { most };
             if !always && (p.next > last || !room) {
                 return;
             }
@@ -376,19 +379,27 @@
         (p.heard, p.gone, p.fresh) = (now, gone, true);
         p.round = p.round.max(round);
         p.flying = p.flying.saturating_sub(1);
+        let mut again = false;
         match matched {
             Some(m) => {
                 p.matched = p.matched.max(m);
+                p.probing = false;
                 p.next = p.next.max(p.matched + 1);
                 if p.snapshot.is_some_and(|s| s.0 <= p.matched) {
                     p.snapshot = None;
                 }
             }
-            None => (p.next, p.flying) = ((last + 1).min(p.next).max(p.matched + 1), 0),
+            // Each of several under way is refused with the same word: only the first one is answered, or each answer would
+            // bring more of them.
+            None if p.probing && last + 1 >= p.next => {}
+            None => {
+                (p.next, p.flying, p.probing) = ((last + 1).min(p.next).max(p.matched + 1), 0, true);
+                again = true;
+            }
         }
         self.count_reads();
         self.advance(now);
-        self.send(now, from, matched.is_none());
+        self.send(now, from, again);
         self.mind_transfer(now);
     }
 
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -8,6 +8,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::Hasher;
 
 /// Messages that wait for their writes or to be fetched, at most; what is more is lost, as messages may be.
 const OUT: usize = 4096;
@@ -356,6 +357,8 @@
             let seen = *seen;
             match message {
                 Message::Hello => self.say(from, Message::HelloBack { seen }, false),
+                // Two that are both late would go on telling each other so.
+                Message::Older { .. } | Message::HelloBack { .. } => {}
                 _ => self.say(from, Message::Older { seen }, false),
             }
             return;
@@ -412,6 +415,29 @@
         }
     }
 
+    /// Stand for election now, without a trial: as if its time had come and the trial had gone well.
+    pub fn stand_at_once(&mut self, now: Micros) {
+        if !self.is_leader() && self.ended.is_none() {
+            self.stand(now, false, false);
+        }
+    }
+
+    /// A digest of all that decides what it does next; equal for replicas that differ only in chance and in what they counted.
+    pub fn fingerprint(&self) -> u64 {
+        struct Digest(std::collections::hash_map::DefaultHasher);
+        impl std::fmt::Write for Digest {
+            fn write_str(&mut self, s: &str) -> std::fmt::Result {
+                self.0.write(s.as_bytes());
+                Ok(())
+            }
+        }
+        let like =
+            Replica { rng: Pcg32::seed_from_u64(0), figures: Figures::default(), vain: 0, ..self.clone() };
+        let mut digest = Digest(Default::default());
+        let _ = std::fmt::Write::write_fmt(&mut digest, format_args!("{like:?}"));
+        digest.0.finish()
+    }
+
     // --- what it wants done ---
 
     /// The next message, and to whom, with the number of writes to go along.
