--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -203,6 +203,11 @@
 
     // --- what is seen ---
 
+    /// The fleet, for what else its members say to each other.
+    pub fn fleet(&self) -> &crate::wire::Fleet {
+        &self.config.fleet
+    }
+
     /// This member's word of itself.
     pub fn me(&self) -> &Card {
         &self.me
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -107,6 +107,21 @@
     }
 }
 
+impl Fleet {
+    /// What members say to each other beside membership, as bytes.
+    pub fn batch<T: Serialize>(&self, what: &T) -> Vec<u8> {
+        self.seal(b'b', what)
+    }
+
+    /// Read such bytes.
+    pub fn read_batch<T: for<'a> Deserialize<'a>>(&self, bytes: &[u8]) -> Result<T, Bad> {
+        if bytes.len() > EXCHANGE_MOST {
+            return Err(Bad::Strange);
+        }
+        self.open(b'b', bytes)
+    }
+}
+
 /// Why bytes were not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Bad {
--- a/crates/records/src/machine.rs
+++ b/crates/records/src/machine.rs
@@ -59,6 +59,8 @@
     ends: BTreeSet<(u64, String)>,
     documents: BTreeMap<String, (u64, Vec<u8>)>,
     drains: BTreeMap<String, u64>,
+    /// The version of the last change of them.
+    drained: u64,
     /// Counts changes of documents and drains: a version is never given twice.
     version: u64,
     sessions: BTreeMap<u64, Session>,
@@ -195,6 +197,7 @@
                     return Outcome::Full;
                 }
                 self.version += 1;
+                self.drained = self.version;
                 if self.drains.insert(name.clone(), self.version).is_none() {
                     self.bytes += name.len() + 64;
                 }
@@ -203,6 +206,7 @@
             Command::Drain { name, on: false } => {
                 if self.drains.remove(&name).is_some() {
                     self.version += 1;
+                    self.drained = self.version;
                     self.bytes -= name.len() + 64;
                 }
                 Outcome::Done(self.version)
@@ -241,9 +245,9 @@
         self.documents.get(name).map(|(v, b)| (*v, b.as_slice()))
     }
 
-    /// Upstreams that drain by an operator's order, with the version of each order.
-    pub fn drains(&self) -> &BTreeMap<String, u64> {
-        &self.drains
+    /// Upstreams that drain by an operator's order, and the version of the last change of them.
+    pub fn drains(&self) -> (u64, impl Iterator<Item = &str>) {
+        (self.drained, self.drains.keys().map(String::as_str))
     }
 
     /// How many records, documents and sessions, and how many bytes.
--- a/crates/records/src/records.rs
+++ b/crates/records/src/records.rs
@@ -14,6 +14,11 @@
 };
 use std::collections::{BTreeMap, VecDeque};
 
+/// The group that holds operators' drains.
+pub const DRAINS: u32 = 0;
+/// A later list of drains is told on to so many at once.
+const TELL: usize = 3;
+
 /// What a process keeps to; the same in all of a fleet, but for `seed`.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -65,15 +70,14 @@
     Done(u64, Result<Outcome, Why>),
     /// A copy ended; its folder is never used again.
     Ended(u32, Ended),
-    /// An operator's drains are these now, as far as this copy knows.
-    Drains(u32),
+    /// Operators' drains have changed, as far as this process knows.
+    Drains,
 }
 
 struct Copy {
     epoch: Epoch,
     holder: Holder,
     told_end: bool,
-    drains: BTreeMap<String, u64>,
 }
 
 /// One process's part in the records.
@@ -88,6 +92,8 @@
     away: BTreeMap<Node, Micros>,
     who_at: Micros,
     out: VecDeque<Want>,
+    /// Operators' drains, with the version of that list.
+    drains: (u64, Vec<String>),
     /// Epochs of equal count that others speak of: two foundings.
     pub foreign: u64,
 }
@@ -105,6 +111,7 @@
             away: BTreeMap::new(),
             who_at: now,
             out: VecDeque::new(),
+            drains: (0, Vec::new()),
             foreign: 0,
             config,
         };
@@ -126,7 +133,7 @@
         if self.config.forget_sessions {
             holder.forget_sessions();
         }
-        self.copies.insert(group, Copy { epoch, holder, told_end: false, drains: BTreeMap::new() });
+        self.copies.insert(group, Copy { epoch, holder, told_end: false });
     }
 
     // --- what can be asked ---
@@ -183,9 +190,9 @@
         id == self.me || self.places.iter().any(|p| p.node == Node(id) && p.alive)
     }
 
-    /// Upstreams that drain by an operator's order, as far as this process's copies know.
-    pub fn drains(&self) -> impl Iterator<Item = &str> {
-        self.copies.values().flat_map(|c| c.drains.keys().map(String::as_str))
+    /// Upstreams that drain by operators' orders, as far as this process knows.
+    pub fn drains(&self) -> &[String] {
+        &self.drains.1
     }
 
     /// When [`Records::tick`] is due.
@@ -316,8 +323,8 @@
                     Some(Err(_)) => self.say(from, Said::NotHere { group, number, leader: None }),
                     None => {
                         self.say(from, Said::NotHere { group, number, leader: None });
-                        let cards = self.cards();
-                        self.say(from, Said::Known(cards));
+                        let known = self.all_known();
+                        self.say(from, known);
                     }
                 }
             }
@@ -326,10 +333,11 @@
             }
             Said::NotHere { group, leader, .. } => self.client.not_here(now, from, group, leader),
             Said::Who => {
-                let cards = self.cards();
-                self.say(from, Said::Known(cards));
+                let known = self.all_known();
+                self.say(from, known);
             }
-            Said::Known(cards) => {
+            Said::Known(cards, version, names) => {
+                self.drains_are(version, names);
                 for card in cards.into_iter().filter(|c| c.group < self.config.groups) {
                     let held = self.card(card.group).map(|c| c.epoch);
                     if held.is_some_and(|e| e != card.epoch && e.count() == card.epoch.count()) {
@@ -354,8 +362,8 @@
             let newer = held.is_none_or(|h| epoch.count() > h.count());
             // An epoch that was left behind, or that is not the one founded here, has no part in this one.
             if !leads || !newer || known.is_some_and(|k| k != epoch && k.count() >= epoch.count()) {
-                let cards = self.cards();
-                return self.say(from, Said::Known(cards));
+                let known = self.all_known();
+                return self.say(from, known);
             }
             let seed = self.config.seed ^ u64::from(e.group) ^ e.epoch;
             let replica =
@@ -383,6 +391,15 @@
         self.go_on(now);
     }
 
+    /// Ask for something that belongs to a key or name.
+    pub fn ask_of(&mut self, now: Micros, key: &str, command: Command, until: Micros) -> u64 {
+        let group = match command {
+            Command::Drain { .. } => DRAINS,
+            _ => self.group_of(key),
+        };
+        self.ask(now, group, command, until)
+    }
+
     /// Ask for something of a group; [`Want::Done`] comes by `until` at the latest.
     pub fn ask(&mut self, now: Micros, group: u32, command: Command, until: Micros) -> u64 {
         let id = self.client.ask(now, group, command, until);
@@ -402,6 +419,32 @@
 
     // --- inside ---
 
+    /// A later list of drains was heard: it is told on to some, who tell it on.
+    fn drains_are(&mut self, version: u64, names: Vec<String>) {
+        if version <= self.drains.0 {
+            return;
+        }
+        self.drains = (version, names);
+        self.out.push_back(Want::Drains);
+        for _ in 0..TELL {
+            if let Some(to) = self.somebody() {
+                let known = self.all_known();
+                self.say(to, known);
+            }
+        }
+    }
+
+    fn all_known(&self) -> Said {
+        Said::Known(self.cards(), self.drains.0, self.drains.1.clone())
+    }
+
+    /// Somebody who is there, by chance.
+    fn somebody(&mut self) -> Option<u64> {
+        let there = |p: &&Place| p.alive && p.node.0 != self.me;
+        let alive: Vec<u64> = self.places.iter().filter(there).map(|p| p.node.0).collect();
+        (!alive.is_empty()).then(|| alive[(self.rng.next_u64() % alive.len() as u64) as usize])
+    }
+
     fn say(&mut self, to: u64, what: Said) {
         self.out.push_back(Want::Send(to, what));
     }
@@ -417,10 +460,7 @@
         let often = (0..self.config.groups).any(dark);
         let beat = self.config.replica.heartbeat;
         self.who_at = now + if often { beat } else { 20 * beat };
-        let alive: Vec<u64> =
-            self.places.iter().filter(|p| p.alive && p.node.0 != self.me).map(|p| p.node.0).collect();
-        if !alive.is_empty() {
-            let to = alive[(self.rng.next_u64() % alive.len() as u64) as usize];
+        if let Some(to) = self.somebody() {
             self.say(to, Said::Who);
         }
     }
@@ -473,7 +513,7 @@
 
     fn go_on(&mut self, now: Micros) {
         let me = Node(self.me);
-        let mut cards = Vec::new();
+        let (mut cards, mut drained) = (Vec::new(), None);
         // Applying may lead to more that is to be said, and what the own client says to this process is said here: in rounds
         // that end, since each ask is proposed once.
         for (number, copy) in &mut self.copies {
@@ -484,9 +524,11 @@
                 let told = Said::Told { group, epoch: copy.epoch, session, number, outcome };
                 self.out.push_back(Want::Send(by, told));
             }
-            if copy.holder.machine.drains() != &copy.drains {
-                copy.drains.clone_from(copy.holder.machine.drains());
-                self.out.push_back(Want::Drains(group));
+            if group == DRAINS {
+                let (version, names) = copy.holder.machine.drains();
+                if version > self.drains.0 {
+                    drained = Some((version, names.map(str::to_string).collect::<Vec<_>>()));
+                }
             }
             while let Some((to, writes, message)) = copy.holder.replica.poll_send() {
                 let envelope = Envelope { group, epoch: copy.epoch.0, from: me, to, writes, message };
@@ -504,6 +546,7 @@
             }
         }
         cards.iter().for_each(|c| self.client.known(now, c));
+        drained.into_iter().for_each(|(version, names)| self.drains_are(version, names));
         while let Some((to, said)) = self.client.poll_send() {
             self.out.push_back(Want::Send(to, said));
         }
--- a/crates/records/src/said.rs
+++ b/crates/records/src/said.rs
@@ -82,6 +82,6 @@
     },
     /// What do you know of the groups?
     Who,
-    /// This.
-    Known(Vec<Card>),
+    /// This; and the upstreams that drain by operators' orders, with the version of that list.
+    Known(Vec<Card>, u64, Vec<String>),
 }
--- a/crates/rehearse/src/records/sim.rs
+++ b/crates/rehearse/src/records/sim.rs
@@ -276,7 +276,7 @@
                     // As the program does it: the folder is given up, and the process starts as somebody new.
                     self.put(self.now + self.period, Do::Gone(number));
                 }
-                Want::Drains(_) => {}
+                Want::Drains => {}
             }
         }
         let wake = self.procs[number].records.wake().max(self.now + 100);
--- a/crates/sidecar/src/lifecycle/mod.rs
+++ b/crates/sidecar/src/lifecycle/mod.rs
@@ -8,5 +8,6 @@
 pub mod seat;
 pub mod start;
 pub mod stop;
+pub mod store;
 
 pub use start::{run, run_deciding};
