Records in the sidecar: answers of keyed requests held by most of a group, marked X-Held

Need: a client's next try that reaches another sidecar found nothing of the first, and a keyed request whose sidecar died was a new one.

event_loop/records_side.rs translates: a request of a class that the fleet's file names asks for its key before it is placed, and its answer is held before it goes out, each for no longer than ask_ms; without most holders it is served unmarked or refused at once, as the class says. wire/batches.rs carries what is said between members (HTTP/1.1, one call under way), lifecycle/fleet.rs checks the file and tells a copied, restored or missing store: that member is somebody new. Operators: /admin/records, found, recover, drains and documents at the door. Without [records] there is no thread, disk, connection or timer of it.

--- a/crates/facade/src/lib.rs
+++ b/crates/facade/src/lib.rs
@@ -5,8 +5,8 @@
 //! which the module knows upstreams, and what is open. It decides nothing; it holds the module to the protocol:
 //! one final answer for each request, none later than its deadline, and nothing sent after it.
 use silvercross_core::interface::{
-    Action, Decide, Effect, Ended, Entry, Event, Lifecycle, ListKind, Micros, NewRequest, Outcome, RequestId,
-    Settings, UpstreamId,
+    Action, Decide, DedupGroup, Effect, Ended, Entry, Event, Lifecycle, ListKind, Micros, NewRequest,
+    Outcome, RequestId, Settings, UpstreamId,
 };
 use silvercross_core::policy;
 use silvercross_net::table::Handle;
@@ -404,6 +404,20 @@
         matches!(effect, Some(Effect::Keyed { .. }))
     }
 
+    /// A class's deadline.
+    pub fn deadline_of(&self, class: u32) -> Micros {
+        self.settings.classes.get(class as usize).map_or(0, |c| c.deadline)
+    }
+
+    /// For how long any upstream drops a repeat of a class, wherever the first went; `None`: not any.
+    pub fn repeat_window(&self, class: u32) -> Option<Micros> {
+        match self.settings.classes.get(class as usize)?.effect {
+            Effect::Keyed { group: DedupGroup::All, window } => Some(window),
+            Effect::Repeatable => Some(FAR),
+            _ => None,
+        }
+    }
+
     /// The number of a class, if there is one of that name.
     pub fn class_named(&self, name: &str) -> Option<u32> {
         // A slot without a name holds a class that is no more.
--- a/crates/management/src/call.rs
+++ b/crates/management/src/call.rs
@@ -5,7 +5,7 @@
 pub const CALL_MOST: usize = 4096;
 
 /// What an operator asks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
     /// Whether this process is ready to serve.
     Health,
@@ -13,6 +13,25 @@
     Stats,
     /// Who is in the fleet.
     Members,
+    /// What this process holds for others, and knows of who holds.
+    Records,
+    /// Found the records here.
+    Found,
+    /// Begin a new epoch of a group from what this process holds.
+    Recover(u32),
+    /// An upstream drains in the whole fleet, or (`false`) no longer.
+    Drain(String, bool),
+    /// A document.
+    Document(String),
+    /// A document is to be this, if it is at that version.
+    Put {
+        /// Its name.
+        name: String,
+        /// Its version; 0: there is none; `None`: whichever.
+        expect: Option<u64>,
+        /// Its content.
+        value: String,
+    },
     /// Something that is not here.
     NotFound,
     /// Something that is here, by another method.
@@ -25,12 +44,46 @@
     let Some(head) = http::request_head(bytes, &mut room)? else {
         return if bytes.len() >= CALL_MOST { Err(Bad::HeadTooLarge) } else { Ok(None) };
     };
-    let path = head.target.split('?').next().unwrap_or("");
+    let (path, query) = head.target.split_once('?').unwrap_or((head.target, ""));
+    let said = |key: &str| {
+        let pairs = query.split('&').filter_map(|p| p.split_once('='));
+        pairs.filter(|(k, _)| *k == key).map(|(_, v)| v.to_string()).next()
+    };
+    let name =
+        |path: &str, under: &str| path.strip_prefix(under).filter(|n| !n.is_empty()).map(str::to_string);
+    if let Some(name) = name(path, "/admin/drains/") {
+        return Ok(Some(match head.method {
+            "POST" => Call::Drain(name, true),
+            "DELETE" => Call::Drain(name, false),
+            _ => Call::NotAllowed,
+        }));
+    }
+    if let Some(name) = name(path, "/admin/documents/") {
+        return Ok(Some(match head.method {
+            "GET" => Call::Document(name),
+            "POST" => {
+                let expect = match said("expect").map(|v| v.parse()) {
+                    None => None,
+                    Some(Ok(version)) => Some(version),
+                    Some(Err(_)) => return Err(Bad::Malformed("expect: a version, which is a number")),
+                };
+                Call::Put { name, expect, value: said("value").unwrap_or_default() }
+            }
+            _ => Call::NotAllowed,
+        }));
+    }
     Ok(Some(match (head.method, path) {
         ("GET", "/admin/health") => Call::Health,
         ("GET", "/admin/stats") => Call::Stats,
         ("GET", "/admin/members") => Call::Members,
-        (_, "/admin/health" | "/admin/stats" | "/admin/members") => Call::NotAllowed,
+        ("GET", "/admin/records") => Call::Records,
+        ("POST", "/admin/records/found") => Call::Found,
+        ("POST", "/admin/records/recover") => match said("group").map(|g| g.parse()) {
+            Some(Ok(group)) => Call::Recover(group),
+            _ => return Err(Bad::Malformed("group: which one, a number")),
+        },
+        (_, "/admin/health" | "/admin/stats" | "/admin/members" | "/admin/records") => Call::NotAllowed,
+        (_, "/admin/records/found" | "/admin/records/recover") => Call::NotAllowed,
         _ => Call::NotFound,
     }))
 }
@@ -57,6 +110,13 @@
         assert_eq!(of("GET /admin/stats?all=1"), Ok(Some(Call::Stats)));
         assert_eq!(of("POST /admin/stats"), Ok(Some(Call::NotAllowed)));
         assert_eq!(of("GET /admin"), Ok(Some(Call::NotFound)));
+        assert_eq!(of("POST /admin/records/found"), Ok(Some(Call::Found)));
+        assert_eq!(of("GET /admin/records/found"), Ok(Some(Call::NotAllowed)));
+        assert_eq!(of("POST /admin/records/recover?group=2"), Ok(Some(Call::Recover(2))));
+        assert!(of("POST /admin/records/recover").is_err());
+        assert_eq!(of("DELETE /admin/drains/s-1"), Ok(Some(Call::Drain("s-1".into(), false))));
+        let put = Call::Put { name: "a".into(), expect: Some(3), value: "x".into() };
+        assert_eq!(of("POST /admin/documents/a?expect=3&value=x"), Ok(Some(put)));
         assert_eq!(of("GET /api"), Ok(Some(Call::NotFound)));
     }
 
--- a/crates/records/src/client.rs
+++ b/crates/records/src/client.rs
@@ -85,8 +85,8 @@
         let Some(g) = self.groups.get_mut(card.group as usize) else { return };
         let rank = |c: &Card| (c.epoch.count(), c.term, c.changed, c.leader.is_some());
         match &g.card {
-            Some(old) if old.epoch == card.epoch && rank(card) <= rank(old) => return,
-            Some(old) if old.epoch != card.epoch && card.epoch.count() <= old.epoch.count() => return,
+            Some(old) if old.epoch == card.epoch && rank(card) <= rank(old) => {}
+            Some(old) if old.epoch != card.epoch && card.epoch.count() <= old.epoch.count() => {}
             Some(old) if old.epoch == card.epoch => {
                 let moved = old.leader != card.leader && card.leader.is_some();
                 g.card = Some(card.clone());
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -15,6 +15,7 @@
 mod vote;
 
 pub use config::{Config, Mutant};
+pub use lead::Progress;
 pub use log::{Entry, Group, Hard, Index, Payload, Snapshot, Term};
 pub use message::{Envelope, Message};
 pub use replica::{Apply, Durable, Ended, Figures, Refused, Replica, Write};
--- a/crates/sidecar/src/event_loop.rs
+++ b/crates/sidecar/src/event_loop.rs
@@ -6,6 +6,7 @@
 mod fleet_side;
 pub mod gateway_side;
 mod operators;
+mod records_side;
 mod streams;
 mod upstreams;
 
@@ -27,6 +28,7 @@
 use fleet_side::Fleet;
 use operators::Door;
 use polling::Events;
+use records_side::Holding;
 use silvercross_core::interface::Micros;
 use silvercross_core::interface::Settings;
 use silvercross_facade::{Attempt, Balancer, Step, Turn};
@@ -79,6 +81,12 @@
     Stopping,
     /// Membership has something to do.
     Fleet,
+    /// The records have something to do.
+    Records,
+    /// A key that somebody else has is asked for again.
+    Retake(Handle),
+    /// An answer that is not held yet goes out without the mark.
+    Unheld(Handle),
 }
 
 /// Read a signal's stream empty.
@@ -188,6 +196,11 @@
     door: Door,
     seat: Option<Seat>,
     fleet: Option<Fleet>,
+    holding: Option<Holding>,
+    /// Upstreams that drain by an operator's order.
+    ordered: Vec<String>,
+    /// Another member said something to the records in this turn.
+    heard_batch: bool,
     view: Option<silvercross_members::View>,
     view_told: Paced,
     members_told: Paced,
@@ -219,12 +232,16 @@
     /// Everything registered, nothing served yet.
     pub fn new(parts: Parts) -> io::Result<Self> {
         let Parts { registry, balancer, listener, stops, reloads, reread, discovery, gate, .. } = parts;
-        let Parts { listen_at, door, classes, seat, peers, seq, bounds, log, .. } = parts;
+        let Parts { listen_at, door, classes, seat, mut peers, seq, bounds, log, .. } = parts;
+        let records = peers.as_mut().and_then(|p| p.records.take());
         let retire = retire(&bounds);
         Ok(EventLoop {
             listen_at,
             listener: listener.map(|l| registry.watch(l, LISTENER, Interest::Read)).transpose()?,
             door: Door::new(door, &registry, &classes)?,
+            holding: records.map(|r| Holding::new(r, &registry)).transpose()?,
+            ordered: Vec::new(),
+            heard_batch: false,
             fleet: peers.map(|p| Fleet::new(p, &registry, balancer.senders())).transpose()?,
             view: None,
             view_told: Paced::default(),
@@ -269,6 +286,7 @@
         self.guarded(None, Self::ask_peers);
         self.look_beside();
         self.guarded(None, Self::mind_fleet);
+        self.guarded(None, Self::mind_records);
         loop {
             let wake = self.tick();
             if self.may_end() {
@@ -281,7 +299,8 @@
             for event in events.iter().filter(|e| Door::is_key(e.key)) {
                 self.guarded(None, |l| l.door_ready(event.key));
             }
-            for event in events.iter().filter(|e| !Door::is_key(e.key) && !Fleet::is_key(e.key)) {
+            let peers = |key| Fleet::is_key(key) || Holding::is_key(key);
+            for event in events.iter().filter(|e| !Door::is_key(e.key) && !peers(e.key)) {
                 match event.key {
                     LISTENER => self.guarded(None, |l| {
                         l.accept();
@@ -298,6 +317,9 @@
             for event in events.iter().filter(|e| Fleet::is_key(e.key)) {
                 self.guarded(None, |l| l.fleet_ready(event.key));
             }
+            for event in events.iter().filter(|e| Holding::is_key(e.key)) {
+                self.guarded(None, |l| l.records_ready(event.key));
+            }
         }
     }
 
@@ -441,6 +463,9 @@
                 }
             }
             Wake::Fleet => self.fleet_woken(),
+            Wake::Records => self.records_woken(),
+            Wake::Retake(request) => self.ask_to_take(request),
+            Wake::Unheld(request) => self.held_answer(request, false),
             Wake::Sweep => self.sweep(now),
             Wake::Stopping => {
                 if let Some(stop) = self.stop {
@@ -530,6 +555,7 @@
         let stop = Stop::begin(now, self.balancer.longest_deadline());
         info!(self.log, "stopping"; "open" => self.balancer.unanswered());
         self.stop = Some(stop);
+        self.guarded(None, Self::leave_records);
         self.guarded(None, Self::leave_fleet);
         self.heir = self.seat.as_ref().is_some_and(Seat::has_successor);
         self.balancer.answer_by(stop.answer_by());
--- a/crates/sidecar/src/event_loop/applications.rs
+++ b/crates/sidecar/src/event_loop/applications.rs
@@ -201,6 +201,8 @@
         }
         self.close_application(handle);
         self.guest_ended(request, Ended::Left);
+        let sent = self.requests.get(request).is_some_and(|r| !r.attempts.is_empty());
+        self.give_held(request, sent);
         let turn = self.balancer.hung_up(request);
         self.absorb(turn);
         self.forget_if_done(request);
@@ -386,6 +388,7 @@
             bytes: Some(bytes),
             head: call.head.len(),
             may_have_run: false,
+            held: None,
             upload,
             guest,
             attempts: Vec::new(),
@@ -417,7 +420,12 @@
             repeat: call.repeat,
             write: call.write,
         };
-        let turn = if coming { self.balancer.pick_coming(placed) } else { self.balancer.pick(placed) };
+        if coming {
+            let turn = self.balancer.pick_coming(placed);
+            return self.absorb(turn);
+        }
+        let Some(placed) = self.hold_first(request, placed, &call.class, &call.head) else { return };
+        let turn = self.balancer.pick(placed);
         self.absorb(turn);
     }
 
@@ -460,6 +468,8 @@
     /// The module refuses a request. A gateway says so with the mark that it never ran only where that is so: whoever sent it
     /// here goes by it.
     pub(super) fn refuse(&mut self, request: Handle, lines: &str) {
+        let ran = self.requests.get(request).is_some_and(|r| r.may_have_run);
+        self.give_held(request, ran);
         if self.gate.is_none() {
             return self.answer_call(request, 503, lines.as_bytes(), &[b"refused\n"]);
         }
@@ -469,6 +479,8 @@
 
     /// The module gives a request up as failed.
     pub(super) fn fail(&mut self, request: Handle) {
+        let sent = self.requests.get(request).is_some_and(|r| !r.attempts.is_empty());
+        self.give_held(request, sent);
         if self.gate.is_none() {
             return self.answer_call(request, 502, b"", &[b"failed\n"]);
         }
--- a/crates/sidecar/src/event_loop/fleet_side.rs
+++ b/crates/sidecar/src/event_loop/fleet_side.rs
@@ -16,12 +16,14 @@
 const DATAGRAMS: usize = usize::MAX - 5;
 const LISTENER: usize = usize::MAX - 6;
 const SEAT_0: usize = usize::MAX - 256;
-/// Exchanges at a time, begun here and elsewhere.
-const SEATS: usize = 16;
+/// Exchanges at a time, begun here and elsewhere, and peers that say what they have to say beside membership.
+const SEATS: usize = 128;
 /// Datagrams read in one turn of the loop.
 const A_TURN: usize = 64;
 /// An exchange that takes longer is given up, in microseconds.
 const EXCHANGE: Micros = 5_000_000;
+/// A peer that has said nothing for so long may come again.
+const SILENT: Micros = 30_000_000;
 /// A smaller number of senders holds once nothing has changed for so many periods; a greater one at once.
 const AGED: Micros = 10;
 /// The folder's list of others is looked at so often, in periods.
@@ -53,7 +55,7 @@
             members: peers.members,
             datagrams: registry.watch(peers.datagrams, DATAGRAMS, Interest::Read)?,
             listener: registry.watch(peers.listener, LISTENER, Interest::Read)?,
-            seats: Default::default(),
+            seats: std::array::from_fn(|_| None),
             folder: peers.folder,
             at: peers.at,
             period: peers.period,
@@ -93,6 +95,9 @@
             key => self.exchange_ready(key - SEAT_0),
         }
         self.mind_fleet();
+        if std::mem::take(&mut self.heard_batch) {
+            self.mind_records();
+        }
     }
 
     fn read_datagrams(&mut self) {
@@ -127,8 +132,17 @@
         let now = self.balancer.now();
         let Some(fleet) = &mut self.fleet else { return };
         let Some(Some(conn)) = fleet.seats.get_mut(seat) else { return };
-        let stays = match conn.advance() {
-            Got::Nothing => true,
+        let mut got = conn.advance();
+        while let Got::Batch(bytes) = got {
+            let taken = self.batch_came(now, &bytes);
+            let Some(Some(conn)) = self.fleet.as_mut().and_then(|f| f.seats.get_mut(seat)) else { return };
+            got = if taken { conn.taken(now) } else { Got::Ended };
+            self.heard_batch = true;
+        }
+        let Some(fleet) = &mut self.fleet else { return };
+        let Some(Some(conn)) = fleet.seats.get_mut(seat) else { return };
+        let stays = match got {
+            Got::Nothing | Got::Batch(_) => true,
             Got::Ended => false,
             Got::Body(body) if conn.is_asking() => {
                 if let Err(bad) = fleet.members.exchanged(now, &body) {
@@ -159,7 +173,7 @@
             let _ = fleet.datagrams.get().send_to(&bytes, to);
         }
         for seat in &mut fleet.seats {
-            *seat = seat.take().filter(|c| c.since + EXCHANGE > now);
+            *seat = seat.take().filter(|c| c.since + if c.stays { SILENT } else { EXCHANGE } > now);
         }
         while let Some(exchange) = fleet.members.poll_exchange() {
             let seat = fleet.seat();
@@ -271,7 +285,7 @@
         let entries = hosts.iter().map(|h| (h.name.as_str(), h.born_ms, h.health == Health::Draining));
         let over = fleet.members.list_is(seq, *whole, entries);
         for h in hosts.iter_mut().filter(|h| h.health == Health::Ready) {
-            if fleet.members.drains(&h.name, h.born_ms) {
+            if fleet.members.drains(&h.name, h.born_ms) || self.ordered.contains(&h.name) {
                 h.health = Health::Draining;
             }
         }
@@ -357,6 +371,11 @@
 }
 
 impl Fleet {
+    /// A connection to another member, on its way.
+    pub(super) fn reach(&self, to: SocketAddr) -> io::Result<std::net::TcpStream> {
+        connect(self.at, to)
+    }
+
     /// A free seat, or that of whoever has sat longest.
     fn seat(&self) -> usize {
         let longest = |(i, s): (usize, &Option<Conn>)| (s.as_ref().map_or(Micros::MIN, |c| c.since), i);
--- a/crates/sidecar/src/event_loop/operators.rs
+++ b/crates/sidecar/src/event_loop/operators.rs
@@ -1,10 +1,12 @@
 //! The loop's side towards operators: a door of its own, with descriptors and buffers that applications cannot take.
+use super::records_side::NO_RECORDS;
 use super::EventLoop;
 use crate::wire::operator::{Conn, Heard};
 use silvercross_core::interface::Micros;
 use silvercross_management::{answer, Call, Figures, Gauges};
 use silvercross_net::http::Bad;
 use silvercross_net::registry::{Interest, Registry, Watched};
+use silvercross_records::Command;
 use slog::debug;
 use std::io;
 use std::net::TcpListener;
@@ -94,7 +96,8 @@
                 Heard::Nothing => true,
                 Heard::Ended => false,
                 Heard::Call(call) => {
-                    let bytes = self.told(call);
+                    // One that takes its time is answered when it is done; until then its seat waits.
+                    let Some(bytes) = self.ordered_or_told(seat, call) else { return };
                     self.door.seats[seat].as_mut().is_some_and(|c| c.answer(bytes))
                 }
             }
@@ -104,17 +107,48 @@
         }
     }
 
+    /// An order that took its time is done.
+    pub(super) fn operator_answered(&mut self, seat: usize, bytes: Vec<u8>) {
+        let Some(Some(c)) = self.door.seats.get_mut(seat) else { return };
+        if !c.is_answered() && !c.answer(bytes) {
+            self.door.seats[seat] = None;
+        }
+    }
+
+    /// Answer a call, or (`None`) begin what it orders.
+    fn ordered_or_told(&mut self, seat: usize, call: Result<Call, Bad>) -> Option<Vec<u8>> {
+        match call {
+            Ok(Call::Found) => Some(self.found_records()),
+            Ok(Call::Recover(group)) => Some(self.recover_records(group)),
+            Ok(Call::Drain(name, on)) => self.order(seat, Command::Drain { name, on }),
+            Ok(Call::Document(name)) => self.order(seat, Command::Get { name }),
+            Ok(Call::Put { name, expect, value }) => {
+                self.order(seat, Command::Put { name, expect, bytes: Some(value.into_bytes()) })
+            }
+            call => Some(self.told(call)),
+        }
+    }
+
     fn told(&self, call: Result<Call, Bad>) -> Vec<u8> {
         match call {
             Ok(Call::Health) if self.can_serve() => answer(200, "ready\n"),
             Ok(Call::Health) => answer(503, if self.stop.is_some() { "stopping\n" } else { "not ready\n" }),
-            Ok(Call::Stats) => answer(200, &(self.door.figures.text(&self.gauges()) + &self.fleet_figures())),
+            Ok(Call::Stats) => answer(
+                200,
+                &(self.door.figures.text(&self.gauges()) + &self.fleet_figures() + &self.records_figures()),
+            ),
             Ok(Call::Members) => match self.fleet_told() {
                 Some(told) => answer(200, &told),
                 None => answer(404, "this sidecar is in no fleet: it was started without --fleet\n"),
             },
-            Ok(Call::NotFound) => answer(404, "here are /admin/health, /admin/stats and /admin/members\n"),
-            Ok(Call::NotAllowed) => answer(405, "only GET\n"),
+            Ok(Call::Records) => match self.records_told() {
+                Some(told) => answer(200, &told),
+                None => answer(404, NO_RECORDS),
+            },
+            Ok(Call::NotFound) => {
+                answer(404, "here are /admin/health, /admin/stats, /admin/members and /admin/records\n")
+            }
+            Ok(_) => answer(405, "not by this method\n"),
             Err(Bad::HeadTooLarge | Bad::BodyTooLarge) => answer(431, "the call is too large\n"),
             Err(Bad::Malformed(why)) => answer(400, &format!("{why}\n")),
             Err(Bad::IdInUse | Bad::TooManyAhead) => answer(400, "not a call\n"),
--- a/crates/sidecar/src/event_loop/upstreams.rs
+++ b/crates/sidecar/src/event_loop/upstreams.rs
@@ -270,7 +270,10 @@
                 self.guest_ended(attempt.request, Ended::Served);
                 let mut lines = answer.lines;
                 lines.extend_from_slice(self.gate_lines().as_bytes());
-                self.answer_call(attempt.request, 200, &lines, &parts);
+                match self.is_to_be_held(attempt.request) {
+                    true => self.hold_answer(attempt.request, lines, &parts),
+                    false => self.answer_call(attempt.request, 200, &lines, &parts),
+                }
                 self.pool.give(buffer);
             }
         }
--- a/crates/sidecar/src/lifecycle/fleet.rs
+++ b/crates/sidecar/src/lifecycle/fleet.rs
@@ -1,8 +1,11 @@
 //! The fleet's file, the folder in which a member keeps who it is, and the sockets for its peers. Without a fleet's file none of
 //! it exists: no listener, no datagram, no disk, no thread.
+use super::store::{self, OpenDisk, Store};
 use serde::{Deserialize, Serialize};
 use silvercross_members::wire::Fleet;
 use silvercross_members::{Config, Identity, Members, Micros, Start};
+use silvercross_records::command::WINDOW_MOST;
+use silvercross_records::Records;
 use std::fs::{File, TryLockError};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -44,6 +47,99 @@
     forget_s: f64,
     /// Whom to ask first.
     seeds: Vec<SocketAddr>,
+    /// What the fleet holds for its clients; none: nothing.
+    #[serde(default)]
+    records: Option<RecordsFile>,
+}
+
+/// What the fleet holds; the same in each member's file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RecordsFile {
+    /// How many groups keys are spread over.
+    #[serde(default = "one")]
+    groups: u32,
+    /// Voters of each.
+    #[serde(default = "three")]
+    holders: usize,
+    /// The least election timeout.
+    #[serde(default = "second")]
+    election_ms: f64,
+    /// What is asked of the records is waited for so long at most.
+    #[serde(default = "ask_ms")]
+    ask_ms: f64,
+    /// A holder that is away for so long is replaced.
+    #[serde(default = "minute")]
+    replace_after_s: f64,
+    /// Entries between two snapshots.
+    #[serde(default = "snapshot_every")]
+    snapshot_every: usize,
+    /// The classes whose answers are held.
+    #[serde(default, rename = "class")]
+    classes: Vec<ClassFile>,
+}
+
+/// One of them.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ClassFile {
+    /// Its name.
+    name: String,
+    /// How long its answers are held.
+    window_s: f64,
+    /// What happens when most holders can't be asked.
+    #[serde(default)]
+    without: Without,
+}
+
+/// What happens to a request of a held class when most holders can't be asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Without {
+    /// It is served, and its answer is not marked.
+    #[default]
+    Serve,
+    /// It is refused at once; nothing ran.
+    Refuse,
+}
+
+/// A class whose answers are held.
+#[derive(Clone, Debug)]
+pub struct HeldClass {
+    /// Its name.
+    pub name: String,
+    /// How long, in milliseconds.
+    pub window_ms: u64,
+    /// When most holders can't be asked.
+    pub without: Without,
+}
+
+/// What a loop needs to hold, and to ask.
+pub struct RecordsParts {
+    /// What decides.
+    pub records: Records,
+    /// What is kept; none: copies are in memory alone, and gone with the process.
+    pub store: Option<Store>,
+    /// The classes.
+    pub classes: Vec<HeldClass>,
+    /// What is asked is waited for so long at most.
+    pub ask: Micros,
+}
+
+fn one() -> u32 {
+    1
+}
+fn three() -> usize {
+    3
+}
+fn ask_ms() -> f64 {
+    250.0
+}
+fn minute() -> f64 {
+    60.0
+}
+fn snapshot_every() -> usize {
+    silvercross_records::holder::SNAPSHOT_EVERY
 }
 
 fn second() -> f64 {
@@ -62,6 +158,9 @@
     life: u32,
     at: Option<SocketAddr>,
     others: Vec<SocketAddr>,
+    /// Which file its store of records is: a copy is another one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    store: Option<String>,
 }
 
 /// A member's folder, locked for as long as this lives.
@@ -87,6 +186,10 @@
     pub at: SocketAddr,
     /// The protocol period.
     pub period: Micros,
+    /// What it holds and asks for, if the fleet holds anything.
+    pub records: Option<RecordsParts>,
+    /// Why it is somebody new, where that was not to be expected.
+    pub anew: Option<&'static str>,
 }
 
 fn now_ms() -> u64 {
@@ -141,11 +244,39 @@
     if file.seeds.is_empty() || file.seeds.len() > KEPT {
         return fault("seeds", "1 to 256 addresses of members, the own among them or not");
     }
+    if let Some(r) = &file.records {
+        if !(1..=64).contains(&r.groups) {
+            return fault("records.groups", "1 to 64, the same in each member's file; 1 suits most");
+        }
+        if !matches!(r.holders, 3 | 5) {
+            return fault("records.holders", "3 or 5, the same in each member's file");
+        }
+        if !(50.0..=60_000.0).contains(&r.election_ms) {
+            return fault("records.election_ms", "50 to 60000; 1000 suits most");
+        }
+        if !(1.0..=10_000.0).contains(&r.ask_ms) {
+            return fault("records.ask_ms", "1 to 10000; 250 suits most");
+        }
+        if !(1.0..=1e7).contains(&r.replace_after_s) {
+            return fault("records.replace_after_s", "1 to 10000000; 60 suits most");
+        }
+        if !(16..=1_000_000).contains(&r.snapshot_every) {
+            return fault("records.snapshot_every", "16 to 1000000; 8192 suits most");
+        }
+        for c in &r.classes {
+            if c.name.is_empty() || r.classes.iter().filter(|o| o.name == c.name).count() > 1 {
+                return fault("records.class.name", "the name of a class, each once");
+            }
+            if !(0.001..=WINDOW_MOST as f64 / 1e3).contains(&c.window_s) {
+                return fault("records.class.window_s", "0.001 to 86400 seconds");
+            }
+        }
+    }
     Ok(file)
 }
 
 /// Become a member: the folder is locked and its start counted before anything is said.
-pub fn join(file: &FleetFile, name: &str, now: Micros) -> Result<Peers, String> {
+pub fn join(file: &FleetFile, name: &str, now: Micros, disk: Option<OpenDisk>) -> Result<Peers, String> {
     let bound = TcpListener::bind(file.listen).and_then(|l| {
         l.set_nonblocking(true)?;
         let at = l.local_addr()?;
@@ -162,8 +293,13 @@
         life: 0,
         at: None,
         others: Vec::new(),
+        store: None,
     };
     let mut kept = folder.as_ref().map_or(fresh, |f| f.kept.clone());
+    let anew = match (&mut folder, &file.records) {
+        (Some(folder), Some(_)) => own_store(folder, &mut kept)?,
+        _ => None,
+    };
     kept.life = kept.life.checked_add(1).ok_or("folder: it has been started too often")?;
     let moved = kept.at.is_some_and(|at| at != advertised);
     kept.at = Some(advertised);
@@ -172,6 +308,7 @@
         folder.write_now()?;
     }
     let id: Identity = kept.identity.parse()?;
+    let records = file.records.as_ref().map(|r| hold(r, id, folder.as_mut(), now, disk)).transpose()?;
     let seeds = file.seeds.iter().chain(&kept.others).copied().collect();
     let start = Start {
         id,
@@ -188,7 +325,69 @@
     let identity = u128::from_str_radix(&file.identity, 16).unwrap_or(0);
     let fleet = Fleet::new(&file.name, identity);
     let config = Config { fleet, period, forget: (file.forget_s * 1e6) as Micros, mutant: None };
-    Ok(Peers { members: Members::new(config, start, now), datagrams, listener, folder, at, period })
+    let members = Members::new(config, start, now);
+    Ok(Peers { members, datagrams, listener, folder, at, period, records, anew })
+}
+
+/// Whether the folder's store is the one that this identity wrote. A copy, an older one put back, or one that is missing is not:
+/// whoever holds it must not vote by it, so it is put aside and the member is somebody new. Why, if that is so.
+fn own_store(folder: &mut Folder, kept: &mut Kept) -> Result<Option<&'static str>, String> {
+    let path = folder.path.join(store::FILE);
+    let there = store::which(&path);
+    let why = match (&kept.store, &there) {
+        (None, None) => None,
+        (Some(own), Some(file)) if own == file => None,
+        (Some(_), None) => Some("its store of records is gone"),
+        (_, Some(_)) => Some("its store of records is a copy of another file, or was put back"),
+    };
+    if why.is_some() {
+        if there.is_some() {
+            store::set_aside(&path).map_err(|e| format!("folder: {}: {e}", path.display()))?;
+        }
+        *kept = Kept {
+            identity: Identity(draw()?).to_string(),
+            born_ms: now_ms(),
+            life: 0,
+            store: None,
+            ..kept.clone()
+        };
+    }
+    Ok(why)
+}
+
+/// The records' part of a member.
+fn hold(
+    file: &RecordsFile,
+    id: Identity,
+    folder: Option<&mut Folder>,
+    now: Micros,
+    disk: Option<OpenDisk>,
+) -> Result<RecordsParts, String> {
+    let (mut store, mut kept) = (None, Vec::new());
+    if let Some(folder) = folder {
+        let path = folder.path.join(store::FILE);
+        let (opened, found) = Store::open(&path, id.0, disk)?;
+        (store, kept) = (Some(opened), found);
+        folder.kept.store = store::which(&path);
+        folder.write_now()?;
+    }
+    let mut config = silvercross_records::Config::new(file.groups, file.holders, draw()?);
+    config.replace_after = (file.replace_after_s * 1e6) as Micros;
+    config.snapshot_every = file.snapshot_every;
+    config.replica.election = (file.election_ms * 1e3) as Micros;
+    config.replica.heartbeat = (config.replica.election / 5).max(10_000);
+    config.patience = (config.replica.election / 4).max(20_000);
+    let class = |c: &ClassFile| HeldClass {
+        name: c.name.clone(),
+        window_ms: (c.window_s * 1e3) as u64,
+        without: c.without,
+    };
+    Ok(RecordsParts {
+        records: Records::new(config, id.0, kept, now),
+        store,
+        classes: file.classes.iter().map(class).collect(),
+        ask: (file.ask_ms * 1e3) as Micros,
+    })
 }
 
 impl Folder {
@@ -222,6 +421,7 @@
                 life: 0,
                 at: None,
                 others: Vec::new(),
+                store: None,
             },
             Err(e) => return Err(fault(&e)),
         };
@@ -288,6 +488,13 @@
             ("seeds =", "forget_s = 0.0\nseeds =", "forget_s"),
             ("seeds =", "advertise = \"127.0.0.1:0\"\nseeds =", "advertise"),
             ("seeds =", "sedes =", "sedes"),
+            ("[\"127.0.0.1:7946\"]\n", "[\"127.0.0.1:7946\"]\n[records]\nholders = 2\n", "records.holders"),
+            ("[\"127.0.0.1:7946\"]\n", "[\"127.0.0.1:7946\"]\n[records]\nask_ms = 0\n", "records.ask_ms"),
+            (
+                "[\"127.0.0.1:7946\"]\n",
+                "[\"127.0.0.1:7946\"]\n[[records.class]]\nname = \"a\"\nwindow_s = 0\n",
+                "records.class.window_s",
+            ),
         ] {
             let why = parse(&GOOD.replace(from, to)).expect_err(key);
             assert!(why.contains(key) && !why.contains('\n'), "{key}: {why}");
@@ -299,17 +506,17 @@
         let dir = std::env::temp_dir().join(format!("silvercross-member-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&dir);
         let file = parse(&format!("{GOOD}folder = {dir:?}\n")).expect("good");
-        let first = join(&file, "n1", 0).expect("joined");
+        let first = join(&file, "n1", 0, None).expect("joined");
         let (id, life) = (first.members.me().id, first.members.me().incarnation.life());
         assert_eq!(life, 1);
-        let Err(why) = join(&file, "n1", 0) else { panic!("two share a folder") };
+        let Err(why) = join(&file, "n1", 0, None) else { panic!("two share a folder") };
         assert!(why.contains("another process"), "{why}");
         drop(first);
-        let second = join(&file, "n1", 0).expect("joined");
+        let second = join(&file, "n1", 0, None).expect("joined");
         assert_eq!((second.members.me().id, second.members.me().incarnation.life()), (id, 2));
         drop(second);
         std::fs::write(dir.join(FILE), "identity = 3").expect("written");
-        let Err(why) = join(&file, "n1", 0) else { panic!("a spoilt file was taken") };
+        let Err(why) = join(&file, "n1", 0, None) else { panic!("a spoilt file was taken") };
         assert!(why.contains("remove the file"), "{why}");
         std::fs::remove_dir_all(&dir).expect("removed");
     }
--- a/crates/sidecar/src/lifecycle/start.rs
+++ b/crates/sidecar/src/lifecycle/start.rs
@@ -1,5 +1,6 @@
 //! Start: configuration, log, listening socket, signals, then the loop until it ends.
 use super::seat::Seat;
+use super::store::OpenDisk;
 use super::{config, fleet, logging};
 use crate::event_loop::{Anew, Bounds, EventLoop, Parts};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -7,7 +8,7 @@
 use silvercross_core::interface::Settings;
 use silvercross_facade::{Balancer, Clock, Make};
 use silvercross_net::registry::Registry;
-use slog::{error, info};
+use slog::{error, info, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -25,11 +26,12 @@
 
 /// Run the sidecar until it is told to stop. The error is one plain line.
 pub fn run(fleet: Option<&Path>) -> Result<(), String> {
-    run_deciding(None, fleet)
+    run_deciding(None, fleet, None)
 }
 
-/// The same with something else in the module's place, where the two are compared.
-pub fn run_deciding(make: Option<Make>, fleet: Option<&Path>) -> Result<(), String> {
+/// The same with something else in the module's place, where the two are compared, or with another disk under the records, where
+/// disks are broken on purpose.
+pub fn run_deciding(make: Option<Make>, fleet: Option<&Path>, disk: Option<OpenDisk>) -> Result<(), String> {
     let var = |name: &str| std::env::var(name).ok();
     let level = logging::level(var("SILVERCROSS_LOG").as_deref())?;
     let config = config::read(var)?;
@@ -55,7 +57,7 @@
         Some(at) => Some(listen(at, false).map_err(|e| format!("cannot listen on {at}: {e}"))?),
         None => None,
     };
-    let peers = fleet.map(|f| fleet::join(&f, &config.name, clock.now())).transpose()?;
+    let peers = fleet.map(|f| fleet::join(&f, &config.name, clock.now(), disk)).transpose()?;
     let fleet_at = peers.as_ref().map_or_else(String::new, |p| p.at.to_string());
     let registry = Registry::new().map_err(|e| format!("no poller: {e}"))?;
     let (log, flush) = logging::start(&config.name, level);
@@ -65,6 +67,9 @@
     info!(log, "started"; "listen" => listen_at.to_string(), "management" => management, "discovery" => config.discovery.to_string(),
         "known" => config.known.len(), "seq" => config.seq, "memory_mb" => config.memory_mb,
         "sockets" => config.sockets, "fleet" => fleet_at, "version" => env!("CARGO_PKG_VERSION"));
+    if let Some(why) = peers.as_ref().and_then(|p| p.anew) {
+        warn!(log, "this member is somebody new"; "why" => why);
+    }
     let bounds = bounds_of(&config);
     let mut in_force = config.file;
     let (discovery, seq) = (config.discovery, config.seq);
--- a/crates/sidecar/src/memory/requests.rs
+++ b/crates/sidecar/src/memory/requests.rs
@@ -1,5 +1,6 @@
 //! The requests that are being served: what further attempts need of them, and who waits for them.
 use silvercross_core::interface::Micros;
+use silvercross_facade::Request as Placed;
 use silvercross_net::buffers::Buffer;
 use silvercross_net::stream::Decoder;
 use silvercross_net::table::Handle;
@@ -27,6 +28,39 @@
     pub moved: Micros,
 }
 
+/// How far a request of a held class has come with the records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Its key is asked for.
+    Asking,
+    /// Somebody else has its key; it is asked for again.
+    Waiting,
+    /// The key is this sidecar's: it may be sent.
+    Taken,
+    /// Its answer is being held.
+    Holding,
+    /// The records have no more to do with it.
+    Free,
+}
+
+/// What is kept of a request of a held class.
+pub struct Held {
+    /// Class and key.
+    pub key: String,
+    /// Which of the held classes.
+    pub class: usize,
+    /// How far it has come.
+    pub phase: Phase,
+    /// Since when it waits.
+    pub since: Micros,
+    /// Until when its client does.
+    pub until: Micros,
+    /// What is to be placed.
+    pub placed: Option<Placed>,
+    /// Its answer, until it goes out: header lines and body.
+    pub answer: Option<(Vec<u8>, Vec<u8>)>,
+}
+
 /// A request taken from an application.
 pub struct Request {
     /// The connection that waits for the answer; `None` once answered, or when the client hung up.
@@ -43,6 +77,8 @@
     pub may_have_run: bool,
     /// It has come over the link.
     pub guest: Option<Guest>,
+    /// What the records have to do with it.
+    pub held: Option<Box<Held>>,
     /// The connection of each attempt, by its number; `None` once that has ended.
     pub attempts: Vec<Option<Handle>>,
 }
@@ -53,8 +89,14 @@
         self.upload.as_ref().is_some_and(|u| !u.body.is_done())
     }
 
+    /// The records are still to say something of it.
+    fn is_awaited(&self) -> bool {
+        let awaited = |h: &Held| matches!(h.phase, Phase::Asking | Phase::Waiting | Phase::Holding);
+        self.held.as_ref().is_some_and(|h| awaited(h))
+    }
+
     /// Nobody waits for it and nothing is out for it.
     pub fn is_done(&self) -> bool {
-        self.client.is_none() && self.attempts.iter().all(Option::is_none)
+        self.client.is_none() && self.attempts.iter().all(Option::is_none) && !self.is_awaited()
     }
 }
--- a/crates/sidecar/src/wire/fleet.rs
+++ b/crates/sidecar/src/wire/fleet.rs
@@ -1,4 +1,5 @@
 //! An exchange between members: one HTTP/1.1 call with a body, one answer, then the connection ends.
+use super::batches;
 use silvercross_core::interface::Micros;
 use silvercross_members::wire::EXCHANGE_MOST;
 use silvercross_net::http;
@@ -17,6 +18,8 @@
     /// Since when.
     pub since: Micros,
     asks: bool,
+    /// It stays, for one batch after the other.
+    pub stays: bool,
     input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
@@ -29,6 +32,8 @@
     Nothing,
     /// The other side's part, whole.
     Body(Vec<u8>),
+    /// A batch of what is said beside membership.
+    Batch(Vec<u8>),
     /// It is over.
     Ended,
 }
@@ -41,12 +46,12 @@
             body.len()
         );
         let output = [head.as_bytes(), body].concat();
-        Conn { socket, since, asks: true, input: Vec::new(), output, written: 0 }
+        Conn { socket, since, asks: true, stays: false, input: Vec::new(), output, written: 0 }
     }
 
     /// One that was accepted.
     pub fn asked(socket: Watched<TcpStream>, since: Micros) -> Self {
-        Conn { socket, since, asks: false, input: Vec::new(), output: Vec::new(), written: 0 }
+        Conn { socket, since, asks: false, stays: false, input: Vec::new(), output: Vec::new(), written: 0 }
     }
 
     /// Answer; what the socket does not take now goes out later.
@@ -60,6 +65,18 @@
         self.advance()
     }
 
+    /// A batch was taken: the next one may come.
+    pub fn taken(&mut self, now: Micros) -> Got {
+        self.since = now;
+        self.output = b"HTTP/1.1 204 No Content\r\n\r\n".to_vec();
+        self.written = 0;
+        let got = self.advance();
+        if self.written == self.output.len() {
+            self.output.clear();
+        }
+        got
+    }
+
     /// Whether this side began it.
     pub fn is_asking(&self) -> bool {
         self.asks
@@ -86,7 +103,7 @@
                 Err(e) => return Err(e),
             }
         }
-        if !self.asks && !self.output.is_empty() {
+        if !self.asks && !self.stays && !self.output.is_empty() {
             self.socket.get().shutdown(std::net::Shutdown::Write)?;
         }
         self.socket.set(Interest::Read)?;
@@ -101,7 +118,7 @@
                 }
                 Ok(n) => {
                     read += n;
-                    if !self.asks && !self.output.is_empty() {
+                    if !self.asks && !self.stays && !self.output.is_empty() {
                         // Answered: what still comes is thrown away until the other end closes.
                         continue;
                     }
@@ -139,8 +156,12 @@
         } else {
             match http::request_head(&self.input, &mut lines).map_err(bad)? {
                 None => return Ok(Got::Nothing),
-                Some(head) if head.method != "POST" || head.target != PATH => return Ok(Got::Ended),
-                Some(head) => (head.len, head.framing),
+                Some(head) if head.method == "POST" && head.target == PATH => (head.len, head.framing),
+                Some(head) if head.method == "POST" && head.target == batches::PATH => {
+                    self.stays = true;
+                    (head.len, head.framing)
+                }
+                Some(_) => return Ok(Got::Ended),
             }
         };
         let http::Framing::Length(n) = framing else { return Ok(Got::Ended) };
@@ -148,6 +169,10 @@
             return Ok(if n > EXCHANGE_MOST { Got::Ended } else { Got::Nothing });
         }
         let body = self.input[len..len + n].to_vec();
+        if self.stays {
+            self.input.drain(..len + n);
+            return Ok(Got::Batch(body));
+        }
         self.input.clear();
         Ok(Got::Body(body))
     }
