A copy that ended says so, and is replaced though its process is there

Need: a holder whose disk failed serves on and is alive to membership, so nobody would have taken its place.

--- a/crates/records/src/records.rs
+++ b/crates/records/src/records.rs
@@ -12,7 +12,7 @@
 use silvercross_replica::{
     Durable, Ended, Envelope, Index, Message, Node, Payload, Refused, Replica, Snapshot, Write,
 };
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The group that holds operators' drains.
 pub const DRAINS: u32 = 0;
@@ -92,6 +92,8 @@
     away: BTreeMap<Node, Micros>,
     who_at: Micros,
     out: VecDeque<Want>,
+    /// Whose copies ended, by their own word: they are gone though their process is there.
+    over: BTreeSet<(u32, Node)>,
     /// Operators' drains, with the version of that list.
     drains: (u64, Vec<String>),
     /// Epochs of equal count that others speak of: two foundings.
@@ -111,6 +113,7 @@
             away: BTreeMap::new(),
             who_at: now,
             out: VecDeque::new(),
+            over: BTreeSet::new(),
             drains: (0, Vec::new()),
             foreign: 0,
             config,
@@ -332,6 +335,11 @@
                 self.client.told(now, group, epoch, session, number, outcome)
             }
             Said::NotHere { group, leader, .. } => self.client.not_here(now, from, group, leader),
+            Said::Over { group, epoch } => {
+                if self.copies.get(&group).is_some_and(|c| c.epoch == epoch) {
+                    self.over.insert((group, Node(from)));
+                }
+            }
             Said::Who => {
                 let known = self.all_known();
                 self.say(from, known);
@@ -371,6 +379,10 @@
             self.hold(e.group, epoch, replica);
         }
         if let Some(copy) = self.copies.get_mut(&e.group) {
+            if copy.holder.ended().is_some() {
+                let over = Said::Over { group: e.group, epoch };
+                return self.say(from, over);
+            }
             copy.holder.replica.message(now, e.from, e.writes, e.message);
         }
     }
@@ -496,10 +508,15 @@
             }
             let caught_up: Vec<Node> =
                 group.learners.iter().filter(|l| replica.has_caught_up(**l)).copied().collect();
+            for (_, node) in self.over.iter().filter(|(g, _)| g == number) {
+                counts.insert(*node, group.voters.len());
+            }
+            let gone_by_word = |p: &&Place| !self.over.contains(&(*number, p.node));
+            let places: Vec<Place> = self.places.iter().filter(gone_by_word).cloned().collect();
             let facts = Facts {
                 number: *number,
                 holders: self.config.holders,
-                places: &self.places,
+                places: &places,
                 gone: &counts,
                 caught_up: &caught_up,
                 me,
--- a/crates/records/src/said.rs
+++ b/crates/records/src/said.rs
@@ -80,6 +80,13 @@
         /// Who leads, as far as it knows.
         leader: Option<u64>,
     },
+    /// My copy of that group ended, and never comes back under this identity.
+    Over {
+        /// Which group.
+        group: u32,
+        /// Which epoch of it.
+        epoch: Epoch,
+    },
     /// What do you know of the groups?
     Who,
     /// This; and the upstreams that drain by operators' orders, with the version of that list.
--- a/crates/rehearse/src/records/sim.rs
+++ b/crates/rehearse/src/records/sim.rs
@@ -273,8 +273,9 @@
                 Want::Done(id, outcome) => self.done(number, id, outcome.ok()),
                 Want::Ended(..) => {
                     self.ended += 1;
-                    // As the program does it: the folder is given up, and the process starts as somebody new.
-                    self.put(self.now + self.period, Do::Gone(number));
+                    // The program serves on without a copy; some time later somebody restarts it, as somebody new.
+                    let wait = 20 + self.chance(200) as Micros;
+                    self.put(self.now + wait * self.period, Do::Gone(number));
                 }
                 Want::Drains => {}
             }
--- a/crates/sidecar/src/lifecycle/store.rs
+++ b/crates/sidecar/src/lifecycle/store.rs
@@ -11,7 +11,7 @@
 use std::os::unix::fs::MetadataExt;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
+use std::sync::mpsc::{channel, Receiver, Sender};
 
 /// The file in the folder.
 pub const FILE: &str = "records.redb";
@@ -147,10 +147,7 @@
 
     /// The next thing that is done.
     pub fn poll(&self) -> Option<Done> {
-        match self.done.try_recv() {
-            Ok(done) => Some(done),
-            Err(TryRecvError::Empty | TryRecvError::Disconnected) => None,
-        }
+        self.done.try_recv().ok()
     }
 
     /// It failed, or is older than what was promised from it: never again.
