--- a/crates/sidecar/src/lifecycle/mod.rs
+++ b/crates/sidecar/src/lifecycle/mod.rs
@@ -5,6 +5,7 @@
 pub mod logging;
 pub mod members;
 pub mod migrate;
+pub mod records;
 pub mod seat;
 pub mod start;
 pub mod stop;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -27,6 +27,10 @@
     },
     /// Ask a running sidecar who is in its fleet.
     Members(lifecycle::members::Order),
+    /// Ask running sidecars what their fleet holds, found it, or recover it.
+    Records(lifecycle::records::Order),
+    /// Have an upstream drained by the whole fleet.
+    Drain(lifecycle::records::Drain),
     /// Write the counterpart of a configuration for the shape in which a pool of sidecars is told the list unasked.
     Migrate(lifecycle::migrate::Order),
 }
@@ -36,6 +40,8 @@
     let ended = match cli.command {
         None => lifecycle::run(cli.fleet.as_deref()),
         Some(Role::Members(order)) => lifecycle::members::run(&order, &mut std::io::stdout()),
+        Some(Role::Records(order)) => lifecycle::records::run(&order, &mut std::io::stdout()),
+        Some(Role::Drain(order)) => lifecycle::records::drain(&order, &mut std::io::stdout()),
         Some(Role::Gateway { config }) => lifecycle::gateway::run(&config),
         Some(Role::Migrate(order)) => lifecycle::migrate::run(&order, &mut std::io::stdout()),
     };
