--- a/crates/replica/src/config.rs
+++ b/crates/replica/src/config.rs
@@ -58,4 +58,6 @@
     TwoChanges,
     /// Learners count in majorities.
     LearnerCounts,
+    /// The log's time is the leader's own clock.
+    LocalClock,
 }
--- a/crates/replica/src/lead.rs
+++ b/crates/replica/src/lead.rs
@@ -90,6 +90,9 @@
     /// The log's time now, in milliseconds, if this node leads.
     pub fn log_now_ms(&self, now: Micros) -> Option<u64> {
         let Role::Leader(lead) = &self.role else { return None };
+        if self.config.is_broken(Mutant::LocalClock) {
+            return Some((now / 1000) as u64);
+        }
         let passed = (now - lead.clock.1).max(0) as u64 / 1000;
         Some((lead.clock.0 + passed).max(self.log.last_at_ms()))
     }
--- a/crates/replica/tests/rules.rs
+++ b/crates/replica/tests/rules.rs
@@ -127,6 +127,23 @@
     });
 }
 
+#[test]
+fn a_clock_that_is_hours_ahead_ends_no_window() {
+    both(Mutant::LocalClock, 3, 0, |t| {
+        t.elect(0, &[2]);
+        t.among(&[1, 2, 3]);
+        t.propose(0, 1);
+        t.among(&[1, 2, 3]);
+        let before = t.at(0).log().last_at_ms();
+        // The second one's clock is three hours ahead, and no time passes.
+        t.clock[1] = 3 * 3_600_000_000;
+        t.elect(1, &[3]);
+        t.among(&[1, 2, 3]);
+        assert!(t.propose(1, 2), "it leads");
+        t.at(1).log().last_at_ms() > before + 1_000
+    });
+}
+
 #[test]
 fn a_learner_does_not_count() {
     both(Mutant::LearnerCounts, 3, 2, |t| {
--- a/crates/replica/tests/table/mod.rs
+++ b/crates/replica/tests/table/mod.rs
@@ -30,6 +30,8 @@
     /// Syncs are done at once.
     pub sync: bool,
     pub config: Config,
+    /// What each one's clock says.
+    pub clock: Vec<i64>,
     pub broken: Option<String>,
 }
 
@@ -67,6 +69,7 @@
             led: BTreeMap::new(),
             sync: true,
             config,
+            clock: vec![0; (voters + learners) as usize],
             broken: None,
         };
         (0..new.seats.len()).for_each(|i| new.pump(i));
@@ -89,7 +92,7 @@
                 Some(write) if self.sync => {
                     let number = write.number;
                     seat.disk.apply(write);
-                    seat.replica.written(0, number);
+                    seat.replica.written(self.clock[i], number);
                 }
                 Some(write) => seat.writing.push(write),
                 None => break,
@@ -122,7 +125,7 @@
             let write = seat.writing.remove(0);
             let number = write.number;
             seat.disk.apply(write);
-            seat.replica.written(0, number);
+            seat.replica.written(self.clock[i], number);
             self.pump(i);
         }
     }
@@ -133,7 +136,8 @@
             if twice { self.lying[which].clone() } else { self.lying.remove(which) };
         let i = to.0 as usize - 1;
         if self.seats[i].up {
-            self.seats[i].replica.message(0, from, writes, message);
+            let now = self.clock[i];
+            self.seats[i].replica.message(now, from, writes, message);
             self.pump(i);
         }
     }
@@ -152,7 +156,8 @@
 
     /// It stands for election.
     pub fn stand(&mut self, i: usize) {
-        self.at(i).stand_at_once(0);
+        let now = self.clock[i];
+        self.at(i).stand_at_once(now);
         self.pump(i);
     }
 
@@ -186,8 +191,9 @@
 
     /// It proposes a command.
     pub fn propose(&mut self, i: usize, what: u8) -> bool {
-        let done = self.at(i).propose(0, vec![what]).is_ok();
-        self.at(i).flush(0);
+        let now = self.clock[i];
+        let done = self.at(i).propose(now, vec![what]).is_ok();
+        self.at(i).flush(now);
         self.pump(i);
         done
     }
@@ -197,12 +203,13 @@
         let disk = from.unwrap_or_else(|| self.seats[i].disk.clone());
         let me = self.seats[i].replica.me();
         self.seats[i] = Seat {
-            replica: Replica::new(self.config.clone(), me, disk.clone(), 1, 0),
+            replica: Replica::new(self.config.clone(), me, disk.clone(), 1, self.clock[i]),
             disk,
             writing: Vec::new(),
             up: true,
         };
-        self.at(i).tick(0);
+        let now = self.clock[i];
+        self.at(i).tick(now);
         self.pump(i);
     }
 
