--- a/crates/rehearse/src/commands.rs
+++ b/crates/rehearse/src/commands.rs
@@ -65,6 +65,8 @@
     },
     /// Draw schedules of faults for a fleet by seed, play each in simulated time, shrink what fails.
     Hunt(fleet::commands::HuntArgs),
+    /// Measure what holding costs, against the same requests that are not held.
+    Held(crate::records::cost::CostArgs),
     /// Read a script and say what is wrong with it.
     Check {
         /// The script.
@@ -193,6 +195,10 @@
             None => run_once(&args, &log),
         },
         Command::Hunt(args) => fleet::commands::hunting(&args),
+        Command::Held(args) => {
+            let side = args.sidecar.clone().map_or(Side::Policy(Policy::Module), Side::Build);
+            crate::records::cost::run(&args, &play::program(&side)?)
+        }
         Command::Check { script } => {
             if let Some(s) = fleet::commands::read(&script)? {
                 return Ok(fleet::commands::check(&s));
--- a/crates/rehearse/src/records/mod.rs
+++ b/crates/rehearse/src/records/mod.rs
@@ -1,6 +1,7 @@
 //! Rehearsals of what a fleet holds for others: a script with a table `[records]` played in simulated time on the deciding code
 //! alone ([`sim`]), with schedules drawn by seed ([`draw`]); on processes by [`crate::fleet::sockets`].
 pub mod clients;
+pub mod cost;
 pub mod disk;
 pub mod draw;
 pub mod sim;
