Records: an answer that could not be held, or goes on as it comes, is given up for others at once

Need: after a hold that failed the record stood as taken by a sidecar that is there, so every retry waited out its time and failed.

--- a/crates/sidecar/src/event_loop/records_side.rs
+++ b/crates/sidecar/src/event_loop/records_side.rs
@@ -336,6 +336,11 @@
             Waits::Take(request) => self.took(now, request, outcome),
             Waits::Hold(request) => {
                 let marked = matches!(outcome, Ok(Outcome::Done(_)));
+                let key = self.requests.get(request).and_then(|r| r.held.as_ref()).map(|h| h.key.clone());
+                if let (false, Some(key)) = (marked, key) {
+                    // Whoever asks again is not to wait for an answer that is not held.
+                    self.ask_for_nobody(now, key, true);
+                }
                 self.held_answer(request, marked);
             }
             Waits::Operator(seat) => self.operator_told(seat, outcome),
--- a/crates/sidecar/src/event_loop/streams.rs
+++ b/crates/sidecar/src/event_loop/streams.rs
@@ -200,6 +200,8 @@
         }
         let turn = self.balancer.begun(attempt);
         self.absorb(turn);
+        // An answer that goes on as it comes is not held.
+        self.give_held(attempt.request, true);
         self.may_stall(client, STILL);
         self.pass(handle);
     }
