--- a/crates/records/src/holder.rs
+++ b/crates/records/src/holder.rs
@@ -103,7 +103,10 @@
             // Their entries may still be committed or not: whoever waits asks again elsewhere.
             self.waiting.clear();
         }
-        if self.replica.log().len() >= self.snapshot_every || self.bytes >= SNAPSHOT_BYTES {
+        // A snapshot costs as much as the state is large: it waits for as many entries, so that each one's part stays the same.
+        let (records, documents, _, bytes) = self.machine.size();
+        let entries = self.snapshot_every.max(records + documents);
+        if self.replica.log().len() >= entries || self.bytes >= SNAPSHOT_BYTES.max(bytes) {
             self.bytes = 0;
             let data = self.snapshot();
             self.replica.compact(data);
--- a/crates/sidecar/src/event_loop.rs
+++ b/crates/sidecar/src/event_loop.rs
@@ -47,6 +47,8 @@
 const LISTENER: usize = usize::MAX - 1;
 const STOPS: usize = usize::MAX - 2;
 const RELOADS: usize = usize::MAX - 3;
+/// Rounds of the records' work in one turn of the loop.
+const STIRS: usize = 4;
 /// How often idle connections are looked through.
 const SWEEP: Micros = 250_000;
 /// How often the summary is logged, in sweeps.
@@ -199,8 +201,8 @@
     holding: Option<Holding>,
     /// Upstreams that drain by an operator's order.
     ordered: Vec<String>,
-    /// Another member said something to the records in this turn.
-    heard_batch: bool,
+    /// The records were asked or told something in this turn.
+    stirred: bool,
     view: Option<silvercross_members::View>,
     view_told: Paced,
     members_told: Paced,
@@ -241,7 +243,7 @@
             door: Door::new(door, &registry, &classes)?,
             holding: records.map(|r| Holding::new(r, &registry)).transpose()?,
             ordered: Vec::new(),
-            heard_batch: false,
+            stirred: false,
             fleet: peers.map(|p| Fleet::new(p, &registry, balancer.senders())).transpose()?,
             view: None,
             view_told: Paced::default(),
@@ -288,7 +290,18 @@
         self.guarded(None, Self::mind_fleet);
         self.guarded(None, Self::mind_records);
         loop {
-            let wake = self.tick();
+            let mut wake = self.tick();
+            // What was asked of the records in one turn goes out together.
+            for _ in 0..STIRS {
+                if !std::mem::take(&mut self.stirred) {
+                    break;
+                }
+                self.guarded(None, Self::mind_records);
+                wake = self.tick();
+            }
+            if self.stirred {
+                wake = Some(self.balancer.now());
+            }
             if self.may_end() {
                 self.summary("stopped");
                 return Ok(());
--- a/crates/sidecar/src/event_loop/fleet_side.rs
+++ b/crates/sidecar/src/event_loop/fleet_side.rs
@@ -95,9 +95,6 @@
             key => self.exchange_ready(key - SEAT_0),
         }
         self.mind_fleet();
-        if std::mem::take(&mut self.heard_batch) {
-            self.mind_records();
-        }
     }
 
     fn read_datagrams(&mut self) {
@@ -137,7 +134,7 @@
             let taken = self.batch_came(now, &bytes);
             let Some(Some(conn)) = self.fleet.as_mut().and_then(|f| f.seats.get_mut(seat)) else { return };
             got = if taken { conn.taken(now) } else { Got::Ended };
-            self.heard_batch = true;
+            self.stirred = true;
         }
         let Some(fleet) = &mut self.fleet else { return };
         let Some(Some(conn)) = fleet.seats.get_mut(seat) else { return };
--- a/crates/sidecar/src/event_loop/records_side.rs
+++ b/crates/sidecar/src/event_loop/records_side.rs
@@ -132,8 +132,9 @@
             }
         } else {
             self.go_on_with(key - LINK_0, now);
+            return;
         }
-        self.mind_records();
+        self.stirred = true;
     }
 
     fn go_on_with(&mut self, seat: usize, now: Micros) {
@@ -326,7 +327,7 @@
         let command = Command::Take { key: held.key.clone(), window_ms };
         let id = h.records.ask_of(now, &held.key.clone(), command, now + wait.max(1_000));
         h.asks.insert(id, Waits::Take(request));
-        self.mind_records();
+        self.stirred = true;
     }
 
     fn ask_done(&mut self, now: Micros, id: u64, outcome: Result<Outcome, Why>) {
@@ -460,7 +461,7 @@
         let id = h.records.ask_of(now, &held.key.clone(), command.clone(), now + GIVE);
         h.asks.insert(id, Waits::Hold(request));
         self.balancer.wake_at(until.max(now + 1_000), Wake::Unheld(request));
-        self.mind_records();
+        self.stirred = true;
     }
 
     /// An answer is held, or was not in time: it goes out.
@@ -497,9 +498,7 @@
         let Some(h) = &mut self.holding else { return };
         let id = h.records.ask_of(now, &key.clone(), Command::Give { key, may_have_run }, now + GIVE);
         h.asks.insert(id, Waits::Nobody);
-        // It goes out with what is said next.
-        h.due = h.due.min(now + 1_000);
-        self.balancer.wake_at(now + 1_000, Wake::Records);
+        self.stirred = true;
     }
 
     // --- operators ---
@@ -537,7 +536,7 @@
         let id = h.records.ask_of(now, &name, command, now + ORDER);
         h.asks.retain(|_, w| !matches!(w, Waits::Operator(s) if *s == seat));
         h.asks.insert(id, Waits::Operator(seat));
-        self.mind_records();
+        self.stirred = true;
         None
     }
 
