--- a/crates/rehearse/src/records/clients.rs
+++ b/crates/rehearse/src/records/clients.rs
@@ -107,7 +107,8 @@
         if let Some(target) = pick(rng.next_u64()) {
             let age = shared.origin.elapsed().as_millis() as u64 / AGE.as_millis() as u64;
             if rng.next_u32() % 10 < 6 {
-                let back = if rng.next_u32() % 3 == 0 { rng.next_u64() % (age.min(8) + 1) } else { 0 };
+                let back =
+                    if rng.next_u32().is_multiple_of(3) { rng.next_u64() % (age.min(8) + 1) } else { 0 };
                 let key = format!("k{}-{}", age - back, rng.next_u64() % (4 * keys));
                 keyed(&key, target, &mut |n| pick(n), &mut rng, shared);
             } else {
