--- a/crates/rehearse/src/records/mod.rs
+++ b/crates/rehearse/src/records/mod.rs
@@ -26,6 +26,7 @@
     put("marked", v.marked as f64);
     put("marked_same", v.same as f64);
     put("effects", v.effects as f64);
+    put("longest_dark", v.longest_dark as f64 / period);
     put("too_hard", v.too_hard as f64);
     v.answered_after.into_iter().for_each(|a| put("answered_after", a as f64 / period));
     for (property, n) in &v.count {
--- a/crates/witness/src/records.rs
+++ b/crates/witness/src/records.rs
@@ -110,6 +110,8 @@
     pub too_hard: usize,
     /// Effects counted.
     pub effects: usize,
+    /// The longest time between two marked answers, both begun and given, one after the other.
+    pub longest_dark: Micros,
     /// From the last calm to the first answer behind it.
     pub answered_after: Option<Micros>,
 }
@@ -165,6 +167,14 @@
             _ => {}
         }
     }
+    let mut given: Vec<Micros> = Vec::new();
+    for e in &history.events {
+        if matches!(e.what, What::Marked { .. }) && e.at > 0 {
+            given.push(e.end);
+        }
+    }
+    given.sort_unstable();
+    v.longest_dark = given.windows(2).map(|w| w[1] - w[0]).max().unwrap_or(0);
     // Whatever answered without a mark something else to a key that was marked before.
     for e in &history.events {
         if let (What::Unmarked { key, answer }, true) = (&e.what, once) {
