--- a/crates/replica/tests/explore.rs
+++ b/crates/replica/tests/explore.rs
@@ -1,6 +1,7 @@
 //! Every order at a tiny size: three voters, two terms, two entries, messages that are lost, late and doubled, one crash with the
 //! folder or with nothing that was not yet durable. Depth first, each state once by its digest. What is checked at each: one
-//! leader in a term, one entry at a place, no rule broken inside. `SILVERCROSS_STATES` is how many states at most (by hand).
+//! leader in a term, one entry at a place, no rule broken inside. `SILVERCROSS_STATES` is how many states at most, `SILVERCROSS_OFTEN`
+//! how many stands, proposals, crashes and doubled messages there may be (by hand).
 mod table;
 use silvercross_replica::Mutant;
 use std::collections::HashSet;
@@ -78,10 +79,12 @@
     all
 }
 
-fn explore(mutant: Option<Mutant>, most: usize) -> (usize, bool, Option<String>) {
+/// How often each thing may happen: stands, proposals, crashes, doubled messages.
+fn explore(mutant: Option<Mutant>, most: usize, often: [u32; 4]) -> (usize, bool, Option<String>) {
     let mut table = Table::new(3, 0, mutant);
-    table.sync = false;
-    let first = State { table, stands: 2, proposals: 2, crashes: 1, doubles: 1 };
+    let [stands, proposals, crashes, doubles] = often;
+    table.sync = crashes == 0;
+    let first = State { table, stands, proposals, crashes, doubles };
     let (mut seen, mut stack) = (HashSet::new(), vec![first]);
     while let Some(s) = stack.pop() {
         if s.table.broken.is_some() {
@@ -99,9 +102,13 @@
 
 #[test]
 fn no_order_breaks_a_rule() {
-    let most = std::env::var("SILVERCROSS_STATES").ok().and_then(|s| s.parse().ok()).unwrap_or(60_000);
-    let (states, whole, broken) = explore(None, most);
-    println!("{states} states, all of them: {whole}");
+    let said = |name: &str| std::env::var(name).ok();
+    let most = said("SILVERCROSS_STATES").and_then(|s| s.parse().ok()).unwrap_or(60_000);
+    let often =
+        said("SILVERCROSS_OFTEN").map(|s| s.split(',').filter_map(|n| n.parse().ok()).collect::<Vec<u32>>());
+    let often = often.and_then(|o| o.try_into().ok()).unwrap_or([2, 2, 1, 1]);
+    let (states, whole, broken) = explore(None, most, often);
+    println!("{often:?}: {states} states, all of them: {whole}");
     assert_eq!(broken, None);
 }
 
