Records: a store is told from its copy by when it was made too; sessions are looked through seldom

An inode's number is given again, so a folder that was deleted and put back could have passed for the old one (store.rs which). The look through all sessions at each entry (machine.rs time_is) cost up to 4,096 steps an entry; now one a minute of the log's time, and a session that is over is refused whether or not it is still there.

--- a/crates/records/src/machine.rs
+++ b/crates/records/src/machine.rs
@@ -64,6 +64,8 @@
     /// Counts changes of documents and drains: a version is never given twice.
     version: u64,
     sessions: BTreeMap<u64, Session>,
+    /// When sessions were last looked through.
+    swept_ms: u64,
     bytes: usize,
 }
 
@@ -95,7 +97,9 @@
             self.sessions.insert(index, Session { by, used_ms: at_ms, ..Session::default() });
             return Outcome::Session(index);
         }
-        let Some(s) = self.sessions.get_mut(&session).filter(|s| s.by == by) else {
+        let Some(s) =
+            self.sessions.get_mut(&session).filter(|s| s.by == by && s.used_ms + SESSION_MS > at_ms)
+        else {
             return Outcome::NoSession;
         };
         s.used_ms = at_ms;
@@ -127,9 +131,11 @@
             self.ends.remove(&(until, key.clone()));
             self.forget(&key);
         }
-        if self.sessions.values().any(|s| s.used_ms + SESSION_MS <= self.now_ms) {
+        // Looked through seldom: one that is over is not used any more whether or not it is still here.
+        if self.now_ms >= self.swept_ms + SESSION_MS / 10 {
             let now_ms = self.now_ms;
             self.sessions.retain(|_, s| s.used_ms + SESSION_MS > now_ms);
+            self.swept_ms = now_ms;
         }
     }
 
--- a/crates/sidecar/src/lifecycle/store.rs
+++ b/crates/sidecar/src/lifecycle/store.rs
@@ -61,9 +61,12 @@
     path: PathBuf,
 }
 
-/// Which file a path is, so that a copy of it is told from it.
+/// Which file a path is, so that a copy of it is told from it: device, inode, and when it was made, since an inode's number is
+/// given again. A machine that does not tell when a file was made is taken without.
 pub fn which(path: &Path) -> Option<String> {
-    std::fs::metadata(path).ok().map(|m| format!("{:x}:{:x}", m.dev(), m.ino()))
+    let m = std::fs::metadata(path).ok()?;
+    let made = m.created().ok().and_then(|t| t.duration_since(std::time::UNIX_EPOCH).ok());
+    Some(format!("{:x}:{:x}:{:x}", m.dev(), m.ino(), made.map_or(0, |t| t.as_nanos())))
 }
 
 /// Put a store aside that is not to be used any more: nothing is lost, and nobody votes by it.
