Holders that are gone leave when most of the others say so; gone for long is not many at once

To let a dead one go three of four had to say so (placement.rs), among them the one that had come in its place and whose own clock began last; and all machines ever lost counted as many at once (records.rs), so that replacing took four times as long. Now most of the others decide, and only those gone lately count. Ruled out: the copy's disk (durable to its last entry) and sessions.

--- a/crates/records/src/placement.rs
+++ b/crates/records/src/placement.rs
@@ -36,11 +36,13 @@
 /// The next step, if one is to be taken.
 pub fn next(group: &Group, facts: &Facts<'_>) -> Option<Group> {
     let alive = |n: &Node| facts.places.iter().any(|p| p.node == *n && p.alive);
-    // A voter is gone when most of the voters say so, each by its own list.
+    // A voter is gone when most of the others say so, each by its own list. One that came in its place knows it the shortest,
+    // and is not waited for.
+    let most = group.voters.len().saturating_sub(1) / 2 + 1;
     let gone: Vec<Node> = group
         .voters
         .iter()
-        .filter(|v| **v != facts.me && facts.gone.get(v).is_some_and(|n| *n >= group.majority()))
+        .filter(|v| **v != facts.me && facts.gone.get(v).is_some_and(|n| *n >= most))
         .copied()
         .collect();
     let without =
--- a/crates/records/src/records.rs
+++ b/crates/records/src/records.rs
@@ -479,9 +479,12 @@
 
     /// Who is to hold copies, where this process leads; and whom its copies hold to be gone.
     fn mind_places(&mut self, now: Micros) {
-        let away = self.places.iter().filter(|p| !p.alive).count();
-        // Many at once look like a partition or a release.
-        let many = 3 * away > self.places.len();
+        // Many at once look like a partition or a release; those that have been gone for long were not at once.
+        let lately = |p: &&Place| {
+            self.away.get(&p.node).is_some_and(|since| now < since + 4 * self.config.replace_after)
+        };
+        let away = self.places.iter().filter(|p| !p.alive).filter(lately).count();
+        let many = 3 * away > self.places.iter().filter(|p| p.alive).count() + away;
         let after = self.config.replace_after * if many { 4 } else { 1 };
         let gone: Vec<Node> =
             self.away.iter().filter(|(_, since)| now >= **since + after).map(|(n, _)| *n).collect();
