Records: what sessions keep, who ended and whom a replica heard stay within their bounds

Read through once more. Three things grew without a bound that was counted: a session kept each held answer and document it was told (up to 64 KiB each, 1,024 of them; machine.rs apply), now only what changed something, the rest a repeat finds again; Records::over and Replica::seen grew with every identity that ever spoke, now with members and the group.

--- a/crates/records/src/machine.rs
+++ b/crates/records/src/machine.rs
@@ -118,7 +118,10 @@
         } else {
             Outcome::Bad
         };
-        if let Some(s) = self.sessions.get_mut(&session) {
+        // What changed nothing is found out again by a repeat: kept, answers and documents would take room that nobody counts.
+        let found =
+            matches!(outcome, Outcome::Take(Take::Held(_) | Take::Busy { .. }) | Outcome::Document(..));
+        if let Some(s) = self.sessions.get_mut(&session).filter(|_| !found) {
             s.outcomes.insert(number, outcome.clone());
         }
         outcome
--- a/crates/records/src/records.rs
+++ b/crates/records/src/records.rs
@@ -302,6 +302,8 @@
         };
         let away = std::mem::take(&mut self.away);
         self.away = away.into_iter().filter(|(n, _)| held(n)).collect();
+        let over = std::mem::take(&mut self.over);
+        self.over = over.into_iter().filter(|(_, n)| places.iter().any(|p| p.node == *n)).collect();
         self.places = places;
     }
 
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -13,6 +13,8 @@
 /// Messages that wait for their writes or to be fetched, at most; what is more is lost, as messages may be.
 const OUT: usize = 4096;
 
+/// Nodes whose number of writes is kept, besides those of the group.
+const SEEN: usize = 256;
 /// Elections in vain that still double the timeout.
 const VAIN: u32 = 4;
 
@@ -351,6 +353,11 @@
         if self.ended.is_some() || from == self.me {
             return;
         }
+        if self.seen.len() >= SEEN {
+            // Those that are in no group any more are never heard again but for strangers.
+            let group = self.log.group().clone();
+            self.seen.retain(|n, _| group.all().any(|m| m == *n));
+        }
         let seen = self.seen.entry(from).or_default();
         if writes < *seen && !self.config.is_broken(Mutant::OldFolderVotes) {
             // Late, or from an older folder: its sender knows which.
--- a/crates/sidecar/src/lifecycle/store.rs
+++ b/crates/sidecar/src/lifecycle/store.rs
@@ -6,7 +6,6 @@
 use serde::{Deserialize, Serialize};
 use silvercross_records::Epoch;
 use silvercross_replica::{Durable, Entry, Hard, Snapshot, Write};
-use std::fs::File;
 use std::io::{self, Write as _};
 use std::os::unix::fs::MetadataExt;
 use std::os::unix::net::UnixStream;
@@ -241,11 +240,6 @@
     Ok(())
 }
 
-/// Whether a folder has a store.
-pub fn is_there(folder: &Path) -> bool {
-    File::open(folder.join(FILE)).is_ok()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
