Records: a repeat of a take that found something never takes

A session keeps that the key was not free, without the answer's bytes; a repeat finds the answer where it is held.

--- a/crates/records/src/machine.rs
+++ b/crates/records/src/machine.rs
@@ -51,6 +51,9 @@
     outcomes: BTreeMap<u64, Outcome>,
 }
 
+/// What a session keeps of a take that found an answer.
+const FOUND: Outcome = Outcome::Take(Take::Busy { by: 0, passed_ms: None, over: true });
+
 /// One log's state.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Machine {
@@ -107,8 +110,15 @@
             s.below = below;
             s.outcomes = s.outcomes.split_off(&below);
         }
-        if let Some(known) = s.outcomes.get(&number) {
-            return known.clone();
+        if let Some(known) = s.outcomes.get(&number).cloned() {
+            let held = match (&command, known == FOUND) {
+                (Command::Take { key, .. }, true) => self.records.get(key),
+                _ => None,
+            };
+            return match held {
+                Some(Record { state: State::Held(answer), .. }) => Outcome::Take(Take::Held(answer.clone())),
+                _ => known,
+            };
         }
         if number < s.below || s.outcomes.len() >= OUTCOMES {
             return Outcome::NoSession;
@@ -118,11 +128,15 @@
         } else {
             Outcome::Bad
         };
-        // What changed nothing is found out again by a repeat: kept, answers and documents would take room that nobody counts.
-        let found =
-            matches!(outcome, Outcome::Take(Take::Held(_) | Take::Busy { .. }) | Outcome::Document(..));
-        if let Some(s) = self.sessions.get_mut(&session).filter(|_| !found) {
-            s.outcomes.insert(number, outcome.clone());
+        // A repeat of a take that found something never takes: the first one may have been told, and nobody would know of it. An
+        // answer is not kept twice: a repeat finds it where it is held, or is told that the key was not free.
+        let kept = match &outcome {
+            Outcome::Take(Take::Held(_)) => Some(FOUND),
+            Outcome::Document(..) => None,
+            other => Some(other.clone()),
+        };
+        if let (Some(s), Some(kept)) = (self.sessions.get_mut(&session), kept) {
+            s.outcomes.insert(number, kept);
         }
         outcome
     }
--- a/crates/records/tests/machine.rs
+++ b/crates/records/tests/machine.rs
@@ -77,6 +77,24 @@
     assert_eq!(l.next(1, a, take("k")), found);
 }
 
+#[test]
+fn a_repeat_of_a_take_that_found_something_never_takes() {
+    let mut l = Log::new();
+    let (a, b) = (l.open(1), l.open(2));
+    assert_eq!(l.say(1, a, 1, take("k")), Outcome::Take(Take::Yours));
+    let busy = l.say(2, b, 1, take("k"));
+    assert_eq!(l.say(1, a, 2, Command::Give { key: "k".into(), may_have_run: false }), Outcome::Done(0));
+    assert_eq!(l.say(2, b, 1, take("k")), busy);
+    assert_eq!(l.say(1, a, 3, take("k")), Outcome::Take(Take::Yours));
+    assert_eq!(l.say(1, a, 4, hold("k", "x")), Outcome::Done(0));
+    for _ in 0..2 {
+        assert_eq!(l.say(2, b, 2, take("k")), Outcome::Take(Take::Held(answer("x"))));
+    }
+    l.at_ms += 1_000;
+    assert!(matches!(l.say(2, b, 2, take("k")), Outcome::Take(Take::Busy { over: true, .. })));
+    assert_eq!(l.say(1, a, 5, take("k")), Outcome::Take(Take::Yours), "nobody has taken it");
+}
+
 #[test]
 fn a_repeat_is_not_done_again_over_a_snapshot_too() {
     let mut l = Log::new();
