--- /dev/null
+++ b/crates/sorting/src/items.rs
@@ -0,0 +1,293 @@
+//! What a configuration is made of.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::fmt;
+
+use bitcode::{Decode, Encode};
+use serde_json::Value;
+
+/// No time in an item is longer (about 31 years): longer ones are cut to it, so that sums of times never overflow.
+pub const MAX_TIME_US: i64 = 1_000_000_000_000_000;
+
+/// What may be done with a route's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub enum Kind {
+    /// May run more than once.
+    Safe,
+    /// Runs at most once for each try.
+    Unsafe,
+    /// Large bodies; otherwise as `Unsafe`.
+    Upload,
+}
+
+impl Kind {
+    /// Whether a request of this kind may run more than once.
+    pub fn repeatable(self) -> bool {
+        self == Kind::Safe
+    }
+
+    /// The operator's word for it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Kind::Safe => "safe",
+            Kind::Unsafe => "unsafe",
+            Kind::Upload => "upload",
+        }
+    }
+
+    /// The kind an operator's word stands for.
+    pub fn from_word(word: &str) -> Option<Kind> {
+        [Kind::Safe, Kind::Unsafe, Kind::Upload].into_iter().find(|k| k.word() == word)
+    }
+}
+
+/// Requests of one host whose path begins with `lane`.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Route {
+    /// Its identity: a route that moves to another depot or lane stays the same item.
+    pub name: String,
+    /// The host, as the operator wrote it.
+    pub depot: String,
+    /// What the path begins with; begins and ends with a slash.
+    pub lane: String,
+    /// What may be done with its requests.
+    pub kind: Kind,
+    /// The longest time a request is held; above 0.
+    pub deadline_us: i64,
+    /// The time within which an answer has its full worth; above 0. The deadline where none was sent.
+    pub target_us: i64,
+    /// Its rank; 0 is the highest.
+    pub priority: u32,
+    /// To how many upstreams one try may be sent; at least 1.
+    pub attempts: u32,
+    /// Destinations and their shares, of which one at least is above 0; one entry of share 1 where the operator named
+    /// a single destination. In a [`Table`](crate::Table) all shares are above 0.
+    pub split: Vec<(String, f64)>,
+    /// The item's version.
+    pub edition: u64,
+    /// The regions its requests may be served in; empty where none are named.
+    pub regions: Vec<String>,
+}
+
+/// A service that requests go to.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Destination {
+    /// Its identity.
+    pub name: String,
+    /// Where a probe asks whether an upstream is well. `/health` where none was sent.
+    pub health_path: String,
+    /// How many connections an upstream accepts from all callers together; at least 1. `u32::MAX` where none was sent.
+    pub line_cap: u32,
+    /// How long an upstream stays cold after a start; 0 where none was sent.
+    pub cold_us: i64,
+    /// Requests a second that a cold upstream bears. Infinite where none was sent.
+    pub cold_rate: f64,
+    /// The item's version.
+    pub edition: u64,
+    /// What its upstreams speak; `h1` where none was sent.
+    pub protocol: String,
+    /// Whether its upstreams want the connection sealed.
+    pub sealed: bool,
+}
+
+/// What a client may send, and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub envelope_bytes: usize,
+    /// Bytes of a request's body.
+    pub content_bytes: u64,
+    /// Time for a request's head to come in.
+    pub envelope_us: i64,
+    /// Time a connection may stay idle.
+    pub idle_us: i64,
+    /// The item's version.
+    pub edition: u64,
+}
+
+impl Default for Limits {
+    /// What holds until an operator sends limits: wide, so that nothing proper is turned away.
+    fn default() -> Self {
+        Limits {
+            envelope_bytes: 64 << 10,
+            content_bytes: 256 << 20,
+            envelope_us: 10_000_000,
+            idle_us: 60_000_000,
+            edition: 0,
+        }
+    }
+}
+
+/// What is wrong with a call: where, why, and what mends it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The item's name, its position (`depots[0].lanes[2]`) where it has none, or `body`.
+    pub item: String,
+    /// The key in the item.
+    pub key: String,
+    /// What is wrong and, in brackets, what mends it.
+    pub reason: String,
+}
+
+impl Fault {
+    pub(crate) fn new(item: impl Into<String>, key: impl Into<String>, reason: impl Into<String>) -> Self {
+        Fault { item: item.into(), key: key.into(), reason: reason.into() }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "item {}, key {}: {}", self.item, self.key, self.reason)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// An item's version.
+pub(crate) trait Versioned {
+    fn edition(&self) -> u64;
+}
+
+impl Versioned for Route {
+    fn edition(&self) -> u64 {
+        self.edition
+    }
+}
+
+impl Versioned for Destination {
+    fn edition(&self) -> u64 {
+        self.edition
+    }
+}
+
+impl Versioned for Limits {
+    fn edition(&self) -> u64 {
+        self.edition
+    }
+}
+
+/// An item as it is used and as it was sent, with the fields that are not known here.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) struct Item<T> {
+    pub parsed: T,
+    /// Its JSON, without blanks.
+    pub raw: String,
+}
+
+impl<T: PartialEq> PartialEq for Item<T> {
+    /// The same content: order of keys and the way a number is written don't matter.
+    fn eq(&self, other: &Self) -> bool {
+        self.parsed == other.parsed && same_text(&self.raw, &other.raw)
+    }
+}
+
+/// What holds for a name.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) enum Entry<T> {
+    Set(Item<T>),
+    /// Kept so that an older setting of the name does not come back. `order` counts the drops of a configuration.
+    Dropped {
+        edition: u64,
+        order: u64,
+    },
+}
+
+impl<T: PartialEq> PartialEq for Entry<T> {
+    /// Equal if they mean the same; when an item was dropped doesn't matter.
+    fn eq(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Entry::Set(a), Entry::Set(b)) => a == b,
+            (Entry::Dropped { edition: a, .. }, Entry::Dropped { edition: b, .. }) => a == b,
+            _ => false,
+        }
+    }
+}
+
+impl<T: Versioned> Entry<T> {
+    pub fn edition(&self) -> u64 {
+        match self {
+            Entry::Set(item) => item.parsed.edition(),
+            Entry::Dropped { edition, .. } => *edition,
+        }
+    }
+}
+
+impl<T> Entry<T> {
+    pub fn item(&self) -> Option<&Item<T>> {
+        match self {
+            Entry::Set(item) => Some(item),
+            Entry::Dropped { .. } => None,
+        }
+    }
+
+    pub fn parsed(&self) -> Option<&T> {
+        self.item().map(|item| &item.parsed)
+    }
+}
+
+/// Names and what holds for them.
+pub(crate) type Entries<T> = BTreeMap<String, Entry<T>>;
+
+/// One call of the operator, checked as far as it can be without the present configuration. Holds at most what a body
+/// of [`crate::MAX_BODY`] bytes says.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct Change {
+    pub(crate) routes: Entries<Route>,
+    pub(crate) destinations: Entries<Destination>,
+    pub(crate) limits: Option<Item<Limits>>,
+}
+
+impl Change {
+    /// Whether the call names no item.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// How many items the call sets or drops.
+    pub fn len(&self) -> usize {
+        self.routes.len() + self.destinations.len() + usize::from(self.limits.is_some())
+    }
+}
+
+/// The host by which routes are found: in lower case, without a port.
+pub(crate) fn host_key(host: &str) -> Cow<'_, str> {
+    let host = host.trim();
+    let bare = if host.starts_with('[') {
+        host.find(']').map_or(host, |end| &host[..=end])
+    } else {
+        match host.rsplit_once(':') {
+            Some((bare, port)) if port.bytes().all(|b| b.is_ascii_digit()) => bare,
+            _ => host,
+        }
+    };
+    if bare.bytes().any(|b| b.is_ascii_uppercase()) {
+        Cow::Owned(bare.to_ascii_lowercase())
+    } else {
+        Cow::Borrowed(bare)
+    }
+}
+
+fn same_text(a: &str, b: &str) -> bool {
+    a == b
+        || match (serde_json::from_str::<Value>(a), serde_json::from_str::<Value>(b)) {
+            (Ok(a), Ok(b)) => same_json(&a, &b),
+            _ => false,
+        }
+}
+
+/// Equal as JSON: 4 and 4.0 are the same number.
+fn same_json(a: &Value, b: &Value) -> bool {
+    match (a, b) {
+        (Value::Number(x), Value::Number(y)) => {
+            x == y || ((x.is_f64() || y.is_f64()) && x.as_f64() == y.as_f64())
+        }
+        (Value::Array(x), Value::Array(y)) => {
+            x.len() == y.len() && x.iter().zip(y).all(|(x, y)| same_json(x, y))
+        }
+        (Value::Object(x), Value::Object(y)) => {
+            x.len() == y.len() && x.iter().all(|(key, x)| y.get(key).is_some_and(|y| same_json(x, y)))
+        }
+        _ => a == b,
+    }
+}
