--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -119,6 +119,8 @@
     CountsLostDisks,
     /// Reads without asking whether its epoch still stands.
     ReadsUnasked,
+    /// Keeps what a page that refuses a change has made of it.
+    KeepsPart,
 }
 
 /// What waits for a write.
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -245,6 +245,7 @@
     /// the next copy.
     pub(crate) fn pump(&mut self, now: Micros, key: &str) {
         let unasked = self.is(Broken::ReadsUnasked);
+        let part = self.is(Broken::KeepsPart);
         let mut answers = Vec::new();
         let Some(slot) = self.keys.get_mut(key) else { return };
         let Stand::Owner(owner) = &mut slot.stand else { return };
@@ -282,6 +283,11 @@
                     jobs.push((job, Ok(true)));
                 }
                 (Ok(false), false) => owner.asked.push((job, None)),
+                (Err(refusal), _) if part && tried != *committed => {
+                    page = Some(tried);
+                    changes.push(change.clone());
+                    jobs.push((job, Err(refusal)));
+                }
                 (Err(refusal), false) => owner.asked.push((job, Some(refusal))),
                 // Rests on a change that is not yet committed: told when that is.
                 (outcome, true) => jobs.push((job, outcome)),
@@ -417,8 +423,8 @@
     pub(crate) fn known_owner(&self, now: Micros, key: &str) -> Option<(Node, Epoch)> {
         let slot = self.keys.get(key)?;
         let owner = Node(slot.seen.owner);
-        (owner != self.me && self.up.contains(&owner) && now < slot.heard + SILENT)
-            .then_some((owner, slot.seen))
+        let owned = slot.seen != Epoch::default() && owner != self.me;
+        (owned && self.up.contains(&owner) && now < slot.heard + SILENT).then_some((owner, slot.seen))
     }
 
     fn patience(&self, key: &str) -> Micros {
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -707,6 +707,10 @@
                 }
             }
         }
+        self.play(self.now + 1_000_000);
+        if let Some(token) = self.open.keys().next() {
+            self.fail(format!("call {token} was never answered"));
+        }
         for m in &self.machines {
             if let Some(ledger) = &m.ledger {
                 self.report.taken += ledger.figures().taken;
--- /dev/null
+++ b/crates/ledger/tests/mutants.rs
@@ -0,0 +1,57 @@
+//! Ledgers that break one rule each: the judge finds every one of them. Two more that need a rare order of events are
+//! stepped in `rules.rs`.
+#![cfg(feature = "mutants")]
+
+mod common;
+
+use common::{World, PART_OF_CALL};
+use silvercross_ledger::Broken;
+
+/// The judge's words on the first of some schedules in which it shows.
+fn caught(broken: Option<Broken>, schedules: u64) -> String {
+    let mut seeds = (0..schedules).filter_map(|seed| {
+        let machines = if seed % 4 == 0 { 5 } else { 3 };
+        let why = World::new(seed, machines, broken).run().err()?;
+        // That nothing moves any more would not be enough.
+        if why.starts_with("not settled") || why.starts_with("a call after") {
+            return None;
+        }
+        Some(format!("seed {seed}: {}", why.lines().next().unwrap_or_default()))
+    });
+    let why = seeds.next().unwrap_or_else(|| panic!("{broken:?} was not found in {schedules} schedules"));
+    println!("{broken:?}: {why}");
+    why
+}
+
+#[test]
+fn an_answer_before_the_second_sync_is_caught() {
+    caught(Some(Broken::AnswersEarly), 300);
+}
+
+#[test]
+fn an_old_owners_copy_that_is_taken_is_caught() {
+    caught(Some(Broken::TakesOldCopies), 300);
+}
+
+#[test]
+fn a_wiped_holder_that_votes_is_caught() {
+    caught(Some(Broken::WipedVotes), 300);
+}
+
+#[test]
+fn a_take_over_that_reads_too_few_is_caught() {
+    caught(Some(Broken::ReadsTooFew), 300);
+}
+
+#[test]
+fn a_read_without_a_question_is_caught() {
+    caught(Some(Broken::ReadsUnasked), 300);
+}
+
+#[test]
+fn part_of_a_call_in_force_is_caught() {
+    PART_OF_CALL.set(true);
+    let why = caught(Some(Broken::KeepsPart), 50);
+    PART_OF_CALL.set(false);
+    assert!(why.contains("refused and in force") || why.contains("part of a call"), "{why}");
+}
--- /dev/null
+++ b/crates/ledger/tests/rules.rs
@@ -0,0 +1,552 @@
+//! Each rule stepped by hand, on three holders.
+
+mod common;
+
+use common::{Change, Notes};
+use silvercross_ledger::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+type L = Letter<Notes, Change>;
+type Write = (u64, Option<Marker>, Vec<Stored<Notes>>);
+const KEY: &str = "configuration";
+
+struct Bench {
+    now: Micros,
+    ledgers: Vec<Ledger<Notes>>,
+    disks: Vec<Disk<Notes>>,
+    letters: VecDeque<(usize, usize, L)>,
+    /// Not synced yet, where syncing is held.
+    writes: Vec<VecDeque<Write>>,
+    slow_disk: BTreeSet<usize>,
+    /// Letters on these ways are lost.
+    cut: BTreeSet<(usize, usize)>,
+    /// Letters on these ways wait.
+    held: BTreeSet<(usize, usize)>,
+    answers: BTreeMap<u64, Verdict<Notes>>,
+    /// The lives under which repair was asked for last.
+    recovering: BTreeMap<usize, Life>,
+    starts: u64,
+}
+
+fn start(node: usize, roster: usize, fresh: bool, seed: u64) -> Start {
+    let roster = (0..roster as u32).map(Node).collect();
+    Start { me: Node(node as u32), roster, keys: vec![KEY.into()], fresh, seed }
+}
+
+impl Bench {
+    fn new(n: usize) -> Bench {
+        let ledgers = (0..n).map(|i| Ledger::new(0, start(i, n, true, i as u64), Disk::default())).collect();
+        let mut bench = Bench {
+            now: 0,
+            ledgers,
+            disks: (0..n).map(|_| Disk::default()).collect(),
+            letters: VecDeque::new(),
+            writes: (0..n).map(|_| VecDeque::new()).collect(),
+            slow_disk: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            held: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            recovering: BTreeMap::new(),
+            starts: 100,
+        };
+        bench.link();
+        bench
+    }
+
+    /// Three with a settled owner; who that is.
+    fn settled() -> (Bench, usize) {
+        let mut bench = Bench::new(3);
+        bench.pass(1_000_000);
+        let owner = bench.owner().expect("an owner");
+        (bench, owner)
+    }
+
+    fn owner(&self) -> Option<usize> {
+        (0..self.ledgers.len()).find(|i| !self.ledgers[*i].settled().is_empty())
+    }
+
+    fn link(&mut self) {
+        let n = self.ledgers.len();
+        for (a, b) in (0..n).flat_map(|a| (0..n).map(move |b| (a, b))).filter(|(a, b)| a != b) {
+            self.ledgers[a].reachable(self.now, Node(b as u32), true);
+        }
+        self.run();
+    }
+
+    fn part(&mut self, node: usize) {
+        for other in (0..self.ledgers.len()).filter(|o| *o != node) {
+            self.ledgers[other].reachable(self.now, Node(node as u32), false);
+            self.ledgers[node].reachable(self.now, Node(other as u32), false);
+            self.cut.extend([(node, other), (other, node)]);
+        }
+    }
+
+    fn join(&mut self, node: usize) {
+        self.cut.retain(|(a, b)| *a != node && *b != node);
+        self.link();
+    }
+
+    fn sync(&mut self, node: usize) {
+        while let Some((write, marker, keys)) = self.writes[node].pop_front() {
+            let disk = &mut self.disks[node];
+            disk.marker = marker.or(disk.marker.take());
+            for stored in keys {
+                disk.keys.retain(|k| k.key != stored.key);
+                disk.keys.push(stored);
+            }
+            self.ledgers[node].stored(self.now, write);
+        }
+    }
+
+    /// Until nothing moves any more.
+    fn run(&mut self) {
+        loop {
+            let mut moved = false;
+            for node in 0..self.ledgers.len() {
+                for deed in self.ledgers[node].deeds() {
+                    moved = true;
+                    match deed {
+                        Deed::Send { to, letter } => {
+                            if let Letter::Recover { life } = letter {
+                                self.recovering.insert(node, life);
+                            }
+                            self.letters.push_back((node, to.0 as usize, letter));
+                        }
+                        Deed::Store { write, marker, keys } => {
+                            self.writes[node].push_back((write, marker, keys))
+                        }
+                        Deed::Answer { token, verdict } => {
+                            assert!(self.answers.insert(token, verdict).is_none(), "answered twice");
+                        }
+                        Deed::News { .. } => {}
+                    }
+                }
+                if !self.slow_disk.contains(&node) && !self.writes[node].is_empty() {
+                    moved = true;
+                    self.sync(node);
+                }
+            }
+            for _ in 0..self.letters.len() {
+                let Some((from, to, letter)) = self.letters.pop_front() else { break };
+                if self.held.contains(&(from, to)) {
+                    self.letters.push_back((from, to, letter));
+                } else if !self.cut.contains(&(from, to)) {
+                    moved = true;
+                    self.ledgers[to].letter(self.now, Node(from as u32), letter);
+                }
+            }
+            if !moved {
+                break;
+            }
+        }
+    }
+
+    /// Time goes by.
+    fn pass(&mut self, span: Micros) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += 10_000;
+            for ledger in &mut self.ledgers {
+                ledger.tick(self.now);
+            }
+            self.run();
+        }
+    }
+
+    /// Starts anew on its disk; what was not synced is lost.
+    fn restart(&mut self, node: usize) {
+        self.starts += 1;
+        self.writes[node].clear();
+        let n = self.ledgers.len();
+        let start = start(node, n, false, self.starts);
+        self.ledgers[node] = Ledger::new(self.now, start, self.disks[node].clone());
+        for other in (0..n).filter(|o| *o != node) {
+            self.ledgers[other].reachable(self.now, Node(node as u32), false);
+        }
+        self.link();
+    }
+
+    fn wipe(&mut self, node: usize) {
+        self.disks[node] = Disk::default();
+        self.restart(node);
+    }
+
+    fn call(&mut self, node: usize, token: u64, change: &[(u8, u64, u64)]) {
+        self.ledgers[node].call(self.now, token, KEY, change.to_vec());
+        self.run();
+    }
+
+    fn read(&mut self, node: usize, token: u64) -> Notes {
+        self.ledgers[node].read(self.now, token, KEY);
+        self.run();
+        self.pass(700_000);
+        match self.answers.get(&token) {
+            Some(Verdict::Page { page, .. }) => page.clone(),
+            other => panic!("no page: {other:?}"),
+        }
+    }
+
+    fn done(&self, token: u64) -> bool {
+        matches!(self.answers.get(&token), Some(Verdict::Done { .. }))
+    }
+}
+
+fn others(owner: usize) -> (usize, usize) {
+    ((owner + 1) % 3, (owner + 2) % 3)
+}
+
+#[test]
+fn an_answer_waits_for_the_second_sync() {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    b.slow_disk.extend([x, y]);
+    b.call(owner, 1, &[(1, 1, 7)]);
+    assert!(!b.answers.contains_key(&1), "the owner alone has synced");
+    b.sync(x);
+    b.run();
+    assert!(b.done(1));
+    // And the other way round: two others without the owner's own sync are more than half as well.
+    b.slow_disk = BTreeSet::from([owner, y]);
+    b.call(owner, 2, &[(1, 2, 8)]);
+    assert!(!b.answers.contains_key(&2));
+    b.sync(y);
+    b.run();
+    assert!(b.done(2));
+}
+
+#[test]
+fn an_epoch_is_durable_before_it_is_promised() {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    b.slow_disk.extend([x, y]);
+    b.part(owner);
+    b.pass(2_500_000);
+    b.sync(x);
+    b.sync(y);
+    b.run();
+    b.slow_disk.clear();
+    b.run();
+    b.pass(1_000_000);
+    let claims = |b: &Bench| b.letters.iter().filter(|l| matches!(l.2, Letter::Claim { .. })).count();
+    assert_eq!(claims(&b), 0);
+    for node in [x, y] {
+        let promised = b.ledgers[node].state()[0].promised;
+        assert_eq!(b.disks[node].keys[0].promised, promised, "what is told is on disk");
+    }
+    // A claim that is not synced is heard of by nobody, a promise neither.
+    let epoch = Epoch { round: 99, owner: x as u32 };
+    b.slow_disk.insert(y);
+    b.ledgers[y].letter(b.now, Node(x as u32), Letter::Claim { key: KEY.into(), epoch });
+    b.held.insert((y, x));
+    b.run();
+    let promise = |b: &Bench| b.letters.iter().any(|l| matches!(l.2, Letter::Promise { .. }));
+    assert!(!promise(&b));
+    b.sync(y);
+    b.run();
+    assert!(promise(&b));
+}
+
+#[test]
+fn an_old_owners_copy_is_refused_and_its_calls_go_on() {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    // Cut off without knowing: it goes on believing.
+    b.cut.extend([(x, owner), (y, owner), (owner, x), (owner, y)]);
+    b.call(x, 1, &[(1, 1, 7)]);
+    b.pass(600_000);
+    assert!(b.done(1), "the call was served by another after the owner said nothing");
+    b.call(owner, 2, &[(1, 1, 9)]);
+    assert!(!b.answers.contains_key(&2));
+    let before = b.disks[x].keys.clone();
+    b.cut.clear();
+    b.pass(400_000);
+    assert_eq!(b.disks[x].keys, before, "nothing of the old owner was taken");
+    let refused = |node: usize| b.ledgers[node].figures().refused_lower_epoch;
+    assert!(refused(x) + refused(y) > 0);
+    assert!(
+        matches!(b.answers.get(&2), Some(Verdict::Refused(r)) if r.conflict),
+        "its call met the later owner"
+    );
+}
+
+#[test]
+fn a_take_over_adopts_the_highest_accepted() {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    // Only the owner and one other have it when it is acknowledged.
+    b.cut.insert((owner, y));
+    b.call(owner, 1, &[(1, 1, 7), (2, 1, 7)]);
+    assert!(b.done(1));
+    b.part(owner);
+    b.pass(3_000_000);
+    assert_ne!(b.owner(), Some(owner).filter(|_| b.ledgers[owner].settled().is_empty()));
+    for (node, token) in [(x, 2), (y, 3)] {
+        assert_eq!(b.read(node, token).0.get(&1), Some(&(1, 7)));
+    }
+}
+
+#[test]
+fn a_wiped_holder_is_no_voter_until_repaired() {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    b.cut.insert((owner, y));
+    b.call(owner, 1, &[(1, 1, 7)]);
+    assert!(b.done(1));
+    // The other copy is wiped and the owner is gone: who is left may not answer without it.
+    b.part(owner);
+    b.wipe(x);
+    b.part(owner);
+    b.pass(3_000_000);
+    assert!(!b.ledgers[x].voter());
+    b.call(y, 2, &[(1, 1, 9)]);
+    b.pass(1_000_000);
+    assert_eq!(b.answers.get(&2), Some(&Verdict::Unsettled));
+    b.join(owner);
+    b.pass(3_000_000);
+    assert!(b.ledgers[x].voter());
+    assert_eq!(b.read(y, 3).0.get(&1), Some(&(1, 7)));
+    assert!(b.disks[x].marker.is_some() && b.disks[x].keys[0].page.0.contains_key(&1));
+}
+
+#[test]
+fn what_was_acknowledged_survives_a_wipe_and_power_loss_of_the_others() {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    b.call(x, 1, &[(1, 1, 7)]);
+    assert!(b.done(1));
+    b.wipe(owner);
+    b.restart(x);
+    b.restart(y);
+    b.pass(4_000_000);
+    assert!(b.ledgers.iter().all(|l| l.voter()));
+    assert!(b.owner().is_some(), "taken again without any call");
+    assert_eq!(b.read(owner, 2).0.get(&1), Some(&(1, 7)));
+}
+
+/// A holder keeps a copy, loses its disk while its word is under way, and is repaired before the owner has synced: whether
+/// the change is acknowledged once that word comes, and whether it is there without the owner.
+fn word_of_a_lost_disk(broken: Option<Broken>) -> (bool, bool) {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    #[cfg(feature = "mutants")]
+    if let Some(broken) = broken {
+        b.ledgers[owner].break_it(broken);
+    }
+    assert!(broken.is_none() || cfg!(feature = "mutants"));
+    b.slow_disk.insert(owner);
+    b.cut.insert((owner, y));
+    b.held.insert((x, owner));
+    b.call(owner, 1, &[(1, 1, 7)]);
+    let at = b.letters.iter().position(|l| matches!(l.2, Letter::Kept { seq: 2, .. })).expect("kept");
+    let kept = b.letters.remove(at).expect("kept").2;
+    b.held.clear();
+    // Repaired from what the others had on disk: the owner's copy was not there yet when it was asked.
+    let (own, other) = (b.disks[owner].keys.clone(), b.disks[y].keys.clone());
+    b.cut.extend([(owner, x), (y, x)]);
+    b.disks[x] = Disk::default();
+    b.restart(x);
+    let life = b.recovering[&x];
+    for (from, keys) in [(owner, own), (y, other)] {
+        let letter = Letter::Recovered { life, keys, lives: Lives::default() };
+        b.ledgers[x].letter(b.now, Node(from as u32), letter);
+    }
+    b.run();
+    assert!(b.ledgers[x].voter());
+    b.ledgers[owner].letter(b.now, Node(x as u32), kept);
+    b.sync(owner);
+    b.run();
+    b.sync(owner);
+    b.run();
+    let done = b.done(1);
+    b.cut.remove(&(y, x));
+    b.part(owner);
+    b.pass(4_000_000);
+    (done, b.read(y, 2).0.contains_key(&1))
+}
+
+#[test]
+fn what_a_lost_disk_had_kept_counts_no_more() {
+    assert_eq!(word_of_a_lost_disk(None), (false, false));
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+fn counting_the_word_of_a_lost_disk_is_caught() {
+    assert_eq!(word_of_a_lost_disk(Some(Broken::CountsLostDisks)), (true, false), "acknowledged and lost");
+}
+
+#[test]
+fn the_same_change_is_acknowledged_again_anywhere() {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    for (node, token) in [(owner, 1), (x, 2), (y, 3), (owner, 4)] {
+        b.call(node, token, &[(1, 1, 7), (2, 1, 7)]);
+        assert!(matches!(b.answers[&token], Verdict::Done { changed, .. } if changed == (token == 1)));
+    }
+    b.call(x, 5, &[(3, 1, 8), (1, 1, 8)]);
+    assert!(matches!(&b.answers[&5], Verdict::Refused(r) if r.conflict));
+    b.call(y, 6, &[(3, 1, 0)]);
+    assert!(matches!(&b.answers[&6], Verdict::Refused(r) if !r.conflict));
+    assert!(!b.read(y, 7).0.contains_key(&3), "nothing of a refused call is in force");
+}
+
+#[test]
+fn a_call_without_a_quorum_is_unsettled_in_time() {
+    let mut b = Bench::new(3);
+    b.part(0);
+    b.part(1);
+    b.part(2);
+    for node in 0..3 {
+        b.call(node, node as u64, &[(1, 1, 7)]);
+    }
+    b.pass(790_000);
+    assert!(b.answers.is_empty());
+    b.pass(20_000);
+    assert_eq!(b.answers.len(), 3);
+    assert!(b.answers.values().all(|v| *v == Verdict::Unsettled));
+}
+
+#[test]
+fn a_frozen_owner_that_wakes_answers_no_read() {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    b.cut.extend([(x, owner), (y, owner)]);
+    b.call(x, 1, &[(1, 1, 7)]);
+    b.pass(600_000);
+    assert!(b.done(1));
+    // It still believes, and its letters come through: nobody confirms.
+    b.ledgers[owner].read(b.now, 2, KEY);
+    b.run();
+    assert!(!b.answers.contains_key(&2));
+    b.cut.clear();
+    b.pass(600_000);
+    assert!(matches!(&b.answers[&2], Verdict::Page { page, .. } if page.0.contains_key(&1)));
+}
+
+#[test]
+fn a_passed_call_is_served_under_its_epoch_alone_and_once() {
+    let (mut b, owner) = Bench::settled();
+    let (x, _) = others(owner);
+    let epoch = b.ledgers[owner].settled()[0].1;
+    let old = Epoch { round: 0, owner: owner as u32 };
+    let pass = |id, under| Letter::Pass { id, key: KEY.into(), under, ask: Ask::Change(vec![(1, id, id)]) };
+    b.ledgers[owner].letter(b.now, Node(x as u32), pass(5, old));
+    b.run();
+    assert!(b.read(owner, 1).0.is_empty(), "a late call does nothing under a later ownership");
+    for _ in 0..2 {
+        b.ledgers[owner].letter(b.now, Node(x as u32), pass(6, epoch));
+        b.run();
+    }
+    assert_eq!(b.ledgers[owner].settled()[0].2.seq, 2, "one that comes twice is served once");
+}
+
+#[test]
+fn one_holder_alone_owns_at_once_and_five_bear_two_losses() {
+    let mut b = Bench::new(1);
+    b.call(0, 1, &[(1, 1, 7)]);
+    assert!(b.done(1));
+    let mut b = Bench::new(5);
+    b.pass(1_000_000);
+    b.call(3, 1, &[(1, 1, 7)]);
+    assert!(b.done(1));
+    let owner = b.owner().expect("an owner");
+    b.part(owner);
+    b.part((owner + 1) % 5);
+    b.pass(3_000_000);
+    b.call((owner + 2) % 5, 2, &[(1, 2, 8)]);
+    b.pass(300_000);
+    assert!(b.done(2));
+    b.part((owner + 2) % 5);
+    b.call((owner + 3) % 5, 3, &[(1, 3, 9)]);
+    b.pass(900_000);
+    assert_eq!(b.answers.get(&3), Some(&Verdict::Unsettled));
+}
+
+#[test]
+fn strangers_and_keys_beyond_the_bound_are_turned_away() {
+    let (mut b, owner) = Bench::settled();
+    let key = "k".repeat(300);
+    b.ledgers[owner].letter(b.now, Node(77), Letter::Behind { key: KEY.into(), epoch: Epoch::default() });
+    assert_eq!(b.ledgers[owner].figures().strangers, 1);
+    b.ledgers[owner].call(b.now, 1, &key, vec![(1, 1, 1)]);
+    b.run();
+    assert!(matches!(b.answers[&1], Verdict::Refused(_)));
+    for k in 0..5000u64 {
+        b.ledgers[owner].call(b.now, 10 + k, &format!("key-{k}"), vec![(1, 1, 1)]);
+        b.ledgers[owner].deeds();
+    }
+    assert_eq!(b.ledgers[owner].state().len(), 4096);
+}
+
+#[test]
+fn at_rest_an_owner_sends_one_letter_a_second_to_each_other() {
+    let (mut b, owner) = Bench::settled();
+    b.pass(2_000_000);
+    let mut letters = 0;
+    for _ in 0..1000 {
+        b.now += 10_000;
+        b.ledgers[owner].tick(b.now);
+        letters += b.ledgers[owner].deeds().iter().filter(|d| matches!(d, Deed::Send { .. })).count();
+    }
+    assert!((18..=22).contains(&letters), "{letters} in ten seconds");
+}
+
+#[test]
+fn letters_come_through_their_encoding() {
+    let epoch = Epoch { round: 3, owner: 1 };
+    let page = Notes(BTreeMap::from([(1, (2, 3))]));
+    let letters: [L; 3] = [
+        Letter::Copy { key: KEY.into(), epoch, seq: 4, body: Body::Changes(vec![vec![(1, 2, 3)]]) },
+        Letter::Verdict {
+            id: 9,
+            under: epoch,
+            passed: Passed::Given(Verdict::Page { revision: Revision::default(), page }),
+        },
+        Letter::Recover { life: Life { count: 1, nonce: 2 } },
+    ];
+    for letter in letters {
+        let bytes = bitcode::encode(&letter);
+        assert_eq!(bitcode::decode::<L>(&bytes).ok(), Some(letter));
+        assert!(bitcode::decode::<L>(&bytes[..bytes.len() - 1]).is_err());
+    }
+}
+
+/// A holder promises a claimer, restarts, and is then sent the old owner's copy: whether that is acknowledged, and
+/// whether the claimer reads it.
+fn promise_over_a_restart(broken: Option<Broken>) -> (bool, bool) {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    #[cfg(feature = "mutants")]
+    if let Some(broken) = broken {
+        b.ledgers[y].break_it(broken);
+    }
+    assert!(broken.is_none() || cfg!(feature = "mutants"));
+    b.cut.extend([(owner, x), (x, owner), (owner, y)]);
+    b.ledgers[x].reachable(b.now, Node(owner as u32), false);
+    b.held.insert((y, x));
+    b.call(x, 1, &[]);
+    b.pass(300_000);
+    assert!(b.letters.iter().any(|l| matches!(l.2, Letter::Promise { .. })), "on its way");
+    b.restart(y);
+    b.cut.remove(&(owner, y));
+    b.call(owner, 2, &[(1, 1, 7)]);
+    let done = b.done(2);
+    b.held.clear();
+    b.run();
+    (done, b.read(x, 3).0.contains_key(&1))
+}
+
+#[test]
+fn a_promise_holds_over_a_restart() {
+    assert_eq!(promise_over_a_restart(None), (false, false));
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+fn a_promise_that_is_not_durable_is_caught() {
+    assert_eq!(
+        promise_over_a_restart(Some(Broken::PromiseNotDurable)),
+        (true, false),
+        "acknowledged and lost"
+    );
+}
--- a/crates/rounds/tests/common/mod.rs
+++ b/crates/rounds/tests/common/mod.rs
@@ -250,11 +250,11 @@
                 self.push(now, node, Event::Down { peer, conn });
                 return;
             }
-            Event::Down { peer, conn } => {
-                // Not if there is a newer one.
-                if self.conns.get(&pair(node, *peer)).is_some_and(|c| c.id != *conn) {
-                    return;
-                }
+            // Not if there is a newer one.
+            Event::Down { peer, conn }
+                if self.conns.get(&pair(node, *peer)).is_some_and(|c| c.id != *conn) =>
+            {
+                return
             }
             Event::Letter { from, conn, .. } if !current(self, *from, *conn) => return,
             Event::Tick if self.machines[&node].tick_at > now => return,
--- a/crates/rounds/tests/days.rs
+++ b/crates/rounds/tests/days.rs
@@ -216,11 +216,8 @@
         world.start(node, 1);
     }
     world.trace = std::env::var("TRACE").is_ok();
-    let took = world.until_agreed(4 * S);
+    let took = world.until_agreed(2 * S);
     assert!(took.is_ok(), "seed {seed}: {took:?} after {troubles:?}");
-    if took > Ok(2 * S) {
-        println!("seed {seed}: {took:?}");
-    }
     world.run(8 * S);
     assert_eq!(world.disagreement(), None, "seed {seed}");
     assert_eq!(world.crossing_links(), 3, "seed {seed}: {troubles:?}");
--- a/crates/wicket/src/lib.rs
+++ b/crates/wicket/src/lib.rs
@@ -100,7 +100,8 @@
     Cold,
     /// The station has no place in time.
     Full,
-    /// The id may run once and waits here, is out, or was written before. No promise: it may have run.
+    /// The id may run once, by its own word or that of the one before, and waits here, is out, or was written. No
+    /// promise: it may have run.
     Twice,
     /// Its deadline has passed.
     Late,
--- a/crates/wicket/src/seen.rs
+++ b/crates/wicket/src/seen.rs
@@ -8,8 +8,8 @@
 /// Ids known here.
 #[derive(Debug, Default)]
 pub(crate) struct Seen {
-    /// How many with each id wait or are out; bounded by these.
-    here: BTreeMap<Arc<str>, u32>,
+    /// How many with each id wait or are out, and whether one of them may run once; bounded by these.
+    here: BTreeMap<Arc<str>, (u32, bool)>,
     /// When each that may run once and was begun here ended. Together with those here at most [`IDS_MOST`] as long
     /// as [`Seen::room`] is asked before one comes in.
     ended: BTreeMap<Arc<str>, Micros>,
@@ -17,9 +17,9 @@
 }
 
 impl Seen {
-    /// Whether the id is here or was begun here.
-    pub(crate) fn knows(&self, id: &str) -> bool {
-        self.here.contains_key(id) || self.ended.contains_key(id)
+    /// Whether the id is here or was begun here, and may run once by the word of the one or the other.
+    pub(crate) fn knows(&self, id: &str, repeatable: bool) -> bool {
+        self.here.get(id).is_some_and(|&(_, once)| once || !repeatable) || self.ended.contains_key(id)
     }
 
     /// Whether one more can be remembered beside the `here` that wait or are out.
@@ -33,15 +33,16 @@
     }
 
     /// One comes in.
-    pub(crate) fn enter(&mut self, id: &str) -> Arc<str> {
+    pub(crate) fn enter(&mut self, id: &str, repeatable: bool) -> Arc<str> {
         let id: Arc<str> = id.into();
-        *self.here.entry(id.clone()).or_insert(0) += 1;
+        let here = self.here.entry(id.clone()).or_insert((0, false));
+        *here = (here.0 + 1, !repeatable || here.1);
         id
     }
 
     /// One leaves, having run, or perhaps, if `ran`.
     pub(crate) fn leave(&mut self, now: Micros, id: &Arc<str>, ran: bool) {
-        if let Some(n) = self.here.get_mut(id) {
+        if let Some((n, _)) = self.here.get_mut(id) {
             *n -= 1;
             if *n == 0 {
                 self.here.remove(id);
--- a/crates/wicket/src/wicket.rs
+++ b/crates/wicket/src/wicket.rs
@@ -486,7 +486,7 @@
     fn decide(&mut self, now: Micros, a: &Arrival) -> Verdict {
         let turn = |why| Verdict::Turn { why, retry_after: None };
         // First of all: every other refusal promises that it was not begun here.
-        if !a.repeatable && self.seen.knows(&a.id) || self.here(a.number) {
+        if self.seen.knows(&a.id, a.repeatable) || self.here(a.number) {
             return turn(Turned::Twice);
         }
         if a.deadline <= 0 {
@@ -504,7 +504,7 @@
             return Verdict::Turn { why: Turned::Full, retry_after: Some(retry) };
         }
         if self.waiting.is_empty() && self.free(now) {
-            let id = self.seen.enter(&a.id);
+            let id = self.seen.enter(&a.id, a.repeatable);
             self.go(now, a.number, id, a.repeatable, a.further);
             return Verdict::Go;
         }
@@ -533,7 +533,7 @@
         let place = (a.priority, self.turn);
         self.turn += 1;
         let (until, deadline) = (now + patience, now + a.deadline.min(Micros::MAX / 4));
-        let id = self.seen.enter(&a.id);
+        let id = self.seen.enter(&a.id, a.repeatable);
         self.places.insert(a.number, place);
         self.untils.insert((until, place));
         let (number, repeatable, further) = (a.number, a.repeatable, a.further);
--- a/crates/wicket/tests/gate.rs
+++ b/crates/wicket/tests/gate.rs
@@ -6,7 +6,7 @@
 const MS: Micros = 1_000;
 
 fn gate(slots: u32) -> Wicket {
-    let mut w = Wicket::new(Bounds { drain: 4 * S, cold_overrun: 1.5, cold_slack: 5.0 });
+    let mut w = Wicket::new(Bounds { drain: 4 * S, cold_overrun: 1.0, cold_slack: 5.0 });
     w.allowance(0, Allowance { line_cap: 130, cold_rate: 20.0, cold_span: 3 * S });
     w.beat(0, facts("a", slots), 0);
     w
@@ -171,8 +171,8 @@
             }
         }
     }
-    // 24 a second: neither starved nor pressed.
-    assert!((70..=74).contains(&went), "{went} went, {turned} were turned away");
+    // 20 a second, four fifths of what the rule allows: neither starved nor pressed.
+    assert!((58..=64).contains(&went), "{went} went, {turned} were turned away");
     assert_eq!(w.arrive(8 * S, ask(9000, 0, 100 * MS)), Verdict::Wait);
     let next = w.wake().unwrap_or(0);
     w.tick(next);
--- a/crates/wicket/tests/recount.rs
+++ b/crates/wicket/tests/recount.rs
@@ -146,7 +146,17 @@
         );
         assert_eq!(self.wicket.load(), (self.out_here(), self.waiting.len()));
         assert_eq!(self.wicket.wake().is_some(), !self.waiting.is_empty());
-        assert!(self.wicket.wake().is_none_or(|t| t > self.now), "asks to be woken at once, for ever");
+        if let Some(wake) = self.wicket.wake() {
+            assert!(wake > self.now, "asks to be woken at once, for ever");
+            assert!(
+                self.leaving.is_none_or(|since| wake <= since + self.bounds.drain),
+                "turned away too late"
+            );
+            assert!(
+                !self.is_cold() || wake <= self.told.into_iter().fold(0, Micros::max),
+                "cold for too long"
+            );
+        }
     }
 
     fn arrive(&mut self, x: u8, y: u8) {
@@ -173,10 +183,9 @@
             patience,
             deadline: if y == 99 { 0 } else { patience + S },
         };
-        let known = !asked.repeatable
-            && (self.ran.get(&asked.id).is_some_and(|&t| t + IDS_SPAN > self.now)
-                || self.out.values().any(|o| o.id == asked.id)
-                || self.waiting.iter().any(|(_, w)| w.id == asked.id));
+        let mut here = self.out.values().chain(self.waiting.iter().map(|(_, w)| w));
+        let known = self.ran.get(&asked.id).is_some_and(|&t| t + IDS_SPAN > self.now)
+            || here.any(|o| o.id == asked.id && !(o.repeatable && asked.repeatable));
         let meant = arrival.service == "huvo" && arrival.expects.as_deref() != Some("other");
         let verdict = self.wicket.arrive(self.now, arrival);
         // No promise is given for one that may have run, whatever else is wrong.
@@ -251,7 +260,7 @@
                 self.wicket.signed_off(now, &self.id());
             }
             6 if x < 128 => {
-                (self.there, self.leaving) = (false, None);
+                self.there = false;
                 self.wicket.silent(now);
             }
             7 => {
