--- a/crates/ledger/tests/rules.rs
+++ b/crates/ledger/tests/rules.rs
@@ -527,10 +527,12 @@
     b.call(x, 1, &[]);
     b.pass(300_000);
     assert!(b.letters.iter().any(|l| matches!(l.2, Letter::Promise { .. })), "on its way");
+    b.cut.insert((x, y));
     b.restart(y);
     b.cut.remove(&(owner, y));
     b.call(owner, 2, &[(1, 1, 7)]);
     let done = b.done(2);
+    b.cut.remove(&(x, y));
     b.held.clear();
     b.run();
     (done, b.read(x, 3).0.contains_key(&1))
