Mesh: a core machine cut from the others tells its children at once; gate and budgets mended

Now one that reaches no more than half of the core says so at once, core machines ask each other each 0.3 s, and a child goes elsewhere after 0.2 s. Also found by reading: Not-Delivered was told to the gate after its place was given back; a drain during the connect to the upstream still got a write; terms weren't renewed when sidecars came or went; a service whose last upstream left kept its list.

--- a/crates/ledger/src/holder.rs
+++ b/crates/ledger/src/holder.rs
@@ -139,7 +139,8 @@
     pub(crate) fn ask_repair(&mut self, now: Micros) {
         self.repair.sent = now;
         for to in self.roster.clone() {
-            if to != self.me && self.up.contains(&to) && !self.repair.replies.contains_key(&to) {
+            let has = self.repair.replies.get(&to).is_some_and(|life| self.current(to, *life));
+            if to != self.me && self.up.contains(&to) && !has {
                 self.send(to, Letter::Recover { life: self.life });
             }
         }
@@ -188,6 +189,9 @@
             return;
         }
         self.merge(&lives);
+        if !self.alive(from, lives.mine) {
+            return;
+        }
         self.repair.replies.insert(from, lives.mine);
         for stored in keys {
             let Some(known) = self.repair.keys.get_mut(&stored.key) else {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -9,10 +9,10 @@
 pub const CALL_LIMIT: Micros = 800_000;
 /// An owner that was passed a call and says nothing for this long is given up.
 pub const PASS_LIMIT: Micros = 250_000;
-/// A key without a reachable owner is claimed after this by the first in line, by each further one twice this later.
+/// A key without a reachable owner is claimed after this by the first in line, by each further one this much later.
 pub const OWNERLESS: Micros = 400_000;
 /// An owner that is linked but says nothing counts as gone after this.
-pub const SILENT: Micros = 3_500_000;
+pub const SILENT: Micros = 2_500_000;
 /// What was not answered is sent again after this.
 pub const RESEND: Micros = 300_000;
 /// How often an owner tells the others what it owns.
@@ -27,6 +27,8 @@
 pub const QUEUE: usize = 1024;
 /// Calls passed to an owner that it remembers, so that one that comes twice is served once; the oldest goes first.
 pub const PASSES: usize = 8192;
+/// Writes under way at most; what is to be written meanwhile goes into the next one together.
+pub const WRITES: usize = 2;
 /// Changes in one copy at most; the rest waits for the next.
 pub const BATCH: usize = 64;
 
@@ -194,7 +196,7 @@
     dirty: BTreeSet<String>,
     dirty_marker: bool,
     after: Vec<After<P>>,
-    /// Writes under way, each a call of `deeds`: as many as the caller lets stand.
+    /// Writes under way. At most `WRITES`.
     writes: VecDeque<(u64, Vec<After<P>>)>,
     write: u64,
     broken: Option<Broken>,
@@ -388,9 +390,9 @@
         calls.into_iter().chain(rest).min()
     }
 
-    /// Takes what is to be done.
+    /// Takes what is to be done. To be called after every other call; `stored` may make room for the next write.
     pub fn deeds(&mut self) -> Vec<Deed<P>> {
-        if self.unwritten() {
+        if self.unwritten() && self.writes.len() < WRITES {
             self.write += 1;
             let marker = std::mem::take(&mut self.dirty_marker).then(|| self.marker());
             let keys =
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -129,7 +129,7 @@
     }
 
     /// Whether it was said with a disk that the holder still has; else it is told so.
-    fn alive(&mut self, from: Node, life: Life) -> bool {
+    pub(crate) fn alive(&mut self, from: Node, life: Life) -> bool {
         let current = self.current(from, life);
         if !current {
             self.figures.outlived += 1;
@@ -429,7 +429,7 @@
 
     fn patience(&self, key: &str) -> Micros {
         let place = self.order(key).iter().position(|n| *n == self.me).unwrap_or(0);
-        OWNERLESS * (1 + 2 * place as Micros)
+        OWNERLESS * (1 + place as Micros)
     }
 
     /// When something is due for the key.
@@ -479,6 +479,8 @@
         let known = self.known_owner(now, key).is_some();
         let patience = self.patience(key);
         let others = self.others();
+        let lives = self.lives.clone();
+        let current = |node: &Node, life: &Life| lives.get(node).is_none_or(|known| life >= known);
         let Some(slot) = self.keys.get_mut(key) else { return };
         slot.queue.retain(|job| now < job.until);
         match &mut slot.stand {
@@ -501,8 +503,10 @@
                 if !claim.promises.contains_key(&self.me) {
                     return;
                 }
-                let missing: Vec<Node> =
-                    others.into_iter().filter(|n| !claim.promises.contains_key(n)).collect();
+                let missing: Vec<Node> = others
+                    .into_iter()
+                    .filter(|n| !claim.promises.get(n).is_some_and(|l| current(n, l)))
+                    .collect();
                 for to in missing {
                     self.send(to, Letter::Claim { key: key.to_owned(), epoch });
                 }
@@ -513,9 +517,8 @@
                 if let Some(flight) = owner.flight.as_mut().filter(|f| now >= f.sent + RESEND) {
                     flight.sent = now;
                     let seq = owner.seq;
-                    copies.extend(
-                        others.iter().copied().filter(|n| owner.kept.get(n).is_none_or(|k| k.1 < seq)),
-                    );
+                    let has = |n: &Node| owner.kept.get(n).is_some_and(|k| k.1 >= seq && current(n, &k.0));
+                    copies.extend(others.iter().copied().filter(|n| !has(n)));
                 }
                 if let Some(round) = owner.round.as_mut().filter(|r| now >= r.sent + RESEND) {
                     round.sent = now;
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -670,7 +670,7 @@
         }
         let healed = self.now;
         while !self.calm() && self.failure.is_none() {
-            if self.now > healed + SETTLES {
+            if self.now > healed + settles(n) {
                 let states: Vec<_> = self
                     .machines
                     .iter()
@@ -725,8 +725,11 @@
     }
 }
 
-/// After everything is whole again every key is owned and copied everywhere within this.
-pub const SETTLES: Micros = 6_500_000;
+/// After everything is whole again every key is owned and copied everywhere within this: a silent owner is given up, the
+/// last in line claims, and one second for what was under way on slow links and disks.
+pub fn settles(machines: usize) -> Micros {
+    2_500_000 + 400_000 * machines as Micros + 1_000_000
+}
 
 fn persist(m: &mut Machine, marker: Option<Marker>, keys: Vec<Stored<Notes>>) {
     if marker.is_some() {
--- a/crates/posthouse/src/desk.rs
+++ b/crates/posthouse/src/desk.rs
@@ -214,11 +214,6 @@
         self.with(|b| b.news(&News::List { whole: false, hosts }));
     }
 
-    /// Whether any upstream is known.
-    pub fn ready(&self) -> bool {
-        self.inner.borrow().balancer.ready()
-    }
-
     /// Upstreams listed, and those of them avoided now.
     pub fn rotation(&self) -> (usize, usize) {
         self.inner.borrow().balancer.rotation()
--- a/crates/posthouse/src/front.rs
+++ b/crates/posthouse/src/front.rs
@@ -188,10 +188,14 @@
 /// What an attempt brought.
 struct Brought {
     answer: Option<Answer>,
-    /// It reached, or may have reached, its upstream.
+    /// It may have run.
     arrived: bool,
+    /// It reached, or may have reached, its upstream.
+    met: bool,
     /// When the gate said to come back.
     after: Option<i64>,
+    /// For the log.
+    how: &'static str,
 }
 
 /// Attempts are called off with their request.
@@ -226,7 +230,7 @@
                 }
                 Mail::Step(step) => match step {
                     Step::Send { attempt, upstream, to, .. } => {
-                        let further = brought.values().any(|b| b.arrived) || !out.0.is_empty();
+                        let further = brought.values().any(|b| b.met) || !out.0.is_empty();
                         let name = self.desk.name_of(upstream);
                         let task = self.attempt(attempt.number, to, name, further, mail.clone());
                         out.0.insert(attempt.number, task);
@@ -234,8 +238,16 @@
                     Step::Cancel { attempt } => {
                         if let Some(task) = out.0.remove(&attempt.number) {
                             task.abort();
-                            brought
-                                .insert(attempt.number, Brought { answer: None, arrived: true, after: None });
+                            brought.insert(
+                                attempt.number,
+                                Brought {
+                                    answer: None,
+                                    arrived: true,
+                                    met: true,
+                                    after: None,
+                                    how: "called off",
+                                },
+                            );
                         }
                     }
                     Step::Serve { attempt } => {
@@ -253,6 +265,9 @@
     /// The last word on a request that was given up: an upstream's own where there is one, a promise where nothing ran.
     fn given_up(&self, mut brought: BTreeMap<u32, Brought>, retry_after: Option<i64>) -> Reply {
         let counts = &self.post.counts;
+        slog::debug!(self.post.log, "given up"; "route" => &self.route.name, "service" => &self.service,
+            "after" => self.started.elapsed().as_millis() as u64, "budget" => self.budget / 1000,
+            "attempts" => brought.values().map(|b| b.how).collect::<Vec<_>>().join(" "));
         let last = brought.values_mut().rev().find(|b| b.answer.is_some());
         if let Some(answer) = last.and_then(|b| b.answer.take()) {
             return passed(answer);
@@ -329,25 +344,36 @@
 fn judge(came: Came) -> (Report, Brought) {
     let answer = match came {
         Came::NotConnected => {
-            return (Report::NotConnected, Brought { answer: None, arrived: false, after: None })
+            return (
+                Report::NotConnected,
+                Brought { answer: None, arrived: false, met: false, after: None, how: "no connection" },
+            )
+        }
+        Came::Broken => {
+            return (
+                Report::Broken,
+                Brought { answer: None, arrived: true, met: true, after: None, how: "broken" },
+            )
         }
-        Came::Broken => return (Report::Broken, Brought { answer: None, arrived: true, after: None }),
         Came::Answer(answer) => answer,
     };
     if let Some(text) = &answer.word {
-        let (report, arrived, after) = match waybill::read::<Word>(text) {
-            Some(Word::Absent) => (Report::NotConnected, false, None),
-            Some(Word::Full(after)) => (Report::TurnedAway, false, Some(after).filter(|a| *a > 0)),
-            Some(Word::Shut) => (Report::TurnedAway, false, None),
-            Some(Word::Begun) | None => (Report::Broken, true, None),
+        let (report, arrived, after, how) = match waybill::read::<Word>(text) {
+            Some(Word::Absent) => (Report::NotConnected, false, None, "absent"),
+            Some(Word::Full(after)) => (Report::TurnedAway, false, Some(after).filter(|a| *a > 0), "full"),
+            Some(Word::Shut) => (Report::TurnedAway, false, None, "shut"),
+            Some(Word::Begun) | None => (Report::Broken, true, None, "begun, no answer"),
         };
-        return (report, Brought { answer: None, arrived, after });
+        return (report, Brought { answer: None, arrived, met: arrived, after, how });
     }
     if answer.not_delivered || answer.status == 421 {
-        return (Report::TurnedAway, Brought { answer: None, arrived: false, after: None });
+        // It did not run, and yet it arrived: what is sent after it is a further try.
+        let how = "not delivered";
+        return (Report::TurnedAway, Brought { answer: None, arrived: false, met: true, after: None, how });
     }
     let report = if answer.status >= 500 { Report::Error } else { Report::Served };
-    (report, Brought { answer: Some(*answer), arrived: true, after: None })
+    let how = if report == Report::Error { "error" } else { "answer" };
+    (report, Brought { answer: Some(*answer), arrived: true, met: true, after: None, how })
 }
 
 fn passed(answer: Answer) -> Reply {
--- a/crates/posthouse/src/gate.rs
+++ b/crates/posthouse/src/gate.rs
@@ -3,7 +3,7 @@
 use crate::hop::{self, Came};
 use crate::post::Post;
 use crate::waybill::{self, Waybill, Word};
-use crate::wire::{self, Answer, Asked, Line, Wrong};
+use crate::wire::{self, Answer, Asked, Line};
 use silvercross_wicket::{Arrival, Effect, Turned, Verdict, Wicket};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -130,7 +130,6 @@
         coded: false,
         cold: None,
         word: Some(waybill::write(&word)),
-        retry_after: None,
         keep_alive: true,
         idle: None,
         body: Vec::new(),
@@ -197,6 +196,11 @@
     if left <= 0 {
         return says(Word::Full(0));
     }
+    // While it connected the station may have been shut, or another life begun.
+    let now = post.now();
+    if !post.gate.with(|w| w.may_begin(now, number)) {
+        return says(Word::Shut);
+    }
     let request = request(asked, &id, left, asked.expects.as_deref(), body);
     let now = post.now();
     post.gate.with(|w| w.begun(now, number));
@@ -205,16 +209,20 @@
     let most = wire::HELD * 64;
     let went = hop::exchange(&post.pool, station, line, &request, &id, bodiless, most);
     let came = timeout(Duration::from_micros((left + LAST_WORD) as u64), went).await;
-    drop(place);
     match came {
         Ok(Came::Answer(answer)) => {
             let now = post.now();
             if let Some(left) = answer.cold {
                 post.gate.with(|w| w.cold(now, left));
             }
-            if answer.not_delivered {
-                post.gate.with(|w| w.turned_by_station(now, number));
+            // Its own word that it did not run: its id is free again. This has to be told before the place is given back.
+            match answer.status {
+                503 if answer.not_delivered => post.gate.with(|w| w.turned_by_station(now, number)),
+                421 => post.gate.with(|w| w.not_run(now, number)),
+                _ if answer.not_delivered => post.gate.with(|w| w.not_run(now, number)),
+                _ => {}
             }
+            drop(place);
             let spoilt = answer.coded || (answer.status < 300 && (!answer.stamped || answer.id.is_none()));
             if spoilt {
                 return says(Word::Begun);
@@ -300,6 +308,3 @@
     }
     wire::whole(answer.status, &lines, &answer.body, false, asked.method == "HEAD")
 }
-
-/// What came over a hop, or from this machine's own gate, as the module is to hear it: a whole answer with whether it ran.
-pub fn wrong(_: &Wrong) {}
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -13,7 +13,7 @@
 use silvercross_rounds::Record;
 use silvercross_sorting::Table;
 use silvercross_wicket::{Allowance, Facts};
-use slog::{info, Logger};
+use slog::{debug, info, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -25,6 +25,8 @@
 const SILENT_BEATS: f64 = 2.6;
 /// A cold time that ends so much later than the one before is another one, in microseconds.
 const COLDER: i64 = 500_000;
+/// Counters go to the log so often, at the level of debugging, in microseconds.
+const FIGURES: i64 = 2_000_000;
 /// Lives that were signed off are remembered, so that a late beat brings none back.
 const ENDED: usize = 64;
 /// The part of the mesh's further sends that sidecars may use together; the rest covers those whose number is not known.
@@ -262,6 +264,7 @@
 
     /// News of another sidecar.
     pub fn record(self: &Rc<Self>, record: Record<Body>) {
+        let before = self.sides();
         if record.gone {
             self.others.borrow_mut().remove(&record.node.0);
             let at = IpAddr::V4(Ipv4Addr::from_bits(record.node.0));
@@ -269,7 +272,12 @@
         } else {
             self.others.borrow_mut().insert(record.node.0, record);
         }
-        self.relist();
+        // What each may send of shared budgets goes by how many there are.
+        if self.sides() != before {
+            self.reset_terms();
+        } else {
+            self.relist();
+        }
     }
 
     /// News of the control state; older than what is in force changes nothing.
@@ -407,6 +415,10 @@
             colds.retain(|id, _| listed.contains(id));
         }
         let table = self.table();
+        // A service whose last upstream has gone is told so.
+        for (service, _) in self.desks() {
+            lists.entry(service).or_default();
+        }
         for (service, hosts) in lists {
             let desk = self.desk(&service);
             match desk {
@@ -539,6 +551,7 @@
 
     /// Look after what only time tells, for as long as the process lives.
     pub async fn watch(self: Rc<Self>) {
+        let mut told = self.now();
         loop {
             tokio::time::sleep(Duration::from_millis(300)).await;
             let now = self.now();
@@ -556,6 +569,10 @@
                 self.tell();
             }
             self.pool.sweep();
+            if now - told >= FIGURES {
+                told = now;
+                debug!(self.log, "figures"; "all" => crate::figures::figures(&self).to_string());
+            }
         }
     }
 }
--- a/crates/posthouse/src/wire.rs
+++ b/crates/posthouse/src/wire.rs
@@ -97,8 +97,6 @@
     pub cold: Option<i64>,
     /// On a hop: the gate's own word.
     pub word: Option<String>,
-    /// When to come back, as it stands in the answer.
-    pub retry_after: Option<String>,
     /// The connection may carry another request.
     pub keep_alive: bool,
     /// After how long idle it will be closed, in seconds.
@@ -210,19 +208,6 @@
         Ok(skip + n > 0)
     }
 
-    /// Read what comes next of a body into `body`; `false` once all has come.
-    pub async fn more(&mut self, decoder: &mut Decoder, body: &mut Vec<u8>) -> Result<bool, Wrong> {
-        while !decoder.is_done() {
-            if self.piece(decoder, body)? && !body.is_empty() {
-                return Ok(true);
-            }
-            if !decoder.is_done() && self.fill().await? == 0 && !decoder.ends_here() {
-                return Err(Wrong::Broken);
-            }
-        }
-        Ok(!body.is_empty())
-    }
-
     /// Read an answer whole. `of` is the request's id: whole answers that carry another one are passed over, since they belong
     /// to a request before. `bodiless`: to a HEAD.
     pub async fn answer(&mut self, of: &str, bodiless: bool, most: usize) -> Result<Answer, Wrong> {
@@ -327,7 +312,6 @@
         coded: h.all("content-encoding").next().is_some(),
         cold: cold.map(|ms| (ms.clamp(0.0, 1e9) * 1e3) as i64),
         word: text(h.one(ROUND)?),
-        retry_after: text(h.one("retry-after")?),
         keep_alive: head.keep_alive,
         idle,
         body: Vec::new(),
--- a/crates/rounds/src/lib.rs
+++ b/crates/rounds/src/lib.rs
@@ -40,6 +40,10 @@
 pub const PULSE: Micros = 900_000;
 /// A link on which nothing came for so long is given up.
 pub const LINK_SILENCE: Micros = 1_300_000;
+/// Core nodes ask each other more often: one that is cut off from the others has to tell its children in time.
+pub const CORE_PULSE: Micros = 300_000;
+/// A link between core nodes on which nothing came for so long is given up.
+pub const CORE_SILENCE: Micros = 800_000;
 /// When nothing came of a link after so long, the next one is tried as well.
 pub const LINK_NEXT: Micros = 300_000;
 /// A link that didn't come up in this time is given up.
@@ -49,7 +53,7 @@
 /// Between two tries of a core node for another, and of a node without any parent.
 pub const LINK_RETRY: Micros = 500_000;
 /// How long a parent may be without a way to the core before its children look further.
-pub const UNROOTED: Micros = 1_000_000;
+pub const UNROOTED: Micros = 200_000;
 /// Nobody is accused by one that stood still for longer, until it has listened for [`SILENCE`] again.
 pub const STOOD_STILL: Micros = 1_000_000;
 /// How long a record is kept after its node was gone.
--- a/crates/rounds/src/rounds.rs
+++ b/crates/rounds/src/rounds.rs
@@ -69,6 +69,8 @@
     pub(crate) last_dial: Micros,
     pub(crate) unfit_since: Option<Micros>,
     pub(crate) unrooted_since: Option<Micros>,
+    /// Its neighbours were told that it has a way to the core.
+    pub(crate) told_rooted: bool,
     pub(crate) steer_at: Micros,
     pub(crate) began: Micros,
     pub(crate) last: Micros,
@@ -105,6 +107,7 @@
             last_dial: now.saturating_sub(LINK_SILENCE),
             unfit_since: None,
             unrooted_since: None,
+            told_rooted: false,
             steer_at: now,
             began: now,
             last: now,
@@ -365,6 +368,7 @@
         if self.moved {
             self.steer(now);
         }
+        self.tell_standing();
     }
 
     pub(crate) fn send(&mut self, to: Node, letter: Letter<T>) {
--- a/crates/rounds/src/tree.rs
+++ b/crates/rounds/src/tree.rs
@@ -1,7 +1,9 @@
 //! The tree: whom a node has links to.
 use crate::rounds::Rounds;
 use crate::{Effect, Micros, Node, Standing};
-use crate::{LINK_NEXT, LINK_RETRY, LINK_SILENCE, LINK_TRY, PARENT_RETRY, PULSE, UNROOTED};
+use crate::{
+    CORE_PULSE, CORE_SILENCE, LINK_NEXT, LINK_RETRY, LINK_SILENCE, LINK_TRY, PARENT_RETRY, PULSE, UNROOTED,
+};
 use std::fmt::Debug;
 
 /// Nodes in a path, and peers told of: longer lists are cut.
@@ -62,8 +64,10 @@
         let me = self.start.me;
         if self.start.core {
             let peers = self.links.iter().filter(|(node, link)| link.greeted && self.is_core(**node));
-            let peers = peers.map(|(node, _)| *node).take(MOST_PEERS).collect();
-            return Standing { path: vec![me], peers, full: false };
+            let peers: Vec<Node> = peers.map(|(node, _)| *node).take(MOST_PEERS).collect();
+            // One that reaches no more than half of the core hears no news: its children go elsewhere.
+            let most = 2 * (peers.len() + 1) > self.core_known().len() + 1;
+            return Standing { path: if most { vec![me] } else { Vec::new() }, peers, full: false };
         }
         let mut path = Vec::new();
         if let Some(link) = self.parent.and_then(|parent| self.links.get(&parent)) {
@@ -76,13 +80,46 @@
         Standing { path, peers: Vec::new(), full: children > 2 * crate::FAN }
     }
 
+    /// Tells its neighbours at once when its way to the core is lost or found again.
+    pub(crate) fn tell_standing(&mut self) {
+        let rooted = match self.start.core {
+            true => !self.standing().path.is_empty(),
+            false => self.parent.is_some_and(|parent| self.rooted(parent)),
+        };
+        if rooted != self.told_rooted {
+            self.told_rooted = rooted;
+            let others: Vec<Node> = self.links.iter().filter(|l| l.1.greeted).map(|l| *l.0).collect();
+            others.into_iter().for_each(|node| self.send_pulse(node, false));
+        }
+    }
+
+    /// All other core nodes that it ever knew, those that are gone too.
+    fn core_known(&self) -> Vec<Node> {
+        let side = |node: &Node| self.record(*node).is_some_and(|record| !record.core && !record.gone);
+        let mut known: Vec<Node> = self.places.cores.keys().copied().collect();
+        known.extend(self.further.iter().chain(self.start.seeds.iter()));
+        known.sort_unstable();
+        known.dedup();
+        known.retain(|node| *node != self.start.me && !side(node));
+        known
+    }
+
+    /// How often, and for how long at most, a link is silent.
+    fn times(&self, node: Node) -> (Micros, Micros) {
+        match self.start.core && self.is_core(node) {
+            true => (CORE_PULSE, CORE_SILENCE),
+            false => (PULSE, LINK_SILENCE),
+        }
+    }
+
     pub(crate) fn tree_link_up(&mut self, now: Micros, node: Node) {
         let dialled = self.dials.remove(&node).is_some();
         self.bad.remove(&node);
+        let pulse = self.times(node).0;
         let link = self.links.entry(node).or_insert(Link {
             heard: now,
             mine: false,
-            pulse_at: now + PULSE,
+            pulse_at: now + pulse,
             greeted: false,
             standing: Standing::default(),
         });
@@ -131,7 +168,7 @@
 
     /// Gives up links that are silent or don't come up, and sends pulses.
     pub(crate) fn tend_links(&mut self, now: Micros) {
-        let silent = self.links.iter().filter(|(_, link)| now - link.heard > LINK_SILENCE);
+        let silent = self.links.iter().filter(|(node, link)| now - link.heard > self.times(**node).1);
         let late = self.dials.iter().filter(|(_, since)| now - **since >= LINK_TRY);
         let lost: Vec<Node> = silent.map(|(node, _)| *node).chain(late.map(|(node, _)| *node)).collect();
         for node in lost {
@@ -145,8 +182,9 @@
             .map(|(node, _)| *node)
             .collect();
         for node in due {
+            let pulse = self.times(node).0;
             if let Some(link) = self.links.get_mut(&node) {
-                link.pulse_at = now + PULSE;
+                link.pulse_at = now + pulse;
             }
             self.send_pulse(node, true);
         }
@@ -163,7 +201,7 @@
 
     pub(crate) fn links_due(&self) -> Micros {
         let links = self.links.iter().map(|(node, link)| {
-            let silent = link.heard + LINK_SILENCE + 1;
+            let silent = link.heard + self.times(*node).1 + 1;
             if self.pulses(*node, link) {
                 silent.min(link.pulse_at)
             } else {
@@ -327,11 +365,7 @@
     fn steer_core(&mut self, now: Micros) {
         let me = self.start.me;
         let side = |node: &Node| self.record(*node).is_some_and(|record| !record.core && !record.gone);
-        let mut targets: Vec<Node> = self.places.cores.keys().copied().collect();
-        targets.extend(self.further.iter().chain(self.start.seeds.iter()));
-        targets.sort_unstable();
-        targets.dedup();
-        targets.retain(|node| *node != me && !side(node));
+        let targets = self.core_known();
         let useless: Vec<Node> =
             self.links.iter().filter(|(node, link)| link.mine && side(node)).map(|(node, _)| *node).collect();
         useless.into_iter().for_each(|node| self.drop_link(node));
--- /dev/null
+++ b/crates/tariff/tests/common/mod.rs
@@ -0,0 +1,484 @@
+//! Three holders with clocks of their own, a key whose owner changes, nodes that follow; and a slow plain model in true
+//! time that judges every change and every wait.
+#![allow(dead_code)]
+
+use silvercross_ledger::{Epoch, Node, Page};
+use silvercross_tariff::{
+    delay, standing, Asked, Board, Change, Clerk, Clock, Guard, Kind, Lapse, Lapses, Member, Mutant, Plan,
+    Slow, Slowing, Stage, Standing, Voice,
+};
+
+pub const S: i64 = 1_000_000;
+const HOLDERS: usize = 3;
+const STEP: i64 = 10;
+const STEPS: u32 = 4;
+/// Within which nodes in touch hold what was said.
+const TOUCH: i64 = 3;
+/// The day's time at true time 0.
+const DAY: i64 = 1_790_000_000;
+
+pub fn guard() -> Guard {
+    Guard { steady_us: 60 * S, fresh_us: 10 * S, ..Guard::default() }
+}
+
+pub fn member(edition: u64, lapses: Option<Lapses>) -> Member {
+    Member {
+        name: "m".into(),
+        keys: vec!["k".into()],
+        plan: if lapses.is_some() { Plan::Trial } else { Plan::Full },
+        lapses,
+        slowing: Slowing { full_ppm: 400_000, span_us: STEP * S * i64::from(STEPS), steps: STEPS },
+        edition,
+    }
+}
+
+struct Holder {
+    mono: i64,
+    skew: i64,
+    /// Microseconds its time of day is wrong by.
+    wrong: i64,
+    frozen_until: i64,
+    cut: bool,
+    /// Up, awake and in touch since.
+    touch: i64,
+    item: Member,
+    item_due: Option<(i64, Member)>,
+    owns: Option<(Epoch, Lapse)>,
+    clerk: Clerk,
+    clock: Clock,
+    board: Board,
+    copies: Vec<(i64, Lapse)>,
+    shown: (u64, u32),
+}
+
+pub struct World {
+    t: i64,
+    seed: u64,
+    mutant: Option<Mutant>,
+    holders: Vec<Holder>,
+    owner: usize,
+    epoch: Epoch,
+    page: Lapse,
+    item: Member,
+    item_at: i64,
+    pending: Vec<(i64, Epoch, Change)>,
+    mended: i64,
+    // The model's.
+    changed: i64,
+    /// Since when the present owner was let alone.
+    alone: i64,
+    due: Option<i64>,
+    pub begins: u64,
+    pub steps: u64,
+}
+
+type Verdict = Result<(), String>;
+
+fn ensure(holds: bool, why: impl FnOnce() -> String) -> Verdict {
+    if holds {
+        Ok(())
+    } else {
+        Err(why())
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, mutant: Option<Mutant>) -> World {
+        let first = member(1, Some(Lapses::At((DAY + 40 + (seed % 100) as i64) * S)));
+        let mut world = World {
+            t: 0,
+            seed,
+            mutant,
+            holders: Vec::new(),
+            owner: 0,
+            epoch: Epoch { round: 1, owner: 0 },
+            page: Lapse::default(),
+            item: first.clone(),
+            item_at: 0,
+            pending: Vec::new(),
+            mended: -100,
+            changed: 0,
+            alone: 0,
+            due: None,
+            begins: 0,
+            steps: 0,
+        };
+        for i in 0..HOLDERS {
+            let (mono, skew) = ((world.draw(1_000_000) as i64) * 1_000, world.draw(600_000) as i64 - 300_000);
+            let (clerk, clock, board) = world.fresh();
+            world.holders.push(Holder {
+                mono,
+                skew,
+                wrong: 0,
+                frozen_until: -1,
+                cut: false,
+                touch: 0,
+                item: first.clone(),
+                item_due: None,
+                owns: (i == 0).then(|| (world.epoch, Lapse::default())),
+                clerk,
+                clock,
+                board,
+                copies: Vec::new(),
+                shown: (0, 0),
+            });
+        }
+        world
+    }
+
+    fn fresh(&self) -> (Clerk, Clock, Board) {
+        #[allow(unused_mut)]
+        let (mut clerk, mut clock, mut board) = (Clerk::new(), Clock::new(guard(), false), Board::new());
+        #[cfg(feature = "mutants")]
+        if let Some(mutant) = self.mutant {
+            clerk.break_it(mutant);
+            clock.break_it(mutant);
+            board.break_it(mutant);
+        }
+        (clerk, clock, board)
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.seed;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) % below
+    }
+
+    fn weigh(&self, _node: usize, member: &Member, at: Standing, asked: &Asked) -> Slow {
+        #[cfg(feature = "mutants")]
+        match self.mutant {
+            Some(Mutant::DelayByNode(_)) => {
+                let mutant = Mutant::DelayByNode(_node as u32);
+                return silvercross_tariff::delay_broken(mutant, member, at, asked);
+            }
+            Some(mutant) => return silvercross_tariff::delay_broken(mutant, member, at, asked),
+            None => {}
+        }
+        delay(member, at, asked)
+    }
+
+    /// Play a schedule, then calm, by whose end all must have come to pass.
+    pub fn run(&mut self, schedule: &[(u8, u8)]) -> Verdict {
+        for &(deed, arg) in schedule {
+            self.deed(deed, arg);
+            for _ in 0..1 + arg % 16 {
+                self.tick()?;
+            }
+        }
+        self.calm()
+    }
+
+    fn calm(&mut self) -> Verdict {
+        for i in 0..HOLDERS {
+            self.heal(i);
+            self.holders[i].wrong = 0;
+            self.holders[i].frozen_until = -1;
+        }
+        for _ in 0..400 {
+            self.tick()?;
+        }
+        let want = if self.item.plan == Plan::Full { 0 } else { STEPS };
+        let now = self.standing().step;
+        ensure(now == want, || format!("after calm the step is {now} and not {want}"))
+    }
+
+    fn heal(&mut self, i: usize) {
+        let (t, item, page) = (self.t, self.item.clone(), self.page.clone());
+        let holder = &mut self.holders[i];
+        if holder.cut {
+            (holder.cut, holder.touch) = (false, t);
+            holder.item_due = Some((t + 1, item));
+            holder.copies.push((t + 1, page));
+            self.let_alone(i);
+        }
+    }
+
+    /// Something happened to holder `i`: if it is the owner, the model counts anew.
+    fn let_alone(&mut self, i: usize) {
+        if i == self.owner {
+            self.alone = self.t;
+        }
+    }
+
+    pub fn deed(&mut self, deed: u8, arg: u8) {
+        let (t, i) = (self.t, usize::from(arg) % HOLDERS);
+        match deed % 10 {
+            0 | 1 => {
+                let one_wrong = self.holders.iter().any(|h| h.wrong != 0);
+                if self.holders[i].wrong != 0 {
+                    self.holders[i].wrong = 0;
+                    self.mended = t;
+                } else if !one_wrong && t > self.mended + 12 {
+                    let hours = 1 + i64::from(arg / 64);
+                    self.holders[i].wrong = if arg & 4 == 0 { hours } else { -hours } * 3_600 * S;
+                }
+            }
+            2 | 3 => {
+                // The old owner may not know for a while; what it still sends is fenced.
+                let knows = arg & 8 != 0;
+                if knows {
+                    self.holders[self.owner].owns = None;
+                }
+                self.epoch = Epoch { round: self.epoch.round + 1, owner: i as u32 };
+                self.owner = i;
+                self.holders[i].owns = Some((self.epoch, self.page.clone()));
+                self.alone = t;
+            }
+            4 => {
+                let edition = self.item.edition + 1 + u64::from(arg & 1);
+                let lapses = match arg % 4 {
+                    0 => None,
+                    1 => Some(Lapses::In((20 + i64::from(arg)) * S)),
+                    _ => Some(Lapses::At((DAY + t + i64::from(arg) - 40) * S)),
+                };
+                self.item = member(edition, lapses);
+                self.item_at = t;
+                for j in 0..HOLDERS {
+                    let late = 1 + self.draw(2) as i64;
+                    self.holders[j].item_due = Some((t + late, self.item.clone()));
+                }
+            }
+            5 => {
+                if self.holders[i].cut {
+                    self.heal(i);
+                } else {
+                    self.holders[i].cut = true;
+                    self.let_alone(i);
+                }
+            }
+            6 => {
+                self.holders[i].frozen_until = t + i64::from(arg / 4);
+                self.let_alone(i);
+            }
+            7 => {
+                let (clerk, clock, board) = self.fresh();
+                let page = self.page.clone();
+                let holder = &mut self.holders[i];
+                (holder.clerk, holder.clock, holder.board) = (clerk, clock, board);
+                (holder.touch, holder.shown) = (t, (0, 0));
+                holder.copies = vec![(t + 1, page)];
+                self.let_alone(i);
+            }
+            8 => {
+                self.pending.clear();
+                self.alone = t;
+            }
+            _ => {}
+        }
+    }
+
+    pub fn tick(&mut self) -> Verdict {
+        self.t += 1;
+        let t = self.t;
+        self.commit()?;
+        let wall = |h: &Holder| (DAY + t) * S + h.skew + h.wrong;
+        let said: Vec<(i64, bool, bool)> = self
+            .holders
+            .iter()
+            .map(|h| (wall(h), h.clock.stepped(t * S + h.mono), h.cut || h.frozen_until >= t))
+            .collect();
+        let mut asked = Vec::new();
+        for (i, holder) in self.holders.iter_mut().enumerate() {
+            if holder.frozen_until >= t {
+                holder.touch = t + 1;
+                continue;
+            }
+            let now = t * S + holder.mono;
+            holder.clock.read(now, said[i].0);
+            if !holder.cut && t % 2 == 0 {
+                for (j, &(wall, stepped, silent)) in said.iter().enumerate() {
+                    if j != i && !silent {
+                        let (asked, answered) = (now - 200_000, now);
+                        let node = Node(j as u32);
+                        holder.clock.heard(Voice { node, asked, answered, wall: wall - 100_000, stepped });
+                    }
+                }
+            }
+            if !holder.cut {
+                if let Some((_, item)) = holder.item_due.take_if(|(at, _)| *at <= t) {
+                    holder.item = item;
+                }
+                let (here, later): (Vec<_>, Vec<_>) = holder.copies.drain(..).partition(|(at, _)| *at <= t);
+                holder.copies = later;
+                for (_, copy) in here {
+                    holder.board.follow(now, "m", &copy);
+                }
+                // What an owner of old learns in the end.
+                if i != self.owner && holder.owns.is_some() && t % 8 == 0 {
+                    holder.owns = None;
+                    holder.clerk.forget("m");
+                }
+            }
+            if let Some((epoch, page)) = &mut holder.owns {
+                if *epoch == self.epoch {
+                    page.clone_from(&self.page);
+                }
+                let advice = holder.clerk.decide(now, "m", *epoch, page, Some(&holder.item), &holder.clock);
+                asked.extend(advice.ask.map(|change| (*epoch, change)));
+            }
+        }
+        for (epoch, change) in asked {
+            let late = 1 + self.draw(2) as i64;
+            self.pending.push((t + late, epoch, change));
+        }
+        self.judge()
+    }
+
+    /// Changes that arrive at the ledger: the fence lets through the owner's alone, and its ledger commits in touch.
+    fn commit(&mut self) -> Verdict {
+        let t = self.t;
+        let (here, later): (Vec<_>, Vec<_>) = self.pending.drain(..).partition(|(at, ..)| *at <= t);
+        self.pending = later;
+        for (_, epoch, change) in here {
+            if epoch != self.epoch || self.holders[self.owner].cut {
+                continue;
+            }
+            let old = self.page.clone();
+            if !self.page.apply(&change).unwrap_or(false) {
+                continue;
+            }
+            self.legal(&old, &change)?;
+            self.changed = t;
+            for i in 0..HOLDERS {
+                let late = self.draw(3) as i64;
+                let copy = self.page.clone();
+                // A node that is cut off gets the newest when it is back.
+                if !self.holders[i].cut {
+                    self.holders[i].copies.push((t + late, copy));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// What the model says of a change: only its own figures, in true time.
+    fn legal(&mut self, old: &Lapse, change: &Change) -> Verdict {
+        let t = self.t;
+        match *change {
+            Change::Renew { edition, .. } => {
+                self.due = None;
+                ensure(Some(edition) > old.edition, || "renewed by no newer edition".into())
+            }
+            Change::Due { at, .. } => {
+                let at = at / S - DAY;
+                self.due = Some(at);
+                let Some(Lapses::In(span)) = self.item.lapses else { return Ok(()) };
+                let least = self.item_at + span / S;
+                let newest = old.edition == Some(self.item.edition);
+                ensure(!newest || (at >= least - 3 && at <= t + span / S + 3), || {
+                    format!("due at {at}, item {} at {} for {span}", self.item.edition, self.item_at)
+                })
+            }
+            Change::Begin { edition } => {
+                self.begins += 1;
+                let due = match self.item.lapses {
+                    _ if edition != self.item.edition => return Ok(()),
+                    Some(Lapses::At(at)) => Some(at / S - DAY),
+                    _ => self.due,
+                };
+                ensure(due.is_some_and(|due| t >= due - 3), || format!("lapsed at {t}, due at {due:?}"))
+            }
+            Change::Step { to, .. } => {
+                self.steps += 1;
+                ensure(old.begun && to == old.step + 1, || format!("step {to} after {}", old.step))?;
+                let since = self.changed;
+                ensure(t >= since + STEP, || format!("step {to} at {t}, the one before at {since}"))
+            }
+        }
+    }
+
+    fn standing(&self) -> Standing {
+        standing(&self.item, &self.page)
+    }
+
+    fn judge(&mut self) -> Verdict {
+        let t = self.t;
+        // An owner that is let alone does not tarry.
+        let owner = &self.holders[self.owner];
+        let page = &self.page;
+        let ready = page.begun && page.step < page.of && page.edition == Some(self.item.edition);
+        let well = !owner.cut && owner.frozen_until < t && owner.item.edition == self.item.edition;
+        let since = self.alone.max(self.changed).max(owner.touch).max(self.item_at + TOUCH);
+        ensure(!(ready && well) || t <= since + STEP + 5, || {
+            format!("step {} of {} stalls at {t}, since {since}", page.step, page.of)
+        })?;
+        let calm = t > self.changed.max(self.item_at) + TOUCH;
+        let want = self.standing();
+        let mut rows = Vec::new();
+        for holder in &mut self.holders {
+            let row = holder.board.row(t * S + holder.mono, &holder.item);
+            let edition = holder.item.edition;
+            let (shown, step) = holder.shown;
+            ensure(edition != shown || row.standing.step >= step, || format!("a node went back to {row:?}"))?;
+            holder.shown = (edition, row.standing.step);
+            let touch = !holder.cut && holder.frozen_until < t && t > holder.touch + TOUCH;
+            ensure(!(calm && touch) || row.standing == want, || {
+                format!("at {t} a node in touch stands at {} and not {want}", row.standing)
+            })?;
+            rows.push((holder.item.clone(), row.standing));
+        }
+        if t % 8 == 0 {
+            self.requests(&rows)?;
+        }
+        Ok(())
+    }
+
+    /// One request wherever it lands: nodes that stand alike do alike.
+    fn requests(&mut self, rows: &[(Member, Standing)]) -> Verdict {
+        let id = self.draw(u64::MAX).to_le_bytes();
+        let kind = [Kind::Safe, Kind::Safe, Kind::Unsafe, Kind::Upload][self.draw(4) as usize];
+        let stage = [Stage::Head, Stage::Head, Stage::Begun, Stage::Again][self.draw(4) as usize];
+        let (target_us, deadline_left_us) = (600_000, self.draw(4_000_000) as i64);
+        let asked = Asked { kind, stage, id: &id, target_us, deadline_left_us };
+        let mut first: Option<(&Member, Standing, Slow)> = None;
+        for (node, (member, at)) in rows.iter().enumerate() {
+            let slow = self.weigh(node, member, *at, &asked);
+            if kind != Kind::Safe || stage != Stage::Head || at.step == 0 {
+                ensure(slow == Slow::None, || format!("{kind:?} at {stage:?}, step {at}: {slow:?}"))?;
+            }
+            let most = target_us * 4 * i64::from(at.step) / 10 / i64::from(at.of.max(1));
+            match slow {
+                Slow::None => {
+                    ensure(asked.stage != Stage::Head || kind != Kind::Safe || at.step == 0, || {
+                        format!("a read goes on at once at step {at}")
+                    })?
+                }
+                Slow::For(wait) => {
+                    ensure(wait >= most / 2 && wait <= most && wait <= deadline_left_us / 2, || {
+                        format!("waits {wait} at {at}, {asked:?}")
+                    })?
+                }
+                Slow::Refuse { retry_after } => {
+                    ensure(deadline_left_us / 2 < most / 2 && retry_after == most, || {
+                        format!("refused at {at}, {asked:?}")
+                    })?
+                }
+            }
+            match first {
+                Some((m, s, other)) if s == *at && m.slowing == member.slowing => {
+                    ensure(other == slow, || {
+                        format!("{other:?} on one node and {slow:?} on another at {at}")
+                    })?
+                }
+                Some(_) => {}
+                None => first = Some((member, *at, slow)),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A schedule drawn from a seed.
+pub fn schedule(seed: u64) -> Vec<(u8, u8)> {
+    let mut x = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut next = || {
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^= x << 17;
+        (x >> 32) as u8
+    };
+    let length = 4 + usize::from(next() % 28);
+    (0..length).map(|_| (next(), next())).collect()
+}
--- /dev/null
+++ b/crates/tariff/tests/schedules.rs
@@ -0,0 +1,46 @@
+//! Drawn schedules of clocks that step, owners that change, nodes that are cut off, freeze and start again, and renewals,
+//! against the plain model.
+
+mod common;
+
+use common::{schedule, World};
+
+#[test]
+fn drawn_schedules_agree_with_the_plain_model() {
+    bolero::check!().with_type::<(u64, Vec<(u8, u8)>)>().with_iterations(1_000).for_each(
+        |(seed, schedule)| {
+            let schedule = &schedule[..schedule.len().min(40)];
+            let outcome = World::new(*seed, None).run(schedule);
+            assert_eq!(outcome, Ok(()), "seed {seed}, {schedule:?}");
+        },
+    );
+}
+
+/// `cargo test -p silvercross-tariff --release --test schedules -- --ignored --nocapture`
+#[test]
+#[ignore = "minutes without optimisation"]
+fn a_hundred_thousand_schedules() {
+    const ALL: u64 = 100_000;
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get() as u64);
+    let parts: Vec<_> = (0..threads)
+        .map(|part| {
+            std::thread::spawn(move || {
+                let mut counts = (0, 0, 0);
+                for seed in (part..ALL).step_by(threads as usize) {
+                    let mut world = World::new(seed, None);
+                    let outcome = world.run(&schedule(seed));
+                    assert_eq!(outcome, Ok(()), "seed {seed}");
+                    counts = (counts.0 + 1, counts.1 + world.begins, counts.2 + world.steps);
+                }
+                counts
+            })
+        })
+        .collect();
+    let mut sum = (0, 0, 0);
+    for part in parts {
+        let counts = part.join().expect("a schedule failed");
+        sum = (sum.0 + counts.0, sum.1 + counts.1, sum.2 + counts.2);
+    }
+    println!("{} schedules, {} lapses begun, {} steps", sum.0, sum.1, sum.2);
+    assert_eq!(sum.0, ALL);
+}
