--- a/crates/village/src/load.rs
+++ b/crates/village/src/load.rs
@@ -3,7 +3,7 @@
 use crate::mesh::Plan;
 use crate::operator::{patch, Route};
 use crate::station::Manner;
-use crate::village::Village;
+use crate::village::{told, Village};
 use anyhow::{Context, Result};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
@@ -184,6 +184,12 @@
             println!("    {n} times {what}");
         }
     }
+    if !ours.failed.is_empty() {
+        for m in &sides {
+            let figures = told(mesh.control(*m), "/-/Post.Figures").await;
+            println!("    {}: {figures}", mesh.machines[*m].name);
+        }
+    }
     let ratio = ours.per() / bare.per().max(1e-9);
     let met = |so: bool| if so { "met" } else { "NOT met" };
     println!("ratio {ratio:.2} (goal: at most {RATIO:.1}): {}", met(ratio <= RATIO));
