Mesh: a process that stops answers what is open before its end; machines that hold the ledger say so

All that is open is now answered half a second before. A core machine that isn't among the ledger's holders sends callers to one that is.

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -39,6 +39,8 @@
     pub control: u16,
     /// It stops: nothing more is to be sent there.
     pub leaving: bool,
+    /// Of a machine with a disk: those that hold the ledger, as it knows.
+    pub roster: Vec<u32>,
     /// The upstream beside it.
     pub station: Option<Station>,
 }
@@ -143,7 +145,7 @@
 
     /// An operator's call; `None` where this machine holds no ledger.
     pub async fn ask(&self, post: &Rc<Post>, key: &str, order: Option<Order>) -> Option<Verdict<Leaf>> {
-        let ledger = self.ledger.as_ref()?;
+        let ledger = self.ledger.as_ref().filter(|_| !post.is_outsider())?;
         let token = self.numbers.get();
         self.numbers.set(token + 1);
         let (to, answer) = oneshot::channel();
--- a/crates/posthouse/src/desk.rs
+++ b/crates/posthouse/src/desk.rs
@@ -270,6 +270,15 @@
         Some(ticket)
     }
 
+    /// All that is open, and all that comes, is answered by then.
+    pub fn answer_by(&self, at: i64) {
+        self.with(|b| {
+            b.answer_by(at);
+            let now = b.now();
+            b.tick(now)
+        });
+    }
+
     /// An attempt has ended.
     pub fn report(&self, attempt: Attempt, report: Report) {
         self.with(|b| b.report(attempt, report));
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -118,6 +118,7 @@
         inbound: boot.inbound.map_or(0, |a| a.port()),
         control: boot.control.map_or(0, |a| a.port()),
         leaving: false,
+        roster: Vec::new(),
         station: None,
     };
     let start = silvercross_rounds::Start {
@@ -199,11 +200,16 @@
     Ok(())
 }
 
+/// So long before the end of its grace a process that stops has answered all that is open.
+const ANSWERED: Duration = Duration::from_millis(500);
+
 /// The platform asks once a second and must be told no twice; what was read is answered; then the end, within the grace.
 async fn stop(post: &Rc<Post>, grace: Duration) {
     post.begin_stop();
     let started = tokio::time::Instant::now();
     let last = grace.saturating_sub(Duration::from_millis(500));
+    // What is still open shortly before the end gets its answer then.
+    post.answer_within(last.saturating_sub(ANSWERED));
     let told = Duration::from_millis(2200).min(last / 2);
     let mut quiet = 0;
     while started.elapsed() < last {
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -209,6 +209,13 @@
         }
     }
 
+    /// All that is open is answered within this span, and all that comes later.
+    pub fn answer_within(&self, span: Duration) {
+        for (_, desk) in self.desks() {
+            desk.answer_by(self.now() + span.as_micros() as i64);
+        }
+    }
+
     /// Connections between two requests end from now on.
     pub fn end_idle(&self) {
         self.idle_ends.set(true);
@@ -277,10 +284,18 @@
         self.force.borrow().revisions.clone()
     }
 
+    /// Whether this machine has a disk, but those that hold the ledger don't count it among them.
+    pub fn is_outsider(&self) -> bool {
+        let (me, others) = (self.boot.ip.to_bits(), self.others.borrow());
+        let mut holders = others.values().filter(|r| r.body.roster.contains(&r.node.0)).peekable();
+        holders.peek().is_some() && holders.all(|r| !r.body.roster.contains(&me))
+    }
+
     /// The control address of a machine that holds the ledger.
     pub fn core(&self) -> Option<SocketAddr> {
         let others = self.others.borrow();
-        let mut cores: Vec<_> = others.values().filter(|r| r.core && !r.gone && r.body.control > 0).collect();
+        let holds = |r: &&Record<Body>| r.body.control > 0 && r.body.roster.contains(&r.node.0);
+        let mut cores: Vec<_> = others.values().filter(holds).collect();
         let near = |r: &&Record<Body>| u8::from(r.zone != self.boot.zone);
         cores.sort_by_key(near);
         cores.first().map(|r| SocketAddr::new(IpAddr::V4(Ipv4Addr::from_bits(r.node.0)), r.body.control))
@@ -473,10 +488,20 @@
             inbound: self.boot.inbound.map_or(0, |a| a.port()),
             control: self.boot.control.map_or(0, |a| a.port()),
             leaving: self.stopping(),
+            roster: self.roster(),
             station,
         }
     }
 
+    /// Those that hold the ledger, as this machine knows for certain; empty where it holds none, or is not repaired yet.
+    fn roster(&self) -> Vec<u32> {
+        let of = |l: &silvercross_ledger::Ledger<Leaf>| match l.voter() {
+            true => l.roster().iter().map(|n| n.0).collect(),
+            false => Vec::new(),
+        };
+        self.carriers.ledger(of).unwrap_or_default()
+    }
+
     /// What this sidecar tells of itself.
     pub fn body(&self) -> Body {
         self.body_of(self.own.borrow().as_ref().map(|o| o.station.clone()))
@@ -626,6 +651,7 @@
     /// Look after what only time tells, for as long as the process lives.
     pub async fn watch(self: Rc<Self>) {
         let mut told = self.now();
+        let mut roster = Vec::new();
         loop {
             tokio::time::sleep(Duration::from_millis(300)).await;
             let now = self.now();
@@ -642,6 +668,10 @@
                 self.own.borrow_mut().iter_mut().for_each(|o| o.told = true);
                 self.tell();
             }
+            if self.roster() != roster {
+                roster = self.roster();
+                self.tell();
+            }
             self.pool.sweep();
             if now - told >= FIGURES {
                 told = now;
