--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -8,6 +8,22 @@
 /// More header lines than this are too many.
 pub const HEADERS: usize = 64;
 
+/// How large a message may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of its head, the blank line included. How many lines it may have is told by the room given for them.
+    pub head: usize,
+    /// Bytes of its body, where it states a length.
+    pub body: usize,
+}
+
+impl Default for Limits {
+    /// What fits the buffers of this package, and what is carried as a stream by them.
+    fn default() -> Self {
+        Limits { head: HEAD, body: LARGEST }
+    }
+}
+
 /// What is wrong with a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Bad {
@@ -84,7 +100,7 @@
         }
     }
 
-    fn framing(&self) -> Result<Option<Framing>, Bad> {
+    fn framing(&self, largest: usize) -> Result<Option<Framing>, Bad> {
         let length = self.one("content-length")?;
         match self.one("transfer-encoding")? {
             // Both: two readers could see two different messages in it.
@@ -98,7 +114,7 @@
                 }
                 // Digits only, so what does not fit is large.
                 Some(n) => match n.parse::<usize>() {
-                    Ok(n) if n <= LARGEST => Ok(Some(Framing::Length(n))),
+                    Ok(n) if n <= largest => Ok(Some(Framing::Length(n))),
                     _ => Err(Bad::BodyTooLarge),
                 },
             },
@@ -143,11 +159,15 @@
     }
 }
 
-fn complete(parsed: Result<Status<usize>, httparse::Error>, bytes: &[u8]) -> Result<Option<usize>, Bad> {
+fn complete(
+    parsed: Result<Status<usize>, httparse::Error>,
+    bytes: &[u8],
+    most: usize,
+) -> Result<Option<usize>, Bad> {
     match parsed.map_err(head_error)? {
-        Status::Complete(n) if n > HEAD => Err(Bad::HeadTooLarge),
+        Status::Complete(n) if n > most => Err(Bad::HeadTooLarge),
         Status::Complete(n) => Ok(Some(n)),
-        Status::Partial if bytes.len() >= HEAD => Err(Bad::HeadTooLarge),
+        Status::Partial if bytes.len() >= most => Err(Bad::HeadTooLarge),
         Status::Partial => Ok(None),
     }
 }
@@ -156,12 +176,21 @@
 pub fn request_head<'h, 'b>(
     bytes: &'b [u8],
     lines: &'h mut [Header<'b>],
+) -> Result<Option<RequestHead<'h, 'b>>, Bad> {
+    request_head_within(bytes, lines, Limits::default())
+}
+
+/// The same, within limits of the caller's.
+pub fn request_head_within<'h, 'b>(
+    bytes: &'b [u8],
+    lines: &'h mut [Header<'b>],
+    limits: Limits,
 ) -> Result<Option<RequestHead<'h, 'b>>, Bad> {
     let mut request = httparse::Request::new(lines);
-    let Some(len) = complete(request.parse(bytes), bytes)? else { return Ok(None) };
+    let Some(len) = complete(request.parse(bytes), bytes, limits.head)? else { return Ok(None) };
     let (method, target, version) = (request.method, request.path, request.version);
     let headers = Headers(request.headers);
-    let framing = headers.framing()?.unwrap_or(Framing::Length(0));
+    let framing = headers.framing(limits.body)?.unwrap_or(Framing::Length(0));
     if framing == Framing::Chunked && version == Some(0) {
         return Err(Bad::Malformed("chunks in HTTP/1.0"));
     }
@@ -191,14 +220,23 @@
 pub fn answer_head<'h, 'b>(
     bytes: &'b [u8],
     lines: &'h mut [Header<'b>],
+) -> Result<Option<AnswerHead<'h, 'b>>, Bad> {
+    answer_head_within(bytes, lines, Limits::default())
+}
+
+/// The same, within limits of the caller's.
+pub fn answer_head_within<'h, 'b>(
+    bytes: &'b [u8],
+    lines: &'h mut [Header<'b>],
+    limits: Limits,
 ) -> Result<Option<AnswerHead<'h, 'b>>, Bad> {
     let mut answer = httparse::Response::new(lines);
-    let Some(len) = complete(answer.parse(bytes), bytes)? else { return Ok(None) };
+    let Some(len) = complete(answer.parse(bytes), bytes, limits.head)? else { return Ok(None) };
     let (status, version) = (answer.code.unwrap_or(0), answer.version);
     let headers = Headers(answer.headers);
     let framing = match status {
         100..=199 | 204 | 304 => Framing::Length(0),
-        _ => headers.framing()?.unwrap_or(Framing::UntilClose),
+        _ => headers.framing(limits.body)?.unwrap_or(Framing::UntilClose),
     };
     let keep_alive = framing != Framing::UntilClose && headers.keep_alive(version);
     Ok(Some(AnswerHead { len, status, headers, framing, keep_alive }))
@@ -366,6 +404,25 @@
         assert!(matches!(framing_of("G\0T / HTTP/1.1\r\n\r\n"), Err(Bad::Malformed(_))));
     }
 
+    #[test]
+    fn other_limits_hold_where_they_are_given() {
+        let limits = Limits { head: HEAD + 4096, body: 2 * LARGEST };
+        let most = limits.head - "GET / HTTP/1.1\r\nX: \r\n\r\n".len();
+        let read = |text: &str| {
+            let mut room = [EMPTY_HEADER; HEADERS + 8];
+            request_head_within(text.as_bytes(), &mut room, limits).map(|h| h.map(|h| h.framing))
+        };
+        let of = |n: usize| format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "a".repeat(n));
+        assert_eq!(read(&of(most)), Ok(Some(Framing::Length(0))));
+        assert_eq!(read(&of(most + 1)), Err(Bad::HeadTooLarge));
+        let lined = |n: usize| format!("GET / HTTP/1.1\r\n{}\r\n", "X: 1\r\n".repeat(n));
+        assert_eq!(read(&lined(HEADERS + 8)), Ok(Some(Framing::Length(0))));
+        assert_eq!(read(&lined(HEADERS + 9)), Err(Bad::HeadTooLarge));
+        let stated = |n: usize| format!("GET / HTTP/1.1\r\nContent-Length: {n}\r\n\r\n");
+        assert_eq!(read(&stated(2 * LARGEST)), Ok(Some(Framing::Length(2 * LARGEST))));
+        assert_eq!(read(&stated(2 * LARGEST + 1)), Err(Bad::BodyTooLarge));
+    }
+
     #[test]
     fn a_target_may_name_its_origin() {
         let cases = [
--- a/crates/posthouse/src/control.rs
+++ b/crates/posthouse/src/control.rs
@@ -2,7 +2,7 @@
 //! time on it.
 use crate::leaf::{Leaf, Order, CONFIGURATION, EVACUATION};
 use crate::post::{Beat, Post};
-use crate::wire::{self, Line, Wrong};
+use crate::wire::{self, End, Line, Wrong};
 use serde_json::json;
 use silvercross_ledger::Verdict;
 use slog::info;
@@ -210,7 +210,7 @@
         open.set(open.get() + 1);
         let (post, open) = (post.clone(), open.clone());
         tokio::task::spawn_local(async move {
-            let mut line = Line::new(stream);
+            let mut line = Line::new(stream, End::Outer(HEAD));
             while one(&post, &mut line, calls).await {}
             open.set(open.get() - 1);
         });
@@ -218,7 +218,7 @@
 }
 
 async fn one(post: &Rc<Post>, line: &mut Line, calls: &[&Call]) -> bool {
-    let asked = match line.request(IDLE, COMES, HEAD).await {
+    let asked = match line.request(IDLE, COMES, silvercross_sorting::MAX_BODY).await {
         Ok(asked) => asked,
         Err(Wrong::Bad(bad)) => {
             let bytes = wire::whole(wire::status_of(&bad), b"", b"", true, false);
--- a/crates/posthouse/src/desk.rs
+++ b/crates/posthouse/src/desk.rs
@@ -47,7 +47,8 @@
 
 /// A request that the module was told of; ends with it.
 pub struct Ticket {
-    desk: Rc<Desk>,
+    /// Where it is.
+    pub desk: Rc<Desk>,
     /// Its handle.
     pub handle: Handle,
 }
@@ -270,6 +271,11 @@
         Some(ticket)
     }
 
+    /// An attempt's answer begins to go on before it is whole.
+    pub fn begun(&self, attempt: Attempt) {
+        self.with(|b| b.begun(attempt));
+    }
+
     /// An attempt has ended.
     pub fn report(&self, attempt: Attempt, report: Report) {
         self.with(|b| b.report(attempt, report));
--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -20,7 +20,8 @@
         "refused": c.refused.get(), "failed": c.failed.get(), "delivered": c.delivered.get(),
         "turned": c.turned.get(), "beats": c.beats.get(), "calls": c.calls.get(),
         "letters": c.letters.get(), "datagrams": c.datagrams.get(), "strangers": c.strangers.get(),
-        "gateOut": out, "gateWaiting": waiting, "idle": post.pool.idle(), "desks": desks,
+        "gateOut": out, "gateWaiting": waiting, "idle": post.pool.idle(),
+        "noRoom": c.no_room.get(), "heldBytes": post.stores.held(), "desks": desks,
     })
 }
 
--- a/crates/posthouse/src/front.rs
+++ b/crates/posthouse/src/front.rs
@@ -1,22 +1,27 @@
 //! Where the machine's clients, and its upstream, bring their requests: one connection a task, one request at a time on it.
 //! Finds the route; where the request goes, whether again and when not is the module's to say (`desk`).
-use crate::desk::{Desk, Mail, CONNECT};
+use crate::desk::{Desk, Mail, Ticket, CONNECT};
+use crate::freight::{Bringer, Freight, Share};
 use crate::gate;
-use crate::hop::{self, Came};
+use crate::hop::{self, Came, Order, Tail};
 use crate::post::Post;
 use crate::waybill::{self, Waybill, Word};
-use crate::wire::{self, Answer, Asked, Line, Wrong};
+use crate::wire::{self, Answer, Asked, End, Line, Size, Wrong};
 use silvercross_facade::{Attempt, Report, Step};
-use silvercross_net::http::Bad;
+use silvercross_net::http::{Bad, Framing};
+use silvercross_net::stream::Decoder;
 use silvercross_sorting::{Kind, Route};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout_at, Instant};
 
 /// Behind a last answer, what still comes is read away for so long.
 const AFTER: Duration = Duration::from_millis(500);
@@ -35,13 +40,43 @@
     status: u16,
     lines: Vec<u8>,
     body: Vec<u8>,
-    close: bool,
+    /// What comes behind that, and the length of both where it is known.
+    tail: Option<Box<Tail>>,
+    length: Option<u64>,
+    /// Told how that ended.
+    flow: Option<Flow>,
+    /// The body's place among those held here.
+    _share: Option<Share>,
+}
+
+/// A request whose answer is being passed on.
+struct Flow {
+    ticket: Ticket,
+    attempt: Attempt,
 }
 
 impl Reply {
     fn own(status: u16, text: &str) -> Self {
         let lines = b"Content-Type: text/plain\r\n".to_vec();
-        Reply { status, lines, body: format!("{text}\n").into_bytes(), close: false }
+        Reply {
+            status,
+            lines,
+            body: format!("{text}\n").into_bytes(),
+            tail: None,
+            length: None,
+            flow: None,
+            _share: None,
+        }
+    }
+
+    /// Pass on what comes behind the first part; `false` if it broke off.
+    async fn pass(self, post: &Rc<Post>, to: &mut OwnedWriteHalf, size: Size) -> bool {
+        let Some(tail) = self.tail else { return true };
+        let passed = tail.pass(&post.pool, to, size).await;
+        if let Some(flow) = self.flow {
+            flow.ticket.desk.report(flow.attempt, if passed { Report::Served } else { Report::Broken });
+        }
+        passed
     }
 
     /// It has not run and never will: come back then.
@@ -67,7 +102,7 @@
         let post = post.clone();
         post.counts.clients.set(post.counts.clients.get() + 1);
         tokio::task::spawn_local(async move {
-            let mut line = Line::new(stream);
+            let mut line = Line::new(stream, End::Outer(0));
             while one(&post, &mut line).await {}
             post.counts.clients.set(post.counts.clients.get() - 1);
         });
@@ -78,42 +113,61 @@
 async fn one(post: &Rc<Post>, line: &mut Line) -> bool {
     let limits = post.table().limits();
     let span = |us: i64| Duration::from_micros(us.max(1) as u64);
+    let most = limits.content_bytes.min(usize::MAX as u64) as usize;
+    line.end = End::Outer(limits.envelope_bytes);
     let request = tokio::select! {
-        request = line.request(span(limits.idle_us), span(limits.envelope_us), limits.envelope_bytes) => request,
+        request = line.request(span(limits.idle_us), span(limits.envelope_us), most) => request,
         // Between two requests a process that stops closes at once; clients open new ones.
         _ = post.idle_ends() => return false,
     };
-    let (asked, body) = match request {
-        Ok(mut asked) => {
-            if asked.waits && line.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
-                return false;
-            }
-            let most = limits.content_bytes.min(usize::MAX as u64) as usize;
-            let patience = span(asked.deadline.unwrap_or(60_000_000));
-            let body = timeout(patience, line.body(asked.framing, most)).await.unwrap_or(Err(Wrong::Late));
-            asked.waybill = None;
-            asked.expects = None;
-            asked.sender = Some(post.boot.destination.clone());
-            match body {
-                Ok(body) => (asked, body),
-                Err(wrong) => return refuse(line, wrong).await,
+    let mut asked = match request {
+        Ok(asked) => asked,
+        Err(wrong) => return refuse(line, wrong).await,
+    };
+    if asked.waits && line.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+        return false;
+    }
+    let stated = match asked.framing {
+        Framing::Length(n) => Some(n),
+        _ => None,
+    };
+    let until = Instant::now() + span(asked.deadline.unwrap_or(60_000_000));
+    let (mut decoder, mut share) = (Decoder::new(asked.framing, most), post.stores.share());
+    let held = timeout_at(until, line.held(&mut decoder, stated, &mut share, false)).await;
+    asked.waybill = None;
+    asked.expects = None;
+    asked.sender = Some(post.boot.destination.clone());
+    let (held, whole) = match held.unwrap_or(Err(Wrong::Late)) {
+        Ok(held) => held,
+        Err(wrong) => {
+            if matches!(wrong, Wrong::NoRoom) {
+                post.counts.no_room.set(post.counts.no_room.get() + 1);
             }
+            return refuse(line, wrong).await;
         }
-        Err(wrong) => return refuse(line, wrong).await,
     };
-    post.counts.requests.set(post.counts.requests.get() + 1);
-    post.open.set(post.open.get() + 1);
-    let reply = serve(post, &asked, &body).await;
-    post.open.set(post.open.get() - 1);
-    let close = reply.close || !asked.keep_alive || asked.old || post.stopping();
-    let mut lines = reply.lines;
-    if let Some(id) = asked.id.as_ref().filter(|_| !has_id(&lines)) {
-        lines.extend_from_slice(format!("Attempt-Id: {id}\r\n").as_bytes());
+    if !whole {
+        let (freight, bringer) = Freight::coming(held, stated.map(|n| n as u64), share);
+        return large(post, line, &asked, freight, bringer, &mut decoder, until).await;
     }
-    let bytes = wire::whole(reply.status, &lines, &reply.body, close, asked.method == "HEAD");
+    let open = Open::new(post);
+    let mut reply = serve(post, &asked, &Freight::whole(held, share)).await;
+    drop(open);
+    let close = !asked.keep_alive || asked.old || post.stopping();
+    let (bytes, size) = begin(&mut reply, &asked, close);
+    let close = close || size == Size::Close && reply.tail.is_some();
     if line.write(&bytes).await.is_err() {
         return false;
     }
+    if reply.tail.is_some() {
+        let Some(mut write) = line.split() else { return false };
+        let passed = reply.pass(post, &mut write, size).await;
+        line.join(write);
+        if !passed {
+            line.abort();
+            return false;
+        }
+    }
     if close {
         line.finish().await;
         line.drain(AFTER).await;
@@ -121,6 +175,90 @@
     !close
 }
 
+/// A request counts as open for as long as this lives.
+struct Open<'p>(&'p Post);
+
+impl<'p> Open<'p> {
+    fn new(post: &'p Post) -> Self {
+        post.counts.requests.set(post.counts.requests.get() + 1);
+        post.open.set(post.open.get() + 1);
+        Open(post)
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// One request whose body is still coming: it is read on while the request is served, no faster than it is passed on.
+async fn large(
+    post: &Rc<Post>,
+    line: &mut Line,
+    asked: &Asked,
+    freight: Rc<Freight>,
+    bringer: Bringer,
+    decoder: &mut Decoder,
+    until: Instant,
+) -> bool {
+    let Some(mut write) = line.split() else { return false };
+    let _open = Open::new(post);
+    let replies = Cell::new(false);
+    let ended = {
+        let work = async {
+            let mut reply = serve(post, asked, &freight).await;
+            replies.set(true);
+            // Where part of the body was not read, the connection carries nothing more.
+            let close = !asked.keep_alive || asked.old || post.stopping() || !freight.at_end();
+            let (bytes, size) = begin(&mut reply, asked, close);
+            let close = close || size == Size::Close && reply.tail.is_some();
+            let passed = write.write_all(&bytes).await.is_ok() && reply.pass(post, &mut write, size).await;
+            (passed, close)
+        };
+        let read = async {
+            bringer.wanted().await;
+            match timeout_at(until, bringer.bring(line, decoder)).await.unwrap_or(Err(Wrong::Late)) {
+                Err(wrong) if !replies.get() && !matches!(wrong, Wrong::Closed) => wrong,
+                _ => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            done = work => Ok(done),
+            wrong = read => Err(wrong),
+        }
+    };
+    line.join(write);
+    match ended {
+        Ok((true, false)) => true,
+        Ok((true, true)) => {
+            line.finish().await;
+            line.drain(AFTER).await;
+            false
+        }
+        Ok((false, _)) => {
+            line.abort();
+            false
+        }
+        // Part of it may be at an upstream: that it never ran is not for certain, so no promise (408).
+        Err(Wrong::Late) => false,
+        Err(wrong) => refuse(line, wrong).await,
+    }
+}
+
+/// An answer's first bytes, or all of them.
+fn begin(reply: &mut Reply, asked: &Asked, close: bool) -> (Vec<u8>, Size) {
+    let mut lines = std::mem::take(&mut reply.lines);
+    if let Some(id) = asked.id.as_ref().filter(|_| !has_id(&lines)) {
+        lines.extend_from_slice(format!("Attempt-Id: {id}\r\n").as_bytes());
+    }
+    let bodiless = asked.method == "HEAD";
+    if reply.tail.is_none() {
+        return (wire::whole(reply.status, &lines, &reply.body, close, bodiless), Size::Close);
+    }
+    wire::begun(reply.status, &lines, &reply.body, reply.length, close, asked.old)
+}
+
 fn has_id(lines: &[u8]) -> bool {
     const NAME: &[u8] = b"attempt-id:";
     lines.split(|b| *b == b'\n').any(|l| l.len() >= NAME.len() && l[..NAME.len()].eq_ignore_ascii_case(NAME))
@@ -131,12 +269,16 @@
     let (status, text) = match wrong {
         Wrong::Closed | Wrong::Broken => return false,
         Wrong::Late => (408, "the request did not come whole in time"),
+        Wrong::NoRoom => (503, "too many bodies are held here"),
         Wrong::Bad(bad) => match bad {
             Bad::Malformed(what) => (400, what),
             other => (wire::status_of(&other), "larger than the limits allow"),
         },
     };
-    let reply = Reply::own(status, text);
+    let reply = match status {
+        503 => Reply::promise(status, text, None),
+        _ => Reply::own(status, text),
+    };
     let bytes = wire::whole(status, &reply.lines, &reply.body, true, false);
     if line.write(&bytes).await.is_ok() {
         line.finish().await;
@@ -146,7 +288,7 @@
 }
 
 /// Find the route and the service, and have the request served.
-async fn serve(post: &Rc<Post>, asked: &Asked, body: &[u8]) -> Reply {
+async fn serve(post: &Rc<Post>, asked: &Asked, freight: &Rc<Freight>) -> Reply {
     // A process that has just started knows the configuration and the upstreams within a moment: that is cheaper to wait for
     // than a client's second try. No longer than a part of what the client, or the aim, allows.
     let patience = asked.deadline.map_or(0, |d| d / WAIT_DEADLINE).min(WAIT_MOST);
@@ -172,7 +314,7 @@
         post: post.clone(),
         desk,
         asked: Rc::new(asked.clone()),
-        body: Rc::new(body.to_vec()),
+        freight: freight.clone(),
         service,
         id,
         route: route.clone(),
@@ -187,7 +329,7 @@
     post: Rc<Post>,
     desk: Rc<Desk>,
     asked: Rc<Asked>,
-    body: Rc<Vec<u8>>,
+    freight: Rc<Freight>,
     service: String,
     id: String,
     route: Route,
@@ -225,6 +367,8 @@
             return Reply::promise(503, "too much is open here", None);
         };
         let mut out = Out::default();
+        // Copies that had to wait, as a body that is still coming goes one way at a time.
+        let mut behind: Vec<(u32, SocketAddr, String)> = Vec::new();
         let mut brought: BTreeMap<u32, Brought> = BTreeMap::new();
         loop {
             // The sender is ours too, so the box never ends.
@@ -235,17 +379,46 @@
                         continue;
                     }
                     let (report, what) = judge(came);
+                    let attempt = Attempt { request: ticket.handle, number };
+                    if report == Report::Served && what.answer.as_ref().is_some_and(|a| a.tail.is_some()) {
+                        // So much has come that no other answer can be had: it goes on as it comes.
+                        self.desk.begun(attempt);
+                        let mut reply = what.answer.map_or_else(|| Reply::own(502, "lost"), passed);
+                        let left = Duration::from_micros(self.budget.max(0) as u64);
+                        reply.tail.iter_mut().for_each(|t| t.until = Some(self.started + left));
+                        reply.flow = Some(Flow { ticket, attempt });
+                        return reply;
+                    }
                     brought.insert(number, what);
-                    self.desk.report(Attempt { request: ticket.handle, number }, report);
+                    self.desk.report(attempt, report);
+                    if self.freight.rest.is_some() && out.0.is_empty() && inbox.is_empty() {
+                        // The module awaits a copy that could not go out so far.
+                        match behind.pop().filter(|_| !self.freight.spent()) {
+                            Some((number, to, name)) => {
+                                let further = brought.values().any(|b| b.met);
+                                let task = self.attempt(number, to, name, further, mail.clone());
+                                out.0.insert(number, task);
+                            }
+                            None => return self.given_up(brought, None),
+                        }
+                    }
                 }
                 Mail::Step(step) => match step {
                     Step::Send { attempt, upstream, to, .. } => {
                         let further = brought.values().any(|b| b.met) || !out.0.is_empty();
                         let name = self.desk.name_of(upstream);
+                        if self.freight.rest.is_some() && !out.0.is_empty() {
+                            behind.push((attempt.number, to, name));
+                            continue;
+                        }
+                        if self.freight.spent() {
+                            return self.given_up(brought, None);
+                        }
                         let task = self.attempt(attempt.number, to, name, further, mail.clone());
                         out.0.insert(attempt.number, task);
                     }
                     Step::Cancel { attempt } => {
+                        behind.retain(|b| b.0 != attempt.number);
                         if let Some(task) = out.0.remove(&attempt.number) {
                             task.abort();
                             brought.insert(
@@ -302,7 +475,7 @@
         further: bool,
         mail: UnboundedSender<Mail>,
     ) -> AbortHandle {
-        let (post, asked, body) = (self.post.clone(), self.asked.clone(), self.body.clone());
+        let (post, asked, freight) = (self.post.clone(), self.asked.clone(), self.freight.clone());
         let (id, spent) = (self.id.clone(), self.started.elapsed().as_micros() as i64);
         let bill = Waybill {
             version: waybill::VERSION,
@@ -314,7 +487,7 @@
         };
         let left = self.budget - spent;
         let task = tokio::task::spawn_local(async move {
-            let came = go(&post, &asked, &body, &id, &bill, left, to, &name).await;
+            let came = go(&post, &asked, &freight, &id, &bill, left, to, &name).await;
             let _ = mail.send(Mail::Ended(number, came));
         });
         task.abort_handle()
@@ -326,7 +499,7 @@
 async fn go(
     post: &Rc<Post>,
     asked: &Asked,
-    body: &[u8],
+    freight: &Rc<Freight>,
     id: &str,
     bill: &Waybill,
     left: i64,
@@ -336,18 +509,22 @@
     if Some(to) == post.boot.inbound {
         let mut mine = asked.clone();
         (mine.deadline, mine.expects) = (Some(left), Some(name.to_string()));
-        return Came::Answer(Box::new(gate::serve(post, &mine, bill, body).await));
+        return Came::Answer(Box::new(gate::serve(post, &mine, bill, freight).await));
     }
     let started = Instant::now();
     let limit = Duration::from_micros(CONNECT as u64);
-    let Some((line, _)) = post.pool.line(Some(post.boot.ip.into()), to, limit).await else {
+    let from = Some(post.boot.ip.into());
+    let Some(line) = post.pool.line(from, to, limit, End::Hop).await else {
         return Came::NotConnected;
     };
     let mut hop = asked.clone();
     hop.waybill = Some(waybill::write(bill));
     let left = left - started.elapsed().as_micros() as i64;
-    let bytes = gate::request(&hop, id, left, Some(name), body);
-    hop::exchange(&post.pool, to, line, &bytes, id, asked.method == "HEAD", wire::HELD * 64).await
+    let coming = freight.rest.as_ref().map(|_| freight);
+    let bytes = gate::request(&hop, left, Some(name), freight, coming.is_some());
+    let bodiless = asked.method == "HEAD";
+    let order = Order { to, bytes: &bytes, coming, awaits: coming.is_some(), id, bodiless };
+    hop::exchange(&post.pool, line, order, post.stores.share()).await
 }
 
 /// An exchange's end, as the module hears it, and what is kept of it.
@@ -387,5 +564,6 @@
 }
 
 fn passed(answer: Answer) -> Reply {
-    Reply { status: answer.status, lines: answer.lines, body: answer.body, close: false }
+    let Answer { status, lines, body, tail, length, share, .. } = answer;
+    Reply { status, lines, body, tail, length, flow: None, _share: share }
 }
--- a/crates/posthouse/src/gate.rs
+++ b/crates/posthouse/src/gate.rs
@@ -1,17 +1,21 @@
 //! The gate: the one way to the upstream on this machine. What passes is `silvercross-wicket`'s to say; here it is done on
 //! sockets, and it is known for certain whether a byte was written.
-use crate::hop::{self, Came};
+use crate::freight::{Bringer, Freight};
+use crate::hop::{self, Came, Order};
 use crate::post::Post;
 use crate::waybill::{self, Waybill, Word};
-use crate::wire::{self, Answer, Asked, Line};
+use crate::wire::{self, Answer, Asked, End, Line, Size, Stir, Wrong};
+use silvercross_net::http::Framing;
+use silvercross_net::stream::Decoder;
 use silvercross_wicket::{Arrival, Effect, Turned, Verdict, Wicket};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// A connection on which no request comes is closed after this.
 const IDLE: Duration = Duration::from_secs(30);
@@ -21,6 +25,8 @@
 const CONNECT: Duration = Duration::from_millis(500);
 /// Past a request's deadline an upstream's own word on it is waited for so long.
 const LAST_WORD: i64 = 40_000;
+/// Where there is no room for a body, the origin comes back after this at the earliest, in microseconds.
+const NO_ROOM: i64 = 100_000;
 /// How much of its aim a request may wait here before it is told to try elsewhere.
 const PATIENCE: i64 = 4;
 
@@ -33,12 +39,12 @@
 }
 
 /// A place that is given back, however its request ends.
-struct Place<'p> {
-    post: &'p Post,
+struct Place {
+    post: Rc<Post>,
     number: u64,
 }
 
-impl Drop for Place<'_> {
+impl Drop for Place {
     fn drop(&mut self) {
         let (now, number) = (self.post.now(), self.number);
         self.post.gate.with(|w| w.done(now, number));
@@ -133,12 +139,15 @@
         word: Some(waybill::write(&word)),
         keep_alive: true,
         idle: None,
+        length: None,
         body: Vec::new(),
+        tail: None,
+        share: None,
     }
 }
 
 /// Take a request to the upstream on this machine, if it may pass.
-pub async fn serve(post: &Post, asked: &Asked, bill: &Waybill, body: &[u8]) -> Answer {
+pub async fn serve(post: &Rc<Post>, asked: &Asked, bill: &Waybill, freight: &Rc<Freight>) -> Answer {
     let (Some(station), Some(id)) = (post.boot.station, asked.id.clone()) else {
         return says(Word::Absent);
     };
@@ -185,8 +194,8 @@
             }
         }
     }
-    let place = Place { post, number };
-    let Some((line, _)) = post.pool.line(None, station, CONNECT).await else {
+    let place = Place { post: post.clone(), number };
+    let Some(line) = post.pool.line(None, station, CONNECT, End::Outer(wire::HEAD)).await else {
         // A refused connection is a sign that it is gone; its next beat says otherwise.
         let now = post.now();
         post.gate.with(|w| w.silent(now));
@@ -202,16 +211,18 @@
     if !post.gate.with(|w| w.may_begin(now, number)) {
         return says(Word::Shut);
     }
-    let request = request(asked, &id, left, asked.expects.as_deref(), body);
+    let request = request(asked, left, asked.expects.as_deref(), freight, false);
     let now = post.now();
     post.gate.with(|w| w.begun(now, number));
     post.counts.delivered.set(post.counts.delivered.get() + 1);
+    let coming = freight.rest.as_ref().map(|_| freight);
     let bodiless = asked.method == "HEAD";
-    let most = wire::HELD * 64;
-    let went = hop::exchange(&post.pool, station, line, &request, &id, bodiless, most);
-    let came = timeout(Duration::from_micros((left + LAST_WORD) as u64), went).await;
+    let order = Order { to: station, bytes: &request, coming, awaits: false, id: &id, bodiless };
+    let went = hop::exchange(&post.pool, line, order, post.stores.share());
+    let until = Instant::now() + Duration::from_micros((left + LAST_WORD) as u64);
+    let came = timeout_at(until, went).await;
     match came {
-        Ok(Came::Answer(answer)) => {
+        Ok(Came::Answer(mut answer)) => {
             let now = post.now();
             if let Some(left) = answer.cold {
                 post.gate.with(|w| w.cold(now, left));
@@ -223,11 +234,15 @@
                 _ if answer.not_delivered => post.gate.with(|w| w.not_run(now, number)),
                 _ => {}
             }
-            drop(place);
             let spoilt = answer.coded || (answer.status < 300 && (!answer.stamped || answer.id.is_none()));
             if spoilt {
                 return says(Word::Begun);
             }
+            // While its answer is passed on, a request keeps its place.
+            if let Some(tail) = &mut answer.tail {
+                tail.until = Some(until);
+                tail.holds.push(Box::new(place));
+            }
             *answer
         }
         // Bytes may have gone out before the connection broke: not certain, so it may have run.
@@ -235,13 +250,15 @@
     }
 }
 
-/// A request's bytes, to an upstream or to a gate.
-pub fn request(asked: &Asked, id: &str, left: i64, expects: Option<&str>, body: &[u8]) -> Vec<u8> {
+/// A request's bytes, to an upstream or to a gate: its head, and its body if that is here whole. `awaits`: the body is sent once
+/// it is asked for.
+pub fn request(asked: &Asked, left: i64, expects: Option<&str>, freight: &Freight, awaits: bool) -> Vec<u8> {
+    let held = freight.held();
+    let body: &[u8] = if freight.rest.is_some() { &[] } else { &held };
     let mut out = Vec::with_capacity(asked.lines.len() + body.len() + 512);
     out.extend_from_slice(format!("{} {} HTTP/1.1\r\n", asked.method, asked.target).as_bytes());
     out.extend_from_slice(format!("Host: {}\r\n", asked.host).as_bytes());
     out.extend_from_slice(&asked.lines);
-    let _ = id;
     out.extend_from_slice(format!("Deadline-Ms: {}\r\n", (left / 1000).max(1)).as_bytes());
     if let Some(sender) = &asked.sender {
         out.extend_from_slice(format!("Sender: {sender}\r\n").as_bytes());
@@ -252,8 +269,13 @@
     if let Some(bill) = &asked.waybill {
         out.extend_from_slice(format!("Waybill: {bill}\r\n").as_bytes());
     }
-    if !body.is_empty() || !matches!(asked.method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS") {
-        out.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    match freight.size() {
+        Size::Length(0) if matches!(asked.method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS") => {}
+        Size::Length(n) => out.extend_from_slice(format!("Content-Length: {n}\r\n").as_bytes()),
+        Size::Chunks | Size::Close => out.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+    }
+    if awaits {
+        out.extend_from_slice(b"Expect: 100-continue\r\n");
     }
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(body);
@@ -270,42 +292,194 @@
         hop::guard(&stream);
         let post = post.clone();
         tokio::task::spawn_local(async move {
-            let mut line = Line::new(stream);
+            let mut line = Line::new(stream, End::Hop);
             while one(&post, &mut line).await {}
         });
     }
 }
 
 async fn one(post: &Rc<Post>, line: &mut Line) -> bool {
-    let Ok(mut asked) = line.request(IDLE, COMES, wire::HEAD).await else { return false };
+    let Ok(mut asked) = line.request(IDLE, COMES, usize::MAX).await else { return false };
     let bill = asked.waybill.take().and_then(|t| waybill::read::<Waybill>(&t));
-    let most = post.table().limits().content_bytes.min(usize::MAX as u64) as usize;
-    let Ok(Ok(body)) = timeout(COMES, line.body(asked.framing, most)).await else { return false };
-    let Some(bill) = bill.filter(|b| b.version == waybill::VERSION) else {
-        let answer = says(Word::Absent);
-        return line.write(&back(&asked, answer)).await.is_ok();
+    let bill = bill.filter(|b| b.version == waybill::VERSION);
+    let stated = match asked.framing {
+        Framing::Length(n) => Some(n),
+        _ => None,
     };
+    if asked.waits || stated.is_none_or(|n| n > wire::HELD) {
+        return large(post, line, &asked, bill, stated).await;
+    }
+    // How large a body may be was for the origin to say.
+    let (mut decoder, mut share) = (Decoder::new(asked.framing, wire::HELD), post.stores.share());
+    let body = match timeout(COMES, line.held(&mut decoder, stated, &mut share, false)).await {
+        Ok(Ok((body, true))) => body,
+        Ok(Err(Wrong::NoRoom)) => {
+            let (bytes, _) = back(&asked, &mut says(Word::Full(NO_ROOM)), true);
+            let _ = line.write(&bytes).await;
+            line.finish().await;
+            line.drain(COMES / 10).await;
+            return false;
+        }
+        _ => return false,
+    };
+    let Some(bill) = bill else {
+        let (bytes, _) = back(&asked, &mut says(Word::Absent), false);
+        return line.write(&bytes).await.is_ok();
+    };
+    let freight = Freight::whole(body, share);
     // An origin that hangs up has called the attempt off.
-    let answer = {
-        let serving = serve(post, &asked, &bill, &body);
+    let mut answer = {
+        let serving = serve(post, &asked, &bill, &freight);
         tokio::select! {
             answer = serving => answer,
-            more = line.stirs() => {
-                let _ = more;
-                return false;
+            _ = line.stirs() => return false,
+        }
+    };
+    let (bytes, size) = back(&asked, &mut answer, false);
+    if line.write(&bytes).await.is_err() {
+        return false;
+    }
+    let Some(tail) = answer.tail.take() else { return true };
+    drop(answer);
+    let Some(mut write) = line.split() else { return false };
+    let passed = tail.pass(&post.pool, &mut write, size).await;
+    line.join(write);
+    passed
+}
+
+/// A request whose body is passed on as it comes. The origin holds it back until it is asked for: before the request has its place,
+/// and a connection to the upstream is up, none of it is taken.
+async fn large(
+    post: &Rc<Post>,
+    line: &mut Line,
+    asked: &Asked,
+    bill: Option<Waybill>,
+    stated: Option<usize>,
+) -> bool {
+    let mut decoder = Decoder::new(asked.framing, usize::MAX);
+    let (freight, bringer) = Freight::coming(Vec::new(), stated.map(|n| n as u64), post.stores.share());
+    let Some(write) = line.split() else { return false };
+    let write = tokio::sync::Mutex::new(write);
+    let answered = Cell::new(false);
+    let work = async {
+        let mut answer = match &bill {
+            Some(bill) => serve(post, asked, bill, &freight).await,
+            None => says(Word::Absent),
+        };
+        answered.set(true);
+        let mut write = write.lock().await;
+        let (bytes, size) = back(asked, &mut answer, false);
+        if write.write_all(&bytes).await.is_err() {
+            return false;
+        }
+        match answer.tail.take() {
+            Some(tail) => tail.pass(&post.pool, &mut *write, size).await,
+            None => true,
+        }
+    };
+    let took = async {
+        let brought = bring(line, &bringer, &mut decoder, &write, &answered, asked.waits).await;
+        match brought {
+            // An origin that breaks off, or hangs up behind its body, has called the attempt off.
+            Ok(()) => {
+                line.stirs().await;
             }
+            Err(_) if answered.get() => std::future::pending().await,
+            Err(_) => {}
         }
     };
-    line.write(&back(&asked, answer)).await.is_ok()
+    let done = tokio::select! {
+        done = work => done,
+        () = took => false,
+    };
+    line.join(write.into_inner());
+    if done && !decoder.is_done() && asked.framing != Framing::Length(0) {
+        // The answer was there before the body: what comes of that is read away, else it would cost the answer.
+        line.finish().await;
+        line.drain(COMES / 10).await;
+        return false;
+    }
+    done
+}
+
+/// Ask for the body once somebody wants it, and bring it.
+async fn bring(
+    line: &mut Line,
+    bringer: &Bringer,
+    decoder: &mut Decoder,
+    write: &tokio::sync::Mutex<tokio::net::tcp::OwnedWriteHalf>,
+    answered: &Cell<bool>,
+    waits: bool,
+) -> Result<(), Wrong> {
+    tokio::select! {
+        () = bringer.wanted() => {}
+        stir = line.stirs() => match stir {
+            Stir::More => bringer.wanted().await,
+            Stir::Closed | Stir::Broke => return Err(Wrong::Broken),
+        },
+    }
+    if waits {
+        let mut write = write.lock().await;
+        if !answered.get() && write.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+            return Err(Wrong::Broken);
+        }
+    }
+    bringer.bring(line, decoder).await
 }
 
-fn back(asked: &Asked, answer: Answer) -> Vec<u8> {
-    let mut lines = answer.lines;
+/// An answer's bytes as they go to the origin, and how its end is told.
+fn back(asked: &Asked, answer: &mut Answer, close: bool) -> (Vec<u8>, Size) {
+    let mut lines = std::mem::take(&mut answer.lines);
     if let Some(word) = &answer.word {
         lines.extend_from_slice(format!("Waybill-Return: {word}\r\n").as_bytes());
         if let Some(id) = &asked.id {
             lines.extend_from_slice(format!("Attempt-Id: {id}\r\n").as_bytes());
         }
     }
-    wire::whole(answer.status, &lines, &answer.body, false, asked.method == "HEAD")
+    if answer.tail.is_none() {
+        let bodiless = asked.method == "HEAD";
+        return (wire::whole(answer.status, &lines, &answer.body, close, bodiless), Size::Close);
+    }
+    wire::begun(answer.status, &lines, &answer.body, answer.length, close, false)
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::trial::{self, stamped, status, Talk, Terms};
+
+    /// What a sidecar adds to a head must not make it too large for the next one.
+    #[test]
+    fn the_largest_head_that_a_client_may_send_passes_the_hop() {
+        trial::run(async {
+            let ((listener, at), (_, nobody)) = (trial::station().await, trial::station().await);
+            let origin = trial::sidecar(1, nobody, Terms::default()).await;
+            let gate = trial::sidecar(2, at, Terms::default()).await;
+            gate.beat();
+            origin.hears_of(&gate);
+            tokio::task::spawn_local(async move {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                let mut talk = Talk::over(stream);
+                loop {
+                    let head = talk.head().await;
+                    if head.is_empty() {
+                        return;
+                    }
+                    talk.say(stamped(&head, 200, "Content-Length: 0\r\n").as_bytes()).await;
+                }
+            });
+            let ask = |lines: usize, fill: usize| {
+                let more = "X-More: 1\r\n".repeat(lines - 3);
+                format!(
+                    "GET /safe/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: {lines}-{fill}\r\n{more}X: {}\r\n\r\n",
+                    "a".repeat(fill)
+                )
+            };
+            let room = 16_384 - ask(64, 0).len() - 4;
+            for (lines, fill, want) in [(64, room, "200"), (64, room + 20, "431"), (65, 0, "431")] {
+                let mut client = Talk::to(origin.at).await;
+                client.say(ask(lines, fill).as_bytes()).await;
+                assert_eq!(status(&client.head().await), want, "{lines} lines, {fill}");
+            }
+        });
+    }
 }
--- a/crates/posthouse/src/hop.rs
+++ b/crates/posthouse/src/hop.rs
@@ -1,12 +1,20 @@
 //! Connections to gates and to the upstream on this machine, kept for more than one request, and one exchange on one of them.
 //! Says how far a failed exchange had come; decides nothing.
-use crate::wire::{Answer, Line, Wrong};
+use crate::freight::{Freight, Share};
+use crate::wire::{self, Answer, End, Line, Size, Wrong};
+use bytes::Bytes;
+use silvercross_net::stream::Decoder;
+use std::any::Any;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::{timeout, Instant};
+use tokio::task::JoinHandle;
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// Idle connections kept to one address; the longest idle gives way.
 const KEPT: usize = 16;
@@ -16,6 +24,8 @@
 const UNTAKEN: Duration = Duration::from_millis(1500);
 /// A connection on which nothing comes is asked so often whether the other end still stands.
 const ALIVE: Duration = Duration::from_secs(1);
+/// An answer that is passed on is whole within this, where nothing else bounds it.
+const LONGEST: Duration = Duration::from_secs(600);
 
 struct Idle {
     line: Line,
@@ -31,7 +41,7 @@
 /// How an exchange ended.
 #[derive(Debug)]
 pub enum Came {
-    /// A whole answer.
+    /// An answer: whole, or so much of it that it can only be passed on.
     Answer(Box<Answer>),
     /// No connection, or the request was not written whole: it has not run.
     NotConnected,
@@ -81,17 +91,18 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
-    /// Connect within `limit`, unless one is idle. `from`: the address of this machine. Says whether it is new.
+    /// Connect within `limit`, unless one is idle. `from`: the address of this machine.
     pub async fn line(
         &self,
         from: Option<std::net::IpAddr>,
         to: SocketAddr,
         limit: Duration,
-    ) -> Option<(Line, bool)> {
+        end: End,
+    ) -> Option<Line> {
         if let Some(line) = self.take(to) {
-            return Some((line, false));
+            return Some(line);
         }
-        Some((Line::new(connect(from, to, limit).await?), true))
+        Some(Line::new(connect(from, to, limit).await?, end))
     }
 }
 
@@ -116,37 +127,172 @@
     let _ = socket.set_tcp_keepalive(&alive);
 }
 
-/// One request and its answer on a connection. `written` is called once the whole request is with the system.
-pub async fn exchange(
+/// What is asked on a connection.
+pub struct Order<'o> {
+    /// Its other end.
+    pub to: SocketAddr,
+    /// The request's head, and its body if that is here whole.
+    pub bytes: &'o [u8],
+    /// Its body, if that is still coming.
+    pub coming: Option<&'o Rc<Freight>>,
+    /// The body is sent once the other end asks for it.
+    pub awaits: bool,
+    /// The request's id.
+    pub id: &'o str,
+    /// A HEAD.
+    pub bodiless: bool,
+}
+
+/// One request and its answer on a connection.
+pub async fn exchange(pool: &Pool, mut line: Line, order: Order<'_>, share: Share) -> Came {
+    if line.write(order.bytes).await.is_err() {
+        return Came::NotConnected;
+    }
+    let Some(freight) = order.coming else {
+        return match line.answer(order.id, order.bodiless, false, share).await {
+            Ok((answer, rest)) => taken(pool, line, None, order.to, answer, rest),
+            Err(_) => Came::Broken,
+        };
+    };
+    let mut room = Some(share);
+    if order.awaits {
+        let Some(share) = room.take() else { return Came::Broken };
+        match line.answer(order.id, order.bodiless, true, share).await {
+            Ok((mut go, None)) if go.status == 100 => room = go.share.take(),
+            // Its last word before it took any of the body. What is unsaid on the connection makes it useless.
+            Ok((mut answer, rest)) => {
+                answer.keep_alive = false;
+                return taken(pool, line, None, order.to, answer, rest);
+            }
+            Err(_) => return Came::Broken,
+        }
+    }
+    let (Some(write), Some(share)) = (line.split(), room) else { return Came::Broken };
+    let sending = Sending(tokio::task::spawn_local(send(write, freight.clone())));
+    match line.answer(order.id, order.bodiless, false, share).await {
+        Ok((answer, rest)) => taken(pool, line, Some(sending), order.to, answer, rest),
+        Err(_) => Came::Broken,
+    }
+}
+
+/// Sends a body that is still coming; the connection's writing half comes back once all of it has gone.
+struct Sending(JoinHandle<Option<OwnedWriteHalf>>);
+
+impl Sending {
+    /// The writing half, if all has gone.
+    async fn done(&mut self) -> Option<OwnedWriteHalf> {
+        match self.0.is_finished() {
+            true => (&mut self.0).await.ok().flatten(),
+            false => None,
+        }
+    }
+}
+
+impl Drop for Sending {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn send(mut write: OwnedWriteHalf, freight: Rc<Freight>) -> Option<OwnedWriteHalf> {
+    let size = freight.size();
+    let held = freight.held();
+    wire::write_piece(&mut write, &held, size).await.ok()?;
+    drop(held);
+    if let Some(rest) = &freight.rest {
+        while let Some(bytes) = rest.next().await.ok()? {
+            freight.let_go();
+            wire::write_piece(&mut write, &bytes, size).await.ok()?;
+        }
+    }
+    if size == Size::Chunks {
+        write.write_all(wire::LAST_CHUNK).await.ok()?;
+    }
+    Some(write)
+}
+
+fn taken(
     pool: &Pool,
+    line: Line,
+    sending: Option<Sending>,
     to: SocketAddr,
-    mut line: Line,
-    request: &[u8],
-    id: &str,
-    bodiless: bool,
-    most: usize,
+    mut answer: Answer,
+    rest: Option<Decoder>,
 ) -> Came {
-    if line.write(request).await.is_err() {
-        return Came::NotConnected;
+    match rest {
+        Some(decoder) => {
+            let (keep, idle) = (answer.keep_alive, answer.idle);
+            let tail = Tail { line, decoder, sending, to, keep, idle, until: None, holds: Vec::new() };
+            answer.tail = Some(Box::new(tail));
+        }
+        None if answer.keep_alive && !line.has_surplus() && line.is_joined() => {
+            pool.give(to, line, answer.idle);
+        }
+        None => {}
     }
-    match line.answer(id, bodiless, most).await {
-        Ok(answer) => {
-            if answer.keep_alive && !line.has_surplus() {
-                pool.give(to, line, answer.idle);
+    Came::Answer(Box::new(answer))
+}
+
+/// The rest of an answer that is too large to be held: read as it is passed on.
+pub struct Tail {
+    line: Line,
+    decoder: Decoder,
+    sending: Option<Sending>,
+    to: SocketAddr,
+    keep: bool,
+    idle: Option<u64>,
+    /// It is whole by then, or cut off.
+    pub until: Option<Instant>,
+    /// What ends with it.
+    pub holds: Vec<Box<dyn Any>>,
+}
+
+impl std::fmt::Debug for Tail {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Tail({})", self.to)
+    }
+}
+
+impl Tail {
+    async fn next(&mut self) -> Result<Option<Bytes>, Wrong> {
+        self.line.next(&mut self.decoder).await
+    }
+
+    /// Pass it on to its end; `false` if it broke off, on either side, or its time was up.
+    pub async fn pass(mut self, pool: &Pool, to: &mut (impl AsyncWriteExt + Unpin), size: Size) -> bool {
+        let until = self.until.unwrap_or_else(|| Instant::now() + LONGEST);
+        let all = async {
+            while let Some(bytes) = self.next().await.ok()? {
+                wire::write_piece(to, &bytes, size).await.ok()?;
+            }
+            if size == Size::Chunks {
+                to.write_all(wire::LAST_CHUNK).await.ok()?;
             }
-            Came::Answer(Box::new(answer))
+            Some(())
+        };
+        if !matches!(timeout_at(until, all).await, Ok(Some(()))) {
+            return false;
+        }
+        if let Some(sending) = &mut self.sending {
+            if let Some(write) = sending.done().await {
+                self.line.join(write);
+            }
+        }
+        if self.keep && !self.line.has_surplus() && self.line.is_joined() {
+            pool.give(self.to, self.line, self.idle);
         }
-        Err(Wrong::Closed | Wrong::Broken | Wrong::Bad(_) | Wrong::Late) => Came::Broken,
+        true
     }
 }
 
 /// Ask an upstream for its health: its life, and how long it is still cold in microseconds; `None` unless it is well.
-pub async fn health(pool: &Pool, to: SocketAddr, path: &str) -> Option<(String, i64)> {
+pub async fn health(pool: &Pool, to: SocketAddr, path: &str, share: Share) -> Option<(String, i64)> {
     let limit = Duration::from_millis(300);
-    let (line, _) = pool.line(None, to, limit).await?;
+    let line = pool.line(None, to, limit, End::Outer(wire::HEAD)).await?;
     let request = format!("GET {path} HTTP/1.1\r\nHost: {to}\r\n\r\n");
-    match timeout(limit, exchange(pool, to, line, request.as_bytes(), "", false, 64 * 1024)).await {
-        Ok(Came::Answer(a)) if a.status == 200 => Some((a.station?, a.cold.unwrap_or(0))),
+    let order = Order { to, bytes: request.as_bytes(), coming: None, awaits: false, id: "", bodiless: false };
+    match timeout(limit, exchange(pool, line, order, share)).await {
+        Ok(Came::Answer(a)) if a.status == 200 && a.tail.is_none() => Some((a.station?, a.cold.unwrap_or(0))),
         _ => None,
     }
 }
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -7,6 +7,7 @@
 mod control;
 mod desk;
 mod figures;
+mod freight;
 mod front;
 mod gate;
 mod hop;
@@ -14,6 +15,8 @@
 mod post;
 mod settings;
 mod store;
+#[cfg(test)]
+mod trial;
 mod waybill;
 mod wire;
 
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -2,6 +2,7 @@
 //! upstream beside it. Each part behind a borrow that never outlives a statement.
 use crate::carriers::{Body, Carriers, Station};
 use crate::desk::{self, Desk, Terms};
+use crate::freight::Stores;
 use crate::gate::Gate;
 use crate::hop::{self, Pool};
 use crate::leaf::{Leaf, CONFIGURATION, EVACUATION};
@@ -46,6 +47,8 @@
     pub shut_out: Cell<u64>,
     /// Requests read.
     pub requests: Cell<u64>,
+    /// Requests told to come back for want of room for their bodies.
+    pub no_room: Cell<u64>,
     /// Requests told to come back.
     pub refused: Cell<u64>,
     /// Requests that failed here after they may have run.
@@ -116,6 +119,8 @@
     pub counts: Counts,
     /// Connections kept.
     pub pool: Pool,
+    /// Room for the bodies held here.
+    pub stores: Rc<Stores>,
     /// What stands before the upstream on this machine.
     pub gate: Gate,
     /// Links and who decides about them.
@@ -148,6 +153,7 @@
         chance: Pcg64Mcg,
     ) -> Rc<Self> {
         Rc::new(Post {
+            stores: Stores::new(boot.memory),
             boot,
             log,
             counts: Counts::default(),
@@ -572,7 +578,7 @@
                 }
                 let path = post.table().destination(&post.boot.destination).map(|d| d.health_path.clone());
                 let path = path.unwrap_or_else(|| "/health".to_string());
-                let told = hop::health(&post.pool, station, &path).await;
+                let told = hop::health(&post.pool, station, &path, post.stores.share()).await;
                 if let Some((id, cold)) = told.filter(|_| post.own.borrow().is_none()) {
                     if !post.ended.borrow().contains(&id) {
                         post.met(id, cold);
--- /dev/null
+++ b/crates/posthouse/src/trial.rs
@@ -0,0 +1,242 @@
+//! Sidecars of one process on real sockets of loopback, with clients and upstreams of the test's own. What the tree would bring,
+//! records and the configuration, is handed to them.
+use crate::carriers::{Body, Carriers, Station};
+use crate::leaf::{Leaf, Order, CONFIGURATION};
+use crate::post::{Beat, Post};
+use crate::{front, gate, settings};
+use rand_core::SeedableRng;
+use silvercross_ledger::Page;
+use silvercross_rounds::{Node, Record, Rounds, Start};
+use silvercross_wicket::Wicket;
+use slog::{o, Discard, Logger};
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::timeout;
+
+pub const ID: &str = "Attempt-Id: a1\r\n";
+const SERVICE: &str = "quotes";
+/// No test waits longer for anything.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Run a test in the one thread that sidecars run in.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async {
+        timeout(3 * PATIENCE, test).await.expect("in time");
+    });
+}
+
+/// A sidecar, where its clients connect, and where others bring requests.
+#[derive(Clone)]
+pub struct Sidecar {
+    pub post: Rc<Post>,
+    pub at: SocketAddr,
+    pub inbound: SocketAddr,
+    ip: Ipv4Addr,
+}
+
+/// Settings that a test changes.
+#[derive(Clone, Copy)]
+pub struct Terms {
+    pub memory: u64,
+    pub descriptors: u64,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms { memory: 256 << 20, descriptors: 1024 }
+    }
+}
+
+/// A sidecar at 127.0.0.`last`, in front of `station`; the configuration in force, and nothing known of others.
+pub async fn sidecar(last: u8, station: SocketAddr, terms: Terms) -> Sidecar {
+    let ip = Ipv4Addr::new(127, 0, 0, last);
+    let bind = || async { TcpListener::bind((ip, 0)).await.expect("a port") };
+    let (outer, inner) = (bind().await, bind().await);
+    let (at, inbound) = (outer.local_addr().expect("bound"), inner.local_addr().expect("bound"));
+    let text = format!(
+        "node: n{last}\nmachineClass: side\nip: {ip}\nzone: a\ndestination: {SERVICE}\n\
+         countersAt: {{inbound: '{inbound}', outbound: '{at}', ready: '{ip}:1'}}\n\
+         internalPorts: [1, 1]\nfirstStart: true\nlocalStation: '{station}'\n"
+    );
+    let mut boot = settings::parse(&text).expect("settings");
+    (boot.memory, boot.descriptors) = (terms.memory, terms.descriptors);
+    let clock = silvercross_facade::Clock::system();
+    let body = Body { inbound: inbound.port(), control: 0, leaving: false, station: None };
+    let me = Node(ip.to_bits());
+    let start = Start { me, zone: "a".into(), core: false, seeds: vec![], life: 1, seed: u64::from(last) };
+    let rounds = Rounds::new(clock.now(), start, body);
+    let udp = UdpSocket::bind((ip, 0)).await.expect("a port");
+    let b = &boot.bounds;
+    let bounds =
+        silvercross_wicket::Bounds { drain: b.drain, cold_overrun: b.cold_overrun, cold_slack: b.cold_slack };
+    let gate = gate::Gate::new(Wicket::new(bounds));
+    let carriers = Carriers::new(ip, 1, rounds, None, udp);
+    let chance = rand_pcg::Pcg64Mcg::seed_from_u64(u64::from(last));
+    let post = Post::new(boot, Logger::root(Discard, o!()), gate, carriers, clock, chance);
+    tokio::task::spawn_local(front::listen(post.clone(), outer));
+    tokio::task::spawn_local(gate::listen(post.clone(), inner));
+    tokio::task::spawn_local(gate::Gate::tick(post.clone()));
+    let items = format!(
+        "{{\"deliver\":{{\"destinations\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"lineCap\":50,\"coldS\":0,\
+         \"coldRateS\":0,\"edition\":1}}],\"sizeLimits\":{{\"envelopeBytes\":16384,\"contentBytes\":268435456,\"envelopeS\":3,\
+         \"idleS\":15,\"edition\":1}},\"depots\":[{{\"depot\":\"h\",\"lanes\":[{{\"name\":\"safe\",\"lane\":\"/safe/\",\
+         \"routeKind\":\"safe\",\"deadlineS\":20,\"targetS\":1,\"priority\":1,\"destination\":\"{SERVICE}\",\"attempts\":2,\
+         \"edition\":1}},{{\"name\":\"once\",\"lane\":\"/once/\",\"routeKind\":\"unsafe\",\"deadlineS\":20,\"targetS\":1,\
+         \"priority\":1,\"destination\":\"{SERVICE}\",\"attempts\":2,\"edition\":1}},{{\"name\":\"up\",\"lane\":\"/up/\",\
+         \"routeKind\":\"upload\",\"deadlineS\":20,\"targetS\":1,\"priority\":1,\"destination\":\"{SERVICE}\",\"attempts\":2,\
+         \"edition\":1}}]}}]}}}}"
+    );
+    let patch = silvercross_sorting::read_patch(items.as_bytes()).expect("a configuration");
+    let mut leaf = Leaf::Blank;
+    leaf.apply(&Order::Patch(patch)).expect("applies");
+    post.page(CONFIGURATION, (1, 1, 1), leaf);
+    Sidecar { post, at, inbound, ip }
+}
+
+impl Sidecar {
+    /// Its upstream beats.
+    pub fn beat(&self) {
+        let text = format!(
+            "{{\"destination\":\"{SERVICE}\",\"zone\":\"a\",\"slots\":8,\"state\":\"ready\",\"coldLeftS\":0,\"sequence\":1}}"
+        );
+        let beat: Beat = serde_json::from_str(&text).expect("a beat");
+        assert!(self.post.beat(&format!("i-{}", self.ip), beat));
+    }
+
+    /// Tell this one of another and its upstream.
+    pub fn hears_of(&self, other: &Sidecar) {
+        let station = Station {
+            id: format!("i-{}", other.ip),
+            service: SERVICE.to_string(),
+            slots: 8,
+            draining: false,
+            silent: false,
+            colds: 0,
+            cold: 0,
+        };
+        let body = Body { inbound: other.inbound.port(), control: 0, leaving: false, station: Some(station) };
+        let node = Node(other.ip.to_bits());
+        let record = Record { node, life: 1, seq: 1, zone: "a".into(), core: false, gone: false, body };
+        self.post.record(record);
+    }
+}
+
+/// A place for an upstream.
+pub async fn station() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let at = listener.local_addr().expect("bound");
+    (listener, at)
+}
+
+/// A connection with what was read too far.
+pub struct Talk {
+    pub stream: TcpStream,
+    come: Vec<u8>,
+}
+
+impl Talk {
+    pub async fn to(at: SocketAddr) -> Talk {
+        Talk::over(TcpStream::connect(at).await.expect("a connection"))
+    }
+
+    pub fn over(stream: TcpStream) -> Talk {
+        Talk { stream, come: Vec::new() }
+    }
+
+    pub async fn say(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).await.expect("written");
+    }
+
+    /// Some bytes more; none: the other end has closed, or broken off.
+    pub async fn more(&mut self) -> usize {
+        let mut room = vec![0; 64 * 1024];
+        let n = timeout(PATIENCE, self.stream.read(&mut room)).await.expect("something comes").unwrap_or(0);
+        self.come.extend_from_slice(&room[..n]);
+        n
+    }
+
+    /// A head, the blank line included; empty if the connection ended.
+    pub async fn head(&mut self) -> String {
+        loop {
+            if let Some(end) = self.come.windows(4).position(|w| w == b"\r\n\r\n") {
+                return String::from_utf8(self.come.drain(..end + 4).collect()).expect("text");
+            }
+            if self.more().await == 0 {
+                return String::new();
+            }
+        }
+    }
+
+    /// So many bytes, or fewer if the connection ended.
+    pub async fn bytes(&mut self, n: usize) -> Vec<u8> {
+        while self.come.len() < n && self.more().await > 0 {}
+        self.come.drain(..n.min(self.come.len())).collect()
+    }
+
+    /// A line, its end cut off.
+    async fn text(&mut self) -> Option<String> {
+        loop {
+            if let Some(end) = self.come.windows(2).position(|w| w == b"\r\n") {
+                let line: Vec<u8> = self.come.drain(..end + 2).collect();
+                return String::from_utf8(line[..end].to_vec()).ok();
+            }
+            if self.more().await == 0 {
+                return None;
+            }
+        }
+    }
+
+    /// The body behind a head, and whether it came whole.
+    pub async fn body(&mut self, head: &str) -> (Vec<u8>, bool) {
+        if let Some(n) = value(head, "content-length") {
+            let n = n.parse().expect("a number");
+            let body = self.bytes(n).await;
+            let whole = body.len() == n;
+            return (body, whole);
+        }
+        let mut all = Vec::new();
+        if value(head, "transfer-encoding").is_none() {
+            return (all, true);
+        }
+        loop {
+            let Some(size) = self.text().await else { return (all, false) };
+            let size = usize::from_str_radix(&size, 16).expect("a size");
+            let piece = self.bytes(size).await;
+            let whole = piece.len() == size && self.text().await.is_some();
+            all.extend(piece);
+            if !whole || size == 0 {
+                return (all, whole);
+            }
+        }
+    }
+}
+
+/// A header line's value.
+pub fn value(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|l| {
+        let (n, v) = l.split_once(':')?;
+        n.eq_ignore_ascii_case(name).then(|| v.trim().to_string())
+    })
+}
+
+/// The status of an answer.
+pub fn status(head: &str) -> &str {
+    head.split(' ').nth(1).unwrap_or("")
+}
+
+/// Bytes that a misplaced piece would show in.
+pub fn bytes(n: usize) -> Vec<u8> {
+    (0..n as u64).map(|i| (i.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 56) as u8).collect()
+}
+
+/// The head of an upstream's answer to `asked`.
+pub fn stamped(asked: &str, status: u16, framing: &str) -> String {
+    let id = value(asked, "attempt-id").unwrap_or_default();
+    format!("HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\nPostmark: p\r\n{framing}\r\n")
+}
--- a/crates/posthouse/src/waybill.rs
+++ b/crates/posthouse/src/waybill.rs
@@ -44,7 +44,7 @@
 
 /// Back from a header line.
 pub fn read<T: for<'a> Decode<'a>>(text: &str) -> Option<T> {
-    if text.len() > MOST || text.len() % 2 != 0 || !text.is_ascii() {
+    if text.len() > MOST || !text.len().is_multiple_of(2) || !text.is_ascii() {
         return None;
     }
     let byte = |i: usize| u8::from_str_radix(text.get(i..i + 2)?, 16).ok();
--- a/crates/posthouse/src/wire.rs
+++ b/crates/posthouse/src/wire.rs
@@ -1,20 +1,31 @@
 //! One HTTP/1.1 connection of either side: heads and bodies read and written, by the framing of `silvercross-net`. Knows no
 //! route and no upstream.
-use bytes::{Buf, BytesMut};
-use silvercross_net::http::{self, Bad, Framing};
+use crate::freight::Share;
+use bytes::{Buf, Bytes, BytesMut};
+use httparse::{Header, EMPTY_HEADER};
+use silvercross_net::http::{self, Bad, Framing, Limits};
 use silvercross_net::stream::Decoder;
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// A body up to this is held whole, so that it can be sent again where it did not run; a larger one is passed on as it comes.
 pub const HELD: usize = 1 << 20;
-/// The largest head that a hop carries.
-pub const HEAD: usize = 16 * 1024;
+/// The largest head of a client's request, or of an upstream's answer, whatever the operator allows.
+pub const HEAD: usize = 64 * 1024;
+/// A hop's head may be so much larger: by what the sidecar before adds.
+const ADDED: usize = 4 * 1024;
+/// Header lines of a client's request, or of an upstream's answer.
+const LINES: usize = 64;
+/// A hop may have so many more.
+const LINES_ADDED: usize = 8;
 /// Read at a time.
 const PIECE: usize = 16 * 1024;
+/// The end of a body in chunks.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 /// Header lines that this program sets itself, or that are for it alone.
 const OURS: [&str; 6] = ["deadline-ms", "expect-station", "sender", "host", WAYBILL, ROUND];
 /// On a hop between sidecars: what the gate is to know of the request.
@@ -33,8 +44,32 @@
     Bad(Bad),
     /// It did not come in time.
     Late,
+    /// There is no room for its body among those held here.
+    NoRoom,
 }
 
+/// Who is at the other end of a connection: what it may send goes by that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A client, an upstream, an operator: heads of so many bytes, [`HEAD`] at most.
+    Outer(usize),
+    /// Another sidecar: what an outer end may send, and the lines that a sidecar adds.
+    Hop,
+}
+
+impl End {
+    /// Bytes and lines of a head.
+    fn most(self) -> (usize, usize) {
+        match self {
+            End::Outer(bytes) => (bytes.min(HEAD), LINES),
+            End::Hop => (HEAD + ADDED, LINES + LINES_ADDED),
+        }
+    }
+}
+
+/// Room for the lines of any head.
+type Room<'b> = [Header<'b>; LINES + LINES_ADDED];
+
 impl From<io::Error> for Wrong {
     fn from(_: io::Error) -> Self {
         Wrong::Broken
@@ -78,8 +113,8 @@
     pub old: bool,
 }
 
-/// A whole answer.
-#[derive(Clone, Debug)]
+/// An answer: whole, or its head and the first part of its body.
+#[derive(Debug)]
 pub struct Answer {
     /// Its status.
     pub status: u16,
@@ -103,14 +138,43 @@
     pub keep_alive: bool,
     /// After how long idle it will be closed, in seconds.
     pub idle: Option<u64>,
-    /// Its body.
+    /// Its length, where it states one.
+    pub length: Option<u64>,
+    /// Its body, up to [`HELD`].
     pub body: Vec<u8>,
+    /// What comes behind that.
+    pub tail: Option<Box<crate::hop::Tail>>,
+    /// Its place among the bodies held here.
+    pub share: Option<Share>,
+}
+
+#[derive(Debug)]
+enum Side {
+    Whole(TcpStream),
+    /// The writing half is somewhere else meanwhile.
+    Reading(OwnedReadHalf),
+    /// It was taken for a moment.
+    None,
 }
 
 /// A connection and what has come on it that was not yet read.
+#[derive(Debug)]
 pub struct Line {
-    stream: TcpStream,
+    side: Side,
     come: BytesMut,
+    /// Who is at its other end.
+    pub end: End,
+}
+
+/// Who called an exchange off, as seen from the other end of its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stir {
+    /// Something came.
+    More,
+    /// The other end closed in order.
+    Closed,
+    /// The connection broke.
+    Broke,
 }
 
 fn text(v: Option<&str>) -> Option<String> {
@@ -119,9 +183,9 @@
 
 impl Line {
     /// Over a connection that is up.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, end: End) -> Self {
         let _ = stream.set_nodelay(true);
-        Line { stream, come: BytesMut::new() }
+        Line { side: Side::Whole(stream), come: BytesMut::new(), end }
     }
 
     /// Nothing came that was not asked for, and the other end has not closed.
@@ -129,8 +193,9 @@
         if !self.come.is_empty() {
             return false;
         }
+        let Side::Whole(stream) = &self.side else { return false };
         let mut byte = [0; 1];
-        matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        matches!(stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Something came behind the last message.
@@ -138,18 +203,55 @@
         !self.come.is_empty()
     }
 
+    /// Whether both halves are here.
+    pub fn is_joined(&self) -> bool {
+        matches!(self.side, Side::Whole(_))
+    }
+
+    /// Take the writing half out, so that both directions can go on at the same time.
+    pub fn split(&mut self) -> Option<OwnedWriteHalf> {
+        match std::mem::replace(&mut self.side, Side::None) {
+            Side::Whole(stream) => {
+                let (read, write) = stream.into_split();
+                self.side = Side::Reading(read);
+                Some(write)
+            }
+            other => {
+                self.side = other;
+                None
+            }
+        }
+    }
+
+    /// Put the writing half back.
+    pub fn join(&mut self, write: OwnedWriteHalf) {
+        if let Side::Reading(read) = std::mem::replace(&mut self.side, Side::None) {
+            self.side = read.reunite(write).map_or(Side::None, Side::Whole);
+        }
+    }
+
     async fn fill(&mut self) -> io::Result<usize> {
         self.come.reserve(PIECE);
-        self.stream.read_buf(&mut self.come).await
+        match &mut self.side {
+            Side::Whole(stream) => stream.read_buf(&mut self.come).await,
+            Side::Reading(read) => read.read_buf(&mut self.come).await,
+            Side::None => Err(io::ErrorKind::NotConnected.into()),
+        }
     }
 
-    /// Wait until something comes or the connection ends; `false` at its end. What came is kept.
-    pub async fn stirs(&mut self) -> bool {
-        matches!(self.fill().await, Ok(n) if n > 0)
+    /// Wait until something comes or the connection ends. What came is kept.
+    pub async fn stirs(&mut self) -> Stir {
+        match self.fill().await {
+            Ok(0) => Stir::Closed,
+            Ok(_) => Stir::More,
+            Err(_) => Stir::Broke,
+        }
     }
 
-    /// Read the head of a request: at most `idle` for its first byte, `whole` from there on, `most` bytes of it.
-    pub async fn request(&mut self, idle: Duration, whole: Duration, most: usize) -> Result<Asked, Wrong> {
+    /// Read the head of a request: at most `idle` for its first byte, `whole` from there on; a stated length of `body` at most.
+    pub async fn request(&mut self, idle: Duration, whole: Duration, body: usize) -> Result<Asked, Wrong> {
+        let (most, lines) = self.end.most();
+        let limits = Limits { head: most, body };
         if self.come.is_empty() {
             match timeout(idle, self.fill()).await {
                 Err(_) | Ok(Ok(0)) => return Err(Wrong::Closed),
@@ -162,16 +264,10 @@
                 while self.come.starts_with(b"\r\n") {
                     self.come.advance(2);
                 }
-                if let Some((len, asked)) = asked(&self.come)? {
-                    if len > most {
-                        return Err(Wrong::Bad(Bad::HeadTooLarge));
-                    }
+                if let Some((len, asked)) = asked(&self.come, limits, lines)? {
                     self.come.advance(len);
                     return Ok(asked);
                 }
-                if self.come.len() >= most {
-                    return Err(Wrong::Bad(Bad::HeadTooLarge));
-                }
                 if self.fill().await? == 0 {
                     return Err(if self.come.is_empty() { Wrong::Closed } else { Wrong::Broken });
                 }
@@ -201,8 +297,62 @@
         Ok(body)
     }
 
+    /// Read a body as far as it is held: whole, or its first [`HELD`] bytes and not many more. `false`: there is more of it.
+    /// [`Wrong::NoRoom`] where its share grows no further, unless it can be passed on from there (`passes`).
+    pub async fn held(
+        &mut self,
+        decoder: &mut Decoder,
+        stated: Option<usize>,
+        share: &mut Share,
+        passes: bool,
+    ) -> Result<(Vec<u8>, bool), Wrong> {
+        let mut body = Vec::new();
+        body.reserve_exact(stated.unwrap_or(0).min(HELD));
+        while !decoder.is_done() {
+            let had = body.len();
+            if self.piece(decoder, &mut body)? {
+                match share.more((body.len() - had) as u64) {
+                    true => continue,
+                    false if decoder.is_done() || passes => return Ok((body, decoder.is_done())),
+                    false => return Err(Wrong::NoRoom),
+                }
+            }
+            if body.len() >= HELD {
+                return Ok((body, false));
+            }
+            if self.fill().await? == 0 && !decoder.ends_here() {
+                return Err(Wrong::Broken);
+            }
+        }
+        Ok((body, true))
+    }
+
+    /// The next piece of a body; `None`: it has come whole.
+    pub async fn next(&mut self, decoder: &mut Decoder) -> Result<Option<Bytes>, Wrong> {
+        loop {
+            if decoder.is_done() {
+                return Ok(None);
+            }
+            if let Some((skip, n)) = decoder.next(&self.come)? {
+                self.come.advance(skip);
+                if n > 0 {
+                    return Ok(Some(self.come.split_to(n).freeze()));
+                }
+                if skip > 0 {
+                    continue;
+                }
+            }
+            if decoder.is_done() {
+                return Ok(None);
+            }
+            if self.fill().await? == 0 && !decoder.ends_here() {
+                return Err(Wrong::Broken);
+            }
+        }
+    }
+
     /// Take one piece of a body that has come; `false` if more has to come first.
-    pub fn piece(&mut self, decoder: &mut Decoder, body: &mut Vec<u8>) -> Result<bool, Wrong> {
+    fn piece(&mut self, decoder: &mut Decoder, body: &mut Vec<u8>) -> Result<bool, Wrong> {
         let Some((skip, n)) = decoder.next(&self.come)? else { return Ok(false) };
         self.come.advance(skip);
         body.extend_from_slice(&self.come[..n]);
@@ -210,11 +360,20 @@
         Ok(skip + n > 0)
     }
 
-    /// Read an answer whole. `of` is the request's id: whole answers that carry another one are passed over, since they belong
-    /// to a request before. `bodiless`: to a HEAD.
-    pub async fn answer(&mut self, of: &str, bodiless: bool, most: usize) -> Result<Answer, Wrong> {
+    /// Read an answer: whole, if it has not more than [`HELD`] bytes, else the first part of it and how the rest is to be
+    /// read. `of` is the request's id: whole answers that carry another one are passed over, since they belong to a request
+    /// before. `bodiless`: to a HEAD. `go`: a word to go on with the body (100) is returned as well.
+    pub async fn answer(
+        &mut self,
+        of: &str,
+        bodiless: bool,
+        go: bool,
+        mut share: Share,
+    ) -> Result<(Answer, Option<Decoder>), Wrong> {
+        let (most, lines) = self.end.most();
+        let limits = Limits { head: most, body: usize::MAX };
         loop {
-            let Some((len, mut answer, framing)) = answered(&self.come)? else {
+            let Some((len, mut answer, framing)) = answered(&self.come, limits, lines)? else {
                 if self.fill().await? == 0 {
                     return Err(if self.come.is_empty() { Wrong::Closed } else { Wrong::Broken });
                 }
@@ -222,26 +381,62 @@
             };
             self.come.advance(len);
             if (100..200).contains(&answer.status) {
+                if go && answer.status == 100 {
+                    answer.share = Some(share);
+                    return Ok((answer, None));
+                }
                 continue;
             }
-            if !bodiless {
-                answer.body = self.body(framing, most).await?;
+            let mut decoder = Decoder::new(framing, usize::MAX);
+            if bodiless {
+                decoder = Decoder::new(Framing::Length(0), 0);
+            }
+            let stated = match framing {
+                Framing::Length(n) => Some(n),
+                _ => None,
+            };
+            answer.length = stated.map(|n| n as u64);
+            let mut whole = true;
+            if !decoder.is_done() {
+                (answer.body, whole) = self.held(&mut decoder, stated, &mut share, true).await?;
             }
             match &answer.id {
-                Some(id) if id != of => continue,
-                _ => return Ok(answer),
+                Some(id) if id != of => {
+                    if !whole {
+                        // Too much to be passed over.
+                        return Err(Wrong::Broken);
+                    }
+                    share.empty();
+                    continue;
+                }
+                _ => {
+                    answer.share = Some(share);
+                    return Ok((answer, (!whole).then_some(decoder)));
+                }
             }
         }
     }
 
     /// Write bytes.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        match &mut self.side {
+            Side::Whole(stream) => stream.write_all(bytes).await,
+            _ => Err(io::ErrorKind::NotConnected.into()),
+        }
+    }
+
+    /// The next close is a reset: what went out can't be taken for whole.
+    pub fn abort(&mut self) {
+        if let Side::Whole(stream) = &self.side {
+            let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        }
     }
 
     /// Close the writing half in order.
     pub async fn finish(&mut self) {
-        let _ = self.stream.shutdown().await;
+        if let Side::Whole(stream) = &mut self.side {
+            let _ = stream.shutdown().await;
+        }
     }
 
     /// Read away what still comes, for a moment: a close with bytes unread resets, and the answer would be lost.
@@ -260,9 +455,10 @@
     }
 }
 
-fn asked(bytes: &[u8]) -> Result<Option<(usize, Asked)>, Wrong> {
-    let mut room = http::lines();
-    let Some(head) = http::request_head(bytes, &mut room)? else { return Ok(None) };
+fn asked(bytes: &[u8], limits: Limits, lines: usize) -> Result<Option<(usize, Asked)>, Wrong> {
+    let mut room: Room = [EMPTY_HEADER; LINES + LINES_ADDED];
+    let room = &mut room[..lines];
+    let Some(head) = http::request_head_within(bytes, room, limits)? else { return Ok(None) };
     let h = &head.headers;
     let mut lines = Vec::with_capacity(256);
     h.forward(&mut lines, &OURS);
@@ -295,9 +491,10 @@
     Ok(Some((head.len, asked)))
 }
 
-fn answered(bytes: &[u8]) -> Result<Option<(usize, Answer, Framing)>, Wrong> {
-    let mut room = http::lines();
-    let Some(head) = http::answer_head(bytes, &mut room)? else { return Ok(None) };
+fn answered(bytes: &[u8], limits: Limits, lines: usize) -> Result<Option<(usize, Answer, Framing)>, Wrong> {
+    let mut room: Room = [EMPTY_HEADER; LINES + LINES_ADDED];
+    let room = &mut room[..lines];
+    let Some(head) = http::answer_head_within(bytes, room, limits)? else { return Ok(None) };
     let h = &head.headers;
     let mut lines = Vec::with_capacity(256);
     h.forward(&mut lines, &[ROUND]);
@@ -317,7 +514,10 @@
         word: text(h.one(ROUND)?),
         keep_alive: head.keep_alive,
         idle,
+        length: None,
         body: Vec::new(),
+        tail: None,
+        share: None,
     };
     Ok(Some((head.len, answer, head.framing)))
 }
@@ -348,22 +548,85 @@
 
 /// The bytes of a whole answer: header lines, then a length, then the body; `close`: the connection ends behind it.
 pub fn whole(status: u16, lines: &[u8], body: &[u8], close: bool, bodiless: bool) -> Vec<u8> {
-    let mut out = Vec::with_capacity(lines.len() + body.len() + 96);
+    let room = lines.len() + body.len() + 96;
+    let mut out = head(status, lines, Size::Length(body.len() as u64), close, room);
+    if !bodiless {
+        out.extend_from_slice(body);
+    }
+    out
+}
+
+/// How the end of a body that is written is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Size {
+    /// So many bytes.
+    Length(u64),
+    /// In chunks.
+    Chunks,
+    /// By the connection's end.
+    Close,
+}
+
+/// The bytes of an answer's head.
+pub fn head(status: u16, lines: &[u8], size: Size, close: bool, room: usize) -> Vec<u8> {
+    let mut out = Vec::with_capacity(room);
     out.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason(status)).as_bytes());
     out.extend_from_slice(lines);
     if status != 204 && status != 304 {
-        out.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+        match size {
+            Size::Length(n) => out.extend_from_slice(format!("Content-Length: {n}\r\n").as_bytes()),
+            Size::Chunks => out.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+            Size::Close => {}
+        }
     }
     if close {
         out.extend_from_slice(b"Connection: close\r\n");
     }
     out.extend_from_slice(b"\r\n");
-    if !bodiless {
-        out.extend_from_slice(body);
-    }
     out
 }
 
+/// The bytes that an answer begins with whose rest is still coming, and how its end is told. `old`: to a client that knows no
+/// chunks; where no length is stated the connection's end has to do.
+pub fn begun(
+    status: u16,
+    lines: &[u8],
+    body: &[u8],
+    length: Option<u64>,
+    close: bool,
+    old: bool,
+) -> (Vec<u8>, Size) {
+    let size = match length {
+        Some(n) => Size::Length(n),
+        None if old => Size::Close,
+        None => Size::Chunks,
+    };
+    let room = lines.len() + body.len() + 128;
+    let mut out = head(status, lines, size, close || size == Size::Close, room);
+    let chunk = size == Size::Chunks && !body.is_empty();
+    if chunk {
+        out.extend_from_slice(format!("{:x}\r\n", body.len()).as_bytes());
+    }
+    out.extend_from_slice(body);
+    if chunk {
+        out.extend_from_slice(b"\r\n");
+    }
+    (out, size)
+}
+
+/// Write a piece of a body.
+pub async fn write_piece(to: &mut (impl AsyncWriteExt + Unpin), bytes: &[u8], size: Size) -> io::Result<()> {
+    if bytes.is_empty() {
+        return Ok(());
+    }
+    if size == Size::Chunks {
+        to.write_all(format!("{:x}\r\n", bytes.len()).as_bytes()).await?;
+        to.write_all(bytes).await?;
+        return to.write_all(b"\r\n").await;
+    }
+    to.write_all(bytes).await
+}
+
 /// What a fault in a message is answered with.
 pub fn status_of(bad: &Bad) -> u16 {
     match bad {
