Mesh: a hop that breaks is asked for again by ticket; answers are kept for their origins

Cause: a hop that broke after the request was written ended in 502 for whatever may run once, though its gate may have turned it away, not have got it, or hold its answer; and the gate dropped what was at work. Change: an attempt that may run once has a ticket of its own. A word of a gate is no more read from an upstream's own answer. What goes on a hop each time is longer by the ticket (some 20 bytes); the life goes once a connection.

--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -21,6 +21,8 @@
         "turned": c.turned.get(), "beats": c.beats.get(), "calls": c.calls.get(),
         "letters": c.letters.get(), "datagrams": c.datagrams.get(), "strangers": c.strangers.get(),
         "gateOut": out, "gateWaiting": waiting, "idle": post.pool.idle(),
+        "asked": c.asked.get(), "recovered": c.recovered.get(), "orphans": c.orphans.get(),
+        "receipts": post.receipts.load().0, "keptBytes": post.receipts.load().1,
         "noRoom": c.no_room.get(), "heldBytes": post.stores.held(), "desks": desks,
     })
 }
--- a/crates/posthouse/src/front.rs
+++ b/crates/posthouse/src/front.rs
@@ -3,8 +3,9 @@
 use crate::desk::{Desk, Mail, Ticket, CONNECT};
 use crate::freight::{Bringer, Freight, Share};
 use crate::gate;
-use crate::hop::{self, Came, Order, Tail};
+use crate::hop::{self, Came, Order, Tail, Told};
 use crate::post::Post;
+use crate::receipts;
 use crate::waybill::{self, Waybill, Word};
 use crate::wire::{self, Answer, Asked, End, Line, Size, Wrong};
 use silvercross_facade::{Attempt, Report, Step};
@@ -32,6 +33,11 @@
 const WAIT_MOST: i64 = 200_000;
 /// Without an upstream it waits for this part of its aim.
 const WAIT_AIM: i64 = 4;
+/// A gate is asked what became of a request for no longer than this after the request was written: half of the gate's memory.
+const ASKS: Duration = Duration::from_micros(receipts::SPAN as u64 / 2);
+/// It is asked at once, then with a pause that grows.
+const PAUSE: Duration = Duration::from_millis(25);
+const PAUSE_MOST: Duration = Duration::from_millis(400);
 /// Connections open at a time, as a share of the descriptors: the rest is for hops and the upstream.
 pub const CONNECTIONS: u64 = 2;
 
@@ -484,6 +490,8 @@
             priority: self.route.priority,
             repeatable: self.route.kind == Kind::Safe,
             aim: self.route.target_us - spent,
+            ticket: if self.route.kind == Kind::Safe { 0 } else { self.post.ticket() },
+            asks: false,
         };
         let left = self.budget - spent;
         let task = tokio::task::spawn_local(async move {
@@ -509,7 +517,7 @@
     if Some(to) == post.boot.inbound {
         let mut mine = asked.clone();
         (mine.deadline, mine.expects) = (Some(left), Some(name.to_string()));
-        return Came::Answer(Box::new(gate::serve(post, &mine, bill, freight).await));
+        return Came::Answer(Box::new(gate::serve(post, &mine, bill, freight, None).await));
     }
     let started = Instant::now();
     let limit = Duration::from_micros(CONNECT as u64);
@@ -524,7 +532,59 @@
     let bytes = gate::request(&hop, left, Some(name), freight, coming.is_some());
     let bodiless = asked.method == "HEAD";
     let order = Order { to, bytes: &bytes, coming, awaits: coming.is_some(), id, bodiless };
-    hop::exchange(&post.pool, line, order, post.stores.share()).await
+    // Heard before the first byte is written: whoever gets it is of this life or a later one.
+    let life = post.pool.life(to);
+    let written = Instant::now();
+    let came = hop::exchange(&post.pool, line, order, post.stores.share()).await;
+    if !matches!(came, Came::Broken) || bill.repeatable {
+        return came;
+    }
+    let until = started + Duration::from_micros(left.max(0) as u64);
+    post.counts.asked.set(post.counts.asked.get() + 1);
+    let told = timeout_at(until.min(written + ASKS), ask(post, asked, id, bill, to, until)).await;
+    // Past its memory a gate that knows nothing proves nothing.
+    let known = written.elapsed() < ASKS;
+    let came = match told.ok().flatten() {
+        None => Came::Broken,
+        Some(answer) => match answer.word.as_deref().map(waybill::read::<Word>) {
+            None => Came::Answer(answer),
+            Some(_) if answer.life.is_none() => Came::Broken,
+            Some(Some(Word::Unseen)) if known && answer.life == life => Came::NotConnected,
+            Some(Some(Word::Absent | Word::Full(_) | Word::Shut)) => Came::Answer(answer),
+            Some(_) => Came::Broken,
+        },
+    };
+    if !matches!(came, Came::Broken) {
+        post.counts.recovered.set(post.counts.recovered.get() + 1);
+    }
+    came
+}
+
+/// The hop broke after the request was written: its gate knows what became of it. `None`: nobody there knows.
+async fn ask(
+    post: &Rc<Post>,
+    asked: &Asked,
+    id: &str,
+    bill: &Waybill,
+    to: SocketAddr,
+    until: Instant,
+) -> Option<Box<Answer>> {
+    let bill = waybill::write(&Waybill { asks: true, ..bill.clone() });
+    let (own, limit) = (post.boot.ip.into(), Duration::from_micros(CONNECT as u64));
+    let bytes = format!("GET / HTTP/1.1\r\nHost: gate\r\nAttempt-Id: {id}\r\nWaybill: {bill}\r\n\r\n");
+    let mut pause = PAUSE;
+    while Instant::now() < until {
+        let bodiless = asked.method == "HEAD";
+        let order = Order { to, bytes: bytes.as_bytes(), coming: None, awaits: false, id, bodiless };
+        match hop::ask(own, to, limit, order, post.stores.share()).await {
+            Told::Answer(answer) => return Some(answer),
+            Told::Gone => return None,
+            Told::Nothing => {}
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(PAUSE_MOST);
+    }
+    None
 }
 
 /// An exchange's end, as the module hears it, and what is kept of it.
@@ -549,7 +609,7 @@
             Some(Word::Absent) => (Report::NotConnected, false, None, "absent"),
             Some(Word::Full(after)) => (Report::TurnedAway, false, Some(after).filter(|a| *a > 0), "full"),
             Some(Word::Shut) => (Report::TurnedAway, false, None, "shut"),
-            Some(Word::Begun) | None => (Report::Broken, true, None, "begun, no answer"),
+            Some(Word::Begun | Word::Unseen) | None => (Report::Broken, true, None, "begun, no answer"),
         };
         return (report, Brought { answer: None, arrived, met: arrived, after, how });
     }
--- a/crates/posthouse/src/gate.rs
+++ b/crates/posthouse/src/gate.rs
@@ -3,6 +3,7 @@
 use crate::freight::{Bringer, Freight};
 use crate::hop::{self, Came, Order};
 use crate::post::Post;
+use crate::receipts::{Kept, Known, Receipt};
 use crate::waybill::{self, Waybill, Word};
 use crate::wire::{self, Answer, Asked, End, Line, Size, Stir, Wrong};
 use silvercross_net::http::Framing;
@@ -126,7 +127,7 @@
 
 /// What the gate answers for itself.
 fn says(word: Word) -> Answer {
-    let status = if word == Word::Begun { 502 } else { 503 };
+    let status = if matches!(word, Word::Begun | Word::Unseen) { 502 } else { 503 };
     Answer {
         status,
         lines: Vec::new(),
@@ -137,6 +138,7 @@
         coded: false,
         cold: None,
         word: Some(waybill::write(&word)),
+        life: None,
         keep_alive: true,
         idle: None,
         length: None,
@@ -147,7 +149,13 @@
 }
 
 /// Take a request to the upstream on this machine, if it may pass.
-pub async fn serve(post: &Rc<Post>, asked: &Asked, bill: &Waybill, freight: &Rc<Freight>) -> Answer {
+pub async fn serve(
+    post: &Rc<Post>,
+    asked: &Asked,
+    bill: &Waybill,
+    freight: &Rc<Freight>,
+    receipt: Option<&Receipt>,
+) -> Answer {
     let (Some(station), Some(id)) = (post.boot.station, asked.id.clone()) else {
         return says(Word::Absent);
     };
@@ -214,6 +222,7 @@
     let request = request(asked, left, asked.expects.as_deref(), freight, false);
     let now = post.now();
     post.gate.with(|w| w.begun(now, number));
+    receipt.iter().for_each(|r| r.begun());
     post.counts.delivered.set(post.counts.delivered.get() + 1);
     let coming = freight.rest.as_ref().map(|_| freight);
     let bodiless = asked.method == "HEAD";
@@ -293,28 +302,54 @@
         let post = post.clone();
         tokio::task::spawn_local(async move {
             let mut line = Line::new(stream, End::Hop);
-            while one(&post, &mut line).await {}
+            let mut before = Before::default();
+            while one(&post, &mut line, &mut before).await {}
         });
     }
 }
 
-async fn one(post: &Rc<Post>, line: &mut Line) -> bool {
+/// What went on a hop's connection before.
+#[derive(Default)]
+struct Before {
+    /// It has heard this process's life.
+    told: bool,
+    /// The last request that may run once: with another one the origin shows that it has the answer.
+    last: Option<u64>,
+}
+
+async fn one(post: &Rc<Post>, line: &mut Line, before: &mut Before) -> bool {
     let Ok(mut asked) = line.request(IDLE, COMES, usize::MAX).await else { return false };
     let bill = asked.waybill.take().and_then(|t| waybill::read::<Waybill>(&t));
     let bill = bill.filter(|b| b.version == waybill::VERSION);
+    if let Some(ticket) = before.last.take() {
+        post.receipts.taken(ticket);
+    }
+    if let Some(bill) = bill.as_ref().filter(|b| b.asks) {
+        return told(post, line, &asked, bill.ticket).await;
+    }
+    let life = (!std::mem::replace(&mut before.told, true)).then_some(post.receipts.life);
+    let receipt = match &bill {
+        Some(bill) if !bill.repeatable && bill.ticket != 0 => match post.receipts.enter(bill.ticket) {
+            Ok(receipt) => Some(receipt),
+            // It was asked for before it came, and its origin has gone elsewhere.
+            Err(()) => return false,
+        },
+        _ => None,
+    };
+    before.last = receipt.as_ref().map(|r| r.ticket);
     let stated = match asked.framing {
         Framing::Length(n) => Some(n),
         _ => None,
     };
     if asked.waits || stated.is_none_or(|n| n > wire::HELD) {
-        return large(post, line, &asked, bill, stated).await;
+        return large(post, line, &asked, bill, receipt, life, stated).await;
     }
     // How large a body may be was for the origin to say.
     let (mut decoder, mut share) = (Decoder::new(asked.framing, wire::HELD), post.stores.share());
     let body = match timeout(COMES, line.held(&mut decoder, stated, &mut share, false)).await {
         Ok(Ok((body, true))) => body,
         Ok(Err(Wrong::NoRoom)) => {
-            let (bytes, _) = back(&asked, &mut says(Word::Full(NO_ROOM)), true);
+            let (bytes, _) = back(&asked, &mut says(Word::Full(NO_ROOM)), life, true);
             let _ = line.write(&bytes).await;
             line.finish().await;
             line.drain(COMES / 10).await;
@@ -323,20 +358,32 @@
         _ => return false,
     };
     let Some(bill) = bill else {
-        let (bytes, _) = back(&asked, &mut says(Word::Absent), false);
+        let (bytes, _) = back(&asked, &mut says(Word::Absent), life, false);
         return line.write(&bytes).await.is_ok();
     };
     let freight = Freight::whole(body, share);
-    // An origin that hangs up has called the attempt off.
+    let mut broke = false;
     let mut answer = {
-        let serving = serve(post, &asked, &bill, &freight);
-        tokio::select! {
-            answer = serving => answer,
-            _ = line.stirs() => return false,
+        let serving = serve(post, &asked, &bill, &freight, receipt.as_ref());
+        tokio::pin!(serving);
+        loop {
+            tokio::select! {
+                answer = &mut serving => break answer,
+                stir = line.stirs(), if !broke => match stir {
+                    // Its origin will ask for it.
+                    Stir::Broke if receipt.is_some() => {
+                        broke = true;
+                        post.counts.orphans.set(post.counts.orphans.get() + 1);
+                    }
+                    // An origin that hangs up has called the attempt off.
+                    Stir::Broke | Stir::Closed | Stir::More => return false,
+                }
+            }
         }
     };
-    let (bytes, size) = back(&asked, &mut answer, false);
-    if line.write(&bytes).await.is_err() {
+    let (bytes, size) = back(&asked, &mut answer, life, false);
+    let bytes = keep(receipt, &answer, bytes, life.is_some());
+    if broke || line.write(&bytes).await.is_err() {
         return false;
     }
     let Some(tail) = answer.tail.take() else { return true };
@@ -347,6 +394,41 @@
     passed
 }
 
+/// Keep an answer for an origin that may have to ask for it, if it is whole.
+fn keep(receipt: Option<Receipt>, answer: &Answer, bytes: Vec<u8>, lived: bool) -> Rc<Vec<u8>> {
+    let bytes = Rc::new(bytes);
+    if let Some(receipt) = receipt.filter(|_| answer.tail.is_none()) {
+        receipt.answered(Kept { bytes: bytes.clone(), lived });
+    }
+    bytes
+}
+
+/// Tell an origin what became of its attempt.
+async fn told(post: &Rc<Post>, line: &mut Line, asked: &Asked, ticket: u64) -> bool {
+    let known = tokio::select! {
+        known = post.receipts.ask(ticket) => known,
+        _ = line.stirs() => return false,
+    };
+    let life = Some(post.receipts.life);
+    let bytes = match known {
+        Known::Answered(kept) if kept.lived => kept.bytes.to_vec(),
+        Known::Answered(kept) => {
+            // Behind the status line.
+            let at = kept.bytes.windows(2).position(|w| w == b"\r\n").map_or(0, |at| at + 2);
+            let mut bytes = kept.bytes[..at].to_vec();
+            bytes.extend_from_slice(format!("Waybill-Life: {:x}\r\n", post.receipts.life).as_bytes());
+            bytes.extend_from_slice(&kept.bytes[at..]);
+            bytes
+        }
+        Known::Begun => back(asked, &mut says(Word::Begun), life, false).0,
+        Known::Off => back(asked, &mut says(Word::Absent), life, false).0,
+        Known::Unseen => back(asked, &mut says(Word::Unseen), life, false).0,
+    };
+    let _ = line.write(&bytes).await;
+    line.finish().await;
+    false
+}
+
 /// A request whose body is passed on as it comes. The origin holds it back until it is asked for: before the request has its place,
 /// and a connection to the upstream is up, none of it is taken.
 async fn large(
@@ -354,6 +436,8 @@
     line: &mut Line,
     asked: &Asked,
     bill: Option<Waybill>,
+    receipt: Option<Receipt>,
+    life: Option<u64>,
     stated: Option<usize>,
 ) -> bool {
     let mut decoder = Decoder::new(asked.framing, usize::MAX);
@@ -363,12 +447,13 @@
     let answered = Cell::new(false);
     let work = async {
         let mut answer = match &bill {
-            Some(bill) => serve(post, asked, bill, &freight).await,
+            Some(bill) => serve(post, asked, bill, &freight, receipt.as_ref()).await,
             None => says(Word::Absent),
         };
         answered.set(true);
         let mut write = write.lock().await;
-        let (bytes, size) = back(asked, &mut answer, false);
+        let (bytes, size) = back(asked, &mut answer, life, false);
+        let bytes = keep(receipt, &answer, bytes, life.is_some());
         if write.write_all(&bytes).await.is_err() {
             return false;
         }
@@ -377,12 +462,17 @@
             None => true,
         }
     };
+    let once = bill.as_ref().is_some_and(|b| !b.repeatable);
     let took = async {
         let brought = bring(line, &bringer, &mut decoder, &write, &answered, asked.waits).await;
         match brought {
             // An origin that breaks off, or hangs up behind its body, has called the attempt off.
             Ok(()) => {
-                line.stirs().await;
+                if line.stirs().await == Stir::Broke && once {
+                    // It is here whole: its origin will ask for it.
+                    post.counts.orphans.set(post.counts.orphans.get() + 1);
+                    std::future::pending().await
+                }
             }
             Err(_) if answered.get() => std::future::pending().await,
             Err(_) => {}
@@ -428,7 +518,7 @@
 }
 
 /// An answer's bytes as they go to the origin, and how its end is told.
-fn back(asked: &Asked, answer: &mut Answer, close: bool) -> (Vec<u8>, Size) {
+fn back(asked: &Asked, answer: &mut Answer, life: Option<u64>, close: bool) -> (Vec<u8>, Size) {
     let mut lines = std::mem::take(&mut answer.lines);
     if let Some(word) = &answer.word {
         lines.extend_from_slice(format!("Waybill-Return: {word}\r\n").as_bytes());
@@ -436,6 +526,9 @@
             lines.extend_from_slice(format!("Attempt-Id: {id}\r\n").as_bytes());
         }
     }
+    if let Some(life) = life {
+        lines.extend_from_slice(format!("Waybill-Life: {life:x}\r\n").as_bytes());
+    }
     if answer.tail.is_none() {
         let bodiless = asked.method == "HEAD";
         return (wire::whole(answer.status, &lines, &answer.body, close, bodiless), Size::Close);
--- a/crates/posthouse/src/hop.rs
+++ b/crates/posthouse/src/hop.rs
@@ -7,7 +7,8 @@
 use std::any::Any;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -27,6 +28,9 @@
 /// An answer that is passed on is whole within this, where nothing else bounds it.
 const LONGEST: Duration = Duration::from_secs(600);
 
+/// Lives remembered; beyond it all are forgotten.
+const LIVES: usize = 4096;
+
 struct Idle {
     line: Line,
     until: Instant,
@@ -35,6 +39,8 @@
 /// Idle connections by address.
 #[derive(Default)]
 pub struct Pool {
+    /// The lives of gates' processes, as last heard; at most [`LIVES`].
+    lives: RefCell<BTreeMap<SocketAddr, u64>>,
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
 }
 
@@ -50,6 +56,11 @@
 }
 
 impl Pool {
+    /// The life of the process at an address, as last heard.
+    pub fn life(&self, of: SocketAddr) -> Option<u64> {
+        self.lives.borrow().get(&of).copied()
+    }
+
     fn take(&self, to: SocketAddr) -> Option<Line> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&to)?;
@@ -94,7 +105,7 @@
     /// Connect within `limit`, unless one is idle. `from`: the address of this machine.
     pub async fn line(
         &self,
-        from: Option<std::net::IpAddr>,
+        from: Option<IpAddr>,
         to: SocketAddr,
         limit: Duration,
         end: End,
@@ -107,15 +118,47 @@
 }
 
 /// A connection that notices when its other end is gone without a word.
-pub async fn connect(from: Option<std::net::IpAddr>, to: SocketAddr, limit: Duration) -> Option<TcpStream> {
-    let socket = TcpSocket::new_v4().ok()?;
+pub async fn connect(from: Option<IpAddr>, to: SocketAddr, limit: Duration) -> Option<TcpStream> {
+    try_connect(from, to, limit).await.ok()
+}
+
+/// The same, with the reason why there is none.
+async fn try_connect(from: Option<IpAddr>, to: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
     if let Some(from) = from.filter(|f| f.is_loopback()) {
         // On loopback the machines of a small mesh are told apart by their addresses alone.
-        socket.bind(SocketAddr::new(from, 0)).ok()?;
+        socket.bind(SocketAddr::new(from, 0))?;
     }
-    let stream = timeout(limit, socket.connect(to)).await.ok()?.ok()?;
+    let stream = timeout(limit, socket.connect(to)).await.map_err(io::Error::from)??;
     guard(&stream);
-    Some(stream)
+    Ok(stream)
+}
+
+/// What a gate that was asked for an attempt said.
+pub enum Told {
+    /// An answer, or its own word.
+    Answer(Box<Answer>),
+    /// Nobody is there: the process that had it has ended.
+    Gone,
+    /// Nothing yet.
+    Nothing,
+}
+
+/// Ask a gate what became of an attempt, on a connection of its own.
+pub async fn ask(from: IpAddr, to: SocketAddr, limit: Duration, order: Order<'_>, share: Share) -> Told {
+    let stream = match try_connect(Some(from), to, limit).await {
+        Ok(stream) => stream,
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => return Told::Gone,
+        Err(_) => return Told::Nothing,
+    };
+    let mut line = Line::new(stream, End::Hop);
+    if line.write(order.bytes).await.is_err() {
+        return Told::Nothing;
+    }
+    match line.answer(order.id, order.bodiless, false, share).await {
+        Ok((answer, None)) => Told::Answer(Box::new(answer)),
+        _ => Told::Nothing,
+    }
 }
 
 /// Have the system notice when the other end is gone without a word.
@@ -219,6 +262,13 @@
     mut answer: Answer,
     rest: Option<Decoder>,
 ) -> Came {
+    if let Some(life) = answer.life {
+        let mut lives = pool.lives.borrow_mut();
+        if lives.len() >= LIVES && !lives.contains_key(&to) {
+            lives.clear();
+        }
+        lives.insert(to, life);
+    }
     match rest {
         Some(decoder) => {
             let (keep, idle) = (answer.keep_alive, answer.idle);
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -13,6 +13,7 @@
 mod hop;
 mod leaf;
 mod post;
+mod receipts;
 mod settings;
 mod store;
 #[cfg(test)]
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -6,6 +6,7 @@
 use crate::gate::Gate;
 use crate::hop::{self, Pool};
 use crate::leaf::{Leaf, CONFIGURATION, EVACUATION};
+use crate::receipts::Receipts;
 use crate::settings::Boot;
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
@@ -47,6 +48,12 @@
     pub shut_out: Cell<u64>,
     /// Requests read.
     pub requests: Cell<u64>,
+    /// Hops that broke after the request was written, and whose gate was asked what became of it.
+    pub asked: Cell<u64>,
+    /// Of these, those whose answer came after all, and those that were not begun for certain.
+    pub recovered: Cell<u64>,
+    /// Requests that went on here after their origin's connection had broken.
+    pub orphans: Cell<u64>,
     /// Requests told to come back for want of room for their bodies.
     pub no_room: Cell<u64>,
     /// Requests told to come back.
@@ -121,6 +128,8 @@
     pub pool: Pool,
     /// Room for the bodies held here.
     pub stores: Rc<Stores>,
+    /// What is remembered of requests that may run once.
+    pub receipts: Rc<Receipts>,
     /// What stands before the upstream on this machine.
     pub gate: Gate,
     /// Links and who decides about them.
@@ -135,6 +144,7 @@
     own: RefCell<Option<Own>>,
     ended: RefCell<Vec<String>>,
     chance: RefCell<Pcg64Mcg>,
+    tickets: Cell<u64>,
     stopping: Cell<bool>,
     asking: Cell<bool>,
     idle_ends: Cell<bool>,
@@ -150,10 +160,14 @@
         gate: Gate,
         carriers: Carriers,
         clock: Clock,
-        chance: Pcg64Mcg,
+        mut chance: Pcg64Mcg,
     ) -> Rc<Self> {
+        let receipts = Receipts::new(clock.clone(), &mut chance, boot.memory);
+        let tickets = Cell::new(chance.next_u64());
         Rc::new(Post {
             stores: Stores::new(boot.memory),
+            receipts,
+            tickets,
             boot,
             log,
             counts: Counts::default(),
@@ -263,6 +277,13 @@
         split.last().map(|(name, _)| name.clone()).unwrap_or_default()
     }
 
+    /// A number for an attempt that no other one has: drawn once, and counted on from there.
+    pub fn ticket(&self) -> u64 {
+        let ticket = self.tickets.get().wrapping_add(1).max(1);
+        self.tickets.set(ticket);
+        ticket
+    }
+
     /// The desk of a service, if an upstream of it is known.
     pub fn desk(&self, service: &str) -> Option<Rc<Desk>> {
         self.desks.borrow().get(service).cloned()
@@ -649,6 +670,7 @@
                 self.tell();
             }
             self.pool.sweep();
+            self.receipts.forget();
             if now - told >= FIGURES {
                 told = now;
                 debug!(self.log, "figures"; "all" => crate::figures::figures(&self).to_string());
--- a/crates/posthouse/src/store.rs
+++ b/crates/posthouse/src/store.rs
@@ -28,9 +28,12 @@
 /// Writes go in here.
 pub type Writes = mpsc::Sender<Write>;
 
+/// What is on the disk, where writes go in, the numbers of those that are synced, and why a file was set aside, if one was.
+pub type Opened = (Disk<Leaf>, Writes, UnboundedReceiver<u64>, Option<String>);
+
 /// Open what is there, or begin anew; a file that can't be read is set aside, and its holder is repaired by the others.
 /// The receiver tells the numbers of writes that are synced.
-pub fn open(dir: &Path) -> Result<(Disk<Leaf>, Writes, UnboundedReceiver<u64>, Option<String>), String> {
+pub fn open(dir: &Path) -> Result<Opened, String> {
     std::fs::create_dir_all(dir).map_err(|e| format!("dataDir {}: {e}", dir.display()))?;
     let path = dir.join(FILE);
     let mut set_aside = None;
--- a/crates/posthouse/src/trial.rs
+++ b/crates/posthouse/src/trial.rs
@@ -9,12 +9,15 @@
 use silvercross_rounds::{Node, Record, Rounds, Start};
 use silvercross_wicket::Wicket;
 use slog::{o, Discard, Logger};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 pub const ID: &str = "Attempt-Id: a1\r\n";
@@ -77,7 +80,7 @@
         silvercross_wicket::Bounds { drain: b.drain, cold_overrun: b.cold_overrun, cold_slack: b.cold_slack };
     let gate = gate::Gate::new(Wicket::new(bounds));
     let carriers = Carriers::new(ip, 1, rounds, None, udp);
-    let chance = rand_pcg::Pcg64Mcg::seed_from_u64(u64::from(last));
+    let chance = rand_pcg::Pcg64Mcg::seed_from_u64(u64::from(inbound.port()));
     let post = Post::new(boot, Logger::root(Discard, o!()), gate, carriers, clock, chance);
     tokio::task::spawn_local(front::listen(post.clone(), outer));
     tokio::task::spawn_local(gate::listen(post.clone(), inner));
@@ -240,3 +243,85 @@
     let id = value(asked, "attempt-id").unwrap_or_default();
     format!("HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\nPostmark: p\r\n{framing}\r\n")
 }
+
+/// What a relay does with a connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// Both directions go on until either ends.
+    Pass,
+    /// The request goes on; once [`Relay::cut`] is told, both sides are reset.
+    CutWhenTold,
+    /// The request goes on, its answer is swallowed, then both sides are reset.
+    SwallowAnswer,
+    /// The request is kept back, and the origin's side reset.
+    KeepRequest,
+}
+
+/// Stands before a sidecar's `inbound`, and breaks hops.
+#[derive(Clone)]
+pub struct Relay {
+    pub at: SocketAddr,
+    pub to: Rc<Cell<SocketAddr>>,
+    pub ways: Rc<RefCell<VecDeque<Way>>>,
+    pub kept: Rc<RefCell<Vec<u8>>>,
+    pub cut: Rc<Notify>,
+}
+
+fn reset(stream: TcpStream) {
+    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+}
+
+impl Relay {
+    /// Before a sidecar, which the other is told of at the relay's address.
+    pub async fn between(origin: &Sidecar, gate: &Sidecar) -> Relay {
+        let listener = TcpListener::bind((gate.ip, 0)).await.expect("a port");
+        let at = listener.local_addr().expect("bound");
+        let relay = Relay {
+            at,
+            to: Rc::new(Cell::new(gate.inbound)),
+            ways: Rc::default(),
+            kept: Rc::default(),
+            cut: Rc::default(),
+        };
+        origin.hears_of(&Sidecar { inbound: at, ..gate.clone() });
+        let r = relay.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let way = r.ways.borrow_mut().pop_front().unwrap_or(Way::Pass);
+                tokio::task::spawn_local(r.clone().carry(stream, way));
+            }
+        });
+        relay
+    }
+
+    async fn carry(self, mut stream: TcpStream, way: Way) {
+        if way == Way::KeepRequest {
+            let mut talk = Talk::over(stream);
+            let head = talk.head().await;
+            self.kept.borrow_mut().extend_from_slice(head.as_bytes());
+            return reset(talk.stream);
+        }
+        let mut on = TcpStream::connect(self.to.get()).await.expect("a connection");
+        match way {
+            Way::SwallowAnswer => {
+                let mut talk = Talk::over(stream);
+                let head = talk.head().await;
+                let mut on = Talk::over(on);
+                on.say(head.as_bytes()).await;
+                on.head().await;
+                reset(on.stream);
+                reset(talk.stream);
+            }
+            _ => {
+                let cut = way == Way::CutWhenTold;
+                tokio::select! {
+                    _ = tokio::io::copy_bidirectional(&mut stream, &mut on) => {}
+                    () = self.cut.notified(), if cut => {
+                        reset(on);
+                        reset(stream);
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/posthouse/src/waybill.rs
+++ b/crates/posthouse/src/waybill.rs
@@ -3,7 +3,7 @@
 use bitcode::{Decode, Encode};
 
 /// The form of these words; another one is answered as "not begun".
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// No longer than this in the line.
 const MOST: usize = 2048;
 
@@ -22,6 +22,10 @@
     pub repeatable: bool,
     /// Time left until its aim, in microseconds; negative: past it.
     pub aim: i64,
+    /// Of one that may run once: its own among all attempts of all origins; else 0.
+    pub ticket: u64,
+    /// It is asked what became of the attempt with this ticket; nothing is to be begun.
+    pub asks: bool,
 }
 
 /// A gate's own word on a request.
@@ -35,6 +39,9 @@
     Shut,
     /// It may have run.
     Begun,
+    /// To one that asks: nothing of it has come to this process, and it is turned away if it comes. Says something only to who
+    /// knows that the request was written to this life of the process.
+    Unseen,
 }
 
 /// As it stands in a header line.
@@ -65,9 +72,11 @@
             priority: 3,
             repeatable: false,
             aim: -5,
+            ticket: u64::MAX,
+            asks: true,
         };
         assert_eq!(read(&write(&bill)), Some(bill));
-        for word in [Word::Absent, Word::Full(7), Word::Shut, Word::Begun] {
+        for word in [Word::Absent, Word::Full(7), Word::Shut, Word::Begun, Word::Unseen] {
             assert_eq!(read(&write(&word)), Some(word));
         }
         for text in ["", "0", "zz", "ffffffffffffffff", "é0", &"0".repeat(MOST + 2)] {
--- a/crates/posthouse/src/wire.rs
+++ b/crates/posthouse/src/wire.rs
@@ -32,6 +32,8 @@
 pub const WAYBILL: &str = "waybill";
 /// On a hop's answer: the gate's own word, as against the upstream's.
 pub const ROUND: &str = "waybill-return";
+/// On a hop's answer, the first on its connection and those to who asks: the life of the gate's process.
+pub const LIFE: &str = "waybill-life";
 
 /// Why a message could not be read.
 #[derive(Debug)]
@@ -134,6 +136,8 @@
     pub cold: Option<i64>,
     /// On a hop: the gate's own word.
     pub word: Option<String>,
+    /// On a hop: the life of the gate's process.
+    pub life: Option<u64>,
     /// The connection may carry another request.
     pub keep_alive: bool,
     /// After how long idle it will be closed, in seconds.
@@ -373,7 +377,8 @@
         let (most, lines) = self.end.most();
         let limits = Limits { head: most, body: usize::MAX };
         loop {
-            let Some((len, mut answer, framing)) = answered(&self.come, limits, lines)? else {
+            let Some((len, mut answer, framing)) = answered(&self.come, limits, lines, self.end == End::Hop)?
+            else {
                 if self.fill().await? == 0 {
                     return Err(if self.come.is_empty() { Wrong::Closed } else { Wrong::Broken });
                 }
@@ -491,13 +496,18 @@
     Ok(Some((head.len, asked)))
 }
 
-fn answered(bytes: &[u8], limits: Limits, lines: usize) -> Result<Option<(usize, Answer, Framing)>, Wrong> {
+fn answered(
+    bytes: &[u8],
+    limits: Limits,
+    lines: usize,
+    hop: bool,
+) -> Result<Option<(usize, Answer, Framing)>, Wrong> {
     let mut room: Room = [EMPTY_HEADER; LINES + LINES_ADDED];
     let room = &mut room[..lines];
     let Some(head) = http::answer_head_within(bytes, room, limits)? else { return Ok(None) };
     let h = &head.headers;
     let mut lines = Vec::with_capacity(256);
-    h.forward(&mut lines, &[ROUND]);
+    h.forward(&mut lines, &[ROUND, LIFE]);
     let idle = h.one("keep-alive")?.and_then(|v| {
         v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")).and_then(|t| t.parse().ok())
     });
@@ -511,7 +521,11 @@
         not_delivered: h.all("not-delivered").next().is_some(),
         coded: h.all("content-encoding").next().is_some(),
         cold: cold.map(|ms| (ms.clamp(0.0, 1e9) * 1e3) as i64),
-        word: text(h.one(ROUND)?),
+        word: hop.then(|| h.one(ROUND)).transpose()?.flatten().map(str::to_string),
+        life: match hop {
+            true => h.one(LIFE)?.and_then(|t| u64::from_str_radix(t, 16).ok()),
+            false => None,
+        },
         keep_alive: head.keep_alive,
         idle,
         length: None,
