--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -7,13 +7,17 @@
 mod control;
 mod desk;
 mod figures;
+mod freight;
 mod front;
 mod gate;
 mod hop;
 mod leaf;
 mod post;
+mod receipts;
 mod settings;
 mod store;
+#[cfg(test)]
+mod trial;
 mod waybill;
 mod wire;
 
