Mesh: other settings take hold in a running process, by SIGHUP or when the file changes

Cause: the settings file was read at the start only; SIGHUP was a log line, and a file that changes without a signal went unnoticed. Change: at SIGHUP, and when the file's time or length has changed (looked at once a second in a round that wakes anyway), it is read and checked whole. seeds, heartbeatS and bounds take hold, the gate's and the desks' too; other keys that differ are named in one line as needing a restart; a file that can't be used is one line and changes nothing. Region and the bounds that were read and not used are gone. Rounds take other seeds, the wicket other bounds. Result: a test with a real file: taken, named, unusable, gone; the gate shuts by the new drainS.

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -137,6 +137,13 @@
         self.pump(post);
     }
 
+    /// Other seeds than at the start.
+    pub fn seeds(&self, post: &Rc<Post>, seeds: &[u32]) {
+        let seeds: Vec<Node> = seeds.iter().map(|s| Node(*s)).collect();
+        self.rounds.borrow_mut().seeds(post.now(), &seeds);
+        self.pump(post);
+    }
+
     /// This sidecar goes.
     pub fn leave(&self, post: &Rc<Post>) {
         self.rounds.borrow_mut().leave(post.now());
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -14,6 +14,7 @@
 mod leaf;
 mod post;
 mod receipts;
+mod reload;
 mod settings;
 mod store;
 #[cfg(test)]
@@ -95,14 +96,14 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
     let (ended, logged) = (log.clone(), boot.node.clone());
-    let result = local.block_on(&runtime, serve(boot, log));
+    let result = local.block_on(&runtime, serve(boot, log, file));
     if let Err(e) = &result {
         error!(ended, "cannot run"; "why" => format!("{e:#}"), "at" => logged);
     }
     result
 }
 
-async fn serve(boot: settings::Boot, log: Logger) -> Result<()> {
+async fn serve(boot: settings::Boot, log: Logger, file: PathBuf) -> Result<()> {
     let clock = Clock::system();
     let now = clock.now();
     let seed = RandomState::new().build_hasher().finish();
@@ -110,14 +111,7 @@
     let at = SocketAddr::new(boot.ip.into(), boot.ports.0);
     let links = bind(at).await.context("internalPorts")?;
     let udp = UdpSocket::bind(at).await.with_context(|| format!("internalPorts: UDP {at}"))?;
-    let seeds: Vec<u32> = boot
-        .seeds
-        .iter()
-        .filter_map(|s| match s.ip() {
-            std::net::IpAddr::V4(v4) => Some(v4.to_bits()),
-            std::net::IpAddr::V6(_) => None,
-        })
-        .collect();
+    let seeds = boot.seed_nodes();
     let body = Body {
         inbound: boot.inbound.map_or(0, |a| a.port()),
         control: boot.control.map_or(0, |a| a.port()),
@@ -153,13 +147,10 @@
             Some((Ledger::new(now, start, disk), writes))
         }
     };
-    let b = &boot.bounds;
-    let bounds =
-        silvercross_wicket::Bounds { drain: b.drain, cold_overrun: b.cold_overrun, cold_slack: b.cold_slack };
-    let gate = gate::Gate::new(Wicket::new(bounds));
+    let gate = gate::Gate::new(Wicket::new(boot.live.bounds.of_gate()));
     let carriers = Carriers::new(boot.ip, boot.ports.0, rounds, ledger, udp);
-    let grace = Duration::from_micros(boot.bounds.grace.max(0) as u64);
     let post = Post::new(boot, log, gate, carriers, clock, chance);
+    post.reload.begin(&file);
     let mut listeners = Vec::new();
     for (key, at) in [("outbound", post.boot.outbound), ("inbound", post.boot.inbound)] {
         if let Some(at) = at {
@@ -197,10 +188,12 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
-            _ = hup.recv() => info!(post.log, "settings are read again at the next start"),
+            _ = hup.recv() => {
+                reload::look(&post, true);
+            }
         }
     }
-    stop(&post, grace).await;
+    stop(&post).await;
     Ok(())
 }
 
@@ -208,8 +201,9 @@
 const ANSWERED: Duration = Duration::from_millis(500);
 
 /// The platform asks once a second and must be told no twice; what was read is answered; then the end, within the grace.
-async fn stop(post: &Rc<Post>, grace: Duration) {
+async fn stop(post: &Rc<Post>) {
     post.begin_stop();
+    let grace = Duration::from_micros(post.live.get().bounds.grace.max(0) as u64);
     let started = tokio::time::Instant::now();
     let last = grace.saturating_sub(Duration::from_millis(500));
     // What is still open shortly before the end gets its answer then.
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -7,7 +7,8 @@
 use crate::hop::{self, Pool};
 use crate::leaf::{Leaf, CONFIGURATION, EVACUATION};
 use crate::receipts::Receipts;
-use crate::settings::Boot;
+use crate::reload::{self, Reload};
+use crate::settings::{Boot, Live};
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
@@ -34,6 +35,8 @@
 const SLOTS_UNTOLD: u32 = 4;
 /// Counters go to the log so often, at the level of debugging, in microseconds.
 const FIGURES: i64 = 2_000_000;
+/// Whether the settings file has changed is looked at so often, in microseconds.
+const LOOK: i64 = 1_000_000;
 /// Lives that were signed off are remembered, so that a late beat brings none back.
 const ENDED: usize = 64;
 /// The part of the mesh's further sends that sidecars may use together; the rest covers those whose number is not known.
@@ -120,6 +123,10 @@
 pub struct Post {
     /// What its machine told it.
     pub boot: Boot,
+    /// What of that can change, as it holds now.
+    pub live: Cell<Live>,
+    /// Where it is told from.
+    pub reload: Reload,
     /// Its log.
     pub log: Logger,
     /// Its counters.
@@ -145,6 +152,7 @@
     ended: RefCell<Vec<String>>,
     chance: RefCell<Pcg64Mcg>,
     tickets: Cell<u64>,
+    seeds: RefCell<Vec<SocketAddr>>,
     stopping: Cell<bool>,
     asking: Cell<bool>,
     idle_ends: Cell<bool>,
@@ -168,6 +176,9 @@
             stores: Stores::new(boot.memory),
             receipts,
             tickets,
+            live: Cell::new(boot.live),
+            seeds: RefCell::new(boot.seeds.clone()),
+            reload: Reload::default(),
             boot,
             log,
             counts: Counts::default(),
@@ -291,6 +302,27 @@
         ticket
     }
 
+    /// Go by other settings, as far as that can be; the keys that differed.
+    pub fn take(self: &Rc<Self>, boot: &Boot) -> Vec<&'static str> {
+        let mut took = Vec::new();
+        if *self.seeds.borrow() != boot.seeds {
+            took.push("seeds");
+            self.seeds.borrow_mut().clone_from(&boot.seeds);
+            self.carriers.seeds(self, &boot.seed_nodes());
+        }
+        let (old, new) = (self.live.replace(boot.live), boot.live);
+        if old.beat != new.beat {
+            took.push("heartbeatS");
+        }
+        if old.bounds != new.bounds {
+            took.push("bounds");
+            let now = self.now();
+            self.gate.with(|w| w.bounds(now, new.bounds.of_gate()));
+            self.reset_terms();
+        }
+        took
+    }
+
     /// The desk of a service, if an upstream of it is known.
     pub fn desk(&self, service: &str) -> Option<Rc<Desk>> {
         self.desks.borrow().get(service).cloned()
@@ -413,7 +445,7 @@
 
     fn terms<'t>(&'t self, service: &'t str, table: &'t Table) -> Terms<'t> {
         let (senders, near) = self.sides();
-        let b = &self.boot.bounds;
+        let b = self.live.get().bounds;
         Terms {
             service,
             table,
@@ -679,10 +711,11 @@
     pub async fn watch(self: Rc<Self>) {
         let mut told = self.now();
         let mut roster = Vec::new();
+        let mut looked = told;
         loop {
             tokio::time::sleep(Duration::from_millis(300)).await;
             let now = self.now();
-            let late = (self.boot.beat as f64 * SILENT_BEATS) as i64;
+            let late = (self.live.get().beat as f64 * SILENT_BEATS) as i64;
             let silent =
                 self.own.borrow().as_ref().is_some_and(|o| !o.station.silent && now - o.beaten > late);
             if silent {
@@ -701,6 +734,10 @@
             }
             self.pool.sweep();
             self.receipts.forget();
+            if now - looked >= LOOK {
+                looked = now;
+                reload::look(&self, false);
+            }
             if now - told >= FIGURES {
                 told = now;
                 debug!(self.log, "figures"; "all" => crate::figures::figures(&self).to_string());
--- a/crates/posthouse/src/settings.rs
+++ b/crates/posthouse/src/settings.rs
@@ -18,8 +18,6 @@
     ip: Ipv4Addr,
     zone: String,
     #[serde(default)]
-    region: String,
-    #[serde(default)]
     zones: BTreeMap<String, String>,
     counters_at: Counters,
     internal_ports: Vec<u16>,
@@ -68,8 +66,6 @@
     pub ip: Ipv4Addr,
     /// Its zone.
     pub zone: String,
-    /// Its region.
-    pub region: String,
     /// All zones that are named, in order.
     pub zones: Vec<String>,
     /// Where other sidecars bring requests.
@@ -92,12 +88,19 @@
     pub descriptors: u64,
     /// Where the disk is, if there is one.
     pub data: Option<PathBuf>,
-    /// Time between an upstream's beats, in microseconds.
-    pub beat: i64,
     /// The upstream on this machine.
     pub station: Option<SocketAddr>,
     /// Its service.
     pub destination: String,
+    /// What can change.
+    pub live: Live,
+}
+
+/// What can change while the process runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Live {
+    /// Time between an upstream's beats, in microseconds.
+    pub beat: i64,
     /// The figures of the rules.
     pub bounds: Bounds,
 }
@@ -109,14 +112,8 @@
     pub drain: i64,
     /// From SIGTERM to SIGKILL.
     pub grace: i64,
-    /// A configuration is in force within this.
-    pub edition: i64,
-    /// An evacuation is in force within this.
-    pub evacuate: i64,
     /// Further sends, as a share of the requests.
     pub retry_ratio: f64,
-    /// Over this time.
-    pub retry_window: i64,
     /// And so many more.
     pub retry_slack: f64,
     /// A cold upstream's rate is passed by no more than this multiple.
@@ -130,10 +127,7 @@
         Bounds {
             drain: 2_500_000,
             grace: 6_000_000,
-            edition: 2_500_000,
-            evacuate: 5_000_000,
             retry_ratio: 0.2,
-            retry_window: 10_000_000,
             retry_slack: 60.0,
             cold_overrun: 1.5,
             cold_slack: 5.0,
@@ -152,9 +146,6 @@
             match name.trim() {
                 "drainS" => span = Some(&mut bounds.drain),
                 "graceS" => span = Some(&mut bounds.grace),
-                "editionS" => span = Some(&mut bounds.edition),
-                "evacuateS" => span = Some(&mut bounds.evacuate),
-                "retryWindowS" => span = Some(&mut bounds.retry_window),
                 "retryRatio" => plain = Some(&mut bounds.retry_ratio),
                 "retrySlack" => plain = Some(&mut bounds.retry_slack),
                 "coldOverrun" => plain = Some(&mut bounds.cold_overrun),
@@ -170,6 +161,25 @@
     }
 }
 
+impl Bounds {
+    /// Those that the gate keeps.
+    pub fn of_gate(&self) -> silvercross_wicket::Bounds {
+        let Bounds { drain, cold_overrun, cold_slack, .. } = *self;
+        silvercross_wicket::Bounds { drain, cold_overrun, cold_slack }
+    }
+}
+
+impl Boot {
+    /// The addresses of the seeds.
+    pub fn seed_nodes(&self) -> Vec<u32> {
+        let v4 = |s: &SocketAddr| match s.ip() {
+            std::net::IpAddr::V4(v4) => Some(v4.to_bits()),
+            std::net::IpAddr::V6(_) => None,
+        };
+        self.seeds.iter().filter_map(v4).collect()
+    }
+}
+
 /// Read the file and check it as a whole.
 pub fn read(path: &Path) -> Result<Boot, String> {
     let named = path.display();
@@ -217,7 +227,6 @@
         ip: file.ip,
         node: file.node,
         zone: file.zone,
-        region: file.region,
         inbound: file.counters_at.inbound,
         outbound: file.counters_at.outbound,
         ready: file.counters_at.ready,
@@ -228,10 +237,9 @@
         memory: file.size_limits.memory_mb.unwrap_or(256).max(32) << 20,
         descriptors: file.size_limits.file_handles.unwrap_or(1024),
         data: file.data_dir,
-        beat: (file.heartbeat_s * 1e6) as i64,
         station: file.local_station,
         destination: file.destination.unwrap_or_default(),
-        bounds: Bounds::read(&file.bounds)?,
+        live: Live { beat: (file.heartbeat_s * 1e6) as i64, bounds: Bounds::read(&file.bounds)? },
     })
 }
 
@@ -247,8 +255,8 @@
     #[test]
     fn a_settings_file_is_read_and_what_it_does_not_know_disregarded() {
         let boot = parse(SIDE).expect("well-formed");
-        assert_eq!((boot.core, boot.fresh, boot.beat), (false, true, 1_500_000));
-        assert_eq!((boot.bounds.drain, boot.bounds.grace), (3_000_000, 6_000_000));
+        assert_eq!((boot.core, boot.fresh, boot.live.beat), (false, true, 1_500_000));
+        assert_eq!((boot.live.bounds.drain, boot.live.bounds.grace), (3_000_000, 6_000_000));
         assert_eq!(boot.zones, ["a", "b"]);
     }
 
--- a/crates/posthouse/src/trial.rs
+++ b/crates/posthouse/src/trial.rs
@@ -58,6 +58,11 @@
 
 /// A sidecar at 127.0.0.`last`, in front of `station`; the configuration in force, and nothing known of others.
 pub async fn sidecar(last: u8, station: SocketAddr, terms: Terms) -> Sidecar {
+    sidecar_of(last, station, terms).await.0
+}
+
+/// The same, and its settings.
+pub async fn sidecar_of(last: u8, station: SocketAddr, terms: Terms) -> (Sidecar, String) {
     let ip = Ipv4Addr::new(127, 0, 0, last);
     let bind = || async { TcpListener::bind((ip, 0)).await.expect("a port") };
     let (outer, inner) = (bind().await, bind().await);
@@ -75,10 +80,7 @@
     let start = Start { me, zone: "a".into(), core: false, seeds: vec![], life: 1, seed: u64::from(last) };
     let rounds = Rounds::new(clock.now(), start, body);
     let udp = UdpSocket::bind((ip, 0)).await.expect("a port");
-    let b = &boot.bounds;
-    let bounds =
-        silvercross_wicket::Bounds { drain: b.drain, cold_overrun: b.cold_overrun, cold_slack: b.cold_slack };
-    let gate = gate::Gate::new(Wicket::new(bounds));
+    let gate = gate::Gate::new(Wicket::new(boot.live.bounds.of_gate()));
     let carriers = Carriers::new(ip, 1, rounds, None, udp);
     let chance = rand_pcg::Pcg64Mcg::seed_from_u64(u64::from(inbound.port()));
     let post = Post::new(boot, Logger::root(Discard, o!()), gate, carriers, clock, chance);
@@ -99,7 +101,7 @@
     let mut leaf = Leaf::Blank;
     leaf.apply(&Order::Patch(patch)).expect("applies");
     post.page(CONFIGURATION, (1, 1, 1), leaf);
-    Sidecar { post, at, inbound, ip }
+    (Sidecar { post, at, inbound, ip }, text)
 }
 
 impl Sidecar {
--- a/crates/rounds/src/rounds.rs
+++ b/crates/rounds/src/rounds.rs
@@ -86,13 +86,21 @@
     pub(crate) figures: Figures,
 }
 
+impl Start {
+    /// Seeds but itself, in an order of its own.
+    fn in_order(&self, seeds: &[Node]) -> Vec<Node> {
+        let mut seeds: Vec<Node> = seeds.iter().copied().filter(|node| *node != self.me).collect();
+        seeds.sort_unstable_by_key(|node| (mix(self.seed ^ u64::from(node.0)), *node));
+        seeds.dedup();
+        seeds
+    }
+}
+
 impl<T: Clone + PartialEq + Debug> Rounds<T> {
     /// A node that knows itself and its seeds.
     pub fn new(now: Micros, start: Start, body: T) -> Self {
         let me = start.me;
-        let mut seeds: Vec<Node> = start.seeds.iter().copied().filter(|node| *node != me).collect();
-        seeds.sort_unstable_by_key(|node| (mix(start.seed ^ u64::from(node.0)), *node));
-        seeds.dedup();
+        let seeds = start.in_order(&start.seeds);
         let phase = (mix(start.seed) % BEAT as u64) as Micros;
         let mut rounds = Rounds {
             table: Table::new(),
@@ -138,6 +146,13 @@
         rounds
     }
 
+    /// Other seeds than at the start; nodes met meanwhile stay known.
+    pub fn seeds(&mut self, now: Micros, seeds: &[Node]) {
+        self.start.seeds = self.start.in_order(seeds);
+        self.moved = true;
+        self.tick(now);
+    }
+
     /// The node says something else of itself from now on.
     pub fn tell(&mut self, now: Micros, body: T) {
         self.at(now);
--- a/crates/wicket/src/wicket.rs
+++ b/crates/wicket/src/wicket.rs
@@ -195,6 +195,14 @@
         self.tick(now);
     }
 
+    /// Other bounds from the settings. A leaving that is acknowledged already keeps its moment.
+    pub fn bounds(&mut self, now: Micros, bounds: Bounds) {
+        let now = self.at(now);
+        self.bounds = bounds;
+        self.cold.learn(&self.bounds, &self.allowance);
+        self.tick(now);
+    }
+
     /// The operator's item of the service.
     pub fn allowance(&mut self, now: Micros, allowance: Allowance) {
         let now = self.at(now);
