Mesh: hops, links not yet greeted and calls are bounded, counted, and told of now and then

Cause: hops' connections had no bound but descriptors, links on which nobody says who they are none but 1,024 and could announce 16 MiB, calls' connections were closed uncounted, and strangers could cause a log line each time. Change: hops' connections take a quarter of fileHandles; those beyond it are answered that nothing was begun (32 at a time, the rest closed). 64 links without a greeting, whose first parcel is 64 bytes at most. Each bound has a counter, and a log line at most each 10 s with how many it stands for; refused calls too. Result: a test at each limit, on sockets.

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -2,7 +2,7 @@
 //! what they say; decides nothing.
 use crate::hop;
 use crate::leaf::{Leaf, Order};
-use crate::post::Post;
+use crate::post::{Counted, Door, Post};
 use crate::store::{Write, Writes};
 use bitcode::{Decode, Encode};
 use silvercross_ledger::{Deed, Ledger, Letter as Entry, Verdict};
@@ -29,6 +29,10 @@
 const UNTAKEN: Duration = Duration::from_millis(1500);
 /// Links that others may make.
 const LINKS: usize = 1024;
+/// Of these, those on which nobody has said yet who they are.
+const GREETING: u64 = 64;
+/// The first parcel of a link is no larger.
+const HELLO: usize = 64;
 
 /// What a sidecar tells all others of itself.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -271,7 +275,7 @@
             let c = &post.carriers;
             let at = SocketAddr::new(ip(to), c.port);
             match hop::connect(Some(ip(c.me)), at, CONNECT).await {
-                Some(stream) => carry(post.clone(), stream, Some(to)).await,
+                Some(stream) => carry(post.clone(), stream, Some(to), None).await,
                 None => {
                     if !c.links.borrow().contains_key(&to) {
                         c.down(&post, to);
@@ -343,11 +347,13 @@
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 continue;
             };
-            if post.carriers.links.borrow().len() >= LINKS {
+            if post.carriers.links.borrow().len() >= LINKS || post.counts.greeting.get() >= GREETING {
+                post.shut_out(Door::Link);
                 continue;
             }
             hop::guard(&stream);
-            tokio::task::spawn_local(carry(post.clone(), stream, None));
+            let greeting = Counted::new(&post, |c| &c.greeting);
+            tokio::task::spawn_local(carry(post.clone(), stream, None, Some(greeting)));
         }
     }
 }
@@ -360,11 +366,11 @@
     bytes
 }
 
-async fn parcel(stream: &mut (impl AsyncReadExt + Unpin)) -> Option<Parcel> {
+async fn parcel(stream: &mut (impl AsyncReadExt + Unpin), most: usize) -> Option<Parcel> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).await.ok()?;
     let length = u32::from_le_bytes(length) as usize;
-    if length > LARGEST {
+    if length > most {
         return None;
     }
     // Room grows with what comes, not with what is announced.
@@ -374,7 +380,7 @@
 }
 
 /// One link, until it ends.
-async fn carry(post: Rc<Post>, stream: TcpStream, to: Option<u32>) {
+async fn carry(post: Rc<Post>, stream: TcpStream, to: Option<u32>, greeting: Option<Counted>) {
     let c = &post.carriers;
     let peer = stream.peer_addr().ok().map(|a| a.ip());
     let (read, mut write) = stream.into_split();
@@ -384,7 +390,7 @@
     if write.write_all(&hello).await.is_err() {
         return gone(&post, to);
     }
-    let first = timeout(CONNECT * 2, parcel(&mut read)).await.ok().flatten();
+    let first = timeout(CONNECT * 2, parcel(&mut read, HELLO)).await.ok().flatten();
     let Some(Parcel::Hello { version: VERSION, node }) = first else {
         post.counts.strangers.set(post.counts.strangers.get() + 1);
         return gone(&post, to);
@@ -393,6 +399,7 @@
         post.counts.strangers.set(post.counts.strangers.get() + 1);
         return gone(&post, to);
     }
+    drop(greeting);
     let number = c.numbers.get();
     c.numbers.set(number + 1);
     let (out, mut waiting) = mpsc::channel::<Rc<Vec<u8>>>(WAITING);
@@ -404,7 +411,7 @@
     }
     c.pump(&post);
     let reading = async {
-        while let Some(parcel) = parcel(&mut read).await {
+        while let Some(parcel) = parcel(&mut read, LARGEST).await {
             let now = post.now();
             match parcel {
                 Parcel::Hello { .. } => break,
@@ -456,3 +463,30 @@
         post.carriers.pump(post);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::trial::{self, Talk, Terms};
+
+    #[test]
+    fn links_that_nobody_greets_on_are_bounded_and_end() {
+        trial::run(async {
+            let (_, nobody) = trial::station().await;
+            let sidecar = trial::sidecar(1, nobody, Terms::default()).await;
+            let (listener, at) = trial::station().await;
+            tokio::task::spawn_local(Carriers::listen(sidecar.post.clone(), listener));
+            let counts = &sidecar.post.counts;
+            let mut open = Vec::new();
+            for _ in 0..GREETING {
+                open.push(Talk::to(at).await);
+            }
+            assert_eq!(Talk::to(at).await.more().await, 0);
+            assert_eq!((counts.greeting.get(), counts.links_shut_out.get()), (GREETING, 1));
+            // A first word that is too large to be one ends its link at once.
+            open[0].say(&(HELLO as u32 + 1).to_le_bytes()).await;
+            while open[0].more().await > 0 {}
+            assert_eq!((counts.greeting.get(), counts.strangers.get()), (GREETING - 1, 1));
+        });
+    }
+}
--- a/crates/posthouse/src/control.rs
+++ b/crates/posthouse/src/control.rs
@@ -1,7 +1,7 @@
 //! Calls of upstreams, operators and the platform: each is declared beside its handler. One connection a task, one call at a
 //! time on it.
 use crate::leaf::{Leaf, Order, CONFIGURATION, EVACUATION};
-use crate::post::{Beat, Post};
+use crate::post::{Beat, Door, Post};
 use crate::wire::{self, End, Line, Wrong};
 use serde_json::json;
 use silvercross_ledger::Verdict;
@@ -142,7 +142,9 @@
             Said::ok()
         }
         Some(Verdict::Refused(refusal)) => {
-            info!(post.log, "refused"; "key" => key, "why" => &refusal.reason);
+            if let Some(n) = post.refusals.due(post.now()) {
+                info!(post.log, "refused"; "key" => key, "why" => &refusal.reason, "count" => n);
+            }
             Said::fault(if refusal.conflict { 409 } else { 400 }, &refusal.reason)
         }
         Some(Verdict::Page { .. } | Verdict::Unsettled) => Said::later(),
@@ -205,6 +207,7 @@
             continue;
         };
         if open.get() >= CONNECTIONS {
+            post.shut_out(Door::Call);
             continue;
         }
         open.set(open.get() + 1);
@@ -247,3 +250,27 @@
     let bytes = wire::whole(said.status, said.lines.as_bytes(), said.body.as_bytes(), close, false);
     line.write(&bytes).await.is_ok() && !close
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::trial::{self, Talk, Terms};
+
+    #[test]
+    fn calls_beyond_the_bound_are_closed_and_counted() {
+        trial::run(async {
+            let (_, nobody) = trial::station().await;
+            let sidecar = trial::sidecar(1, nobody, Terms::default()).await;
+            let (listener, at) = trial::station().await;
+            tokio::task::spawn_local(listen(sidecar.post.clone(), listener, &READY_CALLS));
+            let mut open = Vec::new();
+            for _ in 0..CONNECTIONS {
+                open.push(Talk::to(at).await);
+            }
+            assert_eq!(Talk::to(at).await.more().await, 0);
+            assert_eq!(sidecar.post.counts.calls_shut_out.get(), 1);
+            open[0].say(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").await;
+            assert_eq!(trial::status(&open[0].head().await), "200");
+        });
+    }
+}
--- a/crates/posthouse/src/front.rs
+++ b/crates/posthouse/src/front.rs
@@ -4,7 +4,7 @@
 use crate::freight::{Bringer, Freight, Share};
 use crate::gate;
 use crate::hop::{self, Came, Order, Tail, Told};
-use crate::post::Post;
+use crate::post::{Counted, Door, Post};
 use crate::receipts;
 use crate::waybill::{self, Waybill, Word};
 use crate::wire::{self, Answer, Asked, End, Line, Size, Wrong};
@@ -104,15 +104,15 @@
             continue;
         };
         if post.counts.clients.get() >= post.boot.descriptors / CONNECTIONS {
-            post.counts.shut_out.set(post.counts.shut_out.get() + 1);
+            post.shut_out(Door::Outbound);
             continue;
         }
         let post = post.clone();
-        post.counts.clients.set(post.counts.clients.get() + 1);
+        let counted = Counted::new(&post, |c| &c.clients);
         tokio::task::spawn_local(async move {
+            let _counted = counted;
             let mut line = Line::new(stream, End::Outer(0));
             while one(&post, &mut line).await {}
-            post.counts.clients.set(post.counts.clients.get() - 1);
         });
     }
 }
@@ -551,7 +551,6 @@
         None => Came::Broken,
         Some(answer) => match answer.word.as_deref().map(waybill::read::<Word>) {
             None => Came::Answer(answer),
-            Some(_) if answer.life.is_none() => Came::Broken,
             Some(Some(Word::Unseen)) if known && answer.life == life => Came::NotConnected,
             Some(Some(Word::Absent | Word::Full(_) | Word::Shut)) => Came::Answer(answer),
             Some(_) => Came::Broken,
@@ -580,6 +579,8 @@
         let bodiless = asked.method == "HEAD";
         let order = Order { to, bytes: bytes.as_bytes(), coming: None, awaits: false, id, bodiless };
         match hop::ask(own, to, limit, order, post.stores.share()).await {
+            // A gate that turns hops away at its door knows nothing of the attempt yet.
+            Told::Answer(answer) if answer.word.is_some() && answer.life.is_none() => {}
             Told::Answer(answer) => return Some(answer),
             Told::Gone => return None,
             Told::Nothing => {}
--- a/crates/posthouse/src/gate.rs
+++ b/crates/posthouse/src/gate.rs
@@ -2,7 +2,7 @@
 //! sockets, and it is known for certain whether a byte was written.
 use crate::freight::{Bringer, Freight};
 use crate::hop::{self, Came, Order};
-use crate::post::Post;
+use crate::post::{Counted, Door, Post};
 use crate::receipts::{Kept, Known, Receipt};
 use crate::waybill::{self, Waybill, Word};
 use crate::wire::{self, Answer, Asked, End, Line, Size, Stir, Wrong};
@@ -30,6 +30,10 @@
 const NO_ROOM: i64 = 100_000;
 /// So many bodies that were offered come at a time.
 const LANE: usize = 2;
+/// Hops' connections open at a time, as a share of the descriptors.
+const CONNECTIONS: u64 = 4;
+/// So many beyond that are told so at a time; the rest is closed without a word.
+const TURNING: u64 = 32;
 /// How much of its aim a request may wait here before it is told to try elsewhere.
 const PATIENCE: i64 = 4;
 
@@ -298,14 +302,30 @@
 
 /// Take hops from other sidecars, for as long as the process lives.
 pub async fn listen(post: Rc<Post>, listener: TcpListener) {
+    let turning = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
         hop::guard(&stream);
+        let open = post.counts.hops.get();
+        if open >= (post.boot.descriptors / CONNECTIONS).max(1) {
+            post.shut_out(Door::Inbound);
+            if turning.get() < TURNING {
+                turning.set(turning.get() + 1);
+                let turning = turning.clone();
+                tokio::task::spawn_local(async move {
+                    turn(stream).await;
+                    turning.set(turning.get() - 1);
+                });
+            }
+            continue;
+        }
         let post = post.clone();
+        let counted = Counted::new(&post, |c| &c.hops);
         tokio::task::spawn_local(async move {
+            let _counted = counted;
             let mut line = Line::new(stream, End::Hop);
             let mut before = Before::default();
             while one(&post, &mut line, &mut before).await {}
@@ -313,6 +333,17 @@
     }
 }
 
+/// A hop for which there is no room: nothing of it is read before it is told to go elsewhere.
+async fn turn(stream: tokio::net::TcpStream) {
+    let mut line = Line::new(stream, End::Hop);
+    let word = waybill::write(&Word::Full(NO_ROOM));
+    let bytes = wire::whole(503, format!("Waybill-Return: {word}\r\n").as_bytes(), b"", true, false);
+    if line.write(&bytes).await.is_ok() {
+        line.finish().await;
+        line.drain(COMES / 10).await;
+    }
+}
+
 /// What went on a hop's connection before.
 #[derive(Default)]
 struct Before {
@@ -597,4 +628,28 @@
             }
         });
     }
+
+    #[test]
+    fn hops_beyond_the_bound_are_told_that_nothing_was_begun() {
+        trial::run(async {
+            let (_, at) = trial::station().await;
+            let terms = Terms { descriptors: 2 * super::CONNECTIONS, ..Terms::default() };
+            let gate = trial::sidecar(2, at, terms).await;
+            let counts = &gate.post.counts;
+            let one = Talk::to(gate.inbound).await;
+            let _two = Talk::to(gate.inbound).await;
+            let mut three = Talk::to(gate.inbound).await;
+            let head = three.head().await;
+            let word = trial::value(&head, "waybill-return").and_then(|t| crate::waybill::read(&t));
+            assert_eq!(word, Some(crate::waybill::Word::Full(super::NO_ROOM)));
+            assert_eq!((counts.hops.get(), counts.hops_shut_out.get()), (2, 1));
+            drop(one);
+            while counts.hops.get() > 1 {
+                tokio::task::yield_now().await;
+            }
+            let mut four = Talk::to(gate.inbound).await;
+            four.say(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").await;
+            assert!(trial::value(&four.head().await, "waybill-life").is_some());
+        });
+    }
 }
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -12,6 +12,7 @@
 mod gate;
 mod hop;
 mod leaf;
+mod paced;
 mod post;
 mod receipts;
 mod reload;
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -6,6 +6,7 @@
 use crate::gate::Gate;
 use crate::hop::{self, Pool};
 use crate::leaf::{Leaf, CONFIGURATION, EVACUATION};
+use crate::paced::Paced;
 use crate::receipts::Receipts;
 use crate::reload::{self, Reload};
 use crate::settings::{Boot, Live};
@@ -16,7 +17,7 @@
 use silvercross_rounds::Record;
 use silvercross_sorting::Table;
 use silvercross_wicket::{Allowance, Facts};
-use slog::{debug, info, Logger};
+use slog::{debug, info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -47,8 +48,18 @@
 pub struct Counts {
     /// Connections of clients now.
     pub clients: Cell<u64>,
-    /// Connections turned away for want of descriptors.
+    /// Connections of clients turned away for want of descriptors.
     pub shut_out: Cell<u64>,
+    /// Connections of other sidecars' hops now.
+    pub hops: Cell<u64>,
+    /// Those turned away beyond the bound.
+    pub hops_shut_out: Cell<u64>,
+    /// Links on which nobody has said who they are.
+    pub greeting: Cell<u64>,
+    /// Links turned away beyond the bounds.
+    pub links_shut_out: Cell<u64>,
+    /// Connections for calls turned away beyond the bound.
+    pub calls_shut_out: Cell<u64>,
     /// Requests read.
     pub requests: Cell<u64>,
     /// Hops that broke after the request was written, and whose gate was asked what became of it.
@@ -79,6 +90,41 @@
     pub strangers: Cell<u64>,
 }
 
+/// Where connections are bounded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    /// Clients.
+    Outbound,
+    /// Hops of other sidecars.
+    Inbound,
+    /// Links of other sidecars.
+    Link,
+    /// Upstreams, operators, the platform.
+    Call,
+}
+
+/// One more of something for as long as it lives.
+pub struct Counted {
+    post: Rc<Post>,
+    of: fn(&Counts) -> &Cell<u64>,
+}
+
+impl Counted {
+    /// Count it.
+    pub fn new(post: &Rc<Post>, of: fn(&Counts) -> &Cell<u64>) -> Self {
+        let cell = of(&post.counts);
+        cell.set(cell.get() + 1);
+        Counted { post: post.clone(), of }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let cell = (self.of)(&self.post.counts);
+        cell.set(cell.get().saturating_sub(1));
+    }
+}
+
 /// A beat, as an upstream sends it.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -143,6 +189,9 @@
     pub carriers: Carriers,
     /// Requests open now.
     pub open: Cell<u64>,
+    /// Operators' calls refused, for the log.
+    pub refusals: Paced,
+    paces: [Paced; 4],
     clock: Clock,
     force: RefCell<InForce>,
     desks: RefCell<BTreeMap<String, Rc<Desk>>>,
@@ -186,6 +235,8 @@
             gate,
             carriers,
             open: Cell::new(0),
+            refusals: Paced::default(),
+            paces: Default::default(),
             clock,
             force: RefCell::new(InForce {
                 table: Rc::default(),
@@ -212,6 +263,21 @@
         self.clock.now()
     }
 
+    /// A connection was turned away: counted, and told now and then.
+    pub fn shut_out(&self, door: Door) {
+        let c = &self.counts;
+        let (count, name) = match door {
+            Door::Outbound => (&c.shut_out, "outbound"),
+            Door::Inbound => (&c.hops_shut_out, "inbound"),
+            Door::Link => (&c.links_shut_out, "links"),
+            Door::Call => (&c.calls_shut_out, "calls"),
+        };
+        count.set(count.get() + 1);
+        if let Some(n) = self.paces[door as usize].due(self.now()) {
+            warn!(self.log, "connections shut out"; "at" => name, "count" => n);
+        }
+    }
+
     /// The routing table in force.
     pub fn table(&self) -> Rc<Table> {
         self.force.borrow().table.clone()
