--- a/crates/posthouse/src/trial.rs
+++ b/crates/posthouse/src/trial.rs
@@ -75,7 +75,8 @@
     let mut boot = settings::parse(&text).expect("settings");
     (boot.memory, boot.descriptors) = (terms.memory, terms.descriptors);
     let clock = silvercross_facade::Clock::system();
-    let body = Body { inbound: inbound.port(), control: 0, leaving: false, station: None };
+    let body =
+        Body { inbound: inbound.port(), control: 0, leaving: false, roster: Vec::new(), station: None };
     let me = Node(ip.to_bits());
     let start = Start { me, zone: "a".into(), core: false, seeds: vec![], life: 1, seed: u64::from(last) };
     let rounds = Rounds::new(clock.now(), start, body);
@@ -125,7 +126,13 @@
             colds: 0,
             cold: 0,
         };
-        let body = Body { inbound: other.inbound.port(), control: 0, leaving: false, station: Some(station) };
+        let body = Body {
+            inbound: other.inbound.port(),
+            control: 0,
+            leaving: false,
+            roster: Vec::new(),
+            station: Some(station),
+        };
         let node = Node(other.ip.to_bits());
         let record = Record { node, life: 1, seq: 1, zone: "a".into(), core: false, gone: false, body };
         self.post.record(record);
