--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -6,8 +6,10 @@
 use crate::gate::Gate;
 use crate::hop::{self, Pool};
 use crate::leaf::{Leaf, CONFIGURATION, EVACUATION};
+use crate::paced::Paced;
 use crate::receipts::Receipts;
-use crate::settings::Boot;
+use crate::reload::{self, Reload};
+use crate::settings::{Boot, Live};
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
@@ -15,7 +17,7 @@
 use silvercross_rounds::Record;
 use silvercross_sorting::Table;
 use silvercross_wicket::{Allowance, Facts};
-use slog::{debug, info, Logger};
+use slog::{debug, info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -34,6 +36,8 @@
 const SLOTS_UNTOLD: u32 = 4;
 /// Counters go to the log so often, at the level of debugging, in microseconds.
 const FIGURES: i64 = 2_000_000;
+/// Whether the settings file has changed is looked at so often, in microseconds.
+const LOOK: i64 = 1_000_000;
 /// Lives that were signed off are remembered, so that a late beat brings none back.
 const ENDED: usize = 64;
 /// The part of the mesh's further sends that sidecars may use together; the rest covers those whose number is not known.
@@ -44,8 +48,18 @@
 pub struct Counts {
     /// Connections of clients now.
     pub clients: Cell<u64>,
-    /// Connections turned away for want of descriptors.
+    /// Connections of clients turned away for want of descriptors.
     pub shut_out: Cell<u64>,
+    /// Connections of other sidecars' hops now.
+    pub hops: Cell<u64>,
+    /// Those turned away beyond the bound.
+    pub hops_shut_out: Cell<u64>,
+    /// Links on which nobody has said who they are.
+    pub greeting: Cell<u64>,
+    /// Links turned away beyond the bounds.
+    pub links_shut_out: Cell<u64>,
+    /// Connections for calls turned away beyond the bound.
+    pub calls_shut_out: Cell<u64>,
     /// Requests read.
     pub requests: Cell<u64>,
     /// Hops that broke after the request was written, and whose gate was asked what became of it.
@@ -76,6 +90,41 @@
     pub strangers: Cell<u64>,
 }
 
+/// Where connections are bounded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    /// Clients.
+    Outbound,
+    /// Hops of other sidecars.
+    Inbound,
+    /// Links of other sidecars.
+    Link,
+    /// Upstreams, operators, the platform.
+    Call,
+}
+
+/// One more of something for as long as it lives.
+pub struct Counted {
+    post: Rc<Post>,
+    of: fn(&Counts) -> &Cell<u64>,
+}
+
+impl Counted {
+    /// Count it.
+    pub fn new(post: &Rc<Post>, of: fn(&Counts) -> &Cell<u64>) -> Self {
+        let cell = of(&post.counts);
+        cell.set(cell.get() + 1);
+        Counted { post: post.clone(), of }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let cell = (self.of)(&self.post.counts);
+        cell.set(cell.get().saturating_sub(1));
+    }
+}
+
 /// A beat, as an upstream sends it.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -120,6 +169,10 @@
 pub struct Post {
     /// What its machine told it.
     pub boot: Boot,
+    /// What of that can change, as it holds now.
+    pub live: Cell<Live>,
+    /// Where it is told from.
+    pub reload: Reload,
     /// Its log.
     pub log: Logger,
     /// Its counters.
@@ -136,6 +189,9 @@
     pub carriers: Carriers,
     /// Requests open now.
     pub open: Cell<u64>,
+    /// Operators' calls refused, for the log.
+    pub refusals: Paced,
+    paces: [Paced; 4],
     clock: Clock,
     force: RefCell<InForce>,
     desks: RefCell<BTreeMap<String, Rc<Desk>>>,
@@ -145,6 +201,7 @@
     ended: RefCell<Vec<String>>,
     chance: RefCell<Pcg64Mcg>,
     tickets: Cell<u64>,
+    seeds: RefCell<Vec<SocketAddr>>,
     stopping: Cell<bool>,
     asking: Cell<bool>,
     idle_ends: Cell<bool>,
@@ -168,6 +225,9 @@
             stores: Stores::new(boot.memory),
             receipts,
             tickets,
+            live: Cell::new(boot.live),
+            seeds: RefCell::new(boot.seeds.clone()),
+            reload: Reload::default(),
             boot,
             log,
             counts: Counts::default(),
@@ -175,6 +235,8 @@
             gate,
             carriers,
             open: Cell::new(0),
+            refusals: Paced::default(),
+            paces: Default::default(),
             clock,
             force: RefCell::new(InForce {
                 table: Rc::default(),
@@ -201,6 +263,21 @@
         self.clock.now()
     }
 
+    /// A connection was turned away: counted, and told now and then.
+    pub fn shut_out(&self, door: Door) {
+        let c = &self.counts;
+        let (count, name) = match door {
+            Door::Outbound => (&c.shut_out, "outbound"),
+            Door::Inbound => (&c.hops_shut_out, "inbound"),
+            Door::Link => (&c.links_shut_out, "links"),
+            Door::Call => (&c.calls_shut_out, "calls"),
+        };
+        count.set(count.get() + 1);
+        if let Some(n) = self.paces[door as usize].due(self.now()) {
+            warn!(self.log, "connections shut out"; "at" => name, "count" => n);
+        }
+    }
+
     /// The routing table in force.
     pub fn table(&self) -> Rc<Table> {
         self.force.borrow().table.clone()
@@ -291,6 +368,27 @@
         ticket
     }
 
+    /// Go by other settings, as far as that can be; the keys that differed.
+    pub fn take(self: &Rc<Self>, boot: &Boot) -> Vec<&'static str> {
+        let mut took = Vec::new();
+        if *self.seeds.borrow() != boot.seeds {
+            took.push("seeds");
+            self.seeds.borrow_mut().clone_from(&boot.seeds);
+            self.carriers.seeds(self, &boot.seed_nodes());
+        }
+        let (old, new) = (self.live.replace(boot.live), boot.live);
+        if old.beat != new.beat {
+            took.push("heartbeatS");
+        }
+        if old.bounds != new.bounds {
+            took.push("bounds");
+            let now = self.now();
+            self.gate.with(|w| w.bounds(now, new.bounds.of_gate()));
+            self.reset_terms();
+        }
+        took
+    }
+
     /// The desk of a service, if an upstream of it is known.
     pub fn desk(&self, service: &str) -> Option<Rc<Desk>> {
         self.desks.borrow().get(service).cloned()
@@ -413,7 +511,7 @@
 
     fn terms<'t>(&'t self, service: &'t str, table: &'t Table) -> Terms<'t> {
         let (senders, near) = self.sides();
-        let b = &self.boot.bounds;
+        let b = self.live.get().bounds;
         Terms {
             service,
             table,
@@ -679,10 +777,11 @@
     pub async fn watch(self: Rc<Self>) {
         let mut told = self.now();
         let mut roster = Vec::new();
+        let mut looked = told;
         loop {
             tokio::time::sleep(Duration::from_millis(300)).await;
             let now = self.now();
-            let late = (self.boot.beat as f64 * SILENT_BEATS) as i64;
+            let late = (self.live.get().beat as f64 * SILENT_BEATS) as i64;
             let silent =
                 self.own.borrow().as_ref().is_some_and(|o| !o.station.silent && now - o.beaten > late);
             if silent {
@@ -701,6 +800,10 @@
             }
             self.pool.sweep();
             self.receipts.forget();
+            if now - looked >= LOOK {
+                looked = now;
+                reload::look(&self, false);
+            }
             if now - told >= FIGURES {
                 told = now;
                 debug!(self.log, "figures"; "all" => crate::figures::figures(&self).to_string());
