--- a/crates/posthouse/src/hop.rs
+++ b/crates/posthouse/src/hop.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use silvercross_net::stream::Decoder;
 use std::any::Any;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -18,7 +18,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// Idle connections kept to one address; the longest idle gives way.
-const KEPT: usize = 16;
+const KEPT: usize = 128;
 /// An idle one is not used again after this, or after half of what the other end states.
 const IDLE: Duration = Duration::from_secs(8);
 /// Bytes that the other end has not taken for so long end a connection: a cut says nothing.
@@ -42,6 +42,7 @@
     /// The lives of gates' processes, as last heard; at most [`LIVES`].
     lives: RefCell<BTreeMap<SocketAddr, u64>>,
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
+    most: Cell<usize>,
 }
 
 /// How an exchange ended.
@@ -81,6 +82,20 @@
             list.remove(0);
         }
         list.push(Idle { line, until: Instant::now() + span });
+        // All together they leave room for those at work.
+        let mut all: usize = idle.values().map(Vec::len).sum();
+        while all > self.most.get() {
+            let Some(oldest) = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].until) else {
+                break;
+            };
+            oldest.remove(0);
+            all -= 1;
+        }
+    }
+
+    /// Keep so many idle in all; the longest idle gives way.
+    pub fn hold(&self, most: usize) {
+        self.most.set(most);
     }
 
     /// Close what is idle to an address.
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -221,6 +221,8 @@
     ) -> Rc<Self> {
         let receipts = Receipts::new(clock.clone(), &mut chance, boot.memory);
         let tickets = Cell::new(chance.next_u64());
+        let pool = Pool::default();
+        pool.hold((boot.descriptors / 4) as usize);
         Rc::new(Post {
             stores: Stores::new(boot.memory),
             receipts,
@@ -231,7 +233,7 @@
             boot,
             log,
             counts: Counts::default(),
-            pool: Pool::default(),
+            pool,
             gate,
             carriers,
             open: Cell::new(0),
