Mesh: at the end of a stop nobody gets in, and whoever did is answered first

Now the listener closes first, and the end waits for what is open. A head that has come is read before an idle connection is closed.

--- a/crates/posthouse/src/front.rs
+++ b/crates/posthouse/src/front.rs
@@ -99,7 +99,12 @@
 /// Take clients, for as long as the process lives.
 pub async fn listen(post: Rc<Post>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let next = tokio::select! {
+            next = listener.accept() => next,
+            // Connections that nobody has taken by now end with the listener, and their requests unread.
+            _ = post.is_shut() => return,
+        };
+        let Ok((stream, _)) = next else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
@@ -123,10 +128,17 @@
     let span = |us: i64| Duration::from_micros(us.max(1) as u64);
     let most = limits.content_bytes.min(usize::MAX as u64) as usize;
     line.end = End::Outer(limits.envelope_bytes);
-    let request = tokio::select! {
-        request = line.request(span(limits.idle_us), span(limits.envelope_us), most) => request,
+    let (idle, whole) = (span(limits.idle_us), span(limits.envelope_us));
+    let ends = tokio::select! {
+        biased;
+        request = line.request(idle, whole, most) => Some(request),
         // Between two requests a process that stops closes at once; clients open new ones.
-        _ = post.idle_ends() => return false,
+        _ = post.idle_ends() => None,
+    };
+    let request = match ends {
+        Some(request) => request,
+        None if line.has_surplus() => line.request(idle, whole, most).await,
+        None => return false,
     };
     let mut asked = match request {
         Ok(asked) => asked,
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -215,15 +215,19 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
         if started.elapsed() >= told {
             post.end_idle();
-            let (out, waiting) = post.gate.with(|w| w.load());
-            quiet = if post.open.get() == 0 && out + waiting == 0 { quiet + 1 } else { 0 };
+            quiet = if post.busy() { 0 } else { quiet + 1 };
             if quiet > 4 {
                 break;
             }
         }
     }
+    // From now on nobody gets in; whoever did meanwhile is answered before the end.
+    post.shut();
     post.carriers.leave(post);
     tokio::time::sleep(Duration::from_millis(60)).await;
+    while post.busy() && started.elapsed() < last {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
     info!(post.log, "ended"; "open" => post.open.get());
 }
 
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -205,6 +205,7 @@
     stopping: Cell<bool>,
     asking: Cell<bool>,
     idle_ends: Cell<bool>,
+    shut: Cell<bool>,
     stop: Notify,
     news: Notify,
 }
@@ -255,6 +256,7 @@
             stopping: Cell::new(false),
             asking: Cell::new(false),
             idle_ends: Cell::new(false),
+            shut: Cell::new(false),
             stop: Notify::new(),
             news: Notify::new(),
         })
@@ -338,6 +340,29 @@
         let _ = tokio::time::timeout(Duration::from_micros(span as u64), told).await;
     }
 
+    /// Whether a request is open here, or at the upstream behind the gate.
+    pub fn busy(&self) -> bool {
+        let (out, waiting) = self.gate.with(|w| w.load());
+        self.open.get() > 0 || out + waiting > 0
+    }
+
+    /// Clients are let in no more.
+    pub fn shut(&self) {
+        self.shut.set(true);
+        self.stop.notify_waiters();
+    }
+
+    /// Waits until [`Post::shut`].
+    pub async fn is_shut(&self) {
+        loop {
+            let told = self.stop.notified();
+            if self.shut.get() {
+                return;
+            }
+            told.await;
+        }
+    }
+
     /// Waits until [`Post::end_idle`].
     pub async fn idle_ends(&self) {
         let told = self.stop.notified();
