--- a/crates/rounds/tests/days.rs
+++ b/crates/rounds/tests/days.rs
@@ -100,6 +100,31 @@
     assert_eq!(world.crossing_links(), 3);
 }
 
+/// Sides below a core node that is cut from the other two had its links for over 3 s, and no news.
+#[test]
+fn children_of_a_core_node_that_is_cut_from_the_core_go_elsewhere_in_time() {
+    for lone in [core(0), core(1), core(2)] {
+        let mut world = calm(12, 8);
+        assert!(!world.children(lone).is_empty());
+        let others: Vec<Node> = [core(0), core(1), core(2)].into_iter().filter(|c| *c != lone).collect();
+        world.cut_off(lone, &others);
+        world.run(100 * MS);
+        world.post(others[0], "k", (1, 0, 0));
+        let (from, mut missing) = (world.now, Vec::new());
+        while world.now < from + 2 * S {
+            world.run(20 * MS);
+            let lacks = |node: &Node| *node != lone && world.rounds(*node).page("k").is_none();
+            missing = world.living().into_iter().filter(lacks).collect();
+            if missing.is_empty() {
+                break;
+            }
+        }
+        assert!(missing.is_empty(), "without the news after {} us: {missing:?}", world.now - from);
+        world.heal();
+        assert!(world.until_agreed(3 * S).is_ok());
+    }
+}
+
 #[test]
 fn a_way_that_is_cut_in_one_direction_throws_nobody_out() {
     for (from, to) in [(side(0), side(1)), (side(0), core(0)), (core(0), side(0)), (core(2), core(1))] {
