Mesh: at the bound of hops the longest idle connection makes place before one is turned away

Cause: origins keep connections for seconds; in a large mesh idle ones alone could fill the new bound, and hops would be turned away for nothing. Change: where a hop's connection has no request, the one that has been so for longest is closed for a new one; only where none is idle is a hop told to go elsewhere. Result: the test at the limit shows both.

--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -17,7 +17,7 @@
         .collect();
     json!({
         "clients": c.clients.get(), "shutOut": c.shut_out.get(), "hops": c.hops.get(),
-        "hopsShutOut": c.hops_shut_out.get(), "linksShutOut": c.links_shut_out.get(), "callsShutOut": c.calls_shut_out.get(), "requests": c.requests.get(),
+        "hopsIdle": c.hops_idle.get(), "hopsShutOut": c.hops_shut_out.get(), "linksShutOut": c.links_shut_out.get(), "callsShutOut": c.calls_shut_out.get(), "requests": c.requests.get(),
         "refused": c.refused.get(), "failed": c.failed.get(), "delivered": c.delivered.get(),
         "turned": c.turned.get(), "beats": c.beats.get(), "calls": c.calls.get(),
         "letters": c.letters.get(), "datagrams": c.datagrams.get(), "strangers": c.strangers.get(),
--- a/crates/posthouse/src/gate.rs
+++ b/crates/posthouse/src/gate.rs
@@ -43,6 +43,10 @@
     waiting: RefCell<BTreeMap<u64, oneshot::Sender<Result<(), Word>>>>,
     next: Cell<u64>,
     changed: Notify,
+    /// Tells idle hops' connections to make place, one for each call, the longest idle first.
+    room: Notify,
+    /// Those told so that are still there.
+    leaving: Cell<u64>,
     /// Bodies that may cross the link at a time.
     lane: std::sync::Arc<Semaphore>,
 }
@@ -94,6 +98,8 @@
             waiting: RefCell::default(),
             next: Cell::new(0),
             changed: Notify::new(),
+            room: Notify::new(),
+            leaving: Cell::new(0),
             lane: std::sync::Arc::new(Semaphore::new(LANE)),
         }
     }
@@ -310,7 +316,13 @@
         };
         hop::guard(&stream);
         let open = post.counts.hops.get();
-        if open >= (post.boot.descriptors / CONNECTIONS).max(1) {
+        let leaving = post.gate.leaving.get();
+        let full = open - leaving.min(open) >= (post.boot.descriptors / CONNECTIONS).max(1);
+        if full && post.counts.hops_idle.get() > leaving {
+            // The one that has been idle for longest makes place.
+            post.gate.leaving.set(leaving + 1);
+            post.gate.room.notify_one();
+        } else if full {
             post.shut_out(Door::Inbound);
             if turning.get() < TURNING {
                 turning.set(turning.get() + 1);
@@ -354,6 +366,18 @@
 }
 
 async fn one(post: &Rc<Post>, line: &mut Line, before: &mut Before) -> bool {
+    {
+        let _idle = Counted::new(post, |c| &c.hops_idle);
+        tokio::select! {
+            came = line.awaits(IDLE) => if !came {
+                return false;
+            },
+            () = post.gate.room.notified() => {
+                post.gate.leaving.set(post.gate.leaving.get().saturating_sub(1));
+                return false;
+            }
+        }
+    }
     let Ok(mut asked) = line.request(IDLE, COMES, usize::MAX).await else { return false };
     let bill = asked.waybill.take().and_then(|t| waybill::read::<Waybill>(&t));
     let bill = bill.filter(|b| b.version == waybill::VERSION);
@@ -636,8 +660,13 @@
             let terms = Terms { descriptors: 2 * super::CONNECTIONS, ..Terms::default() };
             let gate = trial::sidecar(2, at, terms).await;
             let counts = &gate.post.counts;
-            let one = Talk::to(gate.inbound).await;
-            let _two = Talk::to(gate.inbound).await;
+            let (mut one, mut two) = (Talk::to(gate.inbound).await, Talk::to(gate.inbound).await);
+            // Neither is idle.
+            one.say(b"GET").await;
+            two.say(b"GET").await;
+            while counts.hops.get() < 2 || counts.hops_idle.get() > 0 {
+                tokio::task::yield_now().await;
+            }
             let mut three = Talk::to(gate.inbound).await;
             let head = three.head().await;
             let word = trial::value(&head, "waybill-return").and_then(|t| crate::waybill::read(&t));
@@ -650,6 +679,12 @@
             let mut four = Talk::to(gate.inbound).await;
             four.say(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").await;
             assert!(trial::value(&four.head().await, "waybill-life").is_some());
+            // An idle one makes place.
+            let mut five = Talk::to(gate.inbound).await;
+            assert_eq!(four.more().await, 0);
+            five.say(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").await;
+            assert!(trial::value(&five.head().await, "waybill-life").is_some());
+            assert_eq!((counts.hops.get(), counts.hops_shut_out.get()), (2, 1));
         });
     }
 }
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -52,6 +52,8 @@
     pub shut_out: Cell<u64>,
     /// Connections of other sidecars' hops now.
     pub hops: Cell<u64>,
+    /// Of these, those on which no request is.
+    pub hops_idle: Cell<u64>,
     /// Those turned away beyond the bound.
     pub hops_shut_out: Cell<u64>,
     /// Links on which nobody has said who they are.
--- a/crates/posthouse/src/wire.rs
+++ b/crates/posthouse/src/wire.rs
@@ -252,6 +252,11 @@
         }
     }
 
+    /// Wait for the first byte of a request; `false`: none came, or the connection ended.
+    pub async fn awaits(&mut self, idle: Duration) -> bool {
+        !self.come.is_empty() || matches!(timeout(idle, self.fill()).await, Ok(Ok(n)) if n > 0)
+    }
+
     /// Read the head of a request: at most `idle` for its first byte, `whole` from there on; a stated length of `body` at most.
     pub async fn request(&mut self, idle: Duration, whole: Duration, body: usize) -> Result<Asked, Wrong> {
         let (most, lines) = self.end.most();
