--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -9,7 +9,7 @@
 pub fn class(effect: Effect) -> Class {
     let (aim, deadline) = (500 * MS, 2 * S);
     let (worth, late_worth, aim_stretch, stream, sends) = (1.0, 0.0, 0.0, false, None);
-    Class { aim, aim_stretch, deadline, worth, late_worth, effect, stream, sends }
+    Class { aim, aim_stretch, deadline, worth, late_worth, effect, stream, sends, toll: 0.0 }
 }
 
 pub fn keyed(group: DedupGroup) -> Effect {
--- a/crates/core/tests/stated.rs
+++ b/crates/core/tests/stated.rs
@@ -92,3 +92,24 @@
         assert_eq!(stated(sends, false).ask(0).1.iter().any(cut), more, "{sends:?}");
     }
 }
+
+#[test]
+fn a_toll_keeps_a_class_in_its_zone() {
+    let crossed = |toll: f64| {
+        let mut set = settings();
+        set.classes[0].toll = toll;
+        let mut desk = Desk::new(set, &[0, 1]);
+        let mut crossed = 0;
+        for _ in 0..300 {
+            let (id, to) = desk.sent(0);
+            // The own zone's answers take ten times as long.
+            let took = if to == 0 { 200 * MS } else { 20 * MS };
+            crossed += usize::from(to == 1);
+            desk.now += took;
+            desk.end(id, 0, Outcome::Served, took);
+        }
+        crossed
+    };
+    assert!(crossed(0.0) > 20, "for so much gain some cross");
+    assert!(crossed(50.0) <= 2, "for this toll none does, but before anything was learnt");
+}
