--- a/crates/sorting/src/read.rs
+++ b/crates/sorting/src/read.rs
@@ -8,10 +8,12 @@
 use serde::de::{DeserializeOwned, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::{Map, Value};
+use silvercross_tariff::Sent;
 
 use crate::items::{
     host_key, Change, Destination, Entries, Entry, Fault, Item, Kind, Limits, Route, Versioned, MAX_TIME_US,
 };
+use crate::whole::Call;
 
 /// A longer body is refused.
 pub const MAX_BODY: usize = 8 << 20;
@@ -24,6 +26,15 @@
 /// Fields that are not known here are kept in their item. Lists that are not known here can't be kept, so a call that
 /// has items in one is refused rather than acknowledged and lost.
 pub fn read_patch(body: &[u8]) -> Result<Change, Fault> {
+    read(body, false).map(|call| call.change)
+}
+
+/// The same, with the lists of members and how requests name them.
+pub fn read_call(body: &[u8]) -> Result<Call, Fault> {
+    read(body, true)
+}
+
+fn read(body: &[u8], members: bool) -> Result<Call, Fault> {
     if body.len() > MAX_BODY {
         return Err(Fault::new(
             "body",
@@ -45,8 +56,13 @@
     known("body", body, &["deliver", "withdraw"])?;
     let deliver = object("body", body, "deliver")?.unwrap_or(&nothing);
     let withdraw = object("body", body, "withdraw")?.unwrap_or(&nothing);
-    known("deliver", deliver, &["destinations", "sizeLimits", "depots"])?;
-    known("withdraw", withdraw, &["routes", "destinations"])?;
+    // The two of members come last.
+    let (delivered, withdrawn) = (
+        ["destinations", "sizeLimits", "depots", "members", "membership"],
+        ["routes", "destinations", "members"],
+    );
+    known("deliver", deliver, if members { &delivered } else { &delivered[..3] })?;
+    known("withdraw", withdraw, if members { &withdrawn } else { &withdrawn[..2] })?;
 
     let mut change = Change::default();
     for (i, value) in list("deliver", deliver, "destinations")?.iter().enumerate() {
@@ -91,7 +107,13 @@
         }
     }
     drop(places);
-    Ok(change)
+    let members = match members {
+        true => {
+            silvercross_tariff::read(deliver, withdraw).map_err(|f| Fault::new(f.item, f.key, f.reason))?
+        }
+        false => Sent::default(),
+    };
+    Ok(Call { change, members })
 }
 
 /// Two routes at one depot and lane.
--- a/crates/tariff/src/lib.rs
+++ b/crates/tariff/src/lib.rs
@@ -6,11 +6,10 @@
 //!
 //! The package for the configuration depends on this one, not the other way round, and therefore [`Fault`] and [`Kind`]
 //! stand here a second time. Its reader lets the lists `members` and `membership` pass in `deliver` and `members` in
-//! `withdraw`, and hands both objects to [`read`], whose fault it passes on field by field. The [`Sent`] becomes a field
-//! of its change and the [`Roll`] one of its configuration. Applying a call asks [`Roll::would`] before any item is put
-//! in force and does [`Page::apply`](silvercross_ledger::Page::apply) afterwards, which then can't fail;
-//! [`Roll::to_json`] adds to what is read back and adds nothing where there are no members. The [`Directory`] is made
-//! beside the routing table, once for each change.
+//! `withdraw`, and hands both objects to [`read`], whose fault it passes on field by field. The [`Sent`] goes beside its
+//! change and the [`Roll`] beside its configuration, under one key once members were sent. Applying a call asks
+//! [`Roll::would`] before any item is put in force; [`Roll::to_json`] adds to what is read back and adds nothing where
+//! there are no members. The [`Directory`] is made beside the routing table, once for each change.
 #![forbid(unsafe_code)]
 
 mod board;
