Mesh: members whose trial lapses are slowed alike on every node

The decider for members had no program. The owner of lapse/NAME asks for the next step under its epoch, holders of the ledger ask each other's time of day, every node follows the committed steps, and reads of a lapsed trial wait at their first sidecar before anything is sent on. Answers carry Member-Step, counters and one line a change say it, posthouse members lists, renews and lapses.

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -7,6 +7,7 @@
 use bitcode::{Decode, Encode};
 use silvercross_ledger::{Deed, Ledger, Letter as Entry, Verdict};
 use silvercross_rounds::{Datagram, Effect, Letter, Node, Rounds};
+use silvercross_tariff::Voice;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -70,9 +71,22 @@
 
 #[derive(Encode, Decode)]
 enum Parcel {
-    Hello { version: u16, node: u32 },
+    Hello {
+        version: u16,
+        node: u32,
+    },
     Round(Letter<Body>),
     Entry(Entry<Leaf, Order>),
+    /// What time of day is it? Between holders, where there are members.
+    Time {
+        asked: i64,
+    },
+    /// It is this; `stepped`: that clock was set lately.
+    Told {
+        asked: i64,
+        wall: i64,
+        stepped: bool,
+    },
 }
 
 struct Link {
@@ -154,6 +168,14 @@
         self.pump(post);
     }
 
+    /// Ask the other holders for their time of day.
+    pub fn ask_time(&self, post: &Rc<Post>) {
+        let holders = self.ledger(|l| l.roster().to_vec()).unwrap_or_default();
+        for holder in holders.into_iter().filter(|h| h.0 != self.me) {
+            self.send(post, holder.0, &Parcel::Time { asked: post.now() });
+        }
+    }
+
     /// An operator's call; `None` where this machine holds no ledger.
     pub async fn ask(&self, post: &Rc<Post>, key: &str, order: Option<Order>) -> Option<Verdict<Leaf>> {
         let ledger = self.ledger.as_ref().filter(|_| !post.is_outsider())?;
@@ -421,6 +443,18 @@
                         l.borrow_mut().letter(now, silvercross_ledger::Node(node), letter);
                     }
                 }
+                Parcel::Time { asked } => {
+                    if let Some((wall, stepped)) = post.members.time_told(now) {
+                        c.send(&post, node, &Parcel::Told { asked, wall, stepped });
+                    }
+                }
+                Parcel::Told { asked, wall, stepped } => {
+                    let holder = silvercross_ledger::Node(node);
+                    if c.ledger(|l| l.roster().contains(&holder)) == Some(true) {
+                        let answered = now;
+                        post.members.heard(Voice { node: holder, asked, answered, wall, stepped });
+                    }
+                }
             }
             c.pump(&post);
         }
--- a/crates/posthouse/src/control.rs
+++ b/crates/posthouse/src/control.rs
@@ -1,6 +1,7 @@
 //! Calls of upstreams, operators and the platform: each is declared beside its handler. One connection a task, one call at a
 //! time on it.
 use crate::leaf::{Leaf, Order, CONFIGURATION, EVACUATION};
+use crate::members;
 use crate::post::{Beat, Door, Post};
 use crate::wire::{self, End, Line, Wrong};
 use serde_json::json;
@@ -67,8 +68,19 @@
 }
 
 /// All calls at `control`.
-pub const CALLS: [&Call; 8] =
-    [&HEARTBEAT, &SIGN_OFF, &PATCH, &GET, &EVACUATE_START, &EVACUATE_END, &STATE, &FIGURES];
+pub const CALLS: [&Call; 11] = [
+    &HEARTBEAT,
+    &SIGN_OFF,
+    &PATCH,
+    &GET,
+    &EVACUATE_START,
+    &EVACUATE_END,
+    &STATE,
+    &FIGURES,
+    &MEMBERS_LIST,
+    &MEMBERS_RENEW,
+    &MEMBERS_LAPSE,
+];
 /// All calls at `ready`.
 pub const READY_CALLS: [&Call; 2] = [&READY, &FIGURES];
 
@@ -97,17 +109,23 @@
 
 call!(PATCH, "POST", "/-/Config.Patch", patch);
 async fn patch(post: &Rc<Post>, _: &str, body: &[u8]) -> Said {
-    let change = match silvercross_sorting::read_patch(body) {
-        Ok(change) => change,
+    patched(post, body, "/-/Config.Patch").await
+}
+
+async fn patched(post: &Rc<Post>, body: &[u8], path: &str) -> Said {
+    let order = match silvercross_sorting::read_call(body) {
+        Ok(call) if call.members.is_empty() => Order::Patch(call.change),
+        Ok(call) => Order::Call(Box::new(call)),
         Err(fault) => return Said::fault(400, &fault.to_string()),
     };
-    ordered(post, CONFIGURATION, Order::Patch(change), "/-/Config.Patch").await
+    ordered(post, CONFIGURATION, order, path).await
 }
 
 call!(GET, "GET", "/-/Config.Get", get);
 async fn get(post: &Rc<Post>, _: &str, _: &[u8]) -> Said {
     match post.carriers.ask(post, CONFIGURATION, None).await {
         Some(Verdict::Page { page: Leaf::Configuration(c), .. }) => Said::json(200, c.to_json()),
+        Some(Verdict::Page { page: Leaf::Whole(w), .. }) => Said::json(200, w.to_json()),
         Some(Verdict::Page { .. }) => Said::json(200, "{}".to_string()),
         Some(_) => Said::later(),
         None => elsewhere(post, "/-/Config.Get"),
@@ -172,6 +190,45 @@
     Said::json(200, crate::figures::figures(post).to_string())
 }
 
+call!(MEMBERS_LIST, "GET", "/-/Members.List", members_list);
+async fn members_list(post: &Rc<Post>, _: &str, _: &[u8]) -> Said {
+    Said::json(200, members::list(post).to_string())
+}
+
+call!(MEMBERS_RENEW, "POST", "/-/Members.Renew/{}", members_renew);
+async fn members_renew(post: &Rc<Post>, name: &str, body: &[u8]) -> Said {
+    member_changed(post, "/-/Members.Renew/", name, |item| members::renewed(item, body)).await
+}
+
+call!(MEMBERS_LAPSE, "POST", "/-/Members.Lapse/{}", members_lapse);
+async fn members_lapse(post: &Rc<Post>, name: &str, _: &[u8]) -> Said {
+    member_changed(post, "/-/Members.Lapse/", name, members::lapsed).await
+}
+
+/// Read a member's item as it stands, change it, and send it at the next edition. Of two that do so at once, one holds and
+/// the other is a conflict, unless both say the same.
+async fn member_changed(
+    post: &Rc<Post>,
+    call: &str,
+    name: &str,
+    change: impl FnOnce(&str) -> Result<String, String>,
+) -> Said {
+    let path = format!("{call}{name}");
+    let whole = match post.carriers.ask(post, CONFIGURATION, None).await {
+        Some(Verdict::Page { page: Leaf::Whole(whole), .. }) => whole,
+        Some(Verdict::Page { .. }) => return Said::fault(404, "no member was ever sent"),
+        Some(_) => return Said::later(),
+        None => return elsewhere(post, &path),
+    };
+    let Some(item) = members::plain(name).and_then(|name| whole.roll.raw(&name)) else {
+        return Said::fault(404, &format!("{name:?} is no member here (see /-/Members.List)"));
+    };
+    match change(item) {
+        Ok(patch) => patched(post, patch.as_bytes(), &path).await,
+        Err(why) => Said::fault(400, &why),
+    }
+}
+
 call!(READY, "GET", "/-/ready", ready);
 async fn ready(post: &Rc<Post>, _: &str, _: &[u8]) -> Said {
     if post.ready() {
--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -15,7 +15,7 @@
             json!({ "service": name, "listed": listed, "avoided": avoided, "open": desk.open() })
         })
         .collect();
-    json!({
+    let mut all = json!({
         "clients": c.clients.get(), "shutOut": c.shut_out.get(), "hops": c.hops.get(),
         "hopsIdle": c.hops_idle.get(), "hopsShutOut": c.hops_shut_out.get(), "linksShutOut": c.links_shut_out.get(), "callsShutOut": c.calls_shut_out.get(), "requests": c.requests.get(),
         "refused": c.refused.get(), "failed": c.failed.get(), "delivered": c.delivered.get(),
@@ -25,7 +25,11 @@
         "asked": c.asked.get(), "recovered": c.recovered.get(), "orphans": c.orphans.get(),
         "receipts": post.receipts.load().0, "keptBytes": post.receipts.load().1,
         "noRoom": c.no_room.get(), "heldBytes": post.stores.held(), "desks": desks,
-    })
+    });
+    if let Some(members) = post.members.figures() {
+        all["members"] = members;
+    }
+    all
 }
 
 /// Who is there, what is in force, and, where this machine holds the ledger, its keys.
--- a/crates/posthouse/src/front.rs
+++ b/crates/posthouse/src/front.rs
@@ -4,6 +4,7 @@
 use crate::freight::{Bringer, Freight, Share};
 use crate::gate;
 use crate::hop::{self, Came, Order, Tail, Told};
+use crate::members::{self, Head};
 use crate::post::{Counted, Door, Post};
 use crate::receipts;
 use crate::waybill::{self, Waybill, Word};
@@ -321,13 +322,43 @@
         return Reply::own(404, "no route");
     };
     let Some(id) = asked.id.clone() else { return Reply::own(400, "a request needs an Attempt-Id") };
+    let budget = asked.deadline.map_or(route.deadline_us, |d| d.min(route.deadline_us));
+    let (mut step, mut waited) = (None, 0);
+    if post.members.looks() {
+        match members::at_head(post, asked, route, &id, budget, freight.held().len()).await {
+            Head::Goes { standing, after } => (step, waited) = (standing, after),
+            Head::Turned { standing, after } => {
+                let mut reply =
+                    Reply::promise(429, "a lapsed trial's request has too little time", Some(after));
+                members::mark(&mut reply.lines, Some(standing));
+                return reply;
+            }
+            Head::Unknown => return Reply::own(403, "the request names no member"),
+        }
+    }
+    let mut reply = send(post, asked, freight, route, id, budget, waited).await;
+    if post.members.looks() {
+        members::mark(&mut reply.lines, step);
+    }
+    reply
+}
+
+/// Find the service and have the request served; it waited for so long already.
+async fn send(
+    post: &Rc<Post>,
+    asked: &Asked,
+    freight: &Rc<Freight>,
+    route: &Route,
+    id: String,
+    budget: i64,
+    waited: i64,
+) -> Reply {
     let service = post.draw(&route.split);
     post.until(route.target_us / WAIT_AIM, || post.desk(&service).is_some_and(|d| d.ready())).await;
     let Some(desk) = post.desk(&service) else {
         return Reply::promise(503, "no upstream of this service is known", None);
     };
-    let budget = asked.deadline.map_or(route.deadline_us, |d| d.min(route.deadline_us));
-    if budget <= 0 {
+    if budget <= waited {
         return Reply::promise(503, "its time is up", None);
     }
     let run = Run {
@@ -338,12 +369,19 @@
         service,
         id,
         route: route.clone(),
-        started: Instant::now(),
+        started: before(waited),
         budget,
+        waited,
     };
     run.serve().await
 }
 
+/// The moment so many microseconds ago.
+fn before(waited: i64) -> Instant {
+    let now = Instant::now();
+    now.checked_sub(Duration::from_micros(waited.max(0) as u64)).unwrap_or(now)
+}
+
 /// One request on its way.
 struct Run {
     post: Rc<Post>,
@@ -355,6 +393,7 @@
     route: Route,
     started: Instant,
     budget: i64,
+    waited: i64,
 }
 
 /// What an attempt brought.
@@ -383,7 +422,9 @@
 impl Run {
     async fn serve(self) -> Reply {
         let (mail, mut inbox) = unbounded_channel();
-        let Some(ticket) = self.desk.take(&self.route.name, self.budget, (mail.clone(), &mut inbox)) else {
+        let Some(ticket) =
+            self.desk.take(&self.route.name, self.budget - self.waited, (mail.clone(), &mut inbox))
+        else {
             return Reply::promise(503, "too much is open here", None);
         };
         let mut out = Out::default();
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -12,6 +12,8 @@
 mod gate;
 mod hop;
 mod leaf;
+mod members;
+mod membership;
 mod paced;
 mod post;
 mod receipts;
@@ -41,11 +43,12 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 
-const HELP: &str = "posthouse carrier|office [--settings FILE] [--check]
+const HELP: &str = "posthouse carrier|office [--settings FILE] [--check] | members ...
   carrier   beside an upstream: carries requests
   office    on a machine with a disk: holds the control state
   --settings FILE   the machine's settings (YAML); else the file named in SILVERCROSS_NODE_FILE
   --check           read the settings, say what is wrong with them, and end
+  members   members and how far their slowing has come; posthouse members --help
 Logs are JSON lines on standard error; SILVERCROSS_LOG=debug|info|warning says how many.";
 
 fn main() {
@@ -60,18 +63,21 @@
 
 fn run() -> Result<()> {
     let mut args = pico_args::Arguments::from_env();
-    if args.contains(["-h", "--help"]) {
-        println!("{HELP}");
-        return Ok(());
-    }
     if args.contains("--version") {
         println!("posthouse {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
+    let role = args.subcommand()?;
+    if role.as_deref() == Some("members") {
+        return membership::run(args);
+    }
+    if args.contains(["-h", "--help"]) {
+        println!("{HELP}");
+        return Ok(());
+    }
     let check = args.contains("--check");
     let file: Option<PathBuf> =
         args.opt_value_from_os_str("--settings", |s| Ok::<_, String>(PathBuf::from(s)))?;
-    let role = args.subcommand()?;
     if let Some(extra) = args.finish().first() {
         bail!("{}: not understood\n{HELP}", extra.to_string_lossy());
     }
@@ -178,6 +184,9 @@
     tokio::task::spawn_local(Carriers::tick(post.clone()));
     tokio::task::spawn_local(gate::Gate::tick(post.clone()));
     tokio::task::spawn_local(post.clone().watch());
+    if post.boot.core {
+        tokio::task::spawn_local(members::duty(post.clone()));
+    }
     if let Some(synced) = synced {
         tokio::task::spawn_local(Carriers::synced(post.clone(), synced));
     }
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -6,6 +6,7 @@
 use crate::gate::Gate;
 use crate::hop::{self, Pool};
 use crate::leaf::{Leaf, CONFIGURATION, EVACUATION};
+use crate::members::Members;
 use crate::paced::Paced;
 use crate::receipts::Receipts;
 use crate::reload::{self, Reload};
@@ -15,7 +16,7 @@
 use serde::Deserialize;
 use silvercross_facade::{Clock, Health, Host};
 use silvercross_rounds::Record;
-use silvercross_sorting::Table;
+use silvercross_sorting::{Configuration, Table};
 use silvercross_wicket::{Allowance, Facts};
 use slog::{debug, info, warn, Logger};
 use std::cell::{Cell, RefCell};
@@ -189,6 +190,8 @@
     pub gate: Gate,
     /// Links and who decides about them.
     pub carriers: Carriers,
+    /// Members and how far each is slowed.
+    pub members: Members,
     /// Requests open now.
     pub open: Cell<u64>,
     /// Operators' calls refused, for the log.
@@ -226,6 +229,7 @@
         let tickets = Cell::new(chance.next_u64());
         let pool = Pool::default();
         pool.hold((boot.descriptors / 4) as usize);
+        let members = Members::new(carriers.ledger(|l| l.roster().len() == 1).unwrap_or(false));
         Rc::new(Post {
             stores: Stores::new(boot.memory),
             receipts,
@@ -239,6 +243,7 @@
             pool,
             gate,
             carriers,
+            members,
             open: Cell::new(0),
             refusals: Paced::default(),
             paces: Default::default(),
@@ -308,6 +313,7 @@
     pub fn begin_stop(self: &Rc<Self>) {
         if !self.stopping.replace(true) {
             info!(self.log, "stopping");
+            self.members.release();
             self.tell();
         }
     }
@@ -485,19 +491,15 @@
             force.revisions.insert(key.to_string(), revision);
         }
         match leaf {
-            Leaf::Blank => {}
+            Leaf::Blank => self.members.lapse(self, key, revision, None),
             Leaf::Configuration(configuration) if key == CONFIGURATION => {
-                {
-                    let mut force = self.force.borrow_mut();
-                    force.table = Rc::new(Table::new(&configuration));
-                    force.configured = true;
-                }
-                info!(self.log, "configuration in force"; "round" => revision.0, "change" => revision.2);
-                self.allow();
-                self.reset_terms();
-                self.news.notify_waiters();
-                self.ask_station();
+                self.configure(&configuration, revision);
             }
+            Leaf::Whole(whole) if key == CONFIGURATION => {
+                self.members.roll(self, &whole.roll);
+                self.configure(&whole.configuration, revision);
+            }
+            Leaf::Lapse(lapse) => self.members.lapse(self, key, revision, Some(lapse)),
             Leaf::Evacuation(on) => {
                 let Some(zone) = key.strip_prefix(EVACUATION) else { return };
                 {
@@ -515,8 +517,21 @@
                 }
                 self.relist();
             }
-            Leaf::Configuration(_) => {}
+            Leaf::Configuration(_) | Leaf::Whole(_) => {}
+        }
+    }
+
+    fn configure(self: &Rc<Self>, configuration: &Configuration, revision: (u64, u64, u64)) {
+        {
+            let mut force = self.force.borrow_mut();
+            force.table = Rc::new(Table::new(configuration));
+            force.configured = true;
         }
+        info!(self.log, "configuration in force"; "round" => revision.0, "change" => revision.2);
+        self.allow();
+        self.reset_terms();
+        self.news.notify_waiters();
+        self.ask_station();
     }
 
     fn allow(&self) {
--- a/crates/posthouse/src/wire.rs
+++ b/crates/posthouse/src/wire.rs
@@ -549,6 +549,7 @@
         204 => "No Content",
         307 => "Temporary Redirect",
         400 => "Bad Request",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
