Village: a member's trial lapses on twelve machines, watched on each

Nothing showed the slowing on real processes. village lapse plays it calm and under seven disturbances, follows each order through its tries, prints replies by node and second, and draws them.

--- a/crates/village/src/client.rs
+++ b/crates/village/src/client.rs
@@ -64,6 +64,7 @@
 pub struct Client {
     to: SocketAddr,
     line: Option<Line>,
+    lines: String,
 }
 
 /// A name for a try.
@@ -74,7 +75,13 @@
 impl Client {
     /// On the machine with this `outbound` address.
     pub fn new(to: SocketAddr) -> Self {
-        Client { to, line: None }
+        Client { to, line: None, lines: String::new() }
+    }
+
+    /// The same, with a header on each of its requests.
+    pub fn with(mut self, name: &str, value: &str) -> Self {
+        self.lines.push_str(&format!("{name}: {value}\r\n"));
+        self
     }
 
     /// One try.
@@ -90,7 +97,8 @@
         let method = if body.is_empty() { "GET" } else { "POST" };
         let mut bytes = format!(
             "{method} {target} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\
-             Sender: somebody-else\r\nContent-Length: {}\r\n\r\n",
+             Sender: somebody-else\r\n{}Content-Length: {}\r\n\r\n",
+            self.lines,
             body.len()
         )
         .into_bytes();
--- a/crates/village/src/lib.rs
+++ b/crates/village/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod client;
 pub mod faults;
+pub mod lapse;
 pub mod line;
 pub mod load;
 pub mod mesh;
--- a/crates/village/src/line.rs
+++ b/crates/village/src/line.rs
@@ -53,6 +53,8 @@
     pub location: Option<String>,
     /// `Station`.
     pub station: Option<String>,
+    /// `Member-Step`.
+    pub step: Option<String>,
     /// Whether another request may be sent on the connection.
     pub keep_alive: bool,
     /// Its body.
@@ -189,6 +191,7 @@
         retry_after: text(h, "retry-after")?.and_then(|t| t.parse().ok()),
         location: text(h, "location")?,
         station: text(h, "station")?,
+        step: text(h, "member-step")?,
         keep_alive: head.keep_alive,
         body: Vec::new(),
     };
--- a/crates/village/src/main.rs
+++ b/crates/village/src/main.rs
@@ -2,11 +2,11 @@
 #![forbid(unsafe_code)]
 
 use anyhow::Result;
-use silvercross_village::{faults, load, program, show};
+use silvercross_village::{faults, lapse, load, program, show};
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
 
-const HELP: &str = "village show | load | faults
+const HELP: &str = "village show | load | faults | lapse
   show      start a small mesh, have a request served, and tell what happened
   load      what a request costs through two sidecars, beside two bare forwarders
     --seconds S       each way is loaded for so long (6)
@@ -14,12 +14,17 @@
     --body BYTES      of a request (200)
     --rate R          requests a second over all clients (0: as many as go)
   faults    break a small mesh in several ways and tell what was kept
-    --only NAME       one of them";
+    --only NAME       one of them
+  lapse     a member's trial lapses on nine sides and three cores: replies by node and second, steps, what ran
+    --only NAME       one play; otherwise all
+    --svg FOLDER      a plot for each play
+    --sides N         machines with an upstream (9)";
 
 enum Command {
     Show,
     Load(load::Load),
     Faults(Option<String>),
+    Lapse(lapse::Lapse),
     Forward(std::net::SocketAddr),
 }
 
@@ -37,6 +42,11 @@
             rate: args.opt_value_from_str::<_, f64>("--rate")?.unwrap_or(0.0).clamp(0.0, 1e6),
         }),
         Some("faults") => Command::Faults(args.opt_value_from_str("--only")?),
+        Some("lapse") => Command::Lapse(lapse::Lapse {
+            only: args.opt_value_from_str("--only")?,
+            svg: args.opt_value_from_os_str("--svg", |s| Ok::<_, String>(std::path::PathBuf::from(s)))?,
+            sides: args.opt_value_from_str::<_, usize>("--sides")?.unwrap_or(9).clamp(2, 32),
+        }),
         Some("forward") => Command::Forward(args.free_from_str()?),
         _ => return Ok(None),
     };
@@ -78,6 +88,7 @@
                 Command::Show => show::show(&program).await.map(|()| true),
                 Command::Load(l) => load::load(&program, *l).await,
                 Command::Faults(only) => faults::faults(&program, only.as_deref()).await,
+                Command::Lapse(l) => lapse::lapse(&program, l).await,
                 Command::Forward(_) => Ok(true),
             }
         };
