--- a/crates/posthouse/src/members.rs
+++ b/crates/posthouse/src/members.rs
@@ -58,6 +58,8 @@
     clock: Clock,
     read: i64,
     asked: i64,
+    /// The time of day was known at the last look.
+    known: bool,
     /// The lapses looked after, and under which ownership.
     mine: BTreeMap<String, Epoch>,
     /// To be looked at though not due.
@@ -101,6 +103,7 @@
             clock: Clock::new(Guard::default(), single),
             read: i64::MIN / 2,
             asked: i64::MIN / 2,
+            known: false,
             mine: BTreeMap::new(),
             stirred: BTreeSet::new(),
         };
@@ -204,6 +207,11 @@
             }
         }
         let known = duty.clock.time(now).is_some();
+        if known && !duty.known {
+            // What waits for the time of day need not wait for its next look.
+            duty.stirred.extend(duty.mine.keys().cloned());
+        }
+        duty.known = known;
         if now - duty.asked >= if known { ASK } else { READ } {
             duty.asked = now;
             post.carriers.ask_time(post);
--- a/crates/village/src/lapse.rs
+++ b/crates/village/src/lapse.rs
@@ -4,7 +4,7 @@
 use crate::mesh::{Plan, DRAIN_S};
 use crate::station::{Manner, Runs};
 use crate::until;
-use crate::village::{told, Village, LIMIT};
+use crate::village::{is_ready, told, Village, LIMIT};
 use crate::witness::{judge, Tried};
 use anyhow::{bail, Context, Result};
 use plotters::prelude::*;
@@ -54,6 +54,8 @@
 const PAUSE: Duration = Duration::from_millis(25);
 /// Nodes are asked for their steps so often.
 const LOOK: Duration = Duration::from_millis(100);
+/// The platform asks so often whether a side is ready; two misses, and its clients go elsewhere.
+const ASKS: Duration = Duration::from_secs(1);
 /// Tries of an order.
 const TRIES: usize = 12;
 /// Bytes of an upload.
@@ -106,6 +108,8 @@
 struct Watch {
     start: Instant,
     stop: AtomicBool,
+    /// Sides that the platform gives no work now.
+    shut: Vec<AtomicBool>,
     book: Mutex<Book>,
 }
 
@@ -142,6 +146,9 @@
     let (mut ids, mut end) = (Vec::new(), End::NotPlaced);
     for n in 0..TRIES {
         let m = (home + n) % lines.len();
+        if watch.shut[m].load(Relaxed) {
+            continue;
+        }
         let id = client::id();
         let (at, began) = (watch.at(), Instant::now());
         let came = lines[m].ask(&target, &id, &body).await;
@@ -231,6 +238,17 @@
         }
     }
     let mut looks = Vec::new();
+    for (side, m) in village.mesh.sides().enumerate() {
+        let (ready, watch) = (village.mesh.ready(m), watch.clone());
+        looks.push(tokio::spawn(async move {
+            let mut missed = 0;
+            loop {
+                missed = if is_ready(ready).await { 0 } else { missed + 1 };
+                watch.shut[side].store(missed >= 2, Relaxed);
+                tokio::time::sleep(ASKS).await;
+            }
+        }));
+    }
     for node in 0..village.mesh.machines.len() {
         let (control, watch) = (village.mesh.control(node), watch.clone());
         looks.push(tokio::spawn(async move {
@@ -553,8 +571,9 @@
 async fn play(name: &str, program: &Path, how: &Lapse) -> Result<Vec<String>> {
     let plan = Plan { side: how.sides, ..Plan::default() };
     let mut village = Village::open(&plan, Manner::default(), program).await?;
-    let watch =
-        Arc::new(Watch { start: Instant::now(), stop: AtomicBool::new(false), book: Mutex::default() });
+    let shut = (0..how.sides).map(|_| AtomicBool::new(false)).collect();
+    let (start_at, stop) = (Instant::now(), AtomicBool::new(false));
+    let watch = Arc::new(Watch { start: start_at, stop, shut, book: Mutex::default() });
     let (mut clients, looks) = start(&village, &watch);
     // Before there is any member.
     tokio::time::sleep(Duration::from_secs(3)).await;
@@ -568,6 +587,9 @@
             Outs::new()
         }
     };
+    if !outs.is_empty() {
+        println!("  machines disturbed, one after another: {}", outs.len());
+    }
     let renewed = watch.highest().0 > 1;
     if !renewed {
         if let Err(e) = until_step(&watch, 1, STEPS).await {
