--- a/crates/posthouse/src/membership.rs
+++ b/crates/posthouse/src/membership.rs
@@ -222,7 +222,7 @@
                 Some(row) => println!(
                     "{at:<22} {node:<12} {:<6} {:>8} {:>7} {:>7} {:>8}  {}",
                     row["plan"].as_str().unwrap_or("-"),
-                    row["edition"],
+                    row["edition"].to_string(),
                     if row["lapsed"] == true { "yes" } else { "no" },
                     step(row),
                     age(row),
@@ -262,7 +262,7 @@
         let steps: Vec<String> = steps.into_iter().map(|(_, text, n)| format!("{text} on {n}")).collect();
         let newest = found.iter().max_by_key(|row| row["edition"].as_u64());
         let plan = newest.and_then(|row| row["plan"].as_str()).unwrap_or("-");
-        let edition = newest.map_or(Value::Null, |row| row["edition"].clone());
+        let edition = newest.map_or("-".to_string(), |row| row["edition"].to_string());
         println!("{name:<24} {plan:<6} {edition:>8}  {}", steps.join(", "));
     }
     Ok(())
