--- a/crates/village/src/load.rs
+++ b/crates/village/src/load.rs
@@ -5,6 +5,7 @@
 use crate::station::Manner;
 use crate::village::{told, Village};
 use anyhow::{Context, Result};
+use serde_json::json;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -95,6 +96,8 @@
     pub body: usize,
     /// Requests a second over all clients; 0: each asks again at once.
     pub rate: f64,
+    /// So many members stand, and requests carry a member's key; with 0 they carry it and no member was ever sent.
+    pub members: Option<usize>,
 }
 
 async fn go(
@@ -112,6 +115,9 @@
             let target = format!("{target}{n}");
             tokio::spawn(async move {
                 let mut client = Client::new(to);
+                if load.members.is_some() {
+                    client = client.with("Club", "k-0");
+                }
                 let body = vec![b'x'; load.body];
                 let (mut served, mut failed, base) = (0u64, Vec::new(), crate::fresh());
                 while began.elapsed() < span {
@@ -156,6 +162,13 @@
     // Ranked first and repeatable: nothing but the way is measured.
     let route = Route { name: "r-load".into(), lane: "/load/".into(), ..Route::of(&service, Kind::Safe) };
     village.operator.patch(&patch(&[route], &[], 2)).await?;
+    if let Some(members) = load.members.filter(|n| *n > 0) {
+        let item = |n| json!({ "name": format!("m-{n}"), "key": format!("k-{n}"), "plan": "trial", "lapsesAt": 4e9, "edition": 1 });
+        let items: Vec<_> = (0..members).map(item).collect();
+        let call =
+            json!({ "deliver": { "membership": { "header": "club", "edition": 1 }, "members": items } });
+        village.operator.patch(&call).await?;
+    }
     let to = mesh.outbound(sides[0]);
     crate::until("the route takes hold", crate::village::LIMIT, || async {
         Client::new(to).ask("/load/first", &crate::client::id(), b"").await.status() == Some(200)
--- a/crates/village/src/main.rs
+++ b/crates/village/src/main.rs
@@ -13,6 +13,7 @@
     --connections C   clients (32)
     --body BYTES      of a request (200)
     --rate R          requests a second over all clients (0: as many as go)
+    --members N       requests carry a member's key, and so many members stand (0: none was ever sent)
   faults    break a small mesh in several ways and tell what was kept
     --only NAME       one of them
   lapse     a member's trial lapses on nine sides and three cores: replies by node and second, steps, what ran
@@ -40,6 +41,7 @@
             connections: args.opt_value_from_str::<_, usize>("--connections")?.unwrap_or(32).clamp(1, 1024),
             body: args.opt_value_from_str::<_, usize>("--body")?.unwrap_or(200).min(1 << 20),
             rate: args.opt_value_from_str::<_, f64>("--rate")?.unwrap_or(0.0).clamp(0.0, 1e6),
+            members: args.opt_value_from_str::<_, usize>("--members")?,
         }),
         Some("faults") => Command::Faults(args.opt_value_from_str("--only")?),
         Some("lapse") => Command::Lapse(lapse::Lapse {
