Postmaster: nodes, ledger, apply, evacuate, backup, doctor, by one client

Operators had curl only, and nobody compared what nodes know. The state that a node tells now has the control address, life and upstream of every node, its links, the age of its news and each key as it stands at a holder; the new client asks all nodes and shows, changes (checked whole, with line and column, waiting until each node goes by it) and compares.

--- /dev/null
+++ b/crates/gazette/src/lib.rs
@@ -0,0 +1,1 @@
+//! The event feed of the mesh, decided without I/O.
--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -1,6 +1,10 @@
 //! What a process tells of itself: counters, and the state that operators ask for.
+use crate::carriers::Body;
+use crate::leaf::Leaf;
 use crate::post::Post;
 use serde_json::{json, Value};
+use silvercross_ledger::{Ledger, Role};
+use silvercross_rounds::Record;
 use std::net::Ipv4Addr;
 
 /// The counters, by name.
@@ -28,31 +32,71 @@
     })
 }
 
+fn address(node: u32) -> String {
+    Ipv4Addr::from_bits(node).to_string()
+}
+
+fn control(node: u32, port: u16) -> Option<String> {
+    (port > 0).then(|| format!("{}:{port}", address(node)))
+}
+
+fn node(n: &Record<Body>) -> Value {
+    let upstream = n.body.station.as_ref().map(|s| {
+        json!({ "id": s.id, "service": s.service, "slots": s.slots, "draining": s.draining, "silent": s.silent,
+            "colds": s.colds })
+    });
+    json!({ "node": address(n.node.0), "zone": n.zone, "core": n.core, "gone": n.gone, "leaving": n.body.leaving,
+        "life": n.life, "seq": n.seq, "control": control(n.node.0, n.body.control),
+        "upstream": n.body.station.as_ref().map(|s| s.id.clone()),
+        "service": n.body.station.as_ref().map(|s| s.service.clone()), "at": upstream })
+}
+
+/// What the ledger on this machine holds: each key as it stands here, and what this holder is to it.
+fn ledger(ledger: &Ledger<Leaf>) -> Value {
+    let keys: Vec<Value> = ledger
+        .state()
+        .iter()
+        .map(|k| {
+            let role = match k.role {
+                Role::Owner => "owner",
+                Role::Claiming => "claiming",
+                Role::Holder => "holder",
+                Role::Repairing => "repairing",
+            };
+            json!({ "key": k.key, "role": role, "owner": k.owner.map(|n| address(n.0)),
+                "promised": { "round": k.promised.round, "owner": address(k.promised.owner) },
+                "accepted": { "round": k.accepted.epoch.round, "owner": address(k.accepted.epoch.owner),
+                    "change": k.accepted.seq } })
+        })
+        .collect();
+    let f = ledger.figures();
+    let roster: Vec<String> = ledger.roster().iter().map(|n| address(n.0)).collect();
+    json!({ "voter": ledger.voter(), "roster": roster, "keys": keys,
+        "figures": { "claims": f.claims, "taken": f.taken, "steppedDown": f.stepped_down, "copiesSent": f.copies_sent,
+            "wholesSent": f.wholes_sent, "behind": f.behind, "refusedLowerEpoch": f.refused_lower_epoch,
+            "strangers": f.strangers, "unsettled": f.unsettled, "passed": f.passed, "repairs": f.repairs,
+            "outlived": f.outlived } })
+}
+
 /// Who is there, what is in force, and, where this machine holds the ledger, its keys.
 pub fn state(post: &Post) -> Value {
     let revisions: Vec<Value> = post
         .revisions()
         .iter()
-        .map(|(key, r)| json!({ "key": key, "round": r.0, "owner": Ipv4Addr::from_bits(r.1 as u32).to_string(), "change": r.2 }))
+        .map(|(key, r)| json!({ "key": key, "round": r.0, "owner": address(r.1 as u32), "change": r.2 }))
         .collect();
-    let nodes: Vec<Value> = post.carriers.rounds(|r| {
-        r.records()
-            .map(|n| {
-                json!({ "node": Ipv4Addr::from_bits(n.node.0).to_string(), "zone": n.zone, "core": n.core,
-                    "gone": n.gone, "leaving": n.body.leaving,
-                    "upstream": n.body.station.as_ref().map(|s| s.id.clone()),
-                    "service": n.body.station.as_ref().map(|s| s.service.clone()) })
-            })
-            .collect()
-    });
-    let parent = post.carriers.rounds(|r| r.parent()).map(|p| Ipv4Addr::from_bits(p.0).to_string());
+    let nodes: Vec<Value> = post.carriers.rounds(|r| r.records().map(node).collect());
+    let parent = post.carriers.rounds(|r| r.parent()).map(|p| address(p.0));
+    let linked: Vec<String> = post.carriers.rounds(|r| r.linked().iter().map(|n| address(n.0)).collect());
+    let age = post.carriers.rounds(|r| r.news_age(post.now()));
     let keys = post.carriers.ledger(|l| {
         l.settled()
             .iter()
             .map(|(key, epoch, at)| json!({ "key": key, "round": epoch.round, "change": at.seq }))
             .collect::<Vec<_>>()
     });
-    json!({ "node": post.boot.node, "zone": post.boot.zone, "core": post.boot.core, "parent": parent,
-        "configured": post.configured(), "evacuated": post.evacuated(), "revisions": revisions,
-        "nodes": nodes, "owns": keys })
+    json!({ "node": post.boot.node, "ip": post.boot.ip.to_string(), "zone": post.boot.zone, "zones": post.boot.zones,
+        "core": post.boot.core, "version": env!("CARGO_PKG_VERSION"), "parent": parent, "linked": linked,
+        "newsAgeUs": age, "ready": post.ready(), "configured": post.configured(), "evacuated": post.evacuated(),
+        "revisions": revisions, "nodes": nodes, "owns": keys, "ledger": post.carriers.ledger(ledger) })
 }
--- /dev/null
+++ b/crates/postmaster/tests/against.rs
@@ -0,0 +1,143 @@
+//! The client against a mesh of the real program.
+use serde_json::{json, Value};
+use silvercross_village::mesh::Plan;
+use silvercross_village::station::Manner;
+use silvercross_village::village::LIMIT;
+use silvercross_village::{program, until, Village};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+async fn village() -> Village {
+    let program = program::find().expect("the program is built");
+    Village::open(&Plan::default(), Manner::default(), &program).await.expect("it starts")
+}
+
+struct Ran {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+fn run(v: &Village, at: usize, args: &[&str]) -> Ran {
+    let said: Output = Command::new(env!("CARGO_BIN_EXE_postmaster"))
+        .args(args)
+        .args(["--at", &v.mesh.control(at).to_string()])
+        .output()
+        .expect("it runs");
+    let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
+    Ran { code: said.status.code().unwrap_or(-1), out: text(&said.stdout), err: text(&said.stderr) }
+}
+
+fn json_of(ran: &Ran) -> Value {
+    serde_json::from_str(&ran.out).unwrap_or_else(|e| panic!("{e}: {} {}", ran.out, ran.err))
+}
+
+fn file(v: &Village, name: &str, text: &str) -> PathBuf {
+    let path = v.mesh.dir().join(name);
+    std::fs::write(&path, text).expect("written");
+    path
+}
+
+fn named(path: &Path) -> &str {
+    path.to_str().expect("plain")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_mesh_is_looked_at_changed_backed_up_and_examined() {
+    let mut v = village().await;
+    let side = v.mesh.sides().start;
+
+    // The same is seen from an office and from a carrier.
+    for at in [0, side] {
+        let nodes = run(&v, at, &["nodes", "--json"]);
+        let list = json_of(&nodes);
+        assert_eq!((nodes.code, list.as_array().map(Vec::len)), (0, Some(7)), "{}", nodes.out);
+        let ledger = run(&v, at, &["ledger", "--json"]);
+        let told = json_of(&ledger);
+        assert_eq!((ledger.code, told["holders"].as_array().map(Vec::len)), (0, Some(3)), "{}", ledger.out);
+        assert_eq!(json_of(&run(&v, at, &["upstreams", "--json"])).as_array().map(Vec::len), Some(4));
+    }
+    let table = run(&v, 0, &["ledger"]);
+    assert!(table.out.contains("configuration") && table.out.contains("owner"), "{}", table.out);
+    assert!(run(&v, 0, &["routes"]).out.contains("r-bakery-safe"));
+
+    // What is given can be applied, and changes nothing.
+    let got = run(&v, 0, &["get"]);
+    let path = file(&v, "all.toml", &got.out);
+    let again = run(&v, side, &["apply", named(&path), "--json"]);
+    assert_eq!(
+        (again.code, json_of(&again)["changed"].as_u64()),
+        (0, Some(0)),
+        "{} {}",
+        again.out,
+        again.err
+    );
+
+    // A change, first dry, then in force everywhere.
+    let changed = got.out.replacen("deadline_s = 3", "deadline_s = 2.5", 1).replace("edition = 1\n", "");
+    let path = file(&v, "changed.toml", &changed);
+    let dry = run(&v, 0, &["apply", named(&path), "--dry-run"]);
+    assert!(dry.code == 0 && dry.out.contains("deadlineS: 3 -> 2.5"), "{} {}", dry.out, dry.err);
+    assert_eq!(run(&v, 0, &["get"]).out, got.out, "nothing was sent");
+    let backup = v.mesh.dir().join("backup.json");
+    assert_eq!(run(&v, 0, &["backup", named(&backup)]).code, 0);
+    let applied = run(&v, side, &["apply", named(&path)]);
+    assert!(
+        applied.code == 0 && applied.out.contains("in force at all 7 nodes"),
+        "{} {}",
+        applied.out,
+        applied.err
+    );
+
+    // Faults of a file are told whole, with their places, and nothing is sent.
+    let bad = "[routes.r-new]\ndepot = \"h\"\nlane = \"x\"\nkind = \"odd\"\ndeadline_s = 1\ndestination = \"none\"\n\
+        [destinations.b]\nlinecap = 1\n";
+    let refused = run(&v, 0, &["apply", named(&file(&v, "bad.toml", bad))]);
+    assert!(refused.code == 2 && refused.err.contains("bad.toml:8:1"), "{}", refused.err);
+
+    // Another operator is faster, and with other content.
+    let late = file(
+        &v,
+        "late.json",
+        &json!({ "deliver": { "destinations": [{ "name": "bakery", "lineCap": 7, "edition": 1 }] } })
+            .to_string(),
+    );
+    let lost = run(&v, 0, &["apply", named(&late)]);
+    assert!(lost.code == 2 && lost.err.contains("not above 1"), "{}", lost.err);
+
+    // The backup stands again, and what came after it is dropped where that is asked for.
+    let more = file(&v, "more.toml", "[destinations.inn]\nline_cap = 3\n");
+    assert_eq!(run(&v, 0, &["apply", named(&more)]).code, 0);
+    let back = run(&v, 0, &["restore", named(&backup), "--exact"]);
+    assert!(back.code == 0 && back.out.contains("- destination inn"), "{} {}", back.out, back.err);
+    assert!(back.out.contains("deadlineS: 2.5 -> 3"), "{}", back.out);
+    // A name that was dropped comes back above the edition of its drop.
+    let whole = run(&v, 0, &["get", "--json"]);
+    assert!(!whole.out.contains("\"inn\""));
+
+    let zone = v.mesh.machines[side].zone.clone();
+    assert_eq!(run(&v, side, &["evacuate", &zone]).code, 0);
+    assert!(run(&v, 0, &["doctor"]).out.contains("- evacuated"));
+    assert_eq!(run(&v, side, &["evacuate", &zone, "--end"]).code, 0);
+    assert_eq!(run(&v, side, &["evacuate", "nowhere"]).code, 4);
+
+    // The doctor: well, then with an upstream that is gone, an office that is lost and a sidecar that stands still.
+    let well = run(&v, 0, &["doctor"]);
+    assert_eq!(well.code, 0, "{}", well.out);
+    v.stations.remove(&side);
+    v.mesh.kill(2).expect("killed");
+    v.mesh.freeze(side + 1).expect("frozen");
+    let mut last = String::new();
+    until("the doctor names all three", LIMIT, || {
+        let found = run(&v, 0, &["doctor", "--json"]);
+        last = found.out;
+        let all: Value = serde_json::from_str(&last).unwrap_or(Value::Null);
+        let names: Vec<&str> =
+            all["findings"].as_array().into_iter().flatten().filter_map(|f| f["name"].as_str()).collect();
+        let so = found.code == 1 && ["upstream silent", "gone"].iter().all(|n| names.contains(n));
+        std::future::ready(so && names.iter().filter(|n| ["gone", "silent"].contains(n)).count() == 2)
+    })
+    .await
+    .unwrap_or_else(|e| panic!("{e}: {last}"));
+    v.mesh.thaw(side + 1).expect("thawed");
+}
