--- a/crates/postmaster/src/plan.rs
+++ b/crates/postmaster/src/plan.rs
@@ -232,7 +232,7 @@
                 )),
                 (set, Some(found)) => {
                     let (now, equal) = (found.edition.unwrap_or(0), differences(found, &line.item).is_empty());
-                    if now > edition || (set && !equal) || !set {
+                    if !set || now > edition || !equal {
                         out.push(format!("{kind} {name}: edition {now} of another call stands (`postmaster get`, then again)"));
                     }
                 }
