--- a/crates/posthouse/src/control.rs
+++ b/crates/posthouse/src/control.rs
@@ -1,8 +1,9 @@
 //! Calls of upstreams, operators and the platform: each is declared beside its handler. One connection a task, one call at a
 //! time on it.
+use crate::feed;
 use crate::leaf::{Leaf, Order, CONFIGURATION, EVACUATION};
 use crate::post::{Beat, Door, Post};
-use crate::wire::{self, End, Line, Wrong};
+use crate::wire::{self, Asked, End, Line, Wrong};
 use serde_json::json;
 use silvercross_ledger::Verdict;
 use slog::info;
@@ -145,6 +146,9 @@
             if let Some(n) = post.refusals.due(post.now()) {
                 info!(post.log, "refused"; "key" => key, "why" => &refusal.reason, "count" => n);
             }
+            if let Some(feed) = post.feed.get() {
+                feed.refused(post, key, &refusal.reason);
+            }
             Said::fault(if refusal.conflict { 409 } else { 400 }, &refusal.reason)
         }
         Some(Verdict::Page { .. } | Verdict::Unsettled) => Said::later(),
@@ -214,41 +218,65 @@
         let (post, open) = (post.clone(), open.clone());
         tokio::task::spawn_local(async move {
             let mut line = Line::new(stream, End::Outer(HEAD));
-            while one(&post, &mut line, calls).await {}
+            let feed = loop {
+                match one(&post, &mut line, calls).await {
+                    Next::Call => {}
+                    Next::End => break None,
+                    Next::Feed(asked, body) => break Some((asked, body)),
+                }
+            };
             open.set(open.get() - 1);
+            // Readers of the feed have a bound of their own.
+            if let Some((asked, body)) = feed {
+                feed::serve(post, line, *asked, body).await;
+            }
         });
     }
 }
 
-async fn one(post: &Rc<Post>, line: &mut Line, calls: &[&Call]) -> bool {
+/// What follows on a connection.
+enum Next {
+    Call,
+    End,
+    Feed(Box<Asked>, Vec<u8>),
+}
+
+async fn one(post: &Rc<Post>, line: &mut Line, calls: &[&Call]) -> Next {
     let asked = match line.request(IDLE, COMES, silvercross_sorting::MAX_BODY).await {
         Ok(asked) => asked,
         Err(Wrong::Bad(bad)) => {
             let bytes = wire::whole(wire::status_of(&bad), b"", b"", true, false);
             let _ = line.write(&bytes).await;
-            return false;
+            return Next::End;
         }
-        Err(_) => return false,
+        Err(_) => return Next::End,
     };
     if asked.waits && line.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
-        return false;
+        return Next::End;
     }
     let body = match timeout(COMES, line.body(asked.framing, silvercross_sorting::MAX_BODY)).await {
         Ok(Ok(body)) => body,
         Ok(Err(Wrong::Bad(bad))) => {
             let bytes = wire::whole(wire::status_of(&bad), b"", b"", true, false);
             let _ = line.write(&bytes).await;
-            return false;
+            return Next::End;
         }
-        _ => return false,
+        _ => return Next::End,
     };
+    if feed::meant(&asked) && find(calls, "GET", STATE.path).is_ok() {
+        return Next::Feed(Box::new(asked), body);
+    }
     let said = match find(calls, &asked.method, &asked.target) {
         Ok((call, name)) => (call.run)(post, &name, &body).await,
         Err(status) => Said::fault(status, "no such call"),
     };
     let close = !asked.keep_alive;
     let bytes = wire::whole(said.status, said.lines.as_bytes(), said.body.as_bytes(), close, false);
-    line.write(&bytes).await.is_ok() && !close
+    if line.write(&bytes).await.is_ok() && !close {
+        Next::Call
+    } else {
+        Next::End
+    }
 }
 
 #[cfg(test)]
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -6,6 +6,7 @@
 mod carriers;
 mod control;
 mod desk;
+mod feed;
 mod figures;
 mod freight;
 mod front;
@@ -41,10 +42,11 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 
-const HELP: &str = "posthouse carrier|office [--settings FILE] [--check]
+const HELP: &str = "posthouse carrier|office [--settings FILE] [--check] [--feed]
   carrier   beside an upstream: carries requests
   office    on a machine with a disk: holds the control state
   --settings FILE   the machine's settings (YAML); else the file named in SILVERCROSS_NODE_FILE
+  --feed            tell other tools what happens, at control: GET /-/Post.Events
   --check           read the settings, say what is wrong with them, and end
 Logs are JSON lines on standard error; SILVERCROSS_LOG=debug|info|warning says how many.";
 
@@ -69,6 +71,7 @@
         return Ok(());
     }
     let check = args.contains("--check");
+    let feed = args.contains("--feed");
     let file: Option<PathBuf> =
         args.opt_value_from_os_str("--settings", |s| Ok::<_, String>(PathBuf::from(s)))?;
     let role = args.subcommand()?;
@@ -97,14 +100,14 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
     let (ended, logged) = (log.clone(), boot.node.clone());
-    let result = local.block_on(&runtime, serve(boot, log, file));
+    let result = local.block_on(&runtime, serve(boot, log, file, feed));
     if let Err(e) = &result {
         error!(ended, "cannot run"; "why" => format!("{e:#}"), "at" => logged);
     }
     result
 }
 
-async fn serve(boot: settings::Boot, log: Logger, file: PathBuf) -> Result<()> {
+async fn serve(boot: settings::Boot, log: Logger, file: PathBuf, feed: bool) -> Result<()> {
     let clock = Clock::system();
     let now = clock.now();
     let seed = RandomState::new().build_hasher().finish();
@@ -152,6 +155,9 @@
     let carriers = Carriers::new(boot.ip, boot.ports.0, rounds, ledger, udp);
     let post = Post::new(boot, log, gate, carriers, clock, chance);
     post.reload.begin(&file);
+    if feed {
+        let _ = post.feed.set(feed::Feed::new());
+    }
     let mut listeners = Vec::new();
     for (key, at) in [("outbound", post.boot.outbound), ("inbound", post.boot.inbound)] {
         if let Some(at) = at {
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -2,6 +2,7 @@
 //! upstream beside it. Each part behind a borrow that never outlives a statement.
 use crate::carriers::{Body, Carriers, Station};
 use crate::desk::{self, Desk, Terms};
+use crate::feed::Feed;
 use crate::freight::Stores;
 use crate::gate::Gate;
 use crate::hop::{self, Pool};
@@ -189,6 +190,8 @@
     pub gate: Gate,
     /// Links and who decides about them.
     pub carriers: Carriers,
+    /// Events for other tools, where they are asked for.
+    pub feed: std::cell::OnceCell<Feed>,
     /// Requests open now.
     pub open: Cell<u64>,
     /// Operators' calls refused, for the log.
@@ -239,6 +242,7 @@
             pool,
             gate,
             carriers,
+            feed: std::cell::OnceCell::new(),
             open: Cell::new(0),
             refusals: Paced::default(),
             paces: Default::default(),
@@ -459,6 +463,9 @@
 
     /// News of another sidecar.
     pub fn record(self: &Rc<Self>, record: Record<Body>) {
+        if let Some(feed) = self.feed.get() {
+            feed.record(&record);
+        }
         let before = self.sides();
         if record.gone {
             self.others.borrow_mut().remove(&record.node.0);
@@ -484,6 +491,9 @@
             }
             force.revisions.insert(key.to_string(), revision);
         }
+        if let Some(feed) = self.feed.get() {
+            feed.page(key, revision, &leaf);
+        }
         match leaf {
             Leaf::Blank => {}
             Leaf::Configuration(configuration) if key == CONFIGURATION => {
@@ -664,9 +674,18 @@
     fn tell(self: &Rc<Self>) {
         let body = self.body();
         self.carriers.tell(self, body);
+        self.feed_own();
         self.relist();
     }
 
+    /// This sidecar's own record, for the feed.
+    fn feed_own(&self) {
+        if let Some(feed) = self.feed.get() {
+            let me = silvercross_rounds::Node(self.boot.ip.to_bits());
+            self.carriers.rounds(|r| r.record(me).into_iter().for_each(|own| feed.record(own)));
+        }
+    }
+
     /// A beat of the upstream on this machine; `false` if it is of a life that has ended.
     pub fn beat(self: &Rc<Self>, id: &str, beat: Beat) -> bool {
         self.counts.beats.set(self.counts.beats.get() + 1);
@@ -833,6 +852,7 @@
                 looked = now;
                 reload::look(&self, false);
             }
+            self.feed_own();
             if now - told >= FIGURES {
                 told = now;
                 debug!(self.log, "figures"; "all" => crate::figures::figures(&self).to_string());
--- a/crates/postmaster/src/call.rs
+++ b/crates/postmaster/src/call.rs
@@ -87,7 +87,13 @@
         Ok(Some(String::from_utf8_lossy(&bytes).trim_end().to_string()))
     }
 
-    fn whole(mut self) -> Result<Answer> {
+    /// How long each wait may take from now on.
+    pub fn patience(&self, limit: Duration) -> Result<()> {
+        Ok(self.reader.get_ref().set_read_timeout(Some(limit))?)
+    }
+
+    /// The rest, whole.
+    pub fn whole(mut self) -> Result<Answer> {
         let mut body = Vec::new();
         if self.chunked {
             bail!("an answer in chunks is not expected here");
--- a/crates/postmaster/src/main.rs
+++ b/crates/postmaster/src/main.rs
@@ -4,6 +4,7 @@
 mod apply;
 mod call;
 mod doctor;
+mod events;
 mod file;
 mod mesh;
 mod outcome;
@@ -35,6 +36,9 @@
   get                    what stands, as a file for apply
   apply FILE             put a file (TOML or JSON) in force; --dry-run shows the diff and ends
   evacuate ZONE [--end]  nothing more to a zone's upstreams; --end: they begin again
+  events                 what happened as far as is kept; --follow: and what happens from now on, from node to node
+                         --kind, --service, --zone NAME[,NAME]; --cursor FILE goes on where the last run ended;
+                         --seconds N ends then. Needs nodes started with --feed
   doctor                 compare the pictures of all nodes, say what differs and the likely reason
   backup FILE            write what stands to a file
   restore FILE           put a backup in force; --exact drops what came after it; --dry-run as above
@@ -75,6 +79,19 @@
     if !(wait.is_finite() && (0.0..=86_400.0).contains(&wait)) {
         return Err(end(UNUSABLE, format!("--wait {wait}: not between 0 and 86,400 seconds")));
     }
+    let follow = args.contains("--follow");
+    let mut filters = Vec::new();
+    for (word, name) in [("--kind", "kind"), ("--service", "service"), ("--zone", "zone")] {
+        let given: Vec<String> = args.values_from_str(word).map_err(wrong)?;
+        filters.extend(given.into_iter().map(|g| (name, g)));
+    }
+    let kept: Option<PathBuf> =
+        args.opt_value_from_os_str("--cursor", |s| Ok::<_, String>(PathBuf::from(s))).map_err(wrong)?;
+    let seconds: Option<f64> = args.opt_value_from_str("--seconds").map_err(wrong)?;
+    if seconds.is_some_and(|s| !(s.is_finite() && (0.0..=604_800.0).contains(&s))) {
+        return Err(end(UNUSABLE, "--seconds: not between 0 and 604,800"));
+    }
+    let within = seconds.map(Duration::from_secs_f64);
     let Some(command) = args.subcommand().map_err(wrong)? else {
         return Err(end(UNUSABLE, format!("say what is to be done\n{HELP}")));
     };
@@ -117,6 +134,7 @@
         "evacuate" => apply::evacuate(&door, &given, !finish, how),
         "backup" => apply::backup(&door, &path, json),
         "restore" => apply::restore(&door, &path, exact, how),
+        "events" => events::events(&door, &events::Wish { follow, within, filters, kept, json }),
         "doctor" => examine(&door, json),
         other => Err(end(UNUSABLE, format!("{other}: no such command (`postmaster --help`)"))),
     }
--- a/crates/sorting/src/configuration.rs
+++ b/crates/sorting/src/configuration.rs
@@ -105,6 +105,14 @@
         self.destinations.values().filter_map(Entry::parsed)
     }
 
+    /// Names that were dropped and are remembered: what they were, and the edition of the drop.
+    pub fn dropped(&self) -> impl Iterator<Item = (&'static str, &str, u64)> {
+        let routes = self.routes.iter().filter(|(_, e)| e.item().is_none());
+        let destinations = self.destinations.iter().filter(|(_, e)| e.item().is_none());
+        let routes = routes.map(|(name, e)| ("route", name.as_str(), e.edition()));
+        routes.chain(destinations.map(|(name, e)| ("destination", name.as_str(), e.edition())))
+    }
+
     /// The limits, if any were sent.
     pub fn limits(&self) -> Option<&Limits> {
         self.limits.as_ref().map(|item| &item.parsed)
--- a/crates/village/src/mesh.rs
+++ b/crates/village/src/mesh.rs
@@ -32,6 +32,8 @@
     pub beat_s: f64,
     /// The figures of the rules, as they stand in a settings file.
     pub bounds: Vec<(&'static str, f64)>,
+    /// Further words on each process's command line.
+    pub words: Vec<&'static str>,
 }
 
 impl Default for Plan {
@@ -49,7 +51,7 @@
             ("coldSlack", 5.0),
         ];
         let services = vec!["bakery".to_string(), "smithy".to_string()];
-        Plan { core: 3, side: 4, zones: 3, services, beat_s: 0.5, bounds }
+        Plan { core: 3, side: 4, zones: 3, services, beat_s: 0.5, bounds, words: Vec::new() }
     }
 }
 
@@ -257,6 +259,7 @@
         let log = File::options().create(true).append(true).open(me.dir.join("log"))?;
         let child = Command::new(&program)
             .arg(if me.core { "office" } else { "carrier" })
+            .args(&self.plan.words)
             .env_clear()
             .env("SILVERCROSS_NODE_FILE", &file)
             .stdin(Stdio::null())
