Postmaster: a test of two operators at once

A call is whole, what stands was acknowledged, and the other operator is told (code 1 or 4), or stood before it was overtaken.

--- a/crates/postmaster/tests/against.rs
+++ b/crates/postmaster/tests/against.rs
@@ -5,7 +5,7 @@
 use silvercross_village::village::LIMIT;
 use silvercross_village::{program, until, Village};
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 async fn village() -> Village {
     let program = program::find().expect("the program is built");
@@ -111,6 +111,33 @@
     let lost = run(&v, 0, &["apply", named(&late)]);
     assert!(lost.code == 2 && lost.err.contains("not above 1"), "{}", lost.err);
 
+    // Two operators at once, with other content at the same editions: one is told that it was not the one.
+    let race: Vec<_> = [(0, 41), (side, 42)]
+        .map(|(at, cap)| {
+            let text =
+                format!("[destinations.bakery]\nline_cap = {cap}\n[destinations.smithy]\nline_cap = {cap}\n");
+            let path = file(&v, &format!("race-{cap}.toml"), &text);
+            let mut command = Command::new(env!("CARGO_BIN_EXE_postmaster"));
+            command.args(["apply", named(&path), "--at", &v.mesh.control(at).to_string()]);
+            (cap, command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it runs"))
+        })
+        .into_iter()
+        .map(|(cap, mut child)| (cap, child.wait().expect("it ends").code()))
+        .collect();
+    let whole = json_of(&run(&v, 0, &["get", "--json"]));
+    let caps: Vec<&Value> =
+        whole["destinations"].as_array().into_iter().flatten().map(|d| &d["lineCap"]).collect();
+    assert_eq!(caps[0], caps[1], "a call is whole: {race:?}");
+    for (cap, code) in &race {
+        // 0: it stands, or stood until the other read it and went above it; 1: overtaken; 4: refused.
+        assert!(matches!(code, Some(0 | 1 | 4)), "{race:?}");
+        assert!(
+            *caps[0] != json!(cap) || *code == Some(0),
+            "what stands was acknowledged: {race:?} {caps:?}"
+        );
+    }
+    assert!(race.iter().any(|(cap, _)| *caps[0] == json!(cap)), "{race:?} {caps:?}");
+
     // The backup stands again, and what came after it is dropped where that is asked for.
     let more = file(&v, "more.toml", "[destinations.inn]\nline_cap = 3\n");
     assert_eq!(run(&v, 0, &["apply", named(&more)]).code, 0);
