Ledger: the roster has versions, and a holder that is gone for good is replaced by a candidate

The roster was fixed when the disk was formatted, so a second loss after one for good ended the quorum. Now it is a versioned value on disk; a change goes through a joint roster, each step is decided by more than half of the roster before it, and nothing is heeded under an older version.

--- a/crates/ledger/src/calls.rs
+++ b/crates/ledger/src/calls.rs
@@ -209,7 +209,8 @@
             }
             _ => {
                 let passed = Passed::NotOwner(slot.seen);
-                self.later(now, After::Send(from, Letter::Verdict { id, under, passed }));
+                let version = self.roster.version;
+                self.later(now, After::Send(version, from, Letter::Verdict { id, under, passed }));
             }
         }
     }
@@ -259,6 +260,20 @@
         }
     }
 
+    /// All calls that are not at home here get another place: the holders are others now, or this node is one.
+    pub(crate) fn reroute(&mut self, now: Micros) {
+        let mut ids = Vec::new();
+        for (id, call) in &mut self.open {
+            if !matches!(call.at, At::Here) {
+                call.tried.clear();
+                ids.push(*id);
+            }
+        }
+        for id in ids {
+            self.route(now, id);
+        }
+    }
+
     pub(crate) fn tick_calls(&mut self, now: Micros) {
         let due: Vec<u64> =
             self.open.iter().filter(|(_, call)| call.due() <= now).map(|(id, _)| *id).collect();
--- a/crates/ledger/src/holder.rs
+++ b/crates/ledger/src/holder.rs
@@ -2,7 +2,7 @@
 
 use crate::ledger::{After, Broken, Ledger, Phase, Stand};
 use crate::letter::{Body, Letter, Life, Lives, Stored};
-use crate::{Epoch, Micros, Node, Page, Revision};
+use crate::{Epoch, Micros, Node, Page, Revision, Vote};
 
 impl<P: Page> Ledger<P> {
     /// Refuses what is of a lower epoch than promised.
@@ -31,7 +31,7 @@
             self.write_key(&key);
         }
         let letter = Letter::Promise { key, epoch, accepted, page, lives };
-        self.later(now, After::Send(from, letter));
+        self.later(now, After::Send(self.roster.version, from, letter));
     }
 
     pub(crate) fn on_copy(
@@ -73,7 +73,8 @@
         }
         let Some(seq) = self.keys.get(&key).map(|slot| slot.accepted.seq) else { return };
         let lives = self.lives();
-        self.later(now, After::Send(from, Letter::Kept { key, epoch, seq, lives }));
+        let version = self.roster.version;
+        self.later(now, After::Send(version, from, Letter::Kept { key, epoch, seq, lives }));
     }
 
     pub(crate) fn on_confirm(&mut self, now: Micros, from: Node, key: String, epoch: Epoch, round: u64) {
@@ -121,7 +122,7 @@
         for (node, life) in &lives.others {
             if *node == self.me {
                 self.outlive(*life);
-            } else if self.roster.contains(node) {
+            } else if self.roster.contains(*node) {
                 let known = self.lives.entry(*node).or_default();
                 *known = (*known).max(*life);
             }
@@ -138,7 +139,7 @@
     /// Asks all others for everything.
     pub(crate) fn ask_repair(&mut self, now: Micros) {
         self.repair.sent = now;
-        for to in self.roster.clone() {
+        for to in self.roster() {
             let has = self.repair.replies.get(&to).is_some_and(|life| self.current(to, *life));
             if to != self.me && self.up.contains(&to) && !has {
                 self.send(to, Letter::Recover { life: self.life });
@@ -161,7 +162,9 @@
         }
         let keys = self.keys.keys().filter_map(|key| self.stored_key(key)).collect();
         let lives = self.lives();
-        self.later(Micros::MIN, After::Send(from, Letter::Recovered { life, keys, lives }));
+        let (version, vote) = (self.roster.version, self.vote.clone());
+        let letter = Letter::Recovered { life, keys, vote, lives };
+        self.later(Micros::MIN, After::Send(version, from, letter));
     }
 
     pub(crate) fn on_outlived(&mut self, now: Micros, life: Life) {
@@ -173,6 +176,7 @@
             self.life = Life { count: life.count.saturating_add(1), nonce: self.draw() };
             self.repair.replies.clear();
             self.repair.keys.clear();
+            self.repair.vote = Vote::default();
             self.ask_repair(now);
         }
     }
@@ -183,6 +187,7 @@
         from: Node,
         life: Life,
         keys: Vec<Stored<P>>,
+        vote: Vote,
         lives: Lives,
     ) {
         if self.phase != Phase::Repairing || life != self.life {
@@ -193,6 +198,7 @@
             return;
         }
         self.repair.replies.insert(from, lives.mine);
+        self.repair.vote.merge(vote);
         for stored in keys {
             let Some(known) = self.repair.keys.get_mut(&stored.key) else {
                 self.repair.keys.insert(stored.key.clone(), stored);
@@ -205,18 +211,20 @@
             }
         }
         // The answers are of others alone, and still more than half of the whole roster.
-        if self.count(self.repair.replies.iter()) < self.quorum() {
+        if !self.enough(self.repair.replies.iter()) {
             return;
         }
-        for (key, stored) in std::mem::take(&mut self.repair.keys) {
+        for (_, stored) in std::mem::take(&mut self.repair.keys) {
             self.adopt(now, stored);
-            if self.keys.contains_key(&key) {
-                self.write_key(&key);
-            }
         }
+        // All of them: what an earlier time as a holder left on disk is overwritten too.
+        for key in self.keys.keys().cloned().collect::<Vec<_>>() {
+            self.write_key(&key);
+        }
+        self.vote = std::mem::take(&mut self.repair.vote);
         self.repair.replies.clear();
         self.write_marker();
         self.phase = Phase::Formatting;
-        self.later(now, After::Voter);
+        self.later(now, After::Voter(self.roster.version));
     }
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -2,6 +2,7 @@
 
 use crate::letter::{Deed, Disk, Letter, Life, Lives, Marker, Stored};
 use crate::owner::{Claim, Owner};
+use crate::roster::{Proposal, Roster, Vote, LINKS};
 use crate::{calls::Call, calls::Job, Epoch, Micros, Node, Page, Revision};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -31,13 +32,17 @@
 pub const WRITES: usize = 2;
 /// Changes in one copy at most; the rest waits for the next.
 pub const BATCH: usize = 64;
+/// A holder that nobody reaches for this long is replaced, if there is a candidate.
+pub const GONE: Micros = 4_000_000;
+/// Between those who propose a change of the roster, and between the tries of each (and as much again, drawn).
+pub const STAGGER: Micros = 500_000;
 
 /// How a ledger starts.
 #[derive(Clone, Debug)]
 pub struct Start {
     /// This node.
     pub me: Node,
-    /// All holders, this node included. A roster on disk goes first.
+    /// All holders on the first start; later, where to ask who they are. A roster on disk goes first.
     pub roster: Vec<Node>,
     /// Keys that exist from the start.
     pub keys: Vec<String>,
@@ -102,6 +107,10 @@
     pub repairs: u64,
     /// What a holder said with a disk that it lost since.
     pub outlived: u64,
+    /// Letters under an older roster.
+    pub older_roster: u64,
+    /// Later rosters taken.
+    pub rosters: u64,
 }
 
 /// How a ledger is broken on purpose; without the feature `mutants` nothing heeds it.
@@ -123,14 +132,23 @@
     ReadsUnasked,
     /// Keeps what a page that refuses a change has made of it.
     KeepsPart,
+    /// A newcomer votes before it is repaired.
+    NewcomerVotes,
+    /// While a holder is being replaced more than half of the roster before is enough.
+    OldQuorumOnly,
+    /// Heeds letters under an older roster.
+    HeedsOldRoster,
+    /// A removed holder goes on voting and is counted.
+    RemovedVotes,
 }
 
 /// What waits for a write.
 pub(crate) enum After<P: Page> {
-    Send(Node, Letter<P, P::Change>),
+    /// Under which version: of an older one it is not sent any more.
+    Send(u64, Node, Letter<P, P::Change>),
     Promised { key: String, epoch: Epoch },
     Kept { key: String, epoch: Epoch, seq: u64 },
-    Voter,
+    Voter(u64),
 }
 
 /// A key here. `promised`, `accepted` and `page` are as the last write that was issued leaves them: what tells others
@@ -165,6 +183,8 @@
     /// The disk was empty.
     Repairing,
     Voter,
+    /// No holder, or it doesn't know yet.
+    Outside,
 }
 
 /// Where repair stands.
@@ -172,14 +192,25 @@
     /// Who has answered, with which life. At most one of each holder.
     pub replies: BTreeMap<Node, Life>,
     pub keys: BTreeMap<String, Stored<P>>,
+    pub vote: Vote,
     pub sent: Micros,
 }
 
 /// One holder's part of the control state.
 pub struct Ledger<P: Page> {
     pub(crate) me: Node,
-    pub(crate) roster: Vec<Node>,
+    pub(crate) roster: Roster,
+    pub(crate) vote: Vote,
+    pub(crate) proposal: Option<Proposal>,
+    /// The highest epoch of a proposal that was heard of.
+    pub(crate) ballot: Epoch,
+    pub(crate) next_try: Micros,
+    /// Linked nodes, holders or not. At most `LINKS`.
     pub(crate) up: BTreeSet<Node>,
+    /// Since when holders can't be reached.
+    pub(crate) gone: BTreeMap<Node, Micros>,
+    /// At most `CANDIDATES`.
+    pub(crate) candidates: BTreeSet<Node>,
     pub(crate) phase: Phase,
     pub(crate) life: Life,
     pub(crate) lives: BTreeMap<Node, Life>,
@@ -195,7 +226,7 @@
     deeds: Vec<Deed<P>>,
     dirty: BTreeSet<String>,
     dirty_marker: bool,
-    after: Vec<After<P>>,
+    pub(crate) after: Vec<After<P>>,
     /// Writes under way. At most `WRITES`.
     writes: VecDeque<(u64, Vec<After<P>>)>,
     write: u64,
@@ -214,21 +245,28 @@
         let (phase, marker) = match disk.marker {
             Some(marker) => (Phase::Voter, marker),
             None => {
-                let phase = if start.fresh { Phase::Formatting } else { Phase::Repairing };
-                (phase, Marker { roster: start.roster, ..Marker::default() })
+                let holds = start.fresh && start.roster.contains(&start.me);
+                let phase = if holds { Phase::Formatting } else { Phase::Outside };
+                let roster = Roster::first(u64::from(start.fresh), start.roster);
+                (phase, Marker { roster, ..Marker::default() })
             }
         };
-        let mut roster = marker.roster;
-        roster.sort();
-        roster.dedup();
+        let roster = marker.roster;
+        let gone = roster.nodes().filter(|n| *n != start.me).map(|n| (n, now)).collect();
         let mut ledger = Ledger {
             me: start.me,
             roster,
+            vote: marker.vote,
+            proposal: None,
+            ballot: Epoch::default(),
+            next_try: now,
             up: BTreeSet::new(),
+            gone,
+            candidates: BTreeSet::new(),
             phase,
             life: marker.life,
             lives: marker.lives.into_iter().collect(),
-            repair: Repair { replies: BTreeMap::new(), keys: BTreeMap::new(), sent: now },
+            repair: Repair { replies: BTreeMap::new(), keys: BTreeMap::new(), vote: Vote::default(), sent: now },
             keys: BTreeMap::new(),
             open: BTreeMap::new(),
             next_call: 0,
@@ -252,13 +290,9 @@
                 ledger.adopt(now, stored);
             }
         }
-        match phase {
-            Phase::Formatting => {
-                ledger.dirty_marker = true;
-                ledger.after.push(After::Voter);
-            }
-            Phase::Repairing => ledger.life = Life { count: 1, nonce: ledger.draw() },
-            Phase::Voter => {}
+        if phase == Phase::Formatting {
+            ledger.dirty_marker = true;
+            ledger.after.push(After::Voter(ledger.roster.version));
         }
         ledger
     }
@@ -268,11 +302,6 @@
     #[doc(hidden)]
     pub fn break_it(&mut self, broken: Broken) {
         self.broken = Some(broken);
-        if broken == Broken::WipedVotes && self.phase == Phase::Repairing {
-            self.phase = Phase::Voter;
-            self.life = Life::default();
-            self.dirty_marker = true;
-        }
     }
 
     pub(crate) fn is(&self, broken: Broken) -> bool {
@@ -311,17 +340,47 @@
         self.keys.get_mut(key)
     }
 
-    /// A letter came. From a node outside the roster it is counted and dropped.
-    pub fn letter(&mut self, now: Micros, from: Node, letter: Letter<P, P::Change>) {
-        if from == self.me || !self.roster.contains(&from) {
+    /// A letter came, said under this version of the roster. One of an older version is answered with the newer roster and
+    /// does nothing else. From a node outside the roster it is counted and dropped, but for calls that it passes.
+    pub fn letter(&mut self, now: Micros, from: Node, version: u64, letter: Letter<P, P::Change>) {
+        if from == self.me {
+            self.figures.strangers += 1;
+            return;
+        }
+        let mine = self.roster.version;
+        if let Letter::Roster { roster } = letter {
+            if roster.version < mine {
+                self.send(from, Letter::Roster { roster: self.roster.clone() });
+            }
+            self.take_roster(now, roster);
+            return;
+        }
+        if version > mine && !self.is(Broken::HeedsOldRoster) {
+            self.send(from, Letter::Which);
+            return;
+        }
+        if version < mine && !self.is(Broken::HeedsOldRoster) {
+            self.figures.older_roster += 1;
+            self.send(from, Letter::Roster { roster: self.roster.clone() });
+            return;
+        }
+        let known = self.roster.contains(from) || self.is(Broken::RemovedVotes);
+        if !known && !matches!(letter, Letter::Pass { .. }) {
             self.figures.strangers += 1;
             return;
         }
+        self.heed(now, from, letter);
+    }
+
+    fn heed(&mut self, now: Micros, from: Node, letter: Letter<P, P::Change>) {
         match letter {
             Letter::Verdict { id, under, passed } => self.on_verdict(now, from, id, under, passed),
-            Letter::Recovered { life, keys, lives } => self.on_recovered(now, from, life, keys, lives),
+            Letter::Recovered { life, keys, vote, lives } => {
+                self.on_recovered(now, from, life, keys, vote, lives);
+            }
             Letter::Outlived { life } => self.on_outlived(now, life),
             Letter::Pass { id, key, under, ask } => self.on_pass(now, from, id, key, under, ask),
+            Letter::Which | Letter::Roster { .. } => {}
             _ if self.phase != Phase::Voter => {}
             Letter::Claim { key, epoch } => self.on_claim(now, from, key, epoch),
             Letter::Promise { key, epoch, accepted, page, lives } => {
@@ -339,6 +398,17 @@
             Letter::Confirmed { key, epoch, round } => self.on_confirmed(now, from, key, epoch, round),
             Letter::Stands { keys } => self.on_stands(now, from, keys),
             Letter::Recover { life } => self.on_recover(from, life),
+            Letter::Propose { epoch, gone } => self.on_propose(now, from, epoch, gone),
+            Letter::Proposed { epoch, accepted, lives } => {
+                self.merge(&lives);
+                self.on_proposed(now, from, epoch, accepted, lives);
+            }
+            Letter::Accept { epoch, roster } => self.on_accept(now, from, epoch, roster),
+            Letter::Accepted { epoch, lives } => {
+                self.merge(&lives);
+                self.on_accepted(now, from, epoch, lives);
+            }
+            Letter::Overruled { epoch } => self.on_overruled(epoch),
         }
     }
 
@@ -353,17 +423,22 @@
         }
     }
 
-    /// Whether a link to this holder stands. Until told, none does.
+    /// Whether a link to this node stands. Until told, none does.
     pub fn reachable(&mut self, now: Micros, node: Node, up: bool) {
-        if node == self.me
-            || !self.roster.contains(&node)
-            || !(if up { self.up.insert(node) } else { self.up.remove(&node) })
-        {
+        let room = self.up.len() < LINKS || self.roster.contains(node);
+        if node == self.me || !(if up { room && self.up.insert(node) } else { self.up.remove(&node) }) {
             return;
         }
         if up {
-            self.greet(now, node);
+            self.gone.remove(&node);
+            let asks = self.roster.version == 0 && self.candidates.contains(&node);
+            if self.roster.contains(node) || asks {
+                self.greet(now, node);
+            }
         } else {
+            if self.roster.contains(node) {
+                self.gone.insert(node, now);
+            }
             self.passes_failed(now, |to| to == node);
         }
         self.tick(now);
@@ -373,7 +448,13 @@
     pub fn tick(&mut self, now: Micros) {
         self.tick_calls(now);
         match self.phase {
-            Phase::Voter => self.tick_keys(now),
+            Phase::Voter => {
+                self.tick_keys(now);
+                self.tick_roster(now);
+            }
+            Phase::Outside if self.roster.version == 0 && now >= self.repair.sent + RESEND => {
+                self.ask_which(now);
+            }
             Phase::Repairing if now >= self.repair.sent + RESEND => self.ask_repair(now),
             _ => {}
         }
@@ -383,9 +464,13 @@
     pub fn wake(&self) -> Option<Micros> {
         let calls = self.open.values().map(|call| call.due()).min();
         let rest = match self.phase {
-            Phase::Voter => self.keys.iter().filter_map(|(key, slot)| self.due(key, slot)).min(),
+            Phase::Voter => {
+                let keys = self.keys.iter().filter_map(|(key, slot)| self.due(key, slot)).min();
+                keys.into_iter().chain(self.roster_due()).min()
+            }
             Phase::Repairing => Some(self.repair.sent + RESEND),
-            Phase::Formatting => None,
+            Phase::Outside if self.roster.version == 0 => Some(self.repair.sent + RESEND),
+            Phase::Formatting | Phase::Outside => None,
         };
         calls.into_iter().chain(rest).min()
     }
@@ -440,18 +525,15 @@
         self.figures
     }
 
-    /// The holders this node goes by.
-    pub fn roster(&self) -> &[Node] {
-        &self.roster
-    }
-
-    pub(crate) fn quorum(&self) -> usize {
-        self.roster.len() / 2 + 1
+    /// The holders this node goes by, one that is coming or leaving included.
+    pub fn roster(&self) -> Vec<Node> {
+        self.roster.nodes().collect()
     }
 
-    /// How many of these were said with a disk that its holder still has, as far as is known here.
-    pub(crate) fn count<'a>(&self, said: impl Iterator<Item = (&'a Node, &'a Life)>) -> usize {
-        said.filter(|(node, life)| self.current(**node, **life)).count()
+    /// Nothing that is not yet under way is written any more.
+    pub(crate) fn forget_writes(&mut self) {
+        self.dirty.clear();
+        self.dirty_marker = false;
     }
 
     pub(crate) fn current(&self, node: Node, life: Life) -> bool {
@@ -471,7 +553,7 @@
             .bytes()
             .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
         let mut nodes: Vec<Node> =
-            self.roster.iter().copied().filter(|n| *n == self.me || self.up.contains(n)).collect();
+            self.roster.nodes().filter(|n| *n == self.me || self.up.contains(n)).collect();
         nodes.sort_by_key(|n| (mix(name ^ mix(u64::from(n.0))), *n));
         nodes
     }
@@ -481,7 +563,7 @@
     }
 
     pub(crate) fn marker(&self) -> Marker {
-        Marker { roster: self.roster.clone(), life: self.life, lives: self.lives().others }
+        Marker { roster: self.roster.clone(), vote: self.vote.clone(), life: self.life, lives: self.lives().others }
     }
 
     pub(crate) fn stored_key(&self, key: &str) -> Option<Stored<P>> {
@@ -491,7 +573,7 @@
     }
 
     pub(crate) fn send(&mut self, to: Node, letter: Letter<P, P::Change>) {
-        self.deeds.push(Deed::Send { to, letter });
+        self.deeds.push(Deed::Send { to, version: self.roster.version, letter });
     }
 
     pub(crate) fn deed(&mut self, deed: Deed<P>) {
@@ -523,11 +605,15 @@
 
     fn run(&mut self, now: Micros, one: After<P>) {
         match one {
-            After::Send(to, letter) => self.send(to, letter),
+            After::Send(version, ..) if version != self.roster.version => {}
+            After::Send(_, to, letter) if to == self.me => self.heed(now, to, letter),
+            After::Send(_, to, letter) => self.send(to, letter),
             After::Promised { key, epoch } => self.own_promise(now, key, epoch),
             After::Kept { key, epoch, seq } => self.on_kept(now, self.me, key, epoch, seq, self.life),
-            After::Voter => {
+            After::Voter(version) if version != self.roster.version => {}
+            After::Voter(_) => {
                 self.phase = Phase::Voter;
+                self.reroute(now);
                 self.tick(now);
             }
         }
--- a/crates/ledger/src/letter.rs
+++ b/crates/ledger/src/letter.rs
@@ -1,6 +1,6 @@
 //! What holders write to each other, what they keep on disk, and what the caller is told to do.
 
-use crate::{Epoch, Node, Page, Refusal, Revision};
+use crate::{Epoch, Node, Page, Refusal, Revision, Roster, Vote};
 use bitcode::{Decode, Encode};
 
 /// Which disk a holder writes on: it rises with every disk that was lost and repaired. What a holder said with an
@@ -38,8 +38,10 @@
 /// That this disk is a holder's, and whose.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Marker {
-    /// All holders, fixed when the disk was formatted.
-    pub roster: Vec<Node>,
+    /// All holders, as of the last version under which this one said anything.
+    pub roster: Roster,
+    /// What was said about the next one.
+    pub vote: Vote,
     /// Which disk of its holder this is.
     pub life: Life,
     /// The others' repairs that this holder has answered.
@@ -119,9 +121,23 @@
     /// The sender's disk is empty: it asks for everything.
     Recover { life: Life },
     /// Everything a voter has.
-    Recovered { life: Life, keys: Vec<Stored<P>>, lives: Lives },
+    Recovered { life: Life, keys: Vec<Stored<P>>, vote: Vote, lives: Lives },
     /// A higher life of the receiver is known here.
     Outlived { life: Life },
+    /// Who are the holders?
+    Which,
+    /// The holders, as was decided.
+    Roster { roster: Roster },
+    /// The sender wants the next roster decided, in which this one is replaced, if any.
+    Propose { epoch: Epoch, gone: Option<Node> },
+    /// Durable: no next roster of a lower epoch is accepted any more, and this one was until now.
+    Proposed { epoch: Epoch, accepted: Option<(Epoch, Roster)>, lives: Lives },
+    /// The next roster, to be accepted.
+    Accept { epoch: Epoch, roster: Roster },
+    /// Durable: accepted.
+    Accepted { epoch: Epoch, lives: Lives },
+    /// A higher epoch was promised for the next roster.
+    Overruled { epoch: Epoch },
 }
 
 /// What becomes of a call or read.
@@ -154,6 +170,8 @@
     Send {
         /// To whom.
         to: Node,
+        /// The version of the roster under which it is said, to be handed over with it.
+        version: u64,
         /// What.
         letter: Letter<P, P::Change>,
     },
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -8,9 +8,11 @@
 mod ledger;
 mod letter;
 mod owner;
+mod roster;
 
 pub use ledger::{Broken, Figures, KeyState, Ledger, Role, Start};
 pub use letter::{Ask, Body, Deed, Disk, Letter, Life, Lives, Marker, Passed, Stored, Verdict};
+pub use roster::{Roster, Vote};
 
 use bitcode::{Decode, Encode};
 
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -56,8 +56,9 @@
 }
 
 impl<P: Page> Ledger<P> {
-    fn others(&self) -> Vec<Node> {
-        self.roster.iter().copied().filter(|n| *n != self.me && self.up.contains(n)).collect()
+    /// The other holders that can be reached.
+    pub(crate) fn others(&self) -> Vec<Node> {
+        self.roster.nodes().filter(|n| *n != self.me && self.up.contains(n)).collect()
     }
 
     /// Wants to own the key. The epoch is durable here before anybody hears of it, so that no later start uses it again.
@@ -142,8 +143,8 @@
     /// Writes the key anew once more than half have promised.
     fn take(&mut self, now: Micros, key: &str) {
         let Some(Stand::Claiming(claim)) = self.keys.get(key).map(|slot| &slot.stand) else { return };
-        let needed = if self.is(Broken::ReadsTooFew) { 1 } else { self.quorum() };
-        if self.count(claim.promises.iter()) < needed || !claim.promises.contains_key(&self.me) {
+        let enough = self.is(Broken::ReadsTooFew) || self.enough(claim.promises.iter());
+        if !enough || !claim.promises.contains_key(&self.me) {
             return;
         }
         let Some(slot) = self.keys.get_mut(key) else { return };
@@ -216,10 +217,10 @@
         if owner.flight.is_none() {
             return;
         }
-        let needed = if self.is(Broken::AnswersEarly) { 1 } else { self.quorum() };
-        let having =
+        let mut having =
             owner.kept.iter().filter(|(_, kept)| kept.1 >= owner.seq).map(|(node, kept)| (node, &kept.0));
-        if self.count(having) < needed {
+        let enough = if self.is(Broken::AnswersEarly) { having.next().is_some() } else { self.enough(having) };
+        if !enough {
             return;
         }
         let Some(slot) = self.keys.get_mut(key) else { return };
@@ -333,9 +334,10 @@
     }
 
     pub(crate) fn on_confirmed(&mut self, now: Micros, from: Node, key: String, epoch: Epoch, round: u64) {
-        let quorum = self.quorum();
         let Some(Stand::Owner(owner)) = self.keys.get_mut(&key).map(|slot| &mut slot.stand) else { return };
-        let Some((revision, page)) = &owner.committed else { return };
+        if owner.committed.is_none() {
+            return;
+        }
         let Some(asked) = &mut owner.round else { return };
         if owner.epoch != epoch || asked.number != round {
             return;
@@ -343,10 +345,12 @@
         if !asked.confirmed.contains(&from) {
             asked.confirmed.push(from);
         }
-        if asked.confirmed.len() < quorum {
+        let confirmed = asked.confirmed.clone();
+        if !self.enough_of(&confirmed) {
             return;
         }
-        let (revision, page) = (*revision, page.clone());
+        let Some(Stand::Owner(owner)) = self.keys.get_mut(&key).map(|slot| &mut slot.stand) else { return };
+        let Some((revision, page)) = owner.committed.clone() else { return };
         let jobs = owner.round.take().map(|round| round.jobs).unwrap_or_default();
         for (job, refusal) in jobs {
             let verdict = match (job.ask, refusal) {
@@ -389,7 +393,9 @@
     /// A link came up: claims and copies that it missed.
     pub(crate) fn greet(&mut self, now: Micros, to: Node) {
         if !self.voter() {
-            if self.phase == crate::ledger::Phase::Repairing {
+            if self.roster.version == 0 {
+                self.send(to, Letter::Which);
+            } else if self.phase == crate::ledger::Phase::Repairing {
                 self.repair.sent = now;
                 self.send(to, Letter::Recover { life: self.life });
             }
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -74,7 +74,7 @@
 type L = Letter<Notes, Change>;
 
 enum Event {
-    Arrive { from: usize, to: usize, letter: Box<L> },
+    Arrive { from: usize, to: usize, version: u64, letter: Box<L> },
     Synced { node: usize, life: u64, write: u64 },
     Wake { node: usize, life: u64 },
     Told { node: usize, life: u64, peer: usize, up: bool },
@@ -109,7 +109,7 @@
 }
 
 enum Held {
-    Letter(usize, Box<L>),
+    Letter(usize, u64, Box<L>),
     Stored(u64),
     Told(usize, bool),
     Call(u64, String, Option<Change>),
@@ -309,7 +309,7 @@
         let now = self.now + m.offset;
         let Some(ledger) = &mut m.ledger else { return };
         match what {
-            Held::Letter(from, letter) => ledger.letter(now, Node(from as u32), *letter),
+            Held::Letter(from, version, letter) => ledger.letter(now, Node(from as u32), version, *letter),
             Held::Stored(write) => ledger.stored(now, write),
             Held::Told(peer, up) => ledger.reachable(now, Node(peer as u32), up),
             Held::Call(token, key, Some(change)) => ledger.call(now, token, &key, change),
@@ -322,7 +322,7 @@
         let Some(ledger) = &mut self.machines[node].ledger else { return };
         for deed in ledger.deeds() {
             match deed {
-                Deed::Send { to, letter } => {
+                Deed::Send { to, version, letter } => {
                     self.report.letters += 1;
                     let to = to.0 as usize;
                     let copies = if self.dice.below(1000) < self.loss {
@@ -336,7 +336,7 @@
                             delay += self.dice.below(400_000);
                         }
                         let letter = Box::new(letter.clone());
-                        self.at(self.now + delay as Micros, Event::Arrive { from: node, to, letter });
+                        self.at(self.now + delay as Micros, Event::Arrive { from: node, to, version, letter });
                     }
                 }
                 Deed::Store { write, marker, keys } => {
@@ -587,9 +587,9 @@
             let Some(Reverse(Entry(when, _, event))) = self.queue.pop() else { break };
             self.now = when;
             match event {
-                Event::Arrive { from, to, letter } => {
+                Event::Arrive { from, to, version, letter } => {
                     if !self.cut[from][to] {
-                        self.input(to, Held::Letter(from, letter));
+                        self.input(to, Held::Letter(from, version, letter));
                     }
                 }
                 Event::Synced { node, life, write } => {
--- a/crates/ledger/tests/rules.rs
+++ b/crates/ledger/tests/rules.rs
@@ -14,7 +14,7 @@
     now: Micros,
     ledgers: Vec<Ledger<Notes>>,
     disks: Vec<Disk<Notes>>,
-    letters: VecDeque<(usize, usize, L)>,
+    letters: VecDeque<(usize, usize, u64, L)>,
     /// Not synced yet, where syncing is held.
     writes: Vec<VecDeque<Write>>,
     slow_disk: BTreeSet<usize>,
@@ -26,6 +26,8 @@
     /// The lives under which repair was asked for last.
     recovering: BTreeMap<usize, Life>,
     starts: u64,
+    /// How many are holders from the start.
+    holders: usize,
 }
 
 fn start(node: usize, roster: usize, fresh: bool, seed: u64) -> Start {
@@ -35,7 +37,14 @@
 
 impl Bench {
     fn new(n: usize) -> Bench {
-        let ledgers = (0..n).map(|i| Ledger::new(0, start(i, n, true, i as u64), Disk::default())).collect();
+        Bench::with_spares(n, 0)
+    }
+
+    /// The spare ones are added with empty disks, after the first start.
+    fn with_spares(holders: usize, spares: usize) -> Bench {
+        let n = holders + spares;
+        let one = |i| Ledger::new(0, start(i, holders, i < holders, i as u64), Disk::default());
+        let ledgers = (0..n).map(one).collect();
         let mut bench = Bench {
             now: 0,
             ledgers,
@@ -48,6 +57,7 @@
             answers: BTreeMap::new(),
             recovering: BTreeMap::new(),
             starts: 100,
+            holders,
         };
         bench.link();
         bench
@@ -68,7 +78,19 @@
     fn link(&mut self) {
         let n = self.ledgers.len();
         for (a, b) in (0..n).flat_map(|a| (0..n).map(move |b| (a, b))).filter(|(a, b)| a != b) {
-            self.ledgers[a].reachable(self.now, Node(b as u32), true);
+            if !self.cut.contains(&(a, b)) || !self.cut.contains(&(b, a)) {
+                self.ledgers[a].reachable(self.now, Node(b as u32), true);
+            }
+        }
+        self.run();
+    }
+
+    /// Everybody hears who is no holder and could be one.
+    fn tell_candidates(&mut self) {
+        let n = self.ledgers.len();
+        for (a, b) in (0..n).flat_map(|a| (0..n).map(move |b| (a, b))) {
+            let outside = self.ledgers[b].outside();
+            self.ledgers[a].candidate(self.now, Node(b as u32), outside);
         }
         self.run();
     }
@@ -106,11 +128,11 @@
                 for deed in self.ledgers[node].deeds() {
                     moved = true;
                     match deed {
-                        Deed::Send { to, letter } => {
+                        Deed::Send { to, version, letter } => {
                             if let Letter::Recover { life } = letter {
                                 self.recovering.insert(node, life);
                             }
-                            self.letters.push_back((node, to.0 as usize, letter));
+                            self.letters.push_back((node, to.0 as usize, version, letter));
                         }
                         Deed::Store { write, marker, keys } => {
                             self.writes[node].push_back((write, marker, keys))
@@ -127,12 +149,12 @@
                 }
             }
             for _ in 0..self.letters.len() {
-                let Some((from, to, letter)) = self.letters.pop_front() else { break };
+                let Some((from, to, version, letter)) = self.letters.pop_front() else { break };
                 if self.held.contains(&(from, to)) {
-                    self.letters.push_back((from, to, letter));
+                    self.letters.push_back((from, to, version, letter));
                 } else if !self.cut.contains(&(from, to)) {
                     moved = true;
-                    self.ledgers[to].letter(self.now, Node(from as u32), letter);
+                    self.ledgers[to].letter(self.now, Node(from as u32), version, letter);
                 }
             }
             if !moved {
@@ -158,7 +180,7 @@
         self.starts += 1;
         self.writes[node].clear();
         let n = self.ledgers.len();
-        let start = start(node, n, false, self.starts);
+        let start = start(node, self.holders, false, self.starts);
         self.ledgers[node] = Ledger::new(self.now, start, self.disks[node].clone());
         for other in (0..n).filter(|o| *o != node) {
             self.ledgers[other].reachable(self.now, Node(node as u32), false);
@@ -227,7 +249,7 @@
     b.slow_disk.clear();
     b.run();
     b.pass(1_000_000);
-    let claims = |b: &Bench| b.letters.iter().filter(|l| matches!(l.2, Letter::Claim { .. })).count();
+    let claims = |b: &Bench| b.letters.iter().filter(|l| matches!(l.3, Letter::Claim { .. })).count();
     assert_eq!(claims(&b), 0);
     for node in [x, y] {
         let promised = b.ledgers[node].state()[0].promised;
@@ -236,10 +258,10 @@
     // A claim that is not synced is heard of by nobody, a promise neither.
     let epoch = Epoch { round: 99, owner: x as u32 };
     b.slow_disk.insert(y);
-    b.ledgers[y].letter(b.now, Node(x as u32), Letter::Claim { key: KEY.into(), epoch });
+    b.ledgers[y].letter(b.now, Node(x as u32), 1, Letter::Claim { key: KEY.into(), epoch });
     b.held.insert((y, x));
     b.run();
-    let promise = |b: &Bench| b.letters.iter().any(|l| matches!(l.2, Letter::Promise { .. }));
+    let promise = |b: &Bench| b.letters.iter().any(|l| matches!(l.3, Letter::Promise { .. }));
     assert!(!promise(&b));
     b.sync(y);
     b.run();
@@ -337,22 +359,25 @@
     b.cut.insert((owner, y));
     b.held.insert((x, owner));
     b.call(owner, 1, &[(1, 1, 7)]);
-    let at = b.letters.iter().position(|l| matches!(l.2, Letter::Kept { seq: 2, .. })).expect("kept");
-    let kept = b.letters.remove(at).expect("kept").2;
+    let at = b.letters.iter().position(|l| matches!(l.3, Letter::Kept { seq: 2, .. })).expect("kept");
+    let kept = b.letters.remove(at).expect("kept").3;
     b.held.clear();
     // Repaired from what the others had on disk: the owner's copy was not there yet when it was asked.
     let (own, other) = (b.disks[owner].keys.clone(), b.disks[y].keys.clone());
     b.cut.extend([(owner, x), (y, x)]);
     b.disks[x] = Disk::default();
     b.restart(x);
+    let roster = b.ledgers[y].holders().clone();
+    b.ledgers[x].letter(b.now, Node(y as u32), 1, Letter::Roster { roster });
+    b.run();
     let life = b.recovering[&x];
     for (from, keys) in [(owner, own), (y, other)] {
-        let letter = Letter::Recovered { life, keys, lives: Lives::default() };
-        b.ledgers[x].letter(b.now, Node(from as u32), letter);
+        let letter = Letter::Recovered { life, keys, vote: Vote::default(), lives: Lives::default() };
+        b.ledgers[x].letter(b.now, Node(from as u32), 1, letter);
     }
     b.run();
     assert!(b.ledgers[x].voter());
-    b.ledgers[owner].letter(b.now, Node(x as u32), kept);
+    b.ledgers[owner].letter(b.now, Node(x as u32), 1, kept);
     b.sync(owner);
     b.run();
     b.sync(owner);
@@ -430,11 +455,11 @@
     let epoch = b.ledgers[owner].settled()[0].1;
     let old = Epoch { round: 0, owner: owner as u32 };
     let pass = |id, under| Letter::Pass { id, key: KEY.into(), under, ask: Ask::Change(vec![(1, id, id)]) };
-    b.ledgers[owner].letter(b.now, Node(x as u32), pass(5, old));
+    b.ledgers[owner].letter(b.now, Node(x as u32), 1, pass(5, old));
     b.run();
     assert!(b.read(owner, 1).0.is_empty(), "a late call does nothing under a later ownership");
     for _ in 0..2 {
-        b.ledgers[owner].letter(b.now, Node(x as u32), pass(6, epoch));
+        b.ledgers[owner].letter(b.now, Node(x as u32), 1, pass(6, epoch));
         b.run();
     }
     assert_eq!(b.ledgers[owner].settled()[0].2.seq, 2, "one that comes twice is served once");
@@ -466,7 +491,7 @@
 fn strangers_and_keys_beyond_the_bound_are_turned_away() {
     let (mut b, owner) = Bench::settled();
     let key = "k".repeat(300);
-    b.ledgers[owner].letter(b.now, Node(77), Letter::Behind { key: KEY.into(), epoch: Epoch::default() });
+    b.ledgers[owner].letter(b.now, Node(77), 1, Letter::Behind { key: KEY.into(), epoch: Epoch::default() });
     assert_eq!(b.ledgers[owner].figures().strangers, 1);
     b.ledgers[owner].call(b.now, 1, &key, vec![(1, 1, 1)]);
     b.run();
@@ -526,7 +551,7 @@
     b.held.insert((y, x));
     b.call(x, 1, &[]);
     b.pass(300_000);
-    assert!(b.letters.iter().any(|l| matches!(l.2, Letter::Promise { .. })), "on its way");
+    assert!(b.letters.iter().any(|l| matches!(l.3, Letter::Promise { .. })), "on its way");
     b.cut.insert((x, y));
     b.restart(y);
     b.cut.remove(&(owner, y));
