--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -452,7 +452,7 @@
                 self.tick_keys(now);
                 self.tick_roster(now);
             }
-            Phase::Outside if self.roster.version == 0 && now >= self.repair.sent + RESEND => {
+            Phase::Outside if self.lost_touch() && now >= self.repair.sent + RESEND => {
                 self.ask_which(now);
             }
             Phase::Repairing if now >= self.repair.sent + RESEND => self.ask_repair(now),
@@ -469,7 +469,7 @@
                 keys.into_iter().chain(self.roster_due()).min()
             }
             Phase::Repairing => Some(self.repair.sent + RESEND),
-            Phase::Outside if self.roster.version == 0 => Some(self.repair.sent + RESEND),
+            Phase::Outside if self.lost_touch() => Some(self.repair.sent + RESEND),
             Phase::Formatting | Phase::Outside => None,
         };
         calls.into_iter().chain(rest).min()
--- a/crates/ledger/src/roster.rs
+++ b/crates/ledger/src/roster.rs
@@ -152,18 +152,20 @@
         &self.roster
     }
 
-    /// Asks who the holders are: the disk was empty.
+    /// Asks all that are linked who the holders are.
     pub(crate) fn ask_which(&mut self, now: Micros) {
         self.repair.sent = now;
-        let mut to: Vec<Node> = self.roster.nodes().chain(self.candidates.iter().copied()).collect();
-        to.retain(|n| *n != self.me && self.up.contains(n));
-        to.sort();
-        to.dedup();
-        for to in to {
+        for to in self.up.clone() {
             self.send(to, Letter::Which);
         }
     }
 
+    /// Whether it has to ask who the holders are: it doesn't know, or none that it knows can be reached.
+    pub(crate) fn lost_touch(&self) -> bool {
+        self.phase == Phase::Outside
+            && (self.roster.version == 0 || !self.roster.nodes().any(|n| self.up.contains(&n)))
+    }
+
     /// Takes a later roster, which was decided: from here on this node does nothing under the one before.
     pub(crate) fn take_roster(&mut self, now: Micros, roster: Roster) {
         if roster.version <= self.roster.version || roster.members.len() > MEMBERS {
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -128,6 +128,8 @@
     offset: Micros,
     wake: Micros,
     last_frozen: Micros,
+    /// Lost for good.
+    destroyed: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -145,6 +147,8 @@
     pub letters: u64,
     pub taken: u64,
     pub outlived: u64,
+    /// Versions of the roster beyond the first.
+    pub rosters: u64,
 }
 
 pub struct World {
@@ -153,6 +157,8 @@
     queue: BinaryHeap<Reverse<Entry>>,
     number: u64,
     machines: Vec<Machine>,
+    /// How many of them are holders from the start.
+    holders: usize,
     cut: Vec<Vec<bool>>,
     loss: u64,
     double: u64,
@@ -173,6 +179,12 @@
 
 impl World {
     pub fn new(seed: u64, machines: usize, broken: Option<Broken>) -> World {
+        World::with_spares(seed, machines, 0, broken)
+    }
+
+    /// With machines that are no holders yet; holders may be lost for good, and away for long.
+    pub fn with_spares(seed: u64, holders: usize, spares: usize, broken: Option<Broken>) -> World {
+        let machines = holders + spares;
         let mut dice = Dice(seed);
         let keys = (0..1 + dice.below(3)).map(|k| format!("key-{k}")).collect();
         let mut world = World {
@@ -180,6 +192,7 @@
             queue: BinaryHeap::new(),
             number: 0,
             machines: Vec::new(),
+            holders,
             cut: vec![vec![false; machines]; machines],
             loss: dice.below(100),
             double: dice.below(100),
@@ -191,7 +204,11 @@
             contents: 0,
             versions: BTreeMap::new(),
             recent: Vec::new(),
-            stop: 2_000_000 + dice.below(5_000_000) as Micros,
+            stop: if spares == 0 {
+                2_000_000 + dice.below(5_000_000) as Micros
+            } else {
+                6_000_000 + dice.below(24_000_000) as Micros
+            },
             healing: false,
             broken,
             report: Report::default(),
@@ -212,6 +229,7 @@
                 offset,
                 wake: Micros::MAX,
                 last_frozen: Micros::MIN,
+                destroyed: false,
             });
         }
         for node in 0..machines {
@@ -235,7 +253,7 @@
         let seed = self.dice.next();
         let now = self.now;
         let m = &mut self.machines[node];
-        if m.ledger.is_some() {
+        if m.ledger.is_some() || m.destroyed {
             return;
         }
         m.life += 1;
@@ -243,9 +261,9 @@
         m.frozen = false;
         let start = Start {
             me: Node(node as u32),
-            roster: (0..n as u32).map(Node).collect(),
+            roster: (0..self.holders as u32).map(Node).collect(),
             keys: self.keys.clone(),
-            fresh: !m.formatted,
+            fresh: !m.formatted && node < self.holders,
             seed,
         };
         #[allow(unused_mut)]
@@ -464,6 +482,9 @@
 
     fn strike(&mut self) {
         let n = self.machines.len();
+        if n > self.holders && self.dice.one_in(5) {
+            return self.strike_long();
+        }
         let node = self.dice.below(n as u64) as usize;
         let span = 20_000 + self.dice.below(1_500_000) as Micros;
         let met = u64::from(!self.open.is_empty());
@@ -482,9 +503,7 @@
                 "power"
             }
             3 | 4 => {
-                let lost = self.machines.iter().filter(|m| m.formatted && m.disk.marker.is_none()).count();
-                let all = self.machines.iter().all(|m| m.formatted);
-                if !all || lost >= (n - 1) / 2 || self.machines[node].disk.marker.is_none() {
+                if !self.bearable(node) {
                     return;
                 }
                 self.crash(node, true);
@@ -525,6 +544,70 @@
         *self.report.faults.entry(name).or_default() += 1;
     }
 
+    /// The last roster that anybody knows of.
+    fn roster(&self) -> Option<Roster> {
+        let known = |m: &Machine| {
+            let disk = m.disk.marker.as_ref().map(|marker| marker.roster.clone());
+            disk.into_iter().chain(m.ledger.as_ref().map(|l| l.holders().clone())).max_by_key(|r| r.version)
+        };
+        self.machines.iter().filter_map(known).max_by_key(|r| r.version)
+    }
+
+    /// Whether the loss of this disk is one of those that are to be borne: with those that are lost already and not repaired
+    /// or replaced yet it is under half.
+    fn bearable(&self, node: usize) -> bool {
+        let Some(roster) = self.roster() else { return false };
+        let all = self.machines[..self.holders].iter().all(|m| m.formatted || m.destroyed);
+        let whole = |node: usize, since: u64| {
+            let m = &self.machines[node];
+            !m.destroyed && m.disk.marker.as_ref().is_some_and(|k| k.roster.version >= since)
+        };
+        let lost = roster.members.iter().filter(|(n, since)| !whole(n.0 as usize, *since)).count();
+        let target = roster.members.iter().find(|(n, _)| n.0 as usize == node);
+        all && lost < (self.holders - 1) / 2 && target.is_none_or(|(_, since)| whole(node, *since))
+    }
+
+    /// A holder lost for good, or away for longer than is borne.
+    fn strike_long(&mut self) {
+        let n = self.machines.len();
+        let node = self.dice.below(n as u64) as usize;
+        let span = 2_000_000 + self.dice.below(6_000_000) as Micros;
+        let met = u64::from(!self.open.is_empty());
+        let name = match self.dice.below(4) {
+            0 | 1 => {
+                let holder = |n: usize| self.roster().is_none_or(|r| r.contains(Node(n as u32)));
+                let lost = (0..n).filter(|n| holder(*n) && self.machines[*n].destroyed).count();
+                let spare = (0..n).filter(|n| !holder(*n) && !self.machines[*n].destroyed).count();
+                if !holder(node) || spare <= lost || !self.bearable(node) {
+                    return;
+                }
+                self.crash(node, true);
+                self.machines[node].destroyed = true;
+                "lost for good"
+            }
+            2 => {
+                self.crash(node, false);
+                self.at(self.now + span, Event::Undo(Undo::Restart(node, false)));
+                "long crash"
+            }
+            _ => {
+                let told = !self.dice.one_in(3);
+                let some = self.dice.one_in(3);
+                for peer in (0..n).filter(|p| *p != node) {
+                    if some && self.dice.one_in(3) {
+                        continue;
+                    }
+                    for (a, b) in [(node, peer), (peer, node)] {
+                        self.cut_one(a, b, span, told);
+                    }
+                }
+                "long cut"
+            }
+        };
+        self.report.met += met;
+        *self.report.faults.entry(name).or_default() += 1;
+    }
+
     fn cut_one(&mut self, from: usize, to: usize, span: Micros, told: bool) {
         self.cut[from][to] = true;
         if told {
@@ -576,6 +659,23 @@
             ledger.tick(self.now + m.offset);
         }
         self.drain(node);
+        self.tell_candidates(node);
+    }
+
+    /// What nodes say of themselves: whether they are no holders and could be.
+    fn tell_candidates(&mut self, node: usize) {
+        let n = self.machines.len();
+        if n == self.holders {
+            return;
+        }
+        for peer in (0..n).filter(|p| *p != node) {
+            let outside = self.machines[peer].ledger.as_ref().is_some_and(|l| l.outside());
+            let m = &mut self.machines[node];
+            if let Some(ledger) = &mut m.ledger {
+                ledger.candidate(self.now + m.offset, Node(peer as u32), outside);
+            }
+        }
+        self.drain(node);
     }
 
     /// Plays until then.
@@ -630,7 +730,10 @@
 
     /// Whether every key is owned by exactly one, and all holders have its content.
     fn calm(&self) -> bool {
-        self.keys.iter().all(|key| {
+        let Some(roster) = self.roster() else { return false };
+        let holders: Vec<&Machine> = roster.members.iter().map(|m| &self.machines[m.0.0 as usize]).collect();
+        let agree = |m: &&Machine| m.ledger.as_ref().is_some_and(|l| l.voter() && *l.holders() == roster);
+        !roster.joint() && holders.iter().all(agree) && self.keys.iter().all(|key| {
             let owners: Vec<Revision> = self
                 .machines
                 .iter()
@@ -640,7 +743,7 @@
                 .map(|(_, _, revision)| revision)
                 .collect();
             owners.len() == 1
-                && self.machines.iter().all(|m| {
+                && holders.iter().all(|m| {
                     m.ledger.as_ref().is_some_and(|l| {
                         l.voter() && l.state().iter().any(|s| s.key == *key && s.accepted == owners[0])
                     })
@@ -670,16 +773,18 @@
         }
         let healed = self.now;
         while !self.calm() && self.failure.is_none() {
-            if self.now > healed + settles(n) {
+            let long = if n > self.holders { replaces() } else { 0 };
+            if self.now > healed + settles(n) + long {
                 let states: Vec<_> = self
                     .machines
                     .iter()
-                    .filter_map(|m| m.ledger.as_ref().map(|l| (l.voter(), l.state())))
+                    .filter_map(|m| m.ledger.as_ref().map(|l| (l.voter(), l.holders(), l.state())))
                     .collect();
-                self.fail(format!("not settled after the heal: {states:#?}"));
+                self.fail(format!("not settled after the heal: {states:?}"));
             }
             self.play(self.now + 10_000);
         }
+        self.report.rosters = self.roster().map_or(0, |r| r.version - 1);
         self.report.settled_in = self.now - healed;
         for key in self.keys.clone() {
             for node in 0..n {
@@ -731,6 +836,12 @@
     2_500_000 + 400_000 * machines as Micros + 1_000_000
 }
 
+/// And where one was lost for good, until it is replaced: it is gone for `GONE`, two steps are proposed, each tried again, and
+/// the newcomer is repaired.
+pub fn replaces() -> Micros {
+    4_000_000 + 6_000_000
+}
+
 fn persist(m: &mut Machine, marker: Option<Marker>, keys: Vec<Stored<Notes>>) {
     if marker.is_some() {
         m.disk.marker = marker;
--- a/crates/ledger/tests/world.rs
+++ b/crates/ledger/tests/world.rs
@@ -19,6 +19,24 @@
     });
 }
 
+fn run_replacing(seed: u64) -> Report {
+    let holders = if seed % 5 == 0 { 5 } else { 3 };
+    match World::with_spares(seed, holders, 1 + (seed % 3) as usize, None).run() {
+        Ok(report) => report,
+        Err(why) => panic!("seed {seed}: {why}"),
+    }
+}
+
+#[test]
+fn drawn_schedules_with_replacements_lose_nothing() {
+    let mut changes = 0;
+    for seed in 0..60 {
+        changes += run_replacing(seed).rosters;
+    }
+    assert!(changes >= 40, "{changes} changes of the roster");
+}
+
+/// With holders lost for good and replaced where REPLACEMENTS is set.
 /// `SCHEDULES=20000 FROM=0 cargo test --release -p silvercross-ledger --test world -- --ignored --nocapture`
 #[test]
 #[ignore = "as many schedules as SCHEDULES says"]
@@ -26,6 +44,7 @@
     let number = |name: &str, or| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(or);
     let (from, count) = (number("FROM", 0), number("SCHEDULES", 2_000));
     let threads = std::thread::available_parallelism().map_or(4, |n| n.get() as u64);
+    let run = if std::env::var_os("REPLACEMENTS").is_some() { run_replacing } else { run };
     let work = |thread: u64| {
         let mut reports = Vec::new();
         for seed in (from..from + count).filter(|seed| seed % threads == thread) {
@@ -45,7 +64,7 @@
         }
     }
     println!(
-        "{} schedules: {} calls, {} done, {} refused, {} unsettled, {} reads, {} taken, {} said with lost disks, \
+        "{} schedules: {} calls, {} done, {} refused, {} unsettled, {} reads, {} taken, {} said with lost disks, {} rosters, \
          faults {:?}, {} of them with a call open; settled at most {} us after the heal",
         reports.len(),
         sum(|r| r.calls),
@@ -55,6 +74,7 @@
         sum(|r| r.reads),
         sum(|r| r.taken),
         sum(|r| r.outlived),
+        sum(|r| r.rosters),
         faults,
         sum(|r| r.met),
         reports.iter().map(|r| r.settled_in).max().unwrap_or(0),
