Ledger: in the middle of a change the roster before decides alone, and repairs

Found by the drawn schedules: a change begun for a holder that is back by now, with another lost for good, had no quorum of the coming roster and stood still. Every quorum has more than half of the roster before, so that suffices for the next roster and for a repair; copies and questions still need both.

--- a/crates/ledger/src/holder.rs
+++ b/crates/ledger/src/holder.rs
@@ -211,7 +211,7 @@
             }
         }
         // The answers are of others alone, and still more than half of the whole roster.
-        if !self.enough(self.repair.replies.iter()) {
+        if !self.enough_before(self.repair.replies.iter()) {
             return;
         }
         for (_, stored) in std::mem::take(&mut self.repair.keys) {
--- a/crates/ledger/src/roster.rs
+++ b/crates/ledger/src/roster.rs
@@ -115,9 +115,18 @@
     /// Whether more than half have said it, with disks that they still have; while one holder is being replaced more than
     /// half of the roster before and of the one after.
     pub(crate) fn enough<'a>(&self, said: impl Iterator<Item = (&'a Node, &'a Life)>) -> bool {
-        let said: Vec<Node> =
-            said.filter(|(node, life)| self.current(**node, **life)).map(|(node, _)| *node).collect();
-        self.enough_of(&said)
+        self.enough_of(&self.still(said))
+    }
+
+    /// Whether more than half of the roster, without one that is coming, have said it. This does for a repair and for the
+    /// next roster, of which only one another must know: every quorum has more than half of these.
+    pub(crate) fn enough_before<'a>(&self, said: impl Iterator<Item = (&'a Node, &'a Life)>) -> bool {
+        let said = self.still(said);
+        self.roster.more_than_half(&said, self.roster.coming)
+    }
+
+    fn still<'a>(&self, said: impl Iterator<Item = (&'a Node, &'a Life)>) -> Vec<Node> {
+        said.filter(|(node, life)| self.current(**node, **life)).map(|(node, _)| *node).collect()
     }
 
     pub(crate) fn enough_of(&self, said: &[Node]) -> bool {
@@ -343,7 +352,7 @@
                 .roster
                 .coming
                 .is_none_or(|new| !proposal.next.contains(new) || proposal.promises.contains_key(&new));
-        if !ready || !self.enough(proposal.promises.iter()) {
+        if !ready || !self.enough_before(proposal.promises.iter()) {
             return;
         }
         let Some(proposal) = &mut self.proposal else { return };
@@ -376,7 +385,7 @@
         let Some(proposal) = self.proposal.as_mut().filter(|p| p.epoch == epoch && p.asked) else { return };
         proposal.accepted.insert(from, lives.mine);
         let Some(proposal) = &self.proposal else { return };
-        if !self.enough(proposal.accepted.iter()) {
+        if !self.enough_before(proposal.accepted.iter()) {
             return;
         }
         let next = proposal.next.clone();
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -557,17 +557,30 @@
     }
 
     /// Whether the loss of this disk is one of those that are to be borne: with those that are lost already and not repaired
-    /// or replaced yet it is under half.
+    /// or replaced yet it is under half, in the last roster that is in force (more than half of its holders have it on
+    /// disk) and in each that anybody knows of beyond it.
     fn bearable(&self, node: usize) -> bool {
-        let Some(roster) = self.roster() else { return false };
-        let all = self.machines[..self.holders].iter().all(|m| m.formatted || m.destroyed);
-        let whole = |node: usize, since: u64| {
+        let mut known: Vec<Roster> = Vec::new();
+        for m in &self.machines {
+            known.extend(m.disk.marker.as_ref().map(|marker| marker.roster.clone()));
+            known.extend(m.ledger.as_ref().map(|l| l.holders().clone()));
+        }
+        let since = |node: usize, version: u64| {
             let m = &self.machines[node];
-            !m.destroyed && m.disk.marker.as_ref().is_some_and(|k| k.roster.version >= since)
+            !m.destroyed && m.disk.marker.as_ref().is_some_and(|k| k.roster.version >= version)
+        };
+        let stands = |r: &&Roster| {
+            r.members.iter().filter(|m| since(m.0 .0 as usize, r.version)).count() * 2 > r.members.len()
+        };
+        let force = known.iter().filter(stands).map(|r| r.version).max().unwrap_or(0);
+        known.retain(|r| r.version >= force.max(1));
+        let all = self.machines[..self.holders].iter().all(|m| m.formatted || m.destroyed);
+        let bears = |roster: &Roster| {
+            let lost = roster.members.iter().filter(|(n, s)| !since(n.0 as usize, *s)).count();
+            let target = roster.members.iter().find(|(n, _)| n.0 as usize == node);
+            lost < (self.holders - 1) / 2 && target.is_none_or(|(_, s)| since(node, *s))
         };
-        let lost = roster.members.iter().filter(|(n, since)| !whole(n.0 as usize, *since)).count();
-        let target = roster.members.iter().find(|(n, _)| n.0 as usize == node);
-        all && lost < (self.holders - 1) / 2 && target.is_none_or(|(_, since)| whole(node, *since))
+        all && !known.is_empty() && known.iter().all(bears)
     }
 
     /// A holder lost for good, or away for longer than is borne.
