Mesh: core machines with a disk that hold nothing say so, and come for a holder that is gone

A core machine that isn't in the roster told nothing of it. Now it tells the holders as it knows them, itself not among them, and the holders take it for a candidate; operators are sent on to a holder. Every letter of the ledger names its version of the roster.

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -72,7 +72,8 @@
 enum Parcel {
     Hello { version: u16, node: u32 },
     Round(Letter<Body>),
-    Entry(Entry<Leaf, Order>),
+    /// Under which version of the roster, and what.
+    Entry(u64, Entry<Leaf, Order>),
 }
 
 struct Link {
@@ -156,7 +157,7 @@
 
     /// An operator's call; `None` where this machine holds no ledger.
     pub async fn ask(&self, post: &Rc<Post>, key: &str, order: Option<Order>) -> Option<Verdict<Leaf>> {
-        let ledger = self.ledger.as_ref().filter(|_| !post.is_outsider())?;
+        let ledger = self.ledger.as_ref().filter(|l| !l.borrow().outside() && !post.is_outsider())?;
         let token = self.numbers.get();
         self.numbers.set(token + 1);
         let (to, answer) = oneshot::channel();
@@ -211,7 +212,16 @@
                     post.carriers.pump(&post);
                 });
             }
-            Effect::Record(record) => post.record(record),
+            Effect::Record(record) => {
+                if let Some(l) = &self.ledger {
+                    // It has a disk, knows who the holders are, and is none of them.
+                    let told = &record.body;
+                    let spare = !told.roster.is_empty() && !told.roster.contains(&record.node.0);
+                    let up = record.core && !record.gone && !told.leaving && spare;
+                    l.borrow_mut().candidate(post.now(), silvercross_ledger::Node(record.node.0), up);
+                }
+                post.record(record);
+            }
             Effect::Page { key, revision, bytes } => {
                 if let Ok(leaf) = bitcode::decode::<Leaf>(&bytes) {
                     post.page(&key, revision, leaf);
@@ -222,7 +232,7 @@
 
     fn deed(&self, post: &Rc<Post>, deed: Deed<Leaf>) {
         match deed {
-            Deed::Send { to, letter } => self.send(post, to.0, &Parcel::Entry(letter)),
+            Deed::Send { to, version, letter } => self.send(post, to.0, &Parcel::Entry(version, letter)),
             Deed::Store { write, marker, keys } => {
                 if let Some(writes) = &self.writes {
                     let _ = writes.send(Write { number: write, marker, keys });
@@ -416,9 +426,9 @@
             match parcel {
                 Parcel::Hello { .. } => break,
                 Parcel::Round(letter) => c.rounds.borrow_mut().letter(now, Node(node), letter),
-                Parcel::Entry(letter) => {
+                Parcel::Entry(version, letter) => {
                     if let Some(l) = &c.ledger {
-                        l.borrow_mut().letter(now, silvercross_ledger::Node(node), letter);
+                        l.borrow_mut().letter(now, silvercross_ledger::Node(node), version, letter);
                     }
                 }
             }
