--- a/crates/ledger/src/roster.rs
+++ b/crates/ledger/src/roster.rs
@@ -278,7 +278,7 @@
     }
 
     pub(crate) fn tick_roster(&mut self, now: Micros) {
-        if !self.roster_due().is_some_and(|at| at <= now) {
+        if self.roster_due().is_none_or(|at| at > now) {
             return;
         }
         let Some(next) = self.plan(now) else { return };
--- a/crates/ledger/tests/rules.rs
+++ b/crates/ledger/tests/rules.rs
@@ -926,3 +926,26 @@
         "acknowledged and lost"
     );
 }
+
+#[test]
+fn a_change_begun_for_one_that_is_back_goes_on_when_another_is_lost() {
+    let (mut b, owner, x, y) = with_spare();
+    b.part(y);
+    let mut roster = b.ledgers[owner].holders().clone();
+    roster.version += 1;
+    roster.members.push((Node(3), roster.version));
+    (roster.leaving, roster.coming) = (Some(Node(x as u32)), Some(Node(3)));
+    let version = roster.version;
+    b.ledgers[owner].letter(b.now, Node(9), version, Letter::Roster { roster });
+    b.pass(2_000_000);
+    assert!(!b.ledgers[owner].holders().joint(), "abandoned");
+    b.call(x, 2, &[(2, 1, 8)]);
+    b.pass(700_000);
+    assert!(b.done(2));
+    b.tell_candidates();
+    b.pass(5_000_000);
+    let mut left = vec![owner as u32, x as u32, 3];
+    left.sort();
+    assert_eq!(members(&b, owner), left);
+    assert!(b.ledgers[3].voter() && b.read(3, 3).0.contains_key(&2));
+}
--- a/crates/ledger/tests/world.rs
+++ b/crates/ledger/tests/world.rs
@@ -20,7 +20,7 @@
 }
 
 fn run_replacing(seed: u64) -> Report {
-    let holders = if seed % 5 == 0 { 5 } else { 3 };
+    let holders = if seed.is_multiple_of(5) { 5 } else { 3 };
     match World::with_spares(seed, holders, 1 + (seed % 3) as usize, None).run() {
         Ok(report) => report,
         Err(why) => panic!("seed {seed}: {why}"),
--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -70,7 +70,10 @@
 
 #[derive(Encode, Decode)]
 enum Parcel {
-    Hello { version: u16, node: u32 },
+    Hello {
+        version: u16,
+        node: u32,
+    },
     Round(Letter<Body>),
     /// Under which version of the roster, and what.
     Entry(u64, Entry<Leaf, Order>),
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -650,7 +650,9 @@
     /// Those that hold the ledger, as this machine knows for certain; empty where there is none, or it is not repaired yet.
     /// A machine that has a disk and doesn't find itself among them says so by it: it may come for one that is lost.
     fn roster(&self) -> Vec<u32> {
-        let of = |l: &silvercross_ledger::Ledger<Leaf>| match l.voter() || (l.outside() && l.holders().version > 0) {
+        let of = |l: &silvercross_ledger::Ledger<Leaf>| match l.voter()
+            || (l.outside() && l.holders().version > 0)
+        {
             true => l.roster().iter().map(|n| n.0).collect(),
             false => Vec::new(),
         };
