--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -76,6 +76,8 @@
         node: u32,
     },
     Round(Letter<Body>),
+    /// Under which version of the roster, and what.
+    Entry(u64, Entry<Leaf, Order>),
     /// What time of day is it? Between holders, where there are members.
     Time {
         asked: i64,
@@ -86,8 +88,6 @@
         wall: i64,
         stepped: bool,
     },
-    /// Under which version of the roster, and what.
-    Entry(u64, Entry<Leaf, Order>),
 }
 
 struct Link {
@@ -171,7 +171,7 @@
 
     /// Ask the other holders for their time of day.
     pub fn ask_time(&self, post: &Rc<Post>) {
-        let holders = self.ledger(|l| l.roster().to_vec()).unwrap_or_default();
+        let holders = self.ledger(|l| l.roster()).unwrap_or_default();
         for holder in holders.into_iter().filter(|h| h.0 != self.me) {
             self.send(post, holder.0, &Parcel::Time { asked: post.now() });
         }
