--- a/crates/tariff/src/board.rs
+++ b/crates/tariff/src/board.rs
@@ -22,6 +22,8 @@
 pub struct Row {
     /// How far it is slowed here.
     pub standing: Standing,
+    /// The edition that this is of: the item's, or the lapse's where that came ahead of it. Steps rise within one.
+    pub edition: u64,
     /// Whether its lapse has begun, as far as is known here.
     pub begun: bool,
     /// For how long this node has known that; `None` where it never heard of a lapse.
@@ -76,7 +78,7 @@
     pub fn row(&self, now: Micros, member: &Member) -> Row {
         let Some((lapse, since)) = self.lapses.get(&member.name) else {
             let standing = standing(member, &Lapse::default());
-            return Row { standing, begun: false, age_us: None };
+            return Row { standing, edition: member.edition, begun: false, age_us: None };
         };
         let age = now.saturating_sub(*since).max(0);
         let mut standing = standing(member, lapse);
@@ -87,7 +89,8 @@
                 u32::try_from(steps).unwrap_or(u32::MAX).saturating_add(standing.step).min(standing.of);
         }
         let begun = lapse.begun && lapse.edition >= Some(member.edition);
-        Row { standing, begun, age_us: Some(age) }
+        let edition = lapse.edition.map_or(member.edition, |e| e.max(member.edition));
+        Row { standing, edition, begun, age_us: Some(age) }
     }
 
     /// How many of these members stand at which tenth of their slowing: 0 is not slowed, 10 is slowed in full, and a part
--- a/crates/tariff/tests/schedules.rs
+++ b/crates/tariff/tests/schedules.rs
@@ -16,6 +16,41 @@
     );
 }
 
+/// A renewal's lapse reaches a node ahead of its item: the step is of the new edition, and nothing went back.
+#[test]
+fn a_renewal_that_comes_by_its_lapse_first_is_no_way_back() {
+    let schedule = [
+        (248, 118),
+        (10, 184),
+        (149, 123),
+        (158, 151),
+        (43, 19),
+        (149, 117),
+        (72, 121),
+        (190, 23),
+        (89, 223),
+        (210, 18),
+        (107, 183),
+        (17, 124),
+        (240, 31),
+        (3, 17),
+        (7, 106),
+        (46, 254),
+        (79, 175),
+        (161, 168),
+        (196, 101),
+        (186, 180),
+        (124, 66),
+        (155, 106),
+        (166, 135),
+        (60, 212),
+        (90, 40),
+        (253, 218),
+        (194, 0),
+    ];
+    assert_eq!(World::new(15083530161350803441, None).run(&schedule), Ok(()));
+}
+
 /// `cargo test -p silvercross-tariff --release --test schedules -- --ignored --nocapture`
 #[test]
 #[ignore = "minutes without optimisation"]
