Village: no process is started while ports are tried; a station's address is tried until it is free

Cause (chain test, 1 run in 3 on a busy machine: Address already in use): a port was bound to see whether it is free, let go and bound again; a process that another test was just starting had inherited the first socket for the moment between fork and exec. village.rs station_of, mesh.rs block.

--- a/crates/village/src/mesh.rs
+++ b/crates/village/src/mesh.rs
@@ -92,8 +92,13 @@
     ["mill", "quay", "hill", "wood"].get(n).map_or_else(|| format!("zone-{n}"), |z| z.to_string())
 }
 
+/// Held while a process is started, and while ports are tried.
+static STARTING: std::sync::Mutex<()> = std::sync::Mutex::new(());
+
 /// A block of addresses and a first port at which nobody listens.
 fn block(machines: usize) -> Result<([u8; 2], u16, TcpListener)> {
+    // A process that is being started holds what listens here for a moment: none is started while ports are tried.
+    let _none = STARTING.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     for _ in 0..TRIES {
         let n = crate::fresh();
         let (a, b) = ((1 + (n >> 8) % 254) as u8, n as u8);
@@ -257,6 +262,7 @@
         let file = me.dir.join("boot.yaml");
         fs::write(&file, settings).with_context(|| format!("{}", file.display()))?;
         let log = File::options().create(true).append(true).open(me.dir.join("log"))?;
+        let starting = STARTING.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let child = Command::new(&program)
             .arg(if me.core { "office" } else { "carrier" })
             .args(&self.plan.words)
@@ -267,6 +273,7 @@
             .stderr(log)
             .spawn()
             .with_context(|| format!("{}", program.display()))?;
+        drop(starting);
         me.child = Some(child);
         Ok(())
     }
--- a/crates/village/src/village.rs
+++ b/crates/village/src/village.rs
@@ -73,14 +73,21 @@
             zone: machine.zone.clone(),
             beat: Duration::from_secs_f64(self.mesh.beat_s()),
         };
-        let mut free = None;
-        // The address is free once the life before has let go of it.
+        // The address is free once the life before has let go of it, and whatever process was just being started has let go
+        // of what it inherited.
+        let started = std::sync::Mutex::new(None);
         until("the station's address", LIMIT, || {
-            free = std::net::TcpListener::bind(place.at).ok().map(drop);
-            std::future::ready(free.is_some())
+            let start = Station::start(place.clone(), manner.clone(), self.runs.clone());
+            let started = &started;
+            async move {
+                let Ok(station) = start.await else { return false };
+                started.lock().unwrap_or_else(std::sync::PoisonError::into_inner).replace(station);
+                true
+            }
         })
         .await?;
-        self.stations.insert(m, Station::start(place, manner, self.runs.clone()).await?);
+        let station = started.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
+        self.stations.extend(station.map(|station| (m, station)));
         Ok(())
     }
 
