--- a/crates/ledger/src/calls.rs
+++ b/crates/control-store/src/calls.rs
@@ -1,8 +1,8 @@
-//! Calls and reads: where they are served, passed, and answered in time.
+//! Calls and reads: where they are served, forwarded, and answered in time.
 
-use crate::ledger::{After, Ledger, Stand, CALL_LIMIT, OPEN, PASSES, PASS_LIMIT, QUEUE};
-use crate::letter::{Ask, Deed, Letter, Passed, Verdict};
-use crate::{Epoch, Micros, Node, Page, Refusal};
+use crate::message::{Effect, Forwarded, Message, Request, Verdict};
+use crate::store::{After, ControlStore, Ownership, CALL_LIMIT, FORWARDS, FORWARD_LIMIT, OPEN, QUEUE};
+use crate::{Epoch, Micros, Node, Refusal, State};
 use std::collections::{BTreeSet, VecDeque};
 
 /// Who waits for a job.
@@ -10,31 +10,31 @@
 pub(crate) enum Who {
     /// A call of this node.
     Local(u64),
-    /// One that was passed here, under which epoch.
+    /// One that was forwarded here, under which epoch.
     Remote(Node, u64, Epoch),
 }
 
 /// A call at the place that serves it.
 pub(crate) struct Job<C> {
     pub who: Who,
-    pub ask: Ask<C>,
+    pub ask: Request<C>,
     pub until: Micros,
 }
 
-/// The calls that were passed here under one epoch, the last `PASSES` of them.
+/// The calls that were forwarded here under one epoch, the last `FORWARDS` of them.
 #[derive(Default)]
-pub(crate) struct Passes {
+pub(crate) struct Forwards {
     known: BTreeSet<(Node, u64)>,
     order: VecDeque<(Node, u64)>,
 }
 
-impl Passes {
+impl Forwards {
     fn first_time(&mut self, from: Node, id: u64) -> bool {
         if !self.known.insert((from, id)) {
             return false;
         }
         self.order.push_back((from, id));
-        if self.order.len() > PASSES {
+        if self.order.len() > FORWARDS {
             if let Some(oldest) = self.order.pop_front() {
                 self.known.remove(&oldest);
             }
@@ -47,7 +47,7 @@
     /// In its key's queue, copy or question.
     Here,
     /// To whom, under which epoch, when.
-    Passed(Node, Epoch, Micros),
+    Forwarded(Node, Epoch, Micros),
     /// Nobody to turn to until then.
     Parked(Micros),
 }
@@ -56,49 +56,49 @@
 pub(crate) struct Call<C> {
     token: u64,
     key: String,
-    ask: Ask<C>,
+    ask: Request<C>,
     until: Micros,
-    /// To whom it was passed, as owner of which epoch. At most `TRIES`.
+    /// To whom it was forwarded, as owner of which epoch. At most `TRIES`.
     tried: Vec<(Node, Epoch)>,
     at: At,
 }
 
-/// A call is passed this often at most; then this node claims the key.
+/// A call is forwarded this often at most; then this node claims the key.
 const TRIES: usize = 6;
 
 impl<C> Call<C> {
     pub(crate) fn due(&self) -> Micros {
         match self.at {
             At::Here => self.until,
-            At::Passed(_, _, since) => self.until.min(since + PASS_LIMIT),
+            At::Forwarded(_, _, since) => self.until.min(since + FORWARD_LIMIT),
             At::Parked(until) => self.until.min(until),
         }
     }
 }
 
-impl<P: Page> Ledger<P> {
+impl<P: State> ControlStore<P> {
     /// A change. Its answer comes within `CALL_LIMIT`.
     pub fn call(&mut self, now: Micros, token: u64, key: &str, change: P::Change) {
-        self.begin(now, token, key, Ask::Change(change));
+        self.begin(now, token, key, Request::Change(change));
     }
 
     /// A read of all that was acknowledged before it.
     pub fn read(&mut self, now: Micros, token: u64, key: &str) {
-        self.begin(now, token, key, Ask::Read);
+        self.begin(now, token, key, Request::Read);
     }
 
-    fn begin(&mut self, now: Micros, token: u64, key: &str, ask: Ask<P::Change>) {
+    fn begin(&mut self, now: Micros, token: u64, key: &str, ask: Request<P::Change>) {
         if self.slot(now, key).is_none() {
             let refusal = Refusal {
                 conflict: false,
                 reason: format!("no room for a further key ({} bytes)", key.len()),
             };
-            self.deed(Deed::Answer { token, verdict: Verdict::Refused(refusal) });
+            self.effect(Effect::Answer { token, verdict: Verdict::Refused(refusal) });
             return;
         }
         if self.open.len() >= OPEN {
             self.figures.unsettled += 1;
-            self.deed(Deed::Answer { token, verdict: Verdict::Unsettled });
+            self.effect(Effect::Answer { token, verdict: Verdict::Unsettled });
             return;
         }
         self.next_call = self.next_call.wrapping_add(1);
@@ -119,8 +119,8 @@
         let Some(call) = self.open.get(&id) else { return };
         let key = call.key.clone();
         let Some(slot) = self.keys.get(&key) else { return };
-        let holder = matches!(slot.stand, Stand::Holder);
-        if holder {
+        let replica = matches!(slot.ownership, Ownership::Replica);
+        if replica {
             let seen = slot.seen;
             let order = self.order(&key);
             let mut to = self.known_owner(now, &key).or_else(|| order.first().map(|first| (*first, seen)));
@@ -130,13 +130,13 @@
             }
             let to = to.filter(|to| to.0 != self.me && !call.tried.contains(to) && call.tried.len() < TRIES);
             if let Some(to) = to {
-                let letter = Letter::Pass { id, key, under: to.1, ask: call.ask.clone() };
+                let message = Message::Forward { id, key, under: to.1, ask: call.ask.clone() };
                 if let Some(call) = self.open.get_mut(&id) {
                     call.tried.push(to);
-                    call.at = At::Passed(to.0, to.1, now);
+                    call.at = At::Forwarded(to.0, to.1, now);
                 }
-                self.figures.passed += 1;
-                self.send(to.0, letter);
+                self.figures.forwarded += 1;
+                self.send(to.0, message);
                 return;
             }
         }
@@ -144,7 +144,7 @@
         let Some(call) = self.open.get_mut(&id) else { return };
         if !voter {
             call.tried.clear();
-            call.at = At::Parked(now + PASS_LIMIT);
+            call.at = At::Parked(now + FORWARD_LIMIT);
             return;
         }
         call.at = At::Here;
@@ -155,8 +155,8 @@
     /// Puts a job where the key is owned or claimed, and claims it if need be.
     fn enqueue(&mut self, now: Micros, key: &str, job: Job<P::Change>) {
         let Some(slot) = self.keys.get_mut(key) else { return };
-        let asked = match &slot.stand {
-            Stand::Owner(owner) => owner.asked.len(),
+        let asked = match &slot.ownership {
+            Ownership::Owner(owner) => owner.asked.len(),
             _ => 0,
         };
         if slot.queue.len() + asked >= QUEUE {
@@ -164,23 +164,23 @@
             return;
         }
         slot.queue.push_back(job);
-        match slot.stand {
-            Stand::Holder => self.claim(now, key),
-            Stand::Claiming(_) => {}
-            Stand::Owner(_) => self.pump(now, key),
+        match slot.ownership {
+            Ownership::Replica => self.claim(now, key),
+            Ownership::Claiming(_) => {}
+            Ownership::Owner(_) => self.pump(now, key),
         }
     }
 
-    /// A call of another's caller. It is never passed further, and served only under the epoch it names: who claims the
+    /// A call of another's caller. It is never forwarded further, and served only under the epoch it names: who claims the
     /// key for it says under which, and it comes again.
-    pub(crate) fn on_pass(
+    pub(crate) fn on_forward(
         &mut self,
         now: Micros,
         from: Node,
         id: u64,
         key: String,
         under: Epoch,
-        ask: Ask<P::Change>,
+        ask: Request<P::Change>,
     ) {
         self.learn(now, &key, under);
         let voter = self.voter();
@@ -189,17 +189,17 @@
             self.claim(now, &key);
         }
         let Some(slot) = self.keys.get_mut(&key) else {
-            self.send(from, Letter::Verdict { id, under, passed: Passed::NotOwner(under) });
+            self.send(from, Message::Verdict { id, under, forwarded: Forwarded::NotOwner(under) });
             return;
         };
-        let own = match &mut slot.stand {
-            Stand::Holder => None,
-            Stand::Claiming(claim) => Some((claim.epoch, &mut claim.passes)),
-            Stand::Owner(owner) => Some((owner.epoch, &mut owner.passes)),
+        let own = match &mut slot.ownership {
+            Ownership::Replica => None,
+            Ownership::Claiming(claim) => Some((claim.epoch, &mut claim.forwards)),
+            Ownership::Owner(owner) => Some((owner.epoch, &mut owner.forwards)),
         };
         match own {
-            Some((epoch, passes)) if epoch == under => {
-                if passes.first_time(from, id) {
+            Some((epoch, forwards)) if epoch == under => {
+                if forwards.first_time(from, id) {
                     self.enqueue(
                         now,
                         &key,
@@ -208,25 +208,32 @@
                 }
             }
             _ => {
-                let passed = Passed::NotOwner(slot.seen);
-                let version = self.roster.version;
-                self.later(now, After::Send(version, from, Letter::Verdict { id, under, passed }));
+                let forwarded = Forwarded::NotOwner(slot.seen);
+                let version = self.replica_set.version;
+                self.later(now, After::Send(version, from, Message::Verdict { id, under, forwarded }));
             }
         }
     }
 
-    /// What an owner says. That a change is done, and a read's page, hold whenever they come. A refusal counts only
+    /// What an owner says. That a change is done, and a read's value, hold whenever they come. A refusal counts only
     /// while the call rests with who refuses: in the hands of a later owner it may come into force.
-    pub(crate) fn on_verdict(&mut self, now: Micros, from: Node, id: u64, under: Epoch, passed: Passed<P>) {
+    pub(crate) fn on_verdict(
+        &mut self,
+        now: Micros,
+        from: Node,
+        id: u64,
+        under: Epoch,
+        forwarded: Forwarded<P>,
+    ) {
         let Some(call) = self.open.get(&id) else { return };
-        let here = matches!(call.at, At::Passed(to, epoch, _) if (to, epoch) == (from, under));
-        match passed {
-            Passed::Given(verdict @ (Verdict::Done { .. } | Verdict::Page { .. })) => {
+        let here = matches!(call.at, At::Forwarded(to, epoch, _) if (to, epoch) == (from, under));
+        match forwarded {
+            Forwarded::Given(verdict @ (Verdict::Done { .. } | Verdict::Value { .. })) => {
                 self.finish(Who::Local(id), verdict);
             }
-            Passed::Given(verdict) if here => self.finish(Who::Local(id), verdict),
-            Passed::Given(_) => {}
-            Passed::NotOwner(epoch) => {
+            Forwarded::Given(verdict) if here => self.finish(Who::Local(id), verdict),
+            Forwarded::Given(_) => {}
+            Forwarded::NotOwner(epoch) => {
                 let key = call.key.clone();
                 self.learn(now, &key, epoch);
                 if here {
@@ -236,31 +243,31 @@
         }
     }
 
-    /// Answers a job's caller, or who passed it.
+    /// Answers a job's caller, or who forwarded it.
     pub(crate) fn finish(&mut self, who: Who, verdict: Verdict<P>) {
         match who {
             Who::Remote(to, id, under) => {
-                self.send(to, Letter::Verdict { id, under, passed: Passed::Given(verdict) });
+                self.send(to, Message::Verdict { id, under, forwarded: Forwarded::Given(verdict) });
             }
             Who::Local(id) => {
                 if let Some(call) = self.open.remove(&id) {
                     self.figures.unsettled += u64::from(verdict == Verdict::Unsettled);
-                    self.deed(Deed::Answer { token: call.token, verdict });
+                    self.effect(Effect::Answer { token: call.token, verdict });
                 }
             }
         }
     }
 
-    /// Calls passed to these get another place.
-    pub(crate) fn passes_failed(&mut self, now: Micros, gone: impl Fn(Node) -> bool) {
-        let failed = |call: &Call<P::Change>| matches!(call.at, At::Passed(to, ..) if gone(to));
+    /// Calls forwarded to these get another place.
+    pub(crate) fn forwards_failed(&mut self, now: Micros, gone: impl Fn(Node) -> bool) {
+        let failed = |call: &Call<P::Change>| matches!(call.at, At::Forwarded(to, ..) if gone(to));
         let ids: Vec<u64> = self.open.iter().filter(|(_, call)| failed(call)).map(|(id, _)| *id).collect();
         for id in ids {
             self.route(now, id);
         }
     }
 
-    /// All calls that are not at home here get another place: the holders are others now, or this node is one.
+    /// All calls that are not at home here get another place: the replicas are others now, or this node is one.
     pub(crate) fn reroute(&mut self, now: Micros) {
         let mut ids = Vec::new();
         for (id, call) in &mut self.open {
--- a/crates/ledger/src/lib.rs
+++ b/crates/control-store/src/lib.rs
@@ -4,15 +4,17 @@
 #![forbid(unsafe_code)]
 
 mod calls;
-mod holder;
-mod ledger;
-mod letter;
+mod message;
 mod owner;
-mod roster;
+mod replica;
+mod replica_set;
+mod store;
 
-pub use ledger::{Broken, Figures, KeyState, Ledger, Role, Start};
-pub use letter::{Ask, Body, Deed, Disk, Letter, Life, Lives, Marker, Passed, Stored, Verdict};
-pub use roster::{Roster, Vote};
+pub use message::{
+    Body, Disk, Effect, Forwarded, Incarnation, Incarnations, Message, Metadata, Request, Stored, Verdict,
+};
+pub use replica_set::{ReplicaSet, Vote};
+pub use store::{Broken, ControlStore, Figures, KeyState, Role, Start};
 
 use bitcode::{Decode, Encode};
 
@@ -51,7 +53,7 @@
 }
 
 /// The content of a key and how it changes.
-pub trait Page: Clone + Default + PartialEq + std::fmt::Debug {
+pub trait State: Clone + Default + PartialEq + std::fmt::Debug {
     /// One call's change.
     type Change: Clone + PartialEq + std::fmt::Debug;
 
--- a/crates/ledger/src/letter.rs
+++ b/crates/control-store/src/message.rs
@@ -1,25 +1,25 @@
-//! What holders write to each other, what they keep on disk, and what the caller is told to do.
+//! What replicas write to each other, what they keep on disk, and what the caller is told to do.
 
-use crate::{Epoch, Node, Page, Refusal, Revision, Roster, Vote};
+use crate::{Epoch, Node, Refusal, ReplicaSet, Revision, State, Vote};
 use bitcode::{Decode, Encode};
 
-/// Which disk a holder writes on: it rises with every disk that was lost and repaired. What a holder said with an
+/// Which disk a replica writes on: it rises with every disk that was lost and repaired. What a replica said with an
 /// earlier disk no longer counts once it was repaired.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
-pub struct Life {
+pub struct Incarnation {
     /// Rises with every repair; 0 for a disk that was formatted on the first start.
     pub count: u64,
     /// Tells two repairs of one count apart.
     pub nonce: u64,
 }
 
-/// The sender's life, and those of others that it has helped to repair (none, as a rule).
+/// the sender's incarnation, and those of others that it has helped to repair (none, as a rule).
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
-pub struct Lives {
+pub struct Incarnations {
     /// The sender's own.
-    pub mine: Life,
+    pub mine: Incarnation,
     /// Of the others.
-    pub others: Vec<(Node, Life)>,
+    pub others: Vec<(Node, Incarnation)>,
 }
 
 /// What is durable of a key.
@@ -29,37 +29,37 @@
     pub key: String,
     /// The highest epoch that was promised: nothing of a lower one is accepted.
     pub promised: Epoch,
-    /// Where `page` stands.
+    /// Where `value` stands.
     pub accepted: Revision,
     /// Its content.
-    pub page: P,
+    pub value: P,
 }
 
-/// That this disk is a holder's, and whose.
+/// That this disk is a replica's, and whose.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
-pub struct Marker {
-    /// All holders, as of the last version under which this one said anything.
-    pub roster: Roster,
+pub struct Metadata {
+    /// All replicas, as of the last version under which this one said anything.
+    pub replica_set: ReplicaSet,
     /// What was said about the next one.
     pub vote: Vote,
-    /// Which disk of its holder this is.
-    pub life: Life,
-    /// The others' repairs that this holder has answered.
-    pub lives: Vec<(Node, Life)>,
+    /// Which disk of its replica this is.
+    pub incarnation: Incarnation,
+    /// The others' repairs that this replica has answered.
+    pub incarnations: Vec<(Node, Incarnation)>,
 }
 
 /// What was found on disk at start.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Disk<P> {
     /// `None`: it was never formatted, or wiped.
-    pub marker: Option<Marker>,
+    pub metadata: Option<Metadata>,
     /// All keys.
     pub keys: Vec<Stored<P>>,
 }
 
 impl<P> Default for Disk<P> {
     fn default() -> Self {
-        Disk { marker: None, keys: Vec::new() }
+        Disk { metadata: None, keys: Vec::new() }
     }
 }
 
@@ -74,37 +74,37 @@
 
 /// What is asked of a key's owner.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub enum Ask<C> {
+pub enum Request<C> {
     /// To change it.
     Change(C),
     /// To tell its content.
     Read,
 }
 
-/// What an owner says to a call that was passed to it.
+/// What an owner says to a call that was forwarded to it.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub enum Passed<P> {
+pub enum Forwarded<P> {
     /// The answer.
     Given(Verdict<P>),
     /// It doesn't own the key; the highest epoch that it knows of.
     NotOwner(Epoch),
 }
 
-/// Between holders. `P` is the page, `C` its change. Fields: `key`, `epoch` and `seq` as in [`Revision`]; `lives` as in
-/// [`Lives`]; `round` and `id` name the question that is answered.
+/// Between replicas. `P` is the value, `C` its change. Fields: `key`, `epoch` and `seq` as in [`Revision`]; `incarnations` as in
+/// [`Incarnations`]; `round` and `id` name the question that is answered.
 #[allow(missing_docs)]
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub enum Letter<P, C> {
+pub enum Message<P, C> {
     /// The sender wants to own the key. Its own promise is durable.
     Claim { key: String, epoch: Epoch },
     /// Durable: nothing of a lower epoch is accepted any more, and this is what was until now.
-    Promise { key: String, epoch: Epoch, accepted: Revision, page: P, lives: Lives },
+    Promise { key: String, epoch: Epoch, accepted: Revision, value: P, incarnations: Incarnations },
     /// The owner's content, to be kept.
     Copy { key: String, epoch: Epoch, seq: u64, body: Body<P, C> },
     /// Durable: this copy of this epoch, or a later one of it.
-    Kept { key: String, epoch: Epoch, seq: u64, lives: Lives },
+    Kept { key: String, epoch: Epoch, seq: u64, incarnations: Incarnations },
     /// The copy of changes does not fit what the sender has: it needs the content whole.
-    Behind { key: String, epoch: Epoch },
+    NeedsSnapshot { key: String, epoch: Epoch },
     /// What came was of a lower epoch than this.
     Higher { key: String, epoch: Epoch },
     /// Does this epoch still stand?
@@ -112,31 +112,31 @@
     /// No higher one was promised here until now.
     Confirmed { key: String, epoch: Epoch, round: u64 },
     /// All that the sender owns, and its last sequence numbers.
-    Stands { keys: Vec<(String, Epoch, u64)> },
+    Heartbeat { keys: Vec<(String, Epoch, u64)> },
     /// A call of the sender's caller, for the owner under this epoch and no other: a late one can do nothing under a
     /// later ownership, in which the same call may have been refused.
-    Pass { id: u64, key: String, under: Epoch, ask: Ask<C> },
+    Forward { id: u64, key: String, under: Epoch, ask: Request<C> },
     /// What became of it under the epoch that it named.
-    Verdict { id: u64, under: Epoch, passed: Passed<P> },
+    Verdict { id: u64, under: Epoch, forwarded: Forwarded<P> },
     /// The sender's disk is empty: it asks for everything.
-    Recover { life: Life },
+    Recover { incarnation: Incarnation },
     /// Everything a voter has.
-    Recovered { life: Life, keys: Vec<Stored<P>>, vote: Vote, lives: Lives },
-    /// A higher life of the receiver is known here.
-    Outlived { life: Life },
-    /// Who are the holders?
-    Which,
-    /// The holders, as was decided.
-    Roster { roster: Roster },
-    /// The sender wants the next roster decided, in which this one is replaced, if any.
+    Recovered { incarnation: Incarnation, keys: Vec<Stored<P>>, vote: Vote, incarnations: Incarnations },
+    /// A higher incarnation of the receiver is known here.
+    Outlived { incarnation: Incarnation },
+    /// Who are the replicas?
+    AskReplicaSet,
+    /// The replicas, as was decided.
+    ReplicaSet { replica_set: ReplicaSet },
+    /// The sender wants the next replica set decided, in which this one is replaced, if any.
     Propose { epoch: Epoch, gone: Option<Node> },
-    /// Durable: no next roster of a lower epoch is accepted any more, and this one was until now.
-    Proposed { epoch: Epoch, accepted: Option<(Epoch, Roster)>, lives: Lives },
-    /// The next roster, to be accepted.
-    Accept { epoch: Epoch, roster: Roster },
+    /// Durable: no next replica set of a lower epoch is accepted any more, and this one was until now.
+    Proposed { epoch: Epoch, accepted: Option<(Epoch, ReplicaSet)>, incarnations: Incarnations },
+    /// The next replica set, to be accepted.
+    Accept { epoch: Epoch, replica_set: ReplicaSet },
     /// Durable: accepted.
-    Accepted { epoch: Epoch, lives: Lives },
-    /// A higher epoch was promised for the next roster.
+    Accepted { epoch: Epoch, incarnations: Incarnations },
+    /// A higher epoch was promised for the next replica set.
     Overruled { epoch: Epoch },
 }
 
@@ -153,11 +153,11 @@
     /// Nothing of it is in force.
     Refused(Refusal),
     /// The content that a read asked for.
-    Page {
+    Value {
         /// Where it stands.
         revision: Revision,
         /// The content.
-        page: P,
+        value: P,
     },
     /// No answer in time: it may be in force or not.
     Unsettled,
@@ -165,22 +165,22 @@
 
 /// What the caller has to do.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Deed<P: Page> {
-    /// Send a letter. It may get lost, doubled or overtaken.
+pub enum Effect<P: State> {
+    /// Send a message. It may get lost, doubled or overtaken.
     Send {
         /// To whom.
         to: Node,
-        /// The version of the roster under which it is said, to be handed over with it.
+        /// The version of the replica set under which it is said, to be handed over with it.
         version: u64,
         /// What.
-        letter: Letter<P, P::Change>,
+        message: Message<P, P::Change>,
     },
     /// Make durable as one transaction, then call `stored`. Writes complete in order. If one fails the process ends.
     Store {
         /// Its number.
         write: u64,
         /// To be put in place of the one there.
-        marker: Option<Marker>,
+        metadata: Option<Metadata>,
         /// To be put in place of what is there under these keys.
         keys: Vec<Stored<P>>,
     },
@@ -192,12 +192,12 @@
         verdict: Verdict<P>,
     },
     /// Committed content, told by its owner.
-    News {
+    Committed {
         /// The key.
         key: String,
         /// Where it stands.
         revision: Revision,
         /// The content.
-        page: P,
+        value: P,
     },
 }
--- a/crates/ledger/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -1,31 +1,31 @@
 //! An owner's side: claims, copies, commits, and whether its epoch still stands.
 
-use crate::calls::{Job, Passes, Who};
-use crate::ledger::{After, Broken, Ledger, Slot, Stand, BATCH, CALM, OWNERLESS, RESEND, SILENT};
-use crate::letter::{Ask, Body, Deed, Letter, Life, Passed, Verdict};
-use crate::{Epoch, Micros, Node, Page, Refusal, Revision};
+use crate::calls::{Forwards, Job, Who};
+use crate::message::{Body, Effect, Forwarded, Incarnation, Message, Request, Verdict};
+use crate::store::{After, Broken, ControlStore, Ownership, Slot, BATCH, CALM, OWNERLESS, RESEND, SILENT};
+use crate::{Epoch, Micros, Node, Refusal, Revision, State};
 use std::collections::BTreeMap;
 
 /// A claim under way.
 pub(crate) struct Claim<P> {
     pub epoch: Epoch,
-    /// Who has promised, with which life.
-    pub promises: BTreeMap<Node, Life>,
+    /// Who has promised, with which incarnation.
+    pub promises: BTreeMap<Node, Incarnation>,
     /// The highest that was accepted by any of them.
     pub best: (Revision, P),
     pub sent: Micros,
-    pub passes: Passes,
+    pub forwards: Forwards,
 }
 
-/// A key that this node has taken. The slot's page is what the last copy makes of it.
-pub(crate) struct Owner<P: Page> {
+/// A key that this node has taken. The slot's value is what the last copy makes of it.
+pub(crate) struct Owner<P: State> {
     pub epoch: Epoch,
     /// The last copy's number.
     pub seq: u64,
     /// What more than half have; `None` until the key was written anew.
     pub committed: Option<(Revision, P)>,
-    /// Who has which copy, with which life.
-    pub kept: BTreeMap<Node, (Life, u64)>,
+    /// Who has which copy, with which incarnation.
+    pub kept: BTreeMap<Node, (Incarnation, u64)>,
     /// The copy under way, one at a time.
     pub flight: Option<Flight<P>>,
     /// The question under way whether the epoch still stands, one at a time.
@@ -34,16 +34,16 @@
     /// What the next question is for, with the queue at most `QUEUE`. A refusal waits for it too: an owner that was
     /// overtaken may not refuse what has become valid.
     pub asked: Vec<Asked<P::Change>>,
-    pub passes: Passes,
+    pub forwards: Forwards,
 }
 
 /// A job that waits for the question, and why it is refused if it is.
 type Asked<C> = (Job<C>, Option<Refusal>);
 
-/// What `Page::apply` said.
+/// What `State::apply` said.
 type Outcome = Result<bool, Refusal>;
 
-pub(crate) struct Flight<P: Page> {
+pub(crate) struct Flight<P: State> {
     pub sent: Micros,
     pub jobs: Vec<(Job<P::Change>, Outcome)>,
 }
@@ -55,10 +55,10 @@
     pub jobs: Vec<Asked<C>>,
 }
 
-impl<P: Page> Ledger<P> {
-    /// The other holders that can be reached.
+impl<P: State> ControlStore<P> {
+    /// The other replicas that can be reached.
     pub(crate) fn others(&self) -> Vec<Node> {
-        self.roster.nodes().filter(|n| *n != self.me && self.up.contains(n)).collect()
+        self.replica_set.nodes().filter(|n| *n != self.me && self.up.contains(n)).collect()
     }
 
     /// Wants to own the key. The epoch is durable here before anybody hears of it, so that no later start uses it again.
@@ -68,20 +68,20 @@
         }
         let me = self.me.0;
         let Some(slot) = self.keys.get_mut(key) else { return };
-        if !matches!(slot.stand, Stand::Holder) || now < slot.not_before {
+        if !matches!(slot.ownership, Ownership::Replica) || now < slot.not_before {
             return;
         }
         let epoch = Epoch { round: slot.seen.max(slot.promised).round.saturating_add(1), owner: me };
         slot.promised = epoch;
         slot.seen = epoch;
         slot.ownerless = None;
-        let best = (slot.accepted, slot.page.clone());
-        slot.stand = Stand::Claiming(Claim {
+        let best = (slot.accepted, slot.value.clone());
+        slot.ownership = Ownership::Claiming(Claim {
             epoch,
             promises: BTreeMap::new(),
             best,
             sent: now,
-            passes: Passes::default(),
+            forwards: Forwards::default(),
         });
         self.figures.claims += 1;
         self.write_key(key);
@@ -89,16 +89,16 @@
     }
 
     pub(crate) fn own_promise(&mut self, now: Micros, key: String, epoch: Epoch) {
-        let (me, life) = (self.me, self.life);
+        let (me, incarnation) = (self.me, self.incarnation);
         let Some(slot) = self.keys.get_mut(&key) else { return };
-        let Stand::Claiming(claim) = &mut slot.stand else { return };
+        let Ownership::Claiming(claim) = &mut slot.ownership else { return };
         if claim.epoch != epoch {
             return;
         }
-        claim.promises.insert(me, life);
+        claim.promises.insert(me, incarnation);
         claim.sent = now;
         for to in self.others() {
-            self.send(to, Letter::Claim { key: key.clone(), epoch });
+            self.send(to, Message::Claim { key: key.clone(), epoch });
         }
         self.take(now, &key);
     }
@@ -111,48 +111,50 @@
         key: String,
         epoch: Epoch,
         accepted: Revision,
-        page: P,
-        life: Life,
+        value: P,
+        incarnation: Incarnation,
     ) {
-        if !self.alive(from, life) {
+        if !self.alive(from, incarnation) {
             return;
         }
         let Some(slot) = self.keys.get_mut(&key) else { return };
-        let Stand::Claiming(claim) = &mut slot.stand else { return };
+        let Ownership::Claiming(claim) = &mut slot.ownership else { return };
         if claim.epoch != epoch {
             return;
         }
-        claim.promises.insert(from, life);
+        claim.promises.insert(from, incarnation);
         if accepted > claim.best.0 {
-            claim.best = (accepted, page);
+            claim.best = (accepted, value);
         }
         self.take(now, &key);
     }
 
-    /// Whether it was said with a disk that the holder still has; else it is told so.
-    pub(crate) fn alive(&mut self, from: Node, life: Life) -> bool {
-        let current = self.current(from, life);
+    /// Whether it was said with a disk that the replica still has; else it is told so.
+    pub(crate) fn alive(&mut self, from: Node, incarnation: Incarnation) -> bool {
+        let current = self.current(from, incarnation);
         if !current {
             self.figures.outlived += 1;
-            let known = self.lives.get(&from).copied().unwrap_or_default();
-            self.send(from, Letter::Outlived { life: known });
+            let known = self.incarnations.get(&from).copied().unwrap_or_default();
+            self.send(from, Message::Outlived { incarnation: known });
         }
         current
     }
 
     /// Writes the key anew once more than half have promised.
     fn take(&mut self, now: Micros, key: &str) {
-        let Some(Stand::Claiming(claim)) = self.keys.get(key).map(|slot| &slot.stand) else { return };
+        let Some(Ownership::Claiming(claim)) = self.keys.get(key).map(|slot| &slot.ownership) else { return };
         let enough = self.is(Broken::ReadsTooFew) || self.enough(claim.promises.iter());
         if !enough || !claim.promises.contains_key(&self.me) {
             return;
         }
         let Some(slot) = self.keys.get_mut(key) else { return };
-        let Stand::Claiming(claim) = std::mem::replace(&mut slot.stand, Stand::Holder) else { return };
+        let Ownership::Claiming(claim) = std::mem::replace(&mut slot.ownership, Ownership::Replica) else {
+            return;
+        };
         let epoch = claim.epoch;
         slot.accepted = Revision { epoch, seq: 1 };
-        slot.page = claim.best.1;
-        slot.stand = Stand::Owner(Owner {
+        slot.value = claim.best.1;
+        slot.ownership = Ownership::Owner(Owner {
             epoch,
             seq: 1,
             committed: None,
@@ -161,7 +163,7 @@
             round: None,
             rounds: 0,
             asked: Vec::new(),
-            passes: claim.passes,
+            forwards: claim.forwards,
         });
         self.write_key(key);
         for to in self.others() {
@@ -173,16 +175,16 @@
     /// The last copy whole, committed or not: it is the owner's alone to write under its epoch.
     pub(crate) fn send_whole(&mut self, to: Node, key: &str) {
         let Some(slot) = self.keys.get(key) else { return };
-        let Stand::Owner(owner) = &slot.stand else { return };
-        let body = Body::Whole(slot.page.clone());
-        let letter = Letter::Copy { key: key.to_owned(), epoch: owner.epoch, seq: owner.seq, body };
+        let Ownership::Owner(owner) = &slot.ownership else { return };
+        let body = Body::Whole(slot.value.clone());
+        let message = Message::Copy { key: key.to_owned(), epoch: owner.epoch, seq: owner.seq, body };
         self.figures.wholes_sent += 1;
-        self.send(to, letter);
+        self.send(to, message);
     }
 
-    pub(crate) fn on_behind(&mut self, from: Node, key: String, epoch: Epoch) {
+    pub(crate) fn on_needs_snapshot(&mut self, from: Node, key: String, epoch: Epoch) {
         self.figures.behind += 1;
-        let Some(Stand::Owner(owner)) = self.keys.get(&key).map(|slot| &slot.stand) else { return };
+        let Some(Ownership::Owner(owner)) = self.keys.get(&key).map(|slot| &slot.ownership) else { return };
         if owner.epoch == epoch {
             self.send_whole(from, &key);
         }
@@ -195,25 +197,25 @@
         key: String,
         epoch: Epoch,
         seq: u64,
-        life: Life,
+        incarnation: Incarnation,
     ) {
-        if from != self.me && !self.alive(from, life) {
+        if from != self.me && !self.alive(from, incarnation) {
             return;
         }
         let Some(slot) = self.keys.get_mut(&key) else { return };
-        let Stand::Owner(owner) = &mut slot.stand else { return };
+        let Ownership::Owner(owner) = &mut slot.ownership else { return };
         if owner.epoch != epoch || seq > owner.seq {
             return;
         }
         let known = owner.kept.entry(from).or_default();
-        *known = (*known).max((life, seq));
+        *known = (*known).max((incarnation, seq));
         self.commit(now, &key);
     }
 
     /// Acknowledges the copy under way once more than half have it.
     fn commit(&mut self, now: Micros, key: &str) {
         let Some(slot) = self.keys.get(key) else { return };
-        let Stand::Owner(owner) = &slot.stand else { return };
+        let Ownership::Owner(owner) = &slot.ownership else { return };
         if owner.flight.is_none() {
             return;
         }
@@ -225,14 +227,14 @@
             return;
         }
         let Some(slot) = self.keys.get_mut(key) else { return };
-        let Stand::Owner(owner) = &mut slot.stand else { return };
+        let Ownership::Owner(owner) = &mut slot.ownership else { return };
         let revision = Revision { epoch: owner.epoch, seq: owner.seq };
         let first = owner.committed.is_none();
-        owner.committed = Some((revision, slot.page.clone()));
+        owner.committed = Some((revision, slot.value.clone()));
         let jobs = owner.flight.take().map(|flight| flight.jobs).unwrap_or_default();
-        let page = slot.page.clone();
+        let value = slot.value.clone();
         self.figures.taken += u64::from(first);
-        self.deed(Deed::News { key: key.to_owned(), revision, page });
+        self.effect(Effect::Committed { key: key.to_owned(), revision, value });
         for (job, outcome) in jobs {
             let verdict = match outcome {
                 Ok(changed) => Verdict::Done { revision, changed },
@@ -250,9 +252,9 @@
         let part = self.is(Broken::KeepsPart);
         let mut answers = Vec::new();
         let Some(slot) = self.keys.get_mut(key) else { return };
-        let Stand::Owner(owner) = &mut slot.stand else { return };
+        let Ownership::Owner(owner) = &mut slot.ownership else { return };
         let Some((revision, committed)) = &owner.committed else { return };
-        let mut page = None;
+        let mut value = None;
         let mut jobs = Vec::new();
         let mut changes = Vec::new();
         let mut waiting = std::collections::VecDeque::new();
@@ -261,9 +263,9 @@
                 Who::Local(id) => self.open.contains_key(&id),
                 Who::Remote(..) => now < job.until,
             };
-            let Ask::Change(change) = &job.ask else {
+            let Request::Change(change) = &job.ask else {
                 if open && unasked {
-                    answers.push((job.who, Verdict::Page { revision: *revision, page: committed.clone() }));
+                    answers.push((job.who, Verdict::Value { revision: *revision, value: committed.clone() }));
                 } else if open {
                     owner.asked.push((job, None));
                 }
@@ -276,17 +278,17 @@
                 waiting.push_back(job);
                 continue;
             }
-            // A page is tried on a copy: what is refused may leave nothing behind.
-            let mut tried = page.as_ref().unwrap_or(committed).clone();
-            match (tried.apply(change), page.is_some()) {
+            // A value is tried on a copy: what is refused may leave nothing behind.
+            let mut tried = value.as_ref().unwrap_or(committed).clone();
+            match (tried.apply(change), value.is_some()) {
                 (Ok(true), _) => {
-                    page = Some(tried);
+                    value = Some(tried);
                     changes.push(change.clone());
                     jobs.push((job, Ok(true)));
                 }
                 (Ok(false), false) => owner.asked.push((job, None)),
                 (Err(refusal), _) if part && tried != *committed => {
-                    page = Some(tried);
+                    value = Some(tried);
                     changes.push(change.clone());
                     jobs.push((job, Err(refusal)));
                 }
@@ -296,11 +298,11 @@
             }
         }
         slot.queue = waiting;
-        let copy = page.map(|page| {
+        let copy = value.map(|value| {
             owner.seq += 1;
             owner.flight = Some(Flight { sent: now, jobs });
             slot.accepted = Revision { epoch: owner.epoch, seq: owner.seq };
-            slot.page = page;
+            slot.value = value;
             (owner.epoch, owner.seq)
         });
         for (who, verdict) in answers {
@@ -311,7 +313,7 @@
             for to in self.others() {
                 let body = Body::Changes(changes.clone());
                 self.figures.copies_sent += 1;
-                self.send(to, Letter::Copy { key: key.to_owned(), epoch, seq, body });
+                self.send(to, Message::Copy { key: key.to_owned(), epoch, seq, body });
             }
             self.later(now, After::Kept { key: key.to_owned(), epoch, seq });
         }
@@ -320,7 +322,9 @@
 
     /// Asks the others whether the epoch still stands, for all that waits for it.
     fn ask(&mut self, now: Micros, key: &str) {
-        let Some(Stand::Owner(owner)) = self.keys.get_mut(key).map(|slot| &mut slot.stand) else { return };
+        let Some(Ownership::Owner(owner)) = self.keys.get_mut(key).map(|slot| &mut slot.ownership) else {
+            return;
+        };
         if owner.asked.is_empty() || owner.round.is_some() {
             return;
         }
@@ -329,13 +333,15 @@
         owner.round = Some(Round { number: owner.rounds, sent: now, confirmed: Vec::new(), jobs });
         let (epoch, round) = (owner.epoch, owner.rounds);
         for to in self.others() {
-            self.send(to, Letter::Confirm { key: key.to_owned(), epoch, round });
+            self.send(to, Message::Confirm { key: key.to_owned(), epoch, round });
         }
         self.on_confirmed(now, self.me, key.to_owned(), epoch, round);
     }
 
     pub(crate) fn on_confirmed(&mut self, now: Micros, from: Node, key: String, epoch: Epoch, round: u64) {
-        let Some(Stand::Owner(owner)) = self.keys.get_mut(&key).map(|slot| &mut slot.stand) else { return };
+        let Some(Ownership::Owner(owner)) = self.keys.get_mut(&key).map(|slot| &mut slot.ownership) else {
+            return;
+        };
         if owner.committed.is_none() {
             return;
         }
@@ -350,14 +356,16 @@
         if !self.enough_of(&confirmed) {
             return;
         }
-        let Some(Stand::Owner(owner)) = self.keys.get_mut(&key).map(|slot| &mut slot.stand) else { return };
-        let Some((revision, page)) = owner.committed.clone() else { return };
+        let Some(Ownership::Owner(owner)) = self.keys.get_mut(&key).map(|slot| &mut slot.ownership) else {
+            return;
+        };
+        let Some((revision, value)) = owner.committed.clone() else { return };
         let jobs = owner.round.take().map(|round| round.jobs).unwrap_or_default();
         for (job, refusal) in jobs {
             let verdict = match (job.ask, refusal) {
                 (_, Some(refusal)) => Verdict::Refused(refusal),
-                (Ask::Read, None) => Verdict::Page { revision, page: page.clone() },
-                (Ask::Change(_), None) => Verdict::Done { revision, changed: false },
+                (Request::Read, None) => Verdict::Value { revision, value: value.clone() },
+                (Request::Change(_), None) => Verdict::Done { revision, changed: false },
             };
             self.finish(job.who, verdict);
         }
@@ -365,18 +373,18 @@
     }
 
     /// Gives up the key or the claim, for a higher epoch was heard of. Open calls go to its owner; those that others
-    /// passed here go back.
+    /// forwarded here go back.
     pub(crate) fn step_down(&mut self, now: Micros, key: &str) {
         let wait = 20_000 + (self.draw() % 120_000) as Micros;
         let Some(slot) = self.keys.get_mut(key) else { return };
-        let stand = std::mem::replace(&mut slot.stand, Stand::Holder);
+        let ownership = std::mem::replace(&mut slot.ownership, Ownership::Replica);
         let mut jobs: Vec<Job<P::Change>> = std::mem::take(&mut slot.queue).into();
         slot.not_before = now + wait;
         slot.heard = now;
         slot.ownerless = None;
         let seen = slot.seen;
         self.figures.stepped_down += 1;
-        if let Stand::Owner(owner) = stand {
+        if let Ownership::Owner(owner) = ownership {
             jobs.extend(owner.flight.into_iter().flat_map(|f| f.jobs).map(|(job, _)| job));
             jobs.extend(owner.round.into_iter().flat_map(|r| r.jobs).map(|(job, _)| job));
             jobs.extend(owner.asked.into_iter().map(|(job, _)| job));
@@ -385,7 +393,7 @@
             match job.who {
                 Who::Local(id) => self.route(now, id),
                 Who::Remote(to, id, under) => {
-                    self.send(to, Letter::Verdict { id, under, passed: Passed::NotOwner(seen) })
+                    self.send(to, Message::Verdict { id, under, forwarded: Forwarded::NotOwner(seen) })
                 }
             }
         }
@@ -394,22 +402,22 @@
     /// A link came up: claims and copies that it missed.
     pub(crate) fn greet(&mut self, now: Micros, to: Node) {
         if !self.voter() {
-            if self.roster.version == 0 {
-                self.send(to, Letter::Which);
-            } else if self.phase == crate::ledger::Phase::Repairing {
+            if self.replica_set.version == 0 {
+                self.send(to, Message::AskReplicaSet);
+            } else if self.phase == crate::store::Phase::Repairing {
                 self.repair.sent = now;
-                self.send(to, Letter::Recover { life: self.life });
+                self.send(to, Message::Recover { incarnation: self.incarnation });
             }
             return;
         }
         let mut claims = Vec::new();
         let mut copies = Vec::new();
         for (key, slot) in &self.keys {
-            match &slot.stand {
-                Stand::Claiming(claim) if claim.promises.contains_key(&self.me) => {
+            match &slot.ownership {
+                Ownership::Claiming(claim) if claim.promises.contains_key(&self.me) => {
                     claims.push((key.clone(), claim.epoch));
                 }
-                Stand::Owner(owner) => {
+                Ownership::Owner(owner) => {
                     let has = owner.kept.get(&to).is_some_and(|k| k.1 >= owner.seq && self.current(to, k.0));
                     if !has {
                         copies.push(key.clone());
@@ -419,7 +427,7 @@
             }
         }
         for (key, epoch) in claims {
-            self.send(to, Letter::Claim { key, epoch });
+            self.send(to, Message::Claim { key, epoch });
         }
         for key in copies {
             self.send_whole(to, &key);
@@ -441,14 +449,14 @@
 
     /// When something is due for the key.
     pub(crate) fn due(&self, key: &str, slot: &Slot<P>) -> Option<Micros> {
-        match &slot.stand {
-            Stand::Holder if !slot.queue.is_empty() => Some(slot.not_before),
-            Stand::Holder => Some(match slot.ownerless {
+        match &slot.ownership {
+            Ownership::Replica if !slot.queue.is_empty() => Some(slot.not_before),
+            Ownership::Replica => Some(match slot.ownerless {
                 Some(since) => (since + self.patience(key)).max(slot.not_before),
                 None => slot.heard + SILENT,
             }),
-            Stand::Claiming(claim) => Some(claim.sent + RESEND),
-            Stand::Owner(owner) => {
+            Ownership::Claiming(claim) => Some(claim.sent + RESEND),
+            Ownership::Owner(owner) => {
                 let flight = owner.flight.as_ref().map(|f| f.sent + RESEND);
                 let round = owner.round.as_ref().map(|r| r.sent + RESEND);
                 flight.into_iter().chain(round).chain([self.calm + CALM]).min()
@@ -461,7 +469,7 @@
             .keys
             .iter()
             .filter(|(key, slot)| {
-                let gone = matches!(slot.stand, Stand::Holder)
+                let gone = matches!(slot.ownership, Ownership::Replica)
                     && slot.ownerless.is_some() == self.known_owner(now, key).is_some();
                 gone || self.due(key, slot).is_some_and(|at| at <= now)
             })
@@ -476,7 +484,7 @@
                 self.settled().into_iter().map(|(key, epoch, at)| (key, epoch, at.seq)).collect();
             if !keys.is_empty() {
                 for to in self.others() {
-                    self.send(to, Letter::Stands { keys: keys.clone() });
+                    self.send(to, Message::Heartbeat { keys: keys.clone() });
                 }
             }
         }
@@ -486,12 +494,14 @@
         let known = self.known_owner(now, key).is_some();
         let patience = self.patience(key);
         let others = self.others();
-        let lives = self.lives.clone();
-        let current = |node: &Node, life: &Life| lives.get(node).is_none_or(|known| life >= known);
+        let incarnations = self.incarnations.clone();
+        let current = |node: &Node, incarnation: &Incarnation| {
+            incarnations.get(node).is_none_or(|known| incarnation >= known)
+        };
         let Some(slot) = self.keys.get_mut(key) else { return };
         slot.queue.retain(|job| now < job.until);
-        match &mut slot.stand {
-            Stand::Holder => {
+        match &mut slot.ownership {
+            Ownership::Replica => {
                 if known {
                     slot.ownerless = None;
                 } else {
@@ -501,7 +511,7 @@
                     self.claim(now, key);
                 }
             }
-            Stand::Claiming(claim) => {
+            Ownership::Claiming(claim) => {
                 if now < claim.sent + RESEND {
                     return;
                 }
@@ -515,10 +525,10 @@
                     .filter(|n| !claim.promises.get(n).is_some_and(|l| current(n, l)))
                     .collect();
                 for to in missing {
-                    self.send(to, Letter::Claim { key: key.to_owned(), epoch });
+                    self.send(to, Message::Claim { key: key.to_owned(), epoch });
                 }
             }
-            Stand::Owner(owner) => {
+            Ownership::Owner(owner) => {
                 let mut copies = Vec::new();
                 let mut asks = Vec::new();
                 if let Some(flight) = owner.flight.as_mut().filter(|f| now >= f.sent + RESEND) {
@@ -538,7 +548,7 @@
                     self.send_whole(to, key);
                 }
                 for to in asks {
-                    self.send(to, Letter::Confirm { key: key.to_owned(), epoch, round });
+                    self.send(to, Message::Confirm { key: key.to_owned(), epoch, round });
                 }
             }
         }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/control-store/src/store.rs
@@ -1,15 +1,15 @@
-//! The ledger's state, its calls from outside, and its clock.
+//! The control store's state, its calls from outside, and its clock.
 
-use crate::letter::{Deed, Disk, Letter, Life, Lives, Marker, Stored};
+use crate::message::{Disk, Effect, Incarnation, Incarnations, Message, Metadata, Stored};
 use crate::owner::{Claim, Owner};
-use crate::roster::{Proposal, Roster, Vote, LINKS};
-use crate::{calls::Call, calls::Job, Epoch, Micros, Node, Page, Revision};
+use crate::replica_set::{Proposal, ReplicaSet, Vote, LINKS};
+use crate::{calls::Call, calls::Job, Epoch, Micros, Node, Revision, State};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A call is answered within this.
 pub const CALL_LIMIT: Micros = 800_000;
-/// An owner that was passed a call and says nothing for this long is given up.
-pub const PASS_LIMIT: Micros = 250_000;
+/// An owner that was forwarded a call and says nothing for this long is given up.
+pub const FORWARD_LIMIT: Micros = 250_000;
 /// A key without a reachable owner is claimed after this by the first in line, by each further one this much later.
 pub const OWNERLESS: Micros = 400_000;
 /// An owner that is linked but says nothing counts as gone after this.
@@ -18,32 +18,32 @@
 pub const RESEND: Micros = 300_000;
 /// How often an owner tells the others what it owns.
 pub const CALM: Micros = 1_000_000;
-/// Keys at most; a call on a further one is refused, a letter on one dropped.
+/// Keys at most; a call on a further one is refused, a message on one dropped.
 pub const KEYS: usize = 4096;
 /// Bytes of a key's name at most; longer ones are refused.
 pub const NAME: usize = 256;
 /// Open calls of this node at most; a further one is `Unsettled` at once.
 pub const OPEN: usize = 4096;
-/// Calls that wait at one key at most, those passed by others included; a further one is `Unsettled` at once.
+/// Calls that wait at one key at most, those forwarded by others included; a further one is `Unsettled` at once.
 pub const QUEUE: usize = 1024;
-/// Calls passed to an owner that it remembers, so that one that comes twice is served once; the oldest goes first.
-pub const PASSES: usize = 8192;
+/// Calls forwarded to an owner that it remembers, so that one that comes twice is served once; the oldest goes first.
+pub const FORWARDS: usize = 8192;
 /// Writes under way at most; what is to be written meanwhile goes into the next one together.
 pub const WRITES: usize = 2;
 /// Changes in one copy at most; the rest waits for the next.
 pub const BATCH: usize = 64;
-/// A holder that nobody reaches for this long is replaced, if there is a candidate.
+/// A replica that nobody reaches for this long is replaced, if there is a candidate.
 pub const GONE: Micros = 4_000_000;
-/// Between those who propose a change of the roster, and between the tries of each (and as much again, drawn).
+/// Between those who propose a change of the replica set, and between the tries of each (and as much again, drawn).
 pub const STAGGER: Micros = 500_000;
 
-/// How a ledger starts.
+/// How a control store starts.
 #[derive(Clone, Debug)]
 pub struct Start {
     /// This node.
     pub me: Node,
-    /// All holders on the first start; later, where to ask who they are. A roster on disk goes first.
-    pub roster: Vec<Node>,
+    /// All replicas on the first start; later, where to ask who they are. A replica set on disk goes first.
+    pub replica_set: Vec<Node>,
     /// Keys that exist from the start.
     pub keys: Vec<String>,
     /// Whether this is the first start of this machine: only then an empty disk is a new one and not a lost one.
@@ -60,7 +60,7 @@
     /// Wants to own it, or has taken it and not yet written it anew.
     Claiming,
     /// Keeps copies.
-    Holder,
+    Replica,
     /// Its disk was empty and is being repaired: no voter.
     Repairing,
 }
@@ -91,29 +91,29 @@
     pub stepped_down: u64,
     /// Copies of changes sent.
     pub copies_sent: u64,
-    /// Copies of whole pages sent.
+    /// Copies of whole values sent.
     pub wholes_sent: u64,
-    /// Times that a holder said it was behind.
+    /// Times that a replica said it was behind.
     pub behind: u64,
-    /// Claims, copies and other letters of a lower epoch refused.
+    /// Claims, copies and other messages of a lower epoch refused.
     pub refused_lower_epoch: u64,
-    /// Letters from nodes outside the roster.
+    /// Messages from nodes outside the replica set.
     pub strangers: u64,
     /// Calls answered `Unsettled`.
     pub unsettled: u64,
-    /// Calls passed on.
-    pub passed: u64,
-    /// Repairs of other holders' empty disks answered.
+    /// Calls forwarded on.
+    pub forwarded: u64,
+    /// Repairs of other replicas' empty disks answered.
     pub repairs: u64,
-    /// What a holder said with a disk that it lost since.
+    /// What a replica said with a disk that it lost since.
     pub outlived: u64,
-    /// Letters under an older roster.
-    pub older_roster: u64,
-    /// Later rosters taken.
-    pub rosters: u64,
+    /// Messages under an older replica set.
+    pub older_replica_set: u64,
+    /// Later replica sets taken.
+    pub replica_sets: u64,
 }
 
-/// How a ledger is broken on purpose; without the feature `mutants` nothing heeds it.
+/// How a control store is broken on purpose; without the feature `mutants` nothing heeds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Broken {
     /// Answers when it alone has synced.
@@ -130,22 +130,22 @@
     CountsLostDisks,
     /// Reads without asking whether its epoch still stands.
     ReadsUnasked,
-    /// Keeps what a page that refuses a change has made of it.
+    /// Keeps what a value that refuses a change has made of it.
     KeepsPart,
     /// A newcomer votes before it is repaired.
     NewcomerVotes,
-    /// While a holder is being replaced more than half of the roster before is enough.
+    /// While a replica is being replaced more than half of the replica set before is enough.
     OldQuorumOnly,
-    /// Heeds letters under an older roster.
-    HeedsOldRoster,
-    /// A removed holder goes on voting and is counted.
+    /// Heeds messages under an older replica set.
+    HeedsOldReplicaSet,
+    /// A removed replica goes on voting and is counted.
     RemovedVotes,
 }
 
 /// What waits for a write.
-pub(crate) enum After<P: Page> {
+pub(crate) enum After<P: State> {
     /// Under which version: of an older one it is not sent any more.
-    Send(u64, Node, Letter<P, P::Change>),
+    Send(u64, Node, Message<P, P::Change>),
     Promised {
         key: String,
         epoch: Epoch,
@@ -158,12 +158,12 @@
     Voter(u64),
 }
 
-/// A key here. `promised`, `accepted` and `page` are as the last write that was issued leaves them: what tells others
+/// A key here. `promised`, `accepted` and `value` are as the last write that was issued leaves them: what tells others
 /// of them waits for that write.
-pub(crate) struct Slot<P: Page> {
+pub(crate) struct Slot<P: State> {
     pub promised: Epoch,
     pub accepted: Revision,
-    pub page: P,
+    pub value: P,
     /// The highest epoch heard of.
     pub seen: Epoch,
     /// When its owner was heard last.
@@ -172,55 +172,55 @@
     pub ownerless: Option<Micros>,
     /// No claim before this, after a lost one.
     pub not_before: Micros,
-    pub stand: Stand<P>,
+    pub ownership: Ownership<P>,
     /// Calls that wait for this node to own the key, or for the copy under way. At most `QUEUE`.
     pub queue: VecDeque<Job<P::Change>>,
 }
 
-pub(crate) enum Stand<P: Page> {
-    Holder,
+pub(crate) enum Ownership<P: State> {
+    Replica,
     Claiming(Claim<P>),
     Owner(Owner<P>),
 }
 
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum Phase {
-    /// The marker is being written.
+    /// The metadata is being written.
     Formatting,
     /// The disk was empty.
     Repairing,
     Voter,
-    /// No holder, or it doesn't know yet.
+    /// No replica, or it doesn't know yet.
     Outside,
 }
 
 /// Where repair stands.
 pub(crate) struct Repair<P> {
-    /// Who has answered, with which life. At most one of each holder.
-    pub replies: BTreeMap<Node, Life>,
+    /// Who has answered, with which incarnation. At most one of each replica.
+    pub replies: BTreeMap<Node, Incarnation>,
     pub keys: BTreeMap<String, Stored<P>>,
     pub vote: Vote,
     pub sent: Micros,
 }
 
-/// One holder's part of the control state.
-pub struct Ledger<P: Page> {
+/// One replica's part of the control state.
+pub struct ControlStore<P: State> {
     pub(crate) me: Node,
-    pub(crate) roster: Roster,
+    pub(crate) replica_set: ReplicaSet,
     pub(crate) vote: Vote,
     pub(crate) proposal: Option<Proposal>,
     /// The highest epoch of a proposal that was heard of.
     pub(crate) ballot: Epoch,
     pub(crate) next_try: Micros,
-    /// Linked nodes, holders or not. At most `LINKS`.
+    /// Linked nodes, replicas or not. At most `LINKS`.
     pub(crate) up: BTreeSet<Node>,
-    /// Since when holders can't be reached.
+    /// Since when replicas can't be reached.
     pub(crate) gone: BTreeMap<Node, Micros>,
     /// At most `CANDIDATES`.
     pub(crate) candidates: BTreeSet<Node>,
     pub(crate) phase: Phase,
-    pub(crate) life: Life,
-    pub(crate) lives: BTreeMap<Node, Life>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) incarnations: BTreeMap<Node, Incarnation>,
     pub(crate) repair: Repair<P>,
     /// At most `KEYS`.
     pub(crate) keys: BTreeMap<String, Slot<P>>,
@@ -230,9 +230,9 @@
     pub(crate) random: u64,
     pub(crate) calm: Micros,
     pub(crate) figures: Figures,
-    deeds: Vec<Deed<P>>,
+    effects: Vec<Effect<P>>,
     dirty: BTreeSet<String>,
-    dirty_marker: bool,
+    dirty_metadata: bool,
     pub(crate) after: Vec<After<P>>,
     /// Writes under way. At most `WRITES`.
     writes: VecDeque<(u64, Vec<After<P>>)>,
@@ -246,24 +246,24 @@
     x ^ (x >> 31)
 }
 
-impl<P: Page> Ledger<P> {
-    /// A ledger on what was found on disk.
+impl<P: State> ControlStore<P> {
+    /// A control store on what was found on disk.
     pub fn new(now: Micros, start: Start, disk: Disk<P>) -> Self {
-        let (phase, marker) = match disk.marker {
-            Some(marker) => (Phase::Voter, marker),
+        let (phase, metadata) = match disk.metadata {
+            Some(metadata) => (Phase::Voter, metadata),
             None => {
-                let holds = start.fresh && start.roster.contains(&start.me);
+                let holds = start.fresh && start.replica_set.contains(&start.me);
                 let phase = if holds { Phase::Formatting } else { Phase::Outside };
-                let roster = Roster::first(u64::from(start.fresh), start.roster);
-                (phase, Marker { roster, ..Marker::default() })
+                let replica_set = ReplicaSet::first(u64::from(start.fresh), start.replica_set);
+                (phase, Metadata { replica_set, ..Metadata::default() })
             }
         };
-        let roster = marker.roster;
-        let gone = roster.nodes().filter(|n| *n != start.me).map(|n| (n, now)).collect();
-        let mut ledger = Ledger {
+        let replica_set = metadata.replica_set;
+        let gone = replica_set.nodes().filter(|n| *n != start.me).map(|n| (n, now)).collect();
+        let mut store = ControlStore {
             me: start.me,
-            roster,
-            vote: marker.vote,
+            replica_set,
+            vote: metadata.vote,
             proposal: None,
             ballot: Epoch::default(),
             next_try: now,
@@ -271,8 +271,8 @@
             gone,
             candidates: BTreeSet::new(),
             phase,
-            life: marker.life,
-            lives: marker.lives.into_iter().collect(),
+            incarnation: metadata.incarnation,
+            incarnations: metadata.incarnations.into_iter().collect(),
             repair: Repair {
                 replies: BTreeMap::new(),
                 keys: BTreeMap::new(),
@@ -285,28 +285,28 @@
             random: mix(start.seed ^ mix(now as u64 ^ (u64::from(start.me.0) << 32))),
             calm: now,
             figures: Figures::default(),
-            deeds: Vec::new(),
+            effects: Vec::new(),
             dirty: BTreeSet::new(),
-            dirty_marker: false,
+            dirty_metadata: false,
             after: Vec::new(),
             writes: VecDeque::new(),
             write: 0,
             broken: None,
         };
-        ledger.next_call = ledger.draw();
+        store.next_call = store.draw();
         for key in start.keys {
-            ledger.slot(now, &key);
+            store.slot(now, &key);
         }
         if phase == Phase::Voter {
             for stored in disk.keys {
-                ledger.adopt(now, stored);
+                store.adopt(now, stored);
             }
         }
         if phase == Phase::Formatting {
-            ledger.dirty_marker = true;
-            ledger.after.push(After::Voter(ledger.roster.version));
+            store.dirty_metadata = true;
+            store.after.push(After::Voter(store.replica_set.version));
         }
-        ledger
+        store
     }
 
     /// Breaks a rule on purpose.
@@ -325,7 +325,7 @@
         if let Some(slot) = self.slot(now, &stored.key) {
             slot.promised = stored.promised;
             slot.accepted = stored.accepted;
-            slot.page = stored.page;
+            slot.value = stored.value;
             slot.seen = slot.seen.max(stored.promised);
         }
     }
@@ -339,12 +339,12 @@
             let slot = Slot {
                 promised: Epoch::default(),
                 accepted: Revision::default(),
-                page: P::default(),
+                value: P::default(),
                 seen: Epoch::default(),
                 heard: now,
                 ownerless: Some(now),
                 not_before: now,
-                stand: Stand::Holder,
+                ownership: Ownership::Replica,
                 queue: VecDeque::new(),
             };
             self.keys.insert(key.to_owned(), slot);
@@ -352,76 +352,77 @@
         self.keys.get_mut(key)
     }
 
-    /// A letter came, said under this version of the roster. One of an older version is answered with the newer roster and
-    /// does nothing else. From a node outside the roster it is counted and dropped, but for calls that it passes.
-    pub fn letter(&mut self, now: Micros, from: Node, version: u64, letter: Letter<P, P::Change>) {
+    /// A message came, said under this version of the replica set. One of an older version is answered with the newer replica set and
+    /// does nothing else. From a node outside the replica set it is counted and dropped, but for calls that it forwards.
+    pub fn receive(&mut self, now: Micros, from: Node, version: u64, message: Message<P, P::Change>) {
         if from == self.me {
             self.figures.strangers += 1;
             return;
         }
-        let mine = self.roster.version;
-        if let Letter::Roster { roster } = letter {
-            if roster.version < mine {
-                self.send(from, Letter::Roster { roster: self.roster.clone() });
+        let mine = self.replica_set.version;
+        if let Message::ReplicaSet { replica_set } = message {
+            if replica_set.version < mine {
+                self.send(from, Message::ReplicaSet { replica_set: self.replica_set.clone() });
             }
-            self.take_roster(now, roster);
+            self.take_replica_set(now, replica_set);
             return;
         }
-        if version > mine && !self.is(Broken::HeedsOldRoster) {
-            self.send(from, Letter::Which);
+        if version > mine && !self.is(Broken::HeedsOldReplicaSet) {
+            self.send(from, Message::AskReplicaSet);
             return;
         }
-        if version < mine && !self.is(Broken::HeedsOldRoster) {
-            self.figures.older_roster += 1;
-            self.send(from, Letter::Roster { roster: self.roster.clone() });
+        if version < mine && !self.is(Broken::HeedsOldReplicaSet) {
+            self.figures.older_replica_set += 1;
+            self.send(from, Message::ReplicaSet { replica_set: self.replica_set.clone() });
             return;
         }
-        let known =
-            self.roster.contains(from) || self.is(Broken::RemovedVotes) || self.is(Broken::HeedsOldRoster);
-        if !known && !matches!(letter, Letter::Pass { .. }) {
+        let known = self.replica_set.contains(from)
+            || self.is(Broken::RemovedVotes)
+            || self.is(Broken::HeedsOldReplicaSet);
+        if !known && !matches!(message, Message::Forward { .. }) {
             self.figures.strangers += 1;
             return;
         }
-        self.heed(now, from, letter);
+        self.heed(now, from, message);
     }
 
-    fn heed(&mut self, now: Micros, from: Node, letter: Letter<P, P::Change>) {
-        match letter {
-            Letter::Verdict { id, under, passed } => self.on_verdict(now, from, id, under, passed),
-            Letter::Recovered { life, keys, vote, lives } => {
-                self.on_recovered(now, from, life, keys, vote, lives);
+    fn heed(&mut self, now: Micros, from: Node, message: Message<P, P::Change>) {
+        match message {
+            Message::Verdict { id, under, forwarded } => self.on_verdict(now, from, id, under, forwarded),
+            Message::Recovered { incarnation, keys, vote, incarnations } => {
+                self.on_recovered(now, from, incarnation, keys, vote, incarnations);
             }
-            Letter::Outlived { life } => self.on_outlived(now, life),
-            Letter::Pass { id, key, under, ask } => self.on_pass(now, from, id, key, under, ask),
-            Letter::Which | Letter::Roster { .. } => {}
+            Message::Outlived { incarnation } => self.on_outlived(now, incarnation),
+            Message::Forward { id, key, under, ask } => self.on_forward(now, from, id, key, under, ask),
+            Message::AskReplicaSet | Message::ReplicaSet { .. } => {}
             _ if self.phase != Phase::Voter => {}
-            Letter::Claim { key, epoch } => self.on_claim(now, from, key, epoch),
-            Letter::Promise { key, epoch, accepted, page, lives } => {
-                self.merge(&lives);
-                self.on_promise(now, from, key, epoch, accepted, page, lives.mine);
+            Message::Claim { key, epoch } => self.on_claim(now, from, key, epoch),
+            Message::Promise { key, epoch, accepted, value, incarnations } => {
+                self.merge(&incarnations);
+                self.on_promise(now, from, key, epoch, accepted, value, incarnations.mine);
             }
-            Letter::Copy { key, epoch, seq, body } => self.on_copy(now, from, key, epoch, seq, body),
-            Letter::Kept { key, epoch, seq, lives } => {
-                self.merge(&lives);
-                self.on_kept(now, from, key, epoch, seq, lives.mine);
+            Message::Copy { key, epoch, seq, body } => self.on_copy(now, from, key, epoch, seq, body),
+            Message::Kept { key, epoch, seq, incarnations } => {
+                self.merge(&incarnations);
+                self.on_kept(now, from, key, epoch, seq, incarnations.mine);
             }
-            Letter::Behind { key, epoch } => self.on_behind(from, key, epoch),
-            Letter::Higher { key, epoch } => self.learn(now, &key, epoch),
-            Letter::Confirm { key, epoch, round } => self.on_confirm(now, from, key, epoch, round),
-            Letter::Confirmed { key, epoch, round } => self.on_confirmed(now, from, key, epoch, round),
-            Letter::Stands { keys } => self.on_stands(now, from, keys),
-            Letter::Recover { life } => self.on_recover(from, life),
-            Letter::Propose { epoch, gone } => self.on_propose(now, from, epoch, gone),
-            Letter::Proposed { epoch, accepted, lives } => {
-                self.merge(&lives);
-                self.on_proposed(now, from, epoch, accepted, lives);
+            Message::NeedsSnapshot { key, epoch } => self.on_needs_snapshot(from, key, epoch),
+            Message::Higher { key, epoch } => self.learn(now, &key, epoch),
+            Message::Confirm { key, epoch, round } => self.on_confirm(now, from, key, epoch, round),
+            Message::Confirmed { key, epoch, round } => self.on_confirmed(now, from, key, epoch, round),
+            Message::Heartbeat { keys } => self.on_heartbeat(now, from, keys),
+            Message::Recover { incarnation } => self.on_recover(from, incarnation),
+            Message::Propose { epoch, gone } => self.on_propose(now, from, epoch, gone),
+            Message::Proposed { epoch, accepted, incarnations } => {
+                self.merge(&incarnations);
+                self.on_proposed(now, from, epoch, accepted, incarnations);
             }
-            Letter::Accept { epoch, roster } => self.on_accept(now, from, epoch, roster),
-            Letter::Accepted { epoch, lives } => {
-                self.merge(&lives);
-                self.on_accepted(now, from, epoch, lives);
+            Message::Accept { epoch, replica_set } => self.on_accept(now, from, epoch, replica_set),
+            Message::Accepted { epoch, incarnations } => {
+                self.merge(&incarnations);
+                self.on_accepted(now, from, epoch, incarnations);
             }
-            Letter::Overruled { epoch } => self.on_overruled(epoch),
+            Message::Overruled { epoch } => self.on_overruled(epoch),
         }
     }
 
@@ -438,21 +439,21 @@
 
     /// Whether a link to this node stands. Until told, none does.
     pub fn reachable(&mut self, now: Micros, node: Node, up: bool) {
-        let room = self.up.len() < LINKS || self.roster.contains(node);
+        let room = self.up.len() < LINKS || self.replica_set.contains(node);
         if node == self.me || !(if up { room && self.up.insert(node) } else { self.up.remove(&node) }) {
             return;
         }
         if up {
             self.gone.remove(&node);
-            let asks = self.roster.version == 0 && self.candidates.contains(&node);
-            if self.roster.contains(node) || asks {
+            let asks = self.replica_set.version == 0 && self.candidates.contains(&node);
+            if self.replica_set.contains(node) || asks {
                 self.greet(now, node);
             }
         } else {
-            if self.roster.contains(node) {
+            if self.replica_set.contains(node) {
                 self.gone.insert(node, now);
             }
-            self.passes_failed(now, |to| to == node);
+            self.forwards_failed(now, |to| to == node);
         }
         self.tick(now);
     }
@@ -463,10 +464,10 @@
         match self.phase {
             Phase::Voter => {
                 self.tick_keys(now);
-                self.tick_roster(now);
+                self.tick_replica_set(now);
             }
             Phase::Outside if self.lost_touch() && now >= self.repair.sent + RESEND => {
-                self.ask_which(now);
+                self.ask_replica_set(now);
             }
             Phase::Repairing if now >= self.repair.sent + RESEND => self.ask_repair(now),
             _ => {}
@@ -479,7 +480,7 @@
         let rest = match self.phase {
             Phase::Voter => {
                 let keys = self.keys.iter().filter_map(|(key, slot)| self.due(key, slot)).min();
-                keys.into_iter().chain(self.roster_due()).min()
+                keys.into_iter().chain(self.replica_set_due()).min()
             }
             Phase::Repairing => Some(self.repair.sent + RESEND),
             Phase::Outside if self.lost_touch() => Some(self.repair.sent + RESEND),
@@ -489,22 +490,22 @@
     }
 
     /// Takes what is to be done. To be called after every other call; `stored` may make room for the next write.
-    pub fn deeds(&mut self) -> Vec<Deed<P>> {
+    pub fn effects(&mut self) -> Vec<Effect<P>> {
         if self.unwritten() && self.writes.len() < WRITES {
             self.write += 1;
-            let marker = std::mem::take(&mut self.dirty_marker).then(|| self.marker());
+            let metadata = std::mem::take(&mut self.dirty_metadata).then(|| self.metadata());
             let keys =
                 std::mem::take(&mut self.dirty).into_iter().filter_map(|key| self.stored_key(&key)).collect();
-            self.deeds.push(Deed::Store { write: self.write, marker, keys });
+            self.effects.push(Effect::Store { write: self.write, metadata, keys });
             self.writes.push_back((self.write, std::mem::take(&mut self.after)));
         }
-        std::mem::take(&mut self.deeds)
+        std::mem::take(&mut self.effects)
     }
 
     /// The keys this node owns and has written anew.
     pub fn settled(&self) -> Vec<(String, Epoch, Revision)> {
-        let owned = |(key, slot): (&String, &Slot<P>)| match &slot.stand {
-            Stand::Owner(owner) => owner.committed.as_ref().map(|c| (key.clone(), owner.epoch, c.0)),
+        let owned = |(key, slot): (&String, &Slot<P>)| match &slot.ownership {
+            Ownership::Owner(owner) => owner.committed.as_ref().map(|c| (key.clone(), owner.epoch, c.0)),
             _ => None,
         };
         self.keys.iter().filter_map(owned).collect()
@@ -512,10 +513,10 @@
 
     /// All keys as an operator sees them.
     pub fn state(&self) -> Vec<KeyState> {
-        let role = |slot: &Slot<P>| match &slot.stand {
+        let role = |slot: &Slot<P>| match &slot.ownership {
             _ if self.phase != Phase::Voter => Role::Repairing,
-            Stand::Holder => Role::Holder,
-            Stand::Owner(owner) if owner.committed.is_some() => Role::Owner,
+            Ownership::Replica => Role::Replica,
+            Ownership::Owner(owner) if owner.committed.is_some() => Role::Owner,
             _ => Role::Claiming,
         };
         let one = |(key, slot): (&String, &Slot<P>)| KeyState {
@@ -528,7 +529,7 @@
         self.keys.iter().map(one).collect()
     }
 
-    /// Whether this node's promises and copies count: not while its marker is being written or its disk repaired.
+    /// Whether this node's promises and copies count: not while its metadata is being written or its disk repaired.
     pub fn voter(&self) -> bool {
         self.phase == Phase::Voter
     }
@@ -538,21 +539,21 @@
         self.figures
     }
 
-    /// The holders this node goes by, one that is coming or leaving included.
-    pub fn roster(&self) -> Vec<Node> {
-        self.roster.nodes().collect()
+    /// The replicas this node goes by, one that is coming or leaving included.
+    pub fn replica_set(&self) -> Vec<Node> {
+        self.replica_set.nodes().collect()
     }
 
     /// Nothing that is not yet under way is written any more.
     pub(crate) fn forget_writes(&mut self) {
         self.dirty.clear();
-        self.dirty_marker = false;
+        self.dirty_metadata = false;
     }
 
-    pub(crate) fn current(&self, node: Node, life: Life) -> bool {
+    pub(crate) fn current(&self, node: Node, incarnation: Incarnation) -> bool {
         node == self.me
             || self.is(Broken::CountsLostDisks)
-            || life >= self.lives.get(&node).copied().unwrap_or_default()
+            || incarnation >= self.incarnations.get(&node).copied().unwrap_or_default()
     }
 
     pub(crate) fn draw(&mut self) -> u64 {
@@ -560,54 +561,57 @@
         mix(self.random)
     }
 
-    /// The holders that can be reached, this one included, in the order in which they would own the key.
+    /// The replicas that can be reached, this one included, in the order in which they would own the key.
     pub(crate) fn order(&self, key: &str) -> Vec<Node> {
         let name = key
             .bytes()
             .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
         let mut nodes: Vec<Node> =
-            self.roster.nodes().filter(|n| *n == self.me || self.up.contains(n)).collect();
+            self.replica_set.nodes().filter(|n| *n == self.me || self.up.contains(n)).collect();
         nodes.sort_by_key(|n| (mix(name ^ mix(u64::from(n.0))), *n));
         nodes
     }
 
-    pub(crate) fn lives(&self) -> Lives {
-        Lives { mine: self.life, others: self.lives.iter().map(|(n, l)| (*n, *l)).collect() }
+    pub(crate) fn incarnations(&self) -> Incarnations {
+        Incarnations {
+            mine: self.incarnation,
+            others: self.incarnations.iter().map(|(n, l)| (*n, *l)).collect(),
+        }
     }
 
-    pub(crate) fn marker(&self) -> Marker {
-        Marker {
-            roster: self.roster.clone(),
+    pub(crate) fn metadata(&self) -> Metadata {
+        Metadata {
+            replica_set: self.replica_set.clone(),
             vote: self.vote.clone(),
-            life: self.life,
-            lives: self.lives().others,
+            incarnation: self.incarnation,
+            incarnations: self.incarnations().others,
         }
     }
 
     pub(crate) fn stored_key(&self, key: &str) -> Option<Stored<P>> {
         let slot = self.keys.get(key)?;
-        let (promised, accepted, page) = (slot.promised, slot.accepted, slot.page.clone());
-        Some(Stored { key: key.to_owned(), promised, accepted, page })
+        let (promised, accepted, value) = (slot.promised, slot.accepted, slot.value.clone());
+        Some(Stored { key: key.to_owned(), promised, accepted, value })
     }
 
-    pub(crate) fn send(&mut self, to: Node, letter: Letter<P, P::Change>) {
-        self.deeds.push(Deed::Send { to, version: self.roster.version, letter });
+    pub(crate) fn send(&mut self, to: Node, message: Message<P, P::Change>) {
+        self.effects.push(Effect::Send { to, version: self.replica_set.version, message });
     }
 
-    pub(crate) fn deed(&mut self, deed: Deed<P>) {
-        self.deeds.push(deed);
+    pub(crate) fn effect(&mut self, effect: Effect<P>) {
+        self.effects.push(effect);
     }
 
     pub(crate) fn write_key(&mut self, key: &str) {
         self.dirty.insert(key.to_owned());
     }
 
-    pub(crate) fn write_marker(&mut self) {
-        self.dirty_marker = true;
+    pub(crate) fn write_metadata(&mut self) {
+        self.dirty_metadata = true;
     }
 
     fn unwritten(&self) -> bool {
-        self.dirty_marker || !self.dirty.is_empty()
+        self.dirty_metadata || !self.dirty.is_empty()
     }
 
     /// Does it once all that was to be written until now is durable.
@@ -623,12 +627,12 @@
 
     fn run(&mut self, now: Micros, one: After<P>) {
         match one {
-            After::Send(version, ..) if version != self.roster.version => {}
-            After::Send(_, to, letter) if to == self.me => self.heed(now, to, letter),
-            After::Send(_, to, letter) => self.send(to, letter),
+            After::Send(version, ..) if version != self.replica_set.version => {}
+            After::Send(_, to, message) if to == self.me => self.heed(now, to, message),
+            After::Send(_, to, message) => self.send(to, message),
             After::Promised { key, epoch } => self.own_promise(now, key, epoch),
-            After::Kept { key, epoch, seq } => self.on_kept(now, self.me, key, epoch, seq, self.life),
-            After::Voter(version) if version != self.roster.version => {}
+            After::Kept { key, epoch, seq } => self.on_kept(now, self.me, key, epoch, seq, self.incarnation),
+            After::Voter(version) if version != self.replica_set.version => {}
             After::Voter(_) => {
                 self.phase = Phase::Voter;
                 self.reroute(now);
--- a/crates/ledger/tests/common/judge.rs
+++ b/crates/control-store/tests/common/judge.rs
@@ -1,5 +1,5 @@
 //! The judge: what operators saw, held against one plain map in which the highest version wins and nothing is lost.
-//! It shares no type with the ledger.
+//! It shares no type with the control store.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -14,7 +14,7 @@
     Unsettled,
     Refused,
     Done(At),
-    Page(Seen),
+    State(Seen),
 }
 
 /// A change, or a read if it has no items.
@@ -30,7 +30,7 @@
 #[derive(Default)]
 pub struct History {
     pub ops: Vec<Op>,
-    /// Key, where, who told it in which life, content.
+    /// Key, where, who told it in which incarnation, content.
     pub news: Vec<(String, At, (usize, u64), Seen)>,
 }
 
@@ -55,15 +55,15 @@
         judge_news(&news)?;
         news.sort_by_key(|n| n.1);
         judge_reads(&ops)?;
-        judge_pages(&ops, &news)?;
+        judge_values(&ops, &news)?;
     }
     Ok(())
 }
 
-type News<'a> = [&'a (String, At, (usize, u64), Seen)];
+type Committed<'a> = [&'a (String, At, (usize, u64), Seen)];
 
 /// Content follows the revisions everywhere, and no node tells an older one after a newer one.
-fn judge_news(news: &News) -> Result<(), String> {
+fn judge_news(news: &Committed) -> Result<(), String> {
     let mut last: BTreeMap<(usize, u64), At> = BTreeMap::new();
     for one in news {
         let known = last.entry(one.2).or_default();
@@ -90,19 +90,19 @@
         if let (Some(answered), Said::Done(_)) = (op.answered, &op.said) {
             facts.push((answered, wanted(op), op));
         }
-        if let (Some(answered), Said::Page(page)) = (op.answered, &op.said) {
-            facts.push((answered, page.clone(), op));
+        if let (Some(answered), Said::State(value)) = (op.answered, &op.said) {
+            facts.push((answered, value.clone(), op));
         }
     }
     for op in ops {
-        let Said::Page(page) = &op.said else { continue };
+        let Said::State(value) = &op.said else { continue };
         for (when, fact, by) in &facts {
             // What a change overtaken by a higher version asked for was never in force.
             let covered = match by.said {
                 Said::Done(_) => {
-                    by.items.iter().all(|(i, v, _)| page.get(i).is_some_and(|known| known.0 >= *v))
+                    by.items.iter().all(|(i, v, _)| value.get(i).is_some_and(|known| known.0 >= *v))
                 }
-                _ => covers(page, fact),
+                _ => covers(value, fact),
             };
             if *when < op.asked && !covered {
                 return Err(format!("a read misses what stood before it: {by:?} then {op:?}"));
@@ -113,10 +113,10 @@
 }
 
 /// What was refused is nowhere, calls are whole, a version has one content, and what is done is in the content.
-fn judge_pages(ops: &[&Op], news: &News) -> Result<(), String> {
-    let mut pages: Vec<&Seen> = news.iter().map(|n| &n.3).collect();
-    pages.extend(ops.iter().filter_map(|op| match &op.said {
-        Said::Page(page) => Some(page),
+fn judge_values(ops: &[&Op], news: &Committed) -> Result<(), String> {
+    let mut values: Vec<&Seen> = news.iter().map(|n| &n.3).collect();
+    values.extend(ops.iter().filter_map(|op| match &op.said {
+        Said::State(value) => Some(value),
         _ => None,
     }));
     let mut one: BTreeMap<(u8, u64), u64> = BTreeMap::new();
@@ -136,17 +136,17 @@
             refused.remove(content);
         }
     }
-    for page in &pages {
-        for (item, (version, content)) in page.iter() {
+    for value in &values {
+        for (item, (version, content)) in value.iter() {
             if *one.entry((*item, *version)).or_insert(*content) != *content {
                 return Err(format!("item {item} version {version} has two contents"));
             }
             if let Some(op) = refused.get(content) {
-                return Err(format!("refused and in force: {op:?} in {page:?}"));
+                return Err(format!("refused and in force: {op:?} in {value:?}"));
             }
             let Some(op) = asked.get(content) else { return Err(format!("nobody asked for {content}")) };
-            if !op.items.iter().all(|(i, v, _)| page.get(i).is_some_and(|known| known.0 >= *v)) {
-                return Err(format!("part of a call in force: {op:?} in {page:?}"));
+            if !op.items.iter().all(|(i, v, _)| value.get(i).is_some_and(|known| known.0 >= *v)) {
+                return Err(format!("part of a call in force: {op:?} in {value:?}"));
             }
         }
     }
@@ -155,11 +155,11 @@
         if op.items.iter().any(|(_, _, content)| *content == 0) {
             return Err(format!("invalid and acknowledged: {op:?}"));
         }
-        for (_, _, _, page) in news.iter().filter(|n| n.1 >= *at) {
+        for (_, _, _, value) in news.iter().filter(|n| n.1 >= *at) {
             for (item, version, content) in &op.items {
-                let known = page.get(item).copied().unwrap_or_default();
+                let known = value.get(item).copied().unwrap_or_default();
                 if known.0 < *version || (known.0 == *version && known.1 != *content) {
-                    return Err(format!("acknowledged and not in force: {op:?} in {page:?}"));
+                    return Err(format!("acknowledged and not in force: {op:?} in {value:?}"));
                 }
             }
         }
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/control-store/tests/common/mod.rs
@@ -4,7 +4,7 @@
 pub mod judge;
 
 use judge::{History, Op, Said};
-use silvercross_ledger::*;
+use silvercross_control_store::*;
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -21,7 +21,7 @@
 /// Item, version, content.
 pub type Change = Vec<(u8, u64, u64)>;
 
-impl Page for Notes {
+impl State for Notes {
     type Change = Change;
 
     fn apply(&mut self, change: &Change) -> Result<bool, Refusal> {
@@ -71,13 +71,13 @@
     }
 }
 
-type L = Letter<Notes, Change>;
+type L = Message<Notes, Change>;
 
 enum Event {
-    Arrive { from: usize, to: usize, version: u64, letter: Box<L> },
-    Synced { node: usize, life: u64, write: u64 },
-    Wake { node: usize, life: u64 },
-    Told { node: usize, life: u64, peer: usize, up: bool },
+    Arrive { from: usize, to: usize, version: u64, message: Box<L> },
+    Synced { node: usize, incarnation: u64, write: u64 },
+    Wake { node: usize, incarnation: u64 },
+    Told { node: usize, incarnation: u64, peer: usize, up: bool },
     Operator { hand: usize },
     Fault,
     Undo(Undo),
@@ -109,19 +109,19 @@
 }
 
 enum Held {
-    Letter(usize, u64, Box<L>),
+    Message(usize, u64, Box<L>),
     Stored(u64),
     Told(usize, bool),
     Call(u64, String, Option<Change>),
 }
 
 struct Machine {
-    ledger: Option<Ledger<Notes>>,
+    store: Option<ControlStore<Notes>>,
     disk: Disk<Notes>,
     formatted: bool,
-    writes: VecDeque<(u64, Option<Marker>, Vec<Stored<Notes>>)>,
+    writes: VecDeque<(u64, Option<Metadata>, Vec<Stored<Notes>>)>,
     /// Rises with every start.
-    life: u64,
+    incarnation: u64,
     frozen: bool,
     held: Vec<Held>,
     sync_free: Micros,
@@ -144,11 +144,11 @@
     pub faults: BTreeMap<&'static str, u64>,
     /// From the last heal until every key was settled.
     pub settled_in: Micros,
-    pub letters: u64,
+    pub messages: u64,
     pub taken: u64,
     pub outlived: u64,
-    /// Versions of the roster beyond the first.
-    pub rosters: u64,
+    /// Versions of the replica set beyond the first.
+    pub replica_sets: u64,
 }
 
 pub struct World {
@@ -157,8 +157,8 @@
     queue: BinaryHeap<Reverse<Entry>>,
     number: u64,
     machines: Vec<Machine>,
-    /// How many of them are holders from the start.
-    holders: usize,
+    /// How many of them are replicas from the start.
+    replicas: usize,
     cut: Vec<Vec<bool>>,
     loss: u64,
     double: u64,
@@ -182,9 +182,9 @@
         World::with_spares(seed, machines, 0, broken)
     }
 
-    /// With machines that are no holders yet; holders may be lost for good, and away for long.
-    pub fn with_spares(seed: u64, holders: usize, spares: usize, broken: Option<Broken>) -> World {
-        let machines = holders + spares;
+    /// With machines that are no replicas yet; replicas may be lost for good, and away for long.
+    pub fn with_spares(seed: u64, replicas: usize, spares: usize, broken: Option<Broken>) -> World {
+        let machines = replicas + spares;
         let mut dice = Dice(seed);
         let keys = (0..1 + dice.below(3)).map(|k| format!("key-{k}")).collect();
         let mut world = World {
@@ -192,7 +192,7 @@
             queue: BinaryHeap::new(),
             number: 0,
             machines: Vec::new(),
-            holders,
+            replicas,
             cut: vec![vec![false; machines]; machines],
             loss: dice.below(100),
             double: dice.below(100),
@@ -218,11 +218,11 @@
         for _ in 0..machines {
             let offset = world.dice.below(1_000_000_000) as Micros;
             world.machines.push(Machine {
-                ledger: None,
+                store: None,
                 disk: Disk::default(),
                 formatted: false,
                 writes: VecDeque::new(),
-                life: 0,
+                incarnation: 0,
                 frozen: false,
                 held: Vec::new(),
                 sync_free: 0,
@@ -253,29 +253,29 @@
         let seed = self.dice.next();
         let now = self.now;
         let m = &mut self.machines[node];
-        if m.ledger.is_some() || m.destroyed {
+        if m.store.is_some() || m.destroyed {
             return;
         }
-        m.life += 1;
+        m.incarnation += 1;
         m.wake = Micros::MAX;
         m.frozen = false;
         let start = Start {
             me: Node(node as u32),
-            roster: (0..self.holders as u32).map(Node).collect(),
+            replica_set: (0..self.replicas as u32).map(Node).collect(),
             keys: self.keys.clone(),
-            fresh: !m.formatted && node < self.holders,
+            fresh: !m.formatted && node < self.replicas,
             seed,
         };
         #[allow(unused_mut)]
-        let mut ledger = Ledger::new(now + m.offset, start, m.disk.clone());
+        let mut store = ControlStore::new(now + m.offset, start, m.disk.clone());
         #[cfg(feature = "mutants")]
         if let Some(broken) = self.broken {
-            ledger.break_it(broken);
+            store.break_it(broken);
         }
-        m.ledger = Some(ledger);
+        m.store = Some(store);
         self.drain(node);
         for peer in 0..n {
-            if peer != node && self.machines[peer].ledger.is_some() {
+            if peer != node && self.machines[peer].store.is_some() {
                 self.tell(node, peer, true);
                 self.tell(peer, node, true);
             }
@@ -284,24 +284,24 @@
 
     fn tell(&mut self, node: usize, peer: usize, up: bool) {
         let delay = 1_000 + self.dice.below(50_000) as Micros;
-        let life = self.machines[node].life;
-        self.at(self.now + delay, Event::Told { node, life, peer, up });
+        let incarnation = self.machines[node].incarnation;
+        self.at(self.now + delay, Event::Told { node, incarnation, peer, up });
     }
 
     fn crash(&mut self, node: usize, wipe: bool) {
         let lost = self.dice.below(3);
         let m = &mut self.machines[node];
-        if m.ledger.take().is_none() && !wipe {
+        if m.store.take().is_none() && !wipe {
             return;
         }
-        m.life += 1;
+        m.incarnation += 1;
         m.held.clear();
         m.frozen = false;
         // Some of what was not told to be synced may be on disk all the same, in order.
         let mut writes = std::mem::take(&mut m.writes);
         while lost == 0 && !writes.is_empty() {
-            if let Some((_, marker, keys)) = writes.pop_front() {
-                persist(m, marker, keys);
+            if let Some((_, metadata, keys)) = writes.pop_front() {
+                persist(m, metadata, keys);
             }
         }
         m.sync_free = 0;
@@ -325,23 +325,23 @@
             return;
         }
         let now = self.now + m.offset;
-        let Some(ledger) = &mut m.ledger else { return };
+        let Some(store) = &mut m.store else { return };
         match what {
-            Held::Letter(from, version, letter) => ledger.letter(now, Node(from as u32), version, *letter),
-            Held::Stored(write) => ledger.stored(now, write),
-            Held::Told(peer, up) => ledger.reachable(now, Node(peer as u32), up),
-            Held::Call(token, key, Some(change)) => ledger.call(now, token, &key, change),
-            Held::Call(token, key, None) => ledger.read(now, token, &key),
+            Held::Message(from, version, message) => store.receive(now, Node(from as u32), version, *message),
+            Held::Stored(write) => store.stored(now, write),
+            Held::Told(peer, up) => store.reachable(now, Node(peer as u32), up),
+            Held::Call(token, key, Some(change)) => store.call(now, token, &key, change),
+            Held::Call(token, key, None) => store.read(now, token, &key),
         }
         self.drain(node);
     }
 
     fn drain(&mut self, node: usize) {
-        let Some(ledger) = &mut self.machines[node].ledger else { return };
-        for deed in ledger.deeds() {
-            match deed {
-                Deed::Send { to, version, letter } => {
-                    self.report.letters += 1;
+        let Some(store) = &mut self.machines[node].store else { return };
+        for effect in store.effects() {
+            match effect {
+                Effect::Send { to, version, message } => {
+                    self.report.messages += 1;
                     let to = to.0 as usize;
                     let copies = if self.dice.below(1000) < self.loss {
                         0
@@ -353,39 +353,39 @@
                         if self.dice.one_in(self.slow) {
                             delay += self.dice.below(400_000);
                         }
-                        let letter = Box::new(letter.clone());
+                        let message = Box::new(message.clone());
                         self.at(
                             self.now + delay as Micros,
-                            Event::Arrive { from: node, to, version, letter },
+                            Event::Arrive { from: node, to, version, message },
                         );
                     }
                 }
-                Deed::Store { write, marker, keys } => {
+                Effect::Store { write, metadata, keys } => {
                     let mut delay = 300 + self.dice.below(5_000);
                     if self.dice.one_in(self.slow) {
                         delay += self.dice.below(300_000);
                     }
                     let m = &mut self.machines[node];
-                    m.writes.push_back((write, marker, keys));
+                    m.writes.push_back((write, metadata, keys));
                     let when = self.now.max(m.sync_free) + delay as Micros;
                     m.sync_free = when;
-                    let life = m.life;
-                    self.at(when, Event::Synced { node, life, write });
+                    let incarnation = m.incarnation;
+                    self.at(when, Event::Synced { node, incarnation, write });
                 }
-                Deed::Answer { token, verdict } => self.answered(node, token, verdict),
-                Deed::News { key, revision, page } => {
+                Effect::Answer { token, verdict } => self.answered(node, token, verdict),
+                Effect::Committed { key, revision, value } => {
                     let at = (revision.epoch.round, revision.epoch.owner, revision.seq);
-                    let life = self.machines[node].life;
-                    self.history.news.push((key, at, (node, life), page.0));
+                    let incarnation = self.machines[node].incarnation;
+                    self.history.news.push((key, at, (node, incarnation), value.0));
                 }
             }
         }
         let m = &mut self.machines[node];
-        if let Some(wake) = m.ledger.as_ref().and_then(|l| l.wake()).map(|w| w - m.offset) {
+        if let Some(wake) = m.store.as_ref().and_then(|l| l.wake()).map(|w| w - m.offset) {
             if wake < m.wake {
                 m.wake = wake;
-                let life = m.life;
-                self.at(wake, Event::Wake { node, life });
+                let incarnation = m.incarnation;
+                self.at(wake, Event::Wake { node, incarnation });
             }
         }
     }
@@ -410,9 +410,9 @@
                 self.report.refused += 1;
                 Said::Refused
             }
-            Verdict::Page { page, .. } => {
+            Verdict::Value { value, .. } => {
                 self.report.reads += 1;
-                Said::Page(page.0)
+                Said::State(value.0)
             }
             Verdict::Unsettled => {
                 self.report.unsettled += 1;
@@ -426,7 +426,7 @@
     }
 
     pub fn begin(&mut self, node: usize, key: &str, change: Option<Change>) -> Option<u64> {
-        self.machines[node].ledger.as_ref()?;
+        self.machines[node].store.as_ref()?;
         let token = self.next_token;
         self.next_token += 1;
         self.report.calls += 1;
@@ -485,7 +485,7 @@
 
     fn strike(&mut self) {
         let n = self.machines.len();
-        if n > self.holders && self.dice.one_in(5) {
+        if n > self.replicas && self.dice.one_in(5) {
             return self.strike_long();
         }
         let node = self.dice.below(n as u64) as usize;
@@ -516,7 +516,7 @@
             }
             5 | 6 => {
                 let m = &mut self.machines[node];
-                if m.frozen || m.ledger.is_none() {
+                if m.frozen || m.store.is_none() {
                     return;
                 }
                 m.frozen = true;
@@ -547,43 +547,43 @@
         *self.report.faults.entry(name).or_default() += 1;
     }
 
-    /// The last roster that anybody knows of.
-    fn roster(&self) -> Option<Roster> {
+    /// The last replica set that anybody knows of.
+    fn replica_set(&self) -> Option<ReplicaSet> {
         let known = |m: &Machine| {
-            let disk = m.disk.marker.as_ref().map(|marker| marker.roster.clone());
-            disk.into_iter().chain(m.ledger.as_ref().map(|l| l.holders().clone())).max_by_key(|r| r.version)
+            let disk = m.disk.metadata.as_ref().map(|metadata| metadata.replica_set.clone());
+            disk.into_iter().chain(m.store.as_ref().map(|l| l.replicas().clone())).max_by_key(|r| r.version)
         };
         self.machines.iter().filter_map(known).max_by_key(|r| r.version)
     }
 
     /// Whether the loss of this disk is one of those that are to be borne: with those that are lost already and not repaired
-    /// or replaced yet it is under half, in the last roster that is in force (more than half of its holders have it on
+    /// or replaced yet it is under half, in the last replica set that is in force (more than half of its replicas have it on
     /// disk) and in each that anybody knows of beyond it.
     fn bearable(&self, node: usize) -> bool {
-        let mut known: Vec<Roster> = Vec::new();
+        let mut known: Vec<ReplicaSet> = Vec::new();
         for m in &self.machines {
-            known.extend(m.disk.marker.as_ref().map(|marker| marker.roster.clone()));
-            known.extend(m.ledger.as_ref().map(|l| l.holders().clone()));
+            known.extend(m.disk.metadata.as_ref().map(|metadata| metadata.replica_set.clone()));
+            known.extend(m.store.as_ref().map(|l| l.replicas().clone()));
         }
         let since = |node: usize, version: u64| {
             let m = &self.machines[node];
-            !m.destroyed && m.disk.marker.as_ref().is_some_and(|k| k.roster.version >= version)
+            !m.destroyed && m.disk.metadata.as_ref().is_some_and(|k| k.replica_set.version >= version)
         };
-        let stands = |r: &&Roster| {
+        let heartbeat = |r: &&ReplicaSet| {
             r.members.iter().filter(|m| since(m.0 .0 as usize, r.version)).count() * 2 > r.members.len()
         };
-        let force = known.iter().filter(stands).map(|r| r.version).max().unwrap_or(0);
+        let force = known.iter().filter(heartbeat).map(|r| r.version).max().unwrap_or(0);
         known.retain(|r| r.version >= force.max(1));
-        let all = self.machines[..self.holders].iter().all(|m| m.formatted || m.destroyed);
-        let bears = |roster: &Roster| {
-            let lost = roster.members.iter().filter(|(n, s)| !since(n.0 as usize, *s)).count();
-            let target = roster.members.iter().find(|(n, _)| n.0 as usize == node);
-            lost < (self.holders - 1) / 2 && target.is_none_or(|(_, s)| since(node, *s))
+        let all = self.machines[..self.replicas].iter().all(|m| m.formatted || m.destroyed);
+        let bears = |replica_set: &ReplicaSet| {
+            let lost = replica_set.members.iter().filter(|(n, s)| !since(n.0 as usize, *s)).count();
+            let target = replica_set.members.iter().find(|(n, _)| n.0 as usize == node);
+            lost < (self.replicas - 1) / 2 && target.is_none_or(|(_, s)| since(node, *s))
         };
         all && !known.is_empty() && known.iter().all(bears)
     }
 
-    /// A holder lost for good, or away for longer than is borne.
+    /// A replica lost for good, or away for longer than is borne.
     fn strike_long(&mut self) {
         let n = self.machines.len();
         let node = self.dice.below(n as u64) as usize;
@@ -591,10 +591,10 @@
         let met = u64::from(!self.open.is_empty());
         let name = match self.dice.below(4) {
             0 | 1 => {
-                let holder = |n: usize| self.roster().is_none_or(|r| r.contains(Node(n as u32)));
-                let lost = (0..n).filter(|n| holder(*n) && self.machines[*n].destroyed).count();
-                let spare = (0..n).filter(|n| !holder(*n) && !self.machines[*n].destroyed).count();
-                if !holder(node) || spare <= lost || !self.bearable(node) {
+                let replica = |n: usize| self.replica_set().is_none_or(|r| r.contains(Node(n as u32)));
+                let lost = (0..n).filter(|n| replica(*n) && self.machines[*n].destroyed).count();
+                let spare = (0..n).filter(|n| !replica(*n) && !self.machines[*n].destroyed).count();
+                if !replica(node) || spare <= lost || !self.bearable(node) {
                     return;
                 }
                 self.crash(node, true);
@@ -639,8 +639,8 @@
             Undo::Heal(from, to) => {
                 self.cut[from][to] = false;
                 if !self.cut[to][from]
-                    && self.machines[from].ledger.is_some()
-                    && self.machines[to].ledger.is_some()
+                    && self.machines[from].store.is_some()
+                    && self.machines[to].store.is_some()
                 {
                     self.tell(from, to, true);
                     self.tell(to, from, true);
@@ -671,24 +671,24 @@
         if m.frozen {
             return;
         }
-        if let Some(ledger) = &mut m.ledger {
-            ledger.tick(self.now + m.offset);
+        if let Some(store) = &mut m.store {
+            store.tick(self.now + m.offset);
         }
         self.drain(node);
         self.tell_candidates(node);
     }
 
-    /// What nodes say of themselves: whether they are no holders and could be.
+    /// What nodes say of themselves: whether they are no replicas and could be.
     fn tell_candidates(&mut self, node: usize) {
         let n = self.machines.len();
-        if n == self.holders {
+        if n == self.replicas {
             return;
         }
         for peer in (0..n).filter(|p| *p != node) {
-            let outside = self.machines[peer].ledger.as_ref().is_some_and(|l| l.outside());
+            let outside = self.machines[peer].store.as_ref().is_some_and(|l| l.outside());
             let m = &mut self.machines[node];
-            if let Some(ledger) = &mut m.ledger {
-                ledger.candidate(self.now + m.offset, Node(peer as u32), outside);
+            if let Some(store) = &mut m.store {
+                store.candidate(self.now + m.offset, Node(peer as u32), outside);
             }
         }
         self.drain(node);
@@ -703,29 +703,30 @@
             let Some(Reverse(Entry(when, _, event))) = self.queue.pop() else { break };
             self.now = when;
             match event {
-                Event::Arrive { from, to, version, letter } => {
+                Event::Arrive { from, to, version, message } => {
                     if !self.cut[from][to] {
-                        self.input(to, Held::Letter(from, version, letter));
+                        self.input(to, Held::Message(from, version, message));
                     }
                 }
-                Event::Synced { node, life, write } => {
+                Event::Synced { node, incarnation, write } => {
                     let m = &mut self.machines[node];
-                    if m.life == life {
-                        if let Some((_, marker, keys)) = m.writes.pop_front() {
-                            persist(m, marker, keys);
+                    if m.incarnation == incarnation {
+                        if let Some((_, metadata, keys)) = m.writes.pop_front() {
+                            persist(m, metadata, keys);
                         }
                         self.input(node, Held::Stored(write));
                     }
                 }
-                Event::Wake { node, life } => {
-                    if self.machines[node].life == life && self.machines[node].wake <= self.now {
+                Event::Wake { node, incarnation } => {
+                    if self.machines[node].incarnation == incarnation && self.machines[node].wake <= self.now
+                    {
                         self.tick(node);
                     }
                 }
-                Event::Told { node, life, peer, up } => {
+                Event::Told { node, incarnation, peer, up } => {
                     let m = &self.machines[node];
-                    let dead = self.machines[peer].ledger.is_none();
-                    if m.life == life && !(up && dead) && !(self.healing && !up && !dead) {
+                    let dead = self.machines[peer].store.is_none();
+                    if m.incarnation == incarnation && !(up && dead) && !(self.healing && !up && !dead) {
                         self.input(node, Held::Told(peer, up));
                     }
                 }
@@ -744,25 +745,27 @@
         self.now = self.now.max(until);
     }
 
-    /// Whether every key is owned by exactly one, and all holders have its content.
+    /// Whether every key is owned by exactly one, and all replicas have its content.
     fn calm(&self) -> bool {
-        let Some(roster) = self.roster() else { return false };
-        let holders: Vec<&Machine> = roster.members.iter().map(|m| &self.machines[m.0 .0 as usize]).collect();
-        let agree = |m: &&Machine| m.ledger.as_ref().is_some_and(|l| l.voter() && *l.holders() == roster);
-        !roster.joint()
-            && holders.iter().all(agree)
+        let Some(replica_set) = self.replica_set() else { return false };
+        let replicas: Vec<&Machine> =
+            replica_set.members.iter().map(|m| &self.machines[m.0 .0 as usize]).collect();
+        let agree =
+            |m: &&Machine| m.store.as_ref().is_some_and(|l| l.voter() && *l.replicas() == replica_set);
+        !replica_set.joint()
+            && replicas.iter().all(agree)
             && self.keys.iter().all(|key| {
                 let owners: Vec<Revision> = self
                     .machines
                     .iter()
-                    .filter_map(|m| m.ledger.as_ref())
+                    .filter_map(|m| m.store.as_ref())
                     .flat_map(|l| l.settled())
                     .filter(|(k, ..)| k == key)
                     .map(|(_, _, revision)| revision)
                     .collect();
                 owners.len() == 1
-                    && holders.iter().all(|m| {
-                        m.ledger.as_ref().is_some_and(|l| {
+                    && replicas.iter().all(|m| {
+                        m.store.as_ref().is_some_and(|l| {
                             l.voter() && l.state().iter().any(|s| s.key == *key && s.accepted == owners[0])
                         })
                     })
@@ -791,18 +794,18 @@
         }
         let healed = self.now;
         while !self.calm() && self.failure.is_none() {
-            let long = if n > self.holders { replaces() } else { 0 };
+            let long = if n > self.replicas { replaces() } else { 0 };
             if self.now > healed + settles(n) + long {
                 let states: Vec<_> = self
                     .machines
                     .iter()
-                    .filter_map(|m| m.ledger.as_ref().map(|l| (l.voter(), l.holders(), l.state())))
+                    .filter_map(|m| m.store.as_ref().map(|l| (l.voter(), l.replicas(), l.state())))
                     .collect();
                 self.fail(format!("not settled after the heal: {states:?}"));
             }
             self.play(self.now + 10_000);
         }
-        self.report.rosters = self.roster().map_or(0, |r| r.version - 1);
+        self.report.replica_sets = self.replica_set().map_or(0, |r| r.version - 1);
         self.report.settled_in = self.now - healed;
         for key in self.keys.clone() {
             for node in 0..n {
@@ -816,12 +819,12 @@
                         self.play(self.now + 1_000);
                     }
                     match self.history.ops[token as usize].said {
-                        Said::Done(_) | Said::Page(_) => {}
+                        Said::Done(_) | Said::State(_) => {}
                         _ => {
                             let states: Vec<_> = self
                                 .machines
                                 .iter()
-                                .filter_map(|m| m.ledger.as_ref().map(|l| l.state()))
+                                .filter_map(|m| m.store.as_ref().map(|l| l.state()))
                                 .collect();
                             let op = self.history.ops[token as usize].clone();
                             self.fail(format!("a call after the heal failed: {op:?} at {node}: {states:#?}"));
@@ -835,9 +838,9 @@
             self.fail(format!("call {token} was never answered"));
         }
         for m in &self.machines {
-            if let Some(ledger) = &m.ledger {
-                self.report.taken += ledger.figures().taken;
-                self.report.outlived += ledger.figures().outlived;
+            if let Some(store) = &m.store {
+                self.report.taken += store.figures().taken;
+                self.report.outlived += store.figures().outlived;
             }
         }
         if let Some(why) = self.failure {
@@ -860,9 +863,9 @@
     4_000_000 + 6_000_000
 }
 
-fn persist(m: &mut Machine, marker: Option<Marker>, keys: Vec<Stored<Notes>>) {
-    if marker.is_some() {
-        m.disk.marker = marker;
+fn persist(m: &mut Machine, metadata: Option<Metadata>, keys: Vec<Stored<Notes>>) {
+    if metadata.is_some() {
+        m.disk.metadata = metadata;
         m.formatted = true;
     }
     for stored in keys {
--- a/crates/ledger/tests/mutants.rs
+++ b/crates/control-store/tests/mutants.rs
@@ -1,11 +1,11 @@
-//! Ledgers that break one rule each: the judge finds every one of them. Those that need a rare order of events,
-//! and those of the roster, are stepped in `rules.rs`.
+//! Control stores that break one rule each: the judge finds every one of them. Those that need a rare order of events,
+//! and those of the replica set, are stepped in `rules.rs`.
 #![cfg(feature = "mutants")]
 
 mod common;
 
 use common::{World, PART_OF_CALL};
-use silvercross_ledger::Broken;
+use silvercross_control_store::Broken;
 
 /// The judge's words on the first of some schedules in which it shows.
 fn caught(broken: Option<Broken>, schedules: u64) -> String {
@@ -34,7 +34,7 @@
 }
 
 #[test]
-fn a_wiped_holder_that_votes_is_caught() {
+fn a_wiped_replica_that_votes_is_caught() {
     caught(Some(Broken::WipedVotes), 300);
 }
 
--- a/crates/ledger/tests/rules.rs
+++ b/crates/control-store/tests/rules.rs
@@ -1,38 +1,38 @@
-//! Each rule stepped by hand, on three holders.
+//! Each rule stepped by hand, on three replicas.
 
 mod common;
 
 use common::{Change, Notes};
-use silvercross_ledger::*;
+use silvercross_control_store::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-type L = Letter<Notes, Change>;
-type Write = (u64, Option<Marker>, Vec<Stored<Notes>>);
+type L = Message<Notes, Change>;
+type Write = (u64, Option<Metadata>, Vec<Stored<Notes>>);
 const KEY: &str = "configuration";
 
 struct Bench {
     now: Micros,
-    ledgers: Vec<Ledger<Notes>>,
+    ledgers: Vec<ControlStore<Notes>>,
     disks: Vec<Disk<Notes>>,
-    letters: VecDeque<(usize, usize, u64, L)>,
+    messages: VecDeque<(usize, usize, u64, L)>,
     /// Not synced yet, where syncing is held.
     writes: Vec<VecDeque<Write>>,
     slow_disk: BTreeSet<usize>,
-    /// Letters on these ways are lost.
+    /// Messages on these ways are lost.
     cut: BTreeSet<(usize, usize)>,
-    /// Letters on these ways wait.
+    /// Messages on these ways wait.
     held: BTreeSet<(usize, usize)>,
     answers: BTreeMap<u64, Verdict<Notes>>,
-    /// The lives under which repair was asked for last.
-    recovering: BTreeMap<usize, Life>,
+    /// The incarnations under which repair was asked for last.
+    recovering: BTreeMap<usize, Incarnation>,
     starts: u64,
-    /// How many are holders from the start.
-    holders: usize,
+    /// How many are replicas from the start.
+    replicas: usize,
 }
 
-fn start(node: usize, roster: usize, fresh: bool, seed: u64) -> Start {
-    let roster = (0..roster as u32).map(Node).collect();
-    Start { me: Node(node as u32), roster, keys: vec![KEY.into()], fresh, seed }
+fn start(node: usize, replica_set: usize, fresh: bool, seed: u64) -> Start {
+    let replica_set = (0..replica_set as u32).map(Node).collect();
+    Start { me: Node(node as u32), replica_set, keys: vec![KEY.into()], fresh, seed }
 }
 
 impl Bench {
@@ -41,15 +41,15 @@
     }
 
     /// The spare ones are added with empty disks, after the first start.
-    fn with_spares(holders: usize, spares: usize) -> Bench {
-        let n = holders + spares;
-        let one = |i| Ledger::new(0, start(i, holders, i < holders, i as u64), Disk::default());
+    fn with_spares(replicas: usize, spares: usize) -> Bench {
+        let n = replicas + spares;
+        let one = |i| ControlStore::new(0, start(i, replicas, i < replicas, i as u64), Disk::default());
         let ledgers = (0..n).map(one).collect();
         let mut bench = Bench {
             now: 0,
             ledgers,
             disks: (0..n).map(|_| Disk::default()).collect(),
-            letters: VecDeque::new(),
+            messages: VecDeque::new(),
             writes: (0..n).map(|_| VecDeque::new()).collect(),
             slow_disk: BTreeSet::new(),
             cut: BTreeSet::new(),
@@ -57,7 +57,7 @@
             answers: BTreeMap::new(),
             recovering: BTreeMap::new(),
             starts: 100,
-            holders,
+            replicas,
         };
         bench.link();
         bench
@@ -93,7 +93,7 @@
         assert!(broken.is_none() || cfg!(feature = "mutants"));
     }
 
-    /// Everybody hears who is no holder and could be one.
+    /// Everybody hears who is no replica and could be one.
     fn tell_candidates(&mut self) {
         let n = self.ledgers.len();
         for (a, b) in (0..n).flat_map(|a| (0..n).map(move |b| (a, b))) {
@@ -117,9 +117,9 @@
     }
 
     fn sync(&mut self, node: usize) {
-        while let Some((write, marker, keys)) = self.writes[node].pop_front() {
+        while let Some((write, metadata, keys)) = self.writes[node].pop_front() {
             let disk = &mut self.disks[node];
-            disk.marker = marker.or(disk.marker.take());
+            disk.metadata = metadata.or(disk.metadata.take());
             for stored in keys {
                 disk.keys.retain(|k| k.key != stored.key);
                 disk.keys.push(stored);
@@ -133,22 +133,22 @@
         loop {
             let mut moved = false;
             for node in 0..self.ledgers.len() {
-                for deed in self.ledgers[node].deeds() {
+                for effect in self.ledgers[node].effects() {
                     moved = true;
-                    match deed {
-                        Deed::Send { to, version, letter } => {
-                            if let Letter::Recover { life } = letter {
-                                self.recovering.insert(node, life);
+                    match effect {
+                        Effect::Send { to, version, message } => {
+                            if let Message::Recover { incarnation } = message {
+                                self.recovering.insert(node, incarnation);
                             }
-                            self.letters.push_back((node, to.0 as usize, version, letter));
+                            self.messages.push_back((node, to.0 as usize, version, message));
                         }
-                        Deed::Store { write, marker, keys } => {
-                            self.writes[node].push_back((write, marker, keys))
+                        Effect::Store { write, metadata, keys } => {
+                            self.writes[node].push_back((write, metadata, keys))
                         }
-                        Deed::Answer { token, verdict } => {
+                        Effect::Answer { token, verdict } => {
                             assert!(self.answers.insert(token, verdict).is_none(), "answered twice");
                         }
-                        Deed::News { .. } => {}
+                        Effect::Committed { .. } => {}
                     }
                 }
                 if !self.slow_disk.contains(&node) && !self.writes[node].is_empty() {
@@ -156,13 +156,13 @@
                     self.sync(node);
                 }
             }
-            for _ in 0..self.letters.len() {
-                let Some((from, to, version, letter)) = self.letters.pop_front() else { break };
+            for _ in 0..self.messages.len() {
+                let Some((from, to, version, message)) = self.messages.pop_front() else { break };
                 if self.held.contains(&(from, to)) {
-                    self.letters.push_back((from, to, version, letter));
+                    self.messages.push_back((from, to, version, message));
                 } else if !self.cut.contains(&(from, to)) {
                     moved = true;
-                    self.ledgers[to].letter(self.now, Node(from as u32), version, letter);
+                    self.ledgers[to].receive(self.now, Node(from as u32), version, message);
                 }
             }
             if !moved {
@@ -188,8 +188,8 @@
         self.starts += 1;
         self.writes[node].clear();
         let n = self.ledgers.len();
-        let start = start(node, self.holders, false, self.starts);
-        self.ledgers[node] = Ledger::new(self.now, start, self.disks[node].clone());
+        let start = start(node, self.replicas, false, self.starts);
+        self.ledgers[node] = ControlStore::new(self.now, start, self.disks[node].clone());
         for other in (0..n).filter(|o| *o != node) {
             self.ledgers[other].reachable(self.now, Node(node as u32), false);
         }
@@ -211,8 +211,8 @@
         self.run();
         self.pass(700_000);
         match self.answers.get(&token) {
-            Some(Verdict::Page { page, .. }) => page.clone(),
-            other => panic!("no page: {other:?}"),
+            Some(Verdict::Value { value, .. }) => value.clone(),
+            other => panic!("no value: {other:?}"),
         }
     }
 
@@ -257,7 +257,7 @@
     b.slow_disk.clear();
     b.run();
     b.pass(1_000_000);
-    let claims = |b: &Bench| b.letters.iter().filter(|l| matches!(l.3, Letter::Claim { .. })).count();
+    let claims = |b: &Bench| b.messages.iter().filter(|l| matches!(l.3, Message::Claim { .. })).count();
     assert_eq!(claims(&b), 0);
     for node in [x, y] {
         let promised = b.ledgers[node].state()[0].promised;
@@ -266,10 +266,10 @@
     // A claim that is not synced is heard of by nobody, a promise neither.
     let epoch = Epoch { round: 99, owner: x as u32 };
     b.slow_disk.insert(y);
-    b.ledgers[y].letter(b.now, Node(x as u32), 1, Letter::Claim { key: KEY.into(), epoch });
+    b.ledgers[y].receive(b.now, Node(x as u32), 1, Message::Claim { key: KEY.into(), epoch });
     b.held.insert((y, x));
     b.run();
-    let promise = |b: &Bench| b.letters.iter().any(|l| matches!(l.3, Letter::Promise { .. }));
+    let promise = |b: &Bench| b.messages.iter().any(|l| matches!(l.3, Message::Promise { .. }));
     assert!(!promise(&b));
     b.sync(y);
     b.run();
@@ -316,7 +316,7 @@
 }
 
 #[test]
-fn a_wiped_holder_is_no_voter_until_repaired() {
+fn a_wiped_replica_is_no_voter_until_repaired() {
     let (mut b, owner) = Bench::settled();
     let (x, y) = others(owner);
     b.cut.insert((owner, y));
@@ -335,7 +335,7 @@
     b.pass(3_000_000);
     assert!(b.ledgers[x].voter());
     assert_eq!(b.read(y, 3).0.get(&1), Some(&(1, 7)));
-    assert!(b.disks[x].marker.is_some() && b.disks[x].keys[0].page.0.contains_key(&1));
+    assert!(b.disks[x].metadata.is_some() && b.disks[x].keys[0].value.0.contains_key(&1));
 }
 
 #[test]
@@ -353,7 +353,7 @@
     assert_eq!(b.read(owner, 2).0.get(&1), Some(&(1, 7)));
 }
 
-/// A holder keeps a copy, loses its disk while its word is under way, and is repaired before the owner has synced: whether
+/// A replica keeps a copy, loses its disk while its word is under way, and is repaired before the owner has synced: whether
 /// the change is acknowledged once that word comes, and whether it is there without the owner.
 fn word_of_a_lost_disk(broken: Option<Broken>) -> (bool, bool) {
     let (mut b, owner) = Bench::settled();
@@ -367,25 +367,30 @@
     b.cut.insert((owner, y));
     b.held.insert((x, owner));
     b.call(owner, 1, &[(1, 1, 7)]);
-    let at = b.letters.iter().position(|l| matches!(l.3, Letter::Kept { seq: 2, .. })).expect("kept");
-    let kept = b.letters.remove(at).expect("kept").3;
+    let at = b.messages.iter().position(|l| matches!(l.3, Message::Kept { seq: 2, .. })).expect("kept");
+    let kept = b.messages.remove(at).expect("kept").3;
     b.held.clear();
     // Repaired from what the others had on disk: the owner's copy was not there yet when it was asked.
     let (own, other) = (b.disks[owner].keys.clone(), b.disks[y].keys.clone());
     b.cut.extend([(owner, x), (y, x)]);
     b.disks[x] = Disk::default();
     b.restart(x);
-    let roster = b.ledgers[y].holders().clone();
-    b.ledgers[x].letter(b.now, Node(y as u32), 1, Letter::Roster { roster });
+    let replica_set = b.ledgers[y].replicas().clone();
+    b.ledgers[x].receive(b.now, Node(y as u32), 1, Message::ReplicaSet { replica_set });
     b.run();
-    let life = b.recovering[&x];
+    let incarnation = b.recovering[&x];
     for (from, keys) in [(owner, own), (y, other)] {
-        let letter = Letter::Recovered { life, keys, vote: Vote::default(), lives: Lives::default() };
-        b.ledgers[x].letter(b.now, Node(from as u32), 1, letter);
+        let message = Message::Recovered {
+            incarnation,
+            keys,
+            vote: Vote::default(),
+            incarnations: Incarnations::default(),
+        };
+        b.ledgers[x].receive(b.now, Node(from as u32), 1, message);
     }
     b.run();
     assert!(b.ledgers[x].voter());
-    b.ledgers[owner].letter(b.now, Node(x as u32), 1, kept);
+    b.ledgers[owner].receive(b.now, Node(x as u32), 1, kept);
     b.sync(owner);
     b.run();
     b.sync(owner);
@@ -447,13 +452,13 @@
     b.call(x, 1, &[(1, 1, 7)]);
     b.pass(600_000);
     assert!(b.done(1));
-    // It still believes, and its letters come through: nobody confirms.
+    // It still believes, and its messages come through: nobody confirms.
     b.ledgers[owner].read(b.now, 2, KEY);
     b.run();
     assert!(!b.answers.contains_key(&2));
     b.cut.clear();
     b.pass(600_000);
-    assert!(matches!(&b.answers[&2], Verdict::Page { page, .. } if page.0.contains_key(&1)));
+    assert!(matches!(&b.answers[&2], Verdict::Value { value, .. } if value.0.contains_key(&1)));
 }
 
 #[test]
@@ -462,19 +467,20 @@
     let (x, _) = others(owner);
     let epoch = b.ledgers[owner].settled()[0].1;
     let old = Epoch { round: 0, owner: owner as u32 };
-    let pass = |id, under| Letter::Pass { id, key: KEY.into(), under, ask: Ask::Change(vec![(1, id, id)]) };
-    b.ledgers[owner].letter(b.now, Node(x as u32), 1, pass(5, old));
+    let pass =
+        |id, under| Message::Forward { id, key: KEY.into(), under, ask: Request::Change(vec![(1, id, id)]) };
+    b.ledgers[owner].receive(b.now, Node(x as u32), 1, pass(5, old));
     b.run();
     assert!(b.read(owner, 1).0.is_empty(), "a late call does nothing under a later ownership");
     for _ in 0..2 {
-        b.ledgers[owner].letter(b.now, Node(x as u32), 1, pass(6, epoch));
+        b.ledgers[owner].receive(b.now, Node(x as u32), 1, pass(6, epoch));
         b.run();
     }
     assert_eq!(b.ledgers[owner].settled()[0].2.seq, 2, "one that comes twice is served once");
 }
 
 #[test]
-fn one_holder_alone_owns_at_once_and_five_bear_two_losses() {
+fn one_replica_alone_owns_at_once_and_five_bear_two_losses() {
     let mut b = Bench::new(1);
     b.call(0, 1, &[(1, 1, 7)]);
     assert!(b.done(1));
@@ -499,52 +505,57 @@
 fn strangers_and_keys_beyond_the_bound_are_turned_away() {
     let (mut b, owner) = Bench::settled();
     let key = "k".repeat(300);
-    b.ledgers[owner].letter(b.now, Node(77), 1, Letter::Behind { key: KEY.into(), epoch: Epoch::default() });
+    b.ledgers[owner].receive(
+        b.now,
+        Node(77),
+        1,
+        Message::NeedsSnapshot { key: KEY.into(), epoch: Epoch::default() },
+    );
     assert_eq!(b.ledgers[owner].figures().strangers, 1);
     b.ledgers[owner].call(b.now, 1, &key, vec![(1, 1, 1)]);
     b.run();
     assert!(matches!(b.answers[&1], Verdict::Refused(_)));
     for k in 0..5000u64 {
         b.ledgers[owner].call(b.now, 10 + k, &format!("key-{k}"), vec![(1, 1, 1)]);
-        b.ledgers[owner].deeds();
+        b.ledgers[owner].effects();
     }
     assert_eq!(b.ledgers[owner].state().len(), 4096);
 }
 
 #[test]
-fn at_rest_an_owner_sends_one_letter_a_second_to_each_other() {
+fn at_rest_an_owner_sends_one_message_a_second_to_each_other() {
     let (mut b, owner) = Bench::settled();
     b.pass(2_000_000);
-    let mut letters = 0;
+    let mut messages = 0;
     for _ in 0..1000 {
         b.now += 10_000;
         b.ledgers[owner].tick(b.now);
-        letters += b.ledgers[owner].deeds().iter().filter(|d| matches!(d, Deed::Send { .. })).count();
+        messages += b.ledgers[owner].effects().iter().filter(|d| matches!(d, Effect::Send { .. })).count();
     }
-    assert!((18..=22).contains(&letters), "{letters} in ten seconds");
+    assert!((18..=22).contains(&messages), "{messages} in ten seconds");
 }
 
 #[test]
-fn letters_come_through_their_encoding() {
+fn messages_come_through_their_encoding() {
     let epoch = Epoch { round: 3, owner: 1 };
-    let page = Notes(BTreeMap::from([(1, (2, 3))]));
-    let letters: [L; 3] = [
-        Letter::Copy { key: KEY.into(), epoch, seq: 4, body: Body::Changes(vec![vec![(1, 2, 3)]]) },
-        Letter::Verdict {
+    let value = Notes(BTreeMap::from([(1, (2, 3))]));
+    let messages: [L; 3] = [
+        Message::Copy { key: KEY.into(), epoch, seq: 4, body: Body::Changes(vec![vec![(1, 2, 3)]]) },
+        Message::Verdict {
             id: 9,
             under: epoch,
-            passed: Passed::Given(Verdict::Page { revision: Revision::default(), page }),
+            forwarded: Forwarded::Given(Verdict::Value { revision: Revision::default(), value }),
         },
-        Letter::Recover { life: Life { count: 1, nonce: 2 } },
+        Message::Recover { incarnation: Incarnation { count: 1, nonce: 2 } },
     ];
-    for letter in letters {
-        let bytes = bitcode::encode(&letter);
-        assert_eq!(bitcode::decode::<L>(&bytes).ok(), Some(letter));
+    for message in messages {
+        let bytes = bitcode::encode(&message);
+        assert_eq!(bitcode::decode::<L>(&bytes).ok(), Some(message));
         assert!(bitcode::decode::<L>(&bytes[..bytes.len() - 1]).is_err());
     }
 }
 
-/// A holder promises a claimer, restarts, and is then sent the old owner's copy: whether that is acknowledged, and
+/// A replica promises a claimer, restarts, and is then sent the old owner's copy: whether that is acknowledged, and
 /// whether the claimer reads it.
 fn promise_over_a_restart(broken: Option<Broken>) -> (bool, bool) {
     let (mut b, owner) = Bench::settled();
@@ -559,7 +570,7 @@
     b.held.insert((y, x));
     b.call(x, 1, &[]);
     b.pass(300_000);
-    assert!(b.letters.iter().any(|l| matches!(l.3, Letter::Promise { .. })), "on its way");
+    assert!(b.messages.iter().any(|l| matches!(l.3, Message::Promise { .. })), "on its way");
     b.cut.insert((x, y));
     b.restart(y);
     b.cut.remove(&(owner, y));
@@ -598,20 +609,20 @@
 }
 
 fn members(b: &Bench, node: usize) -> Vec<u32> {
-    b.ledgers[node].roster().iter().map(|n| n.0).collect()
+    b.ledgers[node].replica_set().iter().map(|n| n.0).collect()
 }
 
 #[test]
-fn a_holder_that_is_gone_is_replaced_and_another_may_go_then() {
+fn a_replica_that_is_gone_is_replaced_and_another_may_go_then() {
     let (mut b, owner, x, y) = with_spare();
     b.part(x);
     b.pass(6_000_000);
-    assert_eq!(b.ledgers[y].holders().version, 1, "nobody to come");
+    assert_eq!(b.ledgers[y].replicas().version, 1, "nobody to come");
     b.tell_candidates();
     b.pass(4_000_000);
     for node in [owner, y, 3] {
-        assert!(b.ledgers[node].voter() && !b.ledgers[node].holders().joint());
-        assert_eq!(b.disks[node].marker.as_ref().map(|m| m.roster.version), Some(3));
+        assert!(b.ledgers[node].voter() && !b.ledgers[node].replicas().joint());
+        assert_eq!(b.disks[node].metadata.as_ref().map(|m| m.replica_set.version), Some(3));
         assert!(!members(&b, node).contains(&(x as u32)));
     }
     b.part(owner);
@@ -619,8 +630,8 @@
     b.call(y, 2, &[(2, 1, 8)]);
     b.pass(700_000);
     assert!(b.done(2));
-    let page = b.read(3, 3);
-    assert!(page.0.contains_key(&1) && page.0.contains_key(&2));
+    let value = b.read(3, 3);
+    assert!(value.0.contains_key(&1) && value.0.contains_key(&2));
 }
 
 #[test]
@@ -637,9 +648,9 @@
     b.ledgers[x].reachable(b.now, Node(owner as u32), false);
     b.pass(8_000_000);
     for node in 0..4 {
-        assert!(b.ledgers[node].holders().version <= 1, "{:?}", b.ledgers[node].holders());
+        assert!(b.ledgers[node].replicas().version <= 1, "{:?}", b.ledgers[node].replicas());
     }
-    assert_eq!(b.ledgers[y].figures().rosters, 0);
+    assert_eq!(b.ledgers[y].figures().replica_sets, 0);
 }
 
 #[test]
@@ -651,7 +662,7 @@
         // The newcomer hears nothing, so it is never repaired.
         b.cut.extend([(owner, 3), (y, 3)]);
         b.pass(4_700_000);
-        assert!(b.ledgers[owner].holders().joint() || b.ledgers[y].holders().joint());
+        assert!(b.ledgers[owner].replicas().joint() || b.ledgers[y].replicas().joint());
         assert!(!b.ledgers[3].voter());
         if back {
             b.join(x);
@@ -661,7 +672,7 @@
         }
         b.pass(if back { 3_000_000 } else { 7_000_000 });
         for node in [owner, y] {
-            assert!(!b.ledgers[node].holders().joint());
+            assert!(!b.ledgers[node].replicas().joint());
             assert_eq!(members(&b, node), vec![0, 1, 2]);
         }
         assert_eq!(b.read(y, 2).0.get(&1), Some(&(1, 7)));
@@ -674,7 +685,7 @@
     b.part(x);
     b.tell_candidates();
     b.pass(4_150_000);
-    assert!(b.ledgers[owner].holders().joint(), "in the middle");
+    assert!(b.ledgers[owner].replicas().joint(), "in the middle");
     for node in [owner, y, 3] {
         b.restart(node);
     }
@@ -682,7 +693,7 @@
     b.wipe(3);
     b.tell_candidates();
     b.pass(5_000_000);
-    assert!(b.ledgers[3].voter() && !b.ledgers[3].holders().joint());
+    assert!(b.ledgers[3].voter() && !b.ledgers[3].replicas().joint());
     assert_eq!(members(&b, 3), members(&b, owner));
     b.part(owner);
     b.pass(4_000_000);
@@ -702,7 +713,7 @@
 }
 
 #[test]
-fn a_removed_holder_that_returns_is_a_candidate_and_passes_calls() {
+fn a_removed_replica_that_returns_is_a_candidate_and_passes_calls() {
     let (mut b, _, x, y) = replaced(None);
     assert!(b.ledgers[x].voter(), "it doesn't know yet");
     b.join(x);
@@ -722,7 +733,7 @@
 }
 
 #[test]
-fn a_wiped_holder_asks_who_the_holders_are_and_goes_by_no_hint() {
+fn a_wiped_replica_asks_who_the_replicas_are_and_goes_by_no_hint() {
     let (mut b, owner, _, y) = replaced(None);
     // Its hints still name the one that was removed, and not the newcomer.
     b.part(owner);
@@ -740,43 +751,43 @@
     let (mut b, owner, _, _) = with_spare();
     b.tell_candidates();
     b.pass(2_000_000);
-    let mut letters = 0;
+    let mut messages = 0;
     for _ in 0..1000 {
         b.now += 10_000;
         for node in 0..4 {
             b.ledgers[node].tick(b.now);
-            let sent = b.ledgers[node].deeds().iter().filter(|d| matches!(d, Deed::Send { .. })).count();
+            let sent = b.ledgers[node].effects().iter().filter(|d| matches!(d, Effect::Send { .. })).count();
             assert!(node == owner || sent == 0);
-            letters += sent;
+            messages += sent;
         }
         for node in (0..4).filter(|n| *n != owner) {
             let epoch = b.ledgers[owner].settled()[0].1;
             let keys = vec![(KEY.to_owned(), epoch, 1)];
             if members(&b, owner).contains(&(node as u32)) {
-                b.ledgers[node].letter(b.now, Node(owner as u32), 1, Letter::Stands { keys });
+                b.ledgers[node].receive(b.now, Node(owner as u32), 1, Message::Heartbeat { keys });
             }
         }
     }
-    assert!((18..=22).contains(&letters), "{letters} in ten seconds");
+    assert!((18..=22).contains(&messages), "{messages} in ten seconds");
 }
 
 /// An owner writes while it can reach nobody but who was removed: whether that is acknowledged, and whether the others
 /// have it then.
-fn word_of_a_removed_holder(broken: Option<Broken>) -> (bool, bool) {
+fn word_of_a_removed_replica(broken: Option<Broken>) -> (bool, bool) {
     let (mut b, owner, x, _) = replaced(broken);
     let rest: Vec<usize> = (0..4).filter(|n| *n != owner && *n != x).collect();
     b.cut.retain(|way| *way != (owner, x) && *way != (x, owner));
-    let roster = b.ledgers[owner].holders().clone();
-    b.ledgers[x].letter(b.now, Node(owner as u32), roster.version, Letter::Roster { roster });
+    let replica_set = b.ledgers[owner].replicas().clone();
+    b.ledgers[x].receive(b.now, Node(owner as u32), replica_set.version, Message::ReplicaSet { replica_set });
     b.run();
     b.cut.extend(rest.iter().flat_map(|n| [(owner, *n), (*n, owner)]));
     b.call(owner, 2, &[(2, 1, 8)]);
-    // The copy is brought to the removed one, which is not in the roster.
+    // The copy is brought to the removed one, which is not in the replica set.
     let (key, epoch, at) = b.ledgers[owner].settled()[0].clone();
-    let version = b.ledgers[owner].holders().version;
-    let page = Notes(BTreeMap::from([(1, (1, 7)), (2, (1, 8))]));
-    let letter = Letter::Copy { key, epoch, seq: at.seq + 1, body: Body::Whole(page) };
-    b.ledgers[x].letter(b.now, Node(owner as u32), version, letter);
+    let version = b.ledgers[owner].replicas().version;
+    let value = Notes(BTreeMap::from([(1, (1, 7)), (2, (1, 8))]));
+    let message = Message::Copy { key, epoch, seq: at.seq + 1, body: Body::Whole(value) };
+    b.ledgers[x].receive(b.now, Node(owner as u32), version, message);
     b.run();
     let done = b.done(2);
     b.part(owner);
@@ -786,14 +797,14 @@
 }
 
 #[test]
-fn a_removed_holder_votes_no_more() {
-    assert_eq!(word_of_a_removed_holder(None), (false, false));
+fn a_removed_replica_votes_no_more() {
+    assert_eq!(word_of_a_removed_replica(None), (false, false));
 }
 
 #[cfg(feature = "mutants")]
 #[test]
-fn a_removed_holder_that_votes_is_caught() {
-    assert_eq!(word_of_a_removed_holder(Some(Broken::RemovedVotes)), (true, false), "acknowledged and lost");
+fn a_removed_replica_that_votes_is_caught() {
+    assert_eq!(word_of_a_removed_replica(Some(Broken::RemovedVotes)), (true, false), "acknowledged and lost");
 }
 
 /// A change is acknowledged by the owner and one other, which is lost for good. The one that lacks it and the newcomer
@@ -806,18 +817,23 @@
     assert!(b.done(2));
     b.part(x);
     b.part(owner);
-    let mut roster = b.ledgers[y].holders().clone();
-    roster.members.push((Node(3), roster.version + 1));
-    (roster.leaving, roster.coming) = (Some(Node(x as u32)), Some(Node(3)));
+    let mut replica_set = b.ledgers[y].replicas().clone();
+    replica_set.members.push((Node(3), replica_set.version + 1));
+    (replica_set.leaving, replica_set.coming) = (Some(Node(x as u32)), Some(Node(3)));
     for step in 0..2 {
-        roster.version += 1;
+        replica_set.version += 1;
         if step == 1 {
-            roster.members.retain(|m| m.0 != Node(x as u32));
-            (roster.leaving, roster.coming) = (None, None);
+            replica_set.members.retain(|m| m.0 != Node(x as u32));
+            (replica_set.leaving, replica_set.coming) = (None, None);
         }
         for node in [y, 3] {
-            let roster = roster.clone();
-            b.ledgers[node].letter(b.now, Node(owner as u32), roster.version, Letter::Roster { roster });
+            let replica_set = replica_set.clone();
+            b.ledgers[node].receive(
+                b.now,
+                Node(owner as u32),
+                replica_set.version,
+                Message::ReplicaSet { replica_set },
+            );
         }
         b.run();
     }
@@ -842,11 +858,11 @@
     );
 }
 
-/// Who was removed and doesn't know it owns the key under the old roster with one that knows: whether what they write is
+/// Who was removed and doesn't know it owns the key under the old replica set with one that knows: whether what they write is
 /// acknowledged, and whether the others have it then.
 fn old_owner_after_the_change(broken: Option<Broken>) -> (bool, bool) {
     let (mut b, _, x, y) = replaced(broken);
-    // x still votes under the first roster, and claims there with whoever heeds it.
+    // x still votes under the first replica set, and claims there with whoever heeds it.
     let rest: Vec<usize> = (0..4).filter(|n| *n != x && *n != y).collect();
     b.cut.retain(|way| *way != (y, x) && *way != (x, y));
     b.cut.extend(rest.iter().flat_map(|n| [(y, *n), (*n, y)]));
@@ -861,15 +877,15 @@
 }
 
 #[test]
-fn an_old_rosters_owner_writes_nothing_after_the_change() {
+fn an_old_replica_sets_owner_writes_nothing_after_the_change() {
     assert_eq!(old_owner_after_the_change(None), (false, false));
 }
 
 #[cfg(feature = "mutants")]
 #[test]
-fn an_old_rosters_owner_that_is_heeded_is_caught() {
+fn an_old_replica_sets_owner_that_is_heeded_is_caught() {
     assert_eq!(
-        old_owner_after_the_change(Some(Broken::HeedsOldRoster)),
+        old_owner_after_the_change(Some(Broken::HeedsOldReplicaSet)),
         (true, false),
         "acknowledged and lost"
     );
@@ -880,14 +896,14 @@
 fn joint_with_the_old_half_alone(broken: Option<Broken>) -> (bool, bool) {
     let (mut b, owner, x, y) = with_spare();
     b.broken(broken);
-    let mut roster = b.ledgers[y].holders().clone();
-    roster.version += 1;
-    roster.members.push((Node(3), roster.version));
-    (roster.leaving, roster.coming) = (Some(Node(x as u32)), Some(Node(3)));
-    // All know the joint roster, and the newcomer is repaired.
+    let mut replica_set = b.ledgers[y].replicas().clone();
+    replica_set.version += 1;
+    replica_set.members.push((Node(3), replica_set.version));
+    (replica_set.leaving, replica_set.coming) = (Some(Node(x as u32)), Some(Node(3)));
+    // All know the joint replica set, and the newcomer is repaired.
     for node in 0..4 {
-        let roster = roster.clone();
-        b.ledgers[node].letter(b.now, Node(9), roster.version, Letter::Roster { roster });
+        let replica_set = replica_set.clone();
+        b.ledgers[node].receive(b.now, Node(9), replica_set.version, Message::ReplicaSet { replica_set });
     }
     b.run();
     // y and the newcomer see neither of the others, and these don't see them.
@@ -900,13 +916,13 @@
     b.pass(700_000);
     let done = b.done(2);
     // Decided by more than half of both, before the cut: the change is in force.
-    let mut next = roster.clone();
+    let mut next = replica_set.clone();
     next.version += 1;
     next.members.retain(|m| m.0 != Node(x as u32));
     (next.leaving, next.coming) = (None, None);
     for node in [y, 3] {
-        let roster = next.clone();
-        b.ledgers[node].letter(b.now, Node(9), roster.version, Letter::Roster { roster });
+        let replica_set = next.clone();
+        b.ledgers[node].receive(b.now, Node(9), replica_set.version, Message::ReplicaSet { replica_set });
     }
     b.pass(4_000_000);
     (done, b.read(y, 3).0.contains_key(&2))
@@ -931,14 +947,14 @@
 fn a_change_begun_for_one_that_is_back_goes_on_when_another_is_lost() {
     let (mut b, owner, x, y) = with_spare();
     b.part(y);
-    let mut roster = b.ledgers[owner].holders().clone();
-    roster.version += 1;
-    roster.members.push((Node(3), roster.version));
-    (roster.leaving, roster.coming) = (Some(Node(x as u32)), Some(Node(3)));
-    let version = roster.version;
-    b.ledgers[owner].letter(b.now, Node(9), version, Letter::Roster { roster });
+    let mut replica_set = b.ledgers[owner].replicas().clone();
+    replica_set.version += 1;
+    replica_set.members.push((Node(3), replica_set.version));
+    (replica_set.leaving, replica_set.coming) = (Some(Node(x as u32)), Some(Node(3)));
+    let version = replica_set.version;
+    b.ledgers[owner].receive(b.now, Node(9), version, Message::ReplicaSet { replica_set });
     b.pass(2_000_000);
-    assert!(!b.ledgers[owner].holders().joint(), "abandoned");
+    assert!(!b.ledgers[owner].replicas().joint(), "abandoned");
     b.call(x, 2, &[(2, 1, 8)]);
     b.pass(700_000);
     assert!(b.done(2));
--- a/crates/ledger/tests/world.rs
+++ b/crates/control-store/tests/world.rs
@@ -20,8 +20,8 @@
 }
 
 fn run_replacing(seed: u64) -> Report {
-    let holders = if seed.is_multiple_of(5) { 5 } else { 3 };
-    match World::with_spares(seed, holders, 1 + (seed % 3) as usize, None).run() {
+    let replicas = if seed.is_multiple_of(5) { 5 } else { 3 };
+    match World::with_spares(seed, replicas, 1 + (seed % 3) as usize, None).run() {
         Ok(report) => report,
         Err(why) => panic!("seed {seed}: {why}"),
     }
@@ -31,13 +31,13 @@
 fn drawn_schedules_with_replacements_lose_nothing() {
     let mut changes = 0;
     for seed in 0..60 {
-        changes += run_replacing(seed).rosters;
+        changes += run_replacing(seed).replica_sets;
     }
-    assert!(changes >= 40, "{changes} changes of the roster");
+    assert!(changes >= 40, "{changes} changes of the replica_set");
 }
 
-/// With holders lost for good and replaced where REPLACEMENTS is set.
-/// `SCHEDULES=20000 FROM=0 cargo test --release -p silvercross-ledger --test world -- --ignored --nocapture`
+/// With replicas lost for good and replaced where REPLACEMENTS is set.
+/// `SCHEDULES=20000 FROM=0 cargo test --release -p silvercross-control store --test world -- --ignored --nocapture`
 #[test]
 #[ignore = "as many schedules as SCHEDULES says"]
 fn many_schedules_lose_nothing() {
@@ -64,7 +64,7 @@
         }
     }
     println!(
-        "{} schedules: {} calls, {} done, {} refused, {} unsettled, {} reads, {} taken, {} said with lost disks, {} rosters, \
+        "{} schedules: {} calls, {} done, {} refused, {} unsettled, {} reads, {} taken, {} said with lost disks, {} replica_sets, \
          faults {:?}, {} of them with a call open; settled at most {} us after the heal",
         reports.len(),
         sum(|r| r.calls),
@@ -74,7 +74,7 @@
         sum(|r| r.reads),
         sum(|r| r.taken),
         sum(|r| r.outlived),
-        sum(|r| r.rosters),
+        sum(|r| r.replica_sets),
         faults,
         sum(|r| r.met),
         reports.iter().map(|r| r.settled_in).max().unwrap_or(0),
--- a/crates/franking/src/count.rs
+++ b/crates/franking/src/count.rs
@@ -4,7 +4,7 @@
 
 use bitcode::{Decode, Encode};
 use sha2::{Digest, Sha256};
-use silvercross_ledger::{Micros, Page, Refusal};
+use silvercross_control_store::{Micros, Refusal, State};
 
 use crate::broken::{is, Broken};
 use crate::items::{Allowance, Kind};
@@ -294,7 +294,7 @@
     holders: BTreeMap<u32, Holder>,
 }
 
-impl Page for Count {
+impl State for Count {
     type Change = Change;
 
     fn apply(&mut self, change: &Change) -> Result<bool, Refusal> {
--- a/crates/franking/src/items.rs
+++ b/crates/franking/src/items.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use bitcode::{Decode, Encode};
-use silvercross_ledger::{Micros, Page, Refusal};
+use silvercross_control_store::{Micros, Refusal, State};
 
 /// No more items stand or are remembered as dropped; a call that would go beyond is refused whole.
 pub const MAX_ITEMS: usize = 131_072;
@@ -216,7 +216,7 @@
     }
 }
 
-impl Page for Book {
+impl State for Book {
     type Change = BookChange;
 
     /// The higher edition of each name holds, a lower one changes nothing, the same with other content is a conflict.
--- a/crates/franking/src/lib.rs
+++ b/crates/franking/src/lib.rs
@@ -25,7 +25,7 @@
 pub use purse::{Call, Charge, Figures, Outcome, Purse, Request, CALLS, CLAIMS_OPEN, HELD, MEMBERS};
 pub use read::{read, MAX_BODY};
 
-pub use silvercross_ledger::Micros;
+pub use silvercross_control_store::Micros;
 
 /// Before a member's name: the key of its count.
 pub const ALLOWANCE: &str = "allowance/";
--- a/crates/franking/tests/common/mod.rs
+++ b/crates/franking/tests/common/mod.rs
@@ -6,8 +6,8 @@
 use plain::Plain;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use silvercross_control_store::State;
 use silvercross_franking::*;
-use silvercross_ledger::Page;
 use std::collections::{BTreeMap, BTreeSet};
 
 pub const MEMBER: &str = "workshop-7";
@@ -313,7 +313,10 @@
         Ok(())
     }
 
-    fn commit(&mut self, change: &Change) -> Result<Result<bool, silvercross_ledger::Refusal>, String> {
+    fn commit(
+        &mut self,
+        change: &Change,
+    ) -> Result<Result<bool, silvercross_control_store::Refusal>, String> {
         if let Change::GiveBack { claim, .. } = change {
             let may = |t: &&Taken| {
                 (t.node as u32, t.life, t.claim) == (claim.node, claim.life, claim.number)
--- a/crates/franking/tests/rules.rs
+++ b/crates/franking/tests/rules.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{allowance, MEMBER};
+use silvercross_control_store::State;
 use silvercross_franking::*;
-use silvercross_ledger::Page;
 
 const S: Micros = 1_000_000;
 
--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -1,11 +1,11 @@
-//! Between sidecars: links and datagrams, `bitcode` both ways. Hands `silvercross-rounds` and `silvercross-ledger` what comes and does
+//! Between sidecars: links and datagrams, `bitcode` both ways. Hands `silvercross-rounds` and `silvercross-control-store` what comes and does
 //! what they say; decides nothing.
+use crate::disk::{Write, Writes};
 use crate::hop;
 use crate::leaf::{Leaf, Order};
 use crate::post::{Counted, Door, Post};
-use crate::store::{Write, Writes};
 use bitcode::{Decode, Encode};
-use silvercross_ledger::{Deed, Ledger, Letter as Entry, Verdict};
+use silvercross_control_store::{ControlStore, Effect as StoreEffect, Message as StoreMessage, Verdict};
 use silvercross_rounds::{Datagram, Effect, Letter, Node, Rounds};
 use silvercross_tariff::Voice;
 use std::cell::{Cell, RefCell};
@@ -77,7 +77,7 @@
     },
     Round(Letter<Body>),
     /// Under which version of the roster, and what.
-    Entry(u64, Entry<Leaf, Order>),
+    Store(u64, StoreMessage<Leaf, Order>),
     /// What time of day is it? Between holders, where there are members.
     Time {
         asked: i64,
@@ -100,7 +100,7 @@
     me: u32,
     port: u16,
     rounds: RefCell<Rounds<Body>>,
-    ledger: Option<RefCell<Ledger<Leaf>>>,
+    ledger: Option<RefCell<ControlStore<Leaf>>>,
     writes: Option<Writes>,
     asked: RefCell<BTreeMap<u64, oneshot::Sender<Verdict<Leaf>>>>,
     links: RefCell<BTreeMap<u32, Vec<Link>>>,
@@ -119,7 +119,7 @@
         me: Ipv4Addr,
         port: u16,
         rounds: Rounds<Body>,
-        ledger: Option<(Ledger<Leaf>, Writes)>,
+        ledger: Option<(ControlStore<Leaf>, Writes)>,
         udp: UdpSocket,
     ) -> Self {
         let (ledger, writes) = match ledger {
@@ -146,7 +146,7 @@
     }
 
     /// Look at the ledger, where this machine holds one.
-    pub fn ledger<R>(&self, look: impl FnOnce(&Ledger<Leaf>) -> R) -> Option<R> {
+    pub fn control_store<R>(&self, look: impl FnOnce(&ControlStore<Leaf>) -> R) -> Option<R> {
         self.ledger.as_ref().map(|l| look(&l.borrow()))
     }
 
@@ -171,7 +171,7 @@
 
     /// Ask the other holders for their time of day.
     pub fn ask_time(&self, post: &Rc<Post>) {
-        let holders = self.ledger(|l| l.roster()).unwrap_or_default();
+        let holders = self.control_store(|l| l.replica_set()).unwrap_or_default();
         for holder in holders.into_iter().filter(|h| h.0 != self.me) {
             self.send(post, holder.0, &Parcel::Time { asked: post.now() });
         }
@@ -198,7 +198,7 @@
     fn pump(&self, post: &Rc<Post>) {
         loop {
             let effects = self.rounds.borrow_mut().effects();
-            let deeds = self.ledger.as_ref().map(|l| l.borrow_mut().deeds()).unwrap_or_default();
+            let deeds = self.ledger.as_ref().map(|l| l.borrow_mut().effects()).unwrap_or_default();
             if effects.is_empty() && deeds.is_empty() {
                 break;
             }
@@ -240,7 +240,7 @@
                     let told = &record.body;
                     let spare = !told.roster.is_empty() && !told.roster.contains(&record.node.0);
                     let up = record.core && !record.gone && !told.leaving && spare;
-                    l.borrow_mut().candidate(post.now(), silvercross_ledger::Node(record.node.0), up);
+                    l.borrow_mut().candidate(post.now(), silvercross_control_store::Node(record.node.0), up);
                 }
                 post.record(record);
             }
@@ -252,24 +252,26 @@
         }
     }
 
-    fn deed(&self, post: &Rc<Post>, deed: Deed<Leaf>) {
+    fn deed(&self, post: &Rc<Post>, deed: StoreEffect<Leaf>) {
         match deed {
-            Deed::Send { to, version, letter } => self.send(post, to.0, &Parcel::Entry(version, letter)),
-            Deed::Store { write, marker, keys } => {
+            StoreEffect::Send { to, version, message } => {
+                self.send(post, to.0, &Parcel::Store(version, message))
+            }
+            StoreEffect::Store { write, metadata, keys } => {
                 if let Some(writes) = &self.writes {
-                    let _ = writes.send(Write { number: write, marker, keys });
+                    let _ = writes.send(Write { number: write, metadata, keys });
                 }
             }
-            Deed::Answer { token, verdict } => {
+            StoreEffect::Answer { token, verdict } => {
                 if let Some(to) = self.asked.borrow_mut().remove(&token) {
                     let _ = to.send(verdict);
                 }
             }
-            Deed::News { key, revision, page } => {
+            StoreEffect::Committed { key, revision, value } => {
                 let at = (revision.epoch.round, u64::from(revision.epoch.owner), revision.seq);
-                let bytes = bitcode::encode(&page);
+                let bytes = bitcode::encode(&value);
                 self.rounds.borrow_mut().post(post.now(), &key, at, bytes);
-                post.page(&key, at, page);
+                post.page(&key, at, value);
             }
         }
     }
@@ -293,7 +295,7 @@
         let now = post.now();
         self.rounds.borrow_mut().link_down(now, Node(node));
         if let Some(l) = &self.ledger {
-            l.borrow_mut().reachable(now, silvercross_ledger::Node(node), false);
+            l.borrow_mut().reachable(now, silvercross_control_store::Node(node), false);
         }
         self.changed.notify_one();
     }
@@ -439,7 +441,7 @@
     let now = post.now();
     c.rounds.borrow_mut().link_up(now, Node(node));
     if let Some(l) = &c.ledger {
-        l.borrow_mut().reachable(now, silvercross_ledger::Node(node), true);
+        l.borrow_mut().reachable(now, silvercross_control_store::Node(node), true);
     }
     c.pump(&post);
     let reading = async {
@@ -448,9 +450,9 @@
             match parcel {
                 Parcel::Hello { .. } => break,
                 Parcel::Round(letter) => c.rounds.borrow_mut().letter(now, Node(node), letter),
-                Parcel::Entry(version, letter) => {
+                Parcel::Store(version, message) => {
                     if let Some(l) = &c.ledger {
-                        l.borrow_mut().letter(now, silvercross_ledger::Node(node), version, letter);
+                        l.borrow_mut().receive(now, silvercross_control_store::Node(node), version, message);
                     }
                 }
                 Parcel::Time { asked } => {
@@ -459,8 +461,8 @@
                     }
                 }
                 Parcel::Told { asked, wall, stepped } => {
-                    let holder = silvercross_ledger::Node(node);
-                    if c.ledger(|l| l.roster().contains(&holder)) == Some(true) {
+                    let holder = silvercross_control_store::Node(node);
+                    if c.control_store(|l| l.replica_set().contains(&holder)) == Some(true) {
                         let answered = now;
                         post.members.heard(Voice { node: holder, asked, answered, wall, stepped });
                     }
--- a/crates/posthouse/src/control.rs
+++ b/crates/posthouse/src/control.rs
@@ -6,7 +6,7 @@
 use crate::post::{Beat, Door, Post};
 use crate::wire::{self, Asked, End, Line, Wrong};
 use serde_json::json;
-use silvercross_ledger::Verdict;
+use silvercross_control_store::Verdict;
 use slog::info;
 use std::future::Future;
 use std::pin::Pin;
@@ -125,9 +125,9 @@
 call!(GET, "GET", "/-/Config.Get", get);
 async fn get(post: &Rc<Post>, _: &str, _: &[u8]) -> Said {
     match post.carriers.ask(post, CONFIGURATION, None).await {
-        Some(Verdict::Page { page: Leaf::Configuration(c), .. }) => Said::json(200, c.to_json()),
-        Some(Verdict::Page { page: Leaf::Whole(w), .. }) => Said::json(200, w.to_json()),
-        Some(Verdict::Page { .. }) => Said::json(200, "{}".to_string()),
+        Some(Verdict::Value { value: Leaf::Configuration(c), .. }) => Said::json(200, c.to_json()),
+        Some(Verdict::Value { value: Leaf::Whole(w), .. }) => Said::json(200, w.to_json()),
+        Some(Verdict::Value { .. }) => Said::json(200, "{}".to_string()),
         Some(_) => Said::later(),
         None => elsewhere(post, "/-/Config.Get"),
     }
@@ -169,7 +169,7 @@
             }
             Said::fault(if refusal.conflict { 409 } else { 400 }, &refusal.reason)
         }
-        Some(Verdict::Page { .. } | Verdict::Unsettled) => Said::later(),
+        Some(Verdict::Value { .. } | Verdict::Unsettled) => Said::later(),
         None => elsewhere(post, path),
     }
 }
@@ -219,8 +219,8 @@
 ) -> Said {
     let path = format!("{call}{name}");
     let whole = match post.carriers.ask(post, CONFIGURATION, None).await {
-        Some(Verdict::Page { page: Leaf::Whole(whole), .. }) => whole,
-        Some(Verdict::Page { .. }) => return Said::fault(404, "no member was ever sent"),
+        Some(Verdict::Value { value: Leaf::Whole(whole), .. }) => whole,
+        Some(Verdict::Value { .. }) => return Said::fault(404, "no member was ever sent"),
         Some(_) => return Said::later(),
         None => return elsewhere(post, &path),
     };
--- a/crates/posthouse/src/store.rs
+++ b/crates/posthouse/src/disk.rs
@@ -1,8 +1,8 @@
-//! The ledger's disk: redb on a thread of its own, one transaction for each write, told of once it is synced. A write that
+//! The control store's disk: redb on a thread of its own, one transaction for each write, told of once it is synced. A write that
 //! fails ends the process: what it answered before stays true, and nothing more is.
 use crate::leaf::Leaf;
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
-use silvercross_ledger::{Disk, Marker, Stored};
+use silvercross_control_store::{Disk, Metadata, Stored};
 use std::fs::File;
 use std::path::Path;
 use std::sync::mpsc;
@@ -19,8 +19,8 @@
 pub struct Write {
     /// Its number, told back.
     pub number: u64,
-    /// The marker, if it is to be written.
-    pub marker: Option<Marker>,
+    /// The metadata record, if it is to be written.
+    pub metadata: Option<Metadata>,
     /// The keys' new content.
     pub keys: Vec<Stored<Leaf>>,
 }
@@ -52,7 +52,7 @@
             std::fs::rename(&path, &aside).map_err(|e| format!("{}: {why}; {e}", path.display()))?;
             set_aside = Some(format!("{} could not be read: {why}", path.display()));
             let db = builder().create(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-            (Disk { marker: None, keys: Vec::new() }, db)
+            (Disk { metadata: None, keys: Vec::new() }, db)
         }
         Err(why) => return Err(format!("{}: {why} (free the disk or replace it)", path.display())),
     };
@@ -80,12 +80,12 @@
 }
 
 fn load(db: &Database) -> Result<Disk<Leaf>, String> {
-    let mut disk = Disk { marker: None, keys: Vec::new() };
+    let mut disk = Disk { metadata: None, keys: Vec::new() };
     let tx = db.begin_read().map_err(|e| e.to_string())?;
     match tx.open_table(MARKER) {
         Ok(t) => {
             if let Some(bytes) = t.get(ROSTER).map_err(|e| e.to_string())? {
-                disk.marker = Some(bitcode::decode(bytes.value()).map_err(|e| e.to_string())?);
+                disk.metadata = Some(bitcode::decode(bytes.value()).map_err(|e| e.to_string())?);
             }
         }
         Err(redb::TableError::TableDoesNotExist(_)) => return Ok(disk),
@@ -105,7 +105,7 @@
         let mut marker = tx.open_table(MARKER)?;
         let mut keys = tx.open_table(KEYS)?;
         for w in all {
-            if let Some(m) = &w.marker {
+            if let Some(m) = &w.metadata {
                 marker.insert(ROSTER, bitcode::encode(m).as_slice())?;
             }
             for k in &w.keys {
--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -3,7 +3,7 @@
 use crate::leaf::Leaf;
 use crate::post::Post;
 use serde_json::{json, Value};
-use silvercross_ledger::{Ledger, Role};
+use silvercross_control_store::{ControlStore, Role};
 use silvercross_rounds::Record;
 use std::net::Ipv4Addr;
 
@@ -57,7 +57,7 @@
 }
 
 /// What the ledger on this machine holds: each key as it stands here, and what this holder is to it.
-fn ledger(ledger: &Ledger<Leaf>) -> Value {
+fn ledger(ledger: &ControlStore<Leaf>) -> Value {
     let keys: Vec<Value> = ledger
         .state()
         .iter()
@@ -65,7 +65,7 @@
             let role = match k.role {
                 Role::Owner => "owner",
                 Role::Claiming => "claiming",
-                Role::Holder => "holder",
+                Role::Replica => "holder",
                 Role::Repairing => "repairing",
             };
             json!({ "key": k.key, "role": role, "owner": k.owner.map(|n| address(n.0)),
@@ -75,11 +75,11 @@
         })
         .collect();
     let f = ledger.figures();
-    let roster: Vec<String> = ledger.roster().iter().map(|n| address(n.0)).collect();
+    let roster: Vec<String> = ledger.replica_set().iter().map(|n| address(n.0)).collect();
     json!({ "voter": ledger.voter(), "roster": roster, "keys": keys,
         "figures": { "claims": f.claims, "taken": f.taken, "steppedDown": f.stepped_down, "copiesSent": f.copies_sent,
             "wholesSent": f.wholes_sent, "behind": f.behind, "refusedLowerEpoch": f.refused_lower_epoch,
-            "strangers": f.strangers, "unsettled": f.unsettled, "passed": f.passed, "repairs": f.repairs,
+            "strangers": f.strangers, "unsettled": f.unsettled, "passed": f.forwarded, "repairs": f.repairs,
             "outlived": f.outlived } })
 }
 
@@ -94,7 +94,7 @@
     let parent = post.carriers.rounds(|r| r.parent()).map(|p| address(p.0));
     let linked: Vec<String> = post.carriers.rounds(|r| r.linked().iter().map(|n| address(n.0)).collect());
     let age = post.carriers.rounds(|r| r.news_age(post.now()));
-    let keys = post.carriers.ledger(|l| {
+    let keys = post.carriers.control_store(|l| {
         l.settled()
             .iter()
             .map(|(key, epoch, at)| json!({ "key": key, "round": epoch.round, "change": at.seq }))
@@ -103,5 +103,5 @@
     json!({ "node": post.boot.node, "ip": post.boot.ip.to_string(), "zone": post.boot.zone, "zones": post.boot.zones,
         "core": post.boot.core, "version": env!("CARGO_PKG_VERSION"), "parent": parent, "linked": linked,
         "newsAgeUs": age, "ready": post.ready(), "configured": post.configured(), "evacuated": post.evacuated(),
-        "revisions": revisions, "nodes": nodes, "owns": keys, "ledger": post.carriers.ledger(ledger) })
+        "revisions": revisions, "nodes": nodes, "owns": keys, "ledger": post.carriers.control_store(ledger) })
 }
--- a/crates/posthouse/src/leaf.rs
+++ b/crates/posthouse/src/leaf.rs
@@ -1,6 +1,6 @@
 //! What stands under a key of the ledger: the configuration, whether a zone is evacuated, or how far a member's lapse has come.
 use bitcode::{Decode, Encode};
-use silvercross_ledger::{Page, Refusal};
+use silvercross_control_store::{Refusal, State};
 use silvercross_sorting::{Call, Change, Configuration, Whole};
 use silvercross_tariff::Lapse;
 
@@ -38,7 +38,7 @@
     Lapse(silvercross_tariff::Change),
 }
 
-impl Page for Leaf {
+impl State for Leaf {
     type Change = Order;
 
     fn apply(&mut self, order: &Order) -> Result<bool, Refusal> {
@@ -97,7 +97,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use silvercross_ledger::Stored;
+    use silvercross_control_store::Stored;
 
     #[test]
     fn a_key_takes_only_what_it_holds() {
@@ -125,8 +125,8 @@
         ];
         for (page, bytes) in before {
             let (promised, accepted) = Default::default();
-            let stored = Stored { key: "k".to_string(), promised, accepted, page };
-            assert_eq!(bitcode::encode(&stored), bytes, "{:?}", stored.page);
+            let stored = Stored { key: "k".to_string(), promised, accepted, value: page };
+            assert_eq!(bitcode::encode(&stored), bytes, "{:?}", stored.value);
             assert_eq!(bitcode::decode::<Stored<Leaf>>(bytes).ok(), Some(stored));
         }
         assert_eq!(bitcode::encode(&Order::Evacuate(true)), [1, 1]);
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -6,6 +6,7 @@
 mod carriers;
 mod control;
 mod desk;
+mod disk;
 mod feed;
 mod figures;
 mod freight;
@@ -20,7 +21,7 @@
 mod receipts;
 mod reload;
 mod settings;
-mod store;
+
 #[cfg(test)]
 mod trial;
 mod waybill;
@@ -31,8 +32,8 @@
 use post::Post;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use silvercross_control_store::ControlStore;
 use silvercross_facade::Clock;
-use silvercross_ledger::Ledger;
 use silvercross_rounds::{Node, Rounds};
 use silvercross_wicket::Wicket;
 use slog::{error, info, o, warn, Drain, Logger};
@@ -142,7 +143,7 @@
     let ledger = match &boot.data {
         None => None,
         Some(dir) => {
-            let (disk, writes, done, aside) = store::open(dir).map_err(|e| anyhow!(e))?;
+            let (disk, writes, done, aside) = disk::open(dir).map_err(|e| anyhow!(e))?;
             // A file that was there and can't be read is no fresh disk, whatever the settings say.
             let fresh = boot.fresh && aside.is_none();
             if let Some(why) = aside {
@@ -151,10 +152,10 @@
             synced = Some(done);
             let mut keys = vec![leaf::CONFIGURATION.to_string()];
             keys.extend(boot.zones.iter().map(|z| format!("{}{z}", leaf::EVACUATION)));
-            let roster = seeds.iter().map(|s| silvercross_ledger::Node(*s)).collect();
-            let me = silvercross_ledger::Node(boot.ip.to_bits());
-            let start = silvercross_ledger::Start { me, roster, keys, fresh, seed };
-            Some((Ledger::new(now, start, disk), writes))
+            let replica_set = seeds.iter().map(|s| silvercross_control_store::Node(*s)).collect();
+            let me = silvercross_control_store::Node(boot.ip.to_bits());
+            let start = silvercross_control_store::Start { me, replica_set, keys, fresh, seed };
+            Some((ControlStore::new(now, start, disk), writes))
         }
     };
     let gate = gate::Gate::new(Wicket::new(boot.live.bounds.of_gate()));
--- a/crates/posthouse/src/members.rs
+++ b/crates/posthouse/src/members.rs
@@ -5,7 +5,7 @@
 use crate::post::Post;
 use crate::wire::Asked;
 use serde_json::{json, Map, Value};
-use silvercross_ledger::{Epoch, Verdict};
+use silvercross_control_store::{Epoch, Verdict};
 use silvercross_sorting::Route;
 use silvercross_tariff::{
     key, name_of, Board, Clerk, Clock, Directory, Guard, Kind, Lapse, Lapses, Member, Parked, Plan, Roll,
@@ -218,7 +218,7 @@
         }
         let directory = self.directory();
         let told = self.told.borrow();
-        let settled = post.carriers.ledger(|l| l.settled()).unwrap_or_default();
+        let settled = post.carriers.control_store(|l| l.settled()).unwrap_or_default();
         let mut mine: BTreeMap<String, Epoch> = BTreeMap::new();
         for (key, epoch, _) in settled {
             if key == CONFIGURATION {
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -232,7 +232,7 @@
         let tickets = Cell::new(chance.next_u64());
         let pool = Pool::default();
         pool.hold((boot.descriptors / 4) as usize);
-        let members = Members::new(carriers.ledger(|l| l.roster().len() == 1).unwrap_or(false));
+        let members = Members::new(carriers.control_store(|l| l.replica_set().len() == 1).unwrap_or(false));
         Rc::new(Post {
             stores: Stores::new(boot.memory),
             receipts,
@@ -675,13 +675,13 @@
     /// Those that hold the ledger, as this machine knows for certain; empty where there is none, or it is not repaired yet.
     /// A machine that has a disk and doesn't find itself among them says so by it: it may come for one that is lost.
     fn roster(&self) -> Vec<u32> {
-        let of = |l: &silvercross_ledger::Ledger<Leaf>| match l.voter()
-            || (l.outside() && l.holders().version > 0)
+        let of = |l: &silvercross_control_store::ControlStore<Leaf>| match l.voter()
+            || (l.outside() && l.replicas().version > 0)
         {
-            true => l.roster().iter().map(|n| n.0).collect(),
+            true => l.replica_set().iter().map(|n| n.0).collect(),
             false => Vec::new(),
         };
-        self.carriers.ledger(of).unwrap_or_default()
+        self.carriers.control_store(of).unwrap_or_default()
     }
 
     /// What this sidecar tells of itself.
--- a/crates/posthouse/src/trial.rs
+++ b/crates/posthouse/src/trial.rs
@@ -5,7 +5,7 @@
 use crate::post::{Beat, Post};
 use crate::{front, gate, settings};
 use rand_core::SeedableRng;
-use silvercross_ledger::Page;
+use silvercross_control_store::State;
 use silvercross_rounds::{Node, Record, Rounds, Start};
 use silvercross_wicket::Wicket;
 use slog::{o, Discard, Logger};
--- a/crates/postmaster/src/plan.rs
+++ b/crates/postmaster/src/plan.rs
@@ -1,7 +1,7 @@
 //! What a file changes of what stands: the editions it takes, the call, and a diff for people. Checked whole, as an office will.
 use crate::file::{items, Fault, Kind, Wanted};
 use serde_json::{json, Map, Value};
-use silvercross_ledger::Page;
+use silvercross_control_store::State;
 use silvercross_sorting::{read_patch, Configuration};
 use std::collections::BTreeMap;
 
--- a/crates/sorting/src/configuration.rs
+++ b/crates/sorting/src/configuration.rs
@@ -4,7 +4,7 @@
 
 use bitcode::{Decode, Encode};
 use serde_json::Value;
-use silvercross_ledger::{Page, Refusal};
+use silvercross_control_store::{Refusal, State};
 
 use crate::items::{host_key, Change, Destination, Entries, Entry, Fault, Item, Limits, Route, Versioned};
 use crate::read::same_place;
@@ -35,7 +35,7 @@
     }
 }
 
-impl Page for Configuration {
+impl State for Configuration {
     type Change = Change;
 
     /// The higher edition of each name holds, a lower one changes nothing, and the same edition with other content is a
--- a/crates/sorting/src/whole.rs
+++ b/crates/sorting/src/whole.rs
@@ -1,7 +1,7 @@
 //! The configuration and the members under one key, so that a call over both is one change.
 
 use bitcode::{Decode, Encode};
-use silvercross_ledger::{Page, Refusal};
+use silvercross_control_store::{Refusal, State};
 use silvercross_tariff::{Roll, Sent};
 
 use crate::configuration::Configuration;
@@ -33,7 +33,7 @@
     pub roll: Roll,
 }
 
-impl Page for Whole {
+impl State for Whole {
     type Change = Call;
 
     /// Both parts or neither.
--- a/crates/sorting/tests/sorting.rs
+++ b/crates/sorting/tests/sorting.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde_json::{json, Value};
-use silvercross_ledger::{Page, Refusal};
+use silvercross_control_store::{Refusal, State};
 use silvercross_sorting::{read_patch, Change, Configuration, Kind, Limits, Table, MAX_DROPPED, MAX_ITEMS};
 
 fn patch(body: Value) -> Change {
--- a/crates/tariff/src/board.rs
+++ b/crates/tariff/src/board.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use silvercross_ledger::Micros;
+use silvercross_control_store::Micros;
 
 use crate::items::{Member, MAX_MEMBERS};
 use crate::lapse::{standing, Lapse, Standing};
--- a/crates/tariff/src/clerk.rs
+++ b/crates/tariff/src/clerk.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use silvercross_ledger::{Epoch, Micros};
+use silvercross_control_store::{Epoch, Micros};
 
 use crate::clock::Clock;
 use crate::items::{Lapses, Member, MAX_MEMBERS};
--- a/crates/tariff/src/clock.rs
+++ b/crates/tariff/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use silvercross_ledger::{Micros, Node};
+use silvercross_control_store::{Micros, Node};
 
 use crate::mutant::Mutant;
 
--- a/crates/tariff/src/items.rs
+++ b/crates/tariff/src/items.rs
@@ -5,7 +5,7 @@
 
 use bitcode::{Decode, Encode};
 use serde_json::Value;
-use silvercross_ledger::Micros;
+use silvercross_control_store::Micros;
 
 /// No more members stand at a time; a call that would go beyond is refused whole.
 pub const MAX_MEMBERS: usize = 100_000;
--- a/crates/tariff/src/lapse.rs
+++ b/crates/tariff/src/lapse.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use bitcode::{Decode, Encode};
-use silvercross_ledger::{Page, Refusal};
+use silvercross_control_store::{Refusal, State};
 
 use crate::items::{Member, Plan};
 
@@ -84,7 +84,7 @@
     Err(Refusal { conflict, reason: reason.into() })
 }
 
-impl Page for Lapse {
+impl State for Lapse {
     type Change = Change;
 
     /// What is of a lower edition is overtaken and changes nothing; what is of a higher one waits for its renewal. A step
--- a/crates/tariff/src/lib.rs
+++ b/crates/tariff/src/lib.rs
@@ -40,4 +40,4 @@
 pub use slow::delay_broken;
 pub use slow::{delay, Asked, Kind, Slow, Stage, Terms};
 
-pub use silvercross_ledger::Micros;
+pub use silvercross_control_store::Micros;
--- a/crates/tariff/src/parked.rs
+++ b/crates/tariff/src/parked.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use silvercross_ledger::Micros;
+use silvercross_control_store::Micros;
 
 /// Names a request that waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/tariff/src/roll.rs
+++ b/crates/tariff/src/roll.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use bitcode::{Decode, Encode};
-use silvercross_ledger::{Page, Refusal};
+use silvercross_control_store::{Refusal, State};
 
 use crate::items::{Entries, Entry, Fault, Item, Member, Membership, Unknown, MAX_MEMBERS};
 use crate::read::shared;
@@ -54,7 +54,7 @@
     membership: Option<&'a Item<Membership>>,
 }
 
-impl Page for Roll {
+impl State for Roll {
     type Change = Sent;
 
     /// The higher edition of each name holds, a lower one changes nothing, and the same edition with other content is a
--- a/crates/tariff/src/slow.rs
+++ b/crates/tariff/src/slow.rs
@@ -1,6 +1,6 @@
 //! How long a read waits before it is sent on.
 
-use silvercross_ledger::Micros;
+use silvercross_control_store::Micros;
 
 use crate::items::Member;
 use crate::lapse::Standing;
--- a/crates/tariff/tests/common/mod.rs
+++ b/crates/tariff/tests/common/mod.rs
@@ -2,7 +2,7 @@
 //! time that judges every change and every wait.
 #![allow(dead_code)]
 
-use silvercross_ledger::{Epoch, Node, Page};
+use silvercross_control_store::{Epoch, Node, State};
 use silvercross_tariff::{
     delay, standing, Asked, Board, Change, Clerk, Clock, Guard, Kind, Lapse, Lapses, Member, Mutant, Plan,
     Slow, Slowing, Stage, Standing, Voice,
--- a/crates/tariff/tests/rules.rs
+++ b/crates/tariff/tests/rules.rs
@@ -1,7 +1,7 @@
 //! Items, who a request is of, the lapse, the time of day, the wait and the waiting room, each stepped by hand.
 
 use serde_json::{json, Map, Value};
-use silvercross_ledger::{Epoch, Node, Page};
+use silvercross_control_store::{Epoch, Node, State};
 use silvercross_tariff::{
     delay, key, name_of, read, Advice, Asked, Board, Change, Clerk, Clock, Directory, Fault, Guard, Kind,
     Lapse, Lapses, Member, Parked, Plan, Roll, Sent, Slow, Slowing, Stage, Standing, Terms, Voice, Waits,
