Membership: a node's watchers no longer vouch for it to each other after its end

Cause: "heard here", a watcher's answer to another, was noted as if the node had been heard at that moment, and told on as such.

Change: the answer says how long ago the node was heard by the one that answers, and counts as no younger; only what was heard within SILENCE less the slack is told.

--- a/crates/rounds/src/lib.rs
+++ b/crates/rounds/src/lib.rs
@@ -240,12 +240,14 @@
         /// Its life as asked.
         life: u64,
     },
-    /// It was heard here.
+    /// It was heard here, by the sender itself.
     Heard {
         /// The node in question.
         about: Node,
         /// Its life as asked.
         life: u64,
+        /// How long ago. What was heard by another is no newer for having been told.
+        ago: Micros,
     },
 }
 
--- a/crates/rounds/src/watch.rs
+++ b/crates/rounds/src/watch.rs
@@ -120,9 +120,10 @@
         }
     }
 
-    fn heard(&mut self, now: Micros, node: Node) {
+    /// It was last heard at this moment, here or by another watcher.
+    fn heard(&mut self, at: Micros, node: Node) {
         if let Some(watch) = self.watches.get_mut(&node) {
-            watch.heard = Some(now);
+            watch.heard = watch.heard.max(Some(at));
             watch.accused = None;
         }
     }
@@ -149,9 +150,9 @@
                     self.found_gone(now, about);
                 }
             }
-            Datagram::Heard { about, life } => {
+            Datagram::Heard { about, life, ago } => {
                 if self.table.version(about).is_some_and(|known| known.life <= life) {
-                    self.heard(now, about);
+                    self.heard(now - ago.clamp(0, SILENCE), about);
                 }
             }
         }
@@ -160,15 +161,17 @@
     fn asked(&mut self, now: Micros, from: Node, about: Node, life: u64) {
         let Some(known) = self.table.version(about) else { return };
         if about == self.start.me {
-            return self.send_datagram(from, Datagram::Heard { about, life });
+            return self.send_datagram(from, Datagram::Heard { about, life, ago: 0 });
         }
         if known.life == life && known.gone {
             return self.send_datagram(from, Datagram::Agree { about, life });
         }
         let Some(watch) = self.watches.get(&about) else { return };
         let quiet = now - watch.last() > SILENCE - ASK_SLACK;
-        if known.life > life || (watch.heard.is_some() && !quiet) {
-            self.send_datagram(from, Datagram::Heard { about, life });
+        if known.life > life {
+            self.send_datagram(from, Datagram::Heard { about, life, ago: 0 });
+        } else if let Some(heard) = watch.heard.filter(|heard| now - heard <= SILENCE - ASK_SLACK) {
+            self.send_datagram(from, Datagram::Heard { about, life, ago: now - heard });
         } else if quiet && !self.cut_off(now) {
             self.send_datagram(from, Datagram::Agree { about, life });
         }
--- a/crates/rounds/tests/rules.rs
+++ b/crates/rounds/tests/rules.rs
@@ -122,8 +122,11 @@
         assert_eq!(asked_about(&effects), [about]);
         let now = SILENCE + 100_000;
         for (agreed, from) in answers.iter().zip(heard) {
-            let agree =
-                if *agreed { Datagram::Agree { about, life } } else { Datagram::Heard { about, life } };
+            let agree = if *agreed {
+                Datagram::Agree { about, life }
+            } else {
+                Datagram::Heard { about, life, ago: 0 }
+            };
             rounds.datagram(now, from, agree);
         }
         let effects = listen(&mut rounds, now, now + ASK_WAIT + 100_000, &heard);
