Control store: a replica that stops in plan is replaced while it is still there

Cause: a replica that gets SIGTERM was replaced only 4 s (GONE) after its link had ended; from then until its replacement a second loss left no majority, and it may have held the only other copy of what was acknowledged last. It knows that it leaves while it is still there.

Change: - ControlStore::leave and ::leaves: its own wish, and that of others, from their membership record (body.leaving). With a candidate linked the leaver itself proposes the joint replica set at once (its word needs no other that knows of it), the others STAGGER later. A promise is given if who is to be replaced is long gone or is known to stop. The change is not abandoned because the leaver is still there; it is if the leaver starts again (its new record says no more that it stops) or the newcomer stops too. An announced leaver that is gone is replaced without waiting for GONE. - The step to the new replica set needs the newcomer's vote as before; the leaver votes and holds its copies until then. - While another replica is gone and the leaver there, a newcomer that was asked for its vote in vain is given up: without that vote the joint replica set has no quorum. It isn't tried again with the same newcomer before the other one is replaced or back. - ControlStore::needed: whether a process that stops is still wanted: a candidate is there, a change is under way, or the replica set without it does not stand yet, that is, fewer than half and one of the new replicas have told it that they vote under it (InForce). A decided replica set that only the proposer and the leaver know would be lost with the two. - Keys: those that stop are last in line; who doesn't stop claims at once what an owner that stops owns. After a change of the replica set the first in line needn't wait as after a lost duel. - A disk that went back to an older state: an owner whose link to a replica comes up tells it what it had confirmed (HadKept). A replica that lacks any of it under the same incarnation finds that its disk went back, counts it (wentBack), and is as good as wiped: on disk too, by a replica set of version 0. - posthouse: begin_stop passes the wish on; stop() stays as long as the replica is needed, until half a second before the end of the grace. The link's form is 2.

Mutants: DropsLeaverEarly, EndsUnconfirmed, VotesGoneBack, each caught by a test of that file. Found by these tests and mended: a newcomer that is linked and never repaired held the joint replica set without a quorum when a third was lost; orders waited up to 0.14 s after each change of the replica set.

--- a/crates/control-store/src/message.rs
+++ b/crates/control-store/src/message.rs
@@ -128,6 +128,11 @@
     AskReplicaSet,
     /// The replicas, as was decided.
     ReplicaSet { replica_set: ReplicaSet },
+    /// Durable: the sender votes under the replica set of this version.
+    InForce,
+    /// What the sender was told to be durable at the receiver, with this incarnation: the receiver's disk went back to an older state
+    /// if it lacks any of it.
+    HadKept { incarnation: Incarnation, keys: Vec<(String, Epoch, u64)> },
     /// The sender wants the next replica set decided, in which this one is replaced, if any.
     Propose { epoch: Epoch, gone: Option<Node> },
     /// Durable: no next replica set of a lower epoch is accepted any more, and this one was until now.
--- a/crates/control-store/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -412,20 +412,29 @@
         }
         let mut claims = Vec::new();
         let mut copies = Vec::new();
+        let mut had: Vec<(String, Epoch, u64)> = Vec::new();
+        let mut with = Incarnation::default();
         for (key, slot) in &self.keys {
             match &slot.ownership {
                 Ownership::Claiming(claim) if claim.promises.contains_key(&self.me) => {
                     claims.push((key.clone(), claim.epoch));
                 }
                 Ownership::Owner(owner) => {
-                    let has = owner.kept.get(&to).is_some_and(|k| k.1 >= owner.seq && self.current(to, k.0));
-                    if !has {
+                    let kept = owner.kept.get(&to).filter(|k| self.current(to, k.0));
+                    if let Some((incarnation, seq)) = kept {
+                        with = with.max(*incarnation);
+                        had.push((key.clone(), owner.epoch, *seq));
+                    }
+                    if kept.is_none_or(|k| k.1 < owner.seq) {
                         copies.push(key.clone());
                     }
                 }
                 _ => {}
             }
         }
+        if !had.is_empty() {
+            self.send(to, Message::HadKept { incarnation: with, keys: had });
+        }
         for (key, epoch) in claims {
             self.send(to, Message::Claim { key, epoch });
         }
@@ -442,9 +451,21 @@
         (owned && self.up.contains(&owner) && now < slot.heard + SILENT).then_some((owner, slot.seen))
     }
 
+    /// Whether the key's owner has said that it stops, and this node does not: it may claim at once.
+    fn handed_on(&self, key: &str) -> bool {
+        let leaves = |node| self.leavers.contains_key(&node);
+        let seen = self.keys.get(key).map(|slot| slot.seen).unwrap_or_default();
+        seen != Epoch::default() && leaves(Node(seen.owner)) && !leaves(self.me)
+    }
+
+    /// Whether another owns the key and goes on with it.
+    fn owned(&self, now: Micros, key: &str) -> bool {
+        self.known_owner(now, key).is_some() && !self.handed_on(key)
+    }
+
     fn patience(&self, key: &str) -> Micros {
         let place = self.order(key).iter().position(|n| *n == self.me).unwrap_or(0);
-        OWNERLESS * (1 + place as Micros)
+        OWNERLESS * (place as Micros + Micros::from(!self.handed_on(key)))
     }
 
     /// When something is due for the key.
@@ -470,7 +491,7 @@
             .iter()
             .filter(|(key, slot)| {
                 let gone = matches!(slot.ownership, Ownership::Replica)
-                    && slot.ownerless.is_some() == self.known_owner(now, key).is_some();
+                    && slot.ownerless.is_some() == self.owned(now, key);
                 gone || self.due(key, slot).is_some_and(|at| at <= now)
             })
             .map(|(key, _)| key.clone())
@@ -491,7 +512,7 @@
     }
 
     fn tick_key(&mut self, now: Micros, key: &str) {
-        let known = self.known_owner(now, key).is_some();
+        let known = self.owned(now, key);
         let patience = self.patience(key);
         let others = self.others();
         let incarnations = self.incarnations.clone();
--- a/crates/control-store/src/replica.rs
+++ b/crates/control-store/src/replica.rs
@@ -136,6 +136,26 @@
         }
     }
 
+    /// What this replica was told to have confirmed, with the disk that it has: if it lacks any of it that disk went back to an
+    /// older state. It is as good as empty then, on disk too, and is repaired.
+    pub(crate) fn on_had_kept(
+        &mut self,
+        now: Micros,
+        incarnation: Incarnation,
+        keys: &[(String, Epoch, u64)],
+    ) {
+        let lacks = |(key, epoch, seq): &(String, Epoch, u64)| {
+            let told = Revision { epoch: *epoch, seq: *seq };
+            self.keys.get(key).is_none_or(|slot| slot.accepted < told)
+        };
+        let holds = matches!(self.phase, Phase::Voter | Phase::Formatting) && incarnation == self.incarnation;
+        if !holds || self.is(Broken::VotesGoneBack) || !keys.iter().any(lacks) {
+            return;
+        }
+        self.figures.went_back += 1;
+        self.lose_replica_set(now);
+    }
+
     /// Asks all others for everything.
     pub(crate) fn ask_repair(&mut self, now: Micros) {
         self.repair.sent = now;
--- a/crates/control-store/src/replica_set.rs
+++ b/crates/control-store/src/replica_set.rs
@@ -5,12 +5,14 @@
 use crate::store::{After, Broken, ControlStore, Ownership, Phase, GONE, RESEND, STAGGER};
 use crate::{Epoch, Micros, Node, Revision, State};
 use bitcode::{Decode, Encode};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Replicas of one replica set at most; one that is larger is dropped.
 const MEMBERS: usize = 64;
 /// Machines that could become replicas, remembered at a time; a further one waits until one goes.
 const CANDIDATES: usize = 64;
+/// Core machines remembered to have said that they stop; a further one is replaced only when it is long gone.
+const LEAVERS: usize = MEMBERS + CANDIDATES;
 /// Links of which the state is remembered; a further one counts as down.
 pub(crate) const LINKS: usize = 4096;
 
@@ -154,6 +156,46 @@
         }
     }
 
+    /// This node is told to stop: as long as it is still there the others replace it, if there is a candidate, and take over
+    /// what it owns. [`ControlStore::needed`] tells how long it is to stay for that.
+    pub fn leave(&mut self, now: Micros) {
+        self.leaves(now, self.me, true);
+    }
+
+    /// Whether a core machine has said that it stops. Holds until its next start says otherwise, also when it is gone.
+    pub fn leaves(&mut self, now: Micros, node: Node, leaves: bool) {
+        let room = self.leavers.len() < LEAVERS;
+        if !leaves && self.leavers.remove(&node).is_some() {
+            self.tick(now);
+        } else if leaves && room && !self.leavers.contains_key(&node) {
+            self.leavers.insert(node, now);
+            self.tick(now);
+        }
+    }
+
+    /// Whether this node, which leaves, is still wanted as a replica: it is being replaced or could be, or the replica set
+    /// without it does not stand yet.
+    pub fn needed(&self) -> bool {
+        match &self.in_force {
+            Some(voters) => {
+                let voters: Vec<Node> = voters.iter().copied().collect();
+                !self.is(Broken::EndsUnconfirmed) && !self.replica_set.more_than_half(&voters, None)
+            }
+            None => !self.outside() && (self.replica_set.joint() || self.spare().is_some()),
+        }
+    }
+
+    pub(crate) fn on_in_force(&mut self, from: Node) {
+        if let Some(voters) = &mut self.in_force {
+            voters.insert(from);
+        }
+    }
+
+    /// Whether it has to ask the replicas who they are, or whether they stand without this one.
+    pub(crate) fn asks(&self) -> bool {
+        self.lost_touch() || (self.in_force.is_some() && self.needed())
+    }
+
     /// Whether this node is no replica.
     pub fn outside(&self) -> bool {
         !self.replica_set.contains(self.me)
@@ -164,10 +206,12 @@
         &self.replica_set
     }
 
-    /// Asks all that are linked who the replicas are.
+    /// Asks all that are linked who the replicas are; where this one has left in plan, the replicas whether they stand.
     pub(crate) fn ask_replica_set(&mut self, now: Micros) {
         self.repair.sent = now;
-        for to in self.up.clone() {
+        let replicas = self.in_force.is_some() && !self.lost_touch();
+        let to = if replicas { self.others() } else { self.up.iter().copied().collect() };
+        for to in to {
             self.send(to, Message::AskReplicaSet);
         }
     }
@@ -184,10 +228,17 @@
             return;
         }
         let came = replica_set.since(self.me);
+        let leaves = self.leavers.contains_key(&self.me) && self.replica_set.contains(self.me);
+        let leaves = came.is_none() && (leaves || self.in_force.is_some());
+        self.in_force = leaves.then(BTreeSet::new);
+        if leaves {
+            self.repair.sent = now;
+        }
         let new = came.is_some_and(|since| since > self.replica_set.version);
         let trusted = self.is(Broken::WipedVotes)
             || (self.is(Broken::NewcomerVotes) && replica_set.coming == Some(self.me));
         self.figures.replica_sets += 1;
+        self.failed = self.replica_set.coming.filter(|new| !replica_set.contains(*new));
         self.replica_set = replica_set;
         self.vote = Vote::default();
         self.proposal = None;
@@ -228,6 +279,21 @@
                 slot.value = P::default();
             }
         }
+        self.give_up_keys(now);
+        // No duel was lost: who is first in line needn't wait.
+        let first: Vec<String> =
+            self.keys.keys().filter(|key| self.order(key).first() == Some(&self.me)).cloned().collect();
+        for key in first {
+            if let Some(slot) = self.keys.get_mut(&key) {
+                slot.not_before = now;
+            }
+        }
+        if self.phase == Phase::Repairing {
+            self.ask_repair(now);
+        }
+    }
+
+    fn give_up_keys(&mut self, now: Micros) {
         let held = |slot: &crate::store::Slot<P>| {
             !matches!(slot.ownership, Ownership::Replica) || !slot.queue.is_empty()
         };
@@ -236,9 +302,19 @@
             self.step_down(now, &key);
         }
         self.reroute(now);
-        if self.phase == Phase::Repairing {
-            self.ask_repair(now);
-        }
+    }
+
+    /// What is on disk is no good: from here on, and after a start too, this node is one that was wiped, but keeps its incarnation.
+    pub(crate) fn lose_replica_set(&mut self, now: Micros) {
+        self.replica_set.version = 0;
+        self.vote = Vote::default();
+        self.proposal = None;
+        self.after.clear();
+        self.forget_writes();
+        self.phase = Phase::Outside;
+        self.write_metadata();
+        self.give_up_keys(now);
+        self.ask_replica_set(now);
     }
 
     /// Which of the replicas that can be reached this one is: the first proposes first.
@@ -246,14 +322,27 @@
         self.replica_set.nodes().filter(|n| *n < self.me && self.up.contains(n)).count() as Micros
     }
 
-    /// Whom to replace, if anybody is long gone, and since when.
-    fn long_gone(&self) -> Option<(Micros, Node)> {
-        self.gone.iter().filter(|(n, _)| self.replica_set.contains(**n)).map(|(n, since)| (*since, *n)).min()
+    /// From when on this replica is to be replaced: if it is gone for long, or has said that it stops. Then it wants that first
+    /// itself, for its own word needs no other that knows of it.
+    fn replace_from(&self, node: Node) -> Option<Micros> {
+        let gone = self.gone.get(&node).copied();
+        let Some(said) = self.leavers.get(&node) else { return gone.map(|since| since + GONE) };
+        Some(if node == self.me { *said } else { *said + STAGGER })
+    }
+
+    /// Whom to replace first, and from when on: of those of whom it is time one that is gone goes before one that is still there.
+    fn to_replace(&self, now: Option<Micros>) -> Option<(Micros, Node)> {
+        let due = self.replica_set.nodes().filter_map(|n| Some((self.replace_from(n)?, n)));
+        let due = due.filter(|(at, _)| now.is_none_or(|now| *at <= now));
+        match now {
+            Some(_) => due.min_by_key(|(at, n)| (!self.gone.contains_key(n), *at, *n)),
+            None => due.min(),
+        }
     }
 
     fn spare(&self) -> Option<Node> {
         let free = |n: &&Node| self.up.contains(n) && !self.replica_set.contains(**n);
-        self.candidates.iter().find(free).copied()
+        self.candidates.iter().filter(free).min_by_key(|n| (Some(**n) == self.failed, **n)).copied()
     }
 
     /// When a change of the replica set is due.
@@ -262,8 +351,18 @@
             return Some(self.next_try);
         }
         self.spare()?;
-        let (since, _) = self.long_gone()?;
-        Some((since + GONE + self.place() * STAGGER).max(self.next_try))
+        let (from, node) = self.to_replace(None)?;
+        let place = if node == self.me { 0 } else { self.place() };
+        Some((from + place * STAGGER).max(self.next_try))
+    }
+
+    fn there(&self, node: Node) -> bool {
+        node == self.me || self.up.contains(&node)
+    }
+
+    /// Whether a replica other than these can't be reached.
+    fn another_gone(&self, but: &[Node]) -> bool {
+        self.replica_set.nodes().any(|n| !but.contains(&n) && self.gone.contains_key(&n))
     }
 
     /// What this node would have the next replica set be.
@@ -271,12 +370,20 @@
         let gone = |node: Node| self.gone.get(&node).is_some_and(|since| now >= since + GONE);
         match (self.replica_set.leaving, self.replica_set.coming) {
             (Some(old), Some(new)) => {
-                let back = old == self.me || self.up.contains(&old);
-                Some(self.replica_set.without(if back || gone(new) { new } else { old }))
+                // Who stops in plan is there as long as it can be.
+                let stays = !self.leavers.contains_key(&old);
+                let back = stays && self.there(old);
+                // Another one is gone, so without the newcomer's vote there is no quorum, and it was asked in vain.
+                let asked = self.proposal.as_ref().is_some_and(|p| !p.promises.contains_key(&new));
+                let slow = asked && self.there(old) && self.another_gone(&[old, new]);
+                let fails = gone(new) || self.leavers.contains_key(&new) || slow;
+                Some(self.replica_set.without(if back || fails { new } else { old }))
             }
             _ => {
-                let (_, node) = self.long_gone().filter(|(_, node)| gone(*node))?;
-                Some(self.replica_set.swap(node, self.spare()?))
+                let (_, node) = self.to_replace(Some(now))?;
+                let new = self.spare()?;
+                let again = self.failed == Some(new) && self.there(node) && self.another_gone(&[node]);
+                (!again).then(|| self.replica_set.swap(node, new))
             }
         }
     }
@@ -285,7 +392,10 @@
         if self.replica_set_due().is_none_or(|at| at > now) {
             return;
         }
-        let Some(next) = self.plan(now) else { return };
+        let Some(next) = self.plan(now) else {
+            self.next_try = now + STAGGER;
+            return;
+        };
         self.next_try = now + STAGGER + (self.draw() % STAGGER as u64) as Micros;
         let round = self.vote.promised.max(self.ballot).round.saturating_add(1);
         let epoch = Epoch { round, owner: self.me.0 };
@@ -318,12 +428,13 @@
         epoch < promised
     }
 
-    /// Promises, if this node finds as well that who is to be replaced is gone.
+    /// Promises, if this node finds as well that who is to be replaced is gone, or knows that it stops.
     pub(crate) fn on_propose(&mut self, now: Micros, from: Node, epoch: Epoch, gone: Option<Node>) {
         if epoch.owner != from.0 || self.overruled(from, epoch) {
             return;
         }
-        let agrees = |node: Node| self.gone.get(&node).is_some_and(|since| now >= since + GONE);
+        let gone_long = |node| self.gone.get(&node).is_some_and(|since| now >= since + GONE);
+        let agrees = |node| node == from || self.leavers.contains_key(&node) || gone_long(node);
         if !gone.is_none_or(agrees) {
             return;
         }
@@ -356,6 +467,7 @@
         let Some(proposal) = &self.proposal else { return };
         // A change comes into force only once the newcomer votes.
         let ready = proposal.best.is_some()
+            || self.is(Broken::DropsLeaverEarly)
             || self
                 .replica_set
                 .coming
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -111,6 +111,8 @@
     pub older_replica_set: u64,
     /// Later replica sets taken.
     pub replica_sets: u64,
+    /// Times that this replica's own disk was found to have gone back to an older state.
+    pub went_back: u64,
 }
 
 /// How a control store is broken on purpose; without the feature `mutants` nothing heeds it.
@@ -140,6 +142,12 @@
     HeedsOldReplicaSet,
     /// A removed replica goes on voting and is counted.
     RemovedVotes,
+    /// The replica that leaves is dropped before the newcomer is repaired.
+    DropsLeaverEarly,
+    /// A replica that leaves ends once it knows the replica set without it, whoever else has that.
+    EndsUnconfirmed,
+    /// Goes on voting with a disk that went back to an older state.
+    VotesGoneBack,
 }
 
 /// What waits for a write.
@@ -218,6 +226,12 @@
     pub(crate) gone: BTreeMap<Node, Micros>,
     /// At most `CANDIDATES`.
     pub(crate) candidates: BTreeSet<Node>,
+    /// Core machines, this one included, that have said that they stop, and since when. At most `LEAVERS`.
+    pub(crate) leavers: BTreeMap<Node, Micros>,
+    /// The last newcomer with which a change was abandoned.
+    pub(crate) failed: Option<Node>,
+    /// Where this one has left in plan: who votes without it.
+    pub(crate) in_force: Option<BTreeSet<Node>>,
     pub(crate) phase: Phase,
     pub(crate) incarnation: Incarnation,
     pub(crate) incarnations: BTreeMap<Node, Incarnation>,
@@ -250,6 +264,8 @@
     /// A control store on what was found on disk.
     pub fn new(now: Micros, start: Start, disk: Disk<P>) -> Self {
         let (phase, metadata) = match disk.metadata {
+            // It was found to have gone back: as good as empty.
+            Some(metadata) if metadata.replica_set.version == 0 => (Phase::Outside, metadata),
             Some(metadata) => (Phase::Voter, metadata),
             None => {
                 let holds = start.fresh && start.replica_set.contains(&start.me);
@@ -270,6 +286,9 @@
             up: BTreeSet::new(),
             gone,
             candidates: BTreeSet::new(),
+            leavers: BTreeMap::new(),
+            failed: None,
+            in_force: None,
             phase,
             incarnation: metadata.incarnation,
             incarnations: metadata.incarnations.into_iter().collect(),
@@ -360,6 +379,10 @@
             return;
         }
         let mine = self.replica_set.version;
+        if let Message::HadKept { incarnation, keys } = message {
+            self.on_had_kept(now, incarnation, &keys);
+            return;
+        }
         if let Message::ReplicaSet { replica_set } = message {
             if replica_set.version < mine {
                 self.send(from, Message::ReplicaSet { replica_set: self.replica_set.clone() });
@@ -376,6 +399,10 @@
             self.send(from, Message::ReplicaSet { replica_set: self.replica_set.clone() });
             return;
         }
+        if matches!(message, Message::AskReplicaSet) && self.voter() {
+            self.send(from, Message::InForce);
+            return;
+        }
         let known = self.replica_set.contains(from)
             || self.is(Broken::RemovedVotes)
             || self.is(Broken::HeedsOldReplicaSet);
@@ -394,7 +421,8 @@
             }
             Message::Outlived { incarnation } => self.on_outlived(now, incarnation),
             Message::Forward { id, key, under, ask } => self.on_forward(now, from, id, key, under, ask),
-            Message::AskReplicaSet | Message::ReplicaSet { .. } => {}
+            Message::InForce => self.on_in_force(from),
+            Message::AskReplicaSet | Message::ReplicaSet { .. } | Message::HadKept { .. } => {}
             _ if self.phase != Phase::Voter => {}
             Message::Claim { key, epoch } => self.on_claim(now, from, key, epoch),
             Message::Promise { key, epoch, accepted, value, incarnations } => {
@@ -466,7 +494,7 @@
                 self.tick_keys(now);
                 self.tick_replica_set(now);
             }
-            Phase::Outside if self.lost_touch() && now >= self.repair.sent + RESEND => {
+            Phase::Outside if self.asks() && now >= self.repair.sent + RESEND => {
                 self.ask_replica_set(now);
             }
             Phase::Repairing if now >= self.repair.sent + RESEND => self.ask_repair(now),
@@ -483,7 +511,7 @@
                 keys.into_iter().chain(self.replica_set_due()).min()
             }
             Phase::Repairing => Some(self.repair.sent + RESEND),
-            Phase::Outside if self.lost_touch() => Some(self.repair.sent + RESEND),
+            Phase::Outside if self.asks() => Some(self.repair.sent + RESEND),
             Phase::Formatting | Phase::Outside => None,
         };
         calls.into_iter().chain(rest).min()
@@ -561,14 +589,14 @@
         mix(self.random)
     }
 
-    /// The replicas that can be reached, this one included, in the order in which they would own the key.
+    /// The replicas that can be reached, this one included, in the order in which they would own the key: those that leave last.
     pub(crate) fn order(&self, key: &str) -> Vec<Node> {
         let name = key
             .bytes()
             .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
         let mut nodes: Vec<Node> =
             self.replica_set.nodes().filter(|n| *n == self.me || self.up.contains(n)).collect();
-        nodes.sort_by_key(|n| (mix(name ^ mix(u64::from(n.0))), *n));
+        nodes.sort_by_key(|n| (self.leavers.contains_key(n), mix(name ^ mix(u64::from(n.0))), *n));
         nodes
     }
 
--- a/crates/control-store/tests/common/bench.rs
+++ b/crates/control-store/tests/common/bench.rs
@@ -26,6 +26,12 @@
     pub starts: u64,
     /// How many are replicas from the start.
     pub replicas: usize,
+    /// Messages and writes until all stands still, if it is to.
+    pub fuse: Option<usize>,
+    /// They hear nothing, sync nothing, and their time does not pass.
+    pub frozen: BTreeSet<usize>,
+    /// They have said that they stop.
+    pub leaving: BTreeSet<usize>,
 }
 
 pub fn start(node: usize, replica_set: usize, fresh: bool, seed: u64) -> Start {
@@ -56,6 +62,9 @@
             recovering: BTreeMap::new(),
             starts: 100,
             replicas,
+            fuse: None,
+            frozen: BTreeSet::new(),
+            leaving: BTreeSet::new(),
         };
         bench.link();
         bench
@@ -114,16 +123,50 @@
         self.link();
     }
 
-    pub fn sync(&mut self, node: usize) {
-        while let Some((write, metadata, keys)) = self.writes[node].pop_front() {
-            let disk = &mut self.disks[node];
-            disk.metadata = metadata.or(disk.metadata.take());
-            for stored in keys {
-                disk.keys.retain(|k| k.key != stored.key);
-                disk.keys.push(stored);
+    /// This one is told to stop, and all others hear of it.
+    pub fn leave(&mut self, node: usize) {
+        self.leaving.insert(node);
+        self.ledgers[node].leave(self.now);
+        self.run();
+        self.gossip();
+    }
+
+    /// What membership tells all that can be reached: who could become a replica, and who stops.
+    pub fn gossip(&mut self) {
+        let n = self.ledgers.len();
+        for (a, b) in (0..n).flat_map(|a| (0..n).map(move |b| (a, b))).filter(|(a, b)| a != b) {
+            if !self.cut.contains(&(b, a)) && !self.frozen.contains(&a) && !self.frozen.contains(&b) {
+                let leaves = self.leaving.contains(&b);
+                let free = self.ledgers[b].outside() && !leaves;
+                self.ledgers[a].candidate(self.now, Node(b as u32), free);
+                self.ledgers[a].leaves(self.now, Node(b as u32), leaves);
             }
-            self.ledgers[node].stored(self.now, write);
         }
+        self.run();
+    }
+
+    pub fn sync(&mut self, node: usize) {
+        while self.sync_one(node) {}
+    }
+
+    fn sync_one(&mut self, node: usize) -> bool {
+        let Some((write, metadata, keys)) = self.writes[node].pop_front() else { return false };
+        let disk = &mut self.disks[node];
+        disk.metadata = metadata.or(disk.metadata.take());
+        for stored in keys {
+            disk.keys.retain(|k| k.key != stored.key);
+            disk.keys.push(stored);
+        }
+        self.ledgers[node].stored(self.now, write);
+        true
+    }
+
+    /// One step more is to be done, if it may.
+    fn burn(&mut self) -> bool {
+        let Some(left) = &mut self.fuse else { return true };
+        let some = *left > 0;
+        *left = left.saturating_sub(1);
+        some
     }
 
     /// Until nothing moves any more.
@@ -149,15 +192,23 @@
                         Effect::Committed { .. } => {}
                     }
                 }
-                if !self.slow_disk.contains(&node) && !self.writes[node].is_empty() {
+                let stands = self.slow_disk.contains(&node) || self.frozen.contains(&node);
+                if !stands && !self.writes[node].is_empty() {
                     moved = true;
-                    self.sync(node);
+                    if self.fuse.is_none() {
+                        self.sync(node);
+                    } else if !self.burn() || !self.sync_one(node) {
+                        return;
+                    }
                 }
             }
             for _ in 0..self.messages.len() {
                 let Some((from, to, version, message)) = self.messages.pop_front() else { break };
-                if self.held.contains(&(from, to)) {
+                if self.held.contains(&(from, to)) || self.frozen.contains(&to) {
                     self.messages.push_back((from, to, version, message));
+                } else if !self.cut.contains(&(from, to)) && !self.burn() {
+                    self.messages.push_front((from, to, version, message));
+                    return;
                 } else if !self.cut.contains(&(from, to)) {
                     moved = true;
                     self.ledgers[to].receive(self.now, Node(from as u32), version, message);
@@ -181,10 +232,26 @@
         }
     }
 
+    /// Time goes by from one thing that is due to the next; until all stands still, if it is to.
+    pub fn go(&mut self, span: Micros) {
+        let until = self.now + span;
+        while self.now < until && self.fuse != Some(0) {
+            let awake = (0..self.ledgers.len()).filter(|n| !self.frozen.contains(n));
+            let due = awake.filter_map(|n| self.ledgers[n].wake()).min().unwrap_or(until);
+            self.now = due.clamp(self.now + 1, until);
+            for node in (0..self.ledgers.len()).filter(|n| !self.frozen.contains(n)) {
+                self.ledgers[node].tick(self.now);
+            }
+            self.run();
+            self.gossip();
+        }
+    }
+
     /// Starts anew on its disk; what was not synced is lost.
     pub fn restart(&mut self, node: usize) {
         self.starts += 1;
         self.writes[node].clear();
+        self.leaving.remove(&node);
         let n = self.ledgers.len();
         let start = start(node, self.replicas, false, self.starts);
         self.ledgers[node] = ControlStore::new(self.now, start, self.disks[node].clone());
@@ -194,6 +261,18 @@
         self.link();
     }
 
+    /// Starts anew, broken again.
+    pub fn restart_as(&mut self, node: usize, broken: Option<Broken>) {
+        let ways: Vec<(usize, usize)> =
+            (0..self.ledgers.len()).filter(|o| *o != node).flat_map(|o| [(node, o), (o, node)]).collect();
+        let cut = self.cut.clone();
+        self.cut.extend(ways);
+        self.restart(node);
+        self.cut = cut;
+        self.broken(broken);
+        self.link();
+    }
+
     pub fn wipe(&mut self, node: usize) {
         self.disks[node] = Disk::default();
         self.restart(node);
--- /dev/null
+++ b/crates/control-store/tests/planned.rs
@@ -0,0 +1,381 @@
+//! A replica is replaced in plan: it says that it stops and is replaced while it is still there. At each message and each write
+//! of that something else goes wrong: nothing that was acknowledged is lost, and the others answer again in time.
+
+mod common;
+
+use common::bench::{others, Bench, KEY};
+use silvercross_control_store::*;
+use std::collections::BTreeMap;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Blow {
+    /// Nothing.
+    Nothing,
+    /// The machine is lost for good.
+    Lost,
+    /// Its disk is empty at the next start, which follows at once.
+    Wiped,
+    /// It stands still for three seconds, linked.
+    Frozen,
+    /// It is lost for good and all others lose power, with what was not synced.
+    LostAndPower,
+    /// The leaver has just ended, as it is needed no more, and this one is lost for good.
+    LostAsTheLeaverEnds,
+    /// It ends; where it is the leaver it comes back with its disk after the others went on without it.
+    Ends,
+}
+
+/// All replicas and the spare one, of which the leaver and one other alone have the last change.
+struct Case {
+    b: Bench,
+    leaver: usize,
+    /// Acknowledged, by token, with the item that shows it.
+    asked: BTreeMap<u64, u8>,
+    reads: u64,
+}
+
+impl Case {
+    fn new(owner_leaves: bool, broken: Option<Broken>) -> Case {
+        let mut b = Bench::with_spares(3, 1);
+        b.broken(broken);
+        b.pass(1_000_000);
+        let owner = b.owner().expect("an owner");
+        let (x, y) = others(owner);
+        let leaver = if owner_leaves { owner } else { x };
+        let mut case = Case { b, leaver, asked: BTreeMap::new(), reads: 0 };
+        case.call(owner, 1);
+        case.b.cut.insert((owner, y));
+        case.call(owner, 2);
+        assert!(case.b.done(1) && case.b.done(2));
+        case.b.cut.remove(&(owner, y));
+        case
+    }
+
+    fn call(&mut self, node: usize, token: u64) {
+        self.asked.insert(token, token as u8);
+        self.b.call(node, token, &[(token as u8, 1, token)]);
+    }
+
+    /// The leaver is told to stop and stays while it is needed, with calls under way; at most as far as the fuse goes.
+    fn leave(&mut self) {
+        self.b.leave(self.leaver);
+        let y = (0..3).find(|n| *n != self.leaver).expect("another");
+        self.call(y, 3);
+        for token in 4..40 {
+            if !self.b.ledgers[self.leaver].needed() || self.b.fuse == Some(0) {
+                return;
+            }
+            self.b.go(100_000);
+            if token < 8 {
+                self.call(self.leaver, token);
+            }
+        }
+        panic!("still needed: {:?}", self.b.ledgers[self.leaver].replicas());
+    }
+
+    fn strike(&mut self, blow: Blow, victim: usize) {
+        match blow {
+            Blow::Nothing => {}
+            Blow::Lost | Blow::Ends => self.b.part(victim),
+            Blow::LostAsTheLeaverEnds => {
+                self.b.part(self.leaver);
+                self.b.part(victim);
+            }
+            Blow::Wiped => self.b.wipe(victim),
+            Blow::Frozen => {
+                self.b.frozen.insert(victim);
+            }
+            Blow::LostAndPower => {
+                self.b.part(victim);
+                for node in (0..4).filter(|n| *n != victim) {
+                    self.b.restart(node);
+                }
+            }
+        }
+        self.b.run();
+        self.b.gossip();
+    }
+
+    /// Asks the machines that are there in turn for a change until one acknowledges it; after how long.
+    fn answers_after(&mut self, there: &[usize]) -> Option<Micros> {
+        let from = self.b.now;
+        for token in 100..200 {
+            let node = there[token as usize % there.len()];
+            self.call(node, token);
+            for _ in 0..8 {
+                if self.b.done(token) {
+                    return Some(self.b.now - from);
+                }
+                self.b.go(25_000);
+            }
+        }
+        None
+    }
+
+    fn read(&mut self, node: usize) -> common::Notes {
+        for _ in 0..20 {
+            self.reads += 1;
+            let token = 1_000 + self.reads;
+            self.b.ledgers[node].read(self.b.now, token, KEY);
+            self.b.run();
+            for _ in 0..50 {
+                if let Some(Verdict::Value { value, .. }) = self.b.answers.get(&token) {
+                    return value.clone();
+                }
+                self.b.go(20_000);
+            }
+        }
+        panic!("no value at {node}");
+    }
+
+    /// Whether all that was acknowledged is in force at all of these.
+    fn whole(&mut self, there: &[usize]) {
+        let done: Vec<u8> =
+            self.asked.iter().filter(|(t, _)| self.b.done(**t)).map(|(_, item)| *item).collect();
+        assert!(done.contains(&1) && done.contains(&2));
+        for node in there {
+            let value = self.read(*node);
+            for item in &done {
+                assert!(value.0.contains_key(item), "{item} was acknowledged and is not in {value:?}");
+            }
+        }
+    }
+}
+
+fn steps(owner_leaves: bool, broken: Option<Broken>) -> usize {
+    const MANY: usize = 1_000_000;
+    let mut case = Case::new(owner_leaves, broken);
+    case.b.fuse = Some(MANY);
+    case.leave();
+    MANY - case.b.fuse.take().expect("it is set")
+}
+
+/// Strikes at one step of a planned replacement; after how long the others answer, if they are to.
+fn struck(
+    owner_leaves: bool,
+    step: usize,
+    blow: Blow,
+    victim: usize,
+    broken: Option<Broken>,
+) -> Option<Micros> {
+    let mut case = Case::new(owner_leaves, broken);
+    case.b.fuse = Some(step);
+    case.leave();
+    case.b.fuse = None;
+    let ends = blow == Blow::LostAsTheLeaverEnds;
+    if ends && (case.b.ledgers[case.leaver].needed() || victim == case.leaver) {
+        return None;
+    }
+    case.strike(blow, victim);
+    let left = |n: &usize| (blow == Blow::Nothing || *n != victim) && !(ends && *n == case.leaver);
+    let there: Vec<usize> = (0..4).filter(left).collect();
+    let after = case.answers_after(&there).expect("no majority answers");
+    case.whole(&there);
+    if step.is_multiple_of(16) && !ends {
+        comes_to_rest(&mut case, blow, victim);
+    }
+    Some(after)
+}
+
+/// All is whole again but for what is lost, and one more may go.
+fn comes_to_rest(case: &mut Case, blow: Blow, victim: usize) {
+    case.b.go(3_000_000);
+    case.b.frozen.clear();
+    case.b.go(4_000_000);
+    if blow == Blow::Ends {
+        case.b.cut.clear();
+        case.b.restart(victim);
+    }
+    // The leaver starts again with the disk that it had.
+    if !matches!(blow, Blow::Lost | Blow::LostAndPower) || victim != case.leaver {
+        case.b.restart(case.leaver);
+    }
+    case.b.go(8_000_000);
+    let lost = matches!(blow, Blow::Lost | Blow::LostAndPower).then_some(victim);
+    let there: Vec<usize> = (0..4).filter(|n| Some(*n) != lost).collect();
+    let set = case.b.ledgers[there[0]].replicas().clone();
+    assert!(!set.joint() && there.iter().all(|n| *case.b.ledgers[*n].replicas() == set), "{set:?}");
+    let members: Vec<usize> = set.members.iter().map(|m| m.0 .0 as usize).collect();
+    assert!(members.iter().all(|n| there.contains(n) && case.b.ledgers[*n].voter()), "{set:?}, {lost:?}");
+    case.whole(&there);
+    case.b.part(members[0]);
+    case.b.go(1_000_000);
+    case.whole(&members[1..]);
+}
+
+const BLOWS: [Blow; 7] = [
+    Blow::Nothing,
+    Blow::Lost,
+    Blow::Wiped,
+    Blow::Frozen,
+    Blow::LostAndPower,
+    Blow::LostAsTheLeaverEnds,
+    Blow::Ends,
+];
+
+/// All blows at all steps: how many, and after how long the others answer at most, by blow.
+fn all_struck(blows: &[Blow], broken: Option<Broken>) -> (usize, BTreeMap<Blow, Micros>) {
+    let mut longest = BTreeMap::new();
+    let mut all = 0;
+    for owner_leaves in [false, true] {
+        let steps = steps(owner_leaves, broken);
+        assert!(steps > 60, "{steps} messages and writes");
+        let at = (0..=steps).flat_map(|s| (0..4).map(move |v| (s, v)));
+        for ((step, victim), blow) in at.flat_map(|at| blows.iter().map(move |blow| (at, *blow))) {
+            if blow == Blow::Nothing && victim > 0 {
+                continue;
+            }
+            let why =
+                format!("{blow:?} of {victim} at step {step} of {steps}, the owner leaves: {owner_leaves}");
+            let run = || struck(owner_leaves, step, blow, victim, broken);
+            let after = std::panic::catch_unwind(run).unwrap_or_else(|_| panic!("{why}"));
+            let Some(after) = after else { continue };
+            let known: &mut Micros = longest.entry(blow).or_default();
+            *known = after.max(*known);
+            all += 1;
+        }
+    }
+    (all, longest)
+}
+
+#[test]
+fn at_each_step_of_a_planned_replacement_one_machine_may_go() {
+    let (all, longest) = all_struck(&BLOWS, None);
+    println!("{all} strikes; the others answer after, at most, in us: {longest:?}");
+    for blow in BLOWS {
+        let most = match blow {
+            Blow::Nothing => 0,
+            // A frozen owner is not told.
+            Blow::Frozen => 1_000_000,
+            _ => 700_000,
+        };
+        assert!(longest[&blow] <= most, "{blow:?}: {} us", longest[&blow]);
+    }
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+#[should_panic(expected = "LostAsTheLeaverEnds")]
+fn a_leaver_that_ends_before_the_others_stand_is_caught() {
+    all_struck(&[Blow::LostAsTheLeaverEnds], Some(Broken::EndsUnconfirmed));
+}
+
+/// The newcomer's disk syncs nothing, so it is never repaired. Whether the leaver may end all the same, and after how long
+/// those that are left answer when another one is lost for good.
+fn newcomer_never_repaired(broken: Option<Broken>) -> (bool, Option<Micros>) {
+    let mut case = Case::new(false, broken);
+    case.b.slow_disk.insert(3);
+    case.b.leave(case.leaver);
+    case.b.go(5_000_000);
+    let needed = case.b.ledgers[case.leaver].needed();
+    if !needed {
+        case.b.part(case.leaver);
+    }
+    let lost = (0..3).find(|n| *n != case.leaver).expect("another");
+    case.b.part(lost);
+    let there: Vec<usize> = (0..3).filter(|n| *n != lost && (needed || *n != case.leaver)).collect();
+    let after = case.answers_after(&there);
+    if after.is_some() {
+        case.whole(&there);
+    }
+    (needed, after)
+}
+
+#[test]
+fn a_leaver_stays_until_the_newcomer_is_repaired() {
+    let (needed, after) = newcomer_never_repaired(None);
+    assert!(needed && after.is_some_and(|after| after <= 2_500_000), "{needed}, {after:?}");
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+fn a_leaver_that_is_dropped_before_the_newcomer_is_repaired_is_caught() {
+    assert_eq!(newcomer_never_repaired(Some(Broken::DropsLeaverEarly)), (false, None), "no majority");
+}
+
+#[test]
+fn without_a_spare_one_a_rolling_restart_changes_nothing_and_owners_hand_on_at_once() {
+    let (mut b, first) = Bench::settled();
+    for node in (0..3).map(|n| (first + n) % 3) {
+        b.gossip();
+        b.leave(node);
+        let owner = b.owner().expect("an owner, at once");
+        assert!(owner != node && !b.ledgers[node].needed());
+        b.go(500_000);
+        b.part(node);
+        b.call(owner, node as u64, &[(node as u8, 1, 7)]);
+        assert!(b.done(node as u64));
+        b.cut.clear();
+        b.restart(node);
+        b.gossip();
+        b.go(1_500_000);
+    }
+    for ledger in &b.ledgers {
+        assert_eq!((ledger.replicas().version, ledger.figures().replica_sets), (1, 0));
+    }
+}
+
+/// One of three has the last change with the owner, and starts again on a disk from before that. Whether it finds that out,
+/// and whether the change is in force when the owner is lost then.
+fn disk_gone_back(broken: Option<Broken>) -> (u64, bool) {
+    let (mut b, owner) = Bench::settled();
+    b.broken(broken);
+    let (x, y) = others(owner);
+    let before = b.disks[x].clone();
+    b.cut.insert((owner, y));
+    b.call(owner, 1, &[(1, 1, 7)]);
+    assert!(b.done(1));
+    b.cut.remove(&(owner, y));
+    b.disks[x] = before;
+    b.restart_as(x, broken);
+    let found = b.ledgers[x].figures().went_back;
+    b.part(owner);
+    (found, b.read(y, 2).0.contains_key(&1))
+}
+
+#[test]
+fn a_disk_that_went_back_is_found_out_by_the_owner_and_repaired() {
+    assert_eq!(disk_gone_back(None), (1, true));
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+fn a_disk_that_went_back_and_votes_is_caught() {
+    assert_eq!(disk_gone_back(Some(Broken::VotesGoneBack)), (0, false), "acknowledged and lost");
+}
+
+#[test]
+fn a_disk_that_went_back_is_as_good_as_empty_until_it_is_repaired() {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    let before = b.disks[x].clone();
+    b.call(owner, 1, &[(1, 1, 7)]);
+    b.cut.insert((y, x));
+    b.disks[x] = before;
+    for _ in 0..2 {
+        // Another start in the middle of the repair changes nothing.
+        b.restart(x);
+        b.pass(1_000_000);
+        assert!(!b.ledgers[x].voter());
+    }
+    b.cut.clear();
+    b.pass(1_000_000);
+    assert!(b.ledgers[x].voter());
+    b.part(y);
+    b.part(owner);
+    b.join(y);
+    assert!(b.read(x, 2).0.contains_key(&1));
+}
+
+#[test]
+fn one_that_is_behind_has_what_was_acknowledged_within_a_second() {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    b.cut.insert((owner, y));
+    b.call(owner, 1, &[(1, 1, 7)]);
+    b.cut.clear();
+    assert!(b.done(1) && b.ledgers[y].state()[0].accepted < b.ledgers[x].state()[0].accepted);
+    b.go(1_000_000);
+    assert_eq!(b.ledgers[y].state()[0].accepted, b.ledgers[x].state()[0].accepted);
+}
--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 
 /// The form of what is said on a link. Another one is told so once and let go.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// No parcel is larger.
 const LARGEST: usize = 16 << 20;
 /// Parcels that may wait for a link; at the bound the link ends, and what it lacked comes by snapshot.
@@ -169,6 +169,19 @@
         self.pump(post);
     }
 
+    /// This process is told to stop: its replica is to be replaced while it is still there.
+    pub fn leave_replicas(&self, post: &Rc<Post>) {
+        if let Some(l) = &self.ledger {
+            l.borrow_mut().leave(post.now());
+        }
+        self.pump(post);
+    }
+
+    /// Whether this process, which stops, is still wanted as a replica.
+    pub fn needed(&self) -> bool {
+        self.control_store(|l| l.needed()).unwrap_or(false)
+    }
+
     /// Ask the other holders for their time of day.
     pub fn ask_time(&self, post: &Rc<Post>) {
         let holders = self.control_store(|l| l.replica_set()).unwrap_or_default();
@@ -240,7 +253,11 @@
                     let told = &record.body;
                     let spare = !told.roster.is_empty() && !told.roster.contains(&record.node.0);
                     let up = record.core && !record.gone && !told.leaving && spare;
-                    l.borrow_mut().candidate(post.now(), silvercross_control_store::Node(record.node.0), up);
+                    let node = silvercross_control_store::Node(record.node.0);
+                    l.borrow_mut().candidate(post.now(), node, up);
+                    if record.core {
+                        l.borrow_mut().leaves(post.now(), node, told.leaving);
+                    }
                 }
                 post.record(record);
             }
--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -80,7 +80,7 @@
         "figures": { "claims": f.claims, "taken": f.taken, "steppedDown": f.stepped_down, "copiesSent": f.copies_sent,
             "wholesSent": f.wholes_sent, "behind": f.behind, "refusedLowerEpoch": f.refused_lower_epoch,
             "strangers": f.strangers, "unsettled": f.unsettled, "passed": f.forwarded, "repairs": f.repairs,
-            "outlived": f.outlived } })
+            "outlived": f.outlived, "replicaSets": f.replica_sets, "wentBack": f.went_back } })
 }
 
 /// Who is there, what is in force, and, where this machine holds the ledger, its keys.
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -239,6 +239,10 @@
     }
     // From now on nobody gets in; whoever did meanwhile is answered before the end.
     post.shut();
+    // A replica that can be replaced stays until it is, for a second loss would leave no majority.
+    while post.carriers.needed() && started.elapsed() < last {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
     post.carriers.leave(post);
     tokio::time::sleep(Duration::from_millis(60)).await;
     while post.busy() && started.elapsed() < last {
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -319,6 +319,7 @@
             info!(self.log, "stopping");
             self.members.release();
             self.tell();
+            self.carriers.leave_replicas(self);
         }
     }
 
