Control store: a replica whose disk has no room says nothing unwritten and hands over its keys

Cause: a write that failed could only end the process; a full disk ended it again and again, and with two such machines no key had a majority. Change: the caller tells `room(now, false)` and tries the write again; meanwhile no promise or copy that waits for a write is confirmed (who asked asks again), nothing is claimed or proposed, and what this node owns or claims goes to the others at once: the new message Resigned names the key and epoch, the first in line claims, and calls through the full node are passed on. What rests on no write (reads, confirmations of an epoch, repairs already known, promises already durable) goes on. With room the writes under way succeed first, in order. A write stays under way, so the bound of two holds; what is said without a write in between is bounded by being dropped. Left out on purpose: an own counter for each failed write (`store_failed`): a write that is tried again until it succeeds keeps the order that `later` rests on, with no second path for content that was not made durable. A claim whose epoch was never durable is given up without a word, and the epoch heard of before is taken back: told as 'under' with a passed call it would have been heard of before it was durable.

--- a/crates/control-store/src/calls.rs
+++ b/crates/control-store/src/calls.rs
@@ -124,7 +124,7 @@
             let seen = slot.seen;
             let order = self.order(&key);
             let mut to = self.known_owner(now, &key).or_else(|| order.first().map(|first| (*first, seen)));
-            if !self.voter() {
+            if !self.able() {
                 let others = order.iter().filter(|n| **n != self.me).map(|n| (*n, seen));
                 to = to.into_iter().chain(others).find(|to| to.0 != self.me && !call.tried.contains(to));
             }
@@ -140,9 +140,9 @@
                 return;
             }
         }
-        let voter = self.voter();
+        let able = self.able();
         let Some(call) = self.open.get_mut(&id) else { return };
-        if !voter {
+        if !able {
             call.tried.clear();
             call.at = At::Parked(now + FORWARD_LIMIT);
             return;
@@ -183,9 +183,9 @@
         ask: Request<P::Change>,
     ) {
         self.learn(now, &key, under);
-        let voter = self.voter();
+        let able = self.able();
         let unowned = self.known_owner(now, &key).is_none() && self.order(&key).first() == Some(&self.me);
-        if voter && unowned {
+        if able && unowned {
             self.claim(now, &key);
         }
         let Some(slot) = self.keys.get_mut(&key) else {
@@ -209,8 +209,13 @@
             }
             _ => {
                 let forwarded = Forwarded::NotOwner(slot.seen);
-                let version = self.replica_set.version;
-                self.later(now, After::Send(version, from, Message::Verdict { id, under, forwarded }));
+                let message = Message::Verdict { id, under, forwarded };
+                // Without room there is no claim of its own that is not durable yet.
+                if self.has_room() {
+                    self.later(now, After::Send(self.replica_set.version, from, message));
+                } else {
+                    self.send(from, message);
+                }
             }
         }
     }
--- a/crates/control-store/src/message.rs
+++ b/crates/control-store/src/message.rs
@@ -111,6 +111,8 @@
     Confirm { key: String, epoch: Epoch, round: u64 },
     /// No higher one was promised here until now.
     Confirmed { key: String, epoch: Epoch, round: u64 },
+    /// The sender no longer owns or claims the key under this epoch, for its disk has no room: another may claim it at once.
+    Resigned { key: String, epoch: Epoch },
     /// All that the sender owns, and its last sequence numbers.
     Heartbeat { keys: Vec<(String, Epoch, u64)> },
     /// A call of the sender's caller, for the owner under this epoch and no other: a late one can do nothing under a
@@ -175,7 +177,8 @@
         /// What.
         message: Message<P, P::Change>,
     },
-    /// Make durable as one transaction, then call `stored`. Writes complete in order. If one fails the process ends.
+    /// Make durable as one transaction, then call `stored`. Writes complete in order. For one that finds no room on the disk
+    /// call `room`, and try it again, before all later ones, until it succeeds; if a sync fails the process ends.
     Store {
         /// Its number.
         write: u64,
--- a/crates/control-store/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -9,6 +9,8 @@
 /// A claim under way.
 pub(crate) struct Claim<P> {
     pub epoch: Epoch,
+    /// The highest epoch heard of before.
+    pub before: Epoch,
     /// Who has promised, with which incarnation.
     pub promises: BTreeMap<Node, Incarnation>,
     /// The highest that was accepted by any of them.
@@ -63,7 +65,7 @@
 
     /// Wants to own the key. The epoch is durable here before anybody hears of it, so that no later start uses it again.
     pub(crate) fn claim(&mut self, now: Micros, key: &str) {
-        if !self.voter() {
+        if !self.able() {
             return;
         }
         let me = self.me.0;
@@ -72,12 +74,14 @@
             return;
         }
         let epoch = Epoch { round: slot.seen.max(slot.promised).round.saturating_add(1), owner: me };
+        let before = slot.seen;
         slot.promised = epoch;
         slot.seen = epoch;
         slot.ownerless = None;
         let best = (slot.accepted, slot.value.clone());
         slot.ownership = Ownership::Claiming(Claim {
             epoch,
+            before,
             promises: BTreeMap::new(),
             best,
             sent: now,
@@ -399,6 +403,47 @@
         }
     }
 
+    /// Gives up all that this node owns or claims, for its disk has no room, and tells the others so.
+    pub(crate) fn resign(&mut self, now: Micros) {
+        let mut resigned = Vec::new();
+        let mut held = Vec::new();
+        for (key, slot) in &mut self.keys {
+            match &slot.ownership {
+                Ownership::Owner(owner) => resigned.push((key.clone(), owner.epoch)),
+                Ownership::Claiming(claim) if claim.promises.contains_key(&self.me) => {
+                    resigned.push((key.clone(), claim.epoch));
+                }
+                // Not durable: nobody has heard of it, nor may anybody.
+                Ownership::Claiming(claim) => slot.seen = claim.before,
+                Ownership::Replica if slot.queue.is_empty() => continue,
+                Ownership::Replica => {}
+            }
+            held.push(key.clone());
+        }
+        // Told first: calls that go on to others find them ready to claim.
+        for (key, epoch) in resigned {
+            for to in self.others() {
+                self.send(to, Message::Resigned { key: key.clone(), epoch });
+            }
+        }
+        for key in held {
+            self.step_down(now, &key);
+        }
+    }
+
+    /// The key's owner has given it up: the first in line without it claims at once, the others one after the other.
+    pub(crate) fn on_resigned(&mut self, now: Micros, from: Node, key: String, epoch: Epoch) {
+        let place = self.order(&key).into_iter().filter(|n| *n != from).position(|n| n == self.me);
+        let due = now + OWNERLESS * place.unwrap_or(0) as Micros;
+        let since = due - self.patience(&key);
+        let Some(slot) = self.keys.get_mut(&key) else { return };
+        if epoch.owner != from.0 || slot.seen != epoch {
+            return;
+        }
+        slot.heard = now - SILENT;
+        slot.ownerless = Some(since);
+    }
+
     /// A link came up: claims and copies that it missed.
     pub(crate) fn greet(&mut self, now: Micros, to: Node) {
         if !self.voter() {
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -111,6 +111,10 @@
     pub older_replica_set: u64,
     /// Later replica sets taken.
     pub replica_sets: u64,
+    /// Times that the disk had no room.
+    pub no_room: u64,
+    /// Promises and copies that were not confirmed, for the disk had no room.
+    pub unsaid: u64,
 }
 
 /// How a control store is broken on purpose; without the feature `mutants` nothing heeds it.
@@ -140,6 +144,10 @@
     HeedsOldReplicaSet,
     /// A removed replica goes on voting and is counted.
     RemovedVotes,
+    /// Confirms promises and copies although the write failed.
+    SaysUnwritten,
+    /// Goes on from its start as if nothing stood on its disk.
+    StartsUnread,
 }
 
 /// What waits for a write.
@@ -237,6 +245,8 @@
     /// Writes under way. At most `WRITES`.
     writes: VecDeque<(u64, Vec<After<P>>)>,
     write: u64,
+    /// Whether the disk takes writes.
+    room: bool,
     broken: Option<Broken>,
 }
 
@@ -291,6 +301,7 @@
             after: Vec::new(),
             writes: VecDeque::new(),
             write: 0,
+            room: true,
             broken: None,
         };
         store.next_call = store.draw();
@@ -314,6 +325,12 @@
     #[doc(hidden)]
     pub fn break_it(&mut self, broken: Broken) {
         self.broken = Some(broken);
+        if broken == Broken::StartsUnread {
+            for slot in self.keys.values_mut() {
+                (slot.promised, slot.seen) = (Epoch::default(), Epoch::default());
+                (slot.accepted, slot.value) = (Revision::default(), P::default());
+            }
+        }
     }
 
     pub(crate) fn is(&self, broken: Broken) -> bool {
@@ -408,6 +425,7 @@
             }
             Message::NeedsSnapshot { key, epoch } => self.on_needs_snapshot(from, key, epoch),
             Message::Higher { key, epoch } => self.learn(now, &key, epoch),
+            Message::Resigned { key, epoch } => self.on_resigned(now, from, key, epoch),
             Message::Confirm { key, epoch, round } => self.on_confirm(now, from, key, epoch, round),
             Message::Confirmed { key, epoch, round } => self.on_confirmed(now, from, key, epoch, round),
             Message::Heartbeat { keys } => self.on_heartbeat(now, from, keys),
@@ -437,6 +455,30 @@
         }
     }
 
+    /// Whether the disk takes writes; until told otherwise it does. Without room nothing is said that rests on a write, nothing is
+    /// claimed, and what this node owns goes to others; what rests on no write goes on. Writes under way stay so.
+    pub fn room(&mut self, now: Micros, room: bool) {
+        if self.room == room {
+            return;
+        }
+        self.room = room;
+        if room {
+            self.reroute(now);
+            self.tick(now);
+            return;
+        }
+        self.figures.no_room += 1;
+        if !self.is(Broken::SaysUnwritten) {
+            let all = self.writes.iter_mut().map(|(_, after)| after).chain([&mut self.after]);
+            for after in all {
+                let waited = after.len();
+                after.retain(|one| !matches!(one, After::Send(..)));
+                self.figures.unsaid += (waited - after.len()) as u64;
+            }
+        }
+        self.resign(now);
+    }
+
     /// Whether a link to this node stands. Until told, none does.
     pub fn reachable(&mut self, now: Micros, node: Node, up: bool) {
         let room = self.up.len() < LINKS || self.replica_set.contains(node);
@@ -462,6 +504,8 @@
     pub fn tick(&mut self, now: Micros) {
         self.tick_calls(now);
         match self.phase {
+            // What is due of keys and of the replica set begins with a write.
+            Phase::Voter if !self.room => {}
             Phase::Voter => {
                 self.tick_keys(now);
                 self.tick_replica_set(now);
@@ -478,6 +522,7 @@
     pub fn wake(&self) -> Option<Micros> {
         let calls = self.open.values().map(|call| call.due()).min();
         let rest = match self.phase {
+            Phase::Voter if !self.room => None,
             Phase::Voter => {
                 let keys = self.keys.iter().filter_map(|(key, slot)| self.due(key, slot)).min();
                 keys.into_iter().chain(self.replica_set_due()).min()
@@ -534,6 +579,16 @@
         self.phase == Phase::Voter
     }
 
+    /// Whether it may claim: it is a voter and its disk takes writes.
+    pub(crate) fn able(&self) -> bool {
+        self.voter() && self.room
+    }
+
+    /// Whether the disk takes writes, as far as was told.
+    pub fn has_room(&self) -> bool {
+        self.room
+    }
+
     /// The counters.
     pub fn figures(&self) -> Figures {
         self.figures
@@ -614,9 +669,16 @@
         self.dirty_metadata || !self.dirty.is_empty()
     }
 
-    /// Does it once all that was to be written until now is durable.
+    /// Does it once all that was to be written until now is durable. While the disk has no room a message that would wait for that is
+    /// left unsaid: who asked asks again.
     pub(crate) fn later(&mut self, now: Micros, one: After<P>) {
-        if self.unwritten() {
+        let waits = self.unwritten() || !self.writes.is_empty();
+        if waits && !self.room && matches!(one, After::Send(..)) {
+            if self.is(Broken::SaysUnwritten) {
+                return self.run(now, one);
+            }
+            self.figures.unsaid += 1;
+        } else if self.unwritten() {
             self.after.push(one);
         } else if let Some((_, after)) = self.writes.back_mut() {
             after.push(one);
--- a/crates/control-store/tests/common/mod.rs
+++ b/crates/control-store/tests/common/mod.rs
@@ -88,6 +88,7 @@
     Restart(usize, bool),
     Thaw(usize),
     Heal(usize, usize),
+    Room(usize),
 }
 
 struct Entry(Micros, u64, Event);
@@ -112,6 +113,7 @@
     Message(usize, u64, Box<L>),
     Stored(u64),
     Told(usize, bool),
+    Room(bool),
     Call(u64, String, Option<Change>),
 }
 
@@ -130,6 +132,8 @@
     last_frozen: Micros,
     /// Lost for good.
     destroyed: bool,
+    /// Its disk has no room: writes stay under way.
+    full: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -173,6 +177,8 @@
     stop: Micros,
     healing: bool,
     broken: Option<Broken>,
+    /// Whether disks run full among the other faults.
+    pub full_disks: bool,
     pub report: Report,
     pub failure: Option<String>,
 }
@@ -211,6 +217,7 @@
             },
             healing: false,
             broken,
+            full_disks: false,
             report: Report::default(),
             failure: None,
             dice,
@@ -230,6 +237,7 @@
                 wake: Micros::MAX,
                 last_frozen: Micros::MIN,
                 destroyed: false,
+                full: false,
             });
         }
         for node in 0..machines {
@@ -272,6 +280,9 @@
         if let Some(broken) = self.broken {
             store.break_it(broken);
         }
+        if m.full {
+            store.room(now + m.offset, false);
+        }
         m.store = Some(store);
         self.drain(node);
         for peer in 0..n {
@@ -329,6 +340,7 @@
         match what {
             Held::Message(from, version, message) => store.receive(now, Node(from as u32), version, *message),
             Held::Stored(write) => store.stored(now, write),
+            Held::Room(room) => store.room(now, room),
             Held::Told(peer, up) => store.reachable(now, Node(peer as u32), up),
             Held::Call(token, key, Some(change)) => store.call(now, token, &key, change),
             Held::Call(token, key, None) => store.read(now, token, &key),
@@ -488,6 +500,9 @@
         if n > self.replicas && self.dice.one_in(5) {
             return self.strike_long();
         }
+        if self.full_disks && self.dice.one_in(4) {
+            return self.strike_full();
+        }
         let node = self.dice.below(n as u64) as usize;
         let span = 20_000 + self.dice.below(1_500_000) as Micros;
         let met = u64::from(!self.open.is_empty());
@@ -547,6 +562,17 @@
         *self.report.faults.entry(name).or_default() += 1;
     }
 
+    /// A disk has no room for a while, in which its machine may crash and start again.
+    fn strike_full(&mut self) {
+        let node = self.dice.below(self.machines.len() as u64) as usize;
+        let span = 20_000 + self.dice.below(3_000_000) as Micros;
+        let met = u64::from(!self.open.is_empty());
+        self.machines[node].full = true;
+        self.at(self.now + span, Event::Undo(Undo::Room(node)));
+        self.report.met += met;
+        *self.report.faults.entry("full").or_default() += 1;
+    }
+
     /// The last replica set that anybody knows of.
     fn replica_set(&self) -> Option<ReplicaSet> {
         let known = |m: &Machine| {
@@ -646,6 +672,19 @@
                     self.tell(to, from, true);
                 }
             }
+            Undo::Room(node) => {
+                let m = &mut self.machines[node];
+                m.full = false;
+                let mut last = None;
+                for (write, metadata, keys) in std::mem::take(&mut m.writes) {
+                    persist(m, metadata, keys);
+                    last = Some(write);
+                }
+                self.input(node, Held::Room(true));
+                if let Some(write) = last {
+                    self.input(node, Held::Stored(write));
+                }
+            }
             Undo::Thaw(node) => {
                 let m = &mut self.machines[node];
                 if !std::mem::take(&mut m.frozen) {
@@ -710,9 +749,13 @@
                 }
                 Event::Synced { node, incarnation, write } => {
                     let m = &mut self.machines[node];
-                    if m.incarnation == incarnation {
-                        if let Some((_, metadata, keys)) = m.writes.pop_front() {
-                            persist(m, metadata, keys);
+                    if m.incarnation == incarnation && m.full {
+                        self.input(node, Held::Room(false));
+                    } else if m.incarnation == incarnation {
+                        while m.writes.front().is_some_and(|w| w.0 <= write) {
+                            if let Some((_, metadata, keys)) = m.writes.pop_front() {
+                                persist(m, metadata, keys);
+                            }
                         }
                         self.input(node, Held::Stored(write));
                     }
@@ -781,6 +824,7 @@
         self.slow = u64::MAX;
         let n = self.machines.len();
         for node in 0..n {
+            self.undo(Undo::Room(node));
             self.start(node);
             self.undo(Undo::Thaw(node));
             for peer in 0..n {
--- a/crates/control-store/tests/mutants.rs
+++ b/crates/control-store/tests/mutants.rs
@@ -9,9 +9,15 @@
 
 /// The judge's words on the first of some schedules in which it shows.
 fn caught(broken: Option<Broken>, schedules: u64) -> String {
+    caught_with(broken, schedules, false)
+}
+
+fn caught_with(broken: Option<Broken>, schedules: u64, full_disks: bool) -> String {
     let mut seeds = (0..schedules).filter_map(|seed| {
         let machines = if seed % 4 == 0 { 5 } else { 3 };
-        let why = World::new(seed, machines, broken).run().err()?;
+        let mut world = World::new(seed, machines, broken);
+        world.full_disks = full_disks;
+        let why = world.run().err()?;
         // That nothing moves any more would not be enough.
         if why.starts_with("not settled") || why.starts_with("a call after") {
             return None;
@@ -55,3 +61,13 @@
     PART_OF_CALL.set(false);
     assert!(why.contains("refused and in force") || why.contains("part of a call"), "{why}");
 }
+
+#[test]
+fn a_promise_told_although_its_write_failed_is_caught() {
+    caught_with(Some(Broken::SaysUnwritten), 600, true);
+}
+
+#[test]
+fn a_restart_that_claims_before_it_has_read_its_disk_is_caught() {
+    caught(Some(Broken::StartsUnread), 300);
+}
--- a/crates/control-store/tests/world.rs
+++ b/crates/control-store/tests/world.rs
@@ -80,3 +80,16 @@
         reports.iter().map(|r| r.settled_in).max().unwrap_or(0),
     );
 }
+
+#[test]
+fn drawn_schedules_with_full_disks_lose_nothing() {
+    let (mut full, mut done) = (0, 0);
+    for seed in 0..250 {
+        let mut world = World::new(seed, machines(seed), None);
+        world.full_disks = true;
+        let report = world.run().unwrap_or_else(|why| panic!("seed {seed}: {why}"));
+        full += report.faults.get("full").copied().unwrap_or(0);
+        done += report.done;
+    }
+    assert!(full >= 400 && done >= 4_000, "{full} disks full, {done} changes done");
+}
