Disk: a good file is never set aside, a full disk no longer ends the process

Cause: any error at opening (folder in use, no room, no descriptors, an I/O error) renamed ledger.redb away and began anew; a running process went on acknowledging into the renamed file. A write without room ended the process (74), and each start after it (2). Change, opening: only what redb or the decoder says of the content itself (corrupted, no file of redb's, too short, a record that can't be decoded) sets a file aside, under one of two names that are never overwritten (a third one is the operator's), with the folder synced and that sync heeded; with a file set aside an empty disk is never taken for a new one again. A folder in use (lock of the folder, and redb's of the file) is an error with the mend and exit 2, any other error too, and touches nothing. No wait for a process that still ends: the ports are bound before, and whoever starts it does so again. A new file is made as ledger.new and gets its name once it is whole; a file is synced before anything of it is told, for an earlier process may have left it unsynced. Change, writing: a wrapper of redb's file notes which operation failed. No room at a write or a new length: told as Full, the file is opened anew and the writes tried again, in order, each second (RETRY), with a probe of 16 KiB so that 'room again' lasts; a failed sync, whatever its error, and any other error is told as Failed and main ends with 74. A start without room reads the file through memory (COPIED, 64 MiB at most), for redb writes when it opens, and runs as a replica that promises nothing. A file that is gone under a running process is a failure and is not made anew. Both changes of state are one log line each; Post.State has disk: {state, why, mend} and the figures diskFull and unsaid. Links say version 2, for the store has one message more. Tried and dropped: a byte-for-byte check of the set-aside file where redb could open it (redb notes in it that it was open).

--- a/crates/control-store/tests/world.rs
+++ b/crates/control-store/tests/world.rs
@@ -36,7 +36,7 @@
     assert!(changes >= 40, "{changes} changes of the replica_set");
 }
 
-/// With replicas lost for good and replaced where REPLACEMENTS is set.
+/// With replicas lost for good and replaced where REPLACEMENTS is set, with disks that fill up where FULL_DISKS is.
 /// `SCHEDULES=20000 FROM=0 cargo test --release -p silvercross-control store --test world -- --ignored --nocapture`
 #[test]
 #[ignore = "as many schedules as SCHEDULES says"]
@@ -44,7 +44,12 @@
     let number = |name: &str, or| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(or);
     let (from, count) = (number("FROM", 0), number("SCHEDULES", 2_000));
     let threads = std::thread::available_parallelism().map_or(4, |n| n.get() as u64);
-    let run = if std::env::var_os("REPLACEMENTS").is_some() { run_replacing } else { run };
+    let set = |name: &str| std::env::var_os(name).is_some();
+    let run = match (set("REPLACEMENTS"), set("FULL_DISKS")) {
+        (true, _) => run_replacing,
+        (_, true) => run_filling,
+        _ => run,
+    };
     let work = |thread: u64| {
         let mut reports = Vec::new();
         for seed in (from..from + count).filter(|seed| seed % threads == thread) {
@@ -81,13 +86,17 @@
     );
 }
 
+fn run_filling(seed: u64) -> Report {
+    let mut world = World::new(seed, machines(seed), None);
+    world.full_disks = true;
+    world.run().unwrap_or_else(|why| panic!("seed {seed}: {why}"))
+}
+
 #[test]
 fn drawn_schedules_with_full_disks_lose_nothing() {
     let (mut full, mut done) = (0, 0);
     for seed in 0..250 {
-        let mut world = World::new(seed, machines(seed), None);
-        world.full_disks = true;
-        let report = world.run().unwrap_or_else(|why| panic!("seed {seed}: {why}"));
+        let report = run_filling(seed);
         full += report.faults.get("full").copied().unwrap_or(0);
         done += report.done;
     }
--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -1,6 +1,6 @@
 //! Between sidecars: links and datagrams, `bitcode` both ways. Hands `silvercross-rounds` and `silvercross-control-store` what comes and does
 //! what they say; decides nothing.
-use crate::disk::{Write, Writes};
+use crate::disk::{Told, Write, Writes};
 use crate::hop;
 use crate::leaf::{Leaf, Order};
 use crate::post::{Counted, Door, Post};
@@ -8,6 +8,7 @@
 use silvercross_control_store::{ControlStore, Effect as StoreEffect, Message as StoreMessage, Verdict};
 use silvercross_rounds::{Datagram, Effect, Letter, Node, Rounds};
 use silvercross_tariff::Voice;
+use slog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -19,7 +20,7 @@
 use tokio::time::timeout;
 
 /// The form of what is said on a link. Another one is told so once and let go.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// No parcel is larger.
 const LARGEST: usize = 16 << 20;
 /// Parcels that may wait for a link; at the bound the link ends, and what it lacked comes by snapshot.
@@ -102,6 +103,8 @@
     rounds: RefCell<Rounds<Body>>,
     ledger: Option<RefCell<ControlStore<Leaf>>>,
     writes: Option<Writes>,
+    /// Why the disk takes no writes.
+    full: RefCell<Option<String>>,
     asked: RefCell<BTreeMap<u64, oneshot::Sender<Verdict<Leaf>>>>,
     links: RefCell<BTreeMap<u32, Vec<Link>>>,
     numbers: Cell<u64>,
@@ -132,6 +135,7 @@
             rounds: RefCell::new(rounds),
             ledger,
             writes,
+            full: RefCell::default(),
             asked: RefCell::default(),
             links: RefCell::default(),
             numbers: Cell::new(1),
@@ -344,14 +348,34 @@
         }
     }
 
-    /// Hand on which writes are synced, for as long as the process lives.
-    pub async fn synced(post: Rc<Post>, mut synced: mpsc::UnboundedReceiver<u64>) {
-        while let Some(write) = synced.recv().await {
-            if let Some(l) = &post.carriers.ledger {
-                l.borrow_mut().stored(post.now(), write);
+    /// Why the disk takes no writes, while it takes none.
+    pub fn disk_full(&self) -> Option<String> {
+        self.full.borrow().clone()
+    }
+
+    /// Hand on what the disk tells, for as long as the process lives, or until the disk has failed: why.
+    pub async fn synced(post: Rc<Post>, mut told: mpsc::UnboundedReceiver<Told>) -> String {
+        let c = &post.carriers;
+        while let Some(told) = told.recv().await {
+            let Some(l) = &c.ledger else { continue };
+            match told {
+                Told::Synced(write) => l.borrow_mut().stored(post.now(), write),
+                Told::Full(why) => {
+                    warn!(post.log, "the disk is full: this machine promises nothing and hands its keys over until there is room";
+                        "why" => why.as_str(), "mend" => "free room on the disk of dataDir");
+                    *c.full.borrow_mut() = Some(why);
+                    l.borrow_mut().room(post.now(), false);
+                }
+                Told::Room => {
+                    info!(post.log, "the disk has room again");
+                    *c.full.borrow_mut() = None;
+                    l.borrow_mut().room(post.now(), true);
+                }
+                Told::Failed(why) => return why,
             }
-            post.carriers.pump(&post);
+            c.pump(&post);
         }
+        "its thread has ended".to_string()
     }
 
     /// Take datagrams, for as long as the process lives.
--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -80,7 +80,15 @@
         "figures": { "claims": f.claims, "taken": f.taken, "steppedDown": f.stepped_down, "copiesSent": f.copies_sent,
             "wholesSent": f.wholes_sent, "behind": f.behind, "refusedLowerEpoch": f.refused_lower_epoch,
             "strangers": f.strangers, "unsettled": f.unsettled, "passed": f.forwarded, "repairs": f.repairs,
-            "outlived": f.outlived } })
+            "outlived": f.outlived, "diskFull": f.no_room, "unsaid": f.unsaid } })
+}
+
+/// The disk under the ledger: whether it takes writes, and if not what an operator has to do.
+fn disk(post: &Post) -> Value {
+    match post.carriers.disk_full() {
+        None => json!({ "state": "ok" }),
+        Some(why) => json!({ "state": "full", "why": why, "mend": "free room on the disk of dataDir" }),
+    }
 }
 
 /// Who is there, what is in force, and, where this machine holds the ledger, its keys.
@@ -103,5 +111,6 @@
     json!({ "node": post.boot.node, "ip": post.boot.ip.to_string(), "zone": post.boot.zone, "zones": post.boot.zones,
         "core": post.boot.core, "version": env!("CARGO_PKG_VERSION"), "parent": parent, "linked": linked,
         "newsAgeUs": age, "ready": post.ready(), "configured": post.configured(), "evacuated": post.evacuated(),
-        "revisions": revisions, "nodes": nodes, "owns": keys, "ledger": post.carriers.control_store(ledger) })
+        "revisions": revisions, "nodes": nodes, "owns": keys, "ledger": post.carriers.control_store(ledger),
+        "disk": post.carriers.control_store(|_| disk(post)) })
 }
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -44,6 +44,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::JoinHandle;
 
 const HELP: &str = "posthouse carrier|office [--settings FILE] [--check] [--feed] | members ...
   carrier   beside an upstream: carries requests
@@ -59,7 +60,7 @@
         Ok(()) => {}
         Err(e) => {
             eprintln!("posthouse: {e:#}");
-            std::process::exit(2);
+            std::process::exit(e.downcast_ref::<disk::Failed>().map_or(2, disk::Failed::code));
         }
     }
 }
@@ -143,19 +144,19 @@
     let ledger = match &boot.data {
         None => None,
         Some(dir) => {
-            let (disk, writes, done, aside) = disk::open(dir).map_err(|e| anyhow!(e))?;
+            let opened = disk::open(dir)?;
             // A file that was there and can't be read is no fresh disk, whatever the settings say.
-            let fresh = boot.fresh && aside.is_none();
-            if let Some(why) = aside {
+            let fresh = boot.fresh && !opened.lost;
+            if let Some(why) = opened.set_aside {
                 warn!(log, "the disk's content is set aside, the others will repair it"; "why" => why);
             }
-            synced = Some(done);
+            synced = Some(opened.told);
             let mut keys = vec![leaf::CONFIGURATION.to_string()];
             keys.extend(boot.zones.iter().map(|z| format!("{}{z}", leaf::EVACUATION)));
             let replica_set = seeds.iter().map(|s| silvercross_control_store::Node(*s)).collect();
             let me = silvercross_control_store::Node(boot.ip.to_bits());
             let start = silvercross_control_store::Start { me, replica_set, keys, fresh, seed };
-            Some((ControlStore::new(now, start, disk), writes))
+            Some((ControlStore::new(now, start, opened.disk), opened.writes))
         }
     };
     let gate = gate::Gate::new(Wicket::new(boot.live.bounds.of_gate()));
@@ -194,9 +195,7 @@
     if post.boot.core {
         tokio::task::spawn_local(members::duty(post.clone()));
     }
-    if let Some(synced) = synced {
-        tokio::task::spawn_local(Carriers::synced(post.clone(), synced));
-    }
+    let mut disk = synced.map(|told| tokio::task::spawn_local(Carriers::synced(post.clone(), told)));
     info!(post.log, "started"; "core" => post.boot.core, "first" => post.boot.fresh);
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
@@ -205,6 +204,7 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
+            why = failed(&mut disk) => return Err(disk::Failed::Sync(why).into()),
             _ = hup.recv() => {
                 reload::look(&post, true);
             }
@@ -214,6 +214,14 @@
     Ok(())
 }
 
+/// Why the disk has failed, once it has.
+async fn failed(disk: &mut Option<JoinHandle<String>>) -> String {
+    match disk {
+        Some(task) => task.await.unwrap_or_else(|e| e.to_string()),
+        None => std::future::pending().await,
+    }
+}
+
 /// So long before the end of its grace a process that stops has answered all that is open.
 const ANSWERED: Duration = Duration::from_millis(500);
 
