Links: an end that takes a little all the time is not given up

A parcel of 4 MiB over 7 Mbit/s takes 4.6 s, and all that had gathered had to be taken within 1.5 s: the link was ended each time, and what it lacked began anew on the next. Now 1.5 s without any byte taken end it.

Test: a_large_parcel_passes_a_thin_link_and_none_one_that_takes_nothing, on a clock that stands still; it fails with write_all under one time limit (seen).

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -26,7 +26,8 @@
 const WAITING: usize = 1024;
 /// A link is up, and its first parcel there, within this.
 const CONNECT: Duration = Duration::from_millis(400);
-/// A parcel that the other end doesn't take for so long ends the link.
+/// An end that takes nothing of what is sent for so long ends the link. A thin link takes longer for a large parcel, but some
+/// of it all the time.
 const UNTAKEN: Duration = Duration::from_millis(1500);
 /// Links that others may make.
 const LINKS: usize = 1024;
@@ -400,6 +401,17 @@
     bytes
 }
 
+/// Whether the other end took it all, with no pause as long as `UNTAKEN`.
+async fn taken(stream: &mut (impl AsyncWriteExt + Unpin), mut bytes: &[u8]) -> bool {
+    while !bytes.is_empty() {
+        match timeout(UNTAKEN, stream.write(bytes)).await {
+            Ok(Ok(n)) if n > 0 => bytes = &bytes[n..],
+            _ => return false,
+        }
+    }
+    true
+}
+
 async fn parcel(stream: &mut (impl AsyncReadExt + Unpin), most: usize) -> Option<Parcel> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).await.ok()?;
@@ -478,7 +490,7 @@
             while let Ok(more) = waiting.try_recv() {
                 all.extend_from_slice(&more);
             }
-            if !matches!(timeout(UNTAKEN, write.write_all(&all)).await, Ok(Ok(()))) {
+            if !taken(&mut write, &all).await {
                 break;
             }
         }
@@ -515,6 +527,31 @@
     use super::*;
     use crate::trial::{self, Talk, Terms};
 
+    /// An end that takes a little at a time gets all of it, however long that takes; one that takes nothing ends the link.
+    #[test]
+    fn a_large_parcel_passes_a_thin_link_and_none_one_that_takes_nothing() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        runtime.expect("a runtime").block_on(async {
+            for (pause, passes) in [(Duration::from_millis(100), true), (UNTAKEN * 2, false)] {
+                let (mut here, mut there) = tokio::io::duplex(64 * 1024);
+                let takes = tokio::spawn(async move {
+                    let mut room = vec![0; 64 * 1024];
+                    loop {
+                        tokio::time::sleep(pause).await;
+                        if !matches!(there.read(&mut room).await, Ok(n) if n > 0) {
+                            break;
+                        }
+                    }
+                });
+                let begun = tokio::time::Instant::now();
+                assert_eq!(taken(&mut here, &vec![7; 4 << 20]).await, passes);
+                assert_eq!(begun.elapsed() > UNTAKEN * 2, passes, "longer than one pause");
+                drop(here);
+                takes.await.expect("taken");
+            }
+        });
+    }
+
     #[test]
     fn links_that_nobody_greets_on_are_bounded_and_end() {
         trial::run(async {
