Control store: values go in pieces, changes to who is behind, and who is behind leaves the key

Every promise carried the whole value, a take-over and any gap of more than one change sent it whole, and a repair was one message with all values. Behind 4 MiB on a thin link the owner's beats come later than SILENT (2.5 s), so that others claim, with more whole values.

Now a promise tells the revision alone. A claimer that is behind one of its quorum tells that one to claim (Yield): no transfer stands between a loss and the next owner. A copy names the revision that it changes; number 1 of an ownership is no change since what the owner had. Who is behind says where it stands (Behind) and gets what is remembered of the changes (1 MiB of a key), else the value in pieces of 32 KiB, two asked for at a time, each with the revision, length and a digest of the whole (SipHash, as records and members have it). What has come stays over a broken link. A repair lists revisions, and fetches the contents.

Tests that spoke the old messages speak the new ones with the same assertions. word_of_a_lost_disk: the contents come from the replica that lacks the change. old_owner_after_the_change: the old owner now leaves the key to a replica with a later copy, so the mutant showed nothing any more; it is given the later owner's copy, and then the mutant is caught as before.

Drawn schedules now run with pieces of 10, 33 and 100,000 bytes.

--- a/crates/control-store/src/lib.rs
+++ b/crates/control-store/src/lib.rs
@@ -6,17 +6,20 @@
 mod calls;
 mod message;
 mod owner;
+mod pieces;
+mod recent;
 mod replica;
 mod replica_set;
 mod store;
 
 pub use message::{
-    Body, Disk, Effect, Forwarded, Incarnation, Incarnations, Message, Metadata, Request, Stored, Verdict,
+    Disk, Effect, Forwarded, Held, Incarnation, Incarnations, Message, Metadata, Request, Stored, Verdict,
 };
+pub use pieces::{Digest, PIECE};
 pub use replica_set::{ReplicaSet, Vote};
 pub use store::{Broken, ControlStore, Figures, KeyState, Role, Start};
 
-use bitcode::{Decode, Encode};
+use bitcode::{Decode, DecodeOwned, Encode};
 
 /// Microseconds on the caller's monotonic clock.
 pub type Micros = i64;
@@ -52,10 +55,10 @@
     pub reason: String,
 }
 
-/// The content of a key and how it changes.
-pub trait State: Clone + Default + PartialEq + std::fmt::Debug {
+/// The content of a key and how it changes. It is sent as it is encoded.
+pub trait State: Clone + Default + PartialEq + std::fmt::Debug + Encode + DecodeOwned {
     /// One call's change.
-    type Change: Clone + PartialEq + std::fmt::Debug;
+    type Change: Clone + PartialEq + std::fmt::Debug + Encode;
 
     /// Apply a change whole or not at all: `Ok(true)` if something changed, `Ok(false)` if all of it stood already (it is
     /// acknowledged again), `Err` with `self` as it was.
--- a/crates/control-store/src/message.rs
+++ b/crates/control-store/src/message.rs
@@ -1,5 +1,6 @@
 //! What replicas write to each other, what they keep on disk, and what the caller is told to do.
 
+use crate::pieces::Digest;
 use crate::{Epoch, Node, Refusal, ReplicaSet, Revision, State, Vote};
 use bitcode::{Decode, Encode};
 
@@ -63,13 +64,15 @@
     }
 }
 
-/// What a copy carries.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub enum Body<P, C> {
-    /// The content whole.
-    Whole(P),
-    /// What changed since the revision before.
-    Changes(Vec<C>),
+/// What a voter has of a key, without its content.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Held {
+    /// Its name.
+    pub key: String,
+    /// The highest epoch that was promised.
+    pub promised: Epoch,
+    /// Where its content stands.
+    pub accepted: Revision,
 }
 
 /// What is asked of a key's owner.
@@ -97,14 +100,20 @@
 pub enum Message<P, C> {
     /// The sender wants to own the key. Its own promise is durable.
     Claim { key: String, epoch: Epoch },
-    /// Durable: nothing of a lower epoch is accepted any more, and this is what was until now.
-    Promise { key: String, epoch: Epoch, accepted: Revision, value: P, incarnations: Incarnations },
-    /// The owner's content, to be kept.
-    Copy { key: String, epoch: Epoch, seq: u64, body: Body<P, C> },
+    /// Durable: nothing of a lower epoch is accepted any more, and this was until now.
+    Promise { key: String, epoch: Epoch, accepted: Revision, incarnations: Incarnations },
+    /// The receiver's copy is later than what the claimer of this epoch has: it is to claim the key.
+    Yield { key: String, epoch: Epoch },
+    /// What changed since `base`, to be kept; `more`: it goes on after `seq`.
+    Copy { key: String, epoch: Epoch, seq: u64, base: Revision, changes: Vec<C>, more: bool },
     /// Durable: this copy of this epoch, or a later one of it.
     Kept { key: String, epoch: Epoch, seq: u64, incarnations: Incarnations },
-    /// The copy of changes does not fit what the sender has: it needs the content whole.
-    NeedsSnapshot { key: String, epoch: Epoch },
+    /// The sender has only this and lacks what came since; `whole`: changes would not do.
+    Behind { key: String, epoch: Epoch, accepted: Revision, whole: bool },
+    /// The content at this revision is wanted, from this byte of its encoding on.
+    Fetch { key: String, at: Revision, offset: u64 },
+    /// A piece of it, of so many bytes in all, with a digest of all.
+    Piece { key: String, at: Revision, offset: u64, total: u64, digest: Digest, bytes: Vec<u8> },
     /// What came was of a lower epoch than this.
     Higher { key: String, epoch: Epoch },
     /// Does this epoch still stand?
@@ -120,8 +129,8 @@
     Verdict { id: u64, under: Epoch, forwarded: Forwarded<P> },
     /// The sender's disk is empty: it asks for everything.
     Recover { incarnation: Incarnation },
-    /// Everything a voter has.
-    Recovered { incarnation: Incarnation, keys: Vec<Stored<P>>, vote: Vote, incarnations: Incarnations },
+    /// Everything a voter has, but for the contents: those are fetched.
+    Recovered { incarnation: Incarnation, keys: Vec<Held>, vote: Vote, incarnations: Incarnations },
     /// A higher incarnation of the receiver is known here.
     Outlived { incarnation: Incarnation },
     /// Who are the replicas?
--- a/crates/control-store/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -1,18 +1,19 @@
 //! An owner's side: claims, copies, commits, and whether its epoch still stands.
 
 use crate::calls::{Forwards, Job, Who};
-use crate::message::{Body, Effect, Forwarded, Incarnation, Message, Request, Verdict};
+use crate::message::{Effect, Forwarded, Incarnation, Message, Request, Verdict};
+use crate::recent::Recent;
 use crate::store::{After, Broken, ControlStore, Ownership, Slot, BATCH, CALM, OWNERLESS, RESEND, SILENT};
 use crate::{Epoch, Micros, Node, Refusal, Revision, State};
 use std::collections::BTreeMap;
 
 /// A claim under way.
-pub(crate) struct Claim<P> {
+pub(crate) struct Claim {
     pub epoch: Epoch,
     /// Who has promised, with which incarnation.
     pub promises: BTreeMap<Node, Incarnation>,
-    /// The highest that was accepted by any of them.
-    pub best: (Revision, P),
+    /// What those have accepted.
+    pub accepted: BTreeMap<Node, Revision>,
     pub sent: Micros,
     pub forwards: Forwards,
 }
@@ -26,6 +27,7 @@
     pub committed: Option<(Revision, P)>,
     /// Who has which copy, with which incarnation.
     pub kept: BTreeMap<Node, (Incarnation, u64)>,
+    pub recent: Recent<P::Change>,
     /// The copy under way, one at a time.
     pub flight: Option<Flight<P>>,
     /// The question under way whether the epoch still stands, one at a time.
@@ -75,11 +77,10 @@
         slot.promised = epoch;
         slot.seen = epoch;
         slot.ownerless = None;
-        let best = (slot.accepted, slot.value.clone());
         slot.ownership = Ownership::Claiming(Claim {
             epoch,
             promises: BTreeMap::new(),
-            best,
+            accepted: BTreeMap::new(),
             sent: now,
             forwards: Forwards::default(),
         });
@@ -103,7 +104,6 @@
         self.take(now, &key);
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub(crate) fn on_promise(
         &mut self,
         now: Micros,
@@ -111,7 +111,6 @@
         key: String,
         epoch: Epoch,
         accepted: Revision,
-        value: P,
         incarnation: Incarnation,
     ) {
         if !self.alive(from, incarnation) {
@@ -123,9 +122,7 @@
             return;
         }
         claim.promises.insert(from, incarnation);
-        if accepted > claim.best.0 {
-            claim.best = (accepted, value);
-        }
+        claim.accepted.insert(from, accepted);
         self.take(now, &key);
     }
 
@@ -140,53 +137,102 @@
         current
     }
 
-    /// Writes the key anew once more than half have promised.
+    /// Once more than half have promised: writes the key anew if nobody among them has a later copy, else leaves it to who has.
+    /// Who can't be reached any more is not counted, unless its copy is no later.
     fn take(&mut self, now: Micros, key: &str) {
-        let Some(Ownership::Claiming(claim)) = self.keys.get(key).map(|slot| &slot.ownership) else { return };
-        let enough = self.is(Broken::ReadsTooFew) || self.enough(claim.promises.iter());
+        let Some(slot) = self.keys.get(key) else { return };
+        let Ownership::Claiming(claim) = &slot.ownership else { return };
+        let leads = self.is(Broken::LeadsWithOldCopy);
+        let later = |node: &Node| claim.accepted.get(node).is_some_and(|at| *at > slot.accepted) && !leads;
+        let counted = |(node, _): &(&Node, &Incarnation)| !later(node) || self.up.contains(*node);
+        let enough = self.is(Broken::ReadsTooFew) || self.enough(claim.promises.iter().filter(counted));
         if !enough || !claim.promises.contains_key(&self.me) {
             return;
         }
+        let best = claim.accepted.iter().filter(|(n, _)| later(n) && self.up.contains(*n));
+        if let Some(to) = best.max_by_key(|(_, at)| **at).map(|(node, _)| *node) {
+            let epoch = claim.epoch;
+            self.figures.yielded += 1;
+            self.send(to, Message::Yield { key: key.to_owned(), epoch });
+            return;
+        }
         let Some(slot) = self.keys.get_mut(key) else { return };
         let Ownership::Claiming(claim) = std::mem::replace(&mut slot.ownership, Ownership::Replica) else {
             return;
         };
         let epoch = claim.epoch;
+        let recent = Recent::begin(epoch, slot.accepted);
         slot.accepted = Revision { epoch, seq: 1 };
-        slot.value = claim.best.1;
-        slot.ownership = Ownership::Owner(Owner {
+        slot.ownership = Ownership::Owner(Box::new(Owner {
             epoch,
             seq: 1,
             committed: None,
             kept: BTreeMap::new(),
+            recent,
             flight: Some(Flight { sent: now, jobs: Vec::new() }),
             round: None,
             rounds: 0,
             asked: Vec::new(),
             forwards: claim.forwards,
-        });
+        }));
         self.write_key(key);
         for to in self.others() {
-            self.send_whole(to, key);
+            self.send_last(now, to, key);
         }
         self.later(now, After::Kept { key: key.to_owned(), epoch, seq: 1 });
     }
 
-    /// The last copy whole, committed or not: it is the owner's alone to write under its epoch.
-    pub(crate) fn send_whole(&mut self, to: Node, key: &str) {
+    /// Another that claims has less than this node: it claims in its place.
+    pub(crate) fn on_yield(&mut self, now: Micros, key: String, epoch: Epoch) {
+        let Some(slot) = self.keys.get_mut(&key) else { return };
+        if matches!(slot.ownership, Ownership::Replica) && slot.promised == epoch {
+            slot.not_before = now;
+            self.claim(now, &key);
+        }
+    }
+
+    /// The last copy, committed or not: it is the owner's alone to write under its epoch. Who lacks what was before it says so.
+    pub(crate) fn send_last(&mut self, now: Micros, to: Node, key: &str) {
         let Some(slot) = self.keys.get(key) else { return };
         let Ownership::Owner(owner) = &slot.ownership else { return };
-        let body = Body::Whole(slot.value.clone());
-        let message = Message::Copy { key: key.to_owned(), epoch: owner.epoch, seq: owner.seq, body };
-        self.figures.wholes_sent += 1;
-        self.send(to, message);
+        match owner.recent.before_last() {
+            Some(base) => self.send_since(now, to, key, base),
+            None => self.send_first_piece(now, to, key, None),
+        }
     }
 
-    pub(crate) fn on_needs_snapshot(&mut self, from: Node, key: String, epoch: Epoch) {
+    /// What came after `has`: the changes if they are remembered, else the content whole, of which the first piece.
+    fn send_since(&mut self, now: Micros, to: Node, key: &str, has: Revision) {
+        let Some(slot) = self.keys.get(key) else { return };
+        let Ownership::Owner(owner) = &slot.ownership else { return };
+        match owner.recent.since(has, self.piece) {
+            Some((seq, changes, more)) => {
+                let (key, epoch) = (key.to_owned(), owner.epoch);
+                self.figures.copies_sent += 1;
+                self.send(to, Message::Copy { key, epoch, seq, base: has, changes, more });
+            }
+            None => self.send_first_piece(now, to, key, Some(has)),
+        }
+    }
+
+    /// One has only this; `None`: it can do nothing with changes.
+    pub(crate) fn on_behind(
+        &mut self,
+        now: Micros,
+        from: Node,
+        key: String,
+        epoch: Epoch,
+        has: Option<Revision>,
+    ) {
         self.figures.behind += 1;
-        let Some(Ownership::Owner(owner)) = self.keys.get(&key).map(|slot| &slot.ownership) else { return };
-        if owner.epoch == epoch {
-            self.send_whole(from, &key);
+        let Some(slot) = self.keys.get(&key) else { return };
+        let Ownership::Owner(owner) = &slot.ownership else { return };
+        if owner.epoch != epoch || has == Some(slot.accepted) {
+            return;
+        }
+        match has {
+            Some(has) => self.send_since(now, from, &key, has),
+            None => self.send_first_piece(now, from, &key, None),
         }
     }
 
@@ -250,13 +296,14 @@
     pub(crate) fn pump(&mut self, now: Micros, key: &str) {
         let unasked = self.is(Broken::ReadsUnasked);
         let part = self.is(Broken::KeepsPart);
+        let keys = self.keys.len();
         let mut answers = Vec::new();
         let Some(slot) = self.keys.get_mut(key) else { return };
         let Ownership::Owner(owner) = &mut slot.ownership else { return };
         let Some((revision, committed)) = &owner.committed else { return };
         let mut value = None;
         let mut jobs = Vec::new();
-        let mut changes = Vec::new();
+        let (mut changes, mut bytes) = (Vec::new(), 0);
         let mut waiting = std::collections::VecDeque::new();
         for job in std::mem::take(&mut slot.queue) {
             let open = match job.who {
@@ -274,7 +321,7 @@
             if !open {
                 continue;
             }
-            if owner.flight.is_some() || changes.len() >= BATCH {
+            if owner.flight.is_some() || changes.len() >= BATCH || bytes >= self.piece {
                 waiting.push_back(job);
                 continue;
             }
@@ -283,12 +330,14 @@
             match (tried.apply(change), value.is_some()) {
                 (Ok(true), _) => {
                     value = Some(tried);
+                    bytes += bitcode::encode(change).len();
                     changes.push(change.clone());
                     jobs.push((job, Ok(true)));
                 }
                 (Ok(false), false) => owner.asked.push((job, None)),
                 (Err(refusal), _) if part && tried != *committed => {
                     value = Some(tried);
+                    bytes += bitcode::encode(change).len();
                     changes.push(change.clone());
                     jobs.push((job, Err(refusal)));
                 }
@@ -300,6 +349,7 @@
         slot.queue = waiting;
         let copy = value.map(|value| {
             owner.seq += 1;
+            owner.recent.push(owner.seq, changes, bytes, keys);
             owner.flight = Some(Flight { sent: now, jobs });
             slot.accepted = Revision { epoch: owner.epoch, seq: owner.seq };
             slot.value = value;
@@ -311,9 +361,7 @@
         if let Some((epoch, seq)) = copy {
             self.write_key(key);
             for to in self.others() {
-                let body = Body::Changes(changes.clone());
-                self.figures.copies_sent += 1;
-                self.send(to, Message::Copy { key: key.to_owned(), epoch, seq, body });
+                self.send_last(now, to, key);
             }
             self.later(now, After::Kept { key: key.to_owned(), epoch, seq });
         }
@@ -430,7 +478,7 @@
             self.send(to, Message::Claim { key, epoch });
         }
         for key in copies {
-            self.send_whole(to, &key);
+            self.send_last(now, to, &key);
         }
     }
 
@@ -480,6 +528,7 @@
         }
         if now >= self.calm + CALM {
             self.calm = now;
+            self.forget_served(now);
             let keys: Vec<(String, Epoch, u64)> =
                 self.settled().into_iter().map(|(key, epoch, at)| (key, epoch, at.seq)).collect();
             if !keys.is_empty() {
@@ -527,6 +576,7 @@
                 for to in missing {
                     self.send(to, Message::Claim { key: key.to_owned(), epoch });
                 }
+                self.take(now, key);
             }
             Ownership::Owner(owner) => {
                 let mut copies = Vec::new();
@@ -545,7 +595,7 @@
                 let (epoch, round) = (owner.epoch, owner.rounds);
                 owner.asked.retain(|(job, _)| now < job.until);
                 for to in copies {
-                    self.send_whole(to, key);
+                    self.send_last(now, to, key);
                 }
                 for to in asks {
                     self.send(to, Message::Confirm { key: key.to_owned(), epoch, round });
--- a/crates/control-store/src/replica.rs
+++ b/crates/control-store/src/replica.rs
@@ -1,9 +1,16 @@
 //! A replica's side: promises, copies, and the repair of an empty disk.
 
-use crate::message::{Body, Incarnation, Incarnations, Message, Stored};
-use crate::store::{After, Broken, ControlStore, Ownership, Phase};
+use crate::message::{Held, Incarnation, Incarnations, Message, Stored};
+use crate::store::{After, Broken, ControlStore, Ownership, Phase, Slot, KEYS, NAME};
 use crate::{Epoch, Micros, Node, Revision, State, Vote};
 
+/// What a copy brings.
+pub(crate) struct Changes<C> {
+    pub base: Revision,
+    pub changes: Vec<C>,
+    pub more: bool,
+}
+
 impl<P: State> ControlStore<P> {
     /// Refuses what is of a lower epoch than promised.
     fn refuses(&mut self, from: Node, key: &str, epoch: Epoch) -> bool {
@@ -26,11 +33,11 @@
         slot.heard = now;
         let raised = epoch > slot.promised;
         slot.promised = epoch;
-        let (accepted, value) = (slot.accepted, slot.value.clone());
+        let accepted = slot.accepted;
         if raised && durable {
             self.write_key(&key);
         }
-        let message = Message::Promise { key, epoch, accepted, value, incarnations };
+        let message = Message::Promise { key, epoch, accepted, incarnations };
         self.later(now, After::Send(self.replica_set.version, from, message));
     }
 
@@ -41,7 +48,7 @@
         key: String,
         epoch: Epoch,
         seq: u64,
-        body: Body<P, P::Change>,
+        copy: Changes<P::Change>,
     ) {
         if epoch.owner != from.0 || self.slot(now, &key).is_none() {
             return;
@@ -55,21 +62,18 @@
         slot.promised = slot.promised.max(epoch);
         let kept = slot.accepted.epoch == epoch && slot.accepted.seq >= seq;
         if !kept {
-            let value = match body {
-                Body::Whole(value) => Some(value),
-                Body::Changes(changes) if slot.accepted == (Revision { epoch, seq: seq.wrapping_sub(1) }) => {
-                    let mut value = slot.value.clone();
-                    changes.iter().all(|change| value.apply(change).is_ok()).then_some(value)
-                }
-                Body::Changes(_) => None,
-            };
-            let Some(value) = value else {
-                self.send(from, Message::NeedsSnapshot { key, epoch });
+            let fits = slot.accepted == copy.base;
+            let mut value = slot.value.clone();
+            if !fits || !copy.changes.iter().all(|change| value.apply(change).is_ok()) {
+                self.say_behind(from, key, epoch, fits);
                 return;
-            };
+            }
             slot.value = value;
             slot.accepted = Revision { epoch, seq };
             self.write_key(&key);
+            if copy.more {
+                self.say_behind(from, key.clone(), epoch, false);
+            }
         }
         let Some(seq) = self.keys.get(&key).map(|slot| slot.accepted.seq) else { return };
         let incarnations = self.incarnations();
@@ -77,6 +81,14 @@
         self.later(now, After::Send(version, from, Message::Kept { key, epoch, seq, incarnations }));
     }
 
+    /// Tells the owner what this replica has, unless a later value is on its way already.
+    fn say_behind(&mut self, owner: Node, key: String, epoch: Epoch, whole: bool) {
+        let Some(accepted) = self.keys.get(&key).map(|slot| slot.accepted) else { return };
+        if self.pulls.get(&key).is_none_or(|pull| pull.at <= accepted) {
+            self.send(owner, Message::Behind { key, epoch, accepted, whole });
+        }
+    }
+
     pub(crate) fn on_confirm(&mut self, now: Micros, from: Node, key: String, epoch: Epoch, round: u64) {
         if self.slot(now, &key).is_some() && !self.refuses(from, &key, epoch) {
             self.send(from, Message::Confirmed { key, epoch, round });
@@ -92,7 +104,7 @@
             let Some(slot) = self.keys.get_mut(&key) else { continue };
             slot.heard = now;
             if slot.accepted < (Revision { epoch, seq }) {
-                self.send(from, Message::NeedsSnapshot { key, epoch });
+                self.say_behind(from, key, epoch, false);
             }
         }
     }
@@ -160,7 +172,12 @@
             self.write_metadata();
             self.figures.repairs += 1;
         }
-        let keys = self.keys.keys().filter_map(|key| self.stored_key(key)).collect();
+        let held = |(key, slot): (&String, &Slot<P>)| Held {
+            key: key.clone(),
+            promised: slot.promised,
+            accepted: slot.accepted,
+        };
+        let keys = self.keys.iter().map(held).collect();
         let incarnations = self.incarnations();
         let (version, vote) = (self.replica_set.version, self.vote.clone());
         let message = Message::Recovered { incarnation, keys, vote, incarnations };
@@ -186,7 +203,7 @@
         now: Micros,
         from: Node,
         incarnation: Incarnation,
-        keys: Vec<Stored<P>>,
+        keys: Vec<Held>,
         vote: Vote,
         incarnations: Incarnations,
     ) {
@@ -199,24 +216,44 @@
         }
         self.repair.replies.insert(from, incarnations.mine);
         self.repair.vote.merge(vote);
-        for stored in keys {
-            let Some(known) = self.repair.keys.get_mut(&stored.key) else {
-                self.repair.keys.insert(stored.key.clone(), stored);
+        for held in keys.into_iter().filter(|held| held.key.len() <= NAME) {
+            let Some((known, who)) = self.repair.keys.get_mut(&held.key) else {
+                if self.repair.keys.len() < KEYS {
+                    self.repair.keys.insert(held.key.clone(), (held, from));
+                }
                 continue;
             };
-            known.promised = known.promised.max(stored.promised);
-            if stored.accepted > known.accepted {
-                known.accepted = stored.accepted;
-                known.value = stored.value;
+            known.promised = known.promised.max(held.promised);
+            if held.accepted > known.accepted {
+                (known.accepted, *who) = (held.accepted, from);
             }
         }
+        self.go_on_with_repair(now);
+    }
+
+    /// Once more than half have answered, fetches the contents; once they are there, becomes a voter.
+    pub(crate) fn go_on_with_repair(&mut self, now: Micros) {
         // The answers are of others alone, and still more than half of the whole replica set.
-        if !self.enough_before(self.repair.replies.iter()) {
+        if self.phase != Phase::Repairing || !self.enough_before(self.repair.replies.iter()) {
+            return;
+        }
+        let lacks = |(key, (held, from)): (&String, &(Held, Node))| {
+            self.repair.lacks(key).map(|_| (key.clone(), held.accepted, *from))
+        };
+        let lacking: Vec<(String, Revision, Node)> = self.repair.keys.iter().filter_map(lacks).collect();
+        for (key, at, from) in &lacking {
+            self.begin_pull(now, *from, key, *at);
+        }
+        if !lacking.is_empty() {
             return;
         }
-        for (_, stored) in std::mem::take(&mut self.repair.keys) {
-            self.adopt(now, stored);
+        for (key, (held, _)) in std::mem::take(&mut self.repair.keys) {
+            let (accepted, value) = self.repair.values.remove(&key).unwrap_or_default();
+            let promised = held.promised.max(accepted.epoch);
+            self.adopt(now, Stored { key, promised, accepted, value });
         }
+        self.pulls.clear();
+        self.repair.values.clear();
         // All of them: what an earlier time as a replica left on disk is overwritten too.
         for key in self.keys.keys().cloned().collect::<Vec<_>>() {
             self.write_key(&key);
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -1,7 +1,9 @@
 //! The control store's state, its calls from outside, and its clock.
 
-use crate::message::{Disk, Effect, Incarnation, Incarnations, Message, Metadata, Stored};
+use crate::message::{Disk, Effect, Held, Incarnation, Incarnations, Message, Metadata, Stored};
 use crate::owner::{Claim, Owner};
+use crate::pieces::{Piece, Pull, Served, PIECE};
+use crate::replica::Changes;
 use crate::replica_set::{Proposal, ReplicaSet, Vote, LINKS};
 use crate::{calls::Call, calls::Job, Epoch, Micros, Node, Revision, State};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -91,8 +93,14 @@
     pub stepped_down: u64,
     /// Copies of changes sent.
     pub copies_sent: u64,
-    /// Copies of whole values sent.
+    /// Copies of whole values begun to be sent.
     pub wholes_sent: u64,
+    /// Pieces of them sent.
+    pub pieces_sent: u64,
+    /// Values received that were not whole, and not taken.
+    pub torn: u64,
+    /// Claims left to one with a later copy.
+    pub yielded: u64,
     /// Times that a replica said it was behind.
     pub behind: u64,
     /// Claims, copies and other messages of a lower epoch refused.
@@ -140,6 +148,12 @@
     HeedsOldReplicaSet,
     /// A removed replica goes on voting and is counted.
     RemovedVotes,
+    /// Takes a whole value in the place of a later one.
+    TakesOldSnapshots,
+    /// Puts pieces of several revisions together.
+    MixesSnapshots,
+    /// Leads with the copy it has, whatever the others have.
+    LeadsWithOldCopy,
 }
 
 /// What waits for a write.
@@ -179,8 +193,8 @@
 
 pub(crate) enum Ownership<P: State> {
     Replica,
-    Claiming(Claim<P>),
-    Owner(Owner<P>),
+    Claiming(Claim),
+    Owner(Box<Owner<P>>),
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -198,11 +212,23 @@
 pub(crate) struct Repair<P> {
     /// Who has answered, with which incarnation. At most one of each replica.
     pub replies: BTreeMap<Node, Incarnation>,
-    pub keys: BTreeMap<String, Stored<P>>,
+    /// The highest of all answers, and who has the content. At most `KEYS`.
+    pub keys: BTreeMap<String, (Held, Node)>,
+    /// Contents that are there. At most one of each key.
+    pub values: BTreeMap<String, (Revision, P)>,
     pub vote: Vote,
     pub sent: Micros,
 }
 
+impl<P> Repair<P> {
+    /// Which revision of the key, or a later one, is still to be fetched.
+    pub(crate) fn lacks(&self, key: &str) -> Option<Revision> {
+        let needed = self.keys.get(key).map(|(held, _)| held.accepted)?;
+        let has = self.values.get(key).map_or(Revision::default(), |(at, _)| *at);
+        (has < needed).then_some(needed)
+    }
+}
+
 /// One replica's part of the control state.
 pub struct ControlStore<P: State> {
     pub(crate) me: Node,
@@ -222,6 +248,11 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) incarnations: BTreeMap<Node, Incarnation>,
     pub(crate) repair: Repair<P>,
+    /// Values that are received. At most `PULLS`.
+    pub(crate) pulls: BTreeMap<String, Pull>,
+    /// Values that are sent. At most `SERVED`.
+    pub(crate) served: Vec<Served>,
+    pub(crate) piece: usize,
     /// At most `KEYS`.
     pub(crate) keys: BTreeMap<String, Slot<P>>,
     /// At most `OPEN`.
@@ -276,9 +307,13 @@
             repair: Repair {
                 replies: BTreeMap::new(),
                 keys: BTreeMap::new(),
+                values: BTreeMap::new(),
                 vote: Vote::default(),
                 sent: now,
             },
+            pulls: BTreeMap::new(),
+            served: Vec::new(),
+            piece: PIECE,
             keys: BTreeMap::new(),
             open: BTreeMap::new(),
             next_call: 0,
@@ -316,6 +351,12 @@
         self.broken = Some(broken);
     }
 
+    /// Pieces of so many bytes in the place of [`PIECE`], so that small values go in several too.
+    #[doc(hidden)]
+    pub fn pieces_of(&mut self, bytes: usize) {
+        self.piece = bytes.max(1);
+    }
+
     pub(crate) fn is(&self, broken: Broken) -> bool {
         cfg!(feature = "mutants") && self.broken == Some(broken)
     }
@@ -393,20 +434,29 @@
                 self.on_recovered(now, from, incarnation, keys, vote, incarnations);
             }
             Message::Outlived { incarnation } => self.on_outlived(now, incarnation),
+            Message::Piece { key, at, offset, total, digest, bytes } => {
+                self.on_piece(now, from, key, Piece { at, offset, total, digest, bytes });
+            }
             Message::Forward { id, key, under, ask } => self.on_forward(now, from, id, key, under, ask),
             Message::AskReplicaSet | Message::ReplicaSet { .. } => {}
             _ if self.phase != Phase::Voter => {}
             Message::Claim { key, epoch } => self.on_claim(now, from, key, epoch),
-            Message::Promise { key, epoch, accepted, value, incarnations } => {
+            Message::Promise { key, epoch, accepted, incarnations } => {
                 self.merge(&incarnations);
-                self.on_promise(now, from, key, epoch, accepted, value, incarnations.mine);
+                self.on_promise(now, from, key, epoch, accepted, incarnations.mine);
+            }
+            Message::Yield { key, epoch } => self.on_yield(now, key, epoch),
+            Message::Copy { key, epoch, seq, base, changes, more } => {
+                self.on_copy(now, from, key, epoch, seq, Changes { base, changes, more });
             }
-            Message::Copy { key, epoch, seq, body } => self.on_copy(now, from, key, epoch, seq, body),
             Message::Kept { key, epoch, seq, incarnations } => {
                 self.merge(&incarnations);
                 self.on_kept(now, from, key, epoch, seq, incarnations.mine);
             }
-            Message::NeedsSnapshot { key, epoch } => self.on_needs_snapshot(from, key, epoch),
+            Message::Behind { key, epoch, accepted, whole } => {
+                self.on_behind(now, from, key, epoch, (!whole).then_some(accepted));
+            }
+            Message::Fetch { key, at, offset } => self.on_fetch(now, from, key, at, offset),
             Message::Higher { key, epoch } => self.learn(now, &key, epoch),
             Message::Confirm { key, epoch, round } => self.on_confirm(now, from, key, epoch, round),
             Message::Confirmed { key, epoch, round } => self.on_confirmed(now, from, key, epoch, round),
@@ -448,6 +498,7 @@
             let asks = self.replica_set.version == 0 && self.candidates.contains(&node);
             if self.replica_set.contains(node) || asks {
                 self.greet(now, node);
+                self.resume_pulls(now, node);
             }
         } else {
             if self.replica_set.contains(node) {
@@ -461,6 +512,7 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Micros) {
         self.tick_calls(now);
+        self.tick_pulls(now);
         match self.phase {
             Phase::Voter => {
                 self.tick_keys(now);
@@ -469,7 +521,10 @@
             Phase::Outside if self.lost_touch() && now >= self.repair.sent + RESEND => {
                 self.ask_replica_set(now);
             }
-            Phase::Repairing if now >= self.repair.sent + RESEND => self.ask_repair(now),
+            Phase::Repairing if now >= self.repair.sent + RESEND => {
+                self.ask_repair(now);
+                self.go_on_with_repair(now);
+            }
             _ => {}
         }
     }
@@ -486,7 +541,7 @@
             Phase::Outside if self.lost_touch() => Some(self.repair.sent + RESEND),
             Phase::Formatting | Phase::Outside => None,
         };
-        calls.into_iter().chain(rest).min()
+        calls.into_iter().chain(rest).chain(self.pulls_due()).min()
     }
 
     /// Takes what is to be done. To be called after every other call; `stored` may make room for the next write.
--- a/crates/control-store/tests/common/mod.rs
+++ b/crates/control-store/tests/common/mod.rs
@@ -266,12 +266,13 @@
             fresh: !m.formatted && node < self.replicas,
             seed,
         };
-        #[allow(unused_mut)]
         let mut store = ControlStore::new(now + m.offset, start, m.disk.clone());
         #[cfg(feature = "mutants")]
         if let Some(broken) = self.broken {
             store.break_it(broken);
         }
+        // Values of some bytes go in one to ten pieces.
+        store.pieces_of([10, 33, 100_000][self.loss as usize % 3]);
         m.store = Some(store);
         self.drain(node);
         for peer in 0..n {
--- a/crates/control-store/tests/rules.rs
+++ b/crates/control-store/tests/rules.rs
@@ -379,7 +379,10 @@
     b.ledgers[x].receive(b.now, Node(y as u32), 1, Message::ReplicaSet { replica_set });
     b.run();
     let incarnation = b.recovering[&x];
-    for (from, keys) in [(owner, own), (y, other)] {
+    b.cut.remove(&(y, x));
+    for (from, keys) in [(y, other), (owner, own)] {
+        let held = |s: Stored<Notes>| Held { key: s.key, promised: s.promised, accepted: s.accepted };
+        let keys = keys.into_iter().map(held).collect();
         let message = Message::Recovered {
             incarnation,
             keys,
@@ -390,6 +393,7 @@
     }
     b.run();
     assert!(b.ledgers[x].voter());
+    b.cut.insert((y, x));
     b.ledgers[owner].receive(b.now, Node(x as u32), 1, kept);
     b.sync(owner);
     b.run();
@@ -509,7 +513,12 @@
         b.now,
         Node(77),
         1,
-        Message::NeedsSnapshot { key: KEY.into(), epoch: Epoch::default() },
+        Message::Behind {
+            key: KEY.into(),
+            epoch: Epoch::default(),
+            accepted: Revision::default(),
+            whole: true,
+        },
     );
     assert_eq!(b.ledgers[owner].figures().strangers, 1);
     b.ledgers[owner].call(b.now, 1, &key, vec![(1, 1, 1)]);
@@ -539,8 +548,10 @@
 fn messages_come_through_their_encoding() {
     let epoch = Epoch { round: 3, owner: 1 };
     let value = Notes(BTreeMap::from([(1, (2, 3))]));
-    let messages: [L; 3] = [
-        Message::Copy { key: KEY.into(), epoch, seq: 4, body: Body::Changes(vec![vec![(1, 2, 3)]]) },
+    let base = Revision { epoch, seq: 3 };
+    let messages: [L; 4] = [
+        Message::Copy { key: KEY.into(), epoch, seq: 4, base, changes: vec![vec![(1, 2, 3)]], more: false },
+        Message::Piece { key: KEY.into(), at: base, offset: 2, total: 9, digest: (1, 2), bytes: vec![7; 3] },
         Message::Verdict {
             id: 9,
             under: epoch,
@@ -785,8 +796,9 @@
     // The copy is brought to the removed one, which is not in the replica set.
     let (key, epoch, at) = b.ledgers[owner].settled()[0].clone();
     let version = b.ledgers[owner].replicas().version;
-    let value = Notes(BTreeMap::from([(1, (1, 7)), (2, (1, 8))]));
-    let message = Message::Copy { key, epoch, seq: at.seq + 1, body: Body::Whole(value) };
+    let base = b.ledgers[x].state()[0].accepted;
+    let changes = vec![vec![(2, 1, 8)]];
+    let message = Message::Copy { key, epoch, seq: at.seq + 1, base, changes, more: false };
     b.ledgers[x].receive(b.now, Node(owner as u32), version, message);
     b.run();
     let done = b.done(2);
@@ -866,6 +878,14 @@
     let rest: Vec<usize> = (0..4).filter(|n| *n != x && *n != y).collect();
     b.cut.retain(|way| *way != (y, x) && *way != (x, y));
     b.cut.extend(rest.iter().flat_map(|n| [(y, *n), (*n, y)]));
+    // It has the later owner's copy, so nobody that heeds it has more.
+    let (key, epoch, at) = b.ledgers[b.owner().expect("an owner")].settled()[0].clone();
+    let base = b.ledgers[x].state()[0].accepted;
+    let message = Message::Copy { key, epoch, seq: at.seq, base, changes: Vec::new(), more: false };
+    let version = b.ledgers[x].replicas().version;
+    b.ledgers[x].receive(b.now, Node(epoch.owner), version, message);
+    b.run();
+    assert_eq!(b.ledgers[x].state()[0].accepted == at, broken.is_some());
     b.ledgers[x].reachable(b.now, Node(y as u32), true);
     b.call(x, 2, &[(2, 1, 8)]);
     b.pass(700_000);
--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 
 /// The form of what is said on a link. Another one is told so once and let go.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// No parcel is larger.
 const LARGEST: usize = 16 << 20;
 /// Parcels that may wait for a link; at the bound the link ends, and what it lacked comes by snapshot.
