--- a/crates/control-store/tests/common/mod.rs
+++ b/crates/control-store/tests/common/mod.rs
@@ -275,7 +275,6 @@
             fresh: !m.formatted && node < self.replicas,
             seed,
         };
-        #[allow(unused_mut)]
         let mut store = ControlStore::new(now + m.offset, start, m.disk.clone());
         #[cfg(feature = "mutants")]
         if let Some(broken) = self.broken {
@@ -284,6 +283,8 @@
         if m.full {
             store.room(now + m.offset, false);
         }
+        // Values of some bytes go in one to ten pieces.
+        store.pieces_of([10, 33, 100_000][self.loss as usize % 3]);
         m.store = Some(store);
         self.drain(node);
         for peer in 0..n {
--- a/crates/control-store/tests/planned.rs
+++ b/crates/control-store/tests/planned.rs
@@ -231,6 +231,7 @@
             let run = || struck(owner_leaves, step, blow, victim, broken);
             let after = std::panic::catch_unwind(run).unwrap_or_else(|_| panic!("{why}"));
             let Some(after) = after else { continue };
+            if after > 300_000 { println!("LONG {after} {why}"); }
             let known: &mut Micros = longest.entry(blow).or_default();
             *known = after.max(*known);
             all += 1;
