Sorting: overtaken versions are remembered, so one version has one content for good

Of two operators' calls under one version the one that lost was a conflict only while that version stood: once a later version stood, the loser, sent again, was acknowledged like the winner. And after 65,536 later drops an old setting of a dropped item came back to life.

Now `Tracked` keeps beside what stands a `History`: for the last 8,192 to 16,384 overtaken versions a hash of their content, and for drops that are no longer known by name the highest version of each of 1,024 groups of names. A call that was taken is done again and changes nothing, whatever stands now; another content under one of these versions is a conflict; a setting that may have been dropped is not taken and its refusal says from which version on it would be. Content is compared in one canonical form (order of keys, 1 and 1.0), which also mends that two large whole numbers were both equal to one float between them.

Disk: the form is added at the end and taken only once something was overtaken; older files are read (the pinned bytes stand). Nodes get what stands alone, so pages are as large as before. Links: VERSION 2.

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 
 /// The form of what is said on a link. Another one is told so once and let go.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// No parcel is larger.
 const LARGEST: usize = 16 << 20;
 /// Parcels that may wait for a link; at the bound the link ends, and what it lacked comes by snapshot.
@@ -264,11 +264,18 @@
             }
             StoreEffect::Answer { token, verdict } => {
                 if let Some(to) = self.asked.borrow_mut().remove(&token) {
+                    let verdict = match verdict {
+                        Verdict::Value { revision, value } => {
+                            Verdict::Value { revision, value: value.published() }
+                        }
+                        other => other,
+                    };
                     let _ = to.send(verdict);
                 }
             }
             StoreEffect::Committed { key, revision, value } => {
                 let at = (revision.epoch.round, u64::from(revision.epoch.owner), revision.seq);
+                let value = value.published();
                 let bytes = bitcode::encode(&value);
                 self.rounds.borrow_mut().post(post.now(), &key, at, bytes);
                 post.page(&key, at, value);
--- a/crates/posthouse/src/leaf.rs
+++ b/crates/posthouse/src/leaf.rs
@@ -1,8 +1,8 @@
 //! What stands under a key of the ledger: the configuration, whether a zone is evacuated, or how far a member's lapse has come.
 use bitcode::{Decode, Encode};
 use silvercross_control_store::{Refusal, State};
-use silvercross_sorting::{Call, Change, Configuration, Whole};
-use silvercross_tariff::Lapse;
+use silvercross_sorting::{Call, Change, Configuration, Tracked, Whole};
+use silvercross_tariff::{Lapse, Sent};
 
 /// The key of the whole configuration: one key, so that a call over many items is one change.
 pub const CONFIGURATION: &str = "configuration";
@@ -23,6 +23,8 @@
     Whole(Box<Whole>),
     /// How far a member's lapse has come.
     Lapse(Lapse),
+    /// All items, and the versions that were taken before those that stand. Nodes get what stands alone.
+    Tracked(Box<Tracked>),
 }
 
 /// A call's change.
@@ -42,36 +44,11 @@
     type Change = Order;
 
     fn apply(&mut self, order: &Order) -> Result<bool, Refusal> {
-        let strange = || Refusal { conflict: false, reason: "the key holds something else".to_string() };
         match order {
-            Order::Patch(change) => {
-                let mut new = match self {
-                    Leaf::Blank => Configuration::default(),
-                    Leaf::Configuration(c) => c.clone(),
-                    Leaf::Whole(whole) => return whole.configuration.apply(change),
-                    Leaf::Evacuation(_) | Leaf::Lapse(_) => return Err(strange()),
-                };
-                let changed = new.apply(change)?;
-                if changed {
-                    *self = Leaf::Configuration(new);
-                }
-                Ok(changed)
-            }
-            Order::Call(call) => {
-                let mut new = match self {
-                    Leaf::Blank => Whole::default(),
-                    Leaf::Configuration(c) => Whole { configuration: c.clone(), ..Whole::default() },
-                    Leaf::Whole(whole) => return whole.apply(call),
-                    Leaf::Evacuation(_) | Leaf::Lapse(_) => return Err(strange()),
-                };
-                let changed = new.apply(call)?;
-                if changed {
-                    *self = Leaf::Whole(Box::new(new));
-                }
-                Ok(changed)
-            }
+            Order::Patch(change) => self.take(change, &Sent::default()),
+            Order::Call(call) => self.take(&call.change, &call.members),
             Order::Evacuate(on) => match self {
-                Leaf::Configuration(_) | Leaf::Whole(_) | Leaf::Lapse(_) => Err(strange()),
+                Leaf::Configuration(_) | Leaf::Whole(_) | Leaf::Tracked(_) | Leaf::Lapse(_) => Err(strange()),
                 Leaf::Evacuation(was) if was == on => Ok(false),
                 _ => {
                     *self = Leaf::Evacuation(*on);
@@ -94,6 +71,49 @@
     }
 }
 
+fn strange() -> Refusal {
+    Refusal { conflict: false, reason: "the key holds something else".to_string() }
+}
+
+impl Leaf {
+    /// Sets and drops items. A form that knows more is taken only when there is more to know: what was taken before once
+    /// something was overtaken, members once a call said something of them.
+    fn take(&mut self, change: &Change, members: &Sent) -> Result<bool, Refusal> {
+        let whole = |configuration| Whole { configuration, ..Whole::default() };
+        let before = std::mem::take(self);
+        let (form, mut tracked) = match before {
+            Leaf::Blank => (0, Tracked::default()),
+            Leaf::Configuration(c) => (1, Tracked { whole: whole(c), ..Tracked::default() }),
+            Leaf::Whole(w) => (2, Tracked { whole: *w, ..Tracked::default() }),
+            Leaf::Tracked(tracked) => (3, *tracked),
+            other => {
+                *self = other;
+                return Err(strange());
+            }
+        };
+        let outcome = tracked.take(change, members);
+        let changed = outcome == Ok(true);
+        *self = match form {
+            _ if !tracked.history.is_empty() => Leaf::Tracked(Box::new(tracked)),
+            0 if !changed => Leaf::Blank,
+            0 | 1 if !changed || members.is_empty() => Leaf::Configuration(tracked.whole.configuration),
+            _ => Leaf::Whole(Box::new(tracked.whole)),
+        };
+        outcome
+    }
+
+    /// What nodes and readers get: what stands, without what was taken before.
+    pub fn published(self) -> Leaf {
+        match self {
+            Leaf::Tracked(tracked) if tracked.whole.roll == Default::default() => {
+                Leaf::Configuration(tracked.whole.configuration)
+            }
+            Leaf::Tracked(tracked) => Leaf::Whole(Box::new(tracked.whole)),
+            other => other,
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -132,4 +152,37 @@
         assert_eq!(bitcode::encode(&Order::Evacuate(true)), [1, 1]);
         assert_eq!(bitcode::encode(&Order::Patch(patch)), [0, 1, 1, 114, 1, 6, 2, 6, 0, 0, 0]);
     }
+
+    /// What was overtaken is kept where the key is, and nobody else gets it.
+    #[test]
+    fn nodes_get_what_stands_alone() {
+        let patch =
+            |body: &str| Order::Patch(silvercross_sorting::read_patch(body.as_bytes()).expect("well-formed"));
+        let at = |edition: u64, path: &str| {
+            patch(&format!(
+                r#"{{"deliver":{{"destinations":[{{"name":"d","healthPath":"{path}","edition":{edition}}}]}}}}"#
+            ))
+        };
+        let mut leaf = Leaf::Blank;
+        assert_eq!(leaf.apply(&patch("{}")), Ok(false));
+        assert_eq!(leaf, Leaf::Blank);
+        assert_eq!(leaf.apply(&at(1, "/a")), Ok(true));
+        assert!(matches!(leaf, Leaf::Configuration(_)));
+        assert_eq!(leaf.apply(&at(2, "/b")), Ok(true));
+        assert!(matches!(leaf, Leaf::Tracked(_)));
+        let mut plain = Leaf::Blank;
+        assert_eq!(plain.apply(&at(2, "/b")), Ok(true));
+        assert_eq!(bitcode::encode(&leaf.clone().published()), bitcode::encode(&plain));
+        // On disk it is one value.
+        let mut again: Leaf = bitcode::decode(&bitcode::encode(&leaf)).expect("as it was written");
+        assert_eq!(again, leaf);
+        assert_eq!(again.apply(&at(1, "/a")), Ok(false));
+        assert!(again.apply(&at(1, "/c")).expect_err("another content").conflict);
+        assert_eq!(again, leaf);
+        // Members, sent later.
+        let members = br#"{"deliver":{"members":[{"name":"ana","key":"k","plan":"full","edition":1}]}}"#;
+        let members = silvercross_sorting::read_call(members).expect("well-formed");
+        assert_eq!(leaf.apply(&Order::Call(Box::new(members))), Ok(true));
+        assert!(matches!(leaf.published(), Leaf::Whole(_)));
+    }
 }
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -527,7 +527,7 @@
                 }
                 self.relist();
             }
-            Leaf::Configuration(_) | Leaf::Whole(_) => {}
+            Leaf::Configuration(_) | Leaf::Whole(_) | Leaf::Tracked(_) => {}
         }
     }
 
--- a/crates/sorting/src/configuration.rs
+++ b/crates/sorting/src/configuration.rs
@@ -6,15 +6,16 @@
 use serde_json::Value;
 use silvercross_control_store::{Refusal, State};
 
+use crate::history::{Forgotten, ItemKind, Said};
 use crate::items::{host_key, Change, Destination, Entries, Entry, Fault, Item, Limits, Route, Versioned};
+use crate::mutant::{self, Broken};
 use crate::read::same_place;
 
 /// No more items stand at a time; a call that would go beyond is refused whole.
 pub const MAX_ITEMS: usize = 16_384;
 
-/// How many drops are remembered, so that an older setting of a dropped name does not come back. Beyond it the drops
-/// that were taken first are forgotten. That is harmless: only a setting that is older than that many drops could
-/// still come back, and an operator repeats a call for a few seconds at most.
+/// How many drops are remembered by name, so that an older setting of a dropped name does not come back. Beyond it the
+/// drops that were taken first are forgotten here; what is then known of them is in [`crate::History`].
 pub const MAX_DROPPED: usize = 65_536;
 
 /// All items that stand, and the editions at which names were dropped. At most [`MAX_ITEMS`] and [`MAX_DROPPED`].
@@ -42,6 +43,13 @@
     /// conflict. What the call would put in force is then checked as a whole. Items that change nothing are not
     /// checked again: a late repeat of an overtaken call stays acknowledged.
     fn apply(&mut self, change: &Change) -> Result<bool, Refusal> {
+        self.take_in(change).map(|taken| taken.is_some())
+    }
+}
+
+impl Configuration {
+    /// The same; `None` if nothing changed, else the drops that were forgotten for it.
+    pub(crate) fn take_in(&mut self, change: &Change) -> Result<Option<Vec<Forgotten>>, Refusal> {
         let routes = newer(&self.routes, &change.routes)?;
         let destinations = newer(&self.destinations, &change.destinations)?;
         let limits = match (&self.limits, &change.limits) {
@@ -56,7 +64,7 @@
             },
         };
         if routes.is_empty() && destinations.is_empty() && limits.is_none() {
-            return Ok(false);
+            return Ok(None);
         }
         self.check(&routes, &destinations, limits.is_some()).map_err(invalid)?;
         take(&mut self.routes, routes, &mut self.drops);
@@ -64,12 +72,21 @@
         if let Some(limits) = limits {
             self.limits = Some(limits.clone());
         }
-        self.forget();
-        Ok(true)
+        Ok(Some(self.forget()))
+    }
+
+    /// What holds for a name, set or dropped.
+    pub(crate) fn standing(&self, kind: ItemKind, name: &str) -> Option<Said<'_>> {
+        match kind {
+            ItemKind::Route => self.routes.get_key_value(name).map(|(name, e)| Said::route(name, e)),
+            ItemKind::Destination => {
+                self.destinations.get_key_value(name).map(|(name, e)| Said::destination(name, e))
+            }
+            ItemKind::Limits => self.limits.as_ref().map(Said::limits),
+            ItemKind::Member | ItemKind::Membership => None,
+        }
     }
-}
 
-impl Configuration {
     /// All items that stand, each as it was sent, laid out as `deliver` in a call of the operator.
     pub fn to_json(&self) -> String {
         let mut out = String::from("{\"destinations\":[");
@@ -178,18 +195,30 @@
     }
 
     /// Forget the drops that were taken first, down to the bound.
-    fn forget(&mut self) {
+    fn forget(&mut self) -> Vec<Forgotten> {
+        let mut forgotten = Vec::new();
         let mut orders: Vec<u64> = orders(&self.routes).chain(orders(&self.destinations)).collect();
         if orders.len() > MAX_DROPPED {
             orders.sort_unstable();
             let kept = orders[orders.len() - MAX_DROPPED];
-            let keeps = |order: Option<u64>| order.is_none_or(|order| order >= kept);
-            self.routes.retain(|_, entry| keeps(order(entry)));
-            self.destinations.retain(|_, entry| keeps(order(entry)));
+            retain(ItemKind::Route, &mut self.routes, kept, &mut forgotten);
+            retain(ItemKind::Destination, &mut self.destinations, kept, &mut forgotten);
         }
+        forgotten
     }
 }
 
+/// Keeps the drops from this one on.
+fn retain<T: Versioned>(kind: ItemKind, entries: &mut Entries<T>, kept: u64, forgotten: &mut Vec<Forgotten>) {
+    entries.retain(|name, entry| {
+        let keeps = order(entry).is_none_or(|order| order >= kept);
+        if !keeps {
+            forgotten.push(Forgotten { kind, name: name.clone(), edition: entry.edition() });
+        }
+        keeps
+    });
+}
+
 /// The entries of a call that take the place of the present ones.
 type Newer<'a, T> = BTreeMap<&'a str, &'a Entry<T>>;
 
@@ -202,7 +231,7 @@
         match present.get(name) {
             Some(old) if new.edition() < old.edition() => {}
             Some(old) if new.edition() == old.edition() => {
-                if old != new {
+                if old != new && !mutant::is(Broken::SameVersionTwice) {
                     return Err(conflict(name, new.edition()));
                 }
             }
@@ -257,7 +286,7 @@
     }
 }
 
-fn conflict(name: &str, edition: u64) -> Refusal {
+pub(crate) fn conflict(name: &str, edition: u64) -> Refusal {
     let reason =
         format!("{edition} stands already with other content (read the configuration, raise the edition)");
     Refusal { conflict: true, reason: Fault::new(name, "edition", reason).to_string() }
--- a/crates/sorting/src/items.rs
+++ b/crates/sorting/src/items.rs
@@ -5,7 +5,9 @@
 use std::fmt;
 
 use bitcode::{Decode, Encode};
-use serde_json::Value;
+
+use crate::canonical::canonical;
+use crate::history::{ItemKind, Said};
 
 /// No time in an item is longer (about 31 years): longer ones are cut to it, so that sums of times never overflow.
 pub const MAX_TIME_US: i64 = 1_000_000_000_000_000;
@@ -178,7 +180,8 @@
 impl<T: PartialEq> PartialEq for Item<T> {
     /// The same content: order of keys and the way a number is written don't matter.
     fn eq(&self, other: &Self) -> bool {
-        self.parsed == other.parsed && same_text(&self.raw, &other.raw)
+        self.parsed == other.parsed
+            && (self.raw == other.raw || canonical(&self.raw) == canonical(&other.raw))
     }
 }
 
@@ -239,6 +242,26 @@
 }
 
 impl Change {
+    /// Without these items.
+    pub(crate) fn without(&self, known: &[(ItemKind, &str)]) -> Change {
+        let mut rest = self.clone();
+        for (kind, name) in known {
+            match kind {
+                ItemKind::Route => rest.routes.remove(*name).is_some(),
+                ItemKind::Destination => rest.destinations.remove(*name).is_some(),
+                _ => false,
+            };
+        }
+        rest
+    }
+
+    /// All that it says.
+    pub(crate) fn said(&self) -> impl Iterator<Item = Said<'_>> {
+        let routes = self.routes.iter().map(|(name, entry)| Said::route(name, entry));
+        let destinations = self.destinations.iter().map(|(name, entry)| Said::destination(name, entry));
+        routes.chain(destinations).chain(self.limits.as_ref().map(Said::limits))
+    }
+
     /// Whether the call names no item.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -267,27 +290,3 @@
         Cow::Borrowed(bare)
     }
 }
-
-fn same_text(a: &str, b: &str) -> bool {
-    a == b
-        || match (serde_json::from_str::<Value>(a), serde_json::from_str::<Value>(b)) {
-            (Ok(a), Ok(b)) => same_json(&a, &b),
-            _ => false,
-        }
-}
-
-/// Equal as JSON: 4 and 4.0 are the same number.
-fn same_json(a: &Value, b: &Value) -> bool {
-    match (a, b) {
-        (Value::Number(x), Value::Number(y)) => {
-            x == y || ((x.is_f64() || y.is_f64()) && x.as_f64() == y.as_f64())
-        }
-        (Value::Array(x), Value::Array(y)) => {
-            x.len() == y.len() && x.iter().zip(y).all(|(x, y)| same_json(x, y))
-        }
-        (Value::Object(x), Value::Object(y)) => {
-            x.len() == y.len() && x.iter().all(|(key, x)| y.get(key).is_some_and(|y| same_json(x, y)))
-        }
-        _ => a == b,
-    }
-}
--- a/crates/sorting/src/whole.rs
+++ b/crates/sorting/src/whole.rs
@@ -5,6 +5,7 @@
 use silvercross_tariff::{Roll, Sent};
 
 use crate::configuration::Configuration;
+use crate::history::{Forgotten, ItemKind, Said};
 use crate::items::{Change, Fault};
 
 /// No more members stand at a time: each whose trial lapses takes a key of the ledger, which has 4,096.
@@ -38,23 +39,42 @@
 
     /// Both parts or neither.
     fn apply(&mut self, call: &Call) -> Result<bool, Refusal> {
+        self.take_in(&call.change, &call.members).map(|taken| taken.is_some())
+    }
+}
+
+impl Whole {
+    /// The same; `None` if nothing changed, else the drops that were forgotten for it.
+    pub(crate) fn take_in(
+        &mut self,
+        change: &Change,
+        members: &Sent,
+    ) -> Result<Option<Vec<Forgotten>>, Refusal> {
         let mut roll = None;
-        if self.roll.would(&call.members)? {
+        if self.roll.would(members)? {
             let mut new = self.roll.clone();
-            new.apply(&call.members)?;
+            let dropped = new.take_in(members)?.unwrap_or_default();
             check(&new).map_err(|fault| Refusal { conflict: false, reason: fault.to_string() })?;
-            roll = Some(new);
+            roll = Some((new, dropped));
         }
-        let changed = self.configuration.apply(&call.change)?;
-        let with_members = roll.is_some();
-        if let Some(new) = roll {
-            self.roll = new;
+        let changed = self.configuration.take_in(change)?;
+        let Some((new, dropped)) = roll else { return Ok(changed) };
+        self.roll = new;
+        let mut forgotten = changed.unwrap_or_default();
+        let members = dropped.into_iter();
+        forgotten.extend(members.map(|(name, edition)| Forgotten { kind: ItemKind::Member, name, edition }));
+        Ok(Some(forgotten))
+    }
+
+    /// What holds for a name, set or dropped.
+    pub(crate) fn standing(&self, kind: ItemKind, name: &str) -> Option<Said<'_>> {
+        match kind {
+            ItemKind::Member => self.roll.standing(Some(name)).map(Said::member),
+            ItemKind::Membership => self.roll.standing(None).map(Said::member),
+            _ => self.configuration.standing(kind, name),
         }
-        Ok(changed || with_members)
     }
-}
 
-impl Whole {
     /// All items that stand, each as it was sent, laid out as `deliver` in a call of the operator.
     pub fn to_json(&self) -> String {
         let mut out = self.configuration.to_json();
--- a/crates/tariff/src/lib.rs
+++ b/crates/tariff/src/lib.rs
@@ -34,7 +34,7 @@
 pub use mutant::Mutant;
 pub use parked::{Parked, Ticket};
 pub use read::read;
-pub use roll::{Directory, Roll, Sent, Whose, MAX_DROPPED};
+pub use roll::{Directory, Roll, Sent, Stated, Whose, MAX_DROPPED};
 #[cfg(feature = "mutants")]
 #[doc(hidden)]
 pub use slow::delay_broken;
--- a/crates/tariff/src/roll.rs
+++ b/crates/tariff/src/roll.rs
@@ -19,7 +19,44 @@
     pub(crate) membership: Option<Item<Membership>>,
 }
 
+/// What a call says of an item of members, or what holds for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stated<'a> {
+    /// The member's name; `None` for how requests name members.
+    pub name: Option<&'a str>,
+    /// The item's version.
+    pub edition: u64,
+    /// As it was sent; `None` if it is dropped.
+    pub raw: Option<&'a str>,
+}
+
+impl<'a> Stated<'a> {
+    fn member(name: &'a str, entry: &'a Entry) -> Stated<'a> {
+        let raw = entry.item().map(|item| item.raw.as_str());
+        Stated { name: Some(name), edition: entry.edition(), raw }
+    }
+
+    fn membership(item: &'a Item<Membership>) -> Stated<'a> {
+        Stated { name: None, edition: item.parsed.edition, raw: Some(&item.raw) }
+    }
+}
+
 impl Sent {
+    /// All that it says.
+    pub fn stated(&self) -> impl Iterator<Item = Stated<'_>> {
+        let members = self.members.iter().map(|(name, entry)| Stated::member(name, entry));
+        members.chain(self.membership.as_ref().map(Stated::membership))
+    }
+
+    /// Without these members.
+    pub fn without<'a>(&self, names: impl Iterator<Item = &'a str>) -> Sent {
+        let mut rest = self.clone();
+        for name in names {
+            rest.members.remove(name);
+        }
+        rest
+    }
+
     /// Whether the call names no item.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -60,6 +97,13 @@
     /// The higher edition of each name holds, a lower one changes nothing, and the same edition with other content is a
     /// conflict.
     fn apply(&mut self, sent: &Sent) -> Result<bool, Refusal> {
+        self.take_in(sent).map(|taken| taken.is_some())
+    }
+}
+
+impl Roll {
+    /// The same; `None` if nothing changed, else the drops that were forgotten for it, by name and version.
+    pub fn take_in(&mut self, sent: &Sent) -> Result<Option<Vec<(String, u64)>>, Refusal> {
         let newer = self.newer(sent)?;
         let changed = !newer.members.is_empty() || newer.membership.is_some();
         for (name, new) in newer.members {
@@ -75,12 +119,18 @@
         if let Some(membership) = newer.membership {
             self.membership = Some(membership.clone());
         }
-        self.forget();
-        Ok(changed)
+        let forgotten = self.forget();
+        Ok(changed.then_some(forgotten))
+    }
+
+    /// What holds for a member, or (`None`) for how requests name members.
+    pub fn standing<'a>(&'a self, name: Option<&str>) -> Option<Stated<'a>> {
+        match name {
+            Some(name) => self.members.get_key_value(name).map(|(name, entry)| Stated::member(name, entry)),
+            None => self.membership.as_ref().map(Stated::membership),
+        }
     }
-}
 
-impl Roll {
     /// What applying the call would say, without doing it.
     pub fn would(&self, sent: &Sent) -> Result<bool, Refusal> {
         self.newer(sent).map(|newer| !newer.members.is_empty() || newer.membership.is_some())
@@ -193,17 +243,25 @@
     }
 
     /// Forget the drops that were taken first, down to the bound.
-    fn forget(&mut self) {
+    fn forget(&mut self) -> Vec<(String, u64)> {
         let order = |entry: &Entry| match entry {
             Entry::Set(_) => None,
             Entry::Dropped { order, .. } => Some(*order),
         };
+        let mut forgotten = Vec::new();
         let mut orders: Vec<u64> = self.members.values().filter_map(order).collect();
         if orders.len() > MAX_DROPPED {
             orders.sort_unstable();
             let kept = orders[orders.len() - MAX_DROPPED];
-            self.members.retain(|_, entry| order(entry).is_none_or(|order| order >= kept));
+            self.members.retain(|name, entry| {
+                let keeps = order(entry).is_none_or(|order| order >= kept);
+                if !keeps {
+                    forgotten.push((name.clone(), entry.edition()));
+                }
+                keeps
+            });
         }
+        forgotten
     }
 }
 
