--- /dev/null
+++ b/crates/control-store/tests/common/bench.rs
@@ -0,0 +1,224 @@
+//! Replicas stepped by hand: messages and writes in order, at once or held back.
+
+use super::{Change, Notes};
+use silvercross_control_store::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+pub type L = Message<Notes, Change>;
+pub type Write = (u64, Option<Metadata>, Vec<Stored<Notes>>);
+pub const KEY: &str = "configuration";
+
+pub struct Bench {
+    pub now: Micros,
+    pub ledgers: Vec<ControlStore<Notes>>,
+    pub disks: Vec<Disk<Notes>>,
+    pub messages: VecDeque<(usize, usize, u64, L)>,
+    /// Not synced yet, where syncing is held.
+    pub writes: Vec<VecDeque<Write>>,
+    pub slow_disk: BTreeSet<usize>,
+    /// Messages on these ways are lost.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Messages on these ways wait.
+    pub held: BTreeSet<(usize, usize)>,
+    pub answers: BTreeMap<u64, Verdict<Notes>>,
+    /// The incarnations under which repair was asked for last.
+    pub recovering: BTreeMap<usize, Incarnation>,
+    pub starts: u64,
+    /// How many are replicas from the start.
+    pub replicas: usize,
+}
+
+pub fn start(node: usize, replica_set: usize, fresh: bool, seed: u64) -> Start {
+    let replica_set = (0..replica_set as u32).map(Node).collect();
+    Start { me: Node(node as u32), replica_set, keys: vec![KEY.into()], fresh, seed }
+}
+
+impl Bench {
+    pub fn new(n: usize) -> Bench {
+        Bench::with_spares(n, 0)
+    }
+
+    /// The spare ones are added with empty disks, after the first start.
+    pub fn with_spares(replicas: usize, spares: usize) -> Bench {
+        let n = replicas + spares;
+        let one = |i| ControlStore::new(0, start(i, replicas, i < replicas, i as u64), Disk::default());
+        let ledgers = (0..n).map(one).collect();
+        let mut bench = Bench {
+            now: 0,
+            ledgers,
+            disks: (0..n).map(|_| Disk::default()).collect(),
+            messages: VecDeque::new(),
+            writes: (0..n).map(|_| VecDeque::new()).collect(),
+            slow_disk: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            held: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            recovering: BTreeMap::new(),
+            starts: 100,
+            replicas,
+        };
+        bench.link();
+        bench
+    }
+
+    /// Three with a settled owner; who that is.
+    pub fn settled() -> (Bench, usize) {
+        let mut bench = Bench::new(3);
+        bench.pass(1_000_000);
+        let owner = bench.owner().expect("an owner");
+        (bench, owner)
+    }
+
+    pub fn owner(&self) -> Option<usize> {
+        (0..self.ledgers.len()).find(|i| !self.ledgers[*i].settled().is_empty())
+    }
+
+    pub fn link(&mut self) {
+        let n = self.ledgers.len();
+        for (a, b) in (0..n).flat_map(|a| (0..n).map(move |b| (a, b))).filter(|(a, b)| a != b) {
+            if !self.cut.contains(&(a, b)) || !self.cut.contains(&(b, a)) {
+                self.ledgers[a].reachable(self.now, Node(b as u32), true);
+            }
+        }
+        self.run();
+    }
+
+    pub fn broken(&mut self, broken: Option<Broken>) {
+        #[cfg(feature = "mutants")]
+        if let Some(broken) = broken {
+            self.ledgers.iter_mut().for_each(|l| l.break_it(broken));
+        }
+        assert!(broken.is_none() || cfg!(feature = "mutants"));
+    }
+
+    /// Everybody hears who is no replica and could be one.
+    pub fn tell_candidates(&mut self) {
+        let n = self.ledgers.len();
+        for (a, b) in (0..n).flat_map(|a| (0..n).map(move |b| (a, b))) {
+            let outside = self.ledgers[b].outside();
+            self.ledgers[a].candidate(self.now, Node(b as u32), outside);
+        }
+        self.run();
+    }
+
+    pub fn part(&mut self, node: usize) {
+        for other in (0..self.ledgers.len()).filter(|o| *o != node) {
+            self.ledgers[other].reachable(self.now, Node(node as u32), false);
+            self.ledgers[node].reachable(self.now, Node(other as u32), false);
+            self.cut.extend([(node, other), (other, node)]);
+        }
+    }
+
+    pub fn join(&mut self, node: usize) {
+        self.cut.retain(|(a, b)| *a != node && *b != node);
+        self.link();
+    }
+
+    pub fn sync(&mut self, node: usize) {
+        while let Some((write, metadata, keys)) = self.writes[node].pop_front() {
+            let disk = &mut self.disks[node];
+            disk.metadata = metadata.or(disk.metadata.take());
+            for stored in keys {
+                disk.keys.retain(|k| k.key != stored.key);
+                disk.keys.push(stored);
+            }
+            self.ledgers[node].stored(self.now, write);
+        }
+    }
+
+    /// Until nothing moves any more.
+    pub fn run(&mut self) {
+        loop {
+            let mut moved = false;
+            for node in 0..self.ledgers.len() {
+                for effect in self.ledgers[node].effects() {
+                    moved = true;
+                    match effect {
+                        Effect::Send { to, version, message } => {
+                            if let Message::Recover { incarnation } = message {
+                                self.recovering.insert(node, incarnation);
+                            }
+                            self.messages.push_back((node, to.0 as usize, version, message));
+                        }
+                        Effect::Store { write, metadata, keys } => {
+                            self.writes[node].push_back((write, metadata, keys))
+                        }
+                        Effect::Answer { token, verdict } => {
+                            assert!(self.answers.insert(token, verdict).is_none(), "answered twice");
+                        }
+                        Effect::Committed { .. } => {}
+                    }
+                }
+                if !self.slow_disk.contains(&node) && !self.writes[node].is_empty() {
+                    moved = true;
+                    self.sync(node);
+                }
+            }
+            for _ in 0..self.messages.len() {
+                let Some((from, to, version, message)) = self.messages.pop_front() else { break };
+                if self.held.contains(&(from, to)) {
+                    self.messages.push_back((from, to, version, message));
+                } else if !self.cut.contains(&(from, to)) {
+                    moved = true;
+                    self.ledgers[to].receive(self.now, Node(from as u32), version, message);
+                }
+            }
+            if !moved {
+                break;
+            }
+        }
+    }
+
+    /// Time goes by.
+    pub fn pass(&mut self, span: Micros) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += 10_000;
+            for ledger in &mut self.ledgers {
+                ledger.tick(self.now);
+            }
+            self.run();
+        }
+    }
+
+    /// Starts anew on its disk; what was not synced is lost.
+    pub fn restart(&mut self, node: usize) {
+        self.starts += 1;
+        self.writes[node].clear();
+        let n = self.ledgers.len();
+        let start = start(node, self.replicas, false, self.starts);
+        self.ledgers[node] = ControlStore::new(self.now, start, self.disks[node].clone());
+        for other in (0..n).filter(|o| *o != node) {
+            self.ledgers[other].reachable(self.now, Node(node as u32), false);
+        }
+        self.link();
+    }
+
+    pub fn wipe(&mut self, node: usize) {
+        self.disks[node] = Disk::default();
+        self.restart(node);
+    }
+
+    pub fn call(&mut self, node: usize, token: u64, change: &[(u8, u64, u64)]) {
+        self.ledgers[node].call(self.now, token, KEY, change.to_vec());
+        self.run();
+    }
+
+    pub fn read(&mut self, node: usize, token: u64) -> Notes {
+        self.ledgers[node].read(self.now, token, KEY);
+        self.run();
+        self.pass(700_000);
+        match self.answers.get(&token) {
+            Some(Verdict::Value { value, .. }) => value.clone(),
+            other => panic!("no value: {other:?}"),
+        }
+    }
+
+    pub fn done(&self, token: u64) -> bool {
+        matches!(self.answers.get(&token), Some(Verdict::Done { .. }))
+    }
+}
+
+pub fn others(owner: usize) -> (usize, usize) {
+    ((owner + 1) % 3, (owner + 2) % 3)
+}
--- a/crates/control-store/tests/common/mod.rs
+++ b/crates/control-store/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A world in simulated time: ledgers on links that lose, double and reorder, on disks that forget what was not synced.
 #![allow(dead_code)]
 
+pub mod bench;
 pub mod judge;
 
 use judge::{History, Op, Said};
