Control store: two operators under one version, repeats and dependent calls stepped through owner changes

tests/repeats.rs, on the stepped replicas: a taken call is sent again through every entry after each pair of eight events (later versions of other items and of its own, the owner cut off, restarted, wiped, replaced, another wiped, all power lost); two operators under one version with every loss of copies and words between owner and others (96 cases): exactly one is done and each hears the same again; eight calls at once of which seven name what the first brings, while copies or words are lost and the owner is cut off; a call that has become valid at an owner that was overtaken.

--- a/crates/control-store/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -250,6 +250,7 @@
     pub(crate) fn pump(&mut self, now: Micros, key: &str) {
         let unasked = self.is(Broken::ReadsUnasked);
         let part = self.is(Broken::KeepsPart);
+        let (refuses, tells) = (self.is(Broken::RefusesUnasked), self.is(Broken::TellsUncommitted));
         let mut answers = Vec::new();
         let Some(slot) = self.keys.get_mut(key) else { return };
         let Ownership::Owner(owner) = &mut slot.ownership else { return };
@@ -292,7 +293,12 @@
                     changes.push(change.clone());
                     jobs.push((job, Err(refusal)));
                 }
+                (Err(refusal), false) if refuses => answers.push((job.who, Verdict::Refused(refusal))),
                 (Err(refusal), false) => owner.asked.push((job, Some(refusal))),
+                (Err(refusal), true) if tells => answers.push((job.who, Verdict::Refused(refusal))),
+                (Ok(false), true) if tells => {
+                    answers.push((job.who, Verdict::Done { revision: *revision, changed: false }));
+                }
                 // Rests on a change that is not yet committed: told when that is.
                 (outcome, true) => jobs.push((job, outcome)),
             }
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -140,6 +140,10 @@
     HeedsOldReplicaSet,
     /// A removed replica goes on voting and is counted.
     RemovedVotes,
+    /// Refuses without asking whether its epoch still stands.
+    RefusesUnasked,
+    /// Tells at once what rests on a change that is not committed yet.
+    TellsUncommitted,
 }
 
 /// What waits for a write.
--- a/crates/control-store/tests/common/mod.rs
+++ b/crates/control-store/tests/common/mod.rs
@@ -22,6 +22,11 @@
 /// Item, version, content.
 pub type Change = Vec<(u8, u64, u64)>;
 
+/// A content that names another item: it is valid only where that one stands.
+pub fn names(item: u8) -> u64 {
+    (1 << 32) | u64::from(item)
+}
+
 impl State for Notes {
     type Change = Change;
 
@@ -33,6 +38,11 @@
             let known = next.get(item).copied().unwrap_or_default();
             let outcome = match version.cmp(&known.0) {
                 _ if *content == 0 => Err(refusal(false)),
+                std::cmp::Ordering::Greater
+                    if *content >> 32 == 1 && !next.contains_key(&(*content as u8)) =>
+                {
+                    Err(refusal(false))
+                }
                 std::cmp::Ordering::Equal if known.1 != *content => Err(refusal(true)),
                 std::cmp::Ordering::Greater => {
                     next.insert(*item, (*version, *content));
