--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -170,6 +170,10 @@
     MixesSnapshots,
     /// Leads with the copy it has, whatever the others have.
     LeadsWithOldCopy,
+    /// Refuses without asking whether its epoch still stands.
+    RefusesUnasked,
+    /// Tells at once what rests on a change that is not committed yet.
+    TellsUncommitted,
 }
 
 /// What waits for a write.
--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -286,11 +286,18 @@
             }
             StoreEffect::Answer { token, verdict } => {
                 if let Some(to) = self.asked.borrow_mut().remove(&token) {
+                    let verdict = match verdict {
+                        Verdict::Value { revision, value } => {
+                            Verdict::Value { revision, value: value.published() }
+                        }
+                        other => other,
+                    };
                     let _ = to.send(verdict);
                 }
             }
             StoreEffect::Committed { key, revision, value } => {
                 let at = (revision.epoch.round, u64::from(revision.epoch.owner), revision.seq);
+                let value = value.published();
                 let bytes = bitcode::encode(&value);
                 self.rounds.borrow_mut().post(post.now(), &key, at, bytes);
                 post.page(&key, at, value);
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -528,7 +528,7 @@
                 }
                 self.relist();
             }
-            Leaf::Configuration(_) | Leaf::Whole(_) => {}
+            Leaf::Configuration(_) | Leaf::Whole(_) | Leaf::Tracked(_) => {}
         }
     }
 
