Readiness: a sidecar that starts has its pages checked against what a majority has

A control machine that was cut off or stood still, and whose fellows then stopped, handed its old configuration to a sidecar started below it, which called itself ready within 4 s: ready meant "configured and not stopping". Now a node that started asks its parent what a majority has; relays pass one request at a time up the tree, those that come meanwhile wait for the next one; a core machine reads every key through its control store (also one that is no replica, which reads at the replicas) and the answer goes down again. The node is current once its own pages are at least at those revisions, or the bound of 8 s from its start passes (READY_BOUND). No answer, another parent, no majority: it asks again. A request sent again has the same number, so an answer to either fits. Reads at one core machine begin 100 ms apart and take half of the time at most. Nothing at rest.

GET /-/ready says which of the three reasons holds; the state says waiting, current or bound passed, and how long it took; one line in the log at the moment. The form of a link's letters is version 2.

Weighed: comparing digests with the parent (it may be as old), refusing pages from a core machine without a majority (then no configuration at all while there is none), and handing the pages out with the answer (they come by the tree already).

The world of the tests judges every node of every schedule at the moment it calls itself current.

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -2,14 +2,14 @@
 //! what they say; decides nothing.
 use crate::disk::{Write, Writes};
 use crate::hop;
-use crate::leaf::{Leaf, Order};
+use crate::leaf::{Leaf, Order, CONFIGURATION, EVACUATION};
 use crate::post::{Counted, Door, Post};
 use bitcode::{Decode, Encode};
 use silvercross_control_store::{ControlStore, Effect as StoreEffect, Message as StoreMessage, Verdict};
-use silvercross_rounds::{Datagram, Effect, Letter, Node, Rounds};
+use silvercross_rounds::{Datagram, Effect, Letter, Node, Revision, Rounds};
 use silvercross_tariff::Voice;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 
 /// The form of what is said on a link. Another one is told so once and let go.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// No parcel is larger.
 const LARGEST: usize = 16 << 20;
 /// Parcels that may wait for a link; at the bound the link ends, and what it lacked comes by snapshot.
@@ -109,6 +109,11 @@
     changed: Notify,
 }
 
+/// A revision of the control store, as pages carry it.
+fn told(revision: silvercross_control_store::Revision) -> Revision {
+    (revision.epoch.round, u64::from(revision.epoch.owner), revision.seq)
+}
+
 fn ip(node: u32) -> IpAddr {
     IpAddr::V4(Ipv4Addr::from_bits(node))
 }
@@ -180,18 +185,61 @@
     /// An operator's call; `None` where this machine holds no ledger.
     pub async fn ask(&self, post: &Rc<Post>, key: &str, order: Option<Order>) -> Option<Verdict<Leaf>> {
         let ledger = self.ledger.as_ref().filter(|l| !l.borrow().outside() && !post.is_outsider())?;
+        let asked = self.begin(post, ledger, key, order);
+        self.pump(post);
+        Some(self.answer(asked).await)
+    }
+
+    /// Hand a call or read to the control store; it begins with the next `pump`.
+    fn begin(
+        &self,
+        post: &Post,
+        store: &RefCell<ControlStore<Leaf>>,
+        key: &str,
+        order: Option<Order>,
+    ) -> (u64, oneshot::Receiver<Verdict<Leaf>>) {
         let token = self.numbers.get();
         self.numbers.set(token + 1);
         let (to, answer) = oneshot::channel();
         self.asked.borrow_mut().insert(token, to);
         match order {
-            Some(order) => ledger.borrow_mut().call(post.now(), token, key, order),
-            None => ledger.borrow_mut().read(post.now(), token, key),
+            Some(order) => store.borrow_mut().call(post.now(), token, key, order),
+            None => store.borrow_mut().read(post.now(), token, key),
         }
-        self.pump(post);
+        (token, answer)
+    }
+
+    async fn answer(&self, (token, answer): (u64, oneshot::Receiver<Verdict<Leaf>>)) -> Verdict<Leaf> {
         let said = timeout(Duration::from_secs(2), answer).await;
         self.asked.borrow_mut().remove(&token);
-        Some(said.ok().and_then(Result::ok).unwrap_or(Verdict::Unsettled))
+        said.ok().and_then(Result::ok).unwrap_or(Verdict::Unsettled)
+    }
+
+    /// The revisions of all keys that were ever written, each read by a majority; `None` where that can't be had now. A
+    /// machine whose store is no replica reads at those that are.
+    async fn confirm(&self, post: &Rc<Post>) -> Option<Vec<(String, Revision)>> {
+        let store = self.ledger.as_ref()?;
+        let known = store.borrow().state().into_iter().map(|state| state.key);
+        let zones = post.boot.zones.iter().map(|zone| format!("{EVACUATION}{zone}"));
+        let mut keys: BTreeSet<String> = known.chain(zones).chain([CONFIGURATION.to_string()]).collect();
+        let mut revisions = Vec::new();
+        let mut read = BTreeSet::new();
+        // The configuration may name keys that this machine has never heard of.
+        while !keys.is_empty() {
+            let asked: Vec<_> = keys.iter().map(|key| self.begin(post, store, key, None)).collect();
+            self.pump(post);
+            let mut named = BTreeSet::new();
+            for (key, asked) in keys.iter().zip(asked) {
+                let Verdict::Value { revision, value } = self.answer(asked).await else { return None };
+                if value != Leaf::Blank {
+                    revisions.push((key.clone(), told(revision)));
+                }
+                named.extend(value.names());
+            }
+            read.append(&mut keys);
+            keys = named.difference(&read).cloned().collect();
+        }
+        Some(revisions)
     }
 
     /// Do what the deciders want done, until they want nothing more.
@@ -209,6 +257,7 @@
                 self.deed(post, deed);
             }
         }
+        post.look_ready();
         self.changed.notify_one();
     }
 
@@ -234,6 +283,14 @@
                     post.carriers.pump(&post);
                 });
             }
+            Effect::ConfirmRevisions { ticket } => {
+                let post = post.clone();
+                tokio::task::spawn_local(async move {
+                    let revisions = post.carriers.confirm(&post).await;
+                    post.carriers.rounds.borrow_mut().confirmed(post.now(), ticket, revisions);
+                    post.carriers.pump(&post);
+                });
+            }
             Effect::Record(record) => {
                 if let Some(l) = &self.ledger {
                     // It has a disk, knows who the holders are, and is none of them.
@@ -268,7 +325,7 @@
                 }
             }
             StoreEffect::Committed { key, revision, value } => {
-                let at = (revision.epoch.round, u64::from(revision.epoch.owner), revision.seq);
+                let at = told(revision);
                 let bytes = bitcode::encode(&value);
                 self.rounds.borrow_mut().post(post.now(), &key, at, bytes);
                 post.page(&key, at, value);
--- a/crates/posthouse/src/control.rs
+++ b/crates/posthouse/src/control.rs
@@ -235,10 +235,9 @@
 
 call!(READY, "GET", "/-/ready", ready);
 async fn ready(post: &Rc<Post>, _: &str, _: &[u8]) -> Said {
-    if post.ready() {
-        Said::json(200, "{\"ready\":true}".to_string())
-    } else {
-        Said::fault(503, if post.stopping() { "stopping" } else { "no configuration has come yet" })
+    match post.unready() {
+        None => Said::json(200, "{\"ready\":true}".to_string()),
+        Some(why) => Said::fault(503, why),
     }
 }
 
--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -4,7 +4,7 @@
 use crate::post::Post;
 use serde_json::{json, Value};
 use silvercross_control_store::{ControlStore, Role};
-use silvercross_rounds::Record;
+use silvercross_rounds::{Freshness, Record};
 use std::net::Ipv4Addr;
 
 /// The counters, by name.
@@ -100,8 +100,14 @@
             .map(|(key, epoch, at)| json!({ "key": key, "round": epoch.round, "change": at.seq }))
             .collect::<Vec<_>>()
     });
+    let (freshness, after) = match post.freshness() {
+        Freshness::Waiting => ("waiting", None),
+        Freshness::Current { after } => ("current", Some(after)),
+        Freshness::BoundPassed { after } => ("bound passed", Some(after)),
+    };
     json!({ "node": post.boot.node, "ip": post.boot.ip.to_string(), "zone": post.boot.zone, "zones": post.boot.zones,
         "core": post.boot.core, "version": env!("CARGO_PKG_VERSION"), "parent": parent, "linked": linked,
-        "newsAgeUs": age, "ready": post.ready(), "configured": post.configured(), "evacuated": post.evacuated(),
+        "newsAgeUs": age, "ready": post.ready(), "unready": post.unready(), "freshness": freshness, "freshnessUs": after,
+        "configured": post.configured(), "evacuated": post.evacuated(),
         "revisions": revisions, "nodes": nodes, "owns": keys, "ledger": post.carriers.control_store(ledger) })
 }
--- a/crates/posthouse/src/leaf.rs
+++ b/crates/posthouse/src/leaf.rs
@@ -38,6 +38,19 @@
     Lapse(silvercross_tariff::Change),
 }
 
+impl Leaf {
+    /// The keys that exist because of this content, besides those that always do: of members whose slowing has a date.
+    pub fn names(&self) -> Vec<String> {
+        match self {
+            Leaf::Whole(whole) => {
+                let lapsing = whole.roll.members().filter(|member| member.lapses.is_some());
+                lapsing.map(|member| silvercross_tariff::key(&member.name)).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+}
+
 impl State for Leaf {
     type Change = Order;
 
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -16,7 +16,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
 use silvercross_facade::{Clock, Health, Host};
-use silvercross_rounds::Record;
+use silvercross_rounds::{Freshness, Record};
 use silvercross_sorting::{Configuration, Table};
 use silvercross_wicket::{Allowance, Facts};
 use slog::{debug, info, warn, Logger};
@@ -212,6 +212,8 @@
     seeds: RefCell<Vec<SocketAddr>>,
     stopping: Cell<bool>,
     asking: Cell<bool>,
+    began: i64,
+    told_ready: Cell<bool>,
     idle_ends: Cell<bool>,
     shut: Cell<bool>,
     stop: Notify,
@@ -228,6 +230,7 @@
         clock: Clock,
         mut chance: Pcg64Mcg,
     ) -> Rc<Self> {
+        let began = clock.now();
         let receipts = Receipts::new(clock.clone(), &mut chance, boot.memory);
         let tickets = Cell::new(chance.next_u64());
         let pool = Pool::default();
@@ -266,6 +269,8 @@
             chance: RefCell::new(chance),
             stopping: Cell::new(false),
             asking: Cell::new(false),
+            began,
+            told_ready: Cell::new(false),
             idle_ends: Cell::new(false),
             shut: Cell::new(false),
             stop: Notify::new(),
@@ -303,9 +308,43 @@
         self.force.borrow().configured
     }
 
-    /// Whether the platform may give this machine's clients work.
+    /// Whether the platform may give this machine's clients work. Once so it stays so until the process stops.
     pub fn ready(&self) -> bool {
-        !self.stopping() && self.configured()
+        self.unready().is_none()
+    }
+
+    /// Why it may not. A sidecar that started is not current until it has what a majority had acknowledged before, or
+    /// could not find out in time; a request that comes all the same is routed by what it has.
+    pub fn unready(&self) -> Option<&'static str> {
+        if self.stopping() {
+            Some("stopping")
+        } else if !self.configured() {
+            Some("no configuration has come yet")
+        } else if self.freshness() == Freshness::Waiting {
+            Some("not yet known to be current")
+        } else {
+            None
+        }
+    }
+
+    /// Whether what is in force is what a majority had acknowledged before the start.
+    pub fn freshness(&self) -> Freshness {
+        self.carriers.rounds(|r| r.freshness())
+    }
+
+    /// Tell the log once when this sidecar gets ready, and on what grounds.
+    pub fn look_ready(&self) {
+        if self.told_ready.get() || self.boot.ready.is_none() || !self.ready() {
+            return;
+        }
+        self.told_ready.set(true);
+        let took = self.now() - self.began;
+        match self.freshness() {
+            Freshness::BoundPassed { .. } => {
+                warn!(self.log, "ready: no majority has told within the bound whether this is current"; "us" => took);
+            }
+            _ => info!(self.log, "ready: has what a majority had at the start"; "us" => took),
+        }
     }
 
     /// Whether the process is on its way out.
--- /dev/null
+++ b/crates/rounds/src/freshness.rs
@@ -0,0 +1,275 @@
+//! Whether this node has what a majority of the control replicas had acknowledged before it started.
+//!
+//! A node that started asks its parent; relays pass one request at a time up the tree, and a core node has the control
+//! store confirm its revisions with a majority. The answer goes down the same way, and the node is current once its own
+//! pages are at least at the revisions that were told. A request that comes while one is under way waits for the next
+//! one: the one under way may have read before it was asked. Nothing is sent at rest: only nodes that started ask.
+use crate::rounds::Rounds;
+use crate::{Effect, Letter, Micros, Node, Revision, MOST_PAGES};
+use std::collections::BTreeMap;
+use std::fmt::Debug;
+
+/// A node that started is not called current for longer than this: then it serves what it has.
+pub const READY_BOUND: Micros = 8_000_000;
+/// A request that was not answered is sent again after so long; a core node gives a read up after it.
+pub const FRESHNESS_WAIT: Micros = 2_000_000;
+/// After an answer that no majority was reached the node asks again so much later.
+pub const FRESHNESS_RETRY: Micros = 300_000;
+/// Between the beginnings of two reads at a core node, so that many starts share few reads.
+pub const FRESHNESS_PACE: Micros = 100_000;
+
+/// What is known of a node's pages against those that a majority had acknowledged before it started. Times are counted
+/// from its start.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Freshness {
+    /// Not yet known.
+    Waiting,
+    /// It has them, since then.
+    Current {
+        /// How long it took.
+        after: Micros,
+    },
+    /// It could not be found out within [`READY_BOUND`].
+    BoundPassed {
+        /// How long it took.
+        after: Micros,
+    },
+}
+
+/// How the check is broken on purpose; without the feature `mutants` nothing heeds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// A core node answers from its own pages, and asks no majority.
+    AnswersAlone,
+    /// A request joins the one that is under way already.
+    JoinsUnderWay,
+}
+
+/// A request under way: to the parent, or at a core node to the control store.
+struct UnderWay {
+    number: u64,
+    /// `None`: the one it was sent to is lost.
+    to: Option<Node>,
+    sent: Micros,
+    /// For whom, and the number that each gave its own request. Linked nodes, and this one.
+    askers: BTreeMap<Node, u64>,
+}
+
+/// The check of this node, and those of its children.
+pub(crate) struct Check {
+    state: Freshness,
+    /// What a majority had; the own pages lack some of it.
+    wanted: Option<Vec<(String, Revision)>>,
+    /// This node's own request is not made before this.
+    ask_at: Micros,
+    /// No read is begun before this.
+    read_at: Micros,
+    /// The next request's. Begins at a drawn number, so that an answer to a former life fits nothing.
+    number: u64,
+    /// Who waits for the next request: at most one for each link, and this node.
+    waiting: BTreeMap<Node, u64>,
+    under_way: Option<UnderWay>,
+    broken: Option<Broken>,
+}
+
+impl Check {
+    /// A core node is asked, and has its state from the control store: it doesn't ask itself.
+    pub fn new(now: Micros, core: bool, number: u64) -> Self {
+        Check {
+            state: if core { Freshness::Current { after: 0 } } else { Freshness::Waiting },
+            wanted: None,
+            ask_at: now,
+            read_at: now,
+            number,
+            waiting: BTreeMap::new(),
+            under_way: None,
+            broken: None,
+        }
+    }
+
+    fn is(&self, broken: Broken) -> bool {
+        cfg!(feature = "mutants") && self.broken == Some(broken)
+    }
+
+    fn asks(&self, node: Node) -> bool {
+        self.waiting.contains_key(&node)
+            || self.under_way.as_ref().is_some_and(|request| request.askers.contains_key(&node))
+    }
+
+    /// Whether the node's own answer is still to be asked for.
+    fn unasked(&self, me: Node) -> bool {
+        self.state == Freshness::Waiting && self.wanted.is_none() && !self.asks(me)
+    }
+
+    /// The link to a node is lost: it asks again over the next one.
+    pub fn lost(&mut self, node: Node) {
+        self.waiting.remove(&node);
+        if let Some(request) = &mut self.under_way {
+            request.askers.remove(&node);
+            if request.to == Some(node) {
+                request.to = None;
+            }
+        }
+    }
+}
+
+impl<T: Clone + PartialEq + Debug> Rounds<T> {
+    /// Whether this node has what a majority had acknowledged before it started. Never goes back to waiting.
+    pub fn freshness(&self) -> Freshness {
+        self.check.state
+    }
+
+    /// What a majority of the control replicas had at some time after [`Effect::ConfirmRevisions`] was given out with
+    /// this ticket: each key that was ever written. `None`: no majority was reached.
+    pub fn confirmed(&mut self, now: Micros, ticket: u64, revisions: Option<Vec<(String, Revision)>>) {
+        self.at(now);
+        self.freshness_answered(now, ticket, revisions);
+        self.settle(now);
+    }
+
+    /// Breaks a rule on purpose.
+    #[cfg(feature = "mutants")]
+    #[doc(hidden)]
+    pub fn break_it(&mut self, broken: Broken) {
+        self.check.broken = Some(broken);
+    }
+
+    /// A neighbour asks. The same request again changes nothing.
+    pub(crate) fn freshness_asked(&mut self, from: Node, number: u64) {
+        let joins = self.check.is(Broken::JoinsUnderWay);
+        if let Some(request) = &mut self.check.under_way {
+            if joins {
+                request.askers.insert(from, number);
+            }
+            if request.askers.get(&from) == Some(&number) {
+                return;
+            }
+        }
+        self.check.waiting.insert(from, number);
+    }
+
+    /// The answer to the request under way; one to another request is too late.
+    pub(crate) fn freshness_answered(
+        &mut self,
+        now: Micros,
+        number: u64,
+        revisions: Option<Vec<(String, Revision)>>,
+    ) {
+        let Some(request) = self.check.under_way.take_if(|request| request.number == number) else { return };
+        let most = revisions.as_ref().is_some_and(|revisions| revisions.len() > MOST_PAGES);
+        self.figures.strangers += u64::from(most);
+        // Reads that take long, for there are many keys or no majority, take up half of the time at most.
+        self.check.read_at = self.check.read_at.max(now + (now - request.sent).min(FRESHNESS_RETRY));
+        let revisions = revisions.filter(|_| !most);
+        for (node, number) in request.askers {
+            if node != self.start.me {
+                self.send(node, Letter::FreshnessReply { number, revisions: revisions.clone() });
+            } else if self.check.state == Freshness::Waiting {
+                self.check.wanted.clone_from(&revisions);
+                self.check.ask_at = now + FRESHNESS_RETRY;
+            }
+        }
+    }
+
+    /// Does what is due for this node and its children.
+    pub(crate) fn tend_freshness(&mut self, now: Micros) {
+        self.judge_freshness(now);
+        let me = self.start.me;
+        if self.check.unasked(me) && now >= self.check.ask_at {
+            self.check.waiting.insert(me, 0);
+        }
+        self.tend_request(now);
+        if self.check.under_way.is_none() && !self.check.waiting.is_empty() {
+            self.next_request(now);
+        }
+    }
+
+    /// Whether the node is current by now, or has waited for long enough.
+    fn judge_freshness(&mut self, now: Micros) {
+        if self.check.state != Freshness::Waiting {
+            return;
+        }
+        let after = now - self.began;
+        let has = |(key, revision): &(String, Revision)| {
+            self.table.pages.get(key).is_some_and(|page| page.0 >= *revision)
+        };
+        if self.check.wanted.as_ref().is_some_and(|wanted| wanted.iter().all(has)) {
+            self.check.state = Freshness::Current { after };
+        } else if after >= READY_BOUND {
+            self.check.state = Freshness::BoundPassed { after };
+        } else {
+            return;
+        }
+        self.check.wanted = None;
+        self.check.lost(self.start.me);
+    }
+
+    /// Where requests go: at a core node to the control store, told by its own name.
+    fn freshness_way(&self) -> Option<Node> {
+        if self.start.core {
+            Some(self.start.me)
+        } else {
+            self.parent
+        }
+    }
+
+    /// Sends the request under way again to another parent, or after a while; a core node gives it up.
+    fn tend_request(&mut self, now: Micros) {
+        let way = self.freshness_way();
+        let Some(request) = &mut self.check.under_way else { return };
+        if request.askers.is_empty() {
+            self.check.under_way = None;
+            return;
+        }
+        let (number, late) = (request.number, now >= request.sent + FRESHNESS_WAIT);
+        if self.start.core {
+            if late {
+                self.freshness_answered(now, number, None);
+            }
+        } else if let Some(to) = way.filter(|to| late || request.to != Some(*to)) {
+            (request.to, request.sent) = (Some(to), now);
+            self.send(to, Letter::FreshnessRequest { number });
+        }
+    }
+
+    /// One request for all that wait.
+    fn next_request(&mut self, now: Micros) {
+        let Some(to) = self.freshness_way() else { return };
+        if self.start.core && now < self.check.read_at {
+            return;
+        }
+        let number = self.check.number;
+        self.check.number = number.wrapping_add(1);
+        let askers = std::mem::take(&mut self.check.waiting);
+        self.check.under_way = Some(UnderWay { number, to: Some(to), sent: now, askers });
+        self.figures.freshness += 1;
+        if !self.start.core {
+            return self.send(to, Letter::FreshnessRequest { number });
+        }
+        self.check.read_at = now + FRESHNESS_PACE;
+        if self.check.is(Broken::AnswersAlone) {
+            let own = self.table.pages.iter().map(|(key, page)| (key.clone(), page.0)).collect();
+            return self.freshness_answered(now, number, Some(own));
+        }
+        self.out.push(Effect::ConfirmRevisions { ticket: number });
+    }
+
+    /// When something is due.
+    pub(crate) fn freshness_due(&self) -> Micros {
+        let mut due = Micros::MAX;
+        if self.check.state == Freshness::Waiting {
+            due = self.began + READY_BOUND;
+        }
+        if self.check.unasked(self.start.me) {
+            due = due.min(self.check.ask_at);
+        }
+        if self.freshness_way().is_some() {
+            match &self.check.under_way {
+                Some(request) => due = due.min(request.sent + FRESHNESS_WAIT),
+                None if !self.check.waiting.is_empty() => due = due.min(self.check.read_at),
+                None => (),
+            }
+        }
+        due
+    }
+}
--- a/crates/rounds/src/lib.rs
+++ b/crates/rounds/src/lib.rs
@@ -10,8 +10,10 @@
 //!   and only what is missing is sent.
 //! - Every node sends heartbeats to its next few nodes on a ring. These throw it out only together or after a
 //!   failed try, and not when they may be cut off or were standing still themselves.
+//! - A node that started asks up the tree what a majority of the control replicas has, and is current once it has that.
 #![forbid(unsafe_code)]
 
+mod freshness;
 mod places;
 mod rounds;
 mod table;
@@ -19,6 +21,7 @@
 mod watch;
 
 use bitcode::{Decode, Encode};
+pub use freshness::{Broken, Freshness, FRESHNESS_PACE, FRESHNESS_RETRY, FRESHNESS_WAIT, READY_BOUND};
 pub use rounds::{Figures, Rounds};
 
 /// Time in microseconds on a clock that only moves forward.
@@ -207,6 +210,18 @@
         /// Pages.
         pages: Vec<Page>,
     },
+    /// What does a majority of the control replicas have? Goes up the tree.
+    FreshnessRequest {
+        /// The sender's own number for it.
+        number: u64,
+    },
+    /// The answer: all revisions that a majority had at some time after the request was sent.
+    FreshnessReply {
+        /// As in the request.
+        number: u64,
+        /// Each key that was ever written; `None`: no majority was reached.
+        revisions: Option<Vec<(String, Revision)>>,
+    },
 }
 
 /// What goes by datagram, and may be lost.
@@ -281,6 +296,11 @@
         /// Which node.
         node: Node,
     },
+    /// Have a majority of the control replicas confirm the revisions of all keys; the outcome is told by `confirmed`.
+    ConfirmRevisions {
+        /// To be handed back with it.
+        ticket: u64,
+    },
     /// News of another node.
     Record(Record<T>),
     /// A newer page arrived.
--- a/crates/rounds/src/rounds.rs
+++ b/crates/rounds/src/rounds.rs
@@ -1,4 +1,5 @@
 //! The state of one node, news and how it is kept in step.
+use crate::freshness::Check;
 use crate::places::{Candidates, Places};
 use crate::table::{Put, Table, PARTS};
 use crate::tree::{Bad, Link};
@@ -38,6 +39,8 @@
     pub relinked: u64,
     /// Indexes sent.
     pub indexes: u64,
+    /// Requests for what a majority has, sent up; at a core node, reads of the control store.
+    pub freshness: u64,
     /// Records, pages and names beyond a bound, dropped.
     pub strangers: u64,
 }
@@ -81,6 +84,7 @@
     pub(crate) successors: Vec<Node>,
     pub(crate) ring_moved: bool,
     pub(crate) confirmed: Option<Micros>,
+    pub(crate) check: Check,
     pending: BTreeMap<Subject, Option<Node>>,
     pub(crate) out: Vec<Effect<T>>,
     pub(crate) figures: Figures,
@@ -126,6 +130,7 @@
             successors: Vec::new(),
             ring_moved: true,
             confirmed: None,
+            check: Check::new(now, start.core, mix(start.seed ^ mix(start.life))),
             pending: BTreeMap::new(),
             out: Vec::new(),
             figures: Figures::default(),
@@ -232,6 +237,8 @@
                     self.take_page(now, from, page);
                 }
             }
+            Letter::FreshnessRequest { number } => self.freshness_asked(from, number),
+            Letter::FreshnessReply { number, revisions } => self.freshness_answered(now, number, revisions),
         }
         self.settle(now);
     }
@@ -303,7 +310,7 @@
     /// When the next tick is due.
     pub fn wake(&self) -> Micros {
         let soonest = self.beat_at.min(self.forget_at).min(self.steer_at);
-        soonest.min(self.links_due()).min(self.watches_due())
+        soonest.min(self.links_due()).min(self.watches_due()).min(self.freshness_due())
     }
 
     /// What is to be done since the last take. News is gathered into one letter for each link.
@@ -379,11 +386,12 @@
         self.last = self.last.max(now);
     }
 
-    fn settle(&mut self, now: Micros) {
+    pub(crate) fn settle(&mut self, now: Micros) {
         if self.moved {
             self.steer(now);
         }
         self.tell_standing();
+        self.tend_freshness(now);
     }
 
     pub(crate) fn send(&mut self, to: Node, letter: Letter<T>) {
--- a/crates/rounds/src/tree.rs
+++ b/crates/rounds/src/tree.rs
@@ -134,6 +134,7 @@
     pub(crate) fn lose(&mut self, now: Micros, node: Node) {
         let link = self.links.remove(&node);
         let dialled = self.dials.remove(&node).is_some();
+        self.check.lost(node);
         if link.is_none() && !dialled {
             return;
         }
@@ -167,6 +168,7 @@
     fn drop_link(&mut self, node: Node) {
         self.links.remove(&node);
         self.dials.remove(&node);
+        self.check.lost(node);
         self.out.push(Effect::Unlink { to: node });
     }
 
--- a/crates/rounds/tests/common/mod.rs
+++ b/crates/rounds/tests/common/mod.rs
@@ -18,6 +18,8 @@
     Letter { from: Node, conn: u64, letter: Letter<Body> },
     Datagram { from: Node, datagram: Datagram },
     Tried { about: Node, ok: bool },
+    Confirm { ticket: u64, revisions: Vec<(String, Revision)> },
+    Unconfirmed { ticket: u64 },
 }
 
 pub struct Machine {
@@ -28,6 +30,10 @@
     frozen_until: Micros,
     tick_at: Micros,
     starts: u64,
+    pub started: Micros,
+    /// What a majority had acknowledged when it started.
+    must: BTreeMap<String, Revision>,
+    pub freshness: Freshness,
 }
 
 struct Conn {
@@ -58,6 +64,13 @@
     /// Who found whom gone, or said so of itself.
     pub gone: Vec<(Micros, Node, Node)>,
     pub trace: bool,
+    /// What a majority of the core machines has acknowledged.
+    pub acked: BTreeMap<String, Revision>,
+    /// How long a read that a majority confirms takes.
+    pub read_delay: Micros,
+    /// Reads begun, and those of them that no majority confirmed.
+    pub reads: (u64, u64),
+    pub broken: Option<Broken>,
     events: BTreeMap<(Micros, u64), (Node, Event)>,
     conns: BTreeMap<(Node, Node), Conn>,
     dials: BTreeMap<(Node, Node), u64>,
@@ -65,6 +78,16 @@
     draws: u64,
 }
 
+#[cfg(feature = "mutants")]
+fn break_it(rounds: &mut Rounds<Body>, broken: Option<Broken>) {
+    broken.into_iter().for_each(|broken| rounds.break_it(broken));
+}
+
+#[cfg(not(feature = "mutants"))]
+fn break_it(_: &mut Rounds<Body>, broken: Option<Broken>) {
+    assert_eq!(broken, None, "without the feature nothing can be broken");
+}
+
 fn pair(a: Node, b: Node) -> (Node, Node) {
     (a.min(b), a.max(b))
 }
@@ -89,6 +112,10 @@
             traffic: Traffic::default(),
             gone: Vec::new(),
             trace: false,
+            acked: BTreeMap::new(),
+            read_delay: 2 * MS,
+            reads: (0, 0),
+            broken: None,
             events: BTreeMap::new(),
             conns: BTreeMap::new(),
             dials: BTreeMap::new(),
@@ -97,18 +124,7 @@
         };
         let cores = (0..3).map(|zone| (core(zone), zone, true));
         let machines: Vec<_> = cores.chain((0..sides).map(|i| (side(i), i % 3, false))).collect();
-        for (node, zone, core) in &machines {
-            let machine = Machine {
-                zone: *zone,
-                core: *core,
-                on: true,
-                rounds: None,
-                frozen_until: 0,
-                tick_at: Micros::MAX,
-                starts: 0,
-            };
-            world.machines.insert(*node, machine);
-        }
+        machines.iter().for_each(|(node, zone, core)| world.add(*node, *zone, *core));
         let begin = world.now;
         let mut starts: Vec<(Micros, Node)> = machines
             .iter()
@@ -123,6 +139,22 @@
         world
     }
 
+    pub fn add(&mut self, node: Node, zone: usize, core: bool) {
+        let machine = Machine {
+            zone,
+            core,
+            on: true,
+            rounds: None,
+            frozen_until: 0,
+            tick_at: Micros::MAX,
+            starts: 0,
+            started: 0,
+            must: BTreeMap::new(),
+            freshness: Freshness::Waiting,
+        };
+        self.machines.insert(node, machine);
+    }
+
     pub fn below(&mut self, bound: u64) -> u64 {
         self.draws =
             self.draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
@@ -138,6 +170,10 @@
     }
 
     pub fn start(&mut self, node: Node, life: u64) {
+        self.start_with(node, life, (0..3).map(core).collect());
+    }
+
+    pub fn start_with(&mut self, node: Node, life: u64, seeds: Vec<Node>) {
         let now = self.now;
         let seed = self.below(u64::MAX);
         let machine = self.machines.get_mut(&node).expect("known");
@@ -149,11 +185,15 @@
             me: node,
             zone: ["a", "b", "c"][machine.zone].to_string(),
             core: machine.core,
-            seeds: (0..3).map(core).collect(),
+            seeds,
             life,
             seed,
         };
-        machine.rounds = Some(Rounds::new(now, start, u64::from(node.0) * 1_000 + machine.starts));
+        let mut rounds = Rounds::new(now, start, u64::from(node.0) * 1_000 + machine.starts);
+        break_it(&mut rounds, self.broken);
+        (machine.started, machine.freshness) = (now, rounds.freshness());
+        machine.must.clone_from(&self.acked);
+        machine.rounds = Some(rounds);
         self.carry(node);
     }
 
@@ -257,6 +297,10 @@
                 return
             }
             Event::Letter { from, conn, .. } if !current(self, *from, *conn) => return,
+            Event::Confirm { ticket, .. } if !self.majority(node) => {
+                self.reads.1 += 1;
+                return self.push(now + 800 * MS, node, Event::Unconfirmed { ticket: *ticket });
+            }
             Event::Tick if self.machines[&node].tick_at > now => return,
             _ => (),
         }
@@ -267,6 +311,8 @@
             Event::Letter { from, letter, .. } => rounds.letter(now, from, letter),
             Event::Datagram { from, datagram } => rounds.datagram(now, from, datagram),
             Event::Tried { about, ok } => rounds.tried(now, about, ok),
+            Event::Confirm { ticket, revisions } => rounds.confirmed(now, ticket, Some(revisions)),
+            Event::Unconfirmed { ticket } => rounds.confirmed(now, ticket, None),
             Event::Dial { .. } => (),
         });
     }
@@ -354,9 +400,62 @@
                     self.push(at, node, Event::Tried { about, ok });
                 }
                 Effect::Record(record) if record.gone => self.gone.push((now, node, record.node)),
+                // Nothing later than what it began with may be counted on.
+                Effect::ConfirmRevisions { ticket } => {
+                    self.reads.0 += 1;
+                    let revisions = self.acked.iter().map(|(key, at)| (key.clone(), *at)).collect();
+                    self.push(now + self.read_delay, node, Event::Confirm { ticket, revisions });
+                }
                 Effect::Record(_) | Effect::Page { .. } => (),
             }
         }
+        self.judge_freshness(node);
+    }
+
+    /// One that calls itself current has all that a majority had acknowledged before it started, and stays so; one that
+    /// doesn't know has waited for the whole bound.
+    fn judge_freshness(&mut self, node: Node) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(&node) else { return };
+        let Some(rounds) = &machine.rounds else { return };
+        let (before, after) = (machine.freshness, rounds.freshness());
+        if before == after {
+            return;
+        }
+        assert_eq!(before, Freshness::Waiting, "{node:?} was ready, and is {after:?}");
+        match after {
+            Freshness::Current { .. } => {
+                for (key, revision) in &machine.must {
+                    let has = rounds.page(key).map(|page| *page.0);
+                    assert!(
+                        has >= Some(*revision),
+                        "{node:?} is current with {key} {has:?}, not {revision:?}"
+                    );
+                }
+            }
+            _ => assert!(now - machine.started >= READY_BOUND, "{node:?} is ready too early: {after:?}"),
+        }
+        machine.freshness = after;
+    }
+
+    /// Whether more than half of the core machines run, and are reached from this one.
+    pub fn majority(&self, node: Node) -> bool {
+        let reached = |other: &Node| {
+            let machine = &self.machines[other];
+            let cut = self.cuts.contains(&(node, *other)) || self.cuts.contains(&(*other, node));
+            machine.rounds.is_some() && machine.frozen_until <= self.now && !cut
+        };
+        (0..3).map(core).filter(reached).count() >= 2
+    }
+
+    /// A change is acknowledged through a core machine, if it reaches a majority.
+    pub fn acknowledge(&mut self, node: Node, key: &str, revision: Revision) -> bool {
+        let done = self.majority(node);
+        if done {
+            self.acked.insert(key.to_string(), revision);
+            self.post(node, key, revision);
+        }
+        done
     }
 
     fn delay_or(&self, a: Node, b: Node) -> Micros {
