Data path: an answer needs its id, a promise the upstream's own word

Cause, by review of front, gate, hop, wire and control: - A failure without Attempt-Id was passed on, and a Not-Delivered without one taken for "did not run": on a connection that brought more than its answer (a doubled health answer has no id) it may be another request's. Now such an answer ends the exchange as broken, at the upstream, on the hop and where a gate is asked for a ticket. A client's empty Attempt-Id counts as none (400). - A 408, 429 or 503 of an upstream that has not said Not-Delivered went to the client of a request that may run once, where it promises that nothing ran. It is "begun" there now (502 of our own, without a Postmark). So is a 2xx or 3xx with Not-Delivered. - An idle connection was looked at through the reactor, which knows only of what had come when it last polled; the system is asked now (a peek). A connection on which another request's answer was passed over carries no further request. - Keep-Alive: timeout= of an upstream overflowed (a panic in debug builds). - A control call refused unread (413, 400) was closed with bytes unread, so a reset; now the rest is read away for 0.5 s, as at outbound. - A request that is given up promises nothing while an attempt is still out. The facade cancels attempts first, so no test brings it about: a guard only.

The tests' sidecars go by tokio's clock (Clock::read_by), so that a test may pause it.

--- a/crates/facade/src/lib.rs
+++ b/crates/facade/src/lib.rs
@@ -48,6 +48,7 @@
 enum Source {
     System { unix: Micros, started: Instant },
     Manual(Rc<Cell<Micros>>),
+    Read(fn() -> Micros),
 }
 
 impl Clock {
@@ -62,9 +63,15 @@
         Clock(Source::Manual(at))
     }
 
+    /// A clock that is read elsewhere.
+    pub fn read_by(read: fn() -> Micros) -> Self {
+        Clock(Source::Read(read))
+    }
+
     /// The time now.
     pub fn now(&self) -> Micros {
         match &self.0 {
+            Source::Read(read) => read(),
             Source::System { unix, started } => unix + started.elapsed().as_micros() as Micros,
             Source::Manual(at) => at.get(),
         }
--- /dev/null
+++ b/crates/posthouse/src/broken.rs
@@ -0,0 +1,35 @@
+//! The data path's rules broken on purpose, so that the judge of its tests can be judged. Without the feature `mutants` nothing
+//! heeds them.
+
+/// One rule that is not kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// A gate forgets a ticket as soon as its attempt has ended.
+    TicketForgotten,
+    /// A connection on which something came behind an answer is used again.
+    SurplusKept,
+    /// What broke after it was written counts as not begun, also where it may run once.
+    SentAgain,
+}
+
+#[cfg(all(test, feature = "mutants"))]
+thread_local! {
+    static BROKEN: std::cell::Cell<Option<Broken>> = const { std::cell::Cell::new(None) };
+}
+
+/// Breaks one rule on this thread, or none.
+#[cfg(all(test, feature = "mutants"))]
+pub fn set(broken: Option<Broken>) {
+    BROKEN.set(broken);
+}
+
+#[cfg(all(test, feature = "mutants"))]
+pub fn is(broken: Broken) -> bool {
+    BROKEN.get() == Some(broken)
+}
+
+#[cfg(not(all(test, feature = "mutants")))]
+#[inline(always)]
+pub fn is(_: Broken) -> bool {
+    false
+}
--- a/crates/posthouse/src/control.rs
+++ b/crates/posthouse/src/control.rs
@@ -7,6 +7,7 @@
 use crate::wire::{self, Asked, End, Line, Wrong};
 use serde_json::json;
 use silvercross_control_store::Verdict;
+use silvercross_net::http::Bad;
 use slog::info;
 use std::future::Future;
 use std::pin::Pin;
@@ -21,6 +22,8 @@
 const COMES: Duration = Duration::from_secs(5);
 /// Connections at a time; those beyond it are closed.
 const CONNECTIONS: u64 = 256;
+/// Behind a last answer, what still comes is read away for so long.
+const AFTER: Duration = Duration::from_millis(500);
 /// No head is larger.
 const HEAD: usize = 16 * 1024;
 
@@ -302,9 +305,7 @@
     let asked = match line.request(IDLE, COMES, silvercross_sorting::MAX_BODY).await {
         Ok(asked) => asked,
         Err(Wrong::Bad(bad)) => {
-            let bytes = wire::whole(wire::status_of(&bad), b"", b"", true, false);
-            let _ = line.write(&bytes).await;
-            return Next::End;
+            return refused(line, &bad).await;
         }
         Err(_) => return Next::End,
     };
@@ -314,9 +315,7 @@
     let body = match timeout(COMES, line.body(asked.framing, silvercross_sorting::MAX_BODY)).await {
         Ok(Ok(body)) => body,
         Ok(Err(Wrong::Bad(bad))) => {
-            let bytes = wire::whole(wire::status_of(&bad), b"", b"", true, false);
-            let _ = line.write(&bytes).await;
-            return Next::End;
+            return refused(line, &bad).await;
         }
         _ => return Next::End,
     };
@@ -336,6 +335,16 @@
     }
 }
 
+/// A call that can't be read: say why. What still comes of it is read away, else the close would reset and cost the answer.
+async fn refused(line: &mut Line, bad: &Bad) -> Next {
+    let bytes = wire::whole(wire::status_of(bad), b"", b"", true, false);
+    if line.write(&bytes).await.is_ok() {
+        line.finish().await;
+        line.drain(AFTER).await;
+    }
+    Next::End
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/posthouse/src/front.rs
+++ b/crates/posthouse/src/front.rs
@@ -1,5 +1,6 @@
 //! Where the machine's clients, and its upstream, bring their requests: one connection a task, one request at a time on it.
 //! Finds the route; where the request goes, whether again and when not is the module's to say (`desk`).
+use crate::broken::{self, Broken};
 use crate::desk::{Desk, Mail, Ticket, CONNECT};
 use crate::freight::{Bringer, Freight, Share};
 use crate::gate;
@@ -460,7 +461,7 @@
                                 let task = self.attempt(number, to, name, further, mail.clone());
                                 out.0.insert(number, task);
                             }
-                            None => return self.given_up(brought, None),
+                            None => return self.given_up(brought, None, false),
                         }
                     }
                 }
@@ -473,7 +474,7 @@
                             continue;
                         }
                         if self.freight.spent() {
-                            return self.given_up(brought, None);
+                            return self.given_up(brought, None, !out.0.is_empty());
                         }
                         let task = self.attempt(attempt.number, to, name, further, mail.clone());
                         out.0.insert(attempt.number, task);
@@ -498,16 +499,19 @@
                         let answer = brought.remove(&attempt.number).and_then(|b| b.answer);
                         return answer.map_or_else(|| Reply::own(502, "lost"), passed);
                     }
-                    Step::Refuse { retry_after, .. } => return self.given_up(brought, retry_after),
-                    Step::Fail { .. } => return self.given_up(brought, None),
+                    Step::Refuse { retry_after, .. } => {
+                        return self.given_up(brought, retry_after, !out.0.is_empty())
+                    }
+                    Step::Fail { .. } => return self.given_up(brought, None, !out.0.is_empty()),
                     _ => {}
                 },
             }
         }
     }
 
-    /// The last word on a request that was given up: an upstream's own where there is one, a promise where nothing ran.
-    fn given_up(&self, mut brought: BTreeMap<u32, Brought>, retry_after: Option<i64>) -> Reply {
+    /// The last word on a request that was given up: an upstream's own where there is one, a promise where nothing ran. `out`: an
+    /// attempt has not ended, so it may still run.
+    fn given_up(&self, mut brought: BTreeMap<u32, Brought>, retry_after: Option<i64>, out: bool) -> Reply {
         let counts = &self.post.counts;
         slog::debug!(self.post.log, "given up"; "route" => &self.route.name, "service" => &self.service,
             "after" => self.started.elapsed().as_millis() as u64, "budget" => self.budget / 1000,
@@ -516,7 +520,7 @@
         if let Some(answer) = last.and_then(|b| b.answer.take()) {
             return passed(answer);
         }
-        if !brought.values().any(|b| b.arrived) {
+        if !out && !brought.values().any(|b| b.arrived) {
             counts.refused.set(counts.refused.get() + 1);
             let told = brought.values().filter_map(|b| b.after).min();
             return Reply::promise(503, "no upstream can take it now", told.or(retry_after));
@@ -595,6 +599,9 @@
     if !matches!(came, Came::Broken) || bill.repeatable {
         return came;
     }
+    if broken::is(Broken::SentAgain) {
+        return Came::NotConnected;
+    }
     let until = started + Duration::from_micros(left.max(0) as u64);
     post.counts.asked.set(post.counts.asked.get() + 1);
     let told = timeout_at(until.min(written + ASKS), ask(post, asked, id, bill, to, until)).await;
--- a/crates/posthouse/src/gate.rs
+++ b/crates/posthouse/src/gate.rs
@@ -251,6 +251,9 @@
             if let Some(left) = answer.cold {
                 post.gate.with(|w| w.cold(now, left));
             }
+            if spoilt(&answer, bill.repeatable) {
+                return says(Word::Begun);
+            }
             // Its own word that it did not run: its id is free again. This has to be told before the place is given back.
             match answer.status {
                 503 if answer.not_delivered => post.gate.with(|w| w.turned_by_station(now, number)),
@@ -258,10 +261,6 @@
                 _ if answer.not_delivered => post.gate.with(|w| w.not_run(now, number)),
                 _ => {}
             }
-            let spoilt = answer.coded || (answer.status < 300 && (!answer.stamped || answer.id.is_none()));
-            if spoilt {
-                return says(Word::Begun);
-            }
             // While its answer is passed on, a request keeps its place.
             if let Some(tail) = &mut answer.tail {
                 tail.until = Some(until);
@@ -274,6 +273,16 @@
     }
 }
 
+/// An answer that is not passed on, as it would say something that is not so: a success that is not the upstream's own, or that says
+/// that nothing ran; a promise of that where the upstream has not said so, and a new try would be a second run.
+fn spoilt(answer: &Answer, repeatable: bool) -> bool {
+    let promise = matches!(answer.status, 408 | 429 | 503);
+    answer.coded
+        || answer.status < 300 && !answer.stamped
+        || answer.status < 400 && answer.not_delivered
+        || promise && !answer.not_delivered && !repeatable
+}
+
 /// A request's bytes, to an upstream or to a gate: its head, and its body if that is here whole. `awaits`: the body is sent once
 /// it is asked for.
 pub fn request(asked: &Asked, left: i64, expects: Option<&str>, freight: &Freight, awaits: bool) -> Vec<u8> {
--- a/crates/posthouse/src/hop.rs
+++ b/crates/posthouse/src/hop.rs
@@ -66,7 +66,7 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&to)?;
         let now = Instant::now();
-        while let Some(mut one) = list.pop() {
+        while let Some(one) = list.pop() {
             if one.until > now && one.line.is_fresh() {
                 return Some(one.line);
             }
@@ -75,7 +75,7 @@
     }
 
     fn give(&self, to: SocketAddr, line: Line, stated: Option<u64>) {
-        let span = stated.map_or(IDLE, |s| IDLE.min(Duration::from_millis(s * 500)));
+        let span = stated.map_or(IDLE, |s| IDLE.min(Duration::from_millis(s.saturating_mul(500))));
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(to).or_default();
         if list.len() >= KEPT {
@@ -171,7 +171,7 @@
         return Told::Nothing;
     }
     match line.answer(order.id, order.bodiless, false, share).await {
-        Ok((answer, None)) => Told::Answer(Box::new(answer)),
+        Ok((answer, None)) if order.is_of(&answer) => Told::Answer(Box::new(answer)),
         _ => Told::Nothing,
     }
 }
@@ -195,12 +195,20 @@
     pub coming: Option<&'o Rc<Freight>>,
     /// The body is sent once the other end asks for it.
     pub awaits: bool,
-    /// The request's id.
+    /// The request's id; empty: it has none, and neither has its answer.
     pub id: &'o str,
     /// A HEAD.
     pub bodiless: bool,
 }
 
+impl Order<'_> {
+    /// Whether an answer shows that it is to this request, and to no other. A gate that turns a hop away at its door has read no
+    /// id; it says so as the first on a new connection.
+    fn is_of(&self, answer: &Answer) -> bool {
+        self.id.is_empty() || answer.id.as_deref() == Some(self.id) || answer.word.is_some()
+    }
+}
+
 /// One request and its answer on a connection.
 pub async fn exchange(pool: &Pool, mut line: Line, order: Order<'_>, share: Share) -> Came {
     if line.write(order.bytes).await.is_err() {
@@ -208,7 +216,7 @@
     }
     let Some(freight) = order.coming else {
         return match line.answer(order.id, order.bodiless, false, share).await {
-            Ok((answer, rest)) => taken(pool, line, None, order.to, answer, rest),
+            Ok((answer, rest)) => taken(pool, line, None, &order, answer, rest),
             Err(_) => Came::Broken,
         };
     };
@@ -220,7 +228,7 @@
             // Its last word before it took any of the body. What is unsaid on the connection makes it useless.
             Ok((mut answer, rest)) => {
                 answer.keep_alive = false;
-                return taken(pool, line, None, order.to, answer, rest);
+                return taken(pool, line, None, &order, answer, rest);
             }
             Err(_) => return Came::Broken,
         }
@@ -233,9 +241,9 @@
             if let Some(write) = sending.done().await {
                 line.join(write);
             }
-            taken(pool, line, None, order.to, answer, None)
+            taken(pool, line, None, &order, answer, None)
         }
-        Ok((answer, rest)) => taken(pool, line, Some(sending), order.to, answer, rest),
+        Ok((answer, rest)) => taken(pool, line, Some(sending), &order, answer, rest),
         Err(_) => Came::Broken,
     }
 }
@@ -280,10 +288,14 @@
     pool: &Pool,
     line: Line,
     sending: Option<Sending>,
-    to: SocketAddr,
+    order: &Order<'_>,
     mut answer: Answer,
     rest: Option<Decoder>,
 ) -> Came {
+    if !order.is_of(&answer) {
+        return Came::Broken;
+    }
+    let to = order.to;
     if let Some(life) = answer.life {
         let mut lives = pool.lives.borrow_mut();
         if lives.len() >= LIVES && !lives.contains_key(&to) {
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -3,6 +3,7 @@
 //! listings.
 #![forbid(unsafe_code)]
 
+mod broken;
 mod carriers;
 mod control;
 mod desk;
@@ -22,6 +23,10 @@
 mod reload;
 mod settings;
 
+#[cfg(test)]
+mod cut_points_tests;
+#[cfg(test)]
+mod data_path_tests;
 #[cfg(test)]
 mod trial;
 mod waybill;
--- a/crates/posthouse/src/receipts.rs
+++ b/crates/posthouse/src/receipts.rs
@@ -1,5 +1,6 @@
 //! What a gate remembers of requests that may run once, so that an origin whose hop broke can ask what became of one: at work, its
 //! answer, or that it was never begun here. A request that was asked for before it came is barred.
+use crate::broken::{self, Broken};
 use rand_core::RngCore;
 use silvercross_facade::Clock;
 use std::cell::{Cell, RefCell};
@@ -167,7 +168,8 @@
         while let Some((_, ticket)) = inner.kept.pop_front_if(|k| k.0 + KEPT <= now) {
             inner.let_go(ticket);
         }
-        while let Some((_, ticket)) = inner.ended.pop_front_if(|e| e.0 + SPAN <= now) {
+        let span = if broken::is(Broken::TicketForgotten) { 0 } else { SPAN };
+        while let Some((_, ticket)) = inner.ended.pop_front_if(|e| e.0 + span <= now) {
             inner.let_go(ticket);
             inner.states.remove(&ticket);
         }
--- a/crates/posthouse/src/trial.rs
+++ b/crates/posthouse/src/trial.rs
@@ -40,7 +40,7 @@
     pub post: Rc<Post>,
     pub at: SocketAddr,
     pub inbound: SocketAddr,
-    ip: Ipv4Addr,
+    pub ip: Ipv4Addr,
 }
 
 /// Settings that a test changes.
@@ -56,6 +56,14 @@
     }
 }
 
+/// The runtime's time, which a test may have paused; never 0.
+fn now() -> i64 {
+    thread_local! {
+        static START: tokio::time::Instant = tokio::time::Instant::now();
+    }
+    START.with(|start| 1_000_000_000 + start.elapsed().as_micros() as i64)
+}
+
 /// A sidecar at 127.0.0.`last`, in front of `station`; the configuration in force, and nothing known of others.
 pub async fn sidecar(last: u8, station: SocketAddr, terms: Terms) -> Sidecar {
     sidecar_of(last, station, terms).await.0
@@ -63,7 +71,12 @@
 
 /// The same, and its settings.
 pub async fn sidecar_of(last: u8, station: SocketAddr, terms: Terms) -> (Sidecar, String) {
-    let ip = Ipv4Addr::new(127, 0, 0, last);
+    sidecar_at(Ipv4Addr::new(127, 0, 0, last), station, terms).await
+}
+
+/// The same, at an address of this machine.
+pub async fn sidecar_at(ip: Ipv4Addr, station: SocketAddr, terms: Terms) -> (Sidecar, String) {
+    let last = ip.octets()[3];
     let bind = || async { TcpListener::bind((ip, 0)).await.expect("a port") };
     let (outer, inner) = (bind().await, bind().await);
     let (at, inbound) = (outer.local_addr().expect("bound"), inner.local_addr().expect("bound"));
@@ -74,7 +87,7 @@
     );
     let mut boot = settings::parse(&text).expect("settings");
     (boot.memory, boot.descriptors) = (terms.memory, terms.descriptors);
-    let clock = silvercross_facade::Clock::system();
+    let clock = silvercross_facade::Clock::read_by(now);
     let body =
         Body { inbound: inbound.port(), control: 0, leaving: false, roster: Vec::new(), station: None };
     let me = Node(ip.to_bits());
--- a/crates/posthouse/src/wire.rs
+++ b/crates/posthouse/src/wire.rs
@@ -1,11 +1,13 @@
 //! One HTTP/1.1 connection of either side: heads and bodies read and written, by the framing of `silvercross-net`. Knows no
 //! route and no upstream.
+use crate::broken::{self, Broken};
 use crate::freight::Share;
 use bytes::{Buf, Bytes, BytesMut};
 use httparse::{Header, EMPTY_HEADER};
 use silvercross_net::http::{self, Bad, Framing, Limits};
 use silvercross_net::stream::Decoder;
 use std::io;
+use std::mem::MaybeUninit;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -192,19 +194,21 @@
         Line { side: Side::Whole(stream), come: BytesMut::new(), end }
     }
 
-    /// Nothing came that was not asked for, and the other end has not closed.
-    pub fn is_fresh(&mut self) -> bool {
-        if !self.come.is_empty() {
-            return false;
-        }
+    /// Nothing came that was not asked for, and the other end has not closed. The system is asked, not the reactor: that knows
+    /// only of what had come when it last looked.
+    pub fn is_fresh(&self) -> bool {
         let Side::Whole(stream) = &self.side else { return false };
-        let mut byte = [0; 1];
-        matches!(stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        if broken::is(Broken::SurplusKept) {
+            return true;
+        }
+        let mut byte = [MaybeUninit::uninit(); 1];
+        let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+        self.come.is_empty() && matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Something came behind the last message.
     pub fn has_surplus(&self) -> bool {
-        !self.come.is_empty()
+        !self.come.is_empty() && !broken::is(Broken::SurplusKept)
     }
 
     /// Whether both halves are here.
@@ -371,7 +375,7 @@
 
     /// Read an answer: whole, if it has not more than [`HELD`] bytes, else the first part of it and how the rest is to be
     /// read. `of` is the request's id: whole answers that carry another one are passed over, since they belong to a request
-    /// before. `bodiless`: to a HEAD. `go`: a word to go on with the body (100) is returned as well.
+    /// before; a connection that brought one carries no further request. `bodiless`: to a HEAD. `go`: a word to go on with the body (100) is returned as well.
     pub async fn answer(
         &mut self,
         of: &str,
@@ -381,6 +385,7 @@
     ) -> Result<(Answer, Option<Decoder>), Wrong> {
         let (most, lines) = self.end.most();
         let limits = Limits { head: most, body: usize::MAX };
+        let mut passed_over = false;
         loop {
             let Some((len, mut answer, framing)) = answered(&self.come, limits, lines, self.end == End::Hop)?
             else {
@@ -417,9 +422,11 @@
                         return Err(Wrong::Broken);
                     }
                     share.empty();
+                    passed_over = true;
                     continue;
                 }
                 _ => {
+                    answer.keep_alive &= !passed_over;
                     answer.share = Some(share);
                     return Ok((answer, (!whole).then_some(decoder)));
                 }
@@ -487,7 +494,8 @@
         method: head.method.to_string(),
         target: http::origin_form(head.target).to_string(),
         host: host.unwrap_or("").to_string(),
-        id: text(h.one("attempt-id")?),
+        // An empty one tells no answer from another.
+        id: text(h.one("attempt-id")?).filter(|id| !id.is_empty()),
         deadline,
         expects: text(h.one("expect-station")?),
         waybill: text(h.one(WAYBILL)?),
