--- a/crates/posthouse/src/data_path_tests.rs
+++ b/crates/posthouse/src/data_path_tests.rs
@@ -1,23 +1,31 @@
 //! Answers and connections as they should not be, at the places where the data path has to see it. Every cut of a request on its
 //! way: `cut_points_tests`.
 use crate::trial::{self, status, value, Sidecar, Talk, Terms};
-use crate::wire::{End, Line};
+use crate::wire::{End, Line, HELD};
 use crate::{control, hop};
 use std::cell::{Cell, RefCell};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
 
-/// An upstream that answers each request with the next of these texts, `{id}` replaced; counts connections.
-async fn scripted(texts: &[&str]) -> (SocketAddr, Rc<Cell<usize>>) {
+/// What an upstream saw.
+#[derive(Default)]
+struct Seen {
+    connections: Cell<usize>,
+    ids: RefCell<Vec<String>>,
+}
+
+/// An upstream that answers each request with the next of these texts, `{id}` replaced.
+async fn scripted(texts: &[&str]) -> (SocketAddr, Rc<Seen>) {
     let (listener, at) = trial::station().await;
-    let lines = Rc::new(Cell::new(0));
+    let seen = Rc::new(Seen::default());
     let texts = Rc::new(RefCell::new(texts.iter().rev().map(|t| t.to_string()).collect::<Vec<_>>()));
-    let count = lines.clone();
+    let saw = seen.clone();
     tokio::task::spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            count.set(count.get() + 1);
-            let texts = texts.clone();
+            saw.connections.set(saw.connections.get() + 1);
+            let (texts, saw) = (texts.clone(), saw.clone());
             tokio::task::spawn_local(async move {
                 let mut talk = Talk::over(stream);
                 loop {
@@ -26,24 +34,26 @@
                         return;
                     }
                     let Some(text) = texts.borrow_mut().pop() else { return };
+                    talk.body(&head).await;
                     let id = value(&head, "attempt-id").unwrap_or_default();
+                    saw.ids.borrow_mut().push(id.clone());
                     talk.say(text.replace("{id}", &id).as_bytes()).await;
                 }
             });
         }
     });
-    (at, lines)
+    (at, seen)
 }
 
 /// An origin, and a gate before such an upstream.
-async fn mesh(texts: &[&str]) -> (Sidecar, Sidecar, Rc<Cell<usize>>) {
+async fn mesh(texts: &[&str]) -> (Sidecar, Sidecar, Rc<Seen>) {
     let (_, nobody) = trial::station().await;
-    let (at, lines) = scripted(texts).await;
+    let (at, seen) = scripted(texts).await;
     let origin = trial::sidecar(1, nobody, Terms::default()).await;
     let gate = trial::sidecar(2, at, Terms::default()).await;
     gate.beat();
     origin.hears_of(&gate);
-    (origin, gate, lines)
+    (origin, gate, seen)
 }
 
 async fn ask(origin: &Sidecar, route: &str, id: &str) -> (String, Vec<u8>) {
@@ -90,20 +100,83 @@
     }
 }
 
+const OWN: &str = "HTTP/1.1 200 X\r\nAttempt-Id: {id}\r\nPostmark: p\r\nContent-Length: 2\r\n\r\nok";
+
+fn post(id: &str, length: usize) -> String {
+    format!("POST /once/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: {id}\r\nContent-Length: {length}\r\n\r\n")
+}
+
+/// What a client writes, whether it closes its half behind that, the statuses that it gets, and what reaches the upstream.
+type Written<'t> = (&'t str, String, bool, &'t [&'t str], &'t [&'t str]);
+
+#[test]
+fn a_clients_bytes_become_just_the_requests_that_it_sent() {
+    const CHUNKS: &str =
+        "POST /once/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n\
+                          2;x=y\r\nok\r\n0\r\nAttempt-Id: t\r\n\r\n";
+    let inner = post("smuggled", 0);
+    let two = format!("{}{}", post("a", 0), post("b", 0));
+    let none =
+        format!("POST /none HTTP/1.1\r\nHost: h\r\nAttempt-Id: n\r\nContent-Length: {}\r\n\r\n", 2 * HELD);
+    let twice = format!(
+        "POST /once/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nContent-Length: 0\r\nTransfer-Encoding: \
+                         chunked\r\n\r\n0\r\n\r\n{inner}"
+    );
+    let unread = format!("{none}{}{inner}", "x".repeat(HELD + HELD / 2));
+    let cases: [Written<'_>; 9] = [
+        ("half closed", post("a", 0), true, &["200"], &["a"]),
+        ("pipelined", two.clone(), false, &["200", "200"], &["a", "b"]),
+        ("pipelined, half closed", two, true, &["200", "200"], &["a", "b"]),
+        ("trailers, then another", format!("{CHUNKS}{}", post("b", 0)), false, &["200", "200"], &["a", "b"]),
+        ("a request within a body", format!("{}{inner}", post("a", inner.len())), false, &["200"], &["a"]),
+        ("an answer before a body's end", unread, false, &["404"], &[]),
+        ("two framings", twice, false, &["400"], &[]),
+        ("cut in its body", format!("{}abc", post("a", 4)), true, &[], &[]),
+        ("no id", post("", 0), false, &["400"], &[]),
+    ];
+    for (name, bytes, closes, want, ids) in cases {
+        trial::run(async move {
+            let (origin, _, seen) = mesh(&[OWN; 8]).await;
+            let mut client = Talk::to(origin.at).await;
+            // Where it is answered before its end, the rest finds a closed connection.
+            let _ = client.stream.write_all(bytes.as_bytes()).await;
+            if closes {
+                let _ = client.stream.shutdown().await;
+            }
+            for status_wanted in want {
+                let head = client.head().await;
+                assert_eq!(status(&head), *status_wanted, "{name}: {head}");
+                client.body(&head).await;
+            }
+            // Nothing else comes of it: it is closed, or serves the next request.
+            if !closes && client.stream.write_all(post("last", 0).as_bytes()).await.is_ok() {
+                let head = client.head().await;
+                assert!(
+                    head.is_empty() || value(&head, "attempt-id").as_deref() == Some("last"),
+                    "{name}: {head}"
+                );
+            } else {
+                assert_eq!(client.head().await, "", "{name}");
+            }
+            let ran: Vec<String> = seen.ids.borrow().iter().filter(|id| *id != "last").cloned().collect();
+            assert_eq!(ran, ids, "{name}");
+        });
+    }
+}
+
 #[test]
 fn a_connection_that_brought_more_than_its_answer_carries_no_further_request() {
-    const OWN: &str = "HTTP/1.1 200 X\r\nAttempt-Id: {id}\r\nPostmark: p\r\nContent-Length: 2\r\n\r\nok";
     const OTHER: &str = "HTTP/1.1 200 X\r\nAttempt-Id: zz\r\nPostmark: p\r\nContent-Length: 2\r\n\r\nno";
     let (before, behind, byte) = (format!("{OTHER}{OWN}"), format!("{OWN}{OTHER}"), format!("{OWN}X"));
     let huge = OWN.replace("Content", "Keep-Alive: timeout=18446744073709551615\r\nContent");
     let short = OWN.replace("Content", "Keep-Alive: timeout=0\r\nContent");
     for (first, lines) in [(&before, 2), (&behind, 2), (&byte, 2), (&short, 2), (&huge, 1)] {
         trial::run(async move {
-            let (origin, _, count) = mesh(&[first, OWN]).await;
+            let (origin, _, seen) = mesh(&[first, OWN]).await;
             for id in ["a", "b"] {
                 assert_eq!(ask(&origin, "once", id).await, ("200".to_string(), b"ok".to_vec()), "{first}");
             }
-            assert_eq!(count.get(), lines, "{first}");
+            assert_eq!(seen.connections.get(), lines, "{first}");
         });
     }
 }
@@ -148,7 +221,7 @@
             bytes.extend([b'x'; 64 * 1024]);
             call.say(&bytes).await;
             assert_eq!(status(&call.head().await), want, "{framing}");
-            let _ = tokio::io::AsyncWriteExt::shutdown(&mut call.stream).await;
+            let _ = call.stream.shutdown().await;
             let mut rest = Vec::new();
             let end = tokio::io::AsyncReadExt::read_to_end(&mut call.stream, &mut rest).await;
             assert_eq!(end.map_err(|e| e.kind()), Ok(0), "{framing}");
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -27,6 +27,8 @@
 mod cut_points_tests;
 #[cfg(test)]
 mod data_path_tests;
+#[cfg(all(test, feature = "mutants"))]
+mod mutants_tests;
 #[cfg(test)]
 mod trial;
 mod waybill;
--- /dev/null
+++ b/crates/posthouse/src/mutants_tests.rs
@@ -0,0 +1,34 @@
+//! The judge of the cut points judged: each rule of the data path broken on purpose is found.
+use crate::broken::{self, Broken};
+use crate::cut_points_tests::{few_cases, play};
+
+/// The first fault that the judge finds where a rule is broken.
+fn found(rule: Broken) -> String {
+    let cases = few_cases();
+    broken::set(Some(rule));
+    let fault = cases.iter().enumerate().find_map(|(number, case)| {
+        let (saw, _) = play(*case, number);
+        saw.broken.into_iter().next().map(|fault| format!("{case:?}: {fault}"))
+    });
+    broken::set(None);
+    fault.unwrap_or_default()
+}
+
+#[test]
+fn a_ticket_that_is_forgotten_early_is_found() {
+    let fault = found(Broken::TicketForgotten);
+    assert!(fault.contains("TWICE"), "{fault:?}");
+}
+
+#[test]
+fn a_connection_that_is_used_again_after_a_surplus_byte_is_found() {
+    let fault = found(Broken::SurplusKept);
+    assert!(fault.contains("surplus byte"), "{fault:?}");
+}
+
+#[test]
+fn a_call_that_is_sent_again_after_a_reset_of_a_used_connection_is_found() {
+    let fault = found(Broken::SentAgain);
+    assert!(fault.contains("TWICE") || fault.contains("REFUSED"), "{fault:?}");
+    assert!(fault.contains("warm: true"), "{fault:?}");
+}
