Data path: a question for a ticket that can't be read is answered "may have run"

Cause, by review: a gate answers a waybill that it can't read with "absent". For a request that is true; for a question (of an origin of another version, after the gate was replaced) the origin took it for "not begun" and could send again what had run. The question's Host now tells it apart, and the answer is "begun".

A fourth rule broken on purpose: another life of a gate's process is believed. Found by mutants_tests, at the cut "Restart".

With the former gate.rs the new test fails.

--- a/crates/posthouse/src/broken.rs
+++ b/crates/posthouse/src/broken.rs
@@ -8,6 +8,8 @@
     TicketForgotten,
     /// A connection on which something came behind an answer is used again.
     SurplusKept,
+    /// What another life of a gate's process does not know counts as not begun.
+    AnyLife,
     /// What broke after it was written counts as not begun, also where it may run once.
     SentAgain,
 }
--- a/crates/posthouse/src/data_path_tests.rs
+++ b/crates/posthouse/src/data_path_tests.rs
@@ -1,6 +1,7 @@
 //! Answers and connections as they should not be, at the places where the data path has to see it. Every cut of a request on its
 //! way: `cut_points_tests`.
 use crate::trial::{self, status, value, Sidecar, Talk, Terms};
+use crate::waybill::{self, Word};
 use crate::wire::{End, Line, HELD};
 use crate::{control, hop};
 use std::cell::{Cell, RefCell};
@@ -228,3 +229,17 @@
         }
     });
 }
+
+#[test]
+fn a_question_that_cannot_be_read_is_answered_that_it_may_have_run() {
+    trial::run(async {
+        let (_, gate, _) = mesh(&[]).await;
+        for (host, want) in [("gate", Word::Begun), ("h", Word::Absent)] {
+            let mut hop = Talk::to(gate.inbound).await;
+            let text = format!("GET / HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: a\r\nWaybill: ffff\r\n\r\n");
+            hop.say(text.as_bytes()).await;
+            let word = value(&hop.head().await, "waybill-return").and_then(|t| waybill::read(&t));
+            assert_eq!(word, Some(want), "{host}");
+        }
+    });
+}
--- a/crates/posthouse/src/front.rs
+++ b/crates/posthouse/src/front.rs
@@ -607,11 +607,12 @@
     let told = timeout_at(until.min(written + ASKS), ask(post, asked, id, bill, to, until)).await;
     // Past its memory a gate that knows nothing proves nothing.
     let known = written.elapsed() < ASKS;
+    let same = |of: Option<u64>| of == life || broken::is(Broken::AnyLife);
     let came = match told.ok().flatten() {
         None => Came::Broken,
         Some(answer) => match answer.word.as_deref().map(waybill::read::<Word>) {
             None => Came::Answer(answer),
-            Some(Some(Word::Unseen)) if known && answer.life == life => Came::NotConnected,
+            Some(Some(Word::Unseen)) if known && same(answer.life) => Came::NotConnected,
             Some(Some(Word::Absent | Word::Full(_) | Word::Shut)) => Came::Answer(answer),
             Some(_) => Came::Broken,
         },
@@ -633,7 +634,8 @@
 ) -> Option<Box<Answer>> {
     let bill = waybill::write(&Waybill { asks: true, ..bill.clone() });
     let (own, limit) = (post.boot.ip.into(), Duration::from_micros(CONNECT as u64));
-    let bytes = format!("GET / HTTP/1.1\r\nHost: gate\r\nAttempt-Id: {id}\r\nWaybill: {bill}\r\n\r\n");
+    let host = waybill::ASKED;
+    let bytes = format!("GET / HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\nWaybill: {bill}\r\n\r\n");
     let mut pause = PAUSE;
     while Instant::now() < until {
         let bodiless = asked.method == "HEAD";
--- a/crates/posthouse/src/gate.rs
+++ b/crates/posthouse/src/gate.rs
@@ -427,7 +427,9 @@
         _ => return false,
     };
     let Some(bill) = bill else {
-        let (bytes, _) = back(&asked, &mut says(Word::Absent), life, false);
+        // A question that can't be read is no request that was turned away: what it asks for may have run.
+        let word = if asked.host == waybill::ASKED { Word::Begun } else { Word::Absent };
+        let (bytes, _) = back(&asked, &mut says(word), life, false);
         return line.write(&bytes).await.is_ok();
     };
     let freight = Freight::whole(body, share);
--- a/crates/posthouse/src/mutants_tests.rs
+++ b/crates/posthouse/src/mutants_tests.rs
@@ -32,3 +32,10 @@
     assert!(fault.contains("TWICE") || fault.contains("REFUSED"), "{fault:?}");
     assert!(fault.contains("warm: true"), "{fault:?}");
 }
+
+#[test]
+fn a_life_that_is_believed_though_it_is_another_is_found() {
+    let fault = found(Broken::AnyLife);
+    assert!(fault.contains("TWICE") || fault.contains("REFUSED"), "{fault:?}");
+    assert!(fault.contains("Restart"), "{fault:?}");
+}
--- a/crates/posthouse/src/waybill.rs
+++ b/crates/posthouse/src/waybill.rs
@@ -4,6 +4,8 @@
 
 /// The form of these words; another one is answered as "not begun".
 pub const VERSION: u8 = 2;
+/// The `Host` of a question what became of an attempt; another program's request to it is told no more than that it may have run.
+pub const ASKED: &str = "gate";
 /// No longer than this in the line.
 const MOST: usize = 2048;
 
