--- a/crates/posthouse/src/cut_points_tests.rs
+++ b/crates/posthouse/src/cut_points_tests.rs
@@ -59,7 +59,7 @@
 
 /// All that a request may be like, on each link that it has to pass.
 fn kinds() -> impl Iterator<Item = Case> {
-    let says = [Says::Served, Says::Failed, Says::Away];
+    let says = [Says::Served, Says::Failed, Says::Away, Says::Long];
     let ways = [(true, false), (false, false), (true, true)];
     let kinds = ASKS.into_iter().flat_map(move |ask| says.into_iter().map(move |says| (ask, says)));
     kinds.flat_map(move |(ask, says)| {
@@ -73,7 +73,8 @@
     let mut all =
         cases_of(Case { ask: Ask::Once, says: Says::Served, warm: true, own: false, strike: None }, BORDERS);
     // A large body costs most, and is carried alike whatever is said to it.
-    let few = kinds().filter(|k| k.ask != Ask::Big || (k.says == Says::Served && !k.warm));
+    let large = |k: &Case| k.ask == Ask::Big || k.says == Says::Long;
+    let few = kinds().filter(|k| !large(k) || (k.ask == Ask::Big) != (k.says == Says::Long) && !k.warm);
     let others: Vec<Case> = few.flat_map(|kind| cases_of(kind, BORDERS)).collect();
     all.extend(others.into_iter().step_by(STEP));
     all
--- a/crates/posthouse/src/cut_points_tests/world.rs
+++ b/crates/posthouse/src/cut_points_tests/world.rs
@@ -28,6 +28,8 @@
     Served,
     Failed,
     Away,
+    /// Served, by an answer that is passed on as it comes.
+    Long,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -119,11 +121,40 @@
             }
         };
         let head = String::from_utf8(self.come.drain(..end).collect()).ok()?;
-        let length = value(&head, "content-length").map_or(Some(0), |n| n.parse().ok())?;
+        let body = match value(&head, "transfer-encoding") {
+            Some(_) => self.chunks().await?,
+            None => {
+                let length = value(&head, "content-length").map_or(Some(0), |n| n.parse().ok())?;
+                self.bytes(length).await?
+            }
+        };
+        Some((head, body))
+    }
+
+    async fn bytes(&mut self, length: usize) -> Option<Vec<u8>> {
         while self.come.len() < length {
             self.more().await?;
         }
-        Some((head, self.come.drain(..length).collect()))
+        Some(self.come.drain(..length).collect())
+    }
+
+    async fn chunks(&mut self) -> Option<Vec<u8>> {
+        let mut all = Vec::new();
+        loop {
+            let end = loop {
+                match self.come.windows(2).position(|w| w == b"\r\n") {
+                    Some(at) => break at + 2,
+                    None => self.more().await?,
+                }
+            };
+            let line: Vec<u8> = self.come.drain(..end).collect();
+            let size = usize::from_str_radix(std::str::from_utf8(&line).ok()?.trim(), 16).ok()?;
+            all.extend(self.bytes(size).await?);
+            self.bytes(2).await?;
+            if size == 0 {
+                return Some(all);
+            }
+        }
     }
 }
 
@@ -148,6 +179,12 @@
     at
 }
 
+/// The body of an answer with this stamp.
+fn text(stamp: &str, long: bool) -> String {
+    let fill = if long { HELD + 70_000 } else { 0 };
+    format!("{stamp}{}#END", ".".repeat(fill))
+}
+
 fn answer(head: &str, body: Vec<u8>, says: Says, book: &Book) -> Vec<u8> {
     let id = value(head, "attempt-id").unwrap_or_default();
     let mut book = book.borrow_mut();
@@ -159,7 +196,7 @@
     };
     let stamp = format!("{id}.{}", book.len());
     book.push(Ran { id: id.clone(), status, stamp: stamp.clone(), body });
-    let text = format!("{stamp}#END");
+    let text = text(&stamp, says == Says::Long && id == "x");
     let lines = match status {
         503 => "Not-Delivered: full\r\n".to_string(),
         _ => format!("Postmark: {stamp}\r\n"),
@@ -259,7 +296,10 @@
         open.stream.write_all(&request(ask, id)).await.ok()?;
         open.message().await
     });
-    let (head, body) = answer.await.ok().flatten()?;
+    let Some((head, body)) = answer.await.ok().flatten() else {
+        *line = None;
+        return None;
+    };
     if value(&head, "connection").is_some() {
         *line = None;
     }
@@ -286,6 +326,11 @@
     }
     for (id, got) in got {
         let Some(got) = got else {
+            // What has begun to go on can only be broken off.
+            let may_break = *id == "x" && case.says == Says::Long && case.strike.is_some();
+            if may_break {
+                continue;
+            }
             broken.push(format!("{id}: no answer"));
             continue;
         };
@@ -303,7 +348,8 @@
         }
         let own = got.stamp.as_ref().and_then(|stamp| ran.iter().find(|r| r.stamp == *stamp));
         let own = own.is_some_and(|r| {
-            r.status.to_string() == got.status && got.body == format!("{}#END", r.stamp).into_bytes()
+            let long = *id == "x" && case.says == Says::Long;
+            r.status.to_string() == got.status && got.body == text(&r.stamp, long).into_bytes()
         });
         let ours = got.stamp.is_none() && matches!(got.status.as_str(), "502" | "503" | "504");
         if !own && !ours {
