--- a/crates/posthouse/src/front.rs
+++ b/crates/posthouse/src/front.rs
@@ -1,5 +1,6 @@
 //! Where the machine's clients, and its upstream, bring their requests: one connection a task, one request at a time on it.
 //! Finds the route; where the request goes, whether again and when not is the module's to say (`desk`).
+use crate::broken::{self, Broken};
 use crate::desk::{Desk, Mail, Ticket, CONNECT};
 use crate::freight::{Bringer, Freight, Share};
 use crate::gate;
@@ -460,7 +461,7 @@
                                 let task = self.attempt(number, to, name, further, mail.clone());
                                 out.0.insert(number, task);
                             }
-                            None => return self.given_up(brought, None),
+                            None => return self.given_up(brought, None, false),
                         }
                     }
                 }
@@ -473,7 +474,7 @@
                             continue;
                         }
                         if self.freight.spent() {
-                            return self.given_up(brought, None);
+                            return self.given_up(brought, None, !out.0.is_empty());
                         }
                         let task = self.attempt(attempt.number, to, name, further, mail.clone());
                         out.0.insert(attempt.number, task);
@@ -498,16 +499,19 @@
                         let answer = brought.remove(&attempt.number).and_then(|b| b.answer);
                         return answer.map_or_else(|| Reply::own(502, "lost"), passed);
                     }
-                    Step::Refuse { retry_after, .. } => return self.given_up(brought, retry_after),
-                    Step::Fail { .. } => return self.given_up(brought, None),
+                    Step::Refuse { retry_after, .. } => {
+                        return self.given_up(brought, retry_after, !out.0.is_empty())
+                    }
+                    Step::Fail { .. } => return self.given_up(brought, None, !out.0.is_empty()),
                     _ => {}
                 },
             }
         }
     }
 
-    /// The last word on a request that was given up: an upstream's own where there is one, a promise where nothing ran.
-    fn given_up(&self, mut brought: BTreeMap<u32, Brought>, retry_after: Option<i64>) -> Reply {
+    /// The last word on a request that was given up: an upstream's own where there is one, a promise where nothing ran. `out`: an
+    /// attempt has not ended, so it may still run.
+    fn given_up(&self, mut brought: BTreeMap<u32, Brought>, retry_after: Option<i64>, out: bool) -> Reply {
         let counts = &self.post.counts;
         slog::debug!(self.post.log, "given up"; "route" => &self.route.name, "service" => &self.service,
             "after" => self.started.elapsed().as_millis() as u64, "budget" => self.budget / 1000,
@@ -516,7 +520,7 @@
         if let Some(answer) = last.and_then(|b| b.answer.take()) {
             return passed(answer);
         }
-        if !brought.values().any(|b| b.arrived) {
+        if !out && !brought.values().any(|b| b.arrived) {
             counts.refused.set(counts.refused.get() + 1);
             let told = brought.values().filter_map(|b| b.after).min();
             return Reply::promise(503, "no upstream can take it now", told.or(retry_after));
@@ -595,16 +599,20 @@
     if !matches!(came, Came::Broken) || bill.repeatable {
         return came;
     }
+    if broken::is(Broken::SentAgain) {
+        return Came::NotConnected;
+    }
     let until = started + Duration::from_micros(left.max(0) as u64);
     post.counts.asked.set(post.counts.asked.get() + 1);
     let told = timeout_at(until.min(written + ASKS), ask(post, asked, id, bill, to, until)).await;
     // Past its memory a gate that knows nothing proves nothing.
     let known = written.elapsed() < ASKS;
+    let same = |of: Option<u64>| of == life || broken::is(Broken::AnyLife);
     let came = match told.ok().flatten() {
         None => Came::Broken,
         Some(answer) => match answer.word.as_deref().map(waybill::read::<Word>) {
             None => Came::Answer(answer),
-            Some(Some(Word::Unseen)) if known && answer.life == life => Came::NotConnected,
+            Some(Some(Word::Unseen)) if known && same(answer.life) => Came::NotConnected,
             Some(Some(Word::Absent | Word::Full(_) | Word::Shut)) => Came::Answer(answer),
             Some(_) => Came::Broken,
         },
@@ -626,7 +634,8 @@
 ) -> Option<Box<Answer>> {
     let bill = waybill::write(&Waybill { asks: true, ..bill.clone() });
     let (own, limit) = (post.boot.ip.into(), Duration::from_micros(CONNECT as u64));
-    let bytes = format!("GET / HTTP/1.1\r\nHost: gate\r\nAttempt-Id: {id}\r\nWaybill: {bill}\r\n\r\n");
+    let host = waybill::ASKED;
+    let bytes = format!("GET / HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\nWaybill: {bill}\r\n\r\n");
     let mut pause = PAUSE;
     while Instant::now() < until {
         let bodiless = asked.method == "HEAD";
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -3,6 +3,7 @@
 //! listings.
 #![forbid(unsafe_code)]
 
+mod broken;
 mod carriers;
 mod control;
 mod desk;
@@ -22,6 +23,12 @@
 mod reload;
 mod settings;
 
+#[cfg(test)]
+mod cut_points_tests;
+#[cfg(test)]
+mod data_path_tests;
+#[cfg(all(test, feature = "mutants"))]
+mod mutants_tests;
 #[cfg(test)]
 mod trial;
 mod waybill;
