Mesh: a stop that counts from when the signal may have come, and ends once the platform knows

Need: "1, 2 or 4 processes were still there at the end of the grace time and were killed".

So a process can only be gone sooner: it waited 2.2 s for the platform to know, whether that had asked or not. Now it counts the times that it was told no, and goes on once that was two of them. When to do what is decided in ending.rs, with time as an argument. An operator's call that is open is answered before the end, services first heard of while stopping are bounded like the others, and control says Connection: close then.

Besides: a connection that rests goes by the limits in force as its next request comes, not by those from when it began to rest; a longer idleS holds for it, and a shorter one cuts nobody who began under a longer one (rests.rs); what it is told by Keep-Alive is kept for a second more. The reason in a 4xx quoted up to 8 KB of a spoilt beat; it is bounded.

Tests: ending::tests, rests::tests, and changes.rs: requests open across SIGHUP, dropped and moved routes, other limits and a stop, in four shapes; routes added later served like the first; beats while all else waits; signs of a stop. Broken on purpose, each failed: grace from when it was noticed, calls close together counted as two, no heed of what is open, no memory of the longer limit (two ways), no look for a longer one, limits read before the rest, 404 for an open request whose route is dropped, desks not told of new routes, no Connection: close, reasons unbounded. Not caught by a test: that an operator's open call is waited for.

--- a/crates/posthouse/src/control.rs
+++ b/crates/posthouse/src/control.rs
@@ -3,7 +3,7 @@
 use crate::feed;
 use crate::leaf::{Leaf, Order, CONFIGURATION, EVACUATION};
 use crate::members;
-use crate::post::{Beat, Door, Post};
+use crate::post::{Beat, Counted, Door, Post};
 use crate::wire::{self, Asked, End, Line, Wrong};
 use serde_json::json;
 use silvercross_control_store::Verdict;
@@ -24,6 +24,9 @@
 /// No head is larger.
 const HEAD: usize = 16 * 1024;
 
+/// No reason is longer: it may quote what was sent, and an upstream reads no answer of over 4 KiB.
+const WHY: usize = 512;
+
 /// What a caller is answered.
 pub struct Said {
     status: u16,
@@ -37,6 +40,7 @@
     }
 
     fn fault(status: u16, why: &str) -> Self {
+        let why = &why[..why.floor_char_boundary(WHY)];
         Said::json(status, json!({ "error": why }).to_string())
     }
 
@@ -153,6 +157,7 @@
 
 async fn ordered(post: &Rc<Post>, key: &str, order: Order, path: &str) -> Said {
     post.counts.calls.set(post.counts.calls.get() + 1);
+    let _open = Counted::new(post, |c| &c.calls_open);
     match post.carriers.ask(post, key, Some(order)).await {
         Some(Verdict::Done { revision, changed }) => {
             if changed {
@@ -238,6 +243,7 @@
     if post.ready() {
         Said::json(200, "{\"ready\":true}".to_string())
     } else {
+        post.denied();
         Said::fault(503, if post.stopping() { "stopping" } else { "no configuration has come yet" })
     }
 }
@@ -327,7 +333,8 @@
         Ok((call, name)) => (call.run)(post, &name, &body).await,
         Err(status) => Said::fault(status, "no such call"),
     };
-    let close = !asked.keep_alive;
+    // Who calls again goes elsewhere.
+    let close = !asked.keep_alive || post.stopping();
     let bytes = wire::whole(said.status, said.lines.as_bytes(), said.body.as_bytes(), close, false);
     if line.write(&bytes).await.is_ok() && !close {
         Next::Call
--- a/crates/posthouse/src/front.rs
+++ b/crates/posthouse/src/front.rs
@@ -7,6 +7,7 @@
 use crate::members::{self, Head};
 use crate::post::{Counted, Door, Post};
 use crate::receipts;
+use crate::rests;
 use crate::waybill::{self, Waybill, Word};
 use crate::wire::{self, Answer, Asked, End, Line, Size, Wrong};
 use silvercross_facade::{Attempt, Report, Step};
@@ -125,22 +126,16 @@
 
 /// One request of a connection; whether another may come.
 async fn one(post: &Rc<Post>, line: &mut Line) -> bool {
+    if !rests::taken_up(post, line).await {
+        return false;
+    }
+    // Those in force as the request comes.
     let limits = post.table().limits();
     let span = |us: i64| Duration::from_micros(us.max(1) as u64);
     let most = limits.content_bytes.min(usize::MAX as u64) as usize;
     line.end = End::Outer(limits.envelope_bytes);
-    let (idle, whole) = (span(limits.idle_us), span(limits.envelope_us));
-    let ends = tokio::select! {
-        biased;
-        request = line.request(idle, whole, most) => Some(request),
-        // Between two requests a process that stops closes at once; clients open new ones.
-        _ = post.idle_ends() => None,
-    };
-    let request = match ends {
-        Some(request) => request,
-        None if line.has_surplus() => line.request(idle, whole, most).await,
-        None => return false,
-    };
+    let whole = span(limits.envelope_us);
+    let request = line.request(whole, whole, most).await;
     let mut asked = match request {
         Ok(asked) => asked,
         Err(wrong) => return refuse(line, wrong).await,
@@ -175,7 +170,7 @@
     let mut reply = serve(post, &asked, &Freight::whole(held, share)).await;
     drop(open);
     let close = !asked.keep_alive || asked.old || post.stopping();
-    let (bytes, size) = begin(&mut reply, &asked, close);
+    let (bytes, size) = begin(post, &mut reply, &asked, close);
     let close = close || size == Size::Close && reply.tail.is_some();
     if line.write(&bytes).await.is_err() {
         return false;
@@ -232,7 +227,7 @@
             replies.set(true);
             // Where part of the body was not read, the connection carries nothing more.
             let close = !asked.keep_alive || asked.old || post.stopping() || !freight.at_end();
-            let (bytes, size) = begin(&mut reply, asked, close);
+            let (bytes, size) = begin(post, &mut reply, asked, close);
             let close = close || size == Size::Close && reply.tail.is_some();
             let passed = write.write_all(&bytes).await.is_ok() && reply.pass(post, &mut write, size).await;
             (passed, close)
@@ -268,11 +263,14 @@
 }
 
 /// An answer's first bytes, or all of them.
-fn begin(reply: &mut Reply, asked: &Asked, close: bool) -> (Vec<u8>, Size) {
+fn begin(post: &Post, reply: &mut Reply, asked: &Asked, close: bool) -> (Vec<u8>, Size) {
     let mut lines = std::mem::take(&mut reply.lines);
     if let Some(id) = asked.id.as_ref().filter(|_| !has_id(&lines)) {
         lines.extend_from_slice(format!("Attempt-Id: {id}\r\n").as_bytes());
     }
+    if let Some(rests) = rests::line(post.rests.borrow().stated()).filter(|_| !close) {
+        lines.extend_from_slice(rests.as_bytes());
+    }
     let bodiless = asked.method == "HEAD";
     if reply.tail.is_none() {
         return (wire::whole(reply.status, &lines, &reply.body, close, bodiless), Size::Close);
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -7,6 +7,7 @@
 mod control;
 mod desk;
 mod disk;
+mod ending;
 mod feed;
 mod figures;
 mod freight;
@@ -20,8 +21,11 @@
 mod post;
 mod receipts;
 mod reload;
+mod rests;
 mod settings;
 
+#[cfg(test)]
+mod changes;
 #[cfg(test)]
 mod trial;
 mod waybill;
@@ -29,6 +33,7 @@
 
 use anyhow::{anyhow, bail, Context, Result};
 use carriers::{Body, Carriers};
+use ending::Phase;
 use post::Post;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -214,35 +219,36 @@
     Ok(())
 }
 
-/// So long before the end of its grace a process that stops has answered all that is open.
-const ANSWERED: Duration = Duration::from_millis(500);
+/// Between two looks at whether a process that stops may end.
+const LOOK: Duration = Duration::from_millis(50);
+/// The others hear that it leaves within this.
+const LEAVES: Duration = Duration::from_millis(60);
 
 /// The platform asks once a second and must be told no twice; what was read is answered; then the end, within the grace.
 async fn stop(post: &Rc<Post>) {
     post.begin_stop();
-    let grace = Duration::from_micros(post.live.get().bounds.grace.max(0) as u64);
-    let started = tokio::time::Instant::now();
-    let last = grace.saturating_sub(Duration::from_millis(500));
-    // What is still open shortly before the end gets its answer then.
-    post.answer_within(last.saturating_sub(ANSWERED));
-    let told = Duration::from_millis(2200).min(last / 2);
-    let mut quiet = 0;
-    while started.elapsed() < last {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        if started.elapsed() >= told {
-            post.end_idle();
-            quiet = if post.busy() { 0 } else { quiet + 1 };
-            if quiet > 4 {
-                break;
+    let (mut idle_ends, mut last) = (false, post.now());
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let Some((phase, at)) = post.ending() else { break };
+        last = at;
+        match phase {
+            Phase::Serve => {}
+            Phase::EndIdle if idle_ends => {}
+            Phase::EndIdle => {
+                idle_ends = true;
+                post.end_idle();
             }
+            Phase::Shut => break,
         }
     }
     // From now on nobody gets in; whoever did meanwhile is answered before the end.
+    post.end_idle();
     post.shut();
     post.carriers.leave(post);
-    tokio::time::sleep(Duration::from_millis(60)).await;
-    while post.busy() && started.elapsed() < last {
-        tokio::time::sleep(Duration::from_millis(20)).await;
+    tokio::time::sleep(LEAVES).await;
+    while post.busy() && post.now() < last {
+        tokio::time::sleep(LOOK / 2).await;
     }
     info!(post.log, "ended"; "open" => post.open.get());
 }
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -2,6 +2,7 @@
 //! upstream beside it. Each part behind a borrow that never outlives a statement.
 use crate::carriers::{Body, Carriers, Station};
 use crate::desk::{self, Desk, Terms};
+use crate::ending::{Ending, Phase};
 use crate::feed::Feed;
 use crate::freight::Stores;
 use crate::gate::Gate;
@@ -11,6 +12,7 @@
 use crate::paced::Paced;
 use crate::receipts::Receipts;
 use crate::reload::{self, Reload};
+use crate::rests::Rests;
 use crate::settings::{Boot, Live};
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
@@ -86,6 +88,8 @@
     pub beats: Cell<u64>,
     /// Operators' calls taken.
     pub calls: Cell<u64>,
+    /// Of these, those that are not answered yet.
+    pub calls_open: Cell<u64>,
     /// Parcels sent on links.
     pub letters: Cell<u64>,
     /// Datagrams sent.
@@ -197,6 +201,8 @@
     pub feed: std::cell::OnceCell<Feed>,
     /// Requests open now.
     pub open: Cell<u64>,
+    /// How long clients' connections may rest.
+    pub rests: RefCell<Rests>,
     /// Operators' calls refused, for the log.
     pub refusals: Paced,
     paces: [Paced; 4],
@@ -210,7 +216,9 @@
     chance: RefCell<Pcg64Mcg>,
     tickets: Cell<u64>,
     seeds: RefCell<Vec<SocketAddr>>,
-    stopping: Cell<bool>,
+    /// When this process looked around last.
+    looked: Cell<i64>,
+    ending: RefCell<Option<Ending>>,
     asking: Cell<bool>,
     idle_ends: Cell<bool>,
     shut: Cell<bool>,
@@ -230,6 +238,7 @@
     ) -> Rc<Self> {
         let receipts = Receipts::new(clock.clone(), &mut chance, boot.memory);
         let tickets = Cell::new(chance.next_u64());
+        let looked = Cell::new(clock.now());
         let pool = Pool::default();
         pool.hold((boot.descriptors / 4) as usize);
         let members = Members::new(carriers.control_store(|l| l.replica_set().len() == 1).unwrap_or(false));
@@ -249,6 +258,7 @@
             members,
             feed: std::cell::OnceCell::new(),
             open: Cell::new(0),
+            rests: RefCell::default(),
             refusals: Paced::default(),
             paces: Default::default(),
             clock,
@@ -264,7 +274,8 @@
             own: RefCell::default(),
             ended: RefCell::default(),
             chance: RefCell::new(chance),
-            stopping: Cell::new(false),
+            looked,
+            ending: RefCell::default(),
             asking: Cell::new(false),
             idle_ends: Cell::new(false),
             shut: Cell::new(false),
@@ -310,23 +321,35 @@
 
     /// Whether the process is on its way out.
     pub fn stopping(&self) -> bool {
-        self.stopping.get()
+        self.ending.borrow().is_some()
     }
 
-    /// From now on the platform is told no, and the others that nothing more is to be sent here.
+    /// From now on the platform is told no, and the others that nothing more is to be sent here. All that is open, and all that
+    /// comes later, is answered within the grace.
     pub fn begin_stop(self: &Rc<Self>) {
-        if !self.stopping.replace(true) {
-            info!(self.log, "stopping");
-            self.members.release();
-            self.tell();
+        if self.stopping() {
+            return;
         }
-    }
-
-    /// All that is open is answered within this span, and all that comes later.
-    pub fn answer_within(&self, span: Duration) {
+        info!(self.log, "stopping");
+        let ending = Ending::new(self.looked.get(), self.now(), self.live.get().bounds.grace.max(0));
         for (_, desk) in self.desks() {
-            desk.answer_by(self.now() + span.as_micros() as i64);
+            desk.answer_by(ending.answer_by());
         }
+        *self.ending.borrow_mut() = Some(ending);
+        self.members.release();
+        self.tell();
+    }
+
+    /// What a process that stops is to do now, and by when it ends whatever is open; `None`: it does not stop.
+    pub fn ending(&self) -> Option<(Phase, i64)> {
+        let (now, busy) = (self.now(), self.busy());
+        self.ending.borrow_mut().as_mut().map(|e| (e.phase(now, busy), e.last()))
+    }
+
+    /// The platform asked whether this machine's clients may be given work, and was told no.
+    pub fn denied(&self) {
+        let now = self.now();
+        self.ending.borrow_mut().iter_mut().for_each(|e| e.denied(now));
     }
 
     /// Connections between two requests end from now on.
@@ -352,10 +375,10 @@
         let _ = tokio::time::timeout(Duration::from_micros(span as u64), told).await;
     }
 
-    /// Whether a request is open here, or at the upstream behind the gate.
+    /// Whether a request or an operator's call is open here, or a request at the upstream behind the gate.
     pub fn busy(&self) -> bool {
         let (out, waiting) = self.gate.with(|w| w.load());
-        self.open.get() > 0 || out + waiting > 0
+        self.open.get() + self.counts.calls_open.get() > 0 || out + waiting > 0
     }
 
     /// Clients are let in no more.
@@ -537,6 +560,7 @@
             force.table = Rc::new(Table::new(configuration));
             force.configured = true;
         }
+        self.rests.borrow_mut().set(self.now(), self.table().limits().idle_us);
         info!(self.log, "configuration in force"; "round" => revision.0, "change" => revision.2);
         self.allow();
         self.reset_terms();
@@ -653,6 +677,9 @@
                 None => {
                     let seed = self.chance.borrow_mut().next_u64();
                     let desk = Desk::new(&self.terms(&service, &table), &hosts, seed, self.clock.clone());
+                    if let Some(ending) = &*self.ending.borrow() {
+                        desk.answer_by(ending.answer_by());
+                    }
                     self.desks.borrow_mut().insert(service, desk);
                 }
             }
@@ -847,6 +874,7 @@
         loop {
             tokio::time::sleep(Duration::from_millis(300)).await;
             let now = self.now();
+            self.looked.set(now);
             let late = (self.live.get().beat as f64 * SILENT_BEATS) as i64;
             let silent =
                 self.own.borrow().as_ref().is_some_and(|o| !o.station.silent && now - o.beaten > late);
--- a/crates/posthouse/src/trial.rs
+++ b/crates/posthouse/src/trial.rs
@@ -41,6 +41,7 @@
     pub at: SocketAddr,
     pub inbound: SocketAddr,
     ip: Ipv4Addr,
+    leaf: Rc<RefCell<Leaf>>,
 }
 
 /// Settings that a test changes.
@@ -101,8 +102,8 @@
     let patch = silvercross_sorting::read_patch(items.as_bytes()).expect("a configuration");
     let mut leaf = Leaf::Blank;
     leaf.apply(&Order::Patch(patch)).expect("applies");
-    post.page(CONFIGURATION, (1, 1, 1), leaf);
-    (Sidecar { post, at, inbound, ip }, text)
+    post.page(CONFIGURATION, (1, 1, 1), leaf.clone());
+    (Sidecar { post, at, inbound, ip, leaf: Rc::new(RefCell::new(leaf)) }, text)
 }
 
 impl Sidecar {
@@ -115,6 +116,23 @@
         assert!(self.post.beat(&format!("i-{}", self.ip), beat));
     }
 
+    /// Another page of the configuration: this change, on top of what stands.
+    pub fn patch(&self, change: &str) {
+        let patch = silvercross_sorting::read_patch(change.as_bytes()).expect("a change");
+        let mut leaf = self.leaf.borrow_mut();
+        leaf.apply(&Order::Patch(patch)).expect("applies");
+        let change = self.post.revisions().get(CONFIGURATION).map_or(0, |r| r.2) + 1;
+        self.post.page(CONFIGURATION, (1, 1, change), leaf.clone());
+    }
+
+    /// Other limits for clients: seconds idle, and bytes of a head.
+    pub fn limits(&self, edition: u64, idle: f64, head: usize) {
+        self.patch(&format!(
+            "{{\"deliver\":{{\"sizeLimits\":{{\"envelopeBytes\":{head},\"contentBytes\":268435456,\"envelopeS\":3,\
+             \"idleS\":{idle},\"edition\":{edition}}}}}}}"
+        ));
+    }
+
     /// Tell this one of another and its upstream.
     pub fn hears_of(&self, other: &Sidecar) {
         let station = Station {
@@ -173,6 +191,15 @@
         n
     }
 
+    /// Whether the other end has neither closed nor said anything, once all that waits in this process has had its turn.
+    pub async fn is_open(&mut self) -> bool {
+        for _ in 0..64 {
+            tokio::task::yield_now().await;
+        }
+        let mut room = [0; 1];
+        matches!(self.stream.try_read(&mut room), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     /// A head, the blank line included; empty if the connection ended.
     pub async fn head(&mut self) -> String {
         loop {
