Mesh: a call is sent on twice at most, to a machine that most holders name

Need: callers follow 307 twice. A machine that was removed from the control store and one whose news of it is old could each name the other for as long as that lasted, and a third 307 is no answer at all. The address that a caller is sent to now counts (via=1, via=2), and a call that was sent on twice is answered 503 with a time to come back, after which callers go on to another machine. Of the machines that say that they hold the control store, that one is named that is not on its way out, that the most of them name, and then that is in the zone.

Tests: changes::a_call_is_sent_on_twice_at_most (two machines that name each other; counts that are absent, spoilt and too large), changes::a_call_is_sent_to_a_machine_that_most_name (a table). Broken on purpose, each failed: no bound, a spoilt count taken for none, the least named first, no heed of leaving.

--- a/crates/posthouse/src/changes.rs
+++ b/crates/posthouse/src/changes.rs
@@ -6,6 +6,7 @@
 use crate::wire::HELD;
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
@@ -331,3 +332,81 @@
         assert_eq!(client.more().await, 0);
     });
 }
+
+/// Follow redirections as callers do; the statuses.
+async fn follow(at: SocketAddr, path: &str) -> Vec<String> {
+    let (mut at, mut path, mut all) = (at, path.to_string(), Vec::new());
+    loop {
+        let (head, _) = call(&mut Talk::to(at).await, "GET", &path, "").await;
+        all.push(status(&head).to_string());
+        let Some(to) = value(&head, "location") else {
+            return all;
+        };
+        let (host, rest) = to.strip_prefix("http://").and_then(|t| t.split_once('/')).expect("an address");
+        (at, path) = (host.parse().expect("an address"), format!("/{rest}"));
+    }
+}
+
+/// Each of two machines takes the other for one that holds the control state; neither does.
+#[test]
+fn a_call_is_sent_on_twice_at_most() {
+    trial::run(async {
+        let (_, nobody) = trial::station().await;
+        let mut at = Vec::new();
+        let mut sidecars = Vec::new();
+        for last in [1, 2] {
+            let sidecar = trial::sidecar(last, nobody, Terms::default()).await;
+            let calls = TcpListener::bind((sidecar.post.boot.ip, 0)).await.expect("a port");
+            at.push(calls.local_addr().expect("bound"));
+            tokio::task::spawn_local(control::listen(sidecar.post.clone(), calls, &CALLS));
+            sidecars.push(sidecar);
+        }
+        assert_eq!(follow(at[0], "/-/Config.Get").await, ["503"]);
+        let both: Vec<Ipv4Addr> = sidecars.iter().map(|s| s.post.boot.ip).collect();
+        sidecars[0].hears_of_core(at[1], "a", false, &both);
+        sidecars[1].hears_of_core(at[0], "a", false, &both);
+        for path in ["/-/Config.Get", "/-/Config.Get?x=1", "/-/Config.Get?x=1&via=0"] {
+            assert_eq!(follow(at[0], path).await, ["307", "307", "503"], "{path}");
+        }
+        assert_eq!(follow(at[0], "/-/Config.Get?via=1").await, ["307", "503"]);
+        for path in ["/-/Config.Get?via=2", "/-/Config.Get?via=x", "/-/Config.Get?via=99999999999"] {
+            assert_eq!(follow(at[0], path).await, ["503"], "{path}");
+        }
+    });
+}
+
+/// Which machine a caller is sent to, by what is known of them: the last part of an address, zone, leaving, whom it names.
+#[test]
+fn a_call_is_sent_to_a_machine_that_most_name() {
+    trial::run(async {
+        let (_, nobody) = trial::station().await;
+        type Known<'k> = (u8, &'k str, bool, &'k [u8]);
+        let cases: [(&[Known], Option<u8>); 6] = [
+            (&[(11, "b", false, &[]), (12, "a", false, &[11])], None),
+            (&[(11, "b", false, &[11, 12, 13]), (12, "a", false, &[11, 12, 13])], Some(12)),
+            // Removed, and it has not heard so.
+            (
+                &[
+                    (11, "a", false, &[11, 12, 13]),
+                    (12, "b", false, &[12, 13, 14]),
+                    (13, "b", false, &[12, 13, 14]),
+                    (14, "b", false, &[12, 13, 14]),
+                ],
+                Some(12),
+            ),
+            (&[(11, "a", true, &[11, 12]), (12, "b", false, &[11, 12])], Some(12)),
+            (&[(11, "a", true, &[11])], Some(11)),
+            (&[(11, "a", false, &[11, 12]), (12, "a", false, &[])], Some(11)),
+        ];
+        for (n, (known, wanted)) in cases.into_iter().enumerate() {
+            let sidecar = trial::sidecar(1, nobody, Terms::default()).await;
+            let ip = |last: &u8| Ipv4Addr::new(127, 0, 0, *last);
+            for (last, zone, leaving, roster) in known {
+                let roster: Vec<Ipv4Addr> = roster.iter().map(ip).collect();
+                sidecar.hears_of_core((ip(last), 9).into(), zone, *leaving, &roster);
+            }
+            let to = sidecar.post.core().map(|at| at.ip());
+            assert_eq!(to, wanted.map(|w| ip(&w).into()), "case {n}");
+        }
+    });
+}
--- a/crates/posthouse/src/control.rs
+++ b/crates/posthouse/src/control.rs
@@ -32,11 +32,13 @@
     status: u16,
     lines: String,
     body: String,
+    /// Where to go instead.
+    to: Option<String>,
 }
 
 impl Said {
     fn json(status: u16, body: String) -> Self {
-        Said { status, lines: "Content-Type: application/json\r\n".to_string(), body }
+        Said { status, lines: "Content-Type: application/json\r\n".to_string(), body, to: None }
     }
 
     fn fault(status: u16, why: &str) -> Self {
@@ -179,11 +181,36 @@
     }
 }
 
+/// Callers follow so many redirections, and no more.
+const FOLLOWED: u32 = 2;
+/// In the address that a caller is sent to: how often it was sent on.
+const VIA: &str = "via";
+
+/// How often this call was sent on before.
+fn sent_on(target: &str) -> u32 {
+    let query = target.split_once('?').map_or("", |(_, query)| query);
+    let via = query.split('&').find_map(|p| p.strip_prefix(VIA)?.strip_prefix('='));
+    via.map_or(0, |n| n.parse().unwrap_or(FOLLOWED))
+}
+
+/// A caller is sent on no oftener than it follows: machines may each take the other for one that holds the ledger, while what they
+/// know of each other is old.
+fn bounded(mut said: Said, target: &str) -> Said {
+    let Some(to) = said.to.take() else { return said };
+    let n = sent_on(target);
+    if n >= FOLLOWED {
+        return Said::later();
+    }
+    said.lines.push_str(&format!("Location: {to}?{VIA}={}\r\n", n + 1));
+    said
+}
+
 /// This machine holds no ledger: one that does is named.
 fn elsewhere(post: &Post, path: &str) -> Said {
     match post.core() {
         Some(at) => {
-            Said { status: 307, lines: format!("Location: http://{at}{path}\r\n"), body: String::new() }
+            let to = Some(format!("http://{at}{path}"));
+            Said { status: 307, lines: String::new(), body: String::new(), to }
         }
         None => Said::later(),
     }
@@ -330,7 +357,7 @@
         return Next::Feed(Box::new(asked), body);
     }
     let said = match find(calls, &asked.method, &asked.target) {
-        Ok((call, name)) => (call.run)(post, &name, &body).await,
+        Ok((call, name)) => bounded((call.run)(post, &name, &body).await, &asked.target),
         Err(status) => Said::fault(status, "no such call"),
     };
     // Who calls again goes elsewhere.
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -23,6 +23,7 @@
 use silvercross_wicket::{Allowance, Facts};
 use slog::{debug, info, warn, Logger};
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -478,14 +479,14 @@
         holders.peek().is_some() && holders.all(|r| !r.body.roster.contains(&me))
     }
 
-    /// The control address of a machine that holds the ledger.
+    /// The control address of a machine that holds the ledger: one that most of the holders name, in this zone if there is one.
     pub fn core(&self) -> Option<SocketAddr> {
         let others = self.others.borrow();
-        let holds = |r: &&Record<Body>| r.body.control > 0 && r.body.roster.contains(&r.node.0);
-        let mut cores: Vec<_> = others.values().filter(holds).collect();
-        let near = |r: &&Record<Body>| u8::from(r.zone != self.boot.zone);
-        cores.sort_by_key(near);
-        cores.first().map(|r| SocketAddr::new(IpAddr::V4(Ipv4Addr::from_bits(r.node.0)), r.body.control))
+        let holders: Vec<_> = others.values().filter(|r| r.body.roster.contains(&r.node.0)).collect();
+        let named = |r: &Record<Body>| holders.iter().filter(|h| h.body.roster.contains(&r.node.0)).count();
+        let up = holders.iter().filter(|r| r.body.control > 0);
+        let best = up.min_by_key(|r| (r.body.leaving, Reverse(named(r)), r.zone != self.boot.zone));
+        best.map(|r| SocketAddr::new(IpAddr::V4(Ipv4Addr::from_bits(r.node.0)), r.body.control))
     }
 
     // --- news ---
--- a/crates/posthouse/src/trial.rs
+++ b/crates/posthouse/src/trial.rs
@@ -12,7 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::Future;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -133,6 +133,15 @@
         ));
     }
 
+    /// Tell this one of a machine without an upstream: where it takes calls, and who it says holds the control state.
+    pub fn hears_of_core(&self, at: SocketAddr, zone: &str, leaving: bool, roster: &[Ipv4Addr]) {
+        let IpAddr::V4(ip) = at.ip() else { return };
+        let roster = roster.iter().map(|r| r.to_bits()).collect();
+        let body = Body { inbound: 0, control: at.port(), leaving, roster, station: None };
+        let node = Node(ip.to_bits());
+        self.post.record(Record { node, life: 1, seq: 1, zone: zone.into(), core: true, gone: false, body });
+    }
+
     /// Tell this one of another and its upstream.
     pub fn hears_of(&self, other: &Sidecar) {
         let station = Station {
