--- a/crates/control-store/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -9,6 +9,8 @@
 /// A claim under way.
 pub(crate) struct Claim<P> {
     pub epoch: Epoch,
+    /// The highest epoch heard of before.
+    pub before: Epoch,
     /// Who has promised, with which incarnation.
     pub promises: BTreeMap<Node, Incarnation>,
     /// The highest that was accepted by any of them.
@@ -63,7 +65,7 @@
 
     /// Wants to own the key. The epoch is durable here before anybody hears of it, so that no later start uses it again.
     pub(crate) fn claim(&mut self, now: Micros, key: &str) {
-        if !self.voter() {
+        if !self.able() {
             return;
         }
         let me = self.me.0;
@@ -72,12 +74,14 @@
             return;
         }
         let epoch = Epoch { round: slot.seen.max(slot.promised).round.saturating_add(1), owner: me };
+        let before = slot.seen;
         slot.promised = epoch;
         slot.seen = epoch;
         slot.ownerless = None;
         let best = (slot.accepted, slot.value.clone());
         slot.ownership = Ownership::Claiming(Claim {
             epoch,
+            before,
             promises: BTreeMap::new(),
             best,
             sent: now,
@@ -399,6 +403,47 @@
         }
     }
 
+    /// Gives up all that this node owns or claims, for its disk has no room, and tells the others so.
+    pub(crate) fn resign(&mut self, now: Micros) {
+        let mut resigned = Vec::new();
+        let mut held = Vec::new();
+        for (key, slot) in &mut self.keys {
+            match &slot.ownership {
+                Ownership::Owner(owner) => resigned.push((key.clone(), owner.epoch)),
+                Ownership::Claiming(claim) if claim.promises.contains_key(&self.me) => {
+                    resigned.push((key.clone(), claim.epoch));
+                }
+                // Not durable: nobody has heard of it, nor may anybody.
+                Ownership::Claiming(claim) => slot.seen = claim.before,
+                Ownership::Replica if slot.queue.is_empty() => continue,
+                Ownership::Replica => {}
+            }
+            held.push(key.clone());
+        }
+        // Told first: calls that go on to others find them ready to claim.
+        for (key, epoch) in resigned {
+            for to in self.others() {
+                self.send(to, Message::Resigned { key: key.clone(), epoch });
+            }
+        }
+        for key in held {
+            self.step_down(now, &key);
+        }
+    }
+
+    /// The key's owner has given it up: the first in line without it claims at once, the others one after the other.
+    pub(crate) fn on_resigned(&mut self, now: Micros, from: Node, key: String, epoch: Epoch) {
+        let place = self.order(&key).into_iter().filter(|n| *n != from).position(|n| n == self.me);
+        let due = now + OWNERLESS * place.unwrap_or(0) as Micros;
+        let since = due - self.patience(&key);
+        let Some(slot) = self.keys.get_mut(&key) else { return };
+        if epoch.owner != from.0 || slot.seen != epoch {
+            return;
+        }
+        slot.heard = now - SILENT;
+        slot.ownerless = Some(since);
+    }
+
     /// A link came up: claims and copies that it missed.
     pub(crate) fn greet(&mut self, now: Micros, to: Node) {
         if !self.voter() {
@@ -412,20 +457,29 @@
         }
         let mut claims = Vec::new();
         let mut copies = Vec::new();
+        let mut had: Vec<(String, Epoch, u64)> = Vec::new();
+        let mut with = Incarnation::default();
         for (key, slot) in &self.keys {
             match &slot.ownership {
                 Ownership::Claiming(claim) if claim.promises.contains_key(&self.me) => {
                     claims.push((key.clone(), claim.epoch));
                 }
                 Ownership::Owner(owner) => {
-                    let has = owner.kept.get(&to).is_some_and(|k| k.1 >= owner.seq && self.current(to, k.0));
-                    if !has {
+                    let kept = owner.kept.get(&to).filter(|k| self.current(to, k.0));
+                    if let Some((incarnation, seq)) = kept {
+                        with = with.max(*incarnation);
+                        had.push((key.clone(), owner.epoch, *seq));
+                    }
+                    if kept.is_none_or(|k| k.1 < owner.seq) {
                         copies.push(key.clone());
                     }
                 }
                 _ => {}
             }
         }
+        if !had.is_empty() {
+            self.send(to, Message::HadKept { incarnation: with, keys: had });
+        }
         for (key, epoch) in claims {
             self.send(to, Message::Claim { key, epoch });
         }
@@ -442,9 +496,21 @@
         (owned && self.up.contains(&owner) && now < slot.heard + SILENT).then_some((owner, slot.seen))
     }
 
+    /// Whether the key's owner has said that it stops, and this node does not: it may claim at once.
+    fn handed_on(&self, key: &str) -> bool {
+        let leaves = |node| self.leavers.contains_key(&node);
+        let seen = self.keys.get(key).map(|slot| slot.seen).unwrap_or_default();
+        seen != Epoch::default() && leaves(Node(seen.owner)) && !leaves(self.me)
+    }
+
+    /// Whether another owns the key and goes on with it.
+    fn owned(&self, now: Micros, key: &str) -> bool {
+        self.known_owner(now, key).is_some() && !self.handed_on(key)
+    }
+
     fn patience(&self, key: &str) -> Micros {
         let place = self.order(key).iter().position(|n| *n == self.me).unwrap_or(0);
-        OWNERLESS * (1 + place as Micros)
+        OWNERLESS * (place as Micros + Micros::from(!self.handed_on(key)))
     }
 
     /// When something is due for the key.
@@ -470,7 +536,7 @@
             .iter()
             .filter(|(key, slot)| {
                 let gone = matches!(slot.ownership, Ownership::Replica)
-                    && slot.ownerless.is_some() == self.known_owner(now, key).is_some();
+                    && slot.ownerless.is_some() == self.owned(now, key);
                 gone || self.due(key, slot).is_some_and(|at| at <= now)
             })
             .map(|(key, _)| key.clone())
@@ -491,7 +557,7 @@
     }
 
     fn tick_key(&mut self, now: Micros, key: &str) {
-        let known = self.known_owner(now, key).is_some();
+        let known = self.owned(now, key);
         let patience = self.patience(key);
         let others = self.others();
         let incarnations = self.incarnations.clone();
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -111,6 +111,12 @@
     pub older_replica_set: u64,
     /// Later replica sets taken.
     pub replica_sets: u64,
+    /// Times that this replica's own disk was found to have gone back to an older state.
+    pub went_back: u64,
+    /// Times that the disk had no room.
+    pub no_room: u64,
+    /// Promises and copies that were not confirmed, for the disk had no room.
+    pub unsaid: u64,
 }
 
 /// How a control store is broken on purpose; without the feature `mutants` nothing heeds it.
@@ -140,6 +146,16 @@
     HeedsOldReplicaSet,
     /// A removed replica goes on voting and is counted.
     RemovedVotes,
+    /// The replica that leaves is dropped before the newcomer is repaired.
+    DropsLeaverEarly,
+    /// A replica that leaves ends once it knows the replica set without it, whoever else has that.
+    EndsUnconfirmed,
+    /// Goes on voting with a disk that went back to an older state.
+    VotesGoneBack,
+    /// Confirms promises and copies although the write failed.
+    SaysUnwritten,
+    /// Goes on from its start as if nothing stood on its disk.
+    StartsUnread,
 }
 
 /// What waits for a write.
@@ -218,6 +234,12 @@
     pub(crate) gone: BTreeMap<Node, Micros>,
     /// At most `CANDIDATES`.
     pub(crate) candidates: BTreeSet<Node>,
+    /// Core machines, this one included, that have said that they stop, and since when. At most `LEAVERS`.
+    pub(crate) leavers: BTreeMap<Node, Micros>,
+    /// The last newcomer with which a change was abandoned.
+    pub(crate) failed: Option<Node>,
+    /// Where this one has left in plan: who votes without it.
+    pub(crate) in_force: Option<BTreeSet<Node>>,
     pub(crate) phase: Phase,
     pub(crate) incarnation: Incarnation,
     pub(crate) incarnations: BTreeMap<Node, Incarnation>,
@@ -237,6 +259,8 @@
     /// Writes under way. At most `WRITES`.
     writes: VecDeque<(u64, Vec<After<P>>)>,
     write: u64,
+    /// Whether the disk takes writes.
+    room: bool,
     broken: Option<Broken>,
 }
 
@@ -250,6 +274,8 @@
     /// A control store on what was found on disk.
     pub fn new(now: Micros, start: Start, disk: Disk<P>) -> Self {
         let (phase, metadata) = match disk.metadata {
+            // It was found to have gone back: as good as empty.
+            Some(metadata) if metadata.replica_set.version == 0 => (Phase::Outside, metadata),
             Some(metadata) => (Phase::Voter, metadata),
             None => {
                 let holds = start.fresh && start.replica_set.contains(&start.me);
@@ -270,6 +296,9 @@
             up: BTreeSet::new(),
             gone,
             candidates: BTreeSet::new(),
+            leavers: BTreeMap::new(),
+            failed: None,
+            in_force: None,
             phase,
             incarnation: metadata.incarnation,
             incarnations: metadata.incarnations.into_iter().collect(),
@@ -291,6 +320,7 @@
             after: Vec::new(),
             writes: VecDeque::new(),
             write: 0,
+            room: true,
             broken: None,
         };
         store.next_call = store.draw();
@@ -314,6 +344,12 @@
     #[doc(hidden)]
     pub fn break_it(&mut self, broken: Broken) {
         self.broken = Some(broken);
+        if broken == Broken::StartsUnread {
+            for slot in self.keys.values_mut() {
+                (slot.promised, slot.seen) = (Epoch::default(), Epoch::default());
+                (slot.accepted, slot.value) = (Revision::default(), P::default());
+            }
+        }
     }
 
     pub(crate) fn is(&self, broken: Broken) -> bool {
@@ -360,6 +396,10 @@
             return;
         }
         let mine = self.replica_set.version;
+        if let Message::HadKept { incarnation, keys } = message {
+            self.on_had_kept(now, incarnation, &keys);
+            return;
+        }
         if let Message::ReplicaSet { replica_set } = message {
             if replica_set.version < mine {
                 self.send(from, Message::ReplicaSet { replica_set: self.replica_set.clone() });
@@ -376,6 +416,10 @@
             self.send(from, Message::ReplicaSet { replica_set: self.replica_set.clone() });
             return;
         }
+        if matches!(message, Message::AskReplicaSet) && self.voter() {
+            self.send(from, Message::InForce);
+            return;
+        }
         let known = self.replica_set.contains(from)
             || self.is(Broken::RemovedVotes)
             || self.is(Broken::HeedsOldReplicaSet);
@@ -394,7 +438,8 @@
             }
             Message::Outlived { incarnation } => self.on_outlived(now, incarnation),
             Message::Forward { id, key, under, ask } => self.on_forward(now, from, id, key, under, ask),
-            Message::AskReplicaSet | Message::ReplicaSet { .. } => {}
+            Message::InForce => self.on_in_force(from),
+            Message::AskReplicaSet | Message::ReplicaSet { .. } | Message::HadKept { .. } => {}
             _ if self.phase != Phase::Voter => {}
             Message::Claim { key, epoch } => self.on_claim(now, from, key, epoch),
             Message::Promise { key, epoch, accepted, value, incarnations } => {
@@ -408,6 +453,7 @@
             }
             Message::NeedsSnapshot { key, epoch } => self.on_needs_snapshot(from, key, epoch),
             Message::Higher { key, epoch } => self.learn(now, &key, epoch),
+            Message::Resigned { key, epoch } => self.on_resigned(now, from, key, epoch),
             Message::Confirm { key, epoch, round } => self.on_confirm(now, from, key, epoch, round),
             Message::Confirmed { key, epoch, round } => self.on_confirmed(now, from, key, epoch, round),
             Message::Heartbeat { keys } => self.on_heartbeat(now, from, keys),
@@ -437,6 +483,30 @@
         }
     }
 
+    /// Whether the disk takes writes; until told otherwise it does. Without room nothing is said that rests on a write, nothing is
+    /// claimed, and what this node owns goes to others; what rests on no write goes on. Writes under way stay so.
+    pub fn room(&mut self, now: Micros, room: bool) {
+        if self.room == room {
+            return;
+        }
+        self.room = room;
+        if room {
+            self.reroute(now);
+            self.tick(now);
+            return;
+        }
+        self.figures.no_room += 1;
+        if !self.is(Broken::SaysUnwritten) {
+            let all = self.writes.iter_mut().map(|(_, after)| after).chain([&mut self.after]);
+            for after in all {
+                let waited = after.len();
+                after.retain(|one| !matches!(one, After::Send(..)));
+                self.figures.unsaid += (waited - after.len()) as u64;
+            }
+        }
+        self.resign(now);
+    }
+
     /// Whether a link to this node stands. Until told, none does.
     pub fn reachable(&mut self, now: Micros, node: Node, up: bool) {
         let room = self.up.len() < LINKS || self.replica_set.contains(node);
@@ -462,11 +532,13 @@
     pub fn tick(&mut self, now: Micros) {
         self.tick_calls(now);
         match self.phase {
+            // What is due of keys and of the replica set begins with a write.
+            Phase::Voter if !self.room => {}
             Phase::Voter => {
                 self.tick_keys(now);
                 self.tick_replica_set(now);
             }
-            Phase::Outside if self.lost_touch() && now >= self.repair.sent + RESEND => {
+            Phase::Outside if self.asks() && now >= self.repair.sent + RESEND => {
                 self.ask_replica_set(now);
             }
             Phase::Repairing if now >= self.repair.sent + RESEND => self.ask_repair(now),
@@ -478,12 +550,13 @@
     pub fn wake(&self) -> Option<Micros> {
         let calls = self.open.values().map(|call| call.due()).min();
         let rest = match self.phase {
+            Phase::Voter if !self.room => None,
             Phase::Voter => {
                 let keys = self.keys.iter().filter_map(|(key, slot)| self.due(key, slot)).min();
                 keys.into_iter().chain(self.replica_set_due()).min()
             }
             Phase::Repairing => Some(self.repair.sent + RESEND),
-            Phase::Outside if self.lost_touch() => Some(self.repair.sent + RESEND),
+            Phase::Outside if self.asks() => Some(self.repair.sent + RESEND),
             Phase::Formatting | Phase::Outside => None,
         };
         calls.into_iter().chain(rest).min()
@@ -534,6 +607,16 @@
         self.phase == Phase::Voter
     }
 
+    /// Whether it may claim: it is a voter and its disk takes writes.
+    pub(crate) fn able(&self) -> bool {
+        self.voter() && self.room
+    }
+
+    /// Whether the disk takes writes, as far as was told.
+    pub fn has_room(&self) -> bool {
+        self.room
+    }
+
     /// The counters.
     pub fn figures(&self) -> Figures {
         self.figures
@@ -561,14 +644,14 @@
         mix(self.random)
     }
 
-    /// The replicas that can be reached, this one included, in the order in which they would own the key.
+    /// The replicas that can be reached, this one included, in the order in which they would own the key: those that leave last.
     pub(crate) fn order(&self, key: &str) -> Vec<Node> {
         let name = key
             .bytes()
             .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
         let mut nodes: Vec<Node> =
             self.replica_set.nodes().filter(|n| *n == self.me || self.up.contains(n)).collect();
-        nodes.sort_by_key(|n| (mix(name ^ mix(u64::from(n.0))), *n));
+        nodes.sort_by_key(|n| (self.leavers.contains_key(n), mix(name ^ mix(u64::from(n.0))), *n));
         nodes
     }
 
@@ -614,9 +697,16 @@
         self.dirty_metadata || !self.dirty.is_empty()
     }
 
-    /// Does it once all that was to be written until now is durable.
+    /// Does it once all that was to be written until now is durable. While the disk has no room a message that would wait for that is
+    /// left unsaid: who asked asks again.
     pub(crate) fn later(&mut self, now: Micros, one: After<P>) {
-        if self.unwritten() {
+        let waits = self.unwritten() || !self.writes.is_empty();
+        if waits && !self.room && matches!(one, After::Send(..)) {
+            if self.is(Broken::SaysUnwritten) {
+                return self.run(now, one);
+            }
+            self.figures.unsaid += 1;
+        } else if self.unwritten() {
             self.after.push(one);
         } else if let Some((_, after)) = self.writes.back_mut() {
             after.push(one);
--- a/crates/posthouse/src/main.rs
+++ b/crates/posthouse/src/main.rs
@@ -49,6 +49,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::JoinHandle;
 
 const HELP: &str = "posthouse carrier|office [--settings FILE] [--check] [--feed] | members ...
   carrier   beside an upstream: carries requests
@@ -64,7 +65,7 @@
         Ok(()) => {}
         Err(e) => {
             eprintln!("posthouse: {e:#}");
-            std::process::exit(2);
+            std::process::exit(e.downcast_ref::<disk::Failed>().map_or(2, disk::Failed::code));
         }
     }
 }
@@ -148,19 +149,19 @@
     let ledger = match &boot.data {
         None => None,
         Some(dir) => {
-            let (disk, writes, done, aside) = disk::open(dir).map_err(|e| anyhow!(e))?;
+            let opened = disk::open(dir)?;
             // A file that was there and can't be read is no fresh disk, whatever the settings say.
-            let fresh = boot.fresh && aside.is_none();
-            if let Some(why) = aside {
+            let fresh = boot.fresh && !opened.lost;
+            if let Some(why) = opened.set_aside {
                 warn!(log, "the disk's content is set aside, the others will repair it"; "why" => why);
             }
-            synced = Some(done);
+            synced = Some(opened.told);
             let mut keys = vec![leaf::CONFIGURATION.to_string()];
             keys.extend(boot.zones.iter().map(|z| format!("{}{z}", leaf::EVACUATION)));
             let replica_set = seeds.iter().map(|s| silvercross_control_store::Node(*s)).collect();
             let me = silvercross_control_store::Node(boot.ip.to_bits());
             let start = silvercross_control_store::Start { me, replica_set, keys, fresh, seed };
-            Some((ControlStore::new(now, start, disk), writes))
+            Some((ControlStore::new(now, start, opened.disk), opened.writes))
         }
     };
     let gate = gate::Gate::new(Wicket::new(boot.live.bounds.of_gate()));
@@ -199,9 +200,7 @@
     if post.boot.core {
         tokio::task::spawn_local(members::duty(post.clone()));
     }
-    if let Some(synced) = synced {
-        tokio::task::spawn_local(Carriers::synced(post.clone(), synced));
-    }
+    let mut disk = synced.map(|told| tokio::task::spawn_local(Carriers::synced(post.clone(), told)));
     info!(post.log, "started"; "core" => post.boot.core, "first" => post.boot.fresh);
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
@@ -210,6 +209,7 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
+            why = failed(&mut disk) => return Err(disk::Failed::Sync(why).into()),
             _ = hup.recv() => {
                 reload::look(&post, true);
             }
@@ -219,6 +219,14 @@
     Ok(())
 }
 
+/// Why the disk has failed, once it has.
+async fn failed(disk: &mut Option<JoinHandle<String>>) -> String {
+    match disk {
+        Some(task) => task.await.unwrap_or_else(|e| e.to_string()),
+        None => std::future::pending().await,
+    }
+}
+
 /// Between two looks at whether a process that stops may end.
 const LOOK: Duration = Duration::from_millis(50);
 /// The others hear that it leaves within this.
@@ -245,6 +253,10 @@
     // From now on nobody gets in; whoever did meanwhile is answered before the end.
     post.end_idle();
     post.shut();
+    // A replica that can be replaced stays until it is, for a second loss would leave no majority.
+    while post.carriers.needed() && post.now() < last {
+        tokio::time::sleep(LOOK / 2).await;
+    }
     post.carriers.leave(post);
     tokio::time::sleep(LEAVES).await;
     while post.busy() && post.now() < last {
--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -339,6 +339,7 @@
         *self.ending.borrow_mut() = Some(ending);
         self.members.release();
         self.tell();
+        self.carriers.leave_replicas(self);
     }
 
     /// What a process that stops is to do now, and by when it ends whatever is open; `None`: it does not stop.
