Village: control machines cut off, replaced and restarted under load, with links that can be cut

Need: real processes over loopback for a cut of a control machine, a planned replacement with a second loss, and a restart after many changes, each under load.

Each machine of a mesh with links calls the others at a port of its own, where a relay stands that so knows who calls whom (TCP and datagrams); a cut silences what is open, refuses what is new, and resets the silenced connections at its end. The plays of "village control" (cut, replace, replace-then-loss, restart) have clients on all sides and an operator that sends changes all the time; a read at a machine that was cut off, restarted or new has to hold all that was acknowledged before it was asked, the owner of the configuration that is cut off has to say 503 to a read and to an order, a sidecar started below it is not ready but by the bound, nothing that may run once runs twice, and what was acknowledged is read back everywhere.

--- a/crates/village/src/lib.rs
+++ b/crates/village/src/lib.rs
@@ -3,9 +3,11 @@
 #![forbid(unsafe_code)]
 
 pub mod client;
+pub mod control;
 pub mod faults;
 pub mod lapse;
 pub mod line;
+pub mod links;
 pub mod load;
 pub mod mesh;
 pub mod operator;
--- a/crates/village/src/main.rs
+++ b/crates/village/src/main.rs
@@ -2,11 +2,11 @@
 #![forbid(unsafe_code)]
 
 use anyhow::Result;
-use silvercross_village::{faults, lapse, load, program, show};
+use silvercross_village::{control, faults, lapse, load, program, show};
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
 
-const HELP: &str = "village show | load | faults | lapse
+const HELP: &str = "village show | load | faults | control | lapse
   show      start a small mesh, have a request served, and tell what happened
   load      what a request costs through two sidecars, beside two bare forwarders
     --seconds S       each way is loaded for so long (6)
@@ -16,6 +16,10 @@
     --members N       requests carry a member's key, and so many members stand (0: none was ever sent)
   faults    break a small mesh in several ways and tell what was kept
     --only NAME       one of them
+  control   cut off, replace and restart control machines under load and tell what was kept
+    --only NAME       one of cut, replace, replace-then-loss, restart
+    --seconds S       a cut lasts so long at least (20)
+    --changes N       changes during a cut, and before a restart (300)
   lapse     a member's trial lapses on nine sides and three cores: replies by node and second, steps, what ran
     --only NAME       one play; otherwise all
     --svg FOLDER      a plot for each play
@@ -25,6 +29,7 @@
     Show,
     Load(load::Load),
     Faults(Option<String>),
+    Control(Option<String>, control::Extent),
     Lapse(lapse::Lapse),
     Forward(std::net::SocketAddr),
 }
@@ -44,6 +49,13 @@
             members: args.opt_value_from_str::<_, usize>("--members")?,
         }),
         Some("faults") => Command::Faults(args.opt_value_from_str("--only")?),
+        Some("control") => {
+            let seconds = args.opt_value_from_str::<_, f64>("--seconds")?.unwrap_or(20.0).clamp(0.0, 3600.0);
+            let changes = args.opt_value_from_str::<_, u64>("--changes")?.unwrap_or(300).clamp(1, 100_000);
+            let cut = std::time::Duration::from_secs_f64(seconds);
+            let extent = control::Extent { changes, cut, before_restart: changes };
+            Command::Control(args.opt_value_from_str("--only")?, extent)
+        }
         Some("lapse") => Command::Lapse(lapse::Lapse {
             only: args.opt_value_from_str("--only")?,
             svg: args.opt_value_from_os_str("--svg", |s| Ok::<_, String>(std::path::PathBuf::from(s)))?,
@@ -90,6 +102,7 @@
                 Command::Show => show::show(&program).await.map(|()| true),
                 Command::Load(l) => load::load(&program, *l).await,
                 Command::Faults(only) => faults::faults(&program, only.as_deref()).await,
+                Command::Control(only, extent) => control::control(&program, only.as_deref(), *extent).await,
                 Command::Lapse(l) => lapse::lapse(&program, l).await,
                 Command::Forward(_) => Ok(true),
             }
--- a/crates/village/src/mesh.rs
+++ b/crates/village/src/mesh.rs
@@ -24,6 +24,10 @@
     pub core: usize,
     /// Machines with an upstream.
     pub side: usize,
+    /// Machines that may hold the control state, and don't run at the start.
+    pub spare: usize,
+    /// Whether each machine calls the others at a port of its own, so that [`crate::links::Links`] can stand in between.
+    pub links: bool,
     /// Zones, over which both kinds are dealt out.
     pub zones: usize,
     /// Services, dealt out over the sides.
@@ -51,7 +55,8 @@
             ("coldSlack", 5.0),
         ];
         let services = vec!["bakery".to_string(), "smithy".to_string()];
-        Plan { core: 3, side: 4, zones: 3, services, beat_s: 0.5, bounds, words: Vec::new() }
+        let (spare, links) = (0, false);
+        Plan { core: 3, side: 4, spare, links, zones: 3, services, beat_s: 0.5, bounds, words: Vec::new() }
     }
 }
 
@@ -109,7 +114,7 @@
             let ip = Ipv4Addr::new(127, a, b, 1 + m as u8);
             let ports = PORTS.iter().copied().chain(INTERNAL.0..=INTERNAL.1);
             ports.into_iter().all(|p| TcpListener::bind((ip, first + p)).is_ok())
-                && UdpSocket::bind((ip, first + INTERNAL.0)).is_ok()
+                && (INTERNAL.0..=INTERNAL.1).all(|p| UdpSocket::bind((ip, first + p)).is_ok())
         });
         if free {
             return Ok(([a, b], first, mark));
@@ -121,11 +126,14 @@
 impl Mesh {
     /// Lay the machines out; nothing runs yet.
     pub fn lay(plan: &Plan, program: &Path) -> Result<Self> {
-        let count = plan.core + plan.side;
+        let count = plan.core + plan.side + plan.spare;
         if plan.core == 0 || plan.side == 0 || plan.zones == 0 || plan.services.is_empty() || count > MACHINES
         {
             bail!("a mesh has core, sides, zones and services, and {MACHINES} machines at most");
         }
+        if plan.links && count > usize::from(INTERNAL.1 - INTERNAL.0) {
+            bail!("with links in between, a mesh has {} machines at most", INTERNAL.1 - INTERNAL.0);
+        }
         let ([a, b], first, mark) = block(count)?;
         let dir = std::env::temp_dir().join(format!(
             "silvercross-village-{}-{:08x}",
@@ -134,8 +142,12 @@
         ));
         fs::create_dir(&dir).with_context(|| format!("{}", dir.display()))?;
         let machine = |m: usize| {
-            let core = m < plan.core;
-            let n = if core { m } else { m - plan.core };
+            let core = m < plan.core || m >= plan.core + plan.side;
+            let n = match core {
+                true if m >= plan.core => m - plan.side,
+                true => m,
+                false => m - plan.core,
+            };
             let name = format!("{}-{}", if core { "core" } else { "side" }, n + 1);
             Machine {
                 dir: dir.join(&name),
@@ -193,7 +205,18 @@
 
     /// Numbers of the machines with an upstream.
     pub fn sides(&self) -> std::ops::Range<usize> {
-        self.plan.core..self.machines.len()
+        self.plan.core..self.plan.core + self.plan.side
+    }
+
+    /// Numbers of the machines that may hold the control state, and don't run at the start.
+    pub fn spares(&self) -> std::ops::Range<usize> {
+        self.plan.core + self.plan.side..self.machines.len()
+    }
+
+    /// Where a machine takes what other sidecars say to it, and the port at which it calls them.
+    pub fn internal(&self, m: usize) -> SocketAddr {
+        let own = if self.plan.links { m as u16 } else { 0 };
+        SocketAddr::new(IpAddr::V4(self.machines[m].ip), self.first + INTERNAL.0 + own)
     }
 
     /// Between two beats of an upstream, in seconds.
@@ -208,6 +231,11 @@
 
     /// The settings file of a machine, as text.
     pub fn settings(&self, m: usize, first_start: bool) -> String {
+        let seeds: Vec<usize> = self.cores().take(3).collect();
+        self.settings_with(m, first_start, &seeds)
+    }
+
+    fn settings_with(&self, m: usize, first_start: bool, seeds: &[usize]) -> String {
         let me = &self.machines[m];
         let class = if me.core { "core" } else { "side" };
         let mut text = format!(
@@ -228,11 +256,11 @@
         let _ = writeln!(
             text,
             "internalPorts:\n  - {}\n  - {}\nseeds:",
-            self.first + INTERNAL.0,
+            self.internal(m).port(),
             self.first + INTERNAL.1
         );
-        for c in self.cores().take(3) {
-            let _ = writeln!(text, "  - \"{}\"", self.control(c));
+        for c in seeds {
+            let _ = writeln!(text, "  - \"{}\"", self.control(*c));
         }
         match me.core {
             true => writeln!(text, "dataDir: \"{}\"", me.dir.join("data").display()),
@@ -254,6 +282,16 @@
     /// Start a machine's process. `first`: the whole mesh starts for the first time.
     pub fn start(&mut self, m: usize, first: bool) -> Result<()> {
         let settings = self.settings(m, first);
+        self.start_by(m, settings)
+    }
+
+    /// Start it again, and tell it of these machines only.
+    pub fn start_below(&mut self, m: usize, seeds: &[usize]) -> Result<()> {
+        let settings = self.settings_with(m, false, seeds);
+        self.start_by(m, settings)
+    }
+
+    fn start_by(&mut self, m: usize, settings: String) -> Result<()> {
         let program = self.program.clone();
         let me = &mut self.machines[m];
         if me.child.is_some() {
@@ -278,9 +316,9 @@
         Ok(())
     }
 
-    /// Start all of them for the first time.
+    /// Start all but the spare ones for the first time.
     pub fn start_all(&mut self) -> Result<()> {
-        (0..self.machines.len()).try_for_each(|m| self.start(m, true))
+        (0..self.spares().start).try_for_each(|m| self.start(m, true))
     }
 
     /// The process of a machine, if it runs.
--- a/crates/village/src/operator.rs
+++ b/crates/village/src/operator.rs
@@ -151,6 +151,18 @@
     /// Change the configuration; it is acknowledged when this returns.
     pub async fn patch(&self, change: &Value) -> Result<()> {
         self.call("POST", "/-/Config.Patch", change.to_string().as_bytes()).await?;
+        self.note(change);
+        Ok(())
+    }
+
+    /// One that remembers what was acknowledged so far, and nothing later.
+    pub fn so_far(&self) -> Self {
+        let book = self.book.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        Operator { book: Arc::new(Mutex::new(book)), ..self.clone() }
+    }
+
+    /// This change was acknowledged.
+    pub fn note(&self, change: &Value) {
         let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
         let mut note = |name: String, edition: u64, service: Option<String>| {
             let entry = book.entry(name).or_insert((0, None));
@@ -168,7 +180,6 @@
                 None,
             );
         }
-        Ok(())
     }
 
     /// The newest configuration.
--- a/crates/village/src/village.rs
+++ b/crates/village/src/village.rs
@@ -1,5 +1,6 @@
 //! A mesh with all that stands around it: stations, an operator, and ways to see what the processes know.
 use crate::line::call;
+use crate::links::Links;
 use crate::mesh::{Mesh, Plan};
 use crate::operator::{first, Operator};
 use crate::station::{Manner, Place, Runs, Station};
@@ -25,6 +26,8 @@
     pub runs: Arc<Runs>,
     /// Its operator.
     pub operator: Operator,
+    /// What stands between its machines, if anything does.
+    pub links: Option<Links>,
     manner: Manner,
     services: Vec<String>,
 }
@@ -44,10 +47,12 @@
     /// Start everything and wait until each sidecar has the configuration and knows all upstreams.
     pub async fn open(plan: &Plan, manner: Manner, program: &Path) -> Result<Self> {
         let mut mesh = Mesh::lay(plan, program)?;
+        let links = if plan.links { Some(Links::between(&mesh).await?) } else { None };
         mesh.start_all()?;
-        let operator = Operator::new(mesh.cores().map(|c| mesh.control(c)).collect());
+        let offices = mesh.cores().chain(mesh.spares());
+        let operator = Operator::new(offices.map(|c| mesh.control(c)).collect());
         let (stations, runs, services) = (BTreeMap::new(), Arc::default(), plan.services.clone());
-        let mut village = Village { mesh, stations, runs, operator, manner, services };
+        let mut village = Village { mesh, stations, runs, operator, links, manner, services };
         for m in village.mesh.sides() {
             village.station(m).await?;
         }
