--- a/crates/posthouse/src/control.rs
+++ b/crates/posthouse/src/control.rs
@@ -3,7 +3,7 @@
 use crate::feed;
 use crate::leaf::{Leaf, Order, CONFIGURATION, EVACUATION};
 use crate::members;
-use crate::post::{Beat, Door, Post};
+use crate::post::{Beat, Counted, Door, Post};
 use crate::wire::{self, Asked, End, Line, Wrong};
 use serde_json::json;
 use silvercross_control_store::Verdict;
@@ -27,19 +27,25 @@
 /// No head is larger.
 const HEAD: usize = 16 * 1024;
 
+/// No reason is longer: it may quote what was sent, and an upstream reads no answer of over 4 KiB.
+const WHY: usize = 512;
+
 /// What a caller is answered.
 pub struct Said {
     status: u16,
     lines: String,
     body: String,
+    /// Where to go instead.
+    to: Option<String>,
 }
 
 impl Said {
     fn json(status: u16, body: String) -> Self {
-        Said { status, lines: "Content-Type: application/json\r\n".to_string(), body }
+        Said { status, lines: "Content-Type: application/json\r\n".to_string(), body, to: None }
     }
 
     fn fault(status: u16, why: &str) -> Self {
+        let why = &why[..why.floor_char_boundary(WHY)];
         Said::json(status, json!({ "error": why }).to_string())
     }
 
@@ -156,6 +162,7 @@
 
 async fn ordered(post: &Rc<Post>, key: &str, order: Order, path: &str) -> Said {
     post.counts.calls.set(post.counts.calls.get() + 1);
+    let _open = Counted::new(post, |c| &c.calls_open);
     match post.carriers.ask(post, key, Some(order)).await {
         Some(Verdict::Done { revision, changed }) => {
             if changed {
@@ -177,11 +184,36 @@
     }
 }
 
+/// Callers follow so many redirections, and no more.
+const FOLLOWED: u32 = 2;
+/// In the address that a caller is sent to: how often it was sent on.
+const VIA: &str = "via";
+
+/// How often this call was sent on before.
+fn sent_on(target: &str) -> u32 {
+    let query = target.split_once('?').map_or("", |(_, query)| query);
+    let via = query.split('&').find_map(|p| p.strip_prefix(VIA)?.strip_prefix('='));
+    via.map_or(0, |n| n.parse().unwrap_or(FOLLOWED))
+}
+
+/// A caller is sent on no oftener than it follows: machines may each take the other for one that holds the ledger, while what they
+/// know of each other is old.
+fn bounded(mut said: Said, target: &str) -> Said {
+    let Some(to) = said.to.take() else { return said };
+    let n = sent_on(target);
+    if n >= FOLLOWED {
+        return Said::later();
+    }
+    said.lines.push_str(&format!("Location: {to}?{VIA}={}\r\n", n + 1));
+    said
+}
+
 /// This machine holds no ledger: one that does is named.
 fn elsewhere(post: &Post, path: &str) -> Said {
     match post.core() {
         Some(at) => {
-            Said { status: 307, lines: format!("Location: http://{at}{path}\r\n"), body: String::new() }
+            let to = Some(format!("http://{at}{path}"));
+            Said { status: 307, lines: String::new(), body: String::new(), to }
         }
         None => Said::later(),
     }
@@ -240,7 +272,10 @@
 async fn ready(post: &Rc<Post>, _: &str, _: &[u8]) -> Said {
     match post.unready() {
         None => Said::json(200, "{\"ready\":true}".to_string()),
-        Some(why) => Said::fault(503, why),
+        Some(why) => {
+            post.denied();
+            Said::fault(503, why)
+        }
     }
 }
 
@@ -322,10 +357,11 @@
         return Next::Feed(Box::new(asked), body);
     }
     let said = match find(calls, &asked.method, &asked.target) {
-        Ok((call, name)) => (call.run)(post, &name, &body).await,
+        Ok((call, name)) => bounded((call.run)(post, &name, &body).await, &asked.target),
         Err(status) => Said::fault(status, "no such call"),
     };
-    let close = !asked.keep_alive;
+    // Who calls again goes elsewhere.
+    let close = !asked.keep_alive || post.stopping();
     let bytes = wire::whole(said.status, said.lines.as_bytes(), said.body.as_bytes(), close, false);
     if line.write(&bytes).await.is_ok() && !close {
         Next::Call
