Control simulation: control machines and sidecars in one simulated world, with a judge

Need: replicas were played alone and membership alone; what a sidecar has, and when, was in no model.

Change: a package of test machinery. Each control machine runs the real ControlStore and Rounds, each sidecar the real Rounds, wired as posthouse's carriers do it, over connections that keep order and are held back by cuts, datagrams that get lost, disks of which unsynced writes are kept or lost each by itself. Operators call through any machine, up to eight calls at a time, and send them again after no answer; 16 kinds of faults meet them; then all is healed, comes to rest within 16 s and is judged by plain values.

--- /dev/null
+++ b/crates/control-sim/src/items.rs
@@ -0,0 +1,57 @@
+//! The content of a key in this world: named items by the rules of the operators' configuration.
+
+use bitcode::{Decode, Encode};
+use silvercross_control_store::{Refusal, State};
+use std::collections::BTreeMap;
+
+/// One item of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub struct Item {
+    /// Its name.
+    pub name: u8,
+    /// Its version: the highest one of a name holds.
+    pub version: u64,
+    /// What it says; 0: the item is dropped.
+    pub content: u64,
+    /// An item that has to be there when this one changes something; 0: none.
+    pub needs: u8,
+}
+
+/// One call: in force whole or not at all.
+pub type Change = Vec<Item>;
+
+/// Name to version and content; drops are remembered.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct Items(pub BTreeMap<u8, (u64, u64)>);
+
+fn refusal(conflict: bool, item: &Item) -> Refusal {
+    Refusal { conflict, reason: format!("item {}, version {}", item.name, item.version) }
+}
+
+impl State for Items {
+    type Change = Change;
+
+    fn apply(&mut self, change: &Change) -> Result<bool, Refusal> {
+        let mut next = self.0.clone();
+        let mut changed = Vec::new();
+        for item in change {
+            let known = next.get(&item.name).copied().unwrap_or_default();
+            if known.0 == item.version && known.1 != item.content {
+                return Err(refusal(true, item));
+            }
+            if known.0 < item.version {
+                next.insert(item.name, (item.version, item.content));
+                changed.push(item);
+            }
+        }
+        for item in &changed {
+            let there = |needed: u8| next.get(&needed).is_some_and(|known| known.1 != 0);
+            if item.needs != 0 && !there(item.needs) {
+                return Err(refusal(false, item));
+            }
+        }
+        let any = !changed.is_empty();
+        self.0 = next;
+        Ok(any)
+    }
+}
--- /dev/null
+++ b/crates/control-sim/src/wiring.rs
@@ -0,0 +1,160 @@
+//! A machine's deciders wired to each other and to the world, as the mesh's program does it (`posthouse`'s `carriers.rs` and
+//! `post.rs`).
+
+use crate::disk::Write;
+use crate::items::Items;
+use crate::judge::{At, Took, Why};
+use crate::network::Parcel;
+use crate::world::{Body, Event, Micros, World, LOOK};
+use silvercross_control_store as control;
+use silvercross_control_store::ControlStore;
+use silvercross_rounds::Rounds;
+
+impl World {
+    /// What a machine says of itself.
+    pub(crate) fn tell(&mut self, node: usize) {
+        let now = self.local(node);
+        let machine = &mut self.machines[node];
+        let knows = |store: &ControlStore<Items>| {
+            let known = store.voter() || (store.outside() && store.replicas().version > 0);
+            if known {
+                store.replica_set()
+            } else {
+                Vec::new()
+            }
+        };
+        let roster = machine.store.as_ref().map(knows).unwrap_or_default();
+        let body = Body { roster: roster.into_iter().map(|n| n.0).collect(), leaving: machine.leaving };
+        if let Some(rounds) = &mut machine.rounds {
+            rounds.tell(now, body);
+        }
+    }
+
+    /// Does what a machine's deciders want done, until they want nothing more.
+    pub(crate) fn pump(&mut self, node: usize) {
+        loop {
+            let machine = &mut self.machines[node];
+            let rounds = machine.rounds.as_mut().map(Rounds::effects).unwrap_or_default();
+            let store = machine.store.as_mut().map(ControlStore::effects).unwrap_or_default();
+            if rounds.is_empty() && store.is_empty() {
+                break;
+            }
+            rounds.into_iter().for_each(|effect| self.round_effect(node, effect));
+            store.into_iter().for_each(|effect| self.store_effect(node, effect));
+        }
+        self.readiness(node);
+        self.schedule_wake(node);
+    }
+
+    fn schedule_wake(&mut self, node: usize) {
+        let (now, local) = (self.now, self.local(node));
+        let machine = &mut self.machines[node];
+        let Some(rounds) = &machine.rounds else { return };
+        let store = machine.store.as_ref().and_then(ControlStore::wake).unwrap_or(Micros::MAX);
+        let look = if machine.core { LOOK } else { 1_000_000 };
+        let wake = now + (rounds.wake().min(store).saturating_sub(local)).clamp(1, look);
+        if wake < machine.wake {
+            machine.wake = wake;
+            let incarnation = machine.incarnation;
+            self.at(wake, Event::Wake { node, incarnation });
+        }
+    }
+
+    fn round_effect(&mut self, node: usize, effect: silvercross_rounds::Effect<Body>) {
+        use silvercross_rounds::Effect;
+        match effect {
+            Effect::Link { to } => {
+                if let Some(to) = self.index(to.0) {
+                    self.dial(node, to);
+                }
+            }
+            Effect::Unlink { to } => {
+                if let Some(to) = self.index(to.0) {
+                    self.unlink(node, to);
+                }
+            }
+            Effect::Send { to, letter } => {
+                if let Some(to) = self.index(to.0) {
+                    self.send(node, to, Parcel::Round(letter));
+                }
+            }
+            Effect::Datagram { to, datagram } => {
+                if let Some(to) = self.index(to.0) {
+                    self.datagram(node, to, datagram);
+                }
+            }
+            Effect::Try { node: about } => {
+                if let Some(about) = self.index(about.0) {
+                    self.probe(node, about);
+                }
+            }
+            Effect::Record(record) => {
+                let now = self.local(node);
+                if let Some(store) = &mut self.machines[node].store {
+                    let told = &record.body;
+                    let spare = !told.roster.is_empty() && !told.roster.contains(&record.node.0);
+                    let up = record.core && !record.gone && !told.leaving && spare;
+                    store.candidate(now, control::Node(record.node.0), up);
+                }
+            }
+            Effect::Page { key, revision, bytes } => {
+                if let Ok(items) = bitcode::decode::<Items>(&bytes) {
+                    self.take(node, &key, revision, items);
+                }
+            }
+        }
+    }
+
+    fn store_effect(&mut self, node: usize, effect: control::Effect<Items>) {
+        use control::Effect;
+        match effect {
+            Effect::Send { to, version, message } => {
+                if let Some(to) = self.index(to.0) {
+                    self.send(node, to, Parcel::Store(version, message));
+                }
+            }
+            Effect::Store { write, metadata, keys } => {
+                let mut delay = self.dice.between(300, 5_300);
+                if self.dice.one_in(self.slow) {
+                    delay += self.dice.between(0, 300_000);
+                }
+                let machine = &mut self.machines[node];
+                machine.storage.pending.push_back(Write { metadata, keys });
+                let when = self.now.max(machine.storage.free) + delay;
+                machine.storage.free = when;
+                let incarnation = machine.incarnation;
+                self.at(when, Event::Synced { node, incarnation, write });
+            }
+            Effect::Answer { token, verdict } => self.answered(node, token, verdict),
+            Effect::Committed { key, revision, value } => {
+                let at = (revision.epoch.round, u64::from(revision.epoch.owner), revision.seq);
+                let (now, bytes) = (self.local(node), bitcode::encode(&value));
+                if let Some(rounds) = &mut self.machines[node].rounds {
+                    rounds.post(now, &key, at, bytes);
+                }
+                self.take(node, &key, at, value);
+            }
+        }
+    }
+
+    /// News of the control state; older than what is in force changes nothing.
+    fn take(&mut self, node: usize, key: &str, at: At, value: Items) {
+        let Some(key) = key.strip_prefix("key-").and_then(|number| number.parse().ok()) else { return };
+        let machine = &mut self.machines[node];
+        if machine.revisions.get(&key).is_some_and(|known| *known >= at) {
+            return;
+        }
+        machine.revisions.insert(key, at);
+        self.history.lives[machine.life].took.push(Took { when: self.now, key, at, value: value.0 });
+    }
+
+    /// Whether a process says that it is ready, and why.
+    fn readiness(&mut self, node: usize) {
+        let machine = &self.machines[node];
+        let life = &mut self.history.lives[machine.life];
+        if !machine.runs() || life.ready.is_some() || !machine.revisions.contains_key(&0) {
+            return;
+        }
+        life.ready = Some((self.now, Why::Configured));
+    }
+}
