Control simulation: a replica that stops in plan says so to the others and stays while it is wanted

Need: the merged replacement in plan is to be met by faults too. Change: the world hands on what a record says of a stop, and a leaver ends when nobody wants it or its grace is over.

--- a/crates/control-sim/src/faults.rs
+++ b/crates/control-sim/src/faults.rs
@@ -13,8 +13,8 @@
     Thaw(usize),
     /// These directions are open again.
     Heal(Vec<(usize, usize)>),
-    /// It signs off, and ends soon.
-    SignOff(usize),
+    /// It signs off, and ends soon; but no sooner than then while it is still wanted as a replica.
+    SignOff(usize, Micros),
     /// It ends; for good if so.
     End(usize, bool),
     /// It may ask all control machines again.
@@ -35,14 +35,7 @@
             Undo::Start(node) => self.start(node),
             Undo::Thaw(node) => self.thaw(node),
             Undo::Heal(pairs) => pairs.into_iter().for_each(|(from, to)| self.set_cut(from, to, false)),
-            Undo::SignOff(node) => {
-                let now = self.local(node);
-                let machine = &mut self.machines[node];
-                if let Some(rounds) = machine.rounds.as_mut().filter(|_| !machine.frozen) {
-                    rounds.leave(now);
-                    self.pump(node);
-                }
-            }
+            Undo::SignOff(node, last) => self.sign_off(node, last),
             Undo::End(node, for_good) => {
                 // Another disk may have been lost since it was told to go.
                 let bears = for_good && self.replaceable(node) && self.bearable(node);
@@ -62,6 +55,19 @@
         }
     }
 
+    fn sign_off(&mut self, node: usize, last: Micros) {
+        let now = self.local(node);
+        let machine = &mut self.machines[node];
+        let wanted = machine.store.as_ref().is_some_and(|store| store.needed());
+        if (machine.frozen || wanted) && self.now < last {
+            return self.later(20_000, Undo::SignOff(node, last));
+        }
+        if let Some(rounds) = machine.rounds.as_mut().filter(|_| !machine.frozen) {
+            rounds.leave(now);
+            self.pump(node);
+        }
+    }
+
     /// A machine's configuration names other control machines to ask.
     pub fn reseed(&mut self, node: usize, seeds: Vec<usize>) {
         let now = self.local(node);
@@ -76,16 +82,21 @@
         }
     }
 
-    /// A machine is told to stop in plan: it says so, signs off, and ends.
+    /// A machine is told to stop in plan: it says so, stays while it is wanted, signs off, and ends when the grace is over.
     pub fn leave(&mut self, node: usize, grace: Micros, for_good: bool) {
         if self.machines[node].frozen || !self.machines[node].runs() {
             return;
         }
         self.machines[node].leaving = true;
         self.tell(node);
+        let now = self.local(node);
+        if let Some(store) = &mut self.machines[node].store {
+            store.leave(now);
+        }
         self.pump(node);
-        self.later(grace, Undo::SignOff(node));
-        self.later(grace + 100_000, Undo::End(node, for_good));
+        let last = self.now + grace - 100_000;
+        self.later(20_000, Undo::SignOff(node, last));
+        self.later(grace, Undo::End(node, for_good));
     }
 
     /// Nothing gets from any of these to any of those, and back if so.
@@ -226,12 +237,12 @@
 
     fn strike_leave(&mut self) -> Option<&'static str> {
         let node = self.dice.index(self.cores());
-        let grace = self.dice.between(200_000, 2_500_000);
+        let grace = self.dice.between(200_000, 3_500_000);
         let for_good = self.dice.one_in(2) && self.replaceable(node) && self.bearable(node);
         self.leave(node, grace, for_good);
         if !for_good {
             let span = self.span();
-            self.later(grace + 200_000 + span, Undo::Start(node));
+            self.later(grace + 100_000 + span, Undo::Start(node));
         }
         Some("planned leave")
     }
--- a/crates/control-sim/src/wiring.rs
+++ b/crates/control-sim/src/wiring.rs
@@ -95,6 +95,9 @@
                     let spare = !told.roster.is_empty() && !told.roster.contains(&record.node.0);
                     let up = record.core && !record.gone && !told.leaving && spare;
                     store.candidate(now, control::Node(record.node.0), up);
+                    if record.core {
+                        store.leaves(now, control::Node(record.node.0), told.leaving);
+                    }
                 }
             }
             Effect::Page { key, revision, bytes } => {
