--- a/crates/control-sim/tests/mutants.rs
+++ b/crates/control-sim/tests/mutants.rs
@@ -2,6 +2,9 @@
 //! sidecars saw, not by something that doesn't come to rest.
 #![cfg(feature = "mutants")]
 
+mod common;
+
+use common::{cut_control_machine, removed_beside_one_other, Way, S};
 use silvercross_control_sim::run;
 use silvercross_control_store::Broken;
 
@@ -27,6 +30,25 @@
     caught(Broken::ReadsUnasked, 300);
 }
 
+/// The judge's words on a directed schedule, which is none of liveness.
+fn judged(outcome: common::Outcome) -> String {
+    let why = outcome.expect_err("the schedule breaks a rule");
+    println!("{why}");
+    assert!(!why.starts_with("not ") && !why.contains("after the heal through"), "{why}");
+    why
+}
+
+#[test]
+fn a_cut_owner_that_answers_a_read_is_caught_in_the_directed_schedule() {
+    let why = judged(cut_control_machine(true, Way::Both, 5 * S, true, Some(Broken::ReadsUnasked)));
+    assert!(why.contains("a read misses"), "{why}");
+}
+
+#[test]
+fn a_leaver_that_is_counted_after_the_change_is_caught() {
+    judged(removed_beside_one_other(Some(Broken::RemovedVotes)));
+}
+
 #[test]
 fn a_wiped_replica_that_votes_is_caught() {
     caught(Broken::WipedVotes, 1_000);
