--- a/crates/control-sim/src/schedule.rs
+++ b/crates/control-sim/src/schedule.rs
@@ -63,6 +63,8 @@
         keys: 1 + dice.index(2),
         loss: dice.below(80),
         slow: 2 + dice.below(200),
+        // Values of some bytes go in one to ten pieces.
+        piece: [10, 33, 100_000][dice.index(3)],
         broken,
     }
 }
--- a/crates/control-sim/src/world.rs
+++ b/crates/control-sim/src/world.rs
@@ -44,6 +44,8 @@
     pub loss: u64,
     /// One parcel in so many is late.
     pub slow: u64,
+    /// Bytes of a value that go in one piece.
+    pub piece: usize,
     /// Which rule is broken on purpose.
     pub broken: Option<Broken>,
 }
@@ -51,7 +53,7 @@
 impl Plan {
     /// A quiet world: three replicas, and so many spare machines and sidecars.
     pub fn quiet(spares: usize, sidecars: usize) -> Plan {
-        Plan { replicas: 3, spares, sidecars, keys: 1, loss: 0, slow: u64::MAX, broken: None }
+        Plan { replicas: 3, spares, sidecars, keys: 1, loss: 0, slow: u64::MAX, piece: 100_000, broken: None }
     }
 }
 
@@ -283,7 +285,7 @@
         let seeds: Vec<u32> = self.machines[node].seeds.iter().map(|core| 1 + *core as u32).collect();
         let keys = (0..self.plan.keys).map(key_name).collect();
         let holds = node < self.plan.replicas;
-        let broken = self.plan.broken;
+        let (broken, piece) = (self.plan.broken, self.plan.piece);
         let machine = &mut self.machines[node];
         if machine.runs() || machine.destroyed {
             return;
@@ -313,7 +315,8 @@
                 fresh: holds && !machine.storage.formatted,
                 seed,
             };
-            let store = ControlStore::new(now, start, machine.storage.disk.clone());
+            let mut store = ControlStore::new(now, start, machine.storage.disk.clone());
+            store.pieces_of(piece);
             machine.store = Some(broken_on_purpose(store, broken));
         }
         let (core, start) = (machine.core, self.now);
