--- a/crates/control-sim/src/faults.rs
+++ b/crates/control-sim/src/faults.rs
@@ -92,6 +92,7 @@
         if self.machines[node].frozen || !self.machines[node].runs() {
             return;
         }
+        self.note(|| format!("{node} is told to stop"));
         self.machines[node].leaving = true;
         self.tell(node);
         let now = self.local(node);
@@ -146,6 +147,7 @@
             _ => self.strike_sidecar(),
         };
         if let Some(name) = name {
+            self.note(|| format!("that was: {name}"));
             *self.report.faults.entry(name).or_default() += 1;
             self.report.met += u64::from(met);
             let joint = self.newest_replica_set().is_some_and(|set| set.joint());
@@ -182,6 +184,7 @@
             return None;
         }
         self.crash(node, true);
+        self.note(|| format!("wipe {node}"));
         self.machines[node].storage.wiped();
         let span = self.dice.between(0, 300_000);
         self.later(span, Undo::Start(node));
--- a/crates/control-sim/src/schedule.rs
+++ b/crates/control-sim/src/schedule.rs
@@ -71,7 +71,17 @@
 
 /// Plays a drawn schedule as a whole.
 pub fn run(seed: u64, broken: Option<Broken>) -> Result<Report, String> {
+    play(seed, broken, false)
+}
+
+/// The same, printed.
+pub fn trace(seed: u64) -> Result<Report, String> {
+    play(seed, None, true)
+}
+
+fn play(seed: u64, broken: Option<Broken>, trace: bool) -> Result<Report, String> {
     let mut world = World::new(seed, drawn_plan(seed, broken));
+    world.trace = trace;
     world.begin_drawn();
     let stop = world.stop;
     world.play(stop);
--- a/crates/control-sim/src/wiring.rs
+++ b/crates/control-sim/src/wiring.rs
@@ -30,6 +30,38 @@
         }
     }
 
+    /// Where a control machine stands, for the trace.
+    fn note_store(&mut self, node: usize) {
+        if !self.trace {
+            return;
+        }
+        let Some(store) = &self.machines[node].store else { return };
+        let set = store.replicas();
+        let ids =
+            |nodes: Vec<control::Node>| nodes.iter().map(|n| n.0.to_string()).collect::<Vec<_>>().join(" ");
+        let owned: Vec<String> = store.settled().iter().map(|s| format!("{} {}", s.0, s.1.round)).collect();
+        let accepted: Vec<String> = store
+            .state()
+            .iter()
+            .map(|s| {
+                format!("{} {}.{}.{}", s.key, s.accepted.epoch.round, s.accepted.epoch.owner, s.accepted.seq)
+            })
+            .collect();
+        let stands = format!(
+            "id {} voter {} set {} [{}] leaving {:?} coming {:?} owns {owned:?}",
+            self.machines[node].id,
+            store.voter(),
+            set.version,
+            ids(store.replica_set()),
+            set.leaving.map(|n| n.0),
+            set.coming.map(|n| n.0),
+        );
+        if self.machines[node].stands != stands {
+            self.note(|| format!("  {node}: {stands} {accepted:?}"));
+            self.machines[node].stands = stands;
+        }
+    }
+
     /// Does what a machine's deciders want done, until they want nothing more.
     pub(crate) fn pump(&mut self, node: usize) {
         loop {
@@ -42,6 +74,7 @@
             rounds.into_iter().for_each(|effect| self.round_effect(node, effect));
             store.into_iter().for_each(|effect| self.store_effect(node, effect));
         }
+        self.note_store(node);
         self.readiness(node);
         self.schedule_wake(node);
     }
--- a/crates/control-sim/src/world.rs
+++ b/crates/control-sim/src/world.rs
@@ -159,6 +159,8 @@
     pub(crate) wake: Micros,
     pub(crate) looked: Micros,
     pub(crate) life: usize,
+    /// As the trace told it last.
+    pub(crate) stands: String,
 }
 
 impl Machine {
@@ -184,6 +186,7 @@
             wake: Micros::MAX,
             looked: 0,
             life: 0,
+            stands: String::new(),
         }
     }
 
@@ -217,6 +220,8 @@
     pub(crate) slow: u64,
     pub(crate) stop: Micros,
     pub(crate) healed: bool,
+    /// Faults and their ends, starts, replica sets and owners are printed.
+    pub trace: bool,
     queue: BinaryHeap<Reverse<Entry>>,
 }
 
@@ -248,6 +253,7 @@
             slow: plan.slow,
             stop: Micros::MAX,
             healed: false,
+            trace: false,
             queue: BinaryHeap::new(),
             dice,
             plan,
@@ -269,6 +275,12 @@
         self.now + self.machines[node].offset
     }
 
+    pub(crate) fn note(&self, what: impl FnOnce() -> String) {
+        if self.trace {
+            println!("{:>10.6} {}", self.now as f64 / 1e6, what());
+        }
+    }
+
     pub(crate) fn fail(&mut self, why: String) {
         self.failure.get_or_insert(why);
     }
@@ -291,6 +303,7 @@
             return;
         }
         machine.incarnation += 1;
+        let formatted = machine.storage.disk.metadata.is_some();
         machine.on = true;
         machine.frozen = false;
         machine.leaving = false;
@@ -321,12 +334,14 @@
         }
         let (core, start) = (machine.core, self.now);
         self.report.starts[usize::from(!core)] += 1;
+        self.note(|| format!("start {node}, disk {formatted}"));
         self.history.lives.push(Life { node, core, start, took: Vec::new(), ready: None });
         self.pump(node);
     }
 
     /// A process ends; `power`: without a word to anybody.
     pub fn crash(&mut self, node: usize, power: bool) {
+        self.note(|| format!("crash {node}, power {power}"));
         if self.machines[node].runs() {
             let links = std::mem::take(&mut self.machines[node].links);
             for (_, connections) in links.into_iter().filter(|_| !power) {
@@ -351,11 +366,13 @@
 
     /// A machine stands still.
     pub fn freeze(&mut self, node: usize) {
+        self.note(|| format!("freeze {node}"));
         self.machines[node].frozen = self.machines[node].runs();
     }
 
     /// It goes on, with all that came meanwhile.
     pub fn thaw(&mut self, node: usize) {
+        self.note(|| format!("thaw {node}"));
         let machine = &mut self.machines[node];
         if !std::mem::take(&mut machine.frozen) {
             return;
@@ -375,6 +392,9 @@
 
     /// Nothing gets from one to the other any more, or does again.
     pub fn set_cut(&mut self, from: usize, to: usize, cut: bool) {
+        if from.max(to) < self.cores() && from != to && self.cut[from][to] != cut {
+            self.note(|| format!("{} {from} to {to}", if cut { "cut" } else { "heal" }));
+        }
         if from != to && std::mem::replace(&mut self.cut[from][to], cut) && !cut {
             self.released(from, to);
         }
--- a/crates/control-sim/tests/drawn.rs
+++ b/crates/control-sim/tests/drawn.rs
@@ -1,6 +1,6 @@
 //! Drawn schedules of control machines and sidecars, held against a plain map.
 
-use silvercross_control_sim::{run, Report};
+use silvercross_control_sim::{run, trace, Report};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
@@ -101,3 +101,13 @@
     print(from, &reports, &broken, began);
     assert!(broken.is_empty(), "{} of {count} broke a rule", broken.len());
 }
+
+/// `SEED=17 cargo test -p silvercross-control-sim --test drawn one_schedule -- --ignored --nocapture`
+#[test]
+#[ignore = "the schedule of SEED, printed"]
+fn one_schedule() {
+    let seed = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(0);
+    let played = trace(seed);
+    println!("{played:?}");
+    assert!(played.is_ok(), "seed {seed}");
+}
