Control store: drawn schedules with planned leaves; nobody waits for an owner that is none

Need: planned leaves among the drawn schedules with replacements (REPLACEMENTS=1): a machine says that it stops, ends when it is needed no more or its grace (2 to 8 s) is over, and is then gone for good where it was replaced and a spare one is left, or starts again with its old disk.

Mended: who is no replica is no owner, and who is taken for the owner and is not claims the key at the first call that is passed to it.

--- a/crates/control-store/src/calls.rs
+++ b/crates/control-store/src/calls.rs
@@ -184,7 +184,10 @@
     ) {
         self.learn(now, &key, under);
         let voter = self.voter();
-        let unowned = self.known_owner(now, &key).is_none() && self.order(&key).first() == Some(&self.me);
+        // Who is believed to own it and does not, or is first in line: all others would turn to it.
+        let believed = self.keys.get(&key).is_some_and(|slot| slot.seen.owner == self.me.0);
+        let first = believed || self.order(&key).first() == Some(&self.me);
+        let unowned = self.known_owner(now, &key).is_none() && first;
         if voter && unowned {
             self.claim(now, &key);
         }
--- a/crates/control-store/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -447,7 +447,8 @@
     pub(crate) fn known_owner(&self, now: Micros, key: &str) -> Option<(Node, Epoch)> {
         let slot = self.keys.get(key)?;
         let owner = Node(slot.seen.owner);
-        let owned = slot.seen != Epoch::default() && owner != self.me;
+        // Who is no replica any more owns nothing, whatever is still said of it.
+        let owned = slot.seen != Epoch::default() && owner != self.me && self.replica_set.contains(owner);
         (owned && self.up.contains(&owner) && now < slot.heard + SILENT).then_some((owner, slot.seen))
     }
 
--- a/crates/control-store/tests/common/mod.rs
+++ b/crates/control-store/tests/common/mod.rs
@@ -89,6 +89,8 @@
     Restart(usize, bool),
     Thaw(usize),
     Heal(usize, usize),
+    /// It stops in plan, at the latest then.
+    Stops(usize, u64, Micros),
 }
 
 struct Entry(Micros, u64, Event);
@@ -131,6 +133,8 @@
     last_frozen: Micros,
     /// Lost for good.
     destroyed: bool,
+    /// It has said that it stops.
+    leaving: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -231,6 +235,7 @@
                 wake: Micros::MAX,
                 last_frozen: Micros::MIN,
                 destroyed: false,
+                leaving: false,
             });
         }
         for node in 0..machines {
@@ -260,6 +265,7 @@
         m.incarnation += 1;
         m.wake = Micros::MAX;
         m.frozen = false;
+        m.leaving = false;
         let start = Start {
             me: Node(node as u32),
             replica_set: (0..self.replicas as u32).map(Node).collect(),
@@ -590,7 +596,17 @@
         let node = self.dice.below(n as u64) as usize;
         let span = 2_000_000 + self.dice.below(6_000_000) as Micros;
         let met = u64::from(!self.open.is_empty());
-        let name = match self.dice.below(4) {
+        let name = match self.dice.below(6) {
+            4 | 5 => {
+                let m = &mut self.machines[node];
+                let (at, incarnation) = (self.now + m.offset, m.incarnation);
+                let Some(store) = m.store.as_mut().filter(|_| !m.leaving && !m.frozen) else { return };
+                m.leaving = true;
+                store.leave(at);
+                self.drain(node);
+                self.at(self.now, Event::Undo(Undo::Stops(node, incarnation, self.now + span)));
+                "leaves in plan"
+            }
             0 | 1 => {
                 let replica = |n: usize| self.replica_set().is_none_or(|r| r.contains(Node(n as u32)));
                 let lost = (0..n).filter(|n| replica(*n) && self.machines[*n].destroyed).count();
@@ -625,6 +641,31 @@
         *self.report.faults.entry(name).or_default() += 1;
     }
 
+    /// It ends as soon as it is needed no more, or its grace is over; then it may be gone for good, if it was replaced.
+    fn stops(&mut self, node: usize, incarnation: u64, until: Micros) {
+        let m = &self.machines[node];
+        let Some(store) = m.store.as_ref().filter(|_| m.incarnation == incarnation) else { return };
+        let needed = store.needed();
+        if (needed || m.frozen) && self.now < until && !self.healing {
+            self.at(self.now + 50_000, Event::Undo(Undo::Stops(node, incarnation, until)));
+            return;
+        }
+        let replica = |n: usize| self.replica_set().is_none_or(|r| r.contains(Node(n as u32)));
+        let n = self.machines.len();
+        let lost = (0..n).filter(|n| replica(*n) && self.machines[*n].destroyed).count();
+        let spare = (0..n).filter(|n| !replica(*n) && !self.machines[*n].destroyed).count();
+        let ends = !needed && !replica(node) && spare > lost + 1;
+        self.crash(node, false);
+        if ends && self.dice.one_in(2) {
+            *self.report.faults.entry("left for good").or_default() += 1;
+            self.machines[node].disk = Disk::default();
+            self.machines[node].destroyed = true;
+        } else {
+            let span = 200_000 + self.dice.below(5_000_000) as Micros;
+            self.at(self.now + span, Event::Undo(Undo::Restart(node, false)));
+        }
+    }
+
     fn cut_one(&mut self, from: usize, to: usize, span: Micros, told: bool) {
         self.cut[from][to] = true;
         if told {
@@ -637,6 +678,7 @@
     fn undo(&mut self, undo: Undo) {
         match undo {
             Undo::Restart(node, _) => self.start(node),
+            Undo::Stops(node, incarnation, until) => self.stops(node, incarnation, until),
             Undo::Heal(from, to) => {
                 self.cut[from][to] = false;
                 if !self.cut[to][from]
@@ -686,10 +728,12 @@
             return;
         }
         for peer in (0..n).filter(|p| *p != node) {
+            let leaves = self.machines[peer].leaving;
             let outside = self.machines[peer].store.as_ref().is_some_and(|l| l.outside());
             let m = &mut self.machines[node];
             if let Some(store) = &mut m.store {
-                store.candidate(self.now + m.offset, Node(peer as u32), outside);
+                store.candidate(self.now + m.offset, Node(peer as u32), outside && !leaves);
+                store.leaves(self.now + m.offset, Node(peer as u32), leaves);
             }
         }
         self.drain(node);
@@ -782,6 +826,9 @@
         self.slow = u64::MAX;
         let n = self.machines.len();
         for node in 0..n {
+            if self.machines[node].leaving {
+                self.crash(node, false);
+            }
             self.start(node);
             self.undo(Undo::Thaw(node));
             for peer in 0..n {
@@ -842,6 +889,9 @@
             if let Some(store) = &m.store {
                 self.report.taken += store.figures().taken;
                 self.report.outlived += store.figures().outlived;
+                if store.figures().went_back > 0 {
+                    self.failure.get_or_insert("a disk that is good was found to have gone back".into());
+                }
             }
         }
         if let Some(why) = self.failure {
