Control store: nobody is repaired as of before a change that may be in force

The step to A, B, D is decided by A and C, and stands at A and D, which acknowledge a change. C keeps nothing of that step but what it accepted, for it is no replica any more. A is wiped while D can't be reached; B missed the step, C is back on its disk. Both say that the joint replica set holds, and are more than half of A, B, C without A: A is repaired from them, and then the change is neither at A nor at B, which are more than half of A, B, D. One disk was lost.

Change: who is repaired under a joint replica set and hears of an accepted step to the one without the leaver does not vote under the joint one. Whoever answered is more than half of *before* and has the step accepted, so these decide it without the repaired one, and it is repaired under the new replica set, from more than half of that: one of them has what was acknowledged there. More than half of *before* have accepted such a step before anybody acts on it, so one of those who answer has it. The first repair of a newcomer is never held up: such a step needs the newcomer's vote first.

Also: a replica that was removed before it was told to stop waits as well until the others stand without it (needed).

Measured: tests/planned.rs steps the order of events above; with RepairedOvertaken the change is acknowledged and lost.

--- a/crates/control-store/src/replica.rs
+++ b/crates/control-store/src/replica.rs
@@ -231,7 +231,7 @@
             }
         }
         // The answers are of others alone, and still more than half of the whole replica set.
-        if !self.enough_before(self.repair.replies.iter()) {
+        if !self.enough_before(self.repair.replies.iter()) || self.overtaken() {
             return;
         }
         for (_, stored) in std::mem::take(&mut self.repair.keys) {
--- a/crates/control-store/src/replica_set.rs
+++ b/crates/control-store/src/replica_set.rs
@@ -127,6 +127,15 @@
         self.replica_set.more_than_half(&said, self.replica_set.coming)
     }
 
+    /// Whether the change that is under way may be in force already, as far as those know who answered a repair. Then it may
+    /// stand with the newcomer in the place of one of them, and with values that none of them has: the repair is to be of the
+    /// replica set without who leaves. Those who answered decide on that without this node.
+    pub(crate) fn overtaken(&self) -> bool {
+        let next = self.repair.vote.accepted.as_ref().map(|accepted| &accepted.1);
+        let in_force = |new| next.is_some_and(|next| next.contains(new));
+        self.replica_set.coming.is_some_and(in_force) && !self.is(Broken::RepairedOvertaken)
+    }
+
     fn still<'a>(&self, said: impl Iterator<Item = (&'a Node, &'a Incarnation)>) -> Vec<Node> {
         said.filter(|(node, incarnation)| self.current(**node, **incarnation))
             .map(|(node, _)| *node)
@@ -193,7 +202,8 @@
 
     /// Whether it has to ask the replicas who they are, or whether they stand without this one.
     pub(crate) fn asks(&self) -> bool {
-        self.lost_touch() || (self.in_force.is_some() && self.needed())
+        let leaves = self.leavers.contains_key(&self.me) && self.in_force.is_some();
+        self.lost_touch() || (leaves && self.needed())
     }
 
     /// Whether this node is no replica.
@@ -209,7 +219,7 @@
     /// Asks all that are linked who the replicas are; where this one has left in plan, the replicas whether they stand.
     pub(crate) fn ask_replica_set(&mut self, now: Micros) {
         self.repair.sent = now;
-        let replicas = self.in_force.is_some() && !self.lost_touch();
+        let replicas = self.replica_set.version > 0 && !self.lost_touch();
         let to = if replicas { self.others() } else { self.up.iter().copied().collect() };
         for to in to {
             self.send(to, Message::AskReplicaSet);
@@ -228,10 +238,9 @@
             return;
         }
         let came = replica_set.since(self.me);
-        let leaves = self.leavers.contains_key(&self.me) && self.replica_set.contains(self.me);
-        let leaves = came.is_none() && (leaves || self.in_force.is_some());
-        self.in_force = leaves.then(BTreeSet::new);
-        if leaves {
+        let removed = came.is_none() && (self.replica_set.contains(self.me) || self.in_force.is_some());
+        self.in_force = removed.then(BTreeSet::new);
+        if removed {
             self.repair.sent = now;
         }
         let new = came.is_some_and(|since| since > self.replica_set.version);
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -146,6 +146,8 @@
     DropsLeaverEarly,
     /// A replica that leaves ends once it knows the replica set without it, whoever else has that.
     EndsUnconfirmed,
+    /// Is repaired under a joint replica set though the one after it may be in force.
+    RepairedOvertaken,
     /// Goes on voting with a disk that went back to an older state.
     VotesGoneBack,
 }
@@ -230,7 +232,7 @@
     pub(crate) leavers: BTreeMap<Node, Micros>,
     /// The last newcomer with which a change was abandoned.
     pub(crate) failed: Option<Node>,
-    /// Where this one has left in plan: who votes without it.
+    /// Where this one was a replica and is none any more: who votes without it.
     pub(crate) in_force: Option<BTreeSet<Node>>,
     pub(crate) phase: Phase,
     pub(crate) incarnation: Incarnation,
--- a/crates/control-store/tests/common/mod.rs
+++ b/crates/control-store/tests/common/mod.rs
@@ -645,7 +645,7 @@
     fn stops(&mut self, node: usize, incarnation: u64, until: Micros) {
         let m = &self.machines[node];
         let Some(store) = m.store.as_ref().filter(|_| m.incarnation == incarnation) else { return };
-        let needed = store.needed();
+        let (needed, outside) = (store.needed(), store.outside());
         if (needed || m.frozen) && self.now < until && !self.healing {
             self.at(self.now + 50_000, Event::Undo(Undo::Stops(node, incarnation, until)));
             return;
@@ -654,7 +654,7 @@
         let n = self.machines.len();
         let lost = (0..n).filter(|n| replica(*n) && self.machines[*n].destroyed).count();
         let spare = (0..n).filter(|n| !replica(*n) && !self.machines[*n].destroyed).count();
-        let ends = !needed && !replica(node) && spare > lost + 1;
+        let ends = !needed && outside && !replica(node) && spare > lost + 1;
         self.crash(node, false);
         if ends && self.dice.one_in(2) {
             *self.report.faults.entry("left for good").or_default() += 1;
--- a/crates/control-store/tests/planned.rs
+++ b/crates/control-store/tests/planned.rs
@@ -294,6 +294,57 @@
     assert_eq!(newcomer_never_repaired(Some(Broken::DropsLeaverEarly)), (false, None), "no majority");
 }
 
+/// The new replica set stands at the newcomer and at one other, which alone have a change; that one is wiped and repaired while
+/// the newcomer can't be reached, but the leaver is back on its disk from the middle of the change, like the third. Whether they
+/// acknowledge anything, and whether the change is there when the newcomer is back.
+fn wiped_when_the_change_is_in_force(broken: Option<Broken>) -> (bool, bool) {
+    let mut case = Case::new(false, broken);
+    let leaver = case.leaver;
+    let rest: Vec<usize> = (0..3).filter(|n| *n != leaver).collect();
+    let (with, third) = (rest[0], rest[1]);
+    case.b.leave(leaver);
+    assert!(case.b.ledgers[3].voter() && case.b.ledgers[leaver].replicas().joint());
+    // The third misses the step to the new replica set, and goes then.
+    case.b.slow_disk.insert(third);
+    case.b.cut.extend((0..4).filter(|n| *n != third).flat_map(|n| [(n, third), (third, n)]));
+    case.b.go(1_500_000);
+    assert!(!case.b.ledgers[with].replicas().joint() && case.b.ledgers[with].voter());
+    case.call(with, 50);
+    case.b.go(1_500_000);
+    assert!(case.b.done(50), "{:?}", case.b.answers);
+    case.b.slow_disk.clear();
+    case.b.disks[with] = Disk::default();
+    for node in 0..4 {
+        case.b.part(node);
+    }
+    for node in [leaver, third, with] {
+        case.b.restart_as(node, broken);
+    }
+    case.b.cut.retain(|(a, b)| *a == 3 || *b == 3);
+    case.b.link();
+    case.b.gossip();
+    case.b.go(3_000_000);
+    case.call(third, 51);
+    case.b.go(1_000_000);
+    let alone = case.b.done(51);
+    case.b.cut.clear();
+    case.b.link();
+    case.b.go(4_000_000);
+    (alone, case.read(third).0.contains_key(&50))
+}
+
+#[test]
+fn who_is_wiped_when_the_change_is_in_force_is_not_repaired_as_of_before() {
+    assert_eq!(wiped_when_the_change_is_in_force(None), (false, true));
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+fn a_repair_as_of_before_the_change_is_caught() {
+    let broken = Some(Broken::RepairedOvertaken);
+    assert_eq!(wiped_when_the_change_is_in_force(broken), (true, false), "acknowledged and lost");
+}
+
 #[test]
 fn without_a_spare_one_a_rolling_restart_changes_nothing_and_owners_hand_on_at_once() {
     let (mut b, first) = Bench::settled();
