--- a/crates/control-store/src/replica.rs
+++ b/crates/control-store/src/replica.rs
@@ -254,7 +254,8 @@
     /// Once more than half have answered, fetches the contents; once they are there, becomes a voter.
     pub(crate) fn go_on_with_repair(&mut self, now: Micros) {
         // The answers are of others alone, and still more than half of the whole replica set.
-        if self.phase != Phase::Repairing || !self.enough_before(self.repair.replies.iter()) {
+        let enough = self.enough_before(self.repair.replies.iter()) && !self.overtaken();
+        if self.phase != Phase::Repairing || !enough {
             return;
         }
         let lacks = |(key, (held, from)): (&String, &(Held, Node))| {
