--- a/crates/control-store/tests/catchup.rs
+++ b/crates/control-store/tests/catchup.rs
@@ -24,9 +24,9 @@
 struct Items(BTreeMap<u32, Rc<Part>>);
 
 impl Items {
-    fn filled() -> Items {
+    fn filled(items_there: u32) -> Items {
         let mut items = Items::default();
-        for item in 0..ITEMS {
+        for item in 0..items_there {
             let part = Rc::make_mut(items.0.entry(item / 256).or_default());
             part.insert(item, (1, [u64::from(item).wrapping_mul(0x9e37_79b9_7f4a_7c15); 5]));
         }
@@ -79,6 +79,8 @@
     /// Offsets of pieces that arrived, and those sent after that.
     arrived: BTreeSet<(usize, Revision, u64)>,
     arrivals: usize,
+    /// Who sent the last piece that arrived.
+    sender: usize,
     again: usize,
     piece: usize,
 }
@@ -112,6 +114,7 @@
             open: 0,
             arrived: BTreeSet::new(),
             arrivals: 0,
+            sender: 0,
             again: 0,
             piece,
         };
@@ -254,6 +257,7 @@
                 if let Message::Piece { at, offset, .. } = &message {
                     self.arrived.insert((to, *at, *offset));
                     self.arrivals += 1;
+                    self.sender = from;
                 }
                 if let Some(store) = &mut self.stores[to] {
                     store.receive(self.now, Node(from as u32), version, message);
@@ -351,7 +355,7 @@
 
 /// A member is away during so many changes; `load`: one more every 50 ms while it catches up.
 fn away(how: How, changes: u64, load: bool) -> Row {
-    let mut net = Net::new(Items::filled(), 1, PIECE);
+    let mut net = Net::new(Items::filled(ITEMS), 1, PIECE);
     let owner = net.owner().expect("an owner");
     let member = match how {
         How::RestartOfTheOwner => owner,
@@ -426,7 +430,7 @@
 }
 
 fn whole() -> usize {
-    bitcode::encode(&Items::filled()).len()
+    bitcode::encode(&Items::filled(ITEMS)).len()
 }
 
 fn table(changes: &[u64]) {
@@ -468,3 +472,45 @@
 fn who_was_away_for_long_catches_up_too() {
     table(&[300, 3_000, 100_000]);
 }
+
+/// A wiped replica is sent a value of many pieces, and its link to the sender breaks at each, or it starts anew at one; with a change
+/// at each piece too.
+#[test]
+fn a_break_at_every_piece_sends_nothing_twice() {
+    for (breaks, changes, restarts) in
+        [(true, false, false), (true, true, false), (false, true, false), (true, true, true)]
+    {
+        let mut net = Net::new(Items::filled(600), 0, 1024);
+        let owner = net.owner().expect("an owner");
+        let member = (owner + 1) % 3;
+        net.stop(member, true);
+        net.start(member);
+        let begun = net.now;
+        let mut broken = 0;
+        while net.accepted(member).is_none() {
+            assert!(net.now < begun + 20_000_000, "it ends");
+            net.play(net.now + 100_000, true);
+            if restarts && net.arrivals == 10 {
+                net.stop(member, false);
+                net.start(member);
+                // What was in memory alone is gone.
+                net.arrived.clear();
+            } else if breaks {
+                let sender = net.sender;
+                net.unlink(member, sender);
+                net.pass(5_000);
+                net.link(member, sender);
+                broken += 1;
+            }
+            if changes {
+                net.call(owner, (broken % 600, 2 + net.tokens));
+            }
+        }
+        net.pass(1_100_000);
+        let now = net.owner().and_then(|owner| net.accepted(owner));
+        assert_eq!(net.accepted(member), now, "and has what came meanwhile");
+        assert!(!breaks || broken >= 20, "{broken} breaks");
+        assert_eq!(net.again, 0, "pieces sent again that had arrived");
+        assert!(net.largest <= 1024 + SMALL, "{} bytes at once", net.largest);
+    }
+}
--- a/crates/control-store/tests/rules.rs
+++ b/crates/control-store/tests/rules.rs
@@ -1002,3 +1002,80 @@
     assert_eq!(members(&b, owner), left);
     assert!(b.ledgers[3].voter() && b.read(3, 3).0.contains_key(&2));
 }
+
+/// All pieces of the key as it stands at its owner.
+fn pieces(b: &mut Bench, owner: usize, asks: usize) -> Vec<L> {
+    let (key, _, at) = b.ledgers[owner].settled()[0].clone();
+    let (mut pieces, mut offset) = (Vec::new(), 0);
+    loop {
+        let message = Message::Fetch { key: key.clone(), at, offset };
+        b.ledgers[owner].receive(b.now, Node(asks as u32), 1, message);
+        for effect in b.ledgers[owner].effects() {
+            let Effect::Send { message, .. } = effect else { panic!("{effect:?}") };
+            let Message::Piece { total, bytes, .. } = &message else { panic!("{message:?}") };
+            offset += bytes.len() as u64;
+            let last = offset >= *total;
+            pieces.push(message);
+            if last {
+                return pieces;
+            }
+        }
+    }
+}
+
+/// A replica that is behind gets pieces by hand, of two revisions: whether it takes what is torn, lacks a piece, is of both, and
+/// of the older one after the later.
+fn snapshots(broken: Option<Broken>) -> [bool; 4] {
+    let (mut b, owner) = Bench::settled();
+    let (x, y) = others(owner);
+    b.broken(broken);
+    b.ledgers.iter_mut().for_each(|l| l.pieces_of(5));
+    b.part(x);
+    let mut sent = Vec::new();
+    for version in [1, 2] {
+        let change: Vec<_> = (0..30).map(|item| (item, version, 1_000 * version + u64::from(item))).collect();
+        b.call(owner, version, &change);
+        assert!(b.done(version));
+        sent.push(pieces(&mut b, owner, y));
+    }
+    let [old, new] = [sent[0].clone(), sent[1].clone()];
+    assert!(old.len() > 3 && old.len() == new.len());
+    let values = |b: &Bench| b.disks[x].keys[0].value.clone();
+    let nothing = values(&b);
+    let mut brought = |pieces: Vec<L>| {
+        for piece in pieces {
+            b.ledgers[x].receive(b.now, Node(owner as u32), 1, piece);
+        }
+        b.run();
+        (values(&b), b.ledgers[x].figures().torn)
+    };
+    let mut torn = old.clone();
+    let Message::Piece { bytes, .. } = &mut torn[1] else { panic!("a piece") };
+    bytes[0] ^= 0x80;
+    let (is, count) = brought(torn);
+    let torn = is != nothing;
+    assert!(torn || count == 1);
+    let lacks = brought(old[..2].iter().chain(&old[3..]).cloned().collect()).0 != nothing;
+    let mixed = brought([&old[..2], &new[2..]].concat()).0 != nothing;
+    let whole = brought(new.clone()).0;
+    assert!(whole.0.iter().all(|(i, one)| *one == (2, 2_000 + u64::from(*i))) && whole.0.len() == 30);
+    let older = brought(old).0 != whole;
+    [torn, lacks, mixed, older]
+}
+
+#[test]
+fn a_snapshot_torn_mixed_or_old_is_never_taken() {
+    assert_eq!(snapshots(None), [false; 4]);
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+fn a_snapshot_put_together_from_two_is_caught() {
+    assert!(snapshots(Some(Broken::MixesSnapshots))[2]);
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+fn an_old_snapshot_over_a_newer_value_is_caught() {
+    assert!(snapshots(Some(Broken::TakesOldSnapshots))[3]);
+}
