--- a/crates/rounds/tests/common/mod.rs
+++ b/crates/rounds/tests/common/mod.rs
@@ -72,6 +72,8 @@
     pub read_delay: Micros,
     /// Reads begun, and those of them that no majority confirmed.
     pub reads: (u64, u64),
+    /// Starts that ended current with something acknowledged before, and by the bound.
+    pub judged: (u64, u64),
     /// Nodes are broken so, and what the judge finds is kept.
     pub broken: Option<Broken>,
     pub found: Vec<String>,
@@ -119,6 +121,7 @@
             acked: BTreeMap::new(),
             read_delay: 2 * MS,
             reads: (0, 0),
+            judged: (0, 0),
             broken: None,
             found: Vec::new(),
             events: BTreeMap::new(),
@@ -437,6 +440,7 @@
         assert_eq!(before, Freshness::Waiting, "{node:?} was ready, and is {after:?}");
         match after {
             Freshness::Current { .. } => {
+                self.judged.0 += u64::from(!machine.must.is_empty());
                 for (key, revision) in &machine.must {
                     let has = rounds.page(key).map(|page| *page.0);
                     if has < Some(*revision) {
@@ -446,7 +450,10 @@
                     }
                 }
             }
-            _ => assert!(now - machine.started >= READY_BOUND, "{node:?} is ready too early: {after:?}"),
+            _ => {
+                self.judged.1 += 1;
+                assert!(now - machine.started >= READY_BOUND, "{node:?} is ready too early: {after:?}");
+            }
         }
         machine.freshness = after;
     }
--- a/crates/rounds/tests/days.rs
+++ b/crates/rounds/tests/days.rs
@@ -194,8 +194,17 @@
     assert!(world.until_agreed(2 * S).is_ok());
 }
 
+/// A core machine that reaches a majority tells what that has acknowledged.
+fn told_anew(world: &mut World) {
+    let owner = (0..3).map(core).find(|node| world.machines[node].rounds.is_some() && world.majority(*node));
+    if let (Some(owner), Some(at)) = (owner, world.acked.get("c").copied()) {
+        world.post(owner, "c", at);
+    }
+}
+
 /// Troubles drawn one after the other; after the last one all agree, and nobody ever goes back.
-fn drawn(sides: usize, seed: u64, troubles: &[(u8, u8, u8)]) {
+/// Starts that ended current with something acknowledged before, and by the bound.
+fn drawn(sides: usize, seed: u64, troubles: &[(u8, u8, u8)]) -> (u64, u64) {
     let mut world = World::new(sides, seed, 500 * MS);
     world.run(3 * S);
     let nodes = all(&world);
@@ -212,6 +221,8 @@
                 for node in std::mem::take(&mut down) {
                     world.start(node, u64::from(*span) / 16);
                 }
+                // What the control store keeps is told anew.
+                told_anew(&mut world);
             }
             3 => world.freeze(node, Micros::from(*span) * 20 * MS),
             4 => world.cut_off(node, &nodes),
@@ -231,6 +242,7 @@
         if world.machines[&core(0)].rounds.is_some() {
             world.post(core(0), "k", (0, revision, 0));
         }
+        world.acknowledge(core(usize::from(who % 3)), "c", (1, revision, 0));
         world.run(Micros::from(*span) * 15 * MS);
     }
     world.heal();
@@ -240,12 +252,16 @@
     for node in std::mem::take(&mut down) {
         world.start(node, 1);
     }
+    told_anew(&mut world);
     world.trace = std::env::var("TRACE").is_ok();
     let took = world.until_agreed(2 * S);
     assert!(took.is_ok(), "seed {seed}: {took:?} after {troubles:?}");
     world.run(8 * S);
     assert_eq!(world.disagreement(), None, "seed {seed}");
     assert_eq!(world.crossing_links(), 3, "seed {seed}: {troubles:?}");
+    let waits = |node: &Node| world.rounds(*node).freshness() == Freshness::Waiting;
+    assert!(!world.living().iter().any(waits), "seed {seed}: {troubles:?}");
+    world.judged
 }
 
 #[test]
@@ -264,16 +280,22 @@
     let range = std::env::var("SEEDS").unwrap_or_else(|_| "0..300".into());
     let (first, last) = range.split_once("..").expect("first..last");
     let mut failed = Vec::new();
+    let mut judged = (0, 0);
     for seed in first.parse::<u64>().expect("a number")..last.parse().expect("a number") {
         let mut world = World::new(0, seed, 1);
         let troubles: Vec<(u8, u8, u8)> = (0..2 + world.below(14))
             .map(|_| (world.below(256) as u8, world.below(256) as u8, world.below(256) as u8))
             .collect();
         let sides = 3 + world.below(40) as usize;
-        if std::panic::catch_unwind(|| drawn(sides, seed, &troubles)).is_err() {
-            failed.push(seed);
+        match std::panic::catch_unwind(|| drawn(sides, seed, &troubles)) {
+            Ok((current, bound)) => judged = (judged.0 + current, judged.1 + bound),
+            Err(_) => failed.push(seed),
         }
     }
+    println!(
+        "starts judged: {} current after something was acknowledged, {} by the bound",
+        judged.0, judged.1
+    );
     assert!(failed.is_empty(), "{failed:?}");
 }
 
