--- a/crates/control-store/src/replica_set.rs
+++ b/crates/control-store/src/replica_set.rs
@@ -2,6 +2,7 @@
 //! more than half of the replica set before it.
 
 use crate::message::{Incarnation, Incarnations, Message};
+use crate::recent::Recent;
 use crate::store::{After, Broken, ControlStore, Ownership, Phase, GONE, RESEND, STAGGER};
 use crate::{Epoch, Micros, Node, Revision, State};
 use bitcode::{Decode, Encode};
@@ -127,6 +128,15 @@
         self.replica_set.more_than_half(&said, self.replica_set.coming)
     }
 
+    /// Whether the change that is under way may be in force already, as far as those know who answered a repair. Then it may
+    /// stand with the newcomer in the place of one of them, and with values that none of them has: the repair is to be of the
+    /// replica set without who leaves. Those who answered decide on that without this node.
+    pub(crate) fn overtaken(&self) -> bool {
+        let next = self.repair.vote.accepted.as_ref().map(|accepted| &accepted.1);
+        let in_force = |new| next.is_some_and(|next| next.contains(new));
+        self.replica_set.coming.is_some_and(in_force) && !self.is(Broken::RepairedOvertaken)
+    }
+
     fn still<'a>(&self, said: impl Iterator<Item = (&'a Node, &'a Incarnation)>) -> Vec<Node> {
         said.filter(|(node, incarnation)| self.current(**node, **incarnation))
             .map(|(node, _)| *node)
@@ -193,7 +203,8 @@
 
     /// Whether it has to ask the replicas who they are, or whether they stand without this one.
     pub(crate) fn asks(&self) -> bool {
-        self.lost_touch() || (self.in_force.is_some() && self.needed())
+        let leaves = self.leavers.contains_key(&self.me) && self.in_force.is_some();
+        self.lost_touch() || (leaves && self.needed())
     }
 
     /// Whether this node is no replica.
@@ -209,7 +220,7 @@
     /// Asks all that are linked who the replicas are; where this one has left in plan, the replicas whether they stand.
     pub(crate) fn ask_replica_set(&mut self, now: Micros) {
         self.repair.sent = now;
-        let replicas = self.in_force.is_some() && !self.lost_touch();
+        let replicas = self.replica_set.version > 0 && !self.lost_touch();
         let to = if replicas { self.others() } else { self.up.iter().copied().collect() };
         for to in to {
             self.send(to, Message::AskReplicaSet);
@@ -228,10 +239,9 @@
             return;
         }
         let came = replica_set.since(self.me);
-        let leaves = self.leavers.contains_key(&self.me) && self.replica_set.contains(self.me);
-        let leaves = came.is_none() && (leaves || self.in_force.is_some());
-        self.in_force = leaves.then(BTreeSet::new);
-        if leaves {
+        let removed = came.is_none() && (self.replica_set.contains(self.me) || self.in_force.is_some());
+        self.in_force = removed.then(BTreeSet::new);
+        if removed {
             self.repair.sent = now;
         }
         let new = came.is_some_and(|since| since > self.replica_set.version);
@@ -277,6 +287,7 @@
                 slot.promised = Epoch::default();
                 slot.accepted = Revision::default();
                 slot.value = P::default();
+                slot.recent = Recent::begin(Revision::default());
             }
         }
         self.give_up_keys(now);
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -3,6 +3,7 @@
 use crate::message::{Disk, Effect, Held, Incarnation, Incarnations, Message, Metadata, Stored};
 use crate::owner::{Claim, Owner};
 use crate::pieces::{Piece, Pull, Served, PIECE};
+use crate::recent::Recent;
 use crate::replica::Changes;
 use crate::replica_set::{Proposal, ReplicaSet, Vote, LINKS};
 use crate::{calls::Call, calls::Job, Epoch, Micros, Node, Revision, State};
@@ -158,6 +159,8 @@
     DropsLeaverEarly,
     /// A replica that leaves ends once it knows the replica set without it, whoever else has that.
     EndsUnconfirmed,
+    /// Is repaired under a joint replica set though the one after it may be in force.
+    RepairedOvertaken,
     /// Goes on voting with a disk that went back to an older state.
     VotesGoneBack,
     /// Confirms promises and copies although the write failed.
@@ -198,6 +201,8 @@
     pub promised: Epoch,
     pub accepted: Revision,
     pub value: P,
+    /// How it came from earlier ones.
+    pub recent: Recent<P::Change>,
     /// The highest epoch heard of.
     pub seen: Epoch,
     /// When its owner was heard last.
@@ -268,7 +273,7 @@
     pub(crate) leavers: BTreeMap<Node, Micros>,
     /// The last newcomer with which a change was abandoned.
     pub(crate) failed: Option<Node>,
-    /// Where this one has left in plan: who votes without it.
+    /// Where this one was a replica and is none any more: who votes without it.
     pub(crate) in_force: Option<BTreeSet<Node>>,
     pub(crate) phase: Phase,
     pub(crate) incarnation: Incarnation,
@@ -407,6 +412,7 @@
             slot.promised = stored.promised;
             slot.accepted = stored.accepted;
             slot.value = stored.value;
+            slot.recent = Recent::begin(stored.accepted);
             slot.seen = slot.seen.max(stored.promised);
         }
     }
@@ -421,6 +427,7 @@
                 promised: Epoch::default(),
                 accepted: Revision::default(),
                 value: P::default(),
+                recent: Recent::begin(Revision::default()),
                 seen: Epoch::default(),
                 heard: now,
                 ownerless: Some(now),
@@ -495,8 +502,8 @@
                 self.on_promise(now, from, key, epoch, accepted, incarnations.mine);
             }
             Message::Yield { key, epoch } => self.on_yield(now, key, epoch),
-            Message::Copy { key, epoch, seq, base, changes, more } => {
-                self.on_copy(now, from, key, epoch, seq, Changes { base, changes, more });
+            Message::Copy { key, epoch, to, base, changes, more } => {
+                self.on_copy(now, from, key, epoch, Changes { base, to, changes, more });
             }
             Message::Kept { key, epoch, seq, incarnations } => {
                 self.merge(&incarnations);
--- a/crates/control-store/tests/mutants.rs
+++ b/crates/control-store/tests/mutants.rs
@@ -71,3 +71,13 @@
 fn a_restart_that_claims_before_it_has_read_its_disk_is_caught() {
     caught(Some(Broken::StartsUnread), 300);
 }
+
+#[test]
+fn a_claimer_that_is_behind_and_leads_is_caught() {
+    caught(Some(Broken::LeadsWithOldCopy), 300);
+}
+
+#[test]
+fn an_old_whole_value_in_the_place_of_a_later_one_is_caught() {
+    caught(Some(Broken::TakesOldSnapshots), 2_000);
+}
