Control store: a repair fetches from another replica at once when the one it asked is lost

Cause: a newcomer that fetched a value from a replica that was lost, or stood still, asked again only after 1 s, and the owner first; while it was repaired the joint replica set had no majority.

Change: a repair remembers all that have the revision; when the link ends the next of these is asked at once, and for a first piece that doesn't come another after 400 ms.

--- a/crates/control-store/src/pieces.rs
+++ b/crates/control-store/src/pieces.rs
@@ -23,6 +23,8 @@
 const UNASKED: Micros = 5_000_000;
 /// A piece that has not come within this is asked for again. A broken link doesn't wait for it.
 const ASK_AGAIN: Micros = 1_000_000;
+/// The first piece is asked for again, of another if one has it, after this: who was asked may stand still.
+const ASK_ANOTHER: Micros = 400_000;
 /// What was received of a value is given up after this long without a piece.
 const STALE: Micros = 60_000_000;
 
@@ -106,6 +108,11 @@
         true
     }
 
+    /// When what was asked for is asked for again.
+    fn due(&self) -> Micros {
+        self.sent + if self.whole.is_none() { ASK_ANOTHER } else { ASK_AGAIN }
+    }
+
     fn complete(&self) -> bool {
         self.whole.is_some_and(|(total, _)| self.bytes.len() as u64 >= total)
     }
@@ -273,8 +280,20 @@
         }
     }
 
+    /// A link ended: what was received over it goes on from another that has it, if one is known.
+    pub(crate) fn pull_from_others(&mut self, now: Micros, gone: Node) {
+        let keys: Vec<String> =
+            self.pulls.iter().filter(|(_, p)| p.from == gone).map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            let has = self.repair.keys.get(&key).map(|(_, who)| who);
+            if let Some(to) = has.into_iter().flatten().find(|n| self.up.contains(n)).copied() {
+                self.resume(now, to, &key);
+            }
+        }
+    }
+
     pub(crate) fn pulls_due(&self) -> Option<Micros> {
-        self.pulls.values().map(|pull| pull.sent + ASK_AGAIN).min()
+        self.pulls.values().map(Pull::due).min()
     }
 
     /// Asks again for what has not come: the owner, who sent it last, or anybody.
@@ -282,7 +301,7 @@
         let due: Vec<(String, Node)> = self
             .pulls
             .iter()
-            .filter(|(_, p)| now >= p.sent + ASK_AGAIN)
+            .filter(|(_, p)| now >= p.due())
             .map(|(k, p)| (k.clone(), p.from))
             .collect();
         for (key, from) in due {
@@ -294,9 +313,11 @@
             }
             let owner = self.keys.get(&key).map(|slot| Node(slot.seen.owner));
             let others = self.others();
+            let has = self.repair.keys.get(&key).into_iter().flat_map(|(_, who)| who);
+            let another = has.copied().find(|n| *n != from && others.contains(n));
             let one = |node: Option<Node>| node.filter(|n| others.contains(n));
             let any = (self.draw() % others.len().max(1) as u64) as usize;
-            match one(owner).or(one(Some(from))).or(others.get(any).copied()) {
+            match another.or(one(owner)).or(one(Some(from))).or(others.get(any).copied()) {
                 Some(to) => self.resume(now, to, &key),
                 None => {
                     if let Some(pull) = self.pulls.get_mut(&key) {
--- a/crates/control-store/src/replica.rs
+++ b/crates/control-store/src/replica.rs
@@ -3,6 +3,7 @@
 use crate::message::{Held, Incarnation, Incarnations, Message, Stored};
 use crate::store::{After, Broken, ControlStore, Ownership, Phase, Slot, KEYS, NAME};
 use crate::{Epoch, Micros, Node, Revision, State, Vote};
+use std::collections::BTreeSet;
 
 /// What a copy brings.
 pub(crate) struct Changes<C> {
@@ -244,13 +245,17 @@
         for held in keys.into_iter().filter(|held| held.key.len() <= NAME) {
             let Some((known, who)) = self.repair.keys.get_mut(&held.key) else {
                 if self.repair.keys.len() < KEYS {
-                    self.repair.keys.insert(held.key.clone(), (held, from));
+                    self.repair.keys.insert(held.key.clone(), (held, BTreeSet::from([from])));
                 }
                 continue;
             };
             known.promised = known.promised.max(held.promised);
             if held.accepted > known.accepted {
-                (known.accepted, *who) = (held.accepted, from);
+                known.accepted = held.accepted;
+                who.clear();
+            }
+            if held.accepted == known.accepted {
+                who.insert(from);
             }
         }
         self.go_on_with_repair(now);
@@ -263,7 +268,8 @@
         if self.phase != Phase::Repairing || !enough {
             return;
         }
-        let lacks = |(key, (held, from)): (&String, &(Held, Node))| {
+        let lacks = |(key, (held, who)): (&String, &(Held, BTreeSet<Node>))| {
+            let from = who.iter().find(|n| self.up.contains(n)).or(who.first())?;
             self.repair.lacks(key).map(|_| (key.clone(), held.accepted, *from))
         };
         let lacking: Vec<(String, Revision, Node)> = self.repair.keys.iter().filter_map(lacks).collect();
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -237,8 +237,8 @@
 pub(crate) struct Repair<P> {
     /// Who has answered, with which incarnation. At most one of each replica.
     pub replies: BTreeMap<Node, Incarnation>,
-    /// The highest of all answers, and who has the content. At most `KEYS`.
-    pub keys: BTreeMap<String, (Held, Node)>,
+    /// The highest of all answers, and all who have the content. At most `KEYS`.
+    pub keys: BTreeMap<String, (Held, BTreeSet<Node>)>,
     /// Contents that are there. At most one of each key.
     pub values: BTreeMap<String, (Revision, P)>,
     pub vote: Vote,
@@ -587,6 +587,7 @@
             }
             self.forwards_failed(now, |to| to == node);
             self.go_on_with_claims(now);
+            self.pull_from_others(now, node);
         }
         self.tick(now);
     }
