Disk tests: a sync that fails once, and the lock of the folder by itself

Two of thirteen faults put into the disk on purpose were not caught at first: a failed sync of the folder after setting a file aside, left unheeded (the next sync failed too and hid it), and the folder's own lock (redb's lock of the file hid it). Both are now: a sync fails once alone, and the folder is taken while another has it.

--- a/crates/posthouse/src/disk/tests.rs
+++ b/crates/posthouse/src/disk/tests.rs
@@ -169,8 +169,9 @@
         assert!(folder.bytes(FILE) == Some(vec![9; 5000]), "{which}: the third is left as it is");
         // A folder that can't be synced does not hold the new name for sure.
         let folder = begin();
-        folder.fail(Some((What::FolderSync, ErrorKind::Other)));
-        assert!(matches!(find(folder).err(), Some(Failed::Sync(_))), "{which}");
+        folder.fail_once(What::FolderSync, ErrorKind::Other);
+        let failed = find(folder).err();
+        assert!(matches!(failed, Some(Failed::Sync(_))), "{which}: {failed:?}");
     }
 }
 
@@ -302,6 +303,7 @@
         "{second:?}"
     );
     assert_eq!((second.code(), names()), (2, vec![FILE.into()]));
+    assert!(matches!(OnDisk::take(&place).err(), Some(Failed::InUse(_))), "whatever it has open in there");
     running.pending.push(write(5, &[("a", 7)], false));
     assert_eq!(running.attempt(), [Told::Synced(5)], "the running one goes on");
     drop(running);
--- a/crates/posthouse/src/disk/trial.rs
+++ b/crates/posthouse/src/disk/trial.rs
@@ -40,6 +40,8 @@
     full: Option<usize>,
     /// This kind of operation fails, and how.
     fails: Option<(What, ErrorKind)>,
+    /// Once alone, as a disk that tells of an error only to whoever asks first.
+    once: bool,
 }
 
 /// Kinds of operations.
@@ -50,6 +52,7 @@
     Read,
     Write,
     Sync,
+    Rename,
     FolderSync,
 }
 
@@ -82,6 +85,9 @@
 impl Inner {
     fn may(&mut self, what: What) -> Result<(), Error> {
         if let Some((_, kind)) = self.fails.filter(|f| f.0 == what) {
+            if self.once {
+                self.fails = None;
+            }
             return Err(kind.into());
         }
         if matches!(what, What::Open | What::Read) {
@@ -160,7 +166,14 @@
 
     /// Operations of this kind fail so; `None`: all goes well.
     pub fn fail(&self, how: Option<(What, ErrorKind)>) {
-        self.inner().fails = how;
+        let mut inner = self.inner();
+        (inner.fails, inner.once) = (how, false);
+    }
+
+    /// The next one of this kind fails.
+    pub fn fail_once(&self, what: What, kind: ErrorKind) {
+        let mut inner = self.inner();
+        (inner.fails, inner.once) = (Some((what, kind)), true);
     }
 
     /// What the folder holds.
@@ -238,7 +251,7 @@
 
     fn rename(&self, from: &str, to: &str) -> Result<(), Error> {
         let mut inner = self.inner();
-        inner.may(What::FolderSync).or_else(|e| if inner.fails.is_some() { Ok(()) } else { Err(e) })?;
+        inner.may(What::Rename)?;
         let ino = inner.names.remove(from).ok_or(ErrorKind::NotFound)?;
         inner.names.insert(to.to_string(), ino);
         inner.since.push(Name::Renamed(from.to_string(), to.to_string(), ino));
