--- a/crates/posthouse/src/disk/tests.rs
+++ b/crates/posthouse/src/disk/tests.rs
@@ -169,8 +169,9 @@
         assert!(folder.bytes(FILE) == Some(vec![9; 5000]), "{which}: the third is left as it is");
         // A folder that can't be synced does not hold the new name for sure.
         let folder = begin();
-        folder.fail(Some((What::FolderSync, ErrorKind::Other)));
-        assert!(matches!(find(folder).err(), Some(Failed::Sync(_))), "{which}");
+        folder.fail_once(What::FolderSync, ErrorKind::Other);
+        let failed = find(folder).err();
+        assert!(matches!(failed, Some(Failed::Sync(_))), "{which}: {failed:?}");
     }
 }
 
@@ -275,6 +276,21 @@
     assert!(matches!(keeper.attempt()[..], [Told::Failed(_)]));
 }
 
+#[test]
+fn a_key_written_again_takes_the_room_of_its_old_content() {
+    let folder = Trial::default();
+    let mut keeper = find(folder.clone()).expect("opens").keeper;
+    let names: Vec<String> = (0..64).map(|k| format!("key-{k}")).collect();
+    let mut sizes = Vec::new();
+    for number in 1..=240 {
+        let keys: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), number)).collect();
+        keeper.pending.push(write(number, &keys, true));
+        assert_eq!(keeper.attempt(), [Told::Synced(number)]);
+        sizes.push(folder.bytes(FILE).map_or(0, |bytes| bytes.len()));
+    }
+    assert_eq!(sizes[39], sizes[239], "bytes after 40 writes and after 240");
+}
+
 /// A folder of its own for each test.
 fn place() -> PathBuf {
     static NUMBER: AtomicU64 = AtomicU64::new(0);
@@ -302,6 +318,7 @@
         "{second:?}"
     );
     assert_eq!((second.code(), names()), (2, vec![FILE.into()]));
+    assert!(matches!(OnDisk::take(&place).err(), Some(Failed::InUse(_))), "whatever it has open in there");
     running.pending.push(write(5, &[("a", 7)], false));
     assert_eq!(running.attempt(), [Told::Synced(5)], "the running one goes on");
     drop(running);
