Readiness: the known fault stepped with control stores and links on loopback

One control machine with the configuration after one change, the others gone after a second: sidecars below it have the old configuration and are not ready while no majority confirms; one whose bound passes serves it; when a control machine with the second change comes back the other one gets ready with that.

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -567,6 +567,9 @@
     }
 }
 
+#[cfg(test)]
+mod alone;
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/posthouse/src/carriers/alone.rs
@@ -0,0 +1,164 @@
+//! Control machines and sidecars of one process, with links on loopback: what a sidecar makes of a control machine that is
+//! left alone with an old configuration.
+use super::*;
+use crate::settings;
+use crate::{disk, gate};
+use rand_core::SeedableRng;
+use silvercross_control_store::{Disk, Epoch, Metadata, ReplicaSet, Start, State, Stored};
+use silvercross_facade::Clock;
+use silvercross_rounds::{Freshness, READY_BOUND};
+use silvercross_wicket::Wicket;
+use slog::{o, Discard, Logger};
+
+type StoreNode = silvercross_control_store::Node;
+
+fn address(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 7, last)
+}
+
+/// The first two control machines; the third one is never there.
+const CONTROL: [u8; 3] = [1, 2, 3];
+
+/// The configuration after so many changes.
+fn configuration(changes: u64) -> Leaf {
+    let mut leaf = Leaf::Blank;
+    for edition in 1..=changes {
+        let item = format!("{{\"withdraw\":{{\"routes\":[{{\"name\":\"r\",\"edition\":{edition}}}]}}}}");
+        let patch = silvercross_sorting::read_patch(item.as_bytes()).expect("well-formed");
+        leaf.apply(&Order::Patch(patch)).expect("valid");
+    }
+    leaf
+}
+
+/// A disk with the configuration after so many changes, each taken over anew.
+fn disk_of(last: u8, changes: u64) -> Disk<Leaf> {
+    let members =
+        CONTROL.iter().map(|c| (silvercross_control_store::Node(address(*c).to_bits()), 1)).collect();
+    let replica_set = ReplicaSet { version: 1, members, leaving: None, coming: None };
+    let epoch = Epoch { round: changes, owner: address(last).to_bits() };
+    let accepted = silvercross_control_store::Revision { epoch, seq: 1 };
+    let (key, value) = (CONFIGURATION.to_string(), configuration(changes));
+    let stored = Stored { key, promised: epoch, accepted, value };
+    Disk { metadata: Some(Metadata { replica_set, ..Metadata::default() }), keys: vec![stored] }
+}
+
+/// A step of a sidecar's clock.
+const STEP: Duration = Duration::from_millis(2);
+
+/// A sidecar's clock that goes in steps, so that none of them is lost where the machine is busy: the bound passes when the
+/// test moves it.
+fn clock() -> (Clock, Rc<Cell<i64>>) {
+    let at = Rc::new(Cell::new(Clock::system().now()));
+    let clock = Clock::manual(at.clone());
+    let moved = at.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(STEP).await;
+            at.set(at.get() + STEP.as_micros() as i64);
+        }
+    });
+    (clock, moved)
+}
+
+/// A process at its address: its listener and datagrams at the port that all share.
+async fn process(last: u8, port: u16, clock: Clock, disk: Option<Disk<Leaf>>) -> Rc<Post> {
+    let ip = address(last);
+    let data = if disk.is_some() { "dataDir: /nowhere\n" } else { "" };
+    let text = format!(
+        "node: n{last}\nmachineClass: c\nip: {ip}\nzone: a\ninternalPorts: [{port}, {port}]\n{data}\
+         countersAt: {{inbound: '{ip}:1', outbound: '{ip}:1', ready: '{ip}:1'}}\n"
+    );
+    let boot = settings::parse(&text).expect("settings");
+    let (me, core) = (Node(ip.to_bits()), boot.core);
+    let body = Body { inbound: 1, control: 1, leaving: false, roster: Vec::new(), station: None };
+    // The seeds name the first control machine alone.
+    let seeds = vec![Node(address(CONTROL[0]).to_bits())];
+    let start =
+        silvercross_rounds::Start { me, zone: "a".into(), core, seeds, life: 1, seed: u64::from(last) };
+    let rounds = Rounds::new(clock.now(), start, body);
+    let udp = UdpSocket::bind((ip, port)).await.expect("the port");
+    let links = TcpListener::bind((ip, port)).await.expect("the port");
+    let (writes, todo) = std::sync::mpsc::channel::<disk::Write>();
+    let (done, synced) = mpsc::unbounded_channel();
+    // Each write is synced at once.
+    std::thread::spawn(move || todo.into_iter().all(|write| done.send(write.number).is_ok()));
+    let store = disk.map(|disk| {
+        let me: StoreNode = silvercross_control_store::Node(ip.to_bits());
+        let keys = vec![CONFIGURATION.to_string()];
+        let start = Start { me, replica_set: vec![], keys, fresh: false, seed: u64::from(last) };
+        (ControlStore::new(clock.now(), start, disk), writes)
+    });
+    let carriers = Carriers::new(ip, port, rounds, store, udp);
+    let gate = gate::Gate::new(Wicket::new(boot.live.bounds.of_gate()));
+    let chance = rand_pcg::Pcg64Mcg::seed_from_u64(u64::from(last));
+    let post = Post::new(boot, Logger::root(Discard, o!()), gate, carriers, clock, chance);
+    tokio::task::spawn_local(Carriers::listen(post.clone(), links));
+    tokio::task::spawn_local(Carriers::datagrams(post.clone()));
+    tokio::task::spawn_local(Carriers::tick(post.clone()));
+    tokio::task::spawn_local(Carriers::synced(post.clone(), synced));
+    post
+}
+
+/// A port that is free at all the addresses.
+async fn port(of: &[u8]) -> u16 {
+    loop {
+        let first = TcpListener::bind((address(of[0]), 0)).await.expect("a port");
+        let port = first.local_addr().expect("bound").port();
+        let mut taken = vec![first];
+        for last in &of[1..] {
+            taken.extend(TcpListener::bind((address(*last), port)).await);
+        }
+        if taken.len() == of.len() {
+            return port;
+        }
+    }
+}
+
+/// Looked at with every step of the clocks.
+async fn until(so: impl Fn() -> bool) {
+    let mut step = tokio::time::interval(STEP);
+    while !so() {
+        step.tick().await;
+    }
+}
+
+fn change(post: &Post) -> u64 {
+    post.revisions().get(CONFIGURATION).map_or(0, |revision| revision.0)
+}
+
+/// It had the configuration after one change and stood still; the others acknowledged a second one and stopped; it goes on.
+#[test]
+fn a_sidecar_below_a_control_machine_left_alone_is_not_ready_with_its_old_configuration() {
+    crate::trial::run(async {
+        let port = port(&[1, 2, 11, 12]).await;
+        let alone = process(1, port, Clock::system(), Some(disk_of(1, 1))).await;
+        let page = bitcode::encode(&configuration(1));
+        let at = (1, u64::from(address(1).to_bits()), 1);
+        alone.carriers.rounds.borrow_mut().post(alone.now(), CONFIGURATION, at, page);
+        let ((slow, _), (quick, moved)) = (clock(), clock());
+        let waits = process(11, port, slow, None).await;
+        let serves = process(12, port, quick, None).await;
+        // Both have the old configuration, and have been told again and again that no majority is reached.
+        until(|| change(&waits) == 1 && change(&serves) == 1).await;
+        let unsettled = || alone.carriers.control_store(|l| l.figures().unsettled).unwrap_or(0);
+        until(|| unsettled() >= 2).await;
+        for sidecar in [&waits, &serves] {
+            assert_eq!((sidecar.ready(), sidecar.unready()), (false, Some("not yet known to be current")));
+        }
+        // While there is no majority they serve what they have, once the bound is passed.
+        moved.set(moved.get() + READY_BOUND);
+        until(|| serves.ready()).await;
+        assert!(matches!(serves.freshness(), Freshness::BoundPassed { after } if after >= READY_BOUND));
+        assert_eq!((change(&serves), waits.ready()), (1, false));
+        // One of the others comes back: a majority has the second change.
+        let back = process(2, port, Clock::system(), Some(disk_of(2, 2))).await;
+        until(|| waits.ready()).await;
+        assert!(change(&waits) >= 2, "{:?}", waits.revisions());
+        assert!(matches!(waits.freshness(), Freshness::Current { .. }));
+        until(|| change(&serves) >= 2).await;
+        assert!(serves.ready() && back.carriers.control_store(|l| l.voter()) == Some(true));
+        // It stays ready, whatever becomes of the others, until it stops.
+        waits.begin_stop();
+        assert_eq!((waits.ready(), waits.unready()), (false, Some("stopping")));
+    });
+}
