Calls are sent on to a control machine that reaches the others; sidecars of the trials are current

A sidecar named the first control machine of its zone in its 307, also while that was cut off and could only answer 503: for the whole cut an order sent to that zone was refused.

--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -494,12 +494,14 @@
         holders.peek().is_some() && holders.all(|r| !r.body.roster.contains(&me))
     }
 
-    /// The control address of a machine that holds the ledger.
+    /// The control address of a machine that holds the ledger: one that is known to reach most of them, if there is one. One
+    /// that is cut off answers that nothing is settled.
     pub fn core(&self) -> Option<SocketAddr> {
+        let reached = self.carriers.rounds(|r| r.reached_cores());
         let others = self.others.borrow();
         let holds = |r: &&Record<Body>| r.body.control > 0 && r.body.roster.contains(&r.node.0);
         let mut cores: Vec<_> = others.values().filter(holds).collect();
-        let near = |r: &&Record<Body>| u8::from(r.zone != self.boot.zone);
+        let near = |r: &&Record<Body>| (!reached.contains(&r.node), r.zone != self.boot.zone);
         cores.sort_by_key(near);
         cores.first().map(|r| SocketAddr::new(IpAddr::V4(Ipv4Addr::from_bits(r.node.0)), r.body.control))
     }
--- a/crates/posthouse/src/trial.rs
+++ b/crates/posthouse/src/trial.rs
@@ -6,7 +6,7 @@
 use crate::{front, gate, settings};
 use rand_core::SeedableRng;
 use silvercross_control_store::State;
-use silvercross_rounds::{Node, Record, Rounds, Start};
+use silvercross_rounds::{Effect, Letter, Node, Record, Rounds, Standing, Start};
 use silvercross_wicket::Wicket;
 use slog::{o, Discard, Logger};
 use std::cell::{Cell, RefCell};
@@ -79,7 +79,8 @@
         Body { inbound: inbound.port(), control: 0, leaving: false, roster: Vec::new(), station: None };
     let me = Node(ip.to_bits());
     let start = Start { me, zone: "a".into(), core: false, seeds: vec![], life: 1, seed: u64::from(last) };
-    let rounds = Rounds::new(clock.now(), start, body);
+    let mut rounds = Rounds::new(clock.now(), start, body);
+    become_current(&mut rounds, clock.now());
     let udp = UdpSocket::bind((ip, 0)).await.expect("a port");
     let gate = gate::Gate::new(Wicket::new(boot.live.bounds.of_gate()));
     let carriers = Carriers::new(ip, 1, rounds, None, udp);
@@ -105,6 +106,29 @@
     (Sidecar { post, at, inbound, ip }, text)
 }
 
+/// A core machine links with the sidecar, says that a majority has acknowledged nothing so far, and goes.
+fn become_current(rounds: &mut Rounds<Body>, now: i64) {
+    let node = Node(Ipv4Addr::new(127, 0, 0, 250).to_bits());
+    let body = Body { inbound: 0, control: 0, leaving: false, roster: Vec::new(), station: None };
+    let record = Record { node, life: 1, seq: 1, zone: "a".into(), core: true, gone: false, body };
+    let standing = Standing { path: vec![node], ..Standing::default() };
+    rounds.link_up(now, node);
+    rounds.letter(now, node, Letter::Hello { record: record.clone(), digest: 0, known: 2, standing });
+    let asked = rounds.effects().into_iter().find_map(|effect| match effect {
+        Effect::Send { letter: Letter::FreshnessRequest { number }, .. } => Some(number),
+        _ => None,
+    });
+    let number = asked.expect("a sidecar that starts asks");
+    rounds.letter(now, node, Letter::FreshnessReply { number, revisions: Some(Vec::new()) });
+    rounds.letter(
+        now,
+        node,
+        Letter::News { records: vec![Record { gone: true, ..record }], pages: Vec::new() },
+    );
+    rounds.link_down(now, node);
+    rounds.effects();
+}
+
 impl Sidecar {
     /// Its upstream beats.
     pub fn beat(&self) {
--- a/crates/rounds/src/tree.rs
+++ b/crates/rounds/src/tree.rs
@@ -80,6 +80,17 @@
         Standing { path, peers: Vec::new(), full: children > 2 * crate::FAN }
     }
 
+    /// Core nodes that say of themselves that they reach most of the core, as far as is known here: the one at the end of
+    /// this node's own way, or of a core node those that it is linked with.
+    pub fn reached_cores(&self) -> Vec<Node> {
+        if self.start.core {
+            let me = self.start.me;
+            let linked = self.links.iter().filter(|(node, link)| self.is_core(**node) && link.rooted(me));
+            return linked.map(|(node, _)| *node).collect();
+        }
+        self.standing().path.last().copied().into_iter().collect()
+    }
+
     /// Tells its neighbours at once when its way to the core is lost or found again.
     pub(crate) fn tell_standing(&mut self) {
         let rooted = match self.start.core {
--- a/crates/rounds/tests/freshness.rs
+++ b/crates/rounds/tests/freshness.rs
@@ -2,7 +2,7 @@
 //! of every schedule so; here are those that bring it about.
 mod common;
 use common::starts::{calm, page, run, starts_during_a_read, Case, Outcome, Trouble, Ways, Who, NEW, OLD};
-use common::{side, MS, S};
+use common::{core, side, World, MS, S};
 use silvercross_rounds::*;
 use Trouble::*;
 use Ways::*;
@@ -201,3 +201,30 @@
     relay.letter(3 * S + 5, other, Letter::News { records: vec![], pages: vec![page("k0", (3, 0, 0))] });
     assert_eq!(relay.freshness(), Freshness::Current { after: 3 * S + 5 });
 }
+
+/// Operators' calls are sent on to a core machine that can settle them.
+#[test]
+fn a_node_soon_knows_a_core_node_that_reaches_the_others() {
+    for (lone, one_way) in [(core(0), false), (core(1), false), (core(2), true)] {
+        let mut world = calm(12, 6, None);
+        let nodes: Vec<Node> = world.living().into_iter().filter(|node| *node != lone).collect();
+        let named = |world: &World, named: Node| {
+            let names = |node: &&Node| world.rounds(**node).reached_cores().contains(&named);
+            nodes.iter().filter(names).count()
+        };
+        assert!(named(&world, lone) > 0, "the schedule is reached");
+        for other in (0..3).map(core).filter(|other| *other != lone) {
+            world.cut(lone, other);
+            if !one_way {
+                world.cut(other, lone);
+            }
+        }
+        world.run(2 * S);
+        assert_eq!(named(&world, lone), 0, "{lone:?}");
+        assert!(nodes.iter().all(|node| !world.rounds(*node).reached_cores().is_empty()));
+        assert!(world.rounds(lone).reached_cores().is_empty());
+        world.heal();
+        world.run(10 * S);
+        assert!(named(&world, lone) > 0, "{lone:?} again");
+    }
+}
