--- a/crates/control-store/src/calls.rs
+++ b/crates/control-store/src/calls.rs
@@ -15,6 +15,7 @@
 }
 
 /// A call at the place that serves it.
+#[derive(Clone, Debug)]
 pub(crate) struct Job<C> {
     pub who: Who,
     pub ask: Request<C>,
@@ -22,7 +23,7 @@
 }
 
 /// The calls that were forwarded here under one epoch, the last `FORWARDS` of them.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Forwards {
     known: BTreeSet<(Node, u64)>,
     order: VecDeque<(Node, u64)>,
@@ -43,6 +44,7 @@
     }
 }
 
+#[derive(Clone, Debug)]
 enum At {
     /// In its key's queue, copy or question.
     Here,
@@ -53,6 +55,7 @@
 }
 
 /// A call of this node's caller.
+#[derive(Clone, Debug)]
 pub(crate) struct Call<C> {
     token: u64,
     key: String,
--- a/crates/control-store/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 /// A claim under way.
+#[derive(Clone, Debug)]
 pub(crate) struct Claim<P> {
     pub epoch: Epoch,
     /// Who has promised, with which incarnation.
@@ -18,6 +19,7 @@
 }
 
 /// A key that this node has taken. The slot's value is what the last copy makes of it.
+#[derive(Clone, Debug)]
 pub(crate) struct Owner<P: State> {
     pub epoch: Epoch,
     /// The last copy's number.
@@ -43,11 +45,13 @@
 /// What `State::apply` said.
 type Outcome = Result<bool, Refusal>;
 
+#[derive(Clone, Debug)]
 pub(crate) struct Flight<P: State> {
     pub sent: Micros,
     pub jobs: Vec<(Job<P::Change>, Outcome)>,
 }
 
+#[derive(Clone, Debug)]
 pub(crate) struct Round<C> {
     pub number: u64,
     pub sent: Micros,
--- a/crates/control-store/src/replica_set.rs
+++ b/crates/control-store/src/replica_set.rs
@@ -101,6 +101,7 @@
 }
 
 /// A next replica set that this node wants.
+#[derive(Clone, Debug)]
 pub(crate) struct Proposal {
     epoch: Epoch,
     next: ReplicaSet,
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -147,6 +147,7 @@
 }
 
 /// What waits for a write.
+#[derive(Clone, Debug)]
 pub(crate) enum After<P: State> {
     /// Under which version: of an older one it is not sent any more.
     Send(u64, Node, Message<P, P::Change>),
@@ -164,6 +165,7 @@
 
 /// A key here. `promised`, `accepted` and `value` are as the last write that was issued leaves them: what tells others
 /// of them waits for that write.
+#[derive(Clone, Debug)]
 pub(crate) struct Slot<P: State> {
     pub promised: Epoch,
     pub accepted: Revision,
@@ -181,13 +183,14 @@
     pub queue: VecDeque<Job<P::Change>>,
 }
 
+#[derive(Clone, Debug)]
 pub(crate) enum Ownership<P: State> {
     Replica,
     Claiming(Claim<P>),
     Owner(Owner<P>),
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Phase {
     /// The metadata is being written.
     Formatting,
@@ -199,6 +202,7 @@
 }
 
 /// Where repair stands.
+#[derive(Clone, Debug)]
 pub(crate) struct Repair<P> {
     /// Who has answered, with which incarnation. At most one of each replica.
     pub replies: BTreeMap<Node, Incarnation>,
@@ -208,6 +212,7 @@
 }
 
 /// One replica's part of the control state.
+#[derive(Clone, Debug)]
 pub struct ControlStore<P: State> {
     pub(crate) me: Node,
     pub(crate) replica_set: ReplicaSet,
@@ -320,6 +325,15 @@
         self.broken = Some(broken);
     }
 
+    /// The same for two that go on alike, but for what is drawn from here on.
+    #[doc(hidden)]
+    pub fn fingerprint(&self) -> u64 {
+        let alike = ControlStore { figures: Figures::default(), random: 0, ..self.clone() };
+        let mut hasher = std::collections::hash_map::DefaultHasher::new();
+        std::hash::Hash::hash(&format!("{alike:?}"), &mut hasher);
+        std::hash::Hasher::finish(&hasher)
+    }
+
     pub(crate) fn is(&self, broken: Broken) -> bool {
         cfg!(feature = "mutants") && self.broken == Some(broken)
     }
--- a/crates/sorting/tests/repeats.rs
+++ b/crates/sorting/tests/repeats/main.rs
@@ -1,8 +1,11 @@
 //! Two calls under one version, and the same call again: what is done, what is refused, and that a call that was taken
 //! is done again whatever was sent since.
 
+mod model;
+
 use std::collections::{BTreeMap, BTreeSet};
 
+use model::{Item, Model, Said, Said::*};
 use serde_json::{json, Value};
 use silvercross_control_store::State;
 #[cfg(feature = "mutants")]
@@ -38,15 +41,6 @@
     json!({"deliver": {"sizeLimits": {"idleS": idle, "edition": edition}}})
 }
 
-#[derive(Debug, PartialEq)]
-enum Said {
-    Done,
-    Again,
-    Conflict,
-    Invalid,
-}
-use Said::*;
-
 /// What is said; a refusal leaves nothing behind.
 fn say(state: &mut Tracked, call: &Call) -> Said {
     let before = state.clone();
@@ -314,56 +308,6 @@
     }
 }
 
-// A slow plain model: by name all that was ever acknowledged, of which the highest stands.
-
-/// Whether a route, its number, version, content: `None` drops it, else a route goes to this service.
-type Item = (bool, u8, u64, Option<u8>);
-
-#[derive(Clone, Default)]
-struct Model {
-    acknowledged: BTreeMap<(bool, u8), BTreeMap<u64, Option<u8>>>,
-}
-
-impl Model {
-    fn standing(&self, route: bool, number: u8) -> Option<u8> {
-        self.acknowledged.get(&(route, number))?.last_key_value()?.1.to_owned()
-    }
-
-    /// What is to be said.
-    fn say(&mut self, items: &[Item]) -> Said {
-        let mut next = self.clone();
-        let mut newer = Vec::new();
-        let mut new = false;
-        for (route, number, version, content) in items {
-            let known = next.acknowledged.entry((*route, *number)).or_default();
-            match known.get(version) {
-                Some(other) if other != content => return Conflict,
-                Some(_) => {}
-                None => {
-                    new = true;
-                    if known.keys().all(|v| v < version) {
-                        newer.push((*route, *number));
-                    }
-                    known.insert(*version, *content);
-                }
-            }
-        }
-        let routes: Vec<(u8, u8)> = (0..4).filter_map(|n| next.standing(true, n).map(|to| (n, to))).collect();
-        for (number, to) in routes {
-            let gone = next.standing(false, to).is_none();
-            if gone && (newer.contains(&(true, number)) || newer.contains(&(false, to))) {
-                return Invalid;
-            }
-        }
-        *self = next;
-        if new {
-            Done
-        } else {
-            Again
-        }
-    }
-}
-
 fn body(items: &[Item]) -> Call {
     let pick = |route: bool, dropped: bool| {
         items.iter().filter(move |item| item.0 == route && item.3.is_none() == dropped)
