--- a/crates/control-store/src/pieces.rs
+++ b/crates/control-store/src/pieces.rs
@@ -47,6 +47,7 @@
 }
 
 /// A value that is received.
+#[derive(Clone, Debug)]
 pub(crate) struct Pull {
     /// Who sends it.
     from: Node,
@@ -131,6 +132,7 @@
 }
 
 /// A value that is sent, as it was encoded: it stays the same while the key goes on changing.
+#[derive(Clone, Debug)]
 pub(crate) struct Served {
     key: String,
     at: Revision,
--- a/crates/control-store/src/recent.rs
+++ b/crates/control-store/src/recent.rs
@@ -11,6 +11,7 @@
 /// What a copy counts for besides its changes.
 const ENTRY: usize = 64;
 
+#[derive(Clone, Debug)]
 struct Entry<C> {
     to: Revision,
     changes: Vec<C>,
@@ -18,6 +19,7 @@
 }
 
 /// What changed from `base` until now, copy by copy, under whichever owners; the oldest are forgotten at the bounds.
+#[derive(Clone, Debug)]
 pub(crate) struct Recent<C> {
     /// The revision before the first one remembered.
     base: Revision,
--- a/crates/posthouse/src/carriers/alone.rs
+++ b/crates/posthouse/src/carriers/alone.rs
@@ -81,7 +81,9 @@
     let (writes, todo) = std::sync::mpsc::channel::<disk::Write>();
     let (done, synced) = mpsc::unbounded_channel();
     // Each write is synced at once.
-    std::thread::spawn(move || todo.into_iter().all(|write| done.send(write.number).is_ok()));
+    std::thread::spawn(move || {
+        todo.into_iter().all(|write| done.send(disk::Told::Synced(write.number)).is_ok())
+    });
     let store = disk.map(|disk| {
         let me: StoreNode = silvercross_control_store::Node(ip.to_bits());
         let keys = vec![CONFIGURATION.to_string()];
