--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -122,6 +122,10 @@
     pub replica_sets: u64,
     /// Times that this replica's own disk was found to have gone back to an older state.
     pub went_back: u64,
+    /// Times that the disk had no room.
+    pub no_room: u64,
+    /// Promises and copies that were not confirmed, for the disk had no room.
+    pub unsaid: u64,
 }
 
 /// How a control store is broken on purpose; without the feature `mutants` nothing heeds it.
@@ -165,6 +169,10 @@
     MixesSnapshots,
     /// Leads with the copy it has, whatever the others have.
     LeadsWithOldCopy,
+    /// Confirms promises and copies although the write failed.
+    SaysUnwritten,
+    /// Goes on from its start as if nothing stood on its disk.
+    StartsUnread,
 }
 
 /// What waits for a write.
@@ -287,6 +295,8 @@
     /// Writes under way. At most `WRITES`.
     writes: VecDeque<(u64, Vec<After<P>>)>,
     write: u64,
+    /// Whether the disk takes writes.
+    room: bool,
     broken: Option<Broken>,
 }
 
@@ -350,6 +360,7 @@
             after: Vec::new(),
             writes: VecDeque::new(),
             write: 0,
+            room: true,
             broken: None,
         };
         store.next_call = store.draw();
@@ -373,6 +384,12 @@
     #[doc(hidden)]
     pub fn break_it(&mut self, broken: Broken) {
         self.broken = Some(broken);
+        if broken == Broken::StartsUnread {
+            for slot in self.keys.values_mut() {
+                (slot.promised, slot.seen) = (Epoch::default(), Epoch::default());
+                (slot.accepted, slot.value) = (Revision::default(), P::default());
+            }
+        }
     }
 
     /// Pieces of so many bytes in the place of [`PIECE`], so that small values go in several too.
@@ -493,6 +510,7 @@
             }
             Message::Fetch { key, at, offset } => self.on_fetch(now, from, key, at, offset),
             Message::Higher { key, epoch } => self.learn(now, &key, epoch),
+            Message::Resigned { key, epoch } => self.on_resigned(now, from, key, epoch),
             Message::Confirm { key, epoch, round } => self.on_confirm(now, from, key, epoch, round),
             Message::Confirmed { key, epoch, round } => self.on_confirmed(now, from, key, epoch, round),
             Message::Heartbeat { keys } => self.on_heartbeat(now, from, keys),
@@ -522,6 +540,30 @@
         }
     }
 
+    /// Whether the disk takes writes; until told otherwise it does. Without room nothing is said that rests on a write, nothing is
+    /// claimed, and what this node owns goes to others; what rests on no write goes on. Writes under way stay so.
+    pub fn room(&mut self, now: Micros, room: bool) {
+        if self.room == room {
+            return;
+        }
+        self.room = room;
+        if room {
+            self.reroute(now);
+            self.tick(now);
+            return;
+        }
+        self.figures.no_room += 1;
+        if !self.is(Broken::SaysUnwritten) {
+            let all = self.writes.iter_mut().map(|(_, after)| after).chain([&mut self.after]);
+            for after in all {
+                let waited = after.len();
+                after.retain(|one| !matches!(one, After::Send(..)));
+                self.figures.unsaid += (waited - after.len()) as u64;
+            }
+        }
+        self.resign(now);
+    }
+
     /// Whether a link to this node stands. Until told, none does.
     pub fn reachable(&mut self, now: Micros, node: Node, up: bool) {
         let room = self.up.len() < LINKS || self.replica_set.contains(node);
@@ -549,6 +591,8 @@
         self.tick_calls(now);
         self.tick_pulls(now);
         match self.phase {
+            // What is due of keys and of the replica set begins with a write.
+            Phase::Voter if !self.room => {}
             Phase::Voter => {
                 self.tick_keys(now);
                 self.tick_replica_set(now);
@@ -568,6 +612,7 @@
     pub fn wake(&self) -> Option<Micros> {
         let calls = self.open.values().map(|call| call.due()).min();
         let rest = match self.phase {
+            Phase::Voter if !self.room => None,
             Phase::Voter => {
                 let keys = self.keys.iter().filter_map(|(key, slot)| self.due(key, slot)).min();
                 keys.into_iter().chain(self.replica_set_due()).min()
@@ -624,6 +669,16 @@
         self.phase == Phase::Voter
     }
 
+    /// Whether it may claim: it is a voter and its disk takes writes.
+    pub(crate) fn able(&self) -> bool {
+        self.voter() && self.room
+    }
+
+    /// Whether the disk takes writes, as far as was told.
+    pub fn has_room(&self) -> bool {
+        self.room
+    }
+
     /// The counters.
     pub fn figures(&self) -> Figures {
         self.figures
@@ -704,9 +759,16 @@
         self.dirty_metadata || !self.dirty.is_empty()
     }
 
-    /// Does it once all that was to be written until now is durable.
+    /// Does it once all that was to be written until now is durable. While the disk has no room a message that would wait for that is
+    /// left unsaid: who asked asks again.
     pub(crate) fn later(&mut self, now: Micros, one: After<P>) {
-        if self.unwritten() {
+        let waits = self.unwritten() || !self.writes.is_empty();
+        if waits && !self.room && matches!(one, After::Send(..)) {
+            if self.is(Broken::SaysUnwritten) {
+                return self.run(now, one);
+            }
+            self.figures.unsaid += 1;
+        } else if self.unwritten() {
             self.after.push(one);
         } else if let Some((_, after)) = self.writes.back_mut() {
             after.push(one);
