Control store: what strikes at each step of a repair and of a replacement of one that is gone

tests/repaired.rs: the replica that alone has the last change with the owner is wiped and repaired, or lost for good and replaced. At each message and write: power lost by all, a machine frozen, the one under repair wiped again; and, from the moment at which the promise holds again (the repaired one votes, more than half of the new replica set have it on disk), another one lost for good, alone or with the power of all others, or wiped. Case and blows move from planned.rs to tests/common/case.rs.

--- a/crates/control-store/tests/common/mod.rs
+++ b/crates/control-store/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod bench;
+pub mod case;
 pub mod judge;
 
 use judge::{History, Op, Said};
