--- a/crates/posthouse/src/post.rs
+++ b/crates/posthouse/src/post.rs
@@ -845,6 +845,7 @@
         let mut told = self.now();
         let mut roster = Vec::new();
         let mut looked = told;
+        let mut went_back = 0;
         loop {
             tokio::time::sleep(Duration::from_millis(300)).await;
             let now = self.now();
@@ -861,6 +862,11 @@
                 self.own.borrow_mut().iter_mut().for_each(|o| o.told = true);
                 self.tell();
             }
+            let times = self.carriers.control_store(|l| l.figures().went_back).unwrap_or(0);
+            if times > went_back {
+                went_back = times;
+                warn!(self.log, "the disk went back to an older state, the other replicas repair it"; "times" => times);
+            }
             if self.roster() != roster {
                 roster = self.roster();
                 self.tell();
