Control store: a read that is passed on is answered with its revision; the copy here is the value

A read at a replica that is not the owner brought the whole value in one message: with 4 MiB on 7 Mbit/s never within CALL_LIMIT, so such a replica could not read at all, and each try sent it again. The owner now says at which revision it stands once its epoch was confirmed, and the asker answers with its copy at that revision, waits for it within the call's time if it is behind, and asks for the value whole if its copy has gone on beyond (nobody here knows that to be committed). Machines that are no voter still get it whole.

tests/catchup.rs reads at each member that has caught up: the value, with under 4 KB on its links. New mutant ForgetsPromises (a restart that goes on before its promises are read), caught.

--- a/crates/control-store/src/calls.rs
+++ b/crates/control-store/src/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{Effect, Forwarded, Message, Request, Verdict};
 use crate::store::{After, ControlStore, Ownership, CALL_LIMIT, FORWARDS, FORWARD_LIMIT, OPEN, QUEUE};
-use crate::{Epoch, Micros, Node, Refusal, State};
+use crate::{Epoch, Micros, Node, Refusal, Revision, State};
 use std::collections::{BTreeSet, VecDeque};
 
 /// Who waits for a job.
@@ -50,6 +50,8 @@
     Forwarded(Node, Epoch, Micros),
     /// Nobody to turn to until then.
     Parked(Micros),
+    /// What is read stands at this revision; the copy here doesn't yet.
+    Behind(Revision),
 }
 
 /// A call of this node's caller.
@@ -69,7 +71,7 @@
 impl<C> Call<C> {
     pub(crate) fn due(&self) -> Micros {
         match self.at {
-            At::Here => self.until,
+            At::Here | At::Behind(_) => self.until,
             At::Forwarded(_, _, since) => self.until.min(since + FORWARD_LIMIT),
             At::Parked(until) => self.until.min(until),
         }
@@ -130,7 +132,11 @@
             }
             let to = to.filter(|to| to.0 != self.me && !call.tried.contains(to) && call.tried.len() < TRIES);
             if let Some(to) = to {
-                let message = Message::Forward { id, key, under: to.1, ask: call.ask.clone() };
+                let ask = match &call.ask {
+                    Request::Read if !self.voter() => Request::Whole,
+                    ask => ask.clone(),
+                };
+                let message = Message::Forward { id, key, under: to.1, ask };
                 if let Some(call) = self.open.get_mut(&id) {
                     call.tried.push(to);
                     call.at = At::Forwarded(to.0, to.1, now);
@@ -233,6 +239,11 @@
             }
             Forwarded::Given(verdict) if here => self.finish(Who::Local(id), verdict),
             Forwarded::Given(_) => {}
+            Forwarded::At(revision) => {
+                if call.ask == Request::Read {
+                    self.read_here(now, id, revision);
+                }
+            }
             Forwarded::NotOwner(epoch) => {
                 let key = call.key.clone();
                 self.learn(now, &key, epoch);
@@ -243,6 +254,38 @@
         }
     }
 
+    /// What is read stands at this revision: answered with the copy here, once that is there; if it has gone on already, to what
+    /// nobody may know to be committed, it is asked for whole.
+    fn read_here(&mut self, now: Micros, id: u64, revision: Revision) {
+        let Some(call) = self.open.get_mut(&id) else { return };
+        let Some(slot) = self.keys.get(&call.key) else { return };
+        if slot.accepted == revision {
+            let value = slot.value.clone();
+            self.finish(Who::Local(id), Verdict::Value { revision, value });
+        } else if slot.accepted < revision {
+            call.at = At::Behind(revision);
+        } else if let Some(mut call) = self.open.remove(&id) {
+            call.ask = Request::Whole;
+            call.tried.clear();
+            // Under another number: this one was served.
+            self.next_call = self.next_call.wrapping_add(1);
+            self.open.insert(self.next_call, call);
+            self.route(now, self.next_call);
+        }
+    }
+
+    /// The copy here has gone on: answers what waited for it.
+    pub(crate) fn reads_go_on(&mut self, now: Micros, key: &str) {
+        let waits = |(id, call): (&u64, &Call<P::Change>)| match call.at {
+            At::Behind(revision) if call.key == key => Some((*id, revision)),
+            _ => None,
+        };
+        let waiting: Vec<(u64, Revision)> = self.open.iter().filter_map(waits).collect();
+        for (id, revision) in waiting {
+            self.read_here(now, id, revision);
+        }
+    }
+
     /// Answers a job's caller, or who forwarded it.
     pub(crate) fn finish(&mut self, who: Who, verdict: Verdict<P>) {
         match who {
--- a/crates/control-store/src/message.rs
+++ b/crates/control-store/src/message.rs
@@ -80,8 +80,10 @@
 pub enum Request<C> {
     /// To change it.
     Change(C),
-    /// To tell its content.
+    /// To tell its content; where that is kept anyway, its revision does.
     Read,
+    /// To tell its content to who doesn't have it at that revision.
+    Whole,
 }
 
 /// What an owner says to a call that was forwarded to it.
@@ -89,6 +91,8 @@
 pub enum Forwarded<P> {
     /// The answer.
     Given(Verdict<P>),
+    /// What is read is the content at this revision, of which the asker has or gets a copy.
+    At(Revision),
     /// It doesn't own the key; the highest epoch that it knows of.
     NotOwner(Epoch),
 }
--- a/crates/control-store/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -419,9 +419,13 @@
         let Some((revision, value)) = owner.committed.clone() else { return };
         let jobs = owner.round.take().map(|round| round.jobs).unwrap_or_default();
         for (job, refusal) in jobs {
+            if let (Who::Remote(to, id, under), Request::Read) = (job.who, &job.ask) {
+                self.send(to, Message::Verdict { id, under, forwarded: Forwarded::At(revision) });
+                continue;
+            }
             let verdict = match (job.ask, refusal) {
                 (_, Some(refusal)) => Verdict::Refused(refusal),
-                (Request::Read, None) => Verdict::Value { revision, value: value.clone() },
+                (Request::Read | Request::Whole, None) => Verdict::Value { revision, value: value.clone() },
                 (Request::Change(_), None) => Verdict::Done { revision, changed: false },
             };
             self.finish(job.who, verdict);
--- a/crates/control-store/src/pieces.rs
+++ b/crates/control-store/src/pieces.rs
@@ -322,6 +322,7 @@
         slot.value = value;
         slot.recent = Recent::begin(at);
         self.write_key(&key);
+        self.reads_go_on(now, &key);
         let owner = Node(at.epoch.owner);
         if stands && owner != self.me {
             let incarnations = self.incarnations();
--- a/crates/control-store/src/replica.rs
+++ b/crates/control-store/src/replica.rs
@@ -74,6 +74,7 @@
             slot.accepted = copy.to;
             slot.recent.push(copy.to, copy.changes, keys);
             self.write_key(&key);
+            self.reads_go_on(now, &key);
             if copy.more {
                 self.say_behind(from, key.clone(), epoch, false);
             }
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -155,6 +155,8 @@
     MixesSnapshots,
     /// Leads with the copy it has, whatever the others have.
     LeadsWithOldCopy,
+    /// Starts before its promises are read from disk.
+    ForgetsPromises,
 }
 
 /// What waits for a write.
@@ -351,6 +353,9 @@
     #[cfg(feature = "mutants")]
     #[doc(hidden)]
     pub fn break_it(&mut self, broken: Broken) {
+        for slot in self.keys.values_mut().filter(|_| broken == Broken::ForgetsPromises) {
+            (slot.promised, slot.seen) = Default::default();
+        }
         self.broken = Some(broken);
     }
 
--- a/crates/control-store/tests/catchup.rs
+++ b/crates/control-store/tests/catchup.rs
@@ -73,6 +73,7 @@
     bytes: BTreeMap<(usize, usize), usize>,
     largest: usize,
     done: u64,
+    values: u64,
     unsettled: u64,
     tokens: u64,
     open: usize,
@@ -109,6 +110,7 @@
             bytes: BTreeMap::new(),
             largest: 0,
             done: 0,
+            values: 0,
             unsettled: 0,
             tokens: 0,
             open: 0,
@@ -200,6 +202,7 @@
                     self.open -= 1;
                     match verdict {
                         Verdict::Done { .. } => self.done += 1,
+                        Verdict::Value { .. } => self.values += 1,
                         _ => self.unsettled += 1,
                     }
                 }
@@ -412,12 +415,18 @@
         }
         net.pass(1_000);
     }
-    let row = Row {
-        took: net.now - begun,
-        bytes: net.traffic(member) - before,
-        largest: net.largest,
-        unsettled: net.unsettled - unsettled,
-    };
+    let took = net.now - begun;
+    // What it has it reads out without a word from the others but its revision.
+    let (values, bytes) = (net.values, net.traffic(member));
+    net.tokens += 1;
+    net.open += 1;
+    if let Some(store) = &mut net.stores[member] {
+        store.read(net.now, net.tokens, KEY);
+    }
+    net.drain(member);
+    net.pass(800_000);
+    assert!(net.values == values + 1 && net.traffic(member) < bytes + 4_096, "{how:?}: a read");
+    let row = Row { took, bytes: bytes - before, largest: net.largest, unsettled: net.unsettled - unsettled };
     println!(
         "{changes:>7} changes, {how:?}{}: caught up in {} ms, {} KB, largest message {} bytes, {} calls unsettled",
         if load { ", with 20 changes a second" } else { "" },
--- a/crates/control-store/tests/mutants.rs
+++ b/crates/control-store/tests/mutants.rs
@@ -65,3 +65,8 @@
 fn an_old_whole_value_in_the_place_of_a_later_one_is_caught() {
     caught(Some(Broken::TakesOldSnapshots), 2_000);
 }
+
+#[test]
+fn a_restart_before_the_promises_are_read_is_caught() {
+    caught(Some(Broken::ForgetsPromises), 300);
+}
