Links: what the control store says passes a large page

A page of 4 MiB takes 4.6 s of a 7 Mbit/s link, longer than SILENT (2.5 s), and the owner's beats and copies waited behind it, so that others claimed its keys. Now a large letter goes in parts of 32 KiB, what the control store says goes between them, and at most 64 KiB lie unsent in the kernel.

Test: a_beat_passes_a_large_parcel, seen to fail with one lane.

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -22,6 +22,12 @@
 pub const VERSION: u16 = 2;
 /// No parcel is larger.
 const LARGEST: usize = 16 << 20;
+/// Bytes of a large parcel that go at a time. Between them goes what the control store says: its owner's beats may not wait until
+/// a page is through a thin link.
+const PART: usize = 32 * 1024;
+/// In a frame's length: it is a part of a large parcel; and it is the last one.
+const IS_PART: u32 = 1 << 31;
+const IS_LAST: u32 = 1 << 30;
 /// Parcels that may wait for a link; at the bound the link ends, and what it lacked comes by snapshot.
 const WAITING: usize = 1024;
 /// A link is up, and its first parcel there, within this.
@@ -93,7 +99,9 @@
 
 struct Link {
     number: u64,
+    /// What goes in its order, and what goes before it.
     out: mpsc::Sender<Rc<Vec<u8>>>,
+    first: mpsc::Sender<Rc<Vec<u8>>>,
 }
 
 /// What goes between sidecars, and who decides about it.
@@ -283,7 +291,8 @@
         let full = {
             let links = self.links.borrow();
             let Some(link) = links.get(&to).and_then(|l| l.last()) else { return };
-            link.out.try_send(Rc::new(bytes)).is_err()
+            let lane = if matches!(parcel, Parcel::Round(_)) { &link.out } else { &link.first };
+            lane.try_send(Rc::new(bytes)).is_err()
         };
         if full {
             // It takes nothing: what it lacks it gets by snapshot, on another link.
@@ -412,23 +421,85 @@
     true
 }
 
-async fn parcel(stream: &mut (impl AsyncReadExt + Unpin), most: usize) -> Option<Parcel> {
-    let mut length = [0; 4];
-    stream.read_exact(&mut length).await.ok()?;
-    let length = u32::from_le_bytes(length) as usize;
-    if length > most {
-        return None;
+/// Writes what waits, until the link ends: parcels of both lanes whole, but large ones of `out` in parts.
+async fn write_lanes(
+    stream: &mut (impl AsyncWriteExt + Unpin),
+    mut out: mpsc::Receiver<Rc<Vec<u8>>>,
+    mut first: mpsc::Receiver<Rc<Vec<u8>>>,
+) {
+    let mut large: Option<(Rc<Vec<u8>>, usize)> = None;
+    loop {
+        // What has gathered goes in one write.
+        let mut all = Vec::new();
+        while let Ok(bytes) = first.try_recv() {
+            all.extend_from_slice(&bytes);
+        }
+        while large.is_none() && all.len() < PART {
+            let Ok(bytes) = out.try_recv() else { break };
+            add(&mut all, &mut large, bytes);
+        }
+        if let Some((bytes, sent)) = large.as_mut() {
+            let end = (*sent + PART).min(bytes.len());
+            let last = if end == bytes.len() { IS_LAST } else { 0 };
+            all.extend_from_slice(&((end - *sent) as u32 | IS_PART | last).to_le_bytes());
+            all.extend_from_slice(&bytes[*sent..end]);
+            *sent = end;
+            large = large.filter(|(bytes, sent)| *sent < bytes.len());
+        }
+        if all.is_empty() {
+            tokio::select! {
+                Some(bytes) = first.recv() => all.extend_from_slice(&bytes),
+                Some(bytes) = out.recv() => add(&mut all, &mut large, bytes),
+                else => return,
+            }
+        }
+        if !taken(stream, &all).await {
+            return;
+        }
+    }
+}
+
+/// Adds a frame to what is written, or makes it the large one: its parts are without its length.
+fn add(all: &mut Vec<u8>, large: &mut Option<(Rc<Vec<u8>>, usize)>, bytes: Rc<Vec<u8>>) {
+    if bytes.len() > PART {
+        *large = Some((bytes, 4));
+    } else {
+        all.extend_from_slice(&bytes);
+    }
+}
+
+/// The next parcel of at most so many bytes; `parts` is what is there of a large one.
+async fn parcel(
+    stream: &mut (impl AsyncReadExt + Unpin),
+    parts: &mut Vec<u8>,
+    most: usize,
+) -> Option<Parcel> {
+    loop {
+        let mut head = [0; 4];
+        stream.read_exact(&mut head).await.ok()?;
+        let head = u32::from_le_bytes(head);
+        let length = (head & !(IS_PART | IS_LAST)) as usize;
+        let part = head & IS_PART != 0;
+        if length + if part { parts.len() } else { 0 } > most {
+            return None;
+        }
+        // Room grows with what comes, not with what is announced.
+        let mut bytes = if part { std::mem::take(parts) } else { Vec::with_capacity(length.min(64 * 1024)) };
+        (&mut *stream).take(length as u64).read_to_end(&mut bytes).await.ok().filter(|n| *n == length)?;
+        if part && head & IS_LAST == 0 {
+            *parts = bytes;
+            continue;
+        }
+        return bitcode::decode(&bytes).ok();
     }
-    // Room grows with what comes, not with what is announced.
-    let mut bytes = Vec::with_capacity(length.min(64 * 1024));
-    (&mut *stream).take(length as u64).read_to_end(&mut bytes).await.ok().filter(|n| *n == length)?;
-    bitcode::decode(&bytes).ok()
 }
 
 /// One link, until it ends.
 async fn carry(post: Rc<Post>, stream: TcpStream, to: Option<u32>, greeting: Option<Counted>) {
     let c = &post.carriers;
     let peer = stream.peer_addr().ok().map(|a| a.ip());
+    // What is handed over and not sent can't be passed any more.
+    let _ = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(2 * PART as u32);
     let (read, mut write) = stream.into_split();
     // Many small parcels come at a time: one read for them.
     let mut read = tokio::io::BufReader::with_capacity(8 * 1024, read);
@@ -436,7 +507,8 @@
     if write.write_all(&hello).await.is_err() {
         return gone(&post, to);
     }
-    let first = timeout(CONNECT * 2, parcel(&mut read, HELLO)).await.ok().flatten();
+    let mut parts = Vec::new();
+    let first = timeout(CONNECT * 2, parcel(&mut read, &mut parts, HELLO)).await.ok().flatten();
     let Some(Parcel::Hello { version: VERSION, node }) = first else {
         post.counts.strangers.set(post.counts.strangers.get() + 1);
         return gone(&post, to);
@@ -448,8 +520,9 @@
     drop(greeting);
     let number = c.numbers.get();
     c.numbers.set(number + 1);
-    let (out, mut waiting) = mpsc::channel::<Rc<Vec<u8>>>(WAITING);
-    c.links.borrow_mut().entry(node).or_default().push(Link { number, out });
+    let (out, waiting) = mpsc::channel::<Rc<Vec<u8>>>(WAITING);
+    let (first, waiting_first) = mpsc::channel::<Rc<Vec<u8>>>(WAITING);
+    c.links.borrow_mut().entry(node).or_default().push(Link { number, out, first });
     let now = post.now();
     c.rounds.borrow_mut().link_up(now, Node(node));
     if let Some(l) = &c.ledger {
@@ -457,7 +530,7 @@
     }
     c.pump(&post);
     let reading = async {
-        while let Some(parcel) = parcel(&mut read, LARGEST).await {
+        while let Some(parcel) = parcel(&mut read, &mut parts, LARGEST).await {
             let now = post.now();
             match parcel {
                 Parcel::Hello { .. } => break,
@@ -483,18 +556,7 @@
             c.pump(&post);
         }
     };
-    let writing = async {
-        while let Some(bytes) = waiting.recv().await {
-            let mut all = bytes.to_vec();
-            // What has gathered goes in one write.
-            while let Ok(more) = waiting.try_recv() {
-                all.extend_from_slice(&more);
-            }
-            if !taken(&mut write, &all).await {
-                break;
-            }
-        }
-    };
+    let writing = write_lanes(&mut write, waiting, waiting_first);
     tokio::select! {
         _ = reading => {}
         _ = writing => {}
@@ -552,6 +614,44 @@
         });
     }
 
+    /// A large parcel is on its way over a thin link: what the control store says comes before its end, and both come whole.
+    #[test]
+    fn a_beat_passes_a_large_parcel() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        runtime.expect("a runtime").block_on(async {
+            let (mut here, mut there) = tokio::io::duplex(4 * 1024);
+            let (out, waiting) = mpsc::channel(4);
+            let (first, waiting_first) = mpsc::channel(4);
+            let page = silvercross_rounds::Page {
+                key: "k".to_string(),
+                revision: (1, 2, 3),
+                bytes: vec![7; 1 << 20],
+            };
+            let news = Letter::News { records: Vec::new(), pages: vec![page] };
+            let large = Rc::new(framed(&Parcel::Round(news.clone())));
+            let writing = async move { write_lanes(&mut here, waiting, waiting_first).await };
+            let reading = async {
+                out.send(large.clone()).await.expect("room");
+                let mut some = vec![0; PART];
+                there.read_exact(&mut some).await.expect("it has begun");
+                first.send(Rc::new(framed(&Parcel::Time { asked: 5 }))).await.expect("room");
+                out.send(Rc::new(framed(&Parcel::Time { asked: 6 }))).await.expect("room");
+                drop((out, first));
+                let mut rest = std::io::Cursor::new(some).chain(there);
+                let mut parts = Vec::new();
+                let mut came = Vec::new();
+                while let Some(parcel) = parcel(&mut rest, &mut parts, LARGEST).await {
+                    came.push(parcel);
+                }
+                came
+            };
+            let (_, came) = tokio::join!(writing, reading);
+            assert!(matches!(came[0], Parcel::Time { asked: 5 }));
+            assert!(matches!(&came[1], Parcel::Round(letter) if *letter == news));
+            assert!(matches!(came[2], Parcel::Time { asked: 6 }) && came.len() == 3);
+        });
+    }
+
     #[test]
     fn links_that_nobody_greets_on_are_bounded_and_end() {
         trial::run(async {
