--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -177,6 +177,8 @@
     RefusesUnasked,
     /// Tells at once what rests on a change that is not committed yet.
     TellsUncommitted,
+    /// Starts before its promises are read from disk.
+    ForgetsPromises,
 }
 
 /// What waits for a write.
@@ -392,6 +394,9 @@
     #[cfg(feature = "mutants")]
     #[doc(hidden)]
     pub fn break_it(&mut self, broken: Broken) {
+        for slot in self.keys.values_mut().filter(|_| broken == Broken::ForgetsPromises) {
+            (slot.promised, slot.seen) = Default::default();
+        }
         self.broken = Some(broken);
         if broken == Broken::StartsUnread {
             for slot in self.keys.values_mut() {
