Data path: early answers and stalled bodies have their tests

An upstream that answers behind the head and reads no more (its own answer, away, another request's), for an offered and a large body; a body that stalls before or after part of it went on (408 is a promise, so only before).

--- a/crates/posthouse/src/data_path_tests.rs
+++ b/crates/posthouse/src/data_path_tests.rs
@@ -243,3 +243,89 @@
         }
     });
 }
+
+/// An upstream that answers behind a request's head and reads no more: its answer counts, the connection carries nothing further,
+/// and what is unread of a body is nowhere taken for a request.
+#[test]
+fn an_answer_before_the_request_is_whole_is_its_own_and_ends_the_connection() {
+    const AWAY: &str =
+        "HTTP/1.1 503 X\r\nAttempt-Id: {id}\r\nNot-Delivered: full\r\nContent-Length: 0\r\n\r\n";
+    const FAILED: &str = "HTTP/1.1 500 X\r\nAttempt-Id: {id}\r\nPostmark: p\r\nContent-Length: 0\r\n\r\n";
+    const OTHER: &str =
+        "HTTP/1.1 503 X\r\nAttempt-Id: zz\r\nNot-Delivered: full\r\nContent-Length: 0\r\n\r\n";
+    for (text, want) in [(AWAY, "503"), (FAILED, "500"), (OWN, "200"), (OTHER, "504")] {
+        for length in [20_000, HELD + 4_000_000] {
+            trial::run_paused(async move {
+                let (_, nobody) = trial::station().await;
+                let (listener, at) = trial::station().await;
+                let origin = trial::sidecar(1, nobody, Terms::default()).await;
+                let gate = trial::sidecar(2, at, Terms::default()).await;
+                gate.beat();
+                origin.hears_of(&gate);
+                let heads = Rc::new(RefCell::new(Vec::new()));
+                let seen = heads.clone();
+                tokio::task::spawn_local(async move {
+                    let mut open = Vec::new();
+                    while let Ok((stream, _)) = listener.accept().await {
+                        let mut talk = Talk::over(stream);
+                        let head = talk.head().await;
+                        let id = value(&head, "attempt-id").unwrap_or_default();
+                        talk.say(text.replace("{id}", &id).as_bytes()).await;
+                        seen.borrow_mut().push(id);
+                        open.push(talk);
+                    }
+                });
+                for id in ["a", "b"] {
+                    let mut client = Talk::to(origin.at).await;
+                    let head = post(id, length)
+                        .replace("\r\n\r\n", "\r\nDeadline-Ms: 3000\r\n\r\n")
+                        .replace("once", "up");
+                    client.say(head.as_bytes()).await;
+                    let (read, mut write) = client.stream.into_split();
+                    // Answered before its end, the rest may find a closed connection.
+                    let writes = tokio::task::spawn_local(async move {
+                        let _ = write
+                            .write_all(
+                                &"POST /once/x HTTP/1.1\r\n\r\n".repeat(length / 25 + 1).as_bytes()[..length],
+                            )
+                            .await;
+                        write
+                    });
+                    let mut read = read;
+                    let mut come = Vec::new();
+                    while !come.windows(4).any(|w| w == b"\r\n\r\n") {
+                        let n = tokio::io::AsyncReadExt::read_buf(&mut read, &mut come).await.unwrap_or(0);
+                        assert!(n > 0, "{want}, {length}: {come:?}");
+                    }
+                    assert_eq!(status(&String::from_utf8_lossy(&come)), want, "{length}");
+                    writes.abort();
+                }
+                let ran = heads.borrow().clone();
+                assert!(ran.iter().all(|id| ["a", "b"].contains(&id.as_str())), "{ran:?}");
+                // Each on a connection of its own, though the upstream kept them all open.
+                assert_eq!(ran.iter().filter(|id| *id == "b").count(), 1, "{ran:?}");
+            });
+        }
+    }
+}
+
+/// A body that stalls is answered 408 as long as none of it went on; else nothing is promised.
+#[test]
+fn a_body_that_stalls_is_a_promise_only_where_none_of_it_went_on() {
+    for (length, sent, promised) in
+        [(1000, 10, true), (2 * HELD, HELD - 1, true), (3 * HELD, 2 * HELD, false)]
+    {
+        trial::run_paused(async move {
+            let (origin, _, seen) = mesh(&[OWN]).await;
+            let mut client = Talk::to(origin.at).await;
+            let head =
+                post("a", length).replace("\r\n\r\n", "\r\nDeadline-Ms: 3000\r\n\r\n").replace("once", "up");
+            client.say(head.as_bytes()).await;
+            client.say(&vec![b'x'; sent]).await;
+            let head = client.head().await;
+            assert_eq!(status(&head) == "408", promised, "{sent} of {length}: {head}");
+            assert!(!matches!(status(&head), "421" | "429" | "503"), "{sent} of {length}: {head}");
+            assert!(seen.ids.borrow().is_empty() || !promised);
+        });
+    }
+}
--- a/crates/posthouse/src/trial.rs
+++ b/crates/posthouse/src/trial.rs
@@ -34,6 +34,13 @@
     });
 }
 
+/// The same in paused time: it passes only while nothing else can be done.
+pub fn run_paused(test: impl Future<Output = ()>) {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().start_paused(true).build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
 /// A sidecar, where its clients connect, and where others bring requests.
 #[derive(Clone)]
 pub struct Sidecar {
