--- a/crates/posthouse/src/broken.rs
+++ b/crates/posthouse/src/broken.rs
@@ -10,6 +10,8 @@
     SurplusKept,
     /// What another life of a gate's process does not know counts as not begun.
     AnyLife,
+    /// What was asked for before it came may still begin.
+    NotBarred,
     /// What broke after it was written counts as not begun, also where it may run once.
     SentAgain,
 }
--- a/crates/posthouse/src/cut_points_tests.rs
+++ b/crates/posthouse/src/cut_points_tests.rs
@@ -42,6 +42,9 @@
             if *link == Link::Hop {
                 add(Cut::Restart, at);
             }
+            if *way == Way::Request {
+                add(Cut::Torn, at);
+            }
             if *way == Way::Request || at == 0 {
                 add(Cut::Other, at);
             }
--- a/crates/posthouse/src/cut_points_tests/relay.rs
+++ b/crates/posthouse/src/cut_points_tests/relay.rs
@@ -37,6 +37,8 @@
     Frozen,
     /// The gate's process is killed, and another one stands at its address.
     Restart,
+    /// Who asked is reset; the rest of the request comes only once the client has its answer.
+    Torn,
     /// Another request's answer goes to who asked.
     Other,
     /// A byte goes on behind the answer.
@@ -83,7 +85,8 @@
 
 /// One connection through a relay.
 struct Carried {
-    from: TcpStream,
+    /// Gone where it was torn off.
+    from: Option<TcpStream>,
     on: TcpStream,
     chosen: bool,
     /// Bytes passed since it was chosen, by way.
@@ -106,7 +109,7 @@
                     stream.set_nodelay(true).expect("an option");
                 }
                 let (passed, answer, late) = ([0; 2], Vec::new(), Vec::new());
-                let carried = Carried { from, on, chosen: false, passed, answer, late };
+                let carried = Carried { from: Some(from), on, chosen: false, passed, answer, late };
                 tokio::task::spawn_local(own.clone().carry(carried));
             }
         });
@@ -118,15 +121,20 @@
         self.plan.connections.set(number + 1);
         let (mut asks, mut answers) = (vec![0; 64 * 1024], vec![0; 64 * 1024]);
         loop {
+            let Some(from) = &mut c.from else {
+                // Whatever is answered, nobody is there to hear it.
+                let _ = tokio::io::copy(&mut c.on, &mut tokio::io::sink()).await;
+                return;
+            };
             let (way, came) = tokio::select! {
                 biased;
-                came = c.from.read(&mut asks) => (Way::Request, came),
+                came = from.read(&mut asks) => (Way::Request, came),
                 came = c.on.read(&mut answers) => (Way::Answer, came),
             };
             let bytes = match came {
                 // Ends are passed on as they are.
                 Ok(0) => return,
-                Err(_) => return reset(c),
+                Err(_) => return reset(&c),
                 Ok(n) => if way == Way::Request { &asks[..n] } else { &answers[..n] }.to_vec(),
             };
             if self.plan.armed.get() && way == Way::Request && !c.chosen {
@@ -189,7 +197,7 @@
     }
 
     async fn write(&self, c: &mut Carried, way: Way, bytes: &[u8]) -> Option<()> {
-        let to = if way == Way::Request { &mut c.on } else { &mut c.from };
+        let to = if way == Way::Request { &mut c.on } else { c.from.as_mut()? };
         to.write_all(bytes).await.ok()
     }
 
@@ -197,17 +205,23 @@
         match cut {
             Cut::Silence => std::future::pending().await,
             Cut::Reset => {
-                linger(&c.from);
-                linger(&c.on);
+                reset(c);
                 None
             }
             Cut::Close => None,
             Cut::Restart => {
                 // The system of a killed process closes in order towards its upstream, and resets who asks.
-                linger(&c.from);
+                c.from.as_ref().into_iter().for_each(linger);
                 self.next.take().into_iter().for_each(|next| self.to.set(next));
                 None
             }
+            Cut::Torn => {
+                c.from.take().as_ref().into_iter().for_each(linger);
+                while !self.plan.awake.get() {
+                    self.plan.wake.notified().await;
+                }
+                Some(())
+            }
             Cut::Frozen => {
                 while !self.plan.awake.get() {
                     self.plan.wake.notified().await;
@@ -224,7 +238,7 @@
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-fn reset(c: Carried) {
-    linger(&c.from);
+fn reset(c: &Carried) {
+    c.from.as_ref().into_iter().for_each(linger);
     linger(&c.on);
 }
--- a/crates/posthouse/src/mutants_tests.rs
+++ b/crates/posthouse/src/mutants_tests.rs
@@ -39,3 +39,10 @@
     assert!(fault.contains("TWICE") || fault.contains("REFUSED"), "{fault:?}");
     assert!(fault.contains("Restart"), "{fault:?}");
 }
+
+#[test]
+fn a_request_that_begins_though_it_was_asked_for_before_it_came_is_found() {
+    let fault = found(Broken::NotBarred);
+    assert!(fault.contains("TWICE") || fault.contains("REFUSED"), "{fault:?}");
+    assert!(fault.contains("Torn"), "{fault:?}");
+}
--- a/crates/posthouse/src/receipts.rs
+++ b/crates/posthouse/src/receipts.rs
@@ -121,6 +121,9 @@
                     Some(State::Off) => return Known::Off,
                     None if now < inner.blind_until || inner.states.len() >= MOST => return Known::Begun,
                     None => {
+                        if broken::is(Broken::NotBarred) {
+                            return Known::Unseen;
+                        }
                         // It may still be on its way.
                         inner.states.insert(ticket, State::Off);
                         inner.ended.push_back((now, ticket));
