--- a/crates/control-store/src/calls.rs
+++ b/crates/control-store/src/calls.rs
@@ -264,6 +264,8 @@
             self.finish(Who::Local(id), Verdict::Value { revision, value });
         } else if slot.accepted < revision {
             call.at = At::Behind(revision);
+            let key = call.key.clone();
+            self.ask_for_more(&key, revision.epoch);
         } else if let Some(mut call) = self.open.remove(&id) {
             call.ask = Request::Whole;
             call.tried.clear();
--- a/crates/control-store/src/replica.rs
+++ b/crates/control-store/src/replica.rs
@@ -75,11 +75,12 @@
             slot.recent.push(copy.to, copy.changes, keys);
             self.write_key(&key);
             self.reads_go_on(now, &key);
-            if copy.more {
-                self.say_behind(from, key.clone(), epoch, false);
-            }
         }
         let Some(accepted) = self.keys.get(&key).map(|slot| slot.accepted) else { return };
+        // Also if it stood here already: the copy that brought it may have been the last one then.
+        if copy.more && accepted == copy.to {
+            self.say_behind(from, key.clone(), epoch, false);
+        }
         if accepted.epoch == epoch {
             let incarnations = self.incarnations();
             let kept = Message::Kept { key, epoch, seq: accepted.seq, incarnations };
--- a/crates/control-store/tests/world.rs
+++ b/crates/control-store/tests/world.rs
@@ -80,3 +80,10 @@
         reports.iter().map(|r| r.settled_in).max().unwrap_or(0),
     );
 }
+
+/// A whole value that nobody wanted was offered over and over; a portion of changes that came twice was not gone on from.
+#[test]
+fn schedules_that_once_failed_lose_nothing() {
+    run(5_001_061);
+    run_replacing(8_003_297);
+}
