--- a/crates/control-store/tests/world.rs
+++ b/crates/control-store/tests/world.rs
@@ -104,3 +104,10 @@
     }
     assert!(full >= 400 && done >= 4_000, "{full} disks full, {done} changes done");
 }
+
+/// A whole value that nobody wanted was offered over and over; a portion of changes that came twice was not gone on from.
+#[test]
+fn schedules_that_once_failed_lose_nothing() {
+    run(5_001_061);
+    run_replacing(8_003_297);
+}
