Posthouse: a test of evacuations sent again and overtaken: the last order holds

They carry no version, so a late one can't be told from a new one; what is left open by that stands in the test's words. `cargo test -p silvercross-posthouse leaf`: 4 passed.

--- a/crates/posthouse/src/leaf.rs
+++ b/crates/posthouse/src/leaf.rs
@@ -131,6 +131,17 @@
         assert_eq!(zone, Leaf::Evacuation(true));
     }
 
+    /// Orders for a zone carry no version: one that comes again while it holds changes nothing, and one that comes after its
+    /// opposite is a new one, for nothing tells it from a late one.
+    #[test]
+    fn an_evacuation_again_is_acknowledged_and_the_last_order_holds() {
+        let mut zone = Leaf::Blank;
+        for (on, changed) in [(true, true), (true, false), (false, true), (false, false), (true, true)] {
+            assert_eq!(zone.apply(&Order::Evacuate(on)), Ok(changed));
+            assert_eq!(zone, Leaf::Evacuation(on));
+        }
+    }
+
     /// Disks that were written before there were members are read, and without members nothing is written differently.
     #[test]
     fn without_members_disk_and_links_hold_the_bytes_they_held_before_there_were_any() {
