--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -28,7 +28,7 @@
         "gateOut": out, "gateWaiting": waiting, "idle": post.pool.idle(),
         "asked": c.asked.get(), "recovered": c.recovered.get(), "orphans": c.orphans.get(),
         "receipts": post.receipts.load().0, "keptBytes": post.receipts.load().1,
-        "noRoom": c.no_room.get(), "heldBytes": post.stores.held(), "desks": desks,
+        "freshnessAsked": post.carriers.rounds(|r| r.figures().freshness), "noRoom": c.no_room.get(), "heldBytes": post.stores.held(), "desks": desks,
         "feed": post.feed.get().map(|f| f.figures()),
     });
     if let Some(members) = post.members.figures() {
