Control simulation: disks without room among the faults

Need: the merged control store knows of a disk that takes no writes; in the world none was full. Change: writes stay under way while a disk is full, the store is told at the first that fails, and all are synced when there is room again.

--- a/crates/control-sim/src/disk.rs
+++ b/crates/control-sim/src/disk.rs
@@ -7,6 +7,8 @@
 
 /// One transaction that is under way.
 pub struct Write {
+    /// Its number.
+    pub number: u64,
     /// What is put in place of the metadata there.
     pub metadata: Option<Metadata>,
     /// What is put in place of what is there under these keys.
@@ -24,6 +26,8 @@
     pub pending: VecDeque<Write>,
     /// When the last of these is.
     pub free: i64,
+    /// It has no room: what is on its way to it stays so.
+    pub full: bool,
 }
 
 impl Storage {
@@ -38,10 +42,12 @@
         }
     }
 
-    /// The next write is synced.
-    pub fn synced(&mut self) {
-        if let Some(write) = self.pending.pop_front() {
-            self.persist(write);
+    /// This write is synced, and all before it.
+    pub fn synced(&mut self, number: u64) {
+        while self.pending.front().is_some_and(|write| write.number <= number) {
+            if let Some(write) = self.pending.pop_front() {
+                self.persist(write);
+            }
         }
     }
 
--- a/crates/control-sim/src/faults.rs
+++ b/crates/control-sim/src/faults.rs
@@ -19,6 +19,8 @@
     End(usize, bool),
     /// It may ask all control machines again.
     Seeds(usize),
+    /// Its disk has room again.
+    Room(usize),
 }
 
 impl World {
@@ -48,6 +50,9 @@
                     self.machines[node].destroyed = true;
                 }
             }
+            // Not while it stands still: it hears of it when it goes on.
+            Undo::Room(node) if self.machines[node].frozen => self.later(50_000, Undo::Room(node)),
+            Undo::Room(node) => self.make_room(node),
             Undo::Seeds(node) => {
                 let all = (0..self.cores()).collect();
                 self.reseed(node, all);
@@ -130,7 +135,8 @@
             return;
         }
         let met = self.any_open();
-        let name = match self.dice.below(20) {
+        let name = match self.dice.below(21) {
+            20 => self.strike_full(),
             0..=2 => self.strike_crash(),
             3 => self.strike_power(),
             4 | 5 => self.strike_wipe(),
@@ -227,6 +233,15 @@
         Some(name)
     }
 
+    fn strike_full(&mut self) -> Option<&'static str> {
+        let node = self.dice.index(self.cores());
+        let span = self.span();
+        self.note(|| format!("the disk of {node} is full"));
+        self.machines[node].storage.full = true;
+        self.later(span, Undo::Room(node));
+        Some("disk full")
+    }
+
     fn strike_for_good(&mut self) -> Option<&'static str> {
         let node = self.dice.index(self.cores());
         if !self.replaceable(node) || !self.bearable(node) {
--- a/crates/control-sim/src/schedule.rs
+++ b/crates/control-sim/src/schedule.rs
@@ -143,6 +143,7 @@
         }
         for node in 0..all {
             self.thaw(node);
+            self.make_room(node);
             if self.machines[node].leaving {
                 self.crash(node, false);
             }
--- a/crates/control-sim/src/wiring.rs
+++ b/crates/control-sim/src/wiring.rs
@@ -166,7 +166,7 @@
                     delay += self.dice.between(0, 300_000);
                 }
                 let machine = &mut self.machines[node];
-                machine.storage.pending.push_back(Write { metadata, keys });
+                machine.storage.pending.push_back(Write { number: write, metadata, keys });
                 let when = self.now.max(machine.storage.free) + delay;
                 machine.storage.free = when;
                 let incarnation = machine.incarnation;
--- a/crates/control-sim/src/world.rs
+++ b/crates/control-sim/src/world.rs
@@ -340,6 +340,9 @@
             };
             let mut store = ControlStore::new(now, start, machine.storage.disk.clone());
             store.pieces_of(piece);
+            if machine.storage.full {
+                store.room(now, false);
+            }
             machine.store = Some(broken_on_purpose(store, broken));
         }
         let (core, start) = (machine.core, self.now);
@@ -400,6 +403,23 @@
         self.tick(node);
     }
 
+    /// A control machine's disk has room again: what was under way is synced.
+    pub fn make_room(&mut self, node: usize) {
+        let now = self.local(node);
+        let machine = &mut self.machines[node];
+        if !std::mem::take(&mut machine.storage.full) {
+            return;
+        }
+        let last = machine.storage.pending.back().map(|write| write.number);
+        machine.storage.synced(last.unwrap_or(0));
+        let Some(store) = &mut machine.store else { return };
+        store.room(now, true);
+        if let Some(last) = last {
+            store.stored(now, last);
+        }
+        self.pump(node);
+    }
+
     /// Nothing gets from one to the other any more, or does again.
     pub fn set_cut(&mut self, from: usize, to: usize, cut: bool) {
         if from.max(to) < self.cores() && from != to && self.cut[from][to] != cut {
@@ -481,11 +501,14 @@
             Event::Synced { node, incarnation, write } if same(self, node, incarnation) => {
                 let now = self.local(node);
                 let machine = &mut self.machines[node];
-                machine.storage.synced();
-                if let Some(store) = &mut machine.store {
+                let Some(store) = &mut machine.store else { return };
+                if machine.storage.full {
+                    store.room(now, false);
+                } else {
+                    machine.storage.synced(write);
                     store.stored(now, write);
-                    self.pump(node);
                 }
+                self.pump(node);
             }
             Event::Wake { node, incarnation }
                 if same(self, node, incarnation) && self.machines[node].wake <= self.now =>
