--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -173,6 +173,8 @@
     SaysUnwritten,
     /// Goes on from its start as if nothing stood on its disk.
     StartsUnread,
+    /// Starts before its promises are read from disk.
+    ForgetsPromises,
 }
 
 /// What waits for a write.
@@ -383,6 +385,9 @@
     #[cfg(feature = "mutants")]
     #[doc(hidden)]
     pub fn break_it(&mut self, broken: Broken) {
+        for slot in self.keys.values_mut().filter(|_| broken == Broken::ForgetsPromises) {
+            (slot.promised, slot.seen) = Default::default();
+        }
         self.broken = Some(broken);
         if broken == Broken::StartsUnread {
             for slot in self.keys.values_mut() {
--- a/crates/control-store/tests/mutants.rs
+++ b/crates/control-store/tests/mutants.rs
@@ -81,3 +81,8 @@
 fn a_restart_that_claims_before_it_has_read_its_disk_is_caught() {
     caught(Some(Broken::StartsUnread), 300);
 }
+
+#[test]
+fn a_restart_before_the_promises_are_read_is_caught() {
+    caught(Some(Broken::ForgetsPromises), 300);
+}
