Control simulation: who was told to stop and started again meanwhile does not sign off; files by concern

Cause: did not come to rest: a process that was told to stop lost power, was started again, and then the sign-off of its former life was done by the new one, which went on running and so could never replace one lost for good. A fault of the world, not of the deciders. Change: the sign-off and the end of a planned stop name the process.

--- a/crates/control-sim/src/faults.rs
+++ b/crates/control-sim/src/faults.rs
@@ -1,6 +1,8 @@
 //! The faults that are drawn, and their end.
 
-use crate::world::{Event, Machine, Micros, World};
+use crate::event::Event;
+use crate::machine::Machine;
+use crate::world::{Micros, World};
 use silvercross_control_store::{Node, ReplicaSet};
 use silvercross_rounds as rounds;
 
@@ -13,10 +15,12 @@
     Thaw(usize),
     /// These directions are open again.
     Heal(Vec<(usize, usize)>),
-    /// It signs off, and ends soon; but no sooner than then while it is still wanted as a replica.
-    SignOff(usize, Micros),
-    /// It ends; for good if so.
-    End(usize, bool),
+    /// The process that was told to stop signs off; no sooner than at the last while it is still wanted as a replica.
+    #[allow(missing_docs)]
+    SignOff { node: usize, incarnation: u64, last: Micros },
+    /// The process that was told to stop ends, and if so the machine is lost for good.
+    #[allow(missing_docs)]
+    End { node: usize, incarnation: u64, for_good: bool },
     /// It may ask all control machines again.
     Seeds(usize),
     /// Its disk has room again.
@@ -37,8 +41,8 @@
             Undo::Start(node) => self.start(node),
             Undo::Thaw(node) => self.thaw(node),
             Undo::Heal(pairs) => pairs.into_iter().for_each(|(from, to)| self.set_cut(from, to, false)),
-            Undo::SignOff(node, last) => self.sign_off(node, last),
-            Undo::End(node, for_good) => {
+            Undo::SignOff { node, incarnation, last } => self.sign_off(node, incarnation, last),
+            Undo::End { node, incarnation, for_good } if self.machines[node].incarnation == incarnation => {
                 // Another disk may have been lost since it was told to go.
                 let bears = for_good && self.replaceable(node) && self.bearable(node);
                 self.crash(node, false);
@@ -50,6 +54,7 @@
                     self.machines[node].destroyed = true;
                 }
             }
+            Undo::End { .. } => {}
             // Not while it stands still: it hears of it when it goes on.
             Undo::Room(node) if self.machines[node].frozen => self.later(50_000, Undo::Room(node)),
             Undo::Room(node) => self.make_room(node),
@@ -60,12 +65,15 @@
         }
     }
 
-    fn sign_off(&mut self, node: usize, last: Micros) {
+    fn sign_off(&mut self, node: usize, incarnation: u64, last: Micros) {
         let now = self.local(node);
         let machine = &mut self.machines[node];
+        if machine.incarnation != incarnation {
+            return;
+        }
         let wanted = machine.store.as_ref().is_some_and(|store| store.needed());
         if (machine.frozen || wanted) && self.now < last {
-            return self.later(20_000, Undo::SignOff(node, last));
+            return self.later(20_000, Undo::SignOff { node, incarnation, last });
         }
         if let Some(rounds) = machine.rounds.as_mut().filter(|_| !machine.frozen) {
             rounds.leave(now);
@@ -101,8 +109,9 @@
         }
         self.pump(node);
         let last = self.now + grace - 100_000;
-        self.later(20_000, Undo::SignOff(node, last));
-        self.later(grace, Undo::End(node, for_good));
+        let incarnation = self.machines[node].incarnation;
+        self.later(20_000, Undo::SignOff { node, incarnation, last });
+        self.later(grace, Undo::End { node, incarnation, for_good });
     }
 
     /// Nothing gets from any of these to any of those, and back if so.
--- a/crates/control-sim/src/lib.rs
+++ b/crates/control-sim/src/lib.rs
@@ -5,7 +5,7 @@
 //! they carry, cuts that hold it back, datagrams that get lost, processes that crash or stand still, disks that lose what
 //! was not synced. Operators change and read the state; faults strike meanwhile; then all is healed.
 //!
-//! - [`world`]: machines and time; `wiring`: what the deciders want done.
+//! - [`world`]: machines ([`machine`]), time ([`event`]); `wiring`: what the deciders want done.
 //! - [`network`]: connections, datagrams, cuts.
 //! - [`disk`]: what survives a crash and a loss of power.
 //! - [`operators`]: calls, repeats, reads.
@@ -16,9 +16,11 @@
 
 pub mod dice;
 pub mod disk;
+pub mod event;
 pub mod faults;
 pub mod items;
 pub mod judge;
+pub mod machine;
 pub mod network;
 pub mod operators;
 pub mod schedule;
--- a/crates/control-sim/src/network.rs
+++ b/crates/control-sim/src/network.rs
@@ -2,8 +2,9 @@
 //! at a time, the last one is used to send, and the link is down when the last one has ended. A cut holds back what is sent
 //! on a connection until it heals.
 
+use crate::event::Event;
 use crate::items::{Change, Items};
-use crate::world::{Body, Event, World};
+use crate::world::{Body, World};
 use silvercross_control_store as control;
 use silvercross_rounds::{Datagram, Letter};
 
--- a/crates/control-sim/src/operators.rs
+++ b/crates/control-sim/src/operators.rs
@@ -1,8 +1,9 @@
 //! Two operators and more: calls through any control machine, several under way at a time, sent again after no answer.
 
+use crate::event::Event;
 use crate::items::{Change, Item, Items};
 use crate::judge::{Op, Said};
-use crate::world::{key_name, Event, Micros, World};
+use crate::world::{key_name, Micros, World};
 use silvercross_control_store::Verdict;
 use std::collections::BTreeMap;
 
--- a/crates/control-sim/src/schedule.rs
+++ b/crates/control-sim/src/schedule.rs
@@ -1,9 +1,11 @@
 //! One drawn schedule: a world, operators and faults in it, then all is healed, comes to rest, and is judged.
 
 use crate::dice::Dice;
+use crate::event::Event;
 use crate::faults::Undo;
 use crate::judge::{judge, At, Said, Why};
-use crate::world::{key_name, Event, Micros, Plan, World};
+use crate::machine::Machine;
+use crate::world::{key_name, Micros, Plan, World};
 use silvercross_control_store::{Broken, Node, Revision};
 use std::collections::BTreeMap;
 
@@ -204,7 +206,7 @@
             }
         }
         let at: At = (newest.epoch.round, u64::from(newest.epoch.owner), newest.seq);
-        let lacks = |machine: &&crate::world::Machine| {
+        let lacks = |machine: &&Machine| {
             machine.runs() && machine.revisions.get(&key).is_none_or(|known| *known < at)
         };
         let lacking: Vec<u32> = self.machines.iter().filter(lacks).map(|machine| machine.id).collect();
--- a/crates/control-sim/src/wiring.rs
+++ b/crates/control-sim/src/wiring.rs
@@ -2,10 +2,11 @@
 //! `post.rs`).
 
 use crate::disk::Write;
+use crate::event::Event;
 use crate::items::Items;
 use crate::judge::{At, Took, Why};
 use crate::network::Parcel;
-use crate::world::{key_name, Body, Event, Micros, World, LOOK};
+use crate::world::{key_name, Body, Micros, World, LOOK};
 use silvercross_control_store as control;
 use silvercross_control_store::ControlStore;
 use silvercross_rounds::{Freshness, Rounds};
--- a/crates/control-sim/src/world.rs
+++ b/crates/control-sim/src/world.rs
@@ -1,17 +1,16 @@
 //! Machines in simulated time, and what their deciders want done.
 
 use crate::dice::Dice;
-use crate::disk::Storage;
-use crate::faults::Undo;
+use crate::event::{Entry, Event};
 use crate::items::Items;
-use crate::judge::{At, History, Life};
+use crate::judge::{History, Life};
+use crate::machine::Machine;
 use crate::network::{Connection, Parcel};
 use crate::operators::Operators;
 use crate::schedule::Report;
-use crate::wiring::Confirm;
 use silvercross_control_store as control;
 use silvercross_control_store::{Broken, ControlStore};
-use silvercross_rounds::{Datagram, Node, Rounds};
+use silvercross_rounds::{Node, Rounds};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
@@ -62,148 +61,6 @@
     }
 }
 
-/// What happens at some time.
-pub enum Event {
-    #[allow(missing_docs)]
-    Dial { from: usize, incarnation: u64, to: usize },
-    #[allow(missing_docs)]
-    Failed { node: usize, incarnation: u64, peer: usize },
-    #[allow(missing_docs)]
-    Up { node: usize, incarnation: u64, peer: usize, connection: u64 },
-    #[allow(missing_docs)]
-    Arrive { from: usize, to: usize, connection: u64, parcel: Box<Parcel> },
-    #[allow(missing_docs)]
-    Datagram { from: usize, to: usize, datagram: Datagram },
-    #[allow(missing_docs)]
-    Tried { node: usize, incarnation: u64, about: usize, ok: bool },
-    #[allow(missing_docs)]
-    Synced { node: usize, incarnation: u64, write: u64 },
-    #[allow(missing_docs)]
-    Wake { node: usize, incarnation: u64 },
-    /// An operator's call reaches a control machine.
-    #[allow(missing_docs)]
-    Call { node: usize, incarnation: u64, token: u64 },
-    /// An operator does something.
-    Operator(usize),
-    /// An operator waits no longer for an answer.
-    Patience(u64),
-    /// The next fault.
-    Fault,
-    /// A fault's end.
-    Undo(Undo),
-}
-
-impl Event {
-    /// The machine whose process has to run for it.
-    fn at_machine(&self) -> Option<usize> {
-        match self {
-            Event::Failed { node, .. }
-            | Event::Up { node, .. }
-            | Event::Tried { node, .. }
-            | Event::Synced { node, .. }
-            | Event::Wake { node, .. }
-            | Event::Call { node, .. } => Some(*node),
-            Event::Arrive { to, .. } | Event::Datagram { to, .. } => Some(*to),
-            _ => None,
-        }
-    }
-}
-
-pub(crate) struct Entry(Micros, u64, Event);
-impl PartialEq for Entry {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Entry {}
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
-/// One machine and the process on it.
-pub struct Machine {
-    /// Its address.
-    pub id: u32,
-    /// Its zone.
-    pub zone: usize,
-    /// Whether it is a control machine.
-    pub core: bool,
-    /// Whether it has power.
-    pub on: bool,
-    /// Lost for good.
-    pub destroyed: bool,
-    /// It stands still.
-    pub frozen: bool,
-    /// Its process, if it runs.
-    pub rounds: Option<Rounds<Body>>,
-    /// Of a control machine.
-    pub store: Option<ControlStore<Items>>,
-    /// Of a control machine.
-    pub storage: Storage,
-    /// Rises with every start and end.
-    pub incarnation: u64,
-    /// Connections, by the machine at the other end.
-    pub links: BTreeMap<usize, Vec<u64>>,
-    /// Where its process asks first.
-    pub seeds: Vec<usize>,
-    /// It signs off.
-    pub leaving: bool,
-    /// What it has taken, as the mesh's program does: newer revisions only.
-    pub revisions: BTreeMap<usize, At>,
-    /// When it last stood still.
-    pub woken: Micros,
-    /// Reads of all keys for a sidecar that started, by ticket.
-    pub(crate) confirms: BTreeMap<u64, Confirm>,
-    pub(crate) held: Vec<Event>,
-    pub(crate) offset: Micros,
-    pub(crate) wake: Micros,
-    pub(crate) looked: Micros,
-    pub(crate) life: usize,
-    /// As the trace told it last.
-    pub(crate) stands: String,
-}
-
-impl Machine {
-    fn new(id: u32, zone: usize, core: bool, offset: Micros) -> Machine {
-        Machine {
-            id,
-            zone,
-            core,
-            on: true,
-            destroyed: false,
-            frozen: false,
-            rounds: None,
-            store: None,
-            storage: Storage::default(),
-            incarnation: 0,
-            links: BTreeMap::new(),
-            seeds: Vec::new(),
-            leaving: false,
-            revisions: BTreeMap::new(),
-            woken: Micros::MIN,
-            confirms: BTreeMap::new(),
-            held: Vec::new(),
-            offset,
-            wake: Micros::MAX,
-            looked: 0,
-            life: 0,
-            stands: String::new(),
-        }
-    }
-
-    /// Whether its process runs, be it that it stands still.
-    pub fn runs(&self) -> bool {
-        self.rounds.is_some()
-    }
-}
-
 /// All of it.
 pub struct World {
     /// The time.
