--- a/crates/control-sim/src/wiring.rs
+++ b/crates/control-sim/src/wiring.rs
@@ -2,10 +2,11 @@
 //! `post.rs`).
 
 use crate::disk::Write;
+use crate::event::Event;
 use crate::items::Items;
 use crate::judge::{At, Took, Why};
 use crate::network::Parcel;
-use crate::world::{key_name, Body, Event, Micros, World, LOOK};
+use crate::world::{key_name, Body, Micros, World, LOOK};
 use silvercross_control_store as control;
 use silvercross_control_store::ControlStore;
 use silvercross_rounds::{Freshness, Rounds};
@@ -166,7 +167,7 @@
                     delay += self.dice.between(0, 300_000);
                 }
                 let machine = &mut self.machines[node];
-                machine.storage.pending.push_back(Write { metadata, keys });
+                machine.storage.pending.push_back(Write { number: write, metadata, keys });
                 let when = self.now.max(machine.storage.free) + delay;
                 machine.storage.free = when;
                 let incarnation = machine.incarnation;
--- a/crates/posthouse/src/trial.rs
+++ b/crates/posthouse/src/trial.rs
@@ -166,7 +166,7 @@
         let mut leaf = self.leaf.borrow_mut();
         leaf.apply(&Order::Patch(patch)).expect("applies");
         let change = self.post.revisions().get(CONFIGURATION).map_or(0, |r| r.2) + 1;
-        self.post.page(CONFIGURATION, (1, 1, change), leaf.clone());
+        self.post.page(CONFIGURATION, (1, 1, change), leaf.clone().published());
     }
 
     /// Other limits for clients: seconds idle, and bytes of a head.
