--- a/crates/posthouse/src/changes.rs
+++ b/crates/posthouse/src/changes.rs
@@ -318,8 +318,9 @@
             if stopping {
                 sidecar.post.begin_stop();
             }
-            let (head, _) = call(&mut platform, "GET", "/-/ready", "").await;
-            assert_eq!(status(&head), if stopping { "503" } else { "200" });
+            let (head, why) = call(&mut platform, "GET", "/-/ready", "").await;
+            let says = status(&head) == "503" && String::from_utf8_lossy(&why).contains("stopping");
+            assert_eq!((says, sidecar.post.stopping()), (stopping, stopping), "{head}");
             client.say(format!("GET /safe/x HTTP/1.1\r\nHost: h\r\n{ID}\r\n").as_bytes()).await;
             let said = client.head().await;
             client.body(&said).await;
--- a/crates/posthouse/src/figures.rs
+++ b/crates/posthouse/src/figures.rs
@@ -51,7 +51,8 @@
             "colds": s.colds })
     });
     json!({ "node": address(n.node.0), "zone": n.zone, "core": n.core, "gone": n.gone, "leaving": n.body.leaving,
-        "life": n.life, "seq": n.seq, "control": control(n.node.0, n.body.control),
+        "life": n.life, "seq": n.seq, "holders": n.body.roster.iter().map(|h| address(*h)).collect::<Vec<_>>(),
+        "control": control(n.node.0, n.body.control),
         "upstream": n.body.station.as_ref().map(|s| s.id.clone()),
         "service": n.body.station.as_ref().map(|s| s.service.clone()), "at": upstream })
 }
--- a/crates/village/src/faults.rs
+++ b/crates/village/src/faults.rs
@@ -38,6 +38,11 @@
 impl Clients {
     /// Start them. They ask all services, in all kinds; a side that misses its ready calls twice gets no new work.
     pub fn start(village: &Village) -> Self {
+        Clients::start_with(village, CLIENTS, PAUSE)
+    }
+
+    /// So many on each side, with this pause between two requests of one.
+    pub fn start_with(village: &Village, many: usize, pause: Duration) -> Self {
         let (stop, tried): (Arc<AtomicBool>, Arc<Mutex<Vec<Tried>>>) = Default::default();
         let mut tasks = Vec::new();
         for m in village.mesh.sides() {
@@ -52,7 +57,7 @@
                     tokio::time::sleep(ASKS).await;
                 }
             }));
-            for c in 0..CLIENTS {
+            for c in 0..many {
                 let (stop, tried, shut) = (stop.clone(), tried.clone(), shut.clone());
                 let services = village.services().to_vec();
                 let sender = village.mesh.machines[m].service.clone();
@@ -63,16 +68,16 @@
                             return;
                         }
                         if shut.load(Relaxed) {
-                            tokio::time::sleep(PAUSE).await;
+                            tokio::time::sleep(pause).await;
                             continue;
                         }
                         let kind = if n % 40 == 39 { Kind::Upload } else { Kind::ALL[n % 2] };
                         let one = ask(&mut client, kind, &services[n / 2 % services.len()], &sender).await;
                         let wait = match &one.came {
                             Came::Answer(a) => {
-                                a.retry_after.map_or(PAUSE, |s| Duration::from_secs_f64(s.clamp(0.0, 1.0)))
+                                a.retry_after.map_or(pause, |s| Duration::from_secs_f64(s.clamp(0.0, 1.0)))
                             }
-                            _ => PAUSE * 4,
+                            _ => pause * 4,
                         };
                         tried.lock().unwrap_or_else(PoisonError::into_inner).push(one);
                         tokio::time::sleep(wait).await;
--- a/crates/village/src/main.rs
+++ b/crates/village/src/main.rs
@@ -53,7 +53,7 @@
             let seconds = args.opt_value_from_str::<_, f64>("--seconds")?.unwrap_or(20.0).clamp(0.0, 3600.0);
             let changes = args.opt_value_from_str::<_, u64>("--changes")?.unwrap_or(300).clamp(1, 100_000);
             let cut = std::time::Duration::from_secs_f64(seconds);
-            let extent = control::Extent { changes, cut, before_restart: changes };
+            let extent = control::Extent { changes, cut, before_restart: changes, ..control::Extent::FULL };
             Command::Control(args.opt_value_from_str("--only")?, extent)
         }
         Some("lapse") => Command::Lapse(lapse::Lapse {
