posthouse: post.rs taken apart by concern

Need: one file of 975 lines held the shared state, its counters, the upstream's heartbeats, the control state in force and the lists for the balancers; a newcomer had to read all of it to change one.

--- /dev/null
+++ b/crates/posthouse/src/post/other_sidecars.rs
@@ -0,0 +1,58 @@
+//! The other sidecars as this one knows them: their records, how many there are, and which of them holds the control store.
+use super::Post;
+use crate::carriers::Body;
+use silvercross_rounds::Record;
+use std::cmp::Reverse;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+impl Post {
+    /// News of another sidecar.
+    pub fn record(self: &Rc<Self>, record: Record<Body>) {
+        if let Some(feed) = self.feed.get() {
+            feed.record(&record);
+        }
+        let before = self.sides();
+        if record.gone {
+            self.others.borrow_mut().remove(&record.node.0);
+            let at = IpAddr::V4(Ipv4Addr::from_bits(record.node.0));
+            self.pool.close(SocketAddr::new(at, record.body.inbound));
+        } else {
+            self.others.borrow_mut().insert(record.node.0, record);
+        }
+        // What each may send of shared budgets goes by how many there are.
+        if self.sides() != before {
+            self.reset_terms();
+        } else {
+            self.relist();
+        }
+    }
+
+    /// How many sidecars there are, this one among them: in all, and in this zone.
+    pub(super) fn sides(&self) -> (u32, u32) {
+        let others = self.others.borrow();
+        let sides = others.values().filter(|r| !r.core);
+        let near = sides.clone().filter(|r| r.zone == self.boot.zone).count() as u32;
+        (sides.count() as u32 + 1, near + 1)
+    }
+
+    /// Whether this machine has a disk, but those that hold the ledger don't count it among them.
+    pub fn is_outsider(&self) -> bool {
+        let (me, others) = (self.boot.ip.to_bits(), self.others.borrow());
+        let mut holders = others.values().filter(|r| r.body.roster.contains(&r.node.0)).peekable();
+        holders.peek().is_some() && holders.all(|r| !r.body.roster.contains(&me))
+    }
+
+    /// The control address of a machine that holds the ledger: one that is known to reach most of them and that most of them name,
+    /// in this zone if there is one. One that is cut off answers that nothing is settled.
+    pub fn core(&self) -> Option<SocketAddr> {
+        let reached = self.carriers.rounds(|r| r.reached_cores());
+        let others = self.others.borrow();
+        let holders: Vec<_> = others.values().filter(|r| r.body.roster.contains(&r.node.0)).collect();
+        let named = |r: &Record<Body>| holders.iter().filter(|h| h.body.roster.contains(&r.node.0)).count();
+        let up = holders.iter().filter(|r| r.body.control > 0);
+        let far = |r: &Record<Body>| !reached.contains(&r.node);
+        let best = up.min_by_key(|r| (r.body.leaving, far(r), Reverse(named(r)), r.zone != self.boot.zone));
+        best.map(|r| SocketAddr::new(IpAddr::V4(Ipv4Addr::from_bits(r.node.0)), r.body.control))
+    }
+}
--- /dev/null
+++ b/crates/posthouse/src/post/own_record.rs
@@ -0,0 +1,49 @@
+//! What this sidecar tells the others of itself.
+use super::Post;
+use crate::carriers::{Body, Station};
+use crate::leaf::Leaf;
+use std::rc::Rc;
+
+impl Post {
+    /// What this sidecar tells of itself.
+    pub fn body(&self) -> Body {
+        self.body_of(self.own.borrow().as_ref().map(|o| o.station.clone()))
+    }
+
+    pub(super) fn body_of(&self, station: Option<Station>) -> Body {
+        Body {
+            inbound: self.boot.inbound.map_or(0, |a| a.port()),
+            control: self.boot.control.map_or(0, |a| a.port()),
+            leaving: self.stopping(),
+            roster: self.roster(),
+            station,
+        }
+    }
+
+    /// Those that hold the ledger, as this machine knows for certain; empty where there is none, or it is not repaired yet.
+    /// A machine that has a disk and doesn't find itself among them says so by it: it may come for one that is lost.
+    pub(super) fn roster(&self) -> Vec<u32> {
+        let of = |l: &silvercross_control_store::ControlStore<Leaf>| match l.voter()
+            || (l.outside() && l.replicas().version > 0)
+        {
+            true => l.replica_set().iter().map(|n| n.0).collect(),
+            false => Vec::new(),
+        };
+        self.carriers.control_store(of).unwrap_or_default()
+    }
+
+    pub(super) fn tell(self: &Rc<Self>) {
+        let body = self.body();
+        self.carriers.tell(self, body);
+        self.feed_own();
+        self.relist();
+    }
+
+    /// This sidecar's own record, for the feed.
+    pub(super) fn feed_own(&self) {
+        if let Some(feed) = self.feed.get() {
+            let me = silvercross_rounds::Node(self.boot.ip.to_bits());
+            self.carriers.rounds(|r| r.record(me).into_iter().for_each(|own| feed.record(own)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/posthouse/src/post/stopping.rs
@@ -0,0 +1,96 @@
+//! The stop of the process: what is told to the platform and the others, and who waits for which step of it.
+use super::Post;
+use crate::ending::{Ending, Phase};
+use slog::info;
+use std::rc::Rc;
+use std::time::Duration;
+
+impl Post {
+    /// Whether the process is on its way out.
+    pub fn stopping(&self) -> bool {
+        self.ending.borrow().is_some()
+    }
+
+    /// From now on the platform is told no, and the others that nothing more is to be sent here. All that is open, and all that
+    /// comes later, is answered within the grace.
+    pub fn begin_stop(self: &Rc<Self>) {
+        if self.stopping() {
+            return;
+        }
+        info!(self.log, "stopping");
+        let ending = Ending::new(self.looked.get(), self.now(), self.live.get().bounds.grace.max(0));
+        for (_, desk) in self.desks() {
+            desk.answer_by(ending.answer_by());
+        }
+        *self.ending.borrow_mut() = Some(ending);
+        self.members.release();
+        self.tell();
+        self.carriers.leave_replicas(self);
+    }
+
+    /// What a process that stops is to do now, and by when it ends whatever is open; `None`: it does not stop.
+    pub fn ending(&self) -> Option<(Phase, i64)> {
+        let (now, busy) = (self.now(), self.busy());
+        self.ending.borrow_mut().as_mut().map(|e| (e.phase(now, busy), e.last()))
+    }
+
+    /// The platform asked whether this machine's clients may be given work, and was told no.
+    pub fn denied(&self) {
+        let now = self.now();
+        self.ending.borrow_mut().iter_mut().for_each(|e| e.denied(now));
+    }
+
+    /// Whether a request or an operator's call is open here, or a request at the upstream behind the gate.
+    pub fn busy(&self) -> bool {
+        let (out, waiting) = self.gate.with(|w| w.load());
+        self.open.get() + self.counts.calls_open.get() > 0 || out + waiting > 0
+    }
+
+    /// Connections between two requests end from now on.
+    pub fn end_idle(&self) {
+        self.idle_ends.set(true);
+        self.stop.notify_waiters();
+    }
+
+    /// Waits until [`Post::end_idle`].
+    pub async fn idle_ends(&self) {
+        let told = self.stop.notified();
+        if !self.idle_ends.get() {
+            told.await;
+        }
+    }
+
+    /// Clients are let in no more.
+    pub fn shut(&self) {
+        self.shut.set(true);
+        self.stop.notify_waiters();
+    }
+
+    /// Waits until [`Post::shut`].
+    pub async fn is_shut(&self) {
+        loop {
+            let told = self.stop.notified();
+            if self.shut.get() {
+                return;
+            }
+            told.await;
+        }
+    }
+
+    /// Wait until that is so, at most for so many microseconds; looked at whenever news has come.
+    pub async fn until(&self, span: i64, so: impl Fn() -> bool) {
+        if so() || span <= 0 {
+            return;
+        }
+        let told = async {
+            loop {
+                let news = self.news.notified();
+                if so() {
+                    return;
+                }
+                news.await;
+            }
+        };
+        let _ = tokio::time::timeout(Duration::from_micros(span as u64), told).await;
+    }
+}
