posthouse: carriers.rs taken apart by concern

Need: one file of 783 lines held the form of what goes on a link, the links themselves, the effects of the deciders, the read that confirms freshness, and tests. Change: carriers.rs keeps what is said of a sidecar and the hand-over to the deciders; carriers/ holds frames, link, effects, confirm and the tests in a file of their own, under their old names. No change of behaviour; what goes on a link is as it was.

--- a/crates/posthouse/src/carriers.rs
+++ b/crates/posthouse/src/carriers.rs
@@ -1,48 +1,32 @@
-//! Between sidecars: links and datagrams, `bitcode` both ways. Hands `silvercross-rounds` and `silvercross-control-store` what comes and does
-//! what they say; decides nothing.
-use crate::disk::{Told, Write, Writes};
-use crate::hop;
-use crate::leaf::{Leaf, Order, CONFIGURATION, EVACUATION};
-use crate::post::{Counted, Door, Post};
+//! Between sidecars: hands `silvercross-rounds` and `silvercross-control-store` what comes on links and datagrams, lets their time
+//! pass, and does what they say; decides nothing.
+#[cfg(test)]
+mod alone;
+mod confirm;
+mod effects;
+mod frames;
+mod link;
+#[cfg(test)]
+mod tests;
+
+use crate::disk::{Told, Writes};
+use crate::leaf::{Leaf, Order};
+use crate::post::Post;
 use bitcode::{Decode, Encode};
-use silvercross_control_store::{ControlStore, Effect as StoreEffect, Message as StoreMessage, Verdict};
-use silvercross_rounds::{Datagram, Effect, Letter, Node, Revision, Rounds};
-use silvercross_tariff::Voice;
+use frames::Parcel;
+use link::Link;
+use silvercross_control_store::{ControlStore, Verdict};
+use silvercross_rounds::{Datagram, Node, Revision, Rounds};
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::time::timeout;
 
-/// The form of what is said on a link. Another one is told so once and let go.
-pub const VERSION: u16 = 2;
-/// No parcel is larger.
-const LARGEST: usize = 16 << 20;
-/// Bytes of a large parcel that go at a time. Between them goes what the control store says: its owner's beats may not wait until
-/// a page is through a thin link.
-const PART: usize = 32 * 1024;
-/// In a frame's length: it is a part of a large parcel; and it is the last one.
-const IS_PART: u32 = 1 << 31;
-const IS_LAST: u32 = 1 << 30;
-/// Parcels that may wait for a link; at the bound the link ends, and what it lacked comes by snapshot.
-const WAITING: usize = 1024;
-/// A link is up, and its first parcel there, within this.
-const CONNECT: Duration = Duration::from_millis(400);
-/// An end that takes nothing of what is sent for so long ends the link. A thin link takes longer for a large parcel, but some
-/// of it all the time.
-const UNTAKEN: Duration = Duration::from_millis(1500);
-/// Links that others may make.
-const LINKS: usize = 1024;
-/// Of these, those on which nobody has said yet who they are.
-const GREETING: u64 = 64;
-/// The first parcel of a link is no larger.
-const HELLO: usize = 64;
-
 /// What a sidecar tells all others of itself.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Body {
@@ -77,34 +61,6 @@
     pub cold: i64,
 }
 
-#[derive(Encode, Decode)]
-enum Parcel {
-    Hello {
-        version: u16,
-        node: u32,
-    },
-    Round(Letter<Body>),
-    /// Under which version of the roster, and what.
-    Store(u64, StoreMessage<Leaf, Order>),
-    /// What time of day is it? Between holders, where there are members.
-    Time {
-        asked: i64,
-    },
-    /// It is this; `stepped`: that clock was set lately.
-    Told {
-        asked: i64,
-        wall: i64,
-        stepped: bool,
-    },
-}
-
-struct Link {
-    number: u64,
-    /// What goes in its order, and what goes before it.
-    out: mpsc::Sender<Rc<Vec<u8>>>,
-    first: mpsc::Sender<Rc<Vec<u8>>>,
-}
-
 /// What goes between sidecars, and who decides about it.
 pub struct Carriers {
     me: u32,
@@ -241,33 +197,6 @@
         said.ok().and_then(Result::ok).unwrap_or(Verdict::Unsettled)
     }
 
-    /// The revisions of all keys that were ever written, each read by a majority; `None` where that can't be had now. A
-    /// machine whose store is no replica reads at those that are.
-    async fn confirm(&self, post: &Rc<Post>) -> Option<Vec<(String, Revision)>> {
-        let store = self.ledger.as_ref()?;
-        let known = store.borrow().state().into_iter().map(|state| state.key);
-        let zones = post.boot.zones.iter().map(|zone| format!("{EVACUATION}{zone}"));
-        let mut keys: BTreeSet<String> = known.chain(zones).chain([CONFIGURATION.to_string()]).collect();
-        let mut revisions = Vec::new();
-        let mut read = BTreeSet::new();
-        // The configuration may name keys that this machine has never heard of.
-        while !keys.is_empty() {
-            let asked: Vec<_> = keys.iter().map(|key| self.begin(post, store, key, None)).collect();
-            self.pump(post);
-            let mut named = BTreeSet::new();
-            for (key, asked) in keys.iter().zip(asked) {
-                let Verdict::Value { revision, value } = self.answer(asked).await else { return None };
-                if value != Leaf::Blank {
-                    revisions.push((key.clone(), told(revision)));
-                }
-                named.extend(value.names());
-            }
-            read.append(&mut keys);
-            keys = named.difference(&read).cloned().collect();
-        }
-        Some(revisions)
-    }
-
     /// Do what the deciders want done, until they want nothing more.
     fn pump(&self, post: &Rc<Post>) {
         loop {
@@ -287,134 +216,6 @@
         self.changed.notify_one();
     }
 
-    fn effect(&self, post: &Rc<Post>, effect: Effect<Body>) {
-        match effect {
-            Effect::Link { to } => self.link(post, to.0),
-            Effect::Unlink { to } => {
-                self.links.borrow_mut().remove(&to.0);
-                self.down(post, to.0);
-            }
-            Effect::Send { to, letter } => self.send(post, to.0, &Parcel::Round(letter)),
-            Effect::Datagram { to, datagram } => {
-                let bytes = bitcode::encode(&datagram);
-                let _ = self.udp.try_send_to(&bytes, SocketAddr::new(ip(to.0), self.port));
-                post.counts.datagrams.set(post.counts.datagrams.get() + 1);
-            }
-            Effect::Try { node } => {
-                let (post, to) = (post.clone(), SocketAddr::new(ip(node.0), self.port));
-                let from = ip(self.me);
-                tokio::task::spawn_local(async move {
-                    let ok = hop::connect(Some(from), to, CONNECT).await.is_some();
-                    post.carriers.rounds.borrow_mut().tried(post.now(), node, ok);
-                    post.carriers.pump(&post);
-                });
-            }
-            Effect::ConfirmRevisions { ticket } => {
-                let post = post.clone();
-                tokio::task::spawn_local(async move {
-                    let revisions = post.carriers.confirm(&post).await;
-                    post.carriers.rounds.borrow_mut().confirmed(post.now(), ticket, revisions);
-                    post.carriers.pump(&post);
-                });
-            }
-            Effect::Record(record) => {
-                if let Some(l) = &self.ledger {
-                    // It has a disk, knows who the holders are, and is none of them.
-                    let told = &record.body;
-                    let spare = !told.roster.is_empty() && !told.roster.contains(&record.node.0);
-                    let up = record.core && !record.gone && !told.leaving && spare;
-                    let node = silvercross_control_store::Node(record.node.0);
-                    l.borrow_mut().candidate(post.now(), node, up);
-                    if record.core {
-                        l.borrow_mut().leaves(post.now(), node, told.leaving);
-                    }
-                }
-                post.record(record);
-            }
-            Effect::Page { key, revision, bytes } => {
-                if let Ok(leaf) = bitcode::decode::<Leaf>(&bytes) {
-                    post.page(&key, revision, leaf);
-                }
-            }
-        }
-    }
-
-    fn deed(&self, post: &Rc<Post>, deed: StoreEffect<Leaf>) {
-        match deed {
-            StoreEffect::Send { to, version, message } => {
-                self.send(post, to.0, &Parcel::Store(version, message))
-            }
-            StoreEffect::Store { write, metadata, keys } => {
-                if let Some(writes) = &self.writes {
-                    let _ = writes.send(Write { number: write, metadata, keys });
-                }
-            }
-            StoreEffect::Answer { token, verdict } => {
-                if let Some(to) = self.asked.borrow_mut().remove(&token) {
-                    let verdict = match verdict {
-                        Verdict::Value { revision, value } => {
-                            Verdict::Value { revision, value: value.published() }
-                        }
-                        other => other,
-                    };
-                    let _ = to.send(verdict);
-                }
-            }
-            StoreEffect::Committed { key, revision, value } => {
-                let at = told(revision);
-                let value = value.published();
-                let bytes = bitcode::encode(&value);
-                self.rounds.borrow_mut().post(post.now(), &key, at, bytes);
-                post.page(&key, at, value);
-            }
-        }
-    }
-
-    fn send(&self, post: &Rc<Post>, to: u32, parcel: &Parcel) {
-        let bytes = framed(parcel);
-        post.counts.letters.set(post.counts.letters.get() + 1);
-        let full = {
-            let links = self.links.borrow();
-            let Some(link) = links.get(&to).and_then(|l| l.last()) else { return };
-            let lane = if matches!(parcel, Parcel::Round(_)) { &link.out } else { &link.first };
-            lane.try_send(Rc::new(bytes)).is_err()
-        };
-        if full {
-            // It takes nothing: what it lacks it gets by snapshot, on another link.
-            self.links.borrow_mut().remove(&to);
-            self.down(post, to);
-        }
-    }
-
-    fn down(&self, post: &Rc<Post>, node: u32) {
-        let now = post.now();
-        self.rounds.borrow_mut().link_down(now, Node(node));
-        if let Some(l) = &self.ledger {
-            l.borrow_mut().reachable(now, silvercross_control_store::Node(node), false);
-        }
-        self.changed.notify_one();
-    }
-
-    fn link(&self, post: &Rc<Post>, to: u32) {
-        if to == self.me {
-            return;
-        }
-        let post = post.clone();
-        tokio::task::spawn_local(async move {
-            let c = &post.carriers;
-            let at = SocketAddr::new(ip(to), c.port);
-            match hop::connect(Some(ip(c.me)), at, CONNECT).await {
-                Some(stream) => carry(post.clone(), stream, Some(to), None).await,
-                None => {
-                    if !c.links.borrow().contains_key(&to) {
-                        c.down(&post, to);
-                        c.pump(&post);
-                    }
-                }
-            }
-        });
-    }
-
     /// Let the deciders' time pass, for as long as the process lives.
     pub async fn tick(post: Rc<Post>) {
         let c = &post.carriers;
@@ -488,296 +289,4 @@
             }
         }
     }
-
-    /// Take links, for as long as the process lives.
-    pub async fn listen(post: Rc<Post>, listener: TcpListener) {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            };
-            if post.carriers.links.borrow().len() >= LINKS || post.counts.greeting.get() >= GREETING {
-                post.shut_out(Door::Link);
-                continue;
-            }
-            hop::guard(&stream);
-            let greeting = Counted::new(&post, |c| &c.greeting);
-            tokio::task::spawn_local(carry(post.clone(), stream, None, Some(greeting)));
-        }
-    }
-}
-
-fn framed(parcel: &Parcel) -> Vec<u8> {
-    let body = bitcode::encode(parcel);
-    let mut bytes = Vec::with_capacity(body.len() + 4);
-    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    bytes.extend_from_slice(&body);
-    bytes
-}
-
-/// Whether the other end took it all, with no pause as long as `UNTAKEN`.
-async fn taken(stream: &mut (impl AsyncWriteExt + Unpin), mut bytes: &[u8]) -> bool {
-    while !bytes.is_empty() {
-        match timeout(UNTAKEN, stream.write(bytes)).await {
-            Ok(Ok(n)) if n > 0 => bytes = &bytes[n..],
-            _ => return false,
-        }
-    }
-    true
-}
-
-/// Writes what waits, until the link ends: parcels of both lanes whole, but large ones of `out` in parts.
-async fn write_lanes(
-    stream: &mut (impl AsyncWriteExt + Unpin),
-    mut out: mpsc::Receiver<Rc<Vec<u8>>>,
-    mut first: mpsc::Receiver<Rc<Vec<u8>>>,
-) {
-    let mut large: Option<(Rc<Vec<u8>>, usize)> = None;
-    loop {
-        // What has gathered goes in one write.
-        let mut all = Vec::new();
-        while let Ok(bytes) = first.try_recv() {
-            all.extend_from_slice(&bytes);
-        }
-        while large.is_none() && all.len() < PART {
-            let Ok(bytes) = out.try_recv() else { break };
-            add(&mut all, &mut large, bytes);
-        }
-        if let Some((bytes, sent)) = large.as_mut() {
-            let end = (*sent + PART).min(bytes.len());
-            let last = if end == bytes.len() { IS_LAST } else { 0 };
-            all.extend_from_slice(&((end - *sent) as u32 | IS_PART | last).to_le_bytes());
-            all.extend_from_slice(&bytes[*sent..end]);
-            *sent = end;
-            large = large.filter(|(bytes, sent)| *sent < bytes.len());
-        }
-        if all.is_empty() {
-            tokio::select! {
-                Some(bytes) = first.recv() => all.extend_from_slice(&bytes),
-                Some(bytes) = out.recv() => add(&mut all, &mut large, bytes),
-                else => return,
-            }
-        }
-        if !taken(stream, &all).await {
-            return;
-        }
-    }
-}
-
-/// Adds a frame to what is written, or makes it the large one: its parts are without its length.
-fn add(all: &mut Vec<u8>, large: &mut Option<(Rc<Vec<u8>>, usize)>, bytes: Rc<Vec<u8>>) {
-    if bytes.len() > PART {
-        *large = Some((bytes, 4));
-    } else {
-        all.extend_from_slice(&bytes);
-    }
-}
-
-/// The next parcel of at most so many bytes; `parts` is what is there of a large one.
-async fn parcel(
-    stream: &mut (impl AsyncReadExt + Unpin),
-    parts: &mut Vec<u8>,
-    most: usize,
-) -> Option<Parcel> {
-    loop {
-        let mut head = [0; 4];
-        stream.read_exact(&mut head).await.ok()?;
-        let head = u32::from_le_bytes(head);
-        let length = (head & !(IS_PART | IS_LAST)) as usize;
-        let part = head & IS_PART != 0;
-        if length + if part { parts.len() } else { 0 } > most {
-            return None;
-        }
-        // Room grows with what comes, not with what is announced.
-        let mut bytes = if part { std::mem::take(parts) } else { Vec::with_capacity(length.min(64 * 1024)) };
-        (&mut *stream).take(length as u64).read_to_end(&mut bytes).await.ok().filter(|n| *n == length)?;
-        if part && head & IS_LAST == 0 {
-            *parts = bytes;
-            continue;
-        }
-        return bitcode::decode(&bytes).ok();
-    }
-}
-
-/// One link, until it ends.
-async fn carry(post: Rc<Post>, stream: TcpStream, to: Option<u32>, greeting: Option<Counted>) {
-    let c = &post.carriers;
-    let peer = stream.peer_addr().ok().map(|a| a.ip());
-    // What is handed over and not sent can't be passed any more.
-    let _ = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(2 * PART as u32);
-    let (read, mut write) = stream.into_split();
-    // Many small parcels come at a time: one read for them.
-    let mut read = tokio::io::BufReader::with_capacity(8 * 1024, read);
-    let hello = framed(&Parcel::Hello { version: VERSION, node: c.me });
-    if write.write_all(&hello).await.is_err() {
-        return gone(&post, to);
-    }
-    let mut parts = Vec::new();
-    let first = timeout(CONNECT * 2, parcel(&mut read, &mut parts, HELLO)).await.ok().flatten();
-    let Some(Parcel::Hello { version: VERSION, node }) = first else {
-        post.counts.strangers.set(post.counts.strangers.get() + 1);
-        return gone(&post, to);
-    };
-    if peer != Some(ip(node)) || to.is_some_and(|to| to != node) {
-        post.counts.strangers.set(post.counts.strangers.get() + 1);
-        return gone(&post, to);
-    }
-    drop(greeting);
-    let number = c.numbers.get();
-    c.numbers.set(number + 1);
-    let (out, waiting) = mpsc::channel::<Rc<Vec<u8>>>(WAITING);
-    let (first, waiting_first) = mpsc::channel::<Rc<Vec<u8>>>(WAITING);
-    c.links.borrow_mut().entry(node).or_default().push(Link { number, out, first });
-    let now = post.now();
-    c.rounds.borrow_mut().link_up(now, Node(node));
-    if let Some(l) = &c.ledger {
-        l.borrow_mut().reachable(now, silvercross_control_store::Node(node), true);
-    }
-    c.pump(&post);
-    let reading = async {
-        while let Some(parcel) = parcel(&mut read, &mut parts, LARGEST).await {
-            let now = post.now();
-            match parcel {
-                Parcel::Hello { .. } => break,
-                Parcel::Round(letter) => c.rounds.borrow_mut().letter(now, Node(node), letter),
-                Parcel::Store(version, message) => {
-                    if let Some(l) = &c.ledger {
-                        l.borrow_mut().receive(now, silvercross_control_store::Node(node), version, message);
-                    }
-                }
-                Parcel::Time { asked } => {
-                    if let Some((wall, stepped)) = post.members.time_told(now) {
-                        c.send(&post, node, &Parcel::Told { asked, wall, stepped });
-                    }
-                }
-                Parcel::Told { asked, wall, stepped } => {
-                    let holder = silvercross_control_store::Node(node);
-                    if c.control_store(|l| l.replica_set().contains(&holder)) == Some(true) {
-                        let answered = now;
-                        post.members.heard(Voice { node: holder, asked, answered, wall, stepped });
-                    }
-                }
-            }
-            c.pump(&post);
-        }
-    };
-    let writing = write_lanes(&mut write, waiting, waiting_first);
-    tokio::select! {
-        _ = reading => {}
-        _ = writing => {}
-    }
-    let last = {
-        let mut links = c.links.borrow_mut();
-        let Some(list) = links.get_mut(&node) else { return };
-        list.retain(|l| l.number != number);
-        let last = list.is_empty();
-        if last {
-            links.remove(&node);
-        }
-        last
-    };
-    if last {
-        c.down(&post, node);
-        c.pump(&post);
-    }
-}
-
-fn gone(post: &Rc<Post>, to: Option<u32>) {
-    if let Some(to) = to.filter(|to| !post.carriers.links.borrow().contains_key(to)) {
-        post.carriers.down(post, to);
-        post.carriers.pump(post);
-    }
-}
-
-#[cfg(test)]
-mod alone;
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::trial::{self, Talk, Terms};
-
-    /// An end that takes a little at a time gets all of it, however long that takes; one that takes nothing ends the link.
-    #[test]
-    fn a_large_parcel_passes_a_thin_link_and_none_one_that_takes_nothing() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-        runtime.expect("a runtime").block_on(async {
-            for (pause, passes) in [(Duration::from_millis(100), true), (UNTAKEN * 2, false)] {
-                let (mut here, mut there) = tokio::io::duplex(64 * 1024);
-                let takes = tokio::spawn(async move {
-                    let mut room = vec![0; 64 * 1024];
-                    loop {
-                        tokio::time::sleep(pause).await;
-                        if !matches!(there.read(&mut room).await, Ok(n) if n > 0) {
-                            break;
-                        }
-                    }
-                });
-                let begun = tokio::time::Instant::now();
-                assert_eq!(taken(&mut here, &vec![7; 4 << 20]).await, passes);
-                assert_eq!(begun.elapsed() > UNTAKEN * 2, passes, "longer than one pause");
-                drop(here);
-                takes.await.expect("taken");
-            }
-        });
-    }
-
-    /// A large parcel is on its way over a thin link: what the control store says comes before its end, and both come whole.
-    #[test]
-    fn a_beat_passes_a_large_parcel() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-        runtime.expect("a runtime").block_on(async {
-            let (mut here, mut there) = tokio::io::duplex(4 * 1024);
-            let (out, waiting) = mpsc::channel(4);
-            let (first, waiting_first) = mpsc::channel(4);
-            let page = silvercross_rounds::Page {
-                key: "k".to_string(),
-                revision: (1, 2, 3),
-                bytes: vec![7; 1 << 20],
-            };
-            let news = Letter::News { records: Vec::new(), pages: vec![page] };
-            let large = Rc::new(framed(&Parcel::Round(news.clone())));
-            let writing = async move { write_lanes(&mut here, waiting, waiting_first).await };
-            let reading = async {
-                out.send(large.clone()).await.expect("room");
-                let mut some = vec![0; PART];
-                there.read_exact(&mut some).await.expect("it has begun");
-                first.send(Rc::new(framed(&Parcel::Time { asked: 5 }))).await.expect("room");
-                out.send(Rc::new(framed(&Parcel::Time { asked: 6 }))).await.expect("room");
-                drop((out, first));
-                let mut rest = std::io::Cursor::new(some).chain(there);
-                let mut parts = Vec::new();
-                let mut came = Vec::new();
-                while let Some(parcel) = parcel(&mut rest, &mut parts, LARGEST).await {
-                    came.push(parcel);
-                }
-                came
-            };
-            let (_, came) = tokio::join!(writing, reading);
-            assert!(matches!(came[0], Parcel::Time { asked: 5 }));
-            assert!(matches!(&came[1], Parcel::Round(letter) if *letter == news));
-            assert!(matches!(came[2], Parcel::Time { asked: 6 }) && came.len() == 3);
-        });
-    }
-
-    #[test]
-    fn links_that_nobody_greets_on_are_bounded_and_end() {
-        trial::run(async {
-            let (_, nobody) = trial::station().await;
-            let sidecar = trial::sidecar(1, nobody, Terms::default()).await;
-            let (listener, at) = trial::station().await;
-            tokio::task::spawn_local(Carriers::listen(sidecar.post.clone(), listener));
-            let counts = &sidecar.post.counts;
-            let mut open = Vec::new();
-            for _ in 0..GREETING {
-                open.push(Talk::to(at).await);
-            }
-            assert_eq!(Talk::to(at).await.more().await, 0);
-            assert_eq!((counts.greeting.get(), counts.links_shut_out.get()), (GREETING, 1));
-            // A first word that is too large to be one ends its link at once.
-            open[0].say(&(HELLO as u32 + 1).to_le_bytes()).await;
-            while open[0].more().await > 0 {}
-            assert_eq!((counts.greeting.get(), counts.strangers.get()), (GREETING - 1, 1));
-        });
-    }
 }
--- a/crates/posthouse/src/carriers/alone.rs
+++ b/crates/posthouse/src/carriers/alone.rs
@@ -1,6 +1,7 @@
 //! Control machines and sidecars of one process, with links on loopback: what a sidecar makes of a control machine that is
 //! left alone with an old configuration.
 use super::*;
+use crate::leaf::CONFIGURATION;
 use crate::settings;
 use crate::{disk, gate};
 use rand_core::SeedableRng;
@@ -9,6 +10,7 @@
 use silvercross_rounds::{Freshness, READY_BOUND};
 use silvercross_wicket::Wicket;
 use slog::{o, Discard, Logger};
+use tokio::net::TcpListener;
 
 type StoreNode = silvercross_control_store::Node;
 
