posthouse: gate.rs taken apart by concern

Need: one file of 701 lines held the gate's state, the way of a request to the upstream, the hops' connections, bodies passed on as they come, and the gate's own answers; three functions were of 77 to 108 lines. Change: gate.rs keeps the state; gate/ holds delivery, hops, large, replies and the tests under their old names. serve is now admit, serve, judged; one is requested, one, whole; large is pass, turn_of, reply. No change of behaviour.

--- /dev/null
+++ b/crates/posthouse/src/gate/delivery.rs
@@ -0,0 +1,219 @@
+//! A request's way through the gate to the upstream on this machine: its place, the exchange, and what its answer is worth.
+use super::replies::says;
+use super::{word, PATIENCE};
+use crate::freight::Freight;
+use crate::hop::{self, Came, Order};
+use crate::post::Post;
+use crate::receipts::Receipt;
+use crate::waybill::{Waybill, Word};
+use crate::wire::{self, Answer, Asked, End, Size};
+use silvercross_wicket::{Arrival, Verdict};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{timeout_at, Instant};
+
+/// Connecting to the upstream on this machine.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Past a request's deadline an upstream's own word on it is waited for so long.
+const LAST_WORD: i64 = 40_000;
+
+/// A place that is given back, however its request ends.
+struct Place {
+    post: Rc<Post>,
+    number: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let (now, number) = (self.post.now(), self.number);
+        self.post.gate.with(|w| w.done(now, number));
+    }
+}
+
+/// One that waits; gone unless it got its place.
+struct Waits<'p> {
+    post: &'p Post,
+    number: u64,
+    waits: bool,
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        if self.waits {
+            let (now, number) = (self.post.now(), self.number);
+            self.post.gate.waiting.borrow_mut().remove(&number);
+            self.post.gate.with(|w| w.gone(now, number));
+        }
+    }
+}
+
+/// Take a request to the upstream on this machine, if it may pass.
+pub async fn serve(
+    post: &Rc<Post>,
+    asked: &Asked,
+    bill: &Waybill,
+    freight: &Rc<Freight>,
+    receipt: Option<&Receipt>,
+) -> Answer {
+    let (Some(station), Some(id)) = (post.boot.station, asked.id.clone()) else {
+        return says(Word::Absent);
+    };
+    let started = Instant::now();
+    let deadline = asked.deadline.unwrap_or(60_000_000);
+    let place = match admit(post, asked, &id, bill, deadline).await {
+        Ok(place) => place,
+        Err(word) => return says(word),
+    };
+    let number = place.number;
+    let Some(line) = post.pool.line(None, station, CONNECT, End::Outer(wire::HEAD)).await else {
+        // A refused connection is a sign that it is gone; its next beat says otherwise.
+        let now = post.now();
+        post.gate.with(|w| w.silent(now));
+        post.station_silent();
+        return says(Word::Absent);
+    };
+    let left = deadline - started.elapsed().as_micros() as i64;
+    if left <= 0 {
+        return says(Word::Full(0));
+    }
+    // While it connected the station may have been shut, or another life begun.
+    let now = post.now();
+    if !post.gate.with(|w| w.may_begin(now, number)) {
+        return says(Word::Shut);
+    }
+    let request = request(asked, left, asked.expects.as_deref(), freight, false);
+    let now = post.now();
+    post.gate.with(|w| w.begun(now, number));
+    receipt.iter().for_each(|r| r.begun());
+    post.counts.delivered.set(post.counts.delivered.get() + 1);
+    let coming = freight.rest.as_ref().map(|_| freight);
+    let bodiless = asked.method == "HEAD";
+    let order = Order { to: station, bytes: &request, coming, awaits: false, id: &id, bodiless };
+    let went = hop::exchange(&post.pool, line, order, post.stores.share());
+    let until = Instant::now() + Duration::from_micros((left + LAST_WORD) as u64);
+    let came = timeout_at(until, went).await;
+    match came {
+        Ok(Came::Answer(answer)) => judged(post, *answer, bill, place, until),
+        // Bytes may have gone out before the connection broke: not certain, so it may have run.
+        Ok(Came::NotConnected | Came::Broken) | Err(_) => says(Word::Begun),
+    }
+}
+
+/// Ask the decider for a place, and wait for it where that is to be; or the word for the origin.
+async fn admit(
+    post: &Rc<Post>,
+    asked: &Asked,
+    id: &str,
+    bill: &Waybill,
+    deadline: i64,
+) -> Result<Place, Word> {
+    let number = post.gate.next.get();
+    post.gate.next.set(number + 1);
+    let arrival = Arrival {
+        number,
+        id: id.to_string(),
+        expects: asked.expects.clone(),
+        service: bill.service.clone(),
+        priority: bill.priority,
+        repeatable: bill.repeatable,
+        further: bill.further,
+        aim: bill.aim,
+        patience: (bill.aim / PATIENCE).clamp(0, deadline.max(0)),
+        deadline,
+    };
+    let now = post.now();
+    // The place in the list of those that wait is there before the decider may call it.
+    let (to, mut at) = oneshot::channel();
+    post.gate.waiting.borrow_mut().insert(number, to);
+    match post.gate.with(|w| w.arrive(now, arrival)) {
+        Verdict::Go => {
+            post.gate.waiting.borrow_mut().remove(&number);
+        }
+        Verdict::Turn { why, retry_after } => {
+            post.gate.waiting.borrow_mut().remove(&number);
+            post.counts.turned.set(post.counts.turned.get() + 1);
+            return Err(word(why, retry_after));
+        }
+        Verdict::Wait => {
+            let mut waits = Waits { post, number, waits: true };
+            let said = (&mut at).await;
+            waits.waits = false;
+            match said {
+                Ok(Ok(())) => {}
+                Ok(Err(word)) => {
+                    post.counts.turned.set(post.counts.turned.get() + 1);
+                    return Err(word);
+                }
+                Err(_) => return Err(Word::Absent),
+            }
+        }
+    }
+    Ok(Place { post: post.clone(), number })
+}
+
+/// The upstream's answer, as it is passed on; the decider hears what it says of the upstream and of the request.
+fn judged(post: &Rc<Post>, mut answer: Answer, bill: &Waybill, place: Place, until: Instant) -> Answer {
+    let (now, number) = (post.now(), place.number);
+    if let Some(left) = answer.cold {
+        post.gate.with(|w| w.cold(now, left));
+    }
+    if spoilt(&answer, bill.repeatable) {
+        return says(Word::Begun);
+    }
+    // Its own word that it did not run: its id is free again. This has to be told before the place is given back.
+    match answer.status {
+        503 if answer.not_delivered => post.gate.with(|w| w.turned_by_station(now, number)),
+        421 => post.gate.with(|w| w.not_run(now, number)),
+        _ if answer.not_delivered => post.gate.with(|w| w.not_run(now, number)),
+        _ => {}
+    }
+    // While its answer is passed on, a request keeps its place.
+    if let Some(tail) = &mut answer.tail {
+        tail.until = Some(until);
+        tail.holds.push(Box::new(place));
+    }
+    answer
+}
+
+/// An answer that is not passed on, as it would say something that is not so: a success that is not the upstream's own, or that says
+/// that nothing ran; a promise of that where the upstream has not said so, and a new try would be a second run.
+fn spoilt(answer: &Answer, repeatable: bool) -> bool {
+    let promise = matches!(answer.status, 408 | 429 | 503);
+    answer.coded
+        || answer.status < 300 && !answer.stamped
+        || answer.status < 400 && answer.not_delivered
+        || promise && !answer.not_delivered && !repeatable
+}
+
+/// A request's bytes, to an upstream or to a gate: its head, and its body if that is here whole. `awaits`: the body is sent once
+/// it is asked for.
+pub fn request(asked: &Asked, left: i64, expects: Option<&str>, freight: &Freight, awaits: bool) -> Vec<u8> {
+    let held = freight.held();
+    let body: &[u8] = if freight.rest.is_some() || awaits { &[] } else { &held };
+    let mut out = Vec::with_capacity(asked.lines.len() + body.len() + 512);
+    out.extend_from_slice(format!("{} {} HTTP/1.1\r\n", asked.method, asked.target).as_bytes());
+    out.extend_from_slice(format!("Host: {}\r\n", asked.host).as_bytes());
+    out.extend_from_slice(&asked.lines);
+    out.extend_from_slice(format!("Deadline-Ms: {}\r\n", (left / 1000).max(1)).as_bytes());
+    if let Some(sender) = &asked.sender {
+        out.extend_from_slice(format!("Sender: {sender}\r\n").as_bytes());
+    }
+    if let Some(expects) = expects {
+        out.extend_from_slice(format!("Expect-Station: {expects}\r\n").as_bytes());
+    }
+    if let Some(bill) = &asked.waybill {
+        out.extend_from_slice(format!("Waybill: {bill}\r\n").as_bytes());
+    }
+    match freight.size() {
+        Size::Length(0) if matches!(asked.method.as_str(), "GET" | "HEAD" | "DELETE" | "OPTIONS") => {}
+        Size::Length(n) => out.extend_from_slice(format!("Content-Length: {n}\r\n").as_bytes()),
+        Size::Chunks | Size::Close => out.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+    }
+    if awaits {
+        out.extend_from_slice(b"Expect: 100-continue\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body);
+    out
+}
--- /dev/null
+++ b/crates/posthouse/src/gate/hops.rs
@@ -0,0 +1,192 @@
+//! Connections of other sidecars: taken or told to go elsewhere, and one request after the other on them.
+use super::delivery::serve;
+use super::replies::{back, keep, says, told};
+use super::{large, NO_ROOM};
+use crate::freight::Freight;
+use crate::hop;
+use crate::post::{Counted, Door, Post};
+use crate::receipts::Receipt;
+use crate::waybill::{self, Waybill, Word};
+use crate::wire::{self, Asked, End, Line, Stir, Wrong};
+use silvercross_net::http::Framing;
+use silvercross_net::stream::Decoder;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+/// A connection on which no request comes is closed after this.
+const IDLE: Duration = Duration::from_secs(30);
+/// The rest of a head, and of a body, comes within this: the origin holds them whole.
+pub(super) const COMES: Duration = Duration::from_secs(5);
+/// Hops' connections open at a time, as a share of the descriptors.
+pub(super) const CONNECTIONS: u64 = 4;
+/// So many beyond that are told so at a time; the rest is closed without a word.
+const TURNING: u64 = 32;
+
+/// Take hops from other sidecars, for as long as the process lives.
+pub async fn listen(post: Rc<Post>, listener: TcpListener) {
+    let turning = Rc::new(Cell::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        hop::guard(&stream);
+        let open = post.counts.hops.get();
+        let leaving = post.gate.leaving.get();
+        let full = open - leaving.min(open) >= (post.boot.descriptors / CONNECTIONS).max(1);
+        if full && post.counts.hops_idle.get() > leaving {
+            // The one that has been idle for longest makes place.
+            post.gate.leaving.set(leaving + 1);
+            post.gate.room.notify_one();
+        } else if full {
+            post.shut_out(Door::Inbound);
+            if turning.get() < TURNING {
+                turning.set(turning.get() + 1);
+                let turning = turning.clone();
+                tokio::task::spawn_local(async move {
+                    turn(stream).await;
+                    turning.set(turning.get() - 1);
+                });
+            }
+            continue;
+        }
+        let post = post.clone();
+        let counted = Counted::new(&post, |c| &c.hops);
+        tokio::task::spawn_local(async move {
+            let _counted = counted;
+            let mut line = Line::new(stream, End::Hop);
+            let mut before = Before::default();
+            while one(&post, &mut line, &mut before).await {}
+        });
+    }
+}
+
+/// A hop for which there is no room: nothing of it is read before it is told to go elsewhere.
+async fn turn(stream: tokio::net::TcpStream) {
+    let mut line = Line::new(stream, End::Hop);
+    let word = waybill::write(&Word::Full(NO_ROOM));
+    let bytes = wire::whole(503, format!("Waybill-Return: {word}\r\n").as_bytes(), b"", true, false);
+    if line.write(&bytes).await.is_ok() {
+        line.finish().await;
+        line.drain(COMES / 10).await;
+    }
+}
+
+/// What went on a hop's connection before.
+#[derive(Default)]
+struct Before {
+    /// It has heard this process's life.
+    told: bool,
+    /// The last request that may run once: with another one the origin shows that it has the answer.
+    last: Option<u64>,
+}
+
+/// One request of a hop's connection; whether another may come.
+async fn one(post: &Rc<Post>, line: &mut Line, before: &mut Before) -> bool {
+    if !requested(post, line).await {
+        return false;
+    }
+    let Ok(mut asked) = line.request(IDLE, COMES, usize::MAX).await else { return false };
+    let bill = asked.waybill.take().and_then(|t| waybill::read::<Waybill>(&t));
+    let bill = bill.filter(|b| b.version == waybill::VERSION);
+    if let Some(ticket) = before.last.take() {
+        post.receipts.taken(ticket);
+    }
+    if let Some(bill) = bill.as_ref().filter(|b| b.asks) {
+        return told(post, line, &asked, bill.ticket).await;
+    }
+    let life = (!std::mem::replace(&mut before.told, true)).then_some(post.receipts.life);
+    let receipt = match &bill {
+        Some(bill) if !bill.repeatable && bill.ticket != 0 => match post.receipts.enter(bill.ticket) {
+            Ok(receipt) => Some(receipt),
+            // It was asked for before it came, and its origin has gone elsewhere.
+            Err(()) => return false,
+        },
+        _ => None,
+    };
+    before.last = receipt.as_ref().map(|r| r.ticket);
+    let stated = match asked.framing {
+        Framing::Length(n) => Some(n),
+        _ => None,
+    };
+    if asked.waits || stated.is_none_or(|n| n > wire::HELD) {
+        return large::pass(post, line, &asked, bill, receipt, life, stated).await;
+    }
+    // How large a body may be was for the origin to say.
+    let (mut decoder, mut share) = (Decoder::new(asked.framing, wire::HELD), post.stores.share());
+    let body = match timeout(COMES, line.held(&mut decoder, stated, &mut share, false)).await {
+        Ok(Ok((body, true))) => body,
+        Ok(Err(Wrong::NoRoom)) => {
+            let (bytes, _) = back(&asked, &mut says(Word::Full(NO_ROOM)), life, true);
+            let _ = line.write(&bytes).await;
+            line.finish().await;
+            line.drain(COMES / 10).await;
+            return false;
+        }
+        _ => return false,
+    };
+    let Some(bill) = bill else {
+        // A question that can't be read is no request that was turned away: what it asks for may have run.
+        let word = if asked.host == waybill::ASKED { Word::Begun } else { Word::Absent };
+        let (bytes, _) = back(&asked, &mut says(word), life, false);
+        return line.write(&bytes).await.is_ok();
+    };
+    whole(post, line, &asked, &bill, &Freight::whole(body, share), receipt, life).await
+}
+
+/// Whether a request has come; an idle connection may have to make place for another.
+async fn requested(post: &Rc<Post>, line: &mut Line) -> bool {
+    let _idle = Counted::new(post, |c| &c.hops_idle);
+    tokio::select! {
+        came = line.awaits(IDLE) => came,
+        () = post.gate.room.notified() => {
+            post.gate.leaving.set(post.gate.leaving.get().saturating_sub(1));
+            false
+        }
+    }
+}
+
+/// A request that is here whole; whether the connection may carry another one.
+async fn whole(
+    post: &Rc<Post>,
+    line: &mut Line,
+    asked: &Asked,
+    bill: &Waybill,
+    freight: &Rc<Freight>,
+    receipt: Option<Receipt>,
+    life: Option<u64>,
+) -> bool {
+    let mut broke = false;
+    let mut answer = {
+        let serving = serve(post, asked, bill, freight, receipt.as_ref());
+        tokio::pin!(serving);
+        loop {
+            tokio::select! {
+                answer = &mut serving => break answer,
+                stir = line.stirs(), if !broke => match stir {
+                    // Its origin will ask for it.
+                    Stir::Broke if receipt.is_some() => {
+                        broke = true;
+                        post.counts.orphans.set(post.counts.orphans.get() + 1);
+                    }
+                    // An origin that hangs up has called the attempt off.
+                    Stir::Broke | Stir::Closed | Stir::More => return false,
+                }
+            }
+        }
+    };
+    let (bytes, size) = back(asked, &mut answer, life, false);
+    let bytes = keep(receipt, &answer, bytes, life.is_some());
+    if broke || line.write(&bytes).await.is_err() {
+        return false;
+    }
+    let Some(tail) = answer.tail.take() else { return true };
+    drop(answer);
+    let Some(mut write) = line.split() else { return false };
+    let passed = tail.pass(&post.pool, &mut write, size).await;
+    line.join(write);
+    passed
+}
--- /dev/null
+++ b/crates/posthouse/src/gate/large.rs
@@ -0,0 +1,151 @@
+//! Requests from other sidecars whose bodies are passed on as they come: few at a time, and none before it is wanted.
+use super::delivery::serve;
+use super::hops::COMES;
+use super::replies::{back, keep, says};
+use super::PATIENCE;
+use crate::freight::{Bringer, Freight};
+use crate::post::Post;
+use crate::receipts::Receipt;
+use crate::waybill::{Waybill, Word};
+use crate::wire::{Answer, Asked, Line, Stir, Wrong};
+use silvercross_net::http::Framing;
+use silvercross_net::stream::Decoder;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::{Mutex, OwnedSemaphorePermit};
+use tokio::time::timeout;
+
+/// A request whose body is passed on as it comes. The origin holds it back until it is asked for: before the request has its place,
+/// and a connection to the upstream is up, none of it is taken.
+pub(super) async fn pass(
+    post: &Rc<Post>,
+    line: &mut Line,
+    asked: &Asked,
+    bill: Option<Waybill>,
+    receipt: Option<Receipt>,
+    life: Option<u64>,
+    stated: Option<usize>,
+) -> bool {
+    let mut decoder = Decoder::new(asked.framing, usize::MAX);
+    let patience = bill.as_ref().map_or(0, |b| (b.aim / PATIENCE).max(0));
+    let turn = match turn_of(post, line, asked, patience, life).await {
+        Ok(turn) => turn,
+        Err(goes_on) => return goes_on,
+    };
+    let (freight, bringer) = Freight::coming(Vec::new(), stated.map(|n| n as u64), post.stores.share());
+    let Some(write) = line.split() else { return false };
+    let write = Mutex::new(write);
+    let answered = Cell::new(false);
+    let work = async {
+        let answer = match &bill {
+            Some(bill) => serve(post, asked, bill, &freight, receipt.as_ref()).await,
+            None => says(Word::Absent),
+        };
+        answered.set(true);
+        reply(post, &write, asked, answer, receipt, life).await
+    };
+    let once = bill.as_ref().is_some_and(|b| !b.repeatable);
+    let took = async {
+        let brought = bring(line, &bringer, &mut decoder, &write, &answered, asked.waits).await;
+        drop(turn);
+        match brought {
+            // An origin that breaks off, or hangs up behind its body, has called the attempt off.
+            Ok(()) => {
+                if line.stirs().await == Stir::Broke && once {
+                    // It is here whole: its origin will ask for it.
+                    post.counts.orphans.set(post.counts.orphans.get() + 1);
+                    std::future::pending().await
+                }
+            }
+            Err(_) if answered.get() => std::future::pending().await,
+            Err(_) => {}
+        }
+    };
+    let done = tokio::select! {
+        done = work => done,
+        () = took => false,
+    };
+    line.join(write.into_inner());
+    if done && !decoder.is_done() && asked.framing != Framing::Length(0) {
+        // The answer was there before the body: what comes of that is read away, else it would cost the answer.
+        line.finish().await;
+        line.drain(COMES / 10).await;
+        return false;
+    }
+    done
+}
+
+/// Wait until this body may cross the link: many together would hold up all that is small behind them. Else whether the
+/// connection may carry another request.
+async fn turn_of(
+    post: &Rc<Post>,
+    line: &mut Line,
+    asked: &Asked,
+    patience: i64,
+    life: Option<u64>,
+) -> Result<Option<OwnedSemaphorePermit>, bool> {
+    if !asked.waits {
+        return Ok(None);
+    }
+    let lane = post.gate.lane.clone().acquire_owned();
+    tokio::select! {
+        turn = timeout(Duration::from_micros(patience as u64), lane) => {
+            if let Ok(Ok(turn)) = turn {
+                return Ok(Some(turn));
+            }
+            post.counts.turned.set(post.counts.turned.get() + 1);
+            let (bytes, _) = back(asked, &mut says(Word::Full(patience)), life, false);
+            Err(line.write(&bytes).await.is_ok())
+        }
+        _ = line.stirs() => Err(false),
+    }
+}
+
+/// Pass an answer on to the origin; whether it went whole.
+async fn reply(
+    post: &Rc<Post>,
+    write: &Mutex<OwnedWriteHalf>,
+    asked: &Asked,
+    mut answer: Answer,
+    receipt: Option<Receipt>,
+    life: Option<u64>,
+) -> bool {
+    let mut write = write.lock().await;
+    let (bytes, size) = back(asked, &mut answer, life, false);
+    let bytes = keep(receipt, &answer, bytes, life.is_some());
+    if write.write_all(&bytes).await.is_err() {
+        return false;
+    }
+    match answer.tail.take() {
+        Some(tail) => tail.pass(&post.pool, &mut *write, size).await,
+        None => true,
+    }
+}
+
+/// Ask for the body once somebody wants it, and bring it.
+async fn bring(
+    line: &mut Line,
+    bringer: &Bringer,
+    decoder: &mut Decoder,
+    write: &Mutex<OwnedWriteHalf>,
+    answered: &Cell<bool>,
+    waits: bool,
+) -> Result<(), Wrong> {
+    tokio::select! {
+        () = bringer.wanted() => {}
+        stir = line.stirs() => match stir {
+            Stir::More => bringer.wanted().await,
+            Stir::Closed | Stir::Broke => return Err(Wrong::Broken),
+        },
+    }
+    if waits {
+        let mut write = write.lock().await;
+        if !answered.get() && write.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+            return Err(Wrong::Broken);
+        }
+    }
+    bringer.bring(line, decoder).await
+}
