posthouse: front.rs taken apart by concern

Change: front.rs keeps the connections; front/ holds route, run, attempt and reply. A request's loop is now serve, ended and step over a struct that says how far it has come. No change of behaviour; what is dropped is dropped in the same order.

--- /dev/null
+++ b/crates/posthouse/src/front/run.rs
@@ -0,0 +1,268 @@
+//! One request on its way: what the module says is done, and what its attempts bring is told to the module.
+use super::attempt::go;
+use super::reply::{passed, Flow, Reply};
+use crate::desk::{Desk, Mail};
+use crate::freight::Freight;
+use crate::hop::Came;
+use crate::post::Post;
+use crate::waybill::{self, Waybill, Word};
+use crate::wire::{Answer, Asked};
+use silvercross_facade::{Attempt, Report, Step};
+use silvercross_sorting::{Kind, Route};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// One request on its way.
+pub(super) struct Run {
+    pub(super) post: Rc<Post>,
+    pub(super) desk: Rc<Desk>,
+    pub(super) asked: Rc<Asked>,
+    pub(super) freight: Rc<Freight>,
+    pub(super) service: String,
+    pub(super) id: String,
+    pub(super) route: Route,
+    pub(super) started: Instant,
+    pub(super) budget: i64,
+    pub(super) waited: i64,
+}
+
+/// What an attempt brought.
+struct Brought {
+    answer: Option<Answer>,
+    /// It may have run.
+    arrived: bool,
+    /// It reached, or may have reached, its upstream.
+    met: bool,
+    /// When the gate said to come back.
+    after: Option<i64>,
+    /// For the log.
+    how: &'static str,
+}
+
+impl Brought {
+    /// No answer came.
+    fn nothing(arrived: bool, how: &'static str) -> Self {
+        Brought { answer: None, arrived, met: arrived, after: None, how }
+    }
+}
+
+/// Attempts are called off with their request.
+#[derive(Default)]
+struct Out(BTreeMap<u32, AbortHandle>);
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        self.0.values().for_each(AbortHandle::abort);
+    }
+}
+
+/// How far a request has come.
+#[derive(Default)]
+struct Progress {
+    /// What its attempts brought, by their numbers.
+    brought: BTreeMap<u32, Brought>,
+    /// Copies that had to wait, as a body that is still coming goes one way at a time.
+    behind: Vec<(u32, SocketAddr, String)>,
+    /// Attempts that have not ended.
+    out: Out,
+}
+
+/// What comes after one thing that happened to a request.
+enum Next {
+    /// It goes on.
+    More,
+    /// Its client is answered.
+    Answer(Reply),
+    /// Its client gets this attempt's answer as it comes.
+    Pass(Reply, Attempt),
+}
+
+impl Run {
+    pub(super) async fn serve(self) -> Reply {
+        let (mail, mut inbox) = unbounded_channel();
+        let Some(ticket) =
+            self.desk.take(&self.route.name, self.budget - self.waited, (mail.clone(), &mut inbox))
+        else {
+            return Reply::promise(503, "too much is open here", None);
+        };
+        let mut progress = Progress::default();
+        loop {
+            // The sender is ours too, so the box never ends.
+            let Some(mail_in) = inbox.recv().await else { return Reply::own(502, "lost") };
+            let next = match mail_in {
+                Mail::Ended(number, came) => {
+                    let attempt = Attempt { request: ticket.handle, number };
+                    self.ended(&mut progress, attempt, came, &mail, &inbox)
+                }
+                Mail::Step(step) => self.step(&mut progress, step, &mail),
+            };
+            match next {
+                Next::More => {}
+                Next::Answer(reply) => return reply,
+                Next::Pass(mut reply, attempt) => {
+                    reply.flow = Some(Flow { ticket, attempt });
+                    return reply;
+                }
+            }
+        }
+    }
+
+    /// An attempt has ended.
+    fn ended(
+        &self,
+        progress: &mut Progress,
+        attempt: Attempt,
+        came: Came,
+        mail: &UnboundedSender<Mail>,
+        inbox: &UnboundedReceiver<Mail>,
+    ) -> Next {
+        let Progress { brought, behind, out } = progress;
+        let number = attempt.number;
+        if out.0.remove(&number).is_none() {
+            return Next::More;
+        }
+        let (report, what) = judge(came);
+        if report == Report::Served && what.answer.as_ref().is_some_and(|a| a.tail.is_some()) {
+            // So much has come that no other answer can be had: it goes on as it comes.
+            self.desk.begun(attempt);
+            let mut reply = what.answer.map_or_else(|| Reply::own(502, "lost"), passed);
+            let left = Duration::from_micros(self.budget.max(0) as u64);
+            reply.tail.iter_mut().for_each(|t| t.until = Some(self.started + left));
+            return Next::Pass(reply, attempt);
+        }
+        brought.insert(number, what);
+        self.desk.report(attempt, report);
+        if self.freight.rest.is_some() && out.0.is_empty() && inbox.is_empty() {
+            // The module awaits a copy that could not go out so far.
+            match behind.pop().filter(|_| !self.freight.spent()) {
+                Some((number, to, name)) => {
+                    let further = brought.values().any(|b| b.met);
+                    let task = self.attempt(number, to, name, further, mail.clone());
+                    out.0.insert(number, task);
+                }
+                None => return Next::Answer(self.given_up(std::mem::take(brought), None, false)),
+            }
+        }
+        Next::More
+    }
+
+    /// Do what the module says.
+    fn step(&self, progress: &mut Progress, step: Step<()>, mail: &UnboundedSender<Mail>) -> Next {
+        let Progress { brought, behind, out } = progress;
+        let open = !out.0.is_empty();
+        let reply = match step {
+            Step::Send { attempt, upstream, to, .. } => {
+                let further = brought.values().any(|b| b.met) || open;
+                let name = self.desk.name_of(upstream);
+                if self.freight.rest.is_some() && open {
+                    behind.push((attempt.number, to, name));
+                    return Next::More;
+                }
+                if !self.freight.spent() {
+                    let task = self.attempt(attempt.number, to, name, further, mail.clone());
+                    out.0.insert(attempt.number, task);
+                    return Next::More;
+                }
+                self.given_up(std::mem::take(brought), None, open)
+            }
+            Step::Cancel { attempt } => {
+                behind.retain(|b| b.0 != attempt.number);
+                if let Some(task) = out.0.remove(&attempt.number) {
+                    task.abort();
+                    brought.insert(attempt.number, Brought::nothing(true, "called off"));
+                }
+                return Next::More;
+            }
+            Step::Serve { attempt } => {
+                let answer = brought.remove(&attempt.number).and_then(|b| b.answer);
+                answer.map_or_else(|| Reply::own(502, "lost"), passed)
+            }
+            Step::Refuse { retry_after, .. } => self.given_up(std::mem::take(brought), retry_after, open),
+            Step::Fail { .. } => self.given_up(std::mem::take(brought), None, open),
+            _ => return Next::More,
+        };
+        Next::Answer(reply)
+    }
+
+    /// The last word on a request that was given up: an upstream's own where there is one, a promise where nothing ran. `out`: an
+    /// attempt has not ended, so it may still run.
+    fn given_up(&self, mut brought: BTreeMap<u32, Brought>, retry_after: Option<i64>, out: bool) -> Reply {
+        let counts = &self.post.counts;
+        slog::debug!(self.post.log, "given up"; "route" => &self.route.name, "service" => &self.service,
+            "after" => self.started.elapsed().as_millis() as u64, "budget" => self.budget / 1000,
+            "attempts" => brought.values().map(|b| b.how).collect::<Vec<_>>().join(" "));
+        let last = brought.values_mut().rev().find(|b| b.answer.is_some());
+        if let Some(answer) = last.and_then(|b| b.answer.take()) {
+            return passed(answer);
+        }
+        if !out && !brought.values().any(|b| b.arrived) {
+            counts.refused.set(counts.refused.get() + 1);
+            let told = brought.values().filter_map(|b| b.after).min();
+            return Reply::promise(503, "no upstream can take it now", told.or(retry_after));
+        }
+        counts.failed.set(counts.failed.get() + 1);
+        if self.started.elapsed().as_micros() as i64 + 50_000 >= self.budget {
+            return Reply::own(504, "no answer in time");
+        }
+        Reply::own(502, "the upstream's answer was lost")
+    }
+
+    fn attempt(
+        &self,
+        number: u32,
+        to: SocketAddr,
+        name: String,
+        further: bool,
+        mail: UnboundedSender<Mail>,
+    ) -> AbortHandle {
+        let (post, asked, freight) = (self.post.clone(), self.asked.clone(), self.freight.clone());
+        let (id, spent) = (self.id.clone(), self.started.elapsed().as_micros() as i64);
+        let bill = Waybill {
+            version: waybill::VERSION,
+            service: self.service.clone(),
+            further,
+            priority: self.route.priority,
+            repeatable: self.route.kind == Kind::Safe,
+            aim: self.route.target_us - spent,
+            ticket: if self.route.kind == Kind::Safe { 0 } else { self.post.ticket() },
+            asks: false,
+        };
+        let left = self.budget - spent;
+        let task = tokio::task::spawn_local(async move {
+            let came = go(&post, &asked, &freight, &id, &bill, left, to, &name).await;
+            let _ = mail.send(Mail::Ended(number, came));
+        });
+        task.abort_handle()
+    }
+}
+
+/// An exchange's end, as the module hears it, and what is kept of it.
+fn judge(came: Came) -> (Report, Brought) {
+    let answer = match came {
+        Came::NotConnected => return (Report::NotConnected, Brought::nothing(false, "no connection")),
+        Came::Broken => return (Report::Broken, Brought::nothing(true, "broken")),
+        Came::Answer(answer) => answer,
+    };
+    if let Some(text) = &answer.word {
+        let (report, arrived, after, how) = match waybill::read::<Word>(text) {
+            Some(Word::Absent) => (Report::NotConnected, false, None, "absent"),
+            Some(Word::Full(after)) => (Report::TurnedAway, false, Some(after).filter(|a| *a > 0), "full"),
+            Some(Word::Shut) => (Report::TurnedAway, false, None, "shut"),
+            Some(Word::Begun | Word::Unseen) | None => (Report::Broken, true, None, "begun, no answer"),
+        };
+        return (report, Brought { answer: None, arrived, met: arrived, after, how });
+    }
+    if answer.not_delivered || answer.status == 421 {
+        // It did not run, and yet it arrived: what is sent after it is a further try.
+        let how = "not delivered";
+        return (Report::TurnedAway, Brought { answer: None, arrived: false, met: true, after: None, how });
+    }
+    let report = if answer.status >= 500 { Report::Error } else { Report::Served };
+    let how = if report == Report::Error { "error" } else { "answer" };
+    (report, Brought { answer: Some(*answer), arrived: true, met: true, after: None, how })
+}
