posthouse: doc lines for what the split files share

Need: functions that files of one folder now share had no line of their own. Change: comments alone.

--- a/crates/posthouse/src/carriers/effects.rs
+++ b/crates/posthouse/src/carriers/effects.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 
 impl Carriers {
+    /// Do what membership wants done.
     pub(super) fn effect(&self, post: &Rc<Post>, effect: Effect<Body>) {
         match effect {
             Effect::Link { to } => self.link(post, to.0),
@@ -71,6 +72,7 @@
         }
     }
 
+    /// Do what the control store wants done.
     pub(super) fn deed(&self, post: &Rc<Post>, deed: StoreEffect<Leaf>) {
         match deed {
             StoreEffect::Send { to, version, message } => {
--- a/crates/posthouse/src/carriers/frames.rs
+++ b/crates/posthouse/src/carriers/frames.rs
@@ -47,6 +47,7 @@
     },
 }
 
+/// The frame of a parcel: its length, then its bytes.
 pub(super) fn framed(parcel: &Parcel) -> Vec<u8> {
     let body = bitcode::encode(parcel);
     let mut bytes = Vec::with_capacity(body.len() + 4);
--- a/crates/posthouse/src/front/reply.rs
+++ b/crates/posthouse/src/front/reply.rs
@@ -33,6 +33,7 @@
 }
 
 impl Reply {
+    /// This program's own word.
     pub(super) fn own(status: u16, text: &str) -> Self {
         let lines = b"Content-Type: text/plain\r\n".to_vec();
         Reply {
--- a/crates/posthouse/src/front/run.rs
+++ b/crates/posthouse/src/front/run.rs
@@ -83,6 +83,7 @@
 }
 
 impl Run {
+    /// Send it as the module says, until there is an answer.
     pub(super) async fn serve(self) -> Reply {
         let (mail, mut inbox) = unbounded_channel();
         let Some(ticket) =
--- a/crates/posthouse/src/post/own_record.rs
+++ b/crates/posthouse/src/post/own_record.rs
@@ -10,6 +10,7 @@
         self.body_of(self.own.borrow().as_ref().map(|o| o.station.clone()))
     }
 
+    /// That, with this upstream beside it.
     pub(super) fn body_of(&self, station: Option<Station>) -> Body {
         Body {
             inbound: self.boot.inbound.map_or(0, |a| a.port()),
@@ -32,6 +33,7 @@
         self.carriers.control_store(of).unwrap_or_default()
     }
 
+    /// Tell the others, the feed and the balancers here.
     pub(super) fn tell(self: &Rc<Self>) {
         let body = self.body();
         self.carriers.tell(self, body);
--- a/crates/posthouse/src/post/own_upstream.rs
+++ b/crates/posthouse/src/post/own_upstream.rs
@@ -221,6 +221,7 @@
         self.beat(&id, beat);
     }
 
+    /// Set the gate to what the configuration allows this upstream.
     pub(super) fn allow(&self) {
         let table = self.table();
         let service = self.own.borrow().as_ref().map(|o| o.station.service.clone());
--- a/crates/posthouse/src/post/upstream_lists.rs
+++ b/crates/posthouse/src/post/upstream_lists.rs
@@ -76,6 +76,7 @@
         self.desks.borrow().iter().map(|(n, d)| (n.clone(), d.clone())).collect()
     }
 
+    /// Set each balancer to the configuration, the bounds and the number of sidecars in force.
     pub(super) fn reset_terms(self: &Rc<Self>) {
         let table = self.table();
         for (service, desk) in self.desks() {
--- a/crates/posthouse/src/wire/line.rs
+++ b/crates/posthouse/src/wire/line.rs
@@ -93,6 +93,7 @@
         }
     }
 
+    /// Read what has come; 0: the other end has closed.
     pub(super) async fn fill(&mut self) -> io::Result<usize> {
         self.come.reserve(PIECE);
         match &mut self.side {
