Control store: store.rs and owner.rs taken apart by concern

Change: limits.rs (bounds and times), broken.rs (faults put in), state.rs (records), figures.rs (what an operator reads), durable.rs (writes), links.rs (who is reached), claim.rs (taking and giving up keys), due.rs (what is due for each key) are new; store.rs keeps the start, messages and clock, owner.rs copies, commits and confirmations. The code was moved as it was: only visibilities, `use` lines and module docs differ. The public API and the tests are untouched.

--- a/crates/control-store/src/calls.rs
+++ b/crates/control-store/src/calls.rs
@@ -1,7 +1,9 @@
 //! Calls and reads: where they are served, forwarded, and answered in time.
 
+use crate::limits::{CALL_LIMIT, FORWARDS, FORWARD_LIMIT, OPEN, QUEUE};
 use crate::message::{Effect, Forwarded, Message, Request, Verdict};
-use crate::store::{After, ControlStore, Ownership, CALL_LIMIT, FORWARDS, FORWARD_LIMIT, OPEN, QUEUE};
+use crate::state::{After, Ownership};
+use crate::store::ControlStore;
 use crate::{Epoch, Micros, Node, Refusal, Revision, State};
 use std::collections::{BTreeSet, VecDeque};
 
--- /dev/null
+++ b/crates/control-store/src/due.rs
@@ -0,0 +1,144 @@
+//! What is due for each key: when an ownerless key is claimed, what is sent again, and the heartbeat.
+
+use crate::limits::{CALM, OWNERLESS, RESEND, SILENT};
+use crate::message::{Incarnation, Message};
+use crate::state::{Ownership, Slot};
+use crate::store::ControlStore;
+use crate::{Epoch, Micros, Node, State};
+
+impl<P: State> ControlStore<P> {
+    /// Who owns the key as far as is known, if it is another that can be reached and was heard of late.
+    pub(crate) fn known_owner(&self, now: Micros, key: &str) -> Option<(Node, Epoch)> {
+        let slot = self.keys.get(key)?;
+        let owner = Node(slot.seen.owner);
+        // Who is no replica any more owns nothing, whatever is still said of it.
+        let owned = slot.seen != Epoch::default() && owner != self.me && self.replica_set.contains(owner);
+        (owned && self.up.contains(&owner) && now < slot.heard + SILENT).then_some((owner, slot.seen))
+    }
+
+    /// Whether the key's owner has said that it stops, and this node does not: it may claim at once.
+    fn handed_on(&self, key: &str) -> bool {
+        let leaves = |node| self.leavers.contains_key(&node);
+        let seen = self.keys.get(key).map(|slot| slot.seen).unwrap_or_default();
+        seen != Epoch::default() && leaves(Node(seen.owner)) && !leaves(self.me)
+    }
+
+    /// Whether another owns the key and goes on with it.
+    fn owned(&self, now: Micros, key: &str) -> bool {
+        self.known_owner(now, key).is_some() && !self.handed_on(key)
+    }
+
+    pub(crate) fn patience(&self, key: &str) -> Micros {
+        let place = self.order(key).iter().position(|n| *n == self.me).unwrap_or(0);
+        OWNERLESS * (place as Micros + Micros::from(!self.handed_on(key)))
+    }
+
+    /// When something is due for the key.
+    pub(crate) fn due(&self, key: &str, slot: &Slot<P>) -> Option<Micros> {
+        match &slot.ownership {
+            Ownership::Replica if !slot.queue.is_empty() => Some(slot.not_before),
+            Ownership::Replica => Some(match slot.ownerless {
+                Some(since) => (since + self.patience(key)).max(slot.not_before),
+                None => slot.heard + SILENT,
+            }),
+            Ownership::Claiming(claim) => Some(claim.sent + RESEND),
+            Ownership::Owner(owner) => {
+                let flight = owner.flight.as_ref().map(|f| f.sent + RESEND);
+                let round = owner.round.as_ref().map(|r| r.sent + RESEND);
+                flight.into_iter().chain(round).chain([self.calm + CALM]).min()
+            }
+        }
+    }
+
+    pub(crate) fn tick_keys(&mut self, now: Micros) {
+        let due: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(key, slot)| {
+                let gone = matches!(slot.ownership, Ownership::Replica)
+                    && slot.ownerless.is_some() == self.owned(now, key);
+                gone || self.due(key, slot).is_some_and(|at| at <= now)
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in due {
+            self.tick_key(now, &key);
+        }
+        if now >= self.calm + CALM {
+            self.calm = now;
+            self.forget_served(now);
+            let keys: Vec<(String, Epoch, u64)> =
+                self.settled().into_iter().map(|(key, epoch, at)| (key, epoch, at.seq)).collect();
+            if !keys.is_empty() {
+                for to in self.others() {
+                    self.send(to, Message::Heartbeat { keys: keys.clone() });
+                }
+            }
+        }
+    }
+
+    fn tick_key(&mut self, now: Micros, key: &str) {
+        let known = self.owned(now, key);
+        let patience = self.patience(key);
+        let others = self.others();
+        let incarnations = self.incarnations.clone();
+        let current = |node: &Node, incarnation: &Incarnation| {
+            incarnations.get(node).is_none_or(|known| incarnation >= known)
+        };
+        let Some(slot) = self.keys.get_mut(key) else { return };
+        slot.queue.retain(|job| now < job.until);
+        match &mut slot.ownership {
+            Ownership::Replica => {
+                if known {
+                    slot.ownerless = None;
+                } else {
+                    slot.ownerless.get_or_insert(now);
+                }
+                if !slot.queue.is_empty() || slot.ownerless.is_some_and(|since| now >= since + patience) {
+                    self.claim(now, key);
+                }
+            }
+            Ownership::Claiming(claim) => {
+                if now < claim.sent + RESEND {
+                    return;
+                }
+                claim.sent = now;
+                let epoch = claim.epoch;
+                if !claim.promises.contains_key(&self.me) {
+                    return;
+                }
+                let missing: Vec<Node> = others
+                    .into_iter()
+                    .filter(|n| !claim.promises.get(n).is_some_and(|l| current(n, l)))
+                    .collect();
+                for to in missing {
+                    self.send(to, Message::Claim { key: key.to_owned(), epoch });
+                }
+                self.take(now, key);
+            }
+            Ownership::Owner(owner) => {
+                let mut copies = Vec::new();
+                let mut asks = Vec::new();
+                if let Some(flight) = owner.flight.as_mut().filter(|f| now >= f.sent + RESEND) {
+                    flight.sent = now;
+                    let seq = owner.seq;
+                    let has = |n: &Node| owner.kept.get(n).is_some_and(|k| k.1 >= seq && current(n, &k.0));
+                    copies.extend(others.iter().copied().filter(|n| !has(n)));
+                }
+                if let Some(round) = owner.round.as_mut().filter(|r| now >= r.sent + RESEND) {
+                    round.sent = now;
+                    round.jobs.retain(|(job, _)| now < job.until);
+                    asks.extend(others.iter().copied().filter(|n| !round.confirmed.contains(n)));
+                }
+                let (epoch, round) = (owner.epoch, owner.rounds);
+                owner.asked.retain(|(job, _)| now < job.until);
+                for to in copies {
+                    self.send_last(now, to, key);
+                }
+                for to in asks {
+                    self.send(to, Message::Confirm { key: key.to_owned(), epoch, round });
+                }
+            }
+        }
+    }
+}
--- a/crates/control-store/src/lib.rs
+++ b/crates/control-store/src/lib.rs
@@ -3,21 +3,31 @@
 //! The argument why nothing acknowledged is lost: `docs/design/ledger.md`.
 #![forbid(unsafe_code)]
 
+mod broken;
 mod calls;
+mod claim;
+mod due;
+mod durable;
+mod figures;
+mod limits;
+mod links;
 mod message;
 mod owner;
 mod pieces;
 mod recent;
 mod replica;
 mod replica_set;
+mod state;
 mod store;
 
+pub use broken::Broken;
+pub use figures::{Figures, KeyState, Role};
 pub use message::{
     Disk, Effect, Forwarded, Held, Incarnation, Incarnations, Message, Metadata, Request, Stored, Verdict,
 };
 pub use pieces::{Digest, PIECE};
 pub use replica_set::{ReplicaSet, Vote};
-pub use store::{Broken, ControlStore, Figures, KeyState, Role, Start};
+pub use store::{ControlStore, Start};
 
 use bitcode::{Decode, DecodeOwned, Encode};
 
--- a/crates/control-store/src/pieces.rs
+++ b/crates/control-store/src/pieces.rs
@@ -1,9 +1,11 @@
 //! Values that are sent whole: in pieces, of which the receiver asks for the next. What it has it keeps when a link breaks, and
 //! it takes nothing that is not whole and of one revision.
 
+use crate::broken::Broken;
 use crate::message::Message;
 use crate::recent::Recent;
-use crate::store::{After, Broken, ControlStore, Phase};
+use crate::state::{After, Phase};
+use crate::store::ControlStore;
 use crate::{Epoch, Micros, Node, Revision, State};
 use siphasher::sip128::{Hasher128, SipHasher13};
 use std::collections::BTreeMap;
--- a/crates/control-store/src/replica.rs
+++ b/crates/control-store/src/replica.rs
@@ -1,7 +1,10 @@
 //! A replica's side: promises, copies, and the repair of an empty disk.
 
+use crate::broken::Broken;
+use crate::limits::{KEYS, NAME};
 use crate::message::{Held, Incarnation, Incarnations, Message, Stored};
-use crate::store::{After, Broken, ControlStore, Ownership, Phase, Slot, KEYS, NAME};
+use crate::state::{After, Ownership, Phase, Slot};
+use crate::store::ControlStore;
 use crate::{Epoch, Micros, Node, Revision, State, Vote};
 use std::collections::BTreeSet;
 
--- a/crates/control-store/src/replica_set.rs
+++ b/crates/control-store/src/replica_set.rs
@@ -1,9 +1,12 @@
 //! Who the replicas are, and how one that is gone is replaced: one at a time, through a joint replica set, each step decided by
 //! more than half of the replica set before it.
 
+use crate::broken::Broken;
+use crate::limits::{GONE, RESEND, STAGGER};
 use crate::message::{Incarnation, Incarnations, Message};
 use crate::recent::Recent;
-use crate::store::{After, Broken, ControlStore, Ownership, Phase, GONE, RESEND, STAGGER};
+use crate::state::{After, Ownership, Phase};
+use crate::store::ControlStore;
 use crate::{Epoch, Micros, Node, Revision, State};
 use bitcode::{Decode, Encode};
 use std::collections::{BTreeMap, BTreeSet};
@@ -306,7 +309,7 @@
     }
 
     fn give_up_keys(&mut self, now: Micros) {
-        let held = |slot: &crate::store::Slot<P>| {
+        let held = |slot: &crate::state::Slot<P>| {
             !matches!(slot.ownership, Ownership::Replica) || !slot.queue.is_empty()
         };
         let keys: Vec<String> = self.keys.iter().filter(|(_, s)| held(s)).map(|(k, _)| k.clone()).collect();
