--- a/crates/control-store/src/broken.rs
+++ b/crates/control-store/src/broken.rs
@@ -18,7 +18,7 @@
     ReadsTooFew,
     /// Counts what was said with a disk that was lost since.
     CountsLostDisks,
-    /// Reads without asking whether its epoch still stands.
+    /// Reads without asking whether its epoch is still in force.
     ReadsUnasked,
     /// Keeps what a value that refuses a change has made of it.
     KeepsPart,
@@ -40,7 +40,7 @@
     VotesGoneBack,
     /// Confirms promises and copies although the write failed.
     SaysUnwritten,
-    /// Goes on from its start as if nothing stood on its disk.
+    /// Goes on from its start as if nothing were on its disk.
     StartsUnread,
     /// Takes a whole value in the place of a later one.
     TakesOldSnapshots,
@@ -48,7 +48,7 @@
     MixesSnapshots,
     /// Leads with the copy it has, whatever the others have.
     LeadsWithOldCopy,
-    /// Refuses without asking whether its epoch still stands.
+    /// Refuses without asking whether its epoch is still in force.
     RefusesUnasked,
     /// Tells at once what rests on a change that is not committed yet.
     TellsUncommitted,
@@ -73,7 +73,13 @@
         }
     }
 
+    /// Whether this one is broken so.
     pub(crate) fn is(&self, broken: Broken) -> bool {
-        cfg!(feature = "mutants") && self.broken == Some(broken)
+        active(self.broken, broken)
     }
 }
+
+/// Whether `broken` is the fault put in; never without the feature `mutants`.
+pub(crate) fn active(put_in: Option<Broken>, broken: Broken) -> bool {
+    cfg!(feature = "mutants") && put_in == Some(broken)
+}
--- a/crates/control-store/src/claim.rs
+++ b/crates/control-store/src/claim.rs
@@ -39,6 +39,7 @@
         self.later(now, After::Promised { key: key.to_owned(), epoch });
     }
 
+    /// The claim is durable here: the others hear of it.
     pub(crate) fn own_promise(&mut self, now: Micros, key: String, epoch: Epoch) {
         let (me, incarnation) = (self.me, self.incarnation);
         let Some(slot) = self.keys.get_mut(&key) else { return };
@@ -54,6 +55,7 @@
         self.take(now, &key);
     }
 
+    /// A replica has promised the epoch claimed.
     pub(crate) fn on_promise(
         &mut self,
         now: Micros,
--- a/crates/control-store/src/durable.rs
+++ b/crates/control-store/src/durable.rs
@@ -66,10 +66,12 @@
         self.voter() && self.room
     }
 
+    /// The key goes into the next write.
     pub(crate) fn write_key(&mut self, key: &str) {
         self.dirty.insert(key.to_owned());
     }
 
+    /// The metadata goes into the next write.
     pub(crate) fn write_metadata(&mut self) {
         self.dirty_metadata = true;
     }
@@ -102,6 +104,7 @@
         }
     }
 
+    /// Does what waited for a write.
     fn run(&mut self, now: Micros, one: After<P>) {
         match one {
             After::Send(version, ..) if version != self.replica_set.version => {}
@@ -118,6 +121,7 @@
         }
     }
 
+    /// The metadata as it is to be written.
     pub(crate) fn metadata(&self) -> Metadata {
         Metadata {
             replica_set: self.replica_set.clone(),
@@ -127,6 +131,7 @@
         }
     }
 
+    /// The key as it is to be written.
     pub(crate) fn stored_key(&self, key: &str) -> Option<Stored<P>> {
         let slot = self.keys.get(key)?;
         let (promised, accepted, value) = (slot.promised, slot.accepted, slot.value.clone());
--- a/crates/control-store/src/figures.rs
+++ b/crates/control-store/src/figures.rs
@@ -24,7 +24,7 @@
     pub key: String,
     /// The highest epoch promised here.
     pub promised: Epoch,
-    /// Where the copy here stands.
+    /// The revision of the copy here.
     pub accepted: Revision,
     /// Who is believed to own it.
     pub owner: Option<Node>,
--- a/crates/control-store/src/lib.rs
+++ b/crates/control-store/src/lib.rs
@@ -3,6 +3,7 @@
 //! The argument why nothing acknowledged is lost: `docs/design/ledger.md`.
 #![forbid(unsafe_code)]
 
+mod batch;
 mod broken;
 mod calls;
 mod claim;
--- a/crates/control-store/src/links.rs
+++ b/crates/control-store/src/links.rs
@@ -8,7 +8,7 @@
 use crate::{Epoch, Micros, Node, State};
 
 impl<P: State> ControlStore<P> {
-    /// Whether a link to this node stands. Until told, none does.
+    /// Whether there is a link to this node. Until told, there is none.
     pub fn reachable(&mut self, now: Micros, node: Node, up: bool) {
         let room = self.up.len() < LINKS || self.replica_set.contains(node);
         if node == self.me || !(if up { room && self.up.insert(node) } else { self.up.remove(&node) }) {
@@ -92,14 +92,17 @@
         nodes
     }
 
+    /// Sends it, under the version of the replica set that is in force here.
     pub(crate) fn send(&mut self, to: Node, message: Message<P, P::Change>) {
         self.effects.push(Effect::Send { to, version: self.replica_set.version, message });
     }
 
+    /// Has the caller do it.
     pub(crate) fn effect(&mut self, effect: Effect<P>) {
         self.effects.push(effect);
     }
 
+    /// Whether no later incarnation of the replica's disk is known than this one.
     pub(crate) fn current(&self, node: Node, incarnation: Incarnation) -> bool {
         node == self.me
             || self.is(Broken::CountsLostDisks)
@@ -117,6 +120,7 @@
         current
     }
 
+    /// The incarnations of all disks, as far as they are known here.
     pub(crate) fn incarnations(&self) -> Incarnations {
         Incarnations {
             mine: self.incarnation,
--- a/crates/control-store/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -1,8 +1,8 @@
 //! An owner's work: copies to the replicas, commits, and the question whether its epoch is still in force.
 
+use crate::batch::Batch;
 use crate::broken::Broken;
 use crate::calls::Who;
-use crate::limits::BATCH;
 use crate::message::{Effect, Forwarded, Incarnation, Message, Request, Verdict};
 use crate::state::{After, Flight, Ownership, Round};
 use crate::store::ControlStore;
@@ -53,6 +53,7 @@
         }
     }
 
+    /// A replica has the copy of this number on disk.
     pub(crate) fn on_kept(
         &mut self,
         now: Micros,
@@ -108,67 +109,25 @@
         self.pump(now, key);
     }
 
-    /// Brings what waits at a settled key under way: reads and what stands already with the next question, changes with
-    /// the next copy.
+    /// Brings what waits at a settled key under way: reads and what is in force already with the next question, changes
+    /// with the next copy.
     pub(crate) fn pump(&mut self, now: Micros, key: &str) {
-        let unasked = self.is(Broken::ReadsUnasked);
-        let part = self.is(Broken::KeepsPart);
-        let keys = self.keys.len();
-        let (refuses, tells) = (self.is(Broken::RefusesUnasked), self.is(Broken::TellsUncommitted));
-        let mut answers = Vec::new();
+        let (keys, piece, broken) = (self.keys.len(), self.piece, self.broken);
         let Some(slot) = self.keys.get_mut(key) else { return };
         let Ownership::Owner(owner) = &mut slot.ownership else { return };
         let Some((revision, committed)) = &owner.committed else { return };
-        let mut value = None;
-        let mut jobs = Vec::new();
-        let (mut changes, mut bytes) = (Vec::new(), 0);
-        let mut waiting = std::collections::VecDeque::new();
+        let mut batch = Batch::new(*revision, piece, owner.flight.is_some(), broken);
         for job in std::mem::take(&mut slot.queue) {
             let open = match job.who {
                 Who::Local(id) => self.open.contains_key(&id),
                 Who::Remote(..) => now < job.until,
             };
-            let Request::Change(change) = &job.ask else {
-                if open && unasked {
-                    answers.push((job.who, Verdict::Value { revision: *revision, value: committed.clone() }));
-                } else if open {
-                    owner.asked.push((job, None));
-                }
-                continue;
-            };
-            if !open {
-                continue;
-            }
-            if owner.flight.is_some() || changes.len() >= BATCH || bytes >= self.piece {
-                waiting.push_back(job);
-                continue;
-            }
-            // A value is tried on a copy: what is refused may leave nothing behind.
-            let mut tried = value.as_ref().unwrap_or(committed).clone();
-            match (tried.apply(change), value.is_some()) {
-                (Ok(true), _) => {
-                    value = Some(tried);
-                    bytes += bitcode::encode(change).len();
-                    changes.push(change.clone());
-                    jobs.push((job, Ok(true)));
-                }
-                (Ok(false), false) => owner.asked.push((job, None)),
-                (Err(refusal), _) if part && tried != *committed => {
-                    value = Some(tried);
-                    bytes += bitcode::encode(change).len();
-                    changes.push(change.clone());
-                    jobs.push((job, Err(refusal)));
-                }
-                (Err(refusal), false) if refuses => answers.push((job.who, Verdict::Refused(refusal))),
-                (Err(refusal), false) => owner.asked.push((job, Some(refusal))),
-                (Err(refusal), true) if tells => answers.push((job.who, Verdict::Refused(refusal))),
-                (Ok(false), true) if tells => {
-                    answers.push((job.who, Verdict::Done { revision: *revision, changed: false }));
-                }
-                // Rests on a change that is not yet committed: told when that is.
-                (outcome, true) => jobs.push((job, outcome)),
+            if open {
+                batch.add(job, committed);
             }
         }
+        let Batch { value, changes, jobs, asked, waiting, answers, .. } = batch;
+        owner.asked.extend(asked);
         slot.queue = waiting;
         let copy = value.map(|value| {
             owner.seq += 1;
@@ -191,7 +150,7 @@
         self.ask(now, key);
     }
 
-    /// Asks the others whether the epoch still stands, for all that waits for it.
+    /// Asks the others whether the epoch is still in force, for all that waits for it.
     fn ask(&mut self, now: Micros, key: &str) {
         let Some(Ownership::Owner(owner)) = self.keys.get_mut(key).map(|slot| &mut slot.ownership) else {
             return;
@@ -209,6 +168,7 @@
         self.on_confirmed(now, self.me, key.to_owned(), epoch, round);
     }
 
+    /// A node has promised no higher epoch: once more than half say so, what waited for it is answered.
     pub(crate) fn on_confirmed(&mut self, now: Micros, from: Node, key: String, epoch: Epoch, round: u64) {
         let Some(Ownership::Owner(owner)) = self.keys.get_mut(&key).map(|slot| &mut slot.ownership) else {
             return;
--- a/crates/control-store/src/state.rs
+++ b/crates/control-store/src/state.rs
@@ -7,6 +7,7 @@
 use crate::{Epoch, Micros, Node, Refusal, Revision, State};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// What this node is to the replica set.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Phase {
     /// The metadata is being written.
@@ -40,6 +41,7 @@
     pub queue: VecDeque<Job<P::Change>>,
 }
 
+/// What this node is to a key.
 #[derive(Clone, Debug)]
 pub(crate) enum Ownership<P: State> {
     Replica,
@@ -75,7 +77,7 @@
     pub kept: BTreeMap<Node, (Incarnation, u64)>,
     /// The copy under way, one at a time.
     pub flight: Option<Flight<P>>,
-    /// The question under way whether the epoch still stands, one at a time.
+    /// The question under way whether the epoch is still in force, one at a time.
     pub round: Option<Round<P::Change>>,
     pub rounds: u64,
     /// What the next question is for, with the queue at most `QUEUE`. A refusal waits for it too: an owner that was
@@ -84,12 +86,14 @@
     pub forwards: Forwards,
 }
 
+/// A copy under way, and the calls answered with its commit.
 #[derive(Clone, Debug)]
 pub(crate) struct Flight<P: State> {
     pub sent: Micros,
     pub jobs: Vec<(Job<P::Change>, Outcome)>,
 }
 
+/// A question under way whether the epoch is still in force, who has confirmed it, and the calls that wait for it.
 #[derive(Clone, Debug)]
 pub(crate) struct Round<C> {
     pub number: u64,
@@ -121,7 +125,7 @@
     Voter(u64),
 }
 
-/// Where repair stands.
+/// How far repair has come.
 #[derive(Clone, Debug)]
 pub(crate) struct Repair<P> {
     /// Who has answered, with which incarnation. At most one of each replica.
@@ -135,6 +139,12 @@
 }
 
 impl<P> Repair<P> {
+    /// Nothing asked yet.
+    pub(crate) fn new(now: Micros) -> Self {
+        let (replies, keys, values) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Repair { replies, keys, values, vote: Vote::default(), sent: now }
+    }
+
     /// Which revision of the key, or a later one, is still to be fetched.
     pub(crate) fn lacks(&self, key: &str) -> Option<Revision> {
         let needed = self.keys.get(key).map(|(held, _)| held.accepted)?;
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -79,6 +79,21 @@
     pub(crate) broken: Option<Broken>,
 }
 
+/// What a node is to the replica set at its start, and its metadata.
+fn first_phase(start: &Start, metadata: Option<Metadata>) -> (Phase, Metadata) {
+    match metadata {
+        // It was found to have gone back: as good as empty.
+        Some(metadata) if metadata.replica_set.version == 0 => (Phase::Outside, metadata),
+        Some(metadata) => (Phase::Voter, metadata),
+        None => {
+            let replica = start.fresh && start.replica_set.contains(&start.me);
+            let phase = if replica { Phase::Formatting } else { Phase::Outside };
+            let replica_set = ReplicaSet::first(u64::from(start.fresh), start.replica_set.clone());
+            (phase, Metadata { replica_set, ..Metadata::default() })
+        }
+    }
+}
+
 /// Spreads the bits of a number: draws and the order of owners come from it.
 pub(crate) fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -89,17 +104,7 @@
 impl<P: State> ControlStore<P> {
     /// A control store on what was found on disk.
     pub fn new(now: Micros, start: Start, disk: Disk<P>) -> Self {
-        let (phase, metadata) = match disk.metadata {
-            // It was found to have gone back: as good as empty.
-            Some(metadata) if metadata.replica_set.version == 0 => (Phase::Outside, metadata),
-            Some(metadata) => (Phase::Voter, metadata),
-            None => {
-                let holds = start.fresh && start.replica_set.contains(&start.me);
-                let phase = if holds { Phase::Formatting } else { Phase::Outside };
-                let replica_set = ReplicaSet::first(u64::from(start.fresh), start.replica_set);
-                (phase, Metadata { replica_set, ..Metadata::default() })
-            }
-        };
+        let (phase, metadata) = first_phase(&start, disk.metadata);
         let replica_set = metadata.replica_set;
         let gone = replica_set.nodes().filter(|n| *n != start.me).map(|n| (n, now)).collect();
         let mut store = ControlStore {
@@ -118,13 +123,7 @@
             phase,
             incarnation: metadata.incarnation,
             incarnations: metadata.incarnations.into_iter().collect(),
-            repair: Repair {
-                replies: BTreeMap::new(),
-                keys: BTreeMap::new(),
-                values: BTreeMap::new(),
-                vote: Vote::default(),
-                sent: now,
-            },
+            repair: Repair::new(now),
             pulls: BTreeMap::new(),
             served: Vec::new(),
             piece: PIECE,
@@ -144,19 +143,24 @@
             broken: None,
         };
         store.next_call = store.draw();
-        for key in start.keys {
-            store.slot(now, &key);
+        store.load(now, start.keys, disk.keys);
+        store
+    }
+
+    /// Puts in the keys that exist from the start, and what was found on disk if it counts.
+    fn load(&mut self, now: Micros, keys: Vec<String>, found: Vec<Stored<P>>) {
+        for key in keys {
+            self.slot(now, &key);
         }
-        if phase == Phase::Voter {
-            for stored in disk.keys {
-                store.adopt(now, stored);
+        if self.phase == Phase::Voter {
+            for stored in found {
+                self.adopt(now, stored);
             }
         }
-        if phase == Phase::Formatting {
-            store.dirty_metadata = true;
-            store.after.push(After::Voter(store.replica_set.version));
+        if self.phase == Phase::Formatting {
+            self.dirty_metadata = true;
+            self.after.push(After::Voter(self.replica_set.version));
         }
-        store
     }
 
     /// Pieces of so many bytes in the place of [`PIECE`], so that small values go in several too.
@@ -185,7 +189,7 @@
         }
     }
 
-    /// The key's place, made if there is room.
+    /// The key's slot, made if there is room.
     pub(crate) fn slot(&mut self, now: Micros, key: &str) -> Option<&mut Slot<P>> {
         if !self.keys.contains_key(key) {
             if self.keys.len() >= KEYS || key.len() > NAME {
@@ -227,13 +231,7 @@
             self.take_replica_set(now, replica_set);
             return;
         }
-        if version > mine && !self.is(Broken::HeedsOldReplicaSet) {
-            self.send(from, Message::AskReplicaSet);
-            return;
-        }
-        if version < mine && !self.is(Broken::HeedsOldReplicaSet) {
-            self.figures.older_replica_set += 1;
-            self.send(from, Message::ReplicaSet { replica_set: self.replica_set.clone() });
+        if !self.same_version(from, version) {
             return;
         }
         if matches!(message, Message::AskReplicaSet) && self.voter() {
@@ -250,6 +248,22 @@
         self.heed(now, from, message);
     }
 
+    /// Whether a message was said under the replica set in force here; else what is newer is asked for or told.
+    fn same_version(&mut self, from: Node, version: u64) -> bool {
+        let mine = self.replica_set.version;
+        if version == mine || self.is(Broken::HeedsOldReplicaSet) {
+            return true;
+        }
+        if version > mine {
+            self.send(from, Message::AskReplicaSet);
+        } else {
+            self.figures.older_replica_set += 1;
+            self.send(from, Message::ReplicaSet { replica_set: self.replica_set.clone() });
+        }
+        false
+    }
+
+    /// Hands a message that counts to what handles it.
     pub(crate) fn heed(&mut self, now: Micros, from: Node, message: Message<P, P::Change>) {
         match message {
             Message::Verdict { id, under, forwarded } => self.on_verdict(now, from, id, under, forwarded),
@@ -344,6 +358,7 @@
         self.phase == Phase::Voter
     }
 
+    /// The next random number.
     pub(crate) fn draw(&mut self) -> u64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
         mix(self.random)
