Control store: long comment lines wrapped, the last private functions documented

Change: comments only, and the imports of broken.rs that break_it alone needs are under its feature.

--- a/crates/control-store/src/batch.rs
+++ b/crates/control-store/src/batch.rs
@@ -50,6 +50,7 @@
         }
     }
 
+    /// Whether it is broken so.
     fn is(&self, broken: Broken) -> bool {
         active(self.broken, broken)
     }
--- a/crates/control-store/src/broken.rs
+++ b/crates/control-store/src/broken.rs
@@ -1,7 +1,9 @@
 //! Faults put in on purpose, so that the tests can show that they would find them.
 
 use crate::store::ControlStore;
-use crate::{Epoch, Revision, State};
+use crate::State;
+#[cfg(feature = "mutants")]
+use crate::{Epoch, Revision};
 
 /// How a control store is broken on purpose; without the feature `mutants` nothing heeds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/control-store/src/claim.rs
+++ b/crates/control-store/src/claim.rs
@@ -10,7 +10,8 @@
 use std::collections::BTreeMap;
 
 impl<P: State> ControlStore<P> {
-    /// Wants to own the key. The epoch is durable here before anybody hears of it, so that no later start uses it again.
+    /// Wants to own the key. The epoch is durable here before anybody hears of it, so that no later start uses it
+    /// again.
     pub(crate) fn claim(&mut self, now: Micros, key: &str) {
         if !self.able() {
             return;
@@ -78,8 +79,8 @@
         self.take(now, &key);
     }
 
-    /// Once more than half have promised: writes the key anew if nobody among them has a later copy, else leaves it to who has.
-    /// Who can't be reached any more is not counted, unless its copy is no later.
+    /// Once more than half have promised: writes the key anew if nobody among them has a later copy, else leaves it to
+    /// who has. Who can't be reached any more is not counted, unless its copy is no later.
     pub(crate) fn take(&mut self, now: Micros, key: &str) {
         let Some(slot) = self.keys.get(key) else { return };
         let Ownership::Claiming(claim) = &slot.ownership else { return };
--- a/crates/control-store/src/due.rs
+++ b/crates/control-store/src/due.rs
@@ -80,6 +80,7 @@
         }
     }
 
+    /// Does what is due for one key.
     fn tick_key(&mut self, now: Micros, key: &str) {
         let Some(slot) = self.keys.get_mut(key) else { return };
         slot.queue.retain(|job| now < job.until);
--- a/crates/control-store/src/durable.rs
+++ b/crates/control-store/src/durable.rs
@@ -32,8 +32,9 @@
         }
     }
 
-    /// Whether the disk takes writes; until told otherwise it does. Without room nothing is said that rests on a write, nothing is
-    /// claimed, and what this node owns goes to others; what rests on no write goes on. Writes under way stay so.
+    /// Whether the disk takes writes; until told otherwise it does. Without room nothing is said that rests on a write,
+    /// nothing is claimed, and what this node owns goes to others; what rests on no write goes on. Writes under way
+    /// stay so.
     pub fn room(&mut self, now: Micros, room: bool) {
         if self.room == room {
             return;
@@ -76,6 +77,7 @@
         self.dirty_metadata = true;
     }
 
+    /// Whether anything is to go into the next write.
     fn unwritten(&self) -> bool {
         self.dirty_metadata || !self.dirty.is_empty()
     }
@@ -86,8 +88,8 @@
         self.dirty_metadata = false;
     }
 
-    /// Does it once all that was to be written until now is durable. While the disk has no room a message that would wait for that is
-    /// left unsaid: who asked asks again.
+    /// Does it once all that was to be written until now is durable. While the disk has no room a message that would
+    /// wait for that is left unsaid: who asked asks again.
     pub(crate) fn later(&mut self, now: Micros, one: After<P>) {
         let waits = self.unwritten() || !self.writes.is_empty();
         if waits && !self.room && matches!(one, After::Send(..)) {
--- a/crates/control-store/src/links.rs
+++ b/crates/control-store/src/links.rs
@@ -81,7 +81,8 @@
         self.replica_set.nodes().filter(|n| *n != self.me && self.up.contains(n)).collect()
     }
 
-    /// The replicas that can be reached, this one included, in the order in which they would own the key: those that leave last.
+    /// The replicas that can be reached, this one included, in the order in which they would own the key: those that
+    /// leave last.
     pub(crate) fn order(&self, key: &str) -> Vec<Node> {
         let name = key
             .bytes()
--- a/crates/control-store/src/owner.rs
+++ b/crates/control-store/src/owner.rs
@@ -9,7 +9,8 @@
 use crate::{Epoch, Micros, Node, Revision, State};
 
 impl<P: State> ControlStore<P> {
-    /// The last copy, committed or not: it is the owner's alone to write under its epoch. Who lacks what was before it says so.
+    /// The last copy, committed or not: it is the owner's alone to write under its epoch. Who lacks what was before it
+    /// says so.
     pub(crate) fn send_last(&mut self, now: Micros, to: Node, key: &str) {
         let Some(slot) = self.keys.get(key) else { return };
         match slot.recent.before_last() {
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -212,8 +212,9 @@
         self.keys.get_mut(key)
     }
 
-    /// A message came, said under this version of the replica set. One of an older version is answered with the newer replica set and
-    /// does nothing else. From a node outside the replica set it is counted and dropped, but for calls that it forwards.
+    /// A message came, said under this version of the replica set. One of an older version is answered with the newer
+    /// replica set and does nothing else. From a node outside the replica set it is counted and dropped, but for calls
+    /// that it forwards.
     pub fn receive(&mut self, now: Micros, from: Node, version: u64, message: Message<P, P::Change>) {
         if from == self.me {
             self.figures.strangers += 1;
