A lost replica is replaced after 1 s, not 4 s, while another one stops in plan

Cause: of three replicas one stops in plan and another is lost for good at that moment. If the newcomer is repaired half a second to a second late, the change is given up (without the newcomer's vote nothing could be acknowledged), and is not tried again with the same newcomer before the lost one counts as gone, 4 s after its loss (GONE): the leaver is needed for 4.5 to 4.8 s. A grace of 4 s ends before that, and the one that is left is no majority: the newcomer stays "repairing" for ever.

Change: while a replica that is still there has said that it stops, another one that can't be reached counts as gone after GONE_AS_ONE_LEAVES, 1 s, for who proposes and for who promises. Safety rests on no such time. If it only was away for a moment it is a candidate when it is back, and comes in the place of the leaver.

The play of control machines: on a failure each control machine's whole Post.State and its last 60 lines, by name (before: 12 lines and the ledger's part of the state); the figures are printed in any case.

--- a/crates/control-store/src/replica_set.rs
+++ b/crates/control-store/src/replica_set.rs
@@ -3,7 +3,9 @@
 
 use crate::message::{Incarnation, Incarnations, Message};
 use crate::recent::Recent;
-use crate::store::{After, Broken, ControlStore, Ownership, Phase, GONE, RESEND, STAGGER};
+use crate::store::{
+    After, Broken, ControlStore, Ownership, Phase, GONE, GONE_AS_ONE_LEAVES, RESEND, STAGGER,
+};
 use crate::{Epoch, Micros, Node, Revision, State};
 use bitcode::{Decode, Encode};
 use std::collections::{BTreeMap, BTreeSet};
@@ -334,11 +336,21 @@
         self.replica_set.nodes().filter(|n| *n < self.me && self.up.contains(n)).count() as Micros
     }
 
+    /// From when on a replica that can't be reached counts as gone for long.
+    fn gone_from(&self, node: Node) -> Option<Micros> {
+        let leaves = |n: Node| n != node && self.there(n) && self.leavers.contains_key(&n);
+        let span = if self.replica_set.nodes().any(leaves) { GONE_AS_ONE_LEAVES } else { GONE };
+        self.gone.get(&node).map(|since| since + span)
+    }
+
+    fn gone_long(&self, now: Micros, node: Node) -> bool {
+        self.gone_from(node).is_some_and(|at| now >= at)
+    }
+
     /// From when on this replica is to be replaced: if it is gone for long, or has said that it stops. Then it wants that first
     /// itself, for its own word needs no other that knows of it.
     fn replace_from(&self, node: Node) -> Option<Micros> {
-        let gone = self.gone.get(&node).copied();
-        let Some(said) = self.leavers.get(&node) else { return gone.map(|since| since + GONE) };
+        let Some(said) = self.leavers.get(&node) else { return self.gone_from(node) };
         Some(if node == self.me { *said } else { *said + STAGGER })
     }
 
@@ -379,7 +391,6 @@
 
     /// What this node would have the next replica set be.
     fn plan(&self, now: Micros) -> Option<ReplicaSet> {
-        let gone = |node: Node| self.gone.get(&node).is_some_and(|since| now >= since + GONE);
         match (self.replica_set.leaving, self.replica_set.coming) {
             (Some(old), Some(new)) => {
                 // Who stops in plan is there as long as it can be.
@@ -388,7 +399,7 @@
                 // Another one is gone, so without the newcomer's vote there is no quorum, and it was asked in vain.
                 let asked = self.proposal.as_ref().is_some_and(|p| !p.promises.contains_key(&new));
                 let slow = asked && self.there(old) && self.another_gone(&[old, new]);
-                let fails = gone(new) || self.leavers.contains_key(&new) || slow;
+                let fails = self.gone_long(now, new) || self.leavers.contains_key(&new) || slow;
                 Some(self.replica_set.without(if back || fails { new } else { old }))
             }
             _ => {
@@ -445,8 +456,7 @@
         if epoch.owner != from.0 || self.overruled(from, epoch) {
             return;
         }
-        let gone_long = |node| self.gone.get(&node).is_some_and(|since| now >= since + GONE);
-        let agrees = |node| node == from || self.leavers.contains_key(&node) || gone_long(node);
+        let agrees = |node| node == from || self.leavers.contains_key(&node) || self.gone_long(now, node);
         if !gone.is_none_or(agrees) {
             return;
         }
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -37,6 +37,8 @@
 pub const BATCH: usize = 64;
 /// A replica that nobody reaches for this long is replaced, if there is a candidate.
 pub const GONE: Micros = 4_000_000;
+/// The same while another replica stops in plan: once that one has ended there may be no majority without one in its place.
+pub const GONE_AS_ONE_LEAVES: Micros = 1_000_000;
 /// Between those who propose a change of the replica set, and between the tries of each (and as much again, drawn).
 pub const STAGGER: Micros = 500_000;
 
--- a/crates/control-store/tests/planned.rs
+++ b/crates/control-store/tests/planned.rs
@@ -159,6 +159,42 @@
     assert_eq!(newcomer_never_repaired(Some(Broken::DropsLeaverEarly)), (false, None), "no majority");
 }
 
+/// As the leaver is told to stop another replica is lost for good, and the newcomer syncs nothing for so long, so that the change
+/// is abandoned. After how long the leaver may end; those that are left then have a majority.
+fn newcomer_late(owner_leaves: bool, lost: usize, late: Micros) -> Micros {
+    let mut case = Case::new(owner_leaves, None);
+    let leaver = case.leaver;
+    case.b.slow_disk.insert(3);
+    case.b.leave(leaver);
+    case.b.part(lost);
+    let from = case.b.now;
+    case.b.go(late);
+    case.b.slow_disk.clear();
+    case.b.sync(3);
+    while case.b.ledgers[leaver].needed() && case.b.now < from + 20_000_000 {
+        case.b.go(20_000);
+    }
+    let after = case.b.now - from;
+    case.b.part(leaver);
+    let there: Vec<usize> = (0..4).filter(|n| *n != lost && *n != leaver).collect();
+    assert!(case.answers_after(&there).is_some(), "no majority once the leaver ended");
+    case.whole(&there);
+    after
+}
+
+#[test]
+fn a_leaver_may_end_soon_when_another_is_lost_and_the_newcomer_is_late() {
+    for late in [0, 500_000, 1_000_000, 1_500_000, 2_000_000, 2_500_000] {
+        for (owner_leaves, lost) in [false, true].into_iter().flat_map(|o| (0..3).map(move |n| (o, n))) {
+            if lost == Case::new(owner_leaves, None).leaver {
+                continue;
+            }
+            let after = newcomer_late(owner_leaves, lost, late);
+            assert!(after <= late + 1_500_000, "{late} us late, {lost} lost: {after} us");
+        }
+    }
+}
+
 /// The new replica set stands at the newcomer and at one other, which alone have a change; that one is wiped and repaired while
 /// the newcomer can't be reached, but the leaver is back on its disk from the middle of the change, like the third. Whether they
 /// acknowledge anything, and whether the change is there when the newcomer is back.
--- a/crates/village/src/control.rs
+++ b/crates/village/src/control.rs
@@ -29,6 +29,8 @@
 const LOOKS: Duration = Duration::from_millis(50);
 /// Routes that are changed in turn.
 const ROUTES: u64 = 40;
+/// Lines of each control machine's log that are kept where a play fails.
+const LINES: usize = 60;
 /// The platform asks and the operator sends within this, or goes elsewhere.
 const SILENCE: Duration = Duration::from_secs(1);
 
@@ -267,9 +269,12 @@
     let mut faults = std::mem::take(&mut seen.judged.faults);
     if let Err(e) = went {
         faults.push(format!("{e:#}"));
+        // As it is now: what a machine thinks, and what it said last.
         for m in v.mesh.cores().chain(v.mesh.spares()) {
-            faults.extend(v.mesh.log(m, 12));
-            faults.push(told(v.mesh.control(m), "/-/Post.State").await["ledger"].to_string());
+            let (name, pid) = (&v.mesh.machines[m].name, v.mesh.pid(m));
+            let state = told(v.mesh.control(m), "/-/Post.State").await;
+            faults.push(format!("{name} (process {pid:?}) says of itself: {state}"));
+            faults.extend(v.mesh.log(m, LINES).into_iter().map(|line| format!("{name} logged: {line}")));
         }
     }
     faults.extend(clients.more(50).await.err().map(|e| format!("{e:#}")));
--- a/crates/village/tests/control.rs
+++ b/crates/village/tests/control.rs
@@ -6,6 +6,7 @@
 async fn kept(name: &str) -> Seen {
     let program = program::find().expect("the program is built");
     let seen = play(name, &program, Extent::SHORT).await.expect("it can be played");
+    println!("{name}: {} changes; {:?}", seen.changes, seen.figures);
     assert!(seen.judged.faults.is_empty(), "{seen:#?}");
     assert!(seen.judged.served > seen.judged.tried / 2, "{seen:#?}");
     seen
