--- a/crates/control-store/tests/planned.rs
+++ b/crates/control-store/tests/planned.rs
@@ -195,6 +195,42 @@
     }
 }
 
+/// After how long the leaver may end if another one is lost for good at this step; those that are left then have a majority.
+fn lost_before_the_leaver_ends(owner_leaves: bool, step: usize, lost: usize) -> Micros {
+    let mut case = Case::new(owner_leaves, None);
+    let leaver = case.leaver;
+    case.b.fuse = Some(step);
+    case.leave();
+    case.b.fuse = None;
+    case.strike(Blow::Lost, lost);
+    let from = case.b.now;
+    while case.b.ledgers[leaver].needed() && case.b.now < from + 20_000_000 {
+        case.b.go(20_000);
+    }
+    let after = case.b.now - from;
+    case.b.part(leaver);
+    let there: Vec<usize> = (0..4).filter(|n| *n != lost && *n != leaver).collect();
+    assert!(case.answers_after(&there).is_some(), "no majority once the leaver ended");
+    case.whole(&there);
+    after
+}
+
+#[test]
+fn a_leaver_may_end_soon_at_whatever_step_another_is_lost() {
+    let mut longest = 0;
+    for owner_leaves in [false, true] {
+        let leaver = Case::new(owner_leaves, None).leaver;
+        let steps = steps(owner_leaves, None);
+        for (step, lost) in (0..=steps).flat_map(|s| (0..4).map(move |n| (s, n))) {
+            if lost != leaver {
+                longest = longest.max(lost_before_the_leaver_ends(owner_leaves, step, lost));
+            }
+        }
+    }
+    println!("the leaver may end after {longest} us at most");
+    assert!(longest <= 2_500_000, "{longest} us");
+}
+
 /// The new replica set stands at the newcomer and at one other, which alone have a change; that one is wiped and repaired while
 /// the newcomer can't be reached, but the leaver is back on its disk from the middle of the change, like the third. Whether they
 /// acknowledge anything, and whether the change is there when the newcomer is back.
