A leaver stays while those that are left are no majority and a newcomer is known

Cause: a leaver counted itself as needed no more when no candidate was to be seen at that moment. After a change was given up the newcomer still says, until it hears so, that it is a replica, so the leaver knew no candidate and ended at once, with another replica lost: no majority until one of both is back. A link to the newcomer that was down for a moment did the same.

Change: needed() holds as well while the others that can be reached are no majority and a newcomer was given up in the last change, or a candidate is known whose link is down. The leaver's grace bounds that as before.

Test: planned.rs, a_leaver_stays_while_the_newcomer_has_not_heard_that_it_was_given_up: fails with the code before (not needed).

--- a/crates/control-store/src/replica_set.rs
+++ b/crates/control-store/src/replica_set.rs
@@ -194,10 +194,21 @@
                 let voters: Vec<Node> = voters.iter().copied().collect();
                 !self.is(Broken::EndsUnconfirmed) && !self.replica_set.more_than_half(&voters, None)
             }
-            None => !self.outside() && (self.replica_set.joint() || self.spare().is_some()),
+            None => {
+                let wanted = self.replica_set.joint() || self.spare().is_some() || self.awaits_spare();
+                !self.outside() && wanted
+            }
         }
     }
 
+    /// Whether the others that can be reached are no majority, and one may come that can't at this moment: the link to it is down,
+    /// or it hasn't heard yet that the change in which it came was given up.
+    fn awaits_spare(&self) -> bool {
+        let others: Vec<Node> = self.up.iter().copied().collect();
+        let known = self.failed.is_some() || self.candidates.iter().any(|n| !self.replica_set.contains(*n));
+        known && !self.replica_set.more_than_half(&others, None)
+    }
+
     pub(crate) fn on_in_force(&mut self, from: Node) {
         if let Some(voters) = &mut self.in_force {
             voters.insert(from);
--- a/crates/control-store/tests/planned.rs
+++ b/crates/control-store/tests/planned.rs
@@ -195,6 +195,38 @@
     }
 }
 
+/// The change is given up while another one is lost for good, and the newcomer hears of that late: it says that it is no
+/// candidate. Whether the leaver is there all the same, until those that are left have a majority.
+fn given_up_unheard(owner_leaves: bool) -> bool {
+    let mut case = Case::new(owner_leaves, None);
+    let leaver = case.leaver;
+    let rest: Vec<usize> = (0..3).filter(|n| *n != leaver).collect();
+    case.b.slow_disk.insert(3);
+    case.b.leave(leaver);
+    assert!(case.b.ledgers[3].replicas().joint());
+    case.b.part(rest[0]);
+    let ways = [(leaver, 3), (rest[1], 3)];
+    case.b.cut.extend(ways);
+    case.b.go(2_500_000);
+    assert!(!case.b.ledgers[leaver].replicas().joint() && case.b.ledgers[3].replicas().joint());
+    let needed = case.b.ledgers[leaver].needed();
+    case.b.cut.retain(|way| !ways.contains(way));
+    case.b.slow_disk.clear();
+    case.b.sync(3);
+    case.b.gossip();
+    case.b.go(4_000_000);
+    assert!(!case.b.ledgers[leaver].needed(), "it may end now");
+    case.b.part(leaver);
+    assert!(case.answers_after(&[rest[1], 3]).is_some(), "no majority once the leaver ended");
+    case.whole(&[rest[1], 3]);
+    needed
+}
+
+#[test]
+fn a_leaver_stays_while_the_newcomer_has_not_heard_that_it_was_given_up() {
+    assert_eq!([false, true].map(given_up_unheard), [true, true]);
+}
+
 /// After how long the leaver may end if another one is lost for good at this step; those that are left then have a majority.
 fn lost_before_the_leaver_ends(owner_leaves: bool, step: usize, lost: usize) -> Micros {
     let mut case = Case::new(owner_leaves, None);
