--- a/crates/control-store/src/replica_set.rs
+++ b/crates/control-store/src/replica_set.rs
@@ -205,7 +205,8 @@
     /// or it hasn't heard yet that the change in which it came was given up.
     fn awaits_spare(&self) -> bool {
         let others: Vec<Node> = self.up.iter().copied().collect();
-        let known = self.failed.is_some() || self.candidates.iter().any(|n| !self.replica_set.contains(*n));
+        let free = |n: &Node| !self.replica_set.contains(*n) && !self.leavers.contains_key(n);
+        let known = self.candidates.iter().chain(&self.failed).any(free);
         known && !self.replica_set.more_than_half(&others, None)
     }
 
