--- a/crates/village/src/control.rs
+++ b/crates/village/src/control.rs
@@ -21,8 +21,8 @@
 
 /// A play's name, in the order of the table.
 pub const PLAYS: [&str; 4] = ["cut", "replace", "replace-then-loss", "restart"];
-/// The grace of a planned replacement, in seconds: a leaver goes as soon as it is replaced, so that a slow machine changes nothing.
-const GRACE_S: f64 = 15.0;
+/// The grace of a planned replacement, in seconds: a leaver goes as soon as it is replaced.
+const GRACE_S: f64 = 6.0;
 /// Machines with an upstream.
 const SIDES: usize = 3;
 /// Between two looks at a machine that was cut off.
