Test: the wiped machine votes again before the next one is killed

Cause: a_core_that_is_killed_and_wiped_does_no_harm failed once under load ("taken with it"). Its wait asks the wiped machine for the configuration, which a machine that is not yet repaired passes on to the others and answers 200: then two of three are gone at once, which is more than is to be borne. Now it also waits until that machine says that it votes: the same assertions, a stricter wait.

--- a/crates/village/tests/chain.rs
+++ b/crates/village/tests/chain.rs
@@ -152,6 +152,8 @@
     })
     .await
     .expect("in time");
+    // The call may have been answered by another: only once it votes may the next one go.
+    v.until_told("it is repaired", &[0], |s| s["ledger"]["voter"] == true).await.expect("in time");
     v.mesh.kill(1).expect("killed");
     v.operator.patch(&calls[1]).await.expect("taken with it");
     served(&v, &round(&v).await);
