Sight: which requests were answered 404 before their route came, and what waits to be written on links

Cause: the record of the incident can't tell a 404 by an old table from one by a table that lacks a route, nor how much waits for a link. Change: log lines 'no route' (with the revision in force) and 'routes came after requests for them', counters noRoute, routeCameLate, routeLateUs, linkBacklogBytes, linkBacklogPeakBytes. No logic is changed.

--- a/crates/daemon/mesh/src/client_listener/route.rs
+++ b/crates/daemon/mesh/src/client_listener/route.rs
@@ -40,6 +40,7 @@
         return ClientResponse::not_run(503, "no configuration has come yet", None);
     }
     let Some(route) = table.find(&head.host, &head.target) else {
+        node_state.note_unrouted(&head.host, &head.target);
         return ClientResponse::own(404, "no route");
     };
     let Some(attempt_id) = &head.attempt_id else {
--- a/crates/daemon/mesh/src/metrics.rs
+++ b/crates/daemon/mesh/src/metrics.rs
@@ -10,6 +10,7 @@
     let load = node_state.gate.with_admission(|admission| admission.load());
     let replay_cache = node_state.response_replay_cache.load();
     let membership = node_state.peers.membership(|membership| membership.metrics());
+    let unrouted = node_state.unrouted_counts();
     let mut report = json!({
         "clients": counters.client_connections.get(), "shutOut": counters.rejected_clients.get(),
         "hops": counters.hop_connections.get(), "hopsIdle": counters.idle_hop_connections.get(),
@@ -25,6 +26,10 @@
         "receipts": replay_cache.entries, "keptBytes": replay_cache.response_bytes,
         "freshnessAsked": membership.freshness_requests, "noRoom": counters.rejected_for_memory.get(),
         "heldBytes": node_state.body_budget.reserved_bytes(), "desks": balancers(node_state),
+        "noRoute": unrouted.rejected, "routeCameLate": unrouted.route_came_late,
+        "routeLateUs": unrouted.longest_wait.as_micros(),
+        "linkBacklogBytes": node_state.peers.link_backlog(),
+        "linkBacklogPeakBytes": node_state.peers.link_backlog_peak(),
         "feed": node_state.event_stream.get().map(|event_stream| event_stream.metrics()),
     });
     if let Some(members) = node_state.member_throttle.metrics() {
--- a/crates/daemon/mesh/src/node_state.rs
+++ b/crates/daemon/mesh/src/node_state.rs
@@ -16,6 +16,7 @@
 mod reloading;
 mod state;
 mod stopping;
+mod unrouted_requests;
 mod upstream_health;
 mod upstream_heartbeats;
 mod upstream_lists;
--- a/crates/daemon/mesh/src/node_state/control_entries.rs
+++ b/crates/daemon/mesh/src/node_state/control_entries.rs
@@ -1,5 +1,6 @@
 //! Control entries put in force: the configuration, evacuations, members and how far their slowing has come.
 use super::state::NodeState;
+use super::unrouted_requests::UnroutedCounts;
 use crate::control_value::{evacuated_zone, ControlValue, CONFIGURATION_KEY};
 use silvercross_mesh_config::{Configuration, RoutingTable};
 use silvercross_mesh_membership::Revision;
@@ -70,8 +71,37 @@
         self.update_upstream_lists();
     }
 
+    /// A request was answered 404: no route is known for it. The log says under which revision.
+    pub(crate) fn note_unrouted(&self, host: &str, path: &str) {
+        let now = self.now();
+        self.unrouted_requests.borrow_mut().reject(now, host, path);
+        if let Some(count) = self.unrouted_log.due(now) {
+            let revision = self.in_force.borrow().revisions.get(CONFIGURATION_KEY).copied();
+            let revision = revision.unwrap_or(Revision::new(0, 0, 0));
+            info!(self.log, "no route"; "host" => host, "path" => path, "count" => count,
+                "round" => revision.epoch, "change" => revision.sequence);
+        }
+    }
+
+    /// How many requests were answered 404, and how many of them had a route later.
+    pub(crate) fn unrouted_counts(&self) -> UnroutedCounts {
+        self.unrouted_requests.borrow().counts()
+    }
+
+    /// Requests that were answered 404 before their route came.
+    fn report_late_routes(&self, revision: Revision) {
+        let (now, table) = (self.now(), self.routing_table());
+        let late = self.unrouted_requests.borrow_mut().table_changed(now, &table);
+        if late > 0 {
+            let longest = self.unrouted_counts().longest_wait;
+            info!(self.log, "routes came after requests for them"; "requests" => late,
+                "longest_us" => longest.as_micros(), "round" => revision.epoch, "change" => revision.sequence);
+        }
+    }
+
     fn configure(self: &Rc<Self>, configuration: &Configuration, revision: Revision) {
         self.in_force.borrow_mut().configure(configuration);
+        self.report_late_routes(revision);
         let idle_timeout = self.routing_table().limits().idle_timeout;
         self.idle_timeout.borrow_mut().set_limit(self.now(), idle_timeout);
         info!(self.log, "configuration in force"; "round" => revision.epoch, "change" => revision.sequence);
--- a/crates/daemon/mesh/src/node_state/state.rs
+++ b/crates/daemon/mesh/src/node_state/state.rs
@@ -2,6 +2,7 @@
 use super::counters::{ConnectionKind, Counters};
 use super::in_force::InForce;
 use super::local_upstream::LocalUpstream;
+use super::unrouted_requests::UnroutedRequests;
 use super::upstream_lists::WarmUps;
 use crate::body_budget::BodyBudget;
 use crate::event_stream::EventStream;
@@ -66,6 +67,9 @@
     pub(super) rejected_connections_logs: [RateLimitedLog; ConnectionKind::COUNT],
     pub(super) clock: Clock,
     pub(super) in_force: RefCell<InForce>,
+    pub(super) unrouted_requests: RefCell<UnroutedRequests>,
+    /// Requests answered 404, for the log.
+    pub(super) unrouted_log: RateLimitedLog,
     pub(super) service_balancers: RefCell<BTreeMap<String, Rc<ServiceBalancer>>>,
     pub(super) other_nodes: RefCell<BTreeMap<Node, NodeRecord<RecordBody>>>,
     pub(super) warm_ups: RefCell<WarmUps>,
@@ -126,6 +130,8 @@
             rejected_connections_logs: Default::default(),
             clock,
             in_force: RefCell::default(),
+            unrouted_requests: RefCell::default(),
+            unrouted_log: RateLimitedLog::default(),
             service_balancers: RefCell::default(),
             other_nodes: RefCell::default(),
             warm_ups: RefCell::default(),
--- a/crates/daemon/mesh/src/peers/frame_writer.rs
+++ b/crates/daemon/mesh/src/peers/frame_writer.rs
@@ -1,5 +1,6 @@
 //! Frames written to a link, from two queues: urgent ones go before ordinary ones and between the chunks of a large one.
 use super::frame::{CHUNK_BYTES, CHUNK_FLAG, LAST_CHUNK_FLAG, LENGTH_BYTES};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -15,14 +16,47 @@
 /// The bytes of a frame, shared with whoever else gets it.
 pub(super) type FrameBytes = Rc<Vec<u8>>;
 
+/// How much waits to be written on a link.
+#[derive(Default)]
+pub(super) struct LinkBacklog {
+    waiting_bytes: Cell<usize>,
+}
+
+impl LinkBacklog {
+    /// Bytes of frames that the writer has not taken yet.
+    pub(super) fn waiting_bytes(&self) -> usize {
+        self.waiting_bytes.get()
+    }
+
+    fn add(&self, bytes: usize) {
+        self.waiting_bytes.set(self.waiting_bytes.get() + bytes);
+    }
+
+    fn remove(&self, bytes: usize) {
+        self.waiting_bytes.set(self.waiting_bytes.get().saturating_sub(bytes));
+    }
+}
+
+/// The queue of a link that a frame is put in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FramePriority {
+    /// It keeps its order.
+    Ordinary,
+    /// It goes before ordinary ones.
+    Urgent,
+}
+
+/// The link's queue takes nothing more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LinkStuck;
+
 /// A link that is up, as it is written to.
 pub(super) struct Link {
     /// Tells it from other links to the same node.
     pub(super) number: u64,
-    /// Frames that keep their order.
-    pub(super) ordinary: mpsc::Sender<FrameBytes>,
-    /// Frames that go before those.
-    pub(super) urgent: mpsc::Sender<FrameBytes>,
+    ordinary: mpsc::Sender<FrameBytes>,
+    urgent: mpsc::Sender<FrameBytes>,
+    backlog: Rc<LinkBacklog>,
 }
 
 /// The other end of a link's queues.
@@ -31,6 +65,7 @@
     pub(super) ordinary: mpsc::Receiver<FrameBytes>,
     /// Frames that go before those.
     pub(super) urgent: mpsc::Receiver<FrameBytes>,
+    backlog: Rc<LinkBacklog>,
 }
 
 impl Link {
@@ -38,8 +73,27 @@
     pub(super) fn new(number: u64) -> (Link, FrameQueues) {
         let (ordinary, waiting_ordinary) = mpsc::channel(MAX_QUEUED_FRAMES);
         let (urgent, waiting_urgent) = mpsc::channel(MAX_QUEUED_FRAMES);
-        let queues = FrameQueues { ordinary: waiting_ordinary, urgent: waiting_urgent };
-        (Link { number, ordinary, urgent }, queues)
+        let backlog: Rc<LinkBacklog> = Rc::default();
+        let queues =
+            FrameQueues { ordinary: waiting_ordinary, urgent: waiting_urgent, backlog: backlog.clone() };
+        (Link { number, ordinary, urgent, backlog }, queues)
+    }
+
+    /// Puts a frame in its queue.
+    pub(super) fn enqueue(&self, bytes: FrameBytes, priority: FramePriority) -> Result<(), LinkStuck> {
+        let queue = match priority {
+            FramePriority::Ordinary => &self.ordinary,
+            FramePriority::Urgent => &self.urgent,
+        };
+        let length = bytes.len();
+        queue.try_send(bytes).map_err(|_| LinkStuck)?;
+        self.backlog.add(length);
+        Ok(())
+    }
+
+    /// Bytes that wait to be written.
+    pub(super) fn waiting_bytes(&self) -> usize {
+        self.backlog.waiting_bytes()
     }
 }
 
@@ -79,10 +133,12 @@
         // What has gathered goes in one write.
         let mut output = Vec::new();
         while let Ok(bytes) = queues.urgent.try_recv() {
+            queues.backlog.remove(bytes.len());
             output.extend_from_slice(&bytes);
         }
         while large.is_none() && output.len() < CHUNK_BYTES {
             let Ok(bytes) = queues.ordinary.try_recv() else { break };
+            queues.backlog.remove(bytes.len());
             large = append(&mut output, bytes);
         }
         if large.as_mut().is_some_and(|large| large.next_chunk(&mut output)) {
@@ -90,8 +146,14 @@
         }
         if output.is_empty() {
             tokio::select! {
-                Some(bytes) = queues.urgent.recv() => output.extend_from_slice(&bytes),
-                Some(bytes) = queues.ordinary.recv() => large = append(&mut output, bytes),
+                Some(bytes) = queues.urgent.recv() => {
+                    queues.backlog.remove(bytes.len());
+                    output.extend_from_slice(&bytes);
+                }
+                Some(bytes) = queues.ordinary.recv() => {
+                    queues.backlog.remove(bytes.len());
+                    large = append(&mut output, bytes);
+                }
                 else => return,
             }
         }
--- a/crates/daemon/mesh/src/peers/links.rs
+++ b/crates/daemon/mesh/src/peers/links.rs
@@ -1,7 +1,7 @@
 //! Links between nodes: opened and accepted, identified, read and written, until they end.
 use super::frame::{encode_frame, Frame, CHUNK_BYTES, MAX_FRAME_BYTES, MAX_HELLO_BYTES, PROTOCOL_VERSION};
 use super::frame_reader::FrameReader;
-use super::frame_writer::{write_frames, FrameQueues, Link};
+use super::frame_writer::{write_frames, FramePriority, FrameQueues, Link};
 use super::state::{ip_of, store_node, Peers};
 use crate::node_state::{ConnectionKind, GaugeGuard, NodeState};
 use crate::peer_connection;
@@ -34,8 +34,11 @@
         let is_stuck = {
             let links = self.links.borrow();
             let Some(link) = links.get(&to).and_then(|links| links.last()) else { return };
-            let queue = if matches!(frame, Frame::Membership(_)) { &link.ordinary } else { &link.urgent };
-            queue.try_send(Rc::new(bytes)).is_err()
+            let is_ordinary = matches!(frame, Frame::Membership(_));
+            let priority = if is_ordinary { FramePriority::Ordinary } else { FramePriority::Urgent };
+            let enqueued = link.enqueue(Rc::new(bytes), priority);
+            self.link_backlog_peak.set(self.link_backlog_peak.get().max(link.waiting_bytes()));
+            enqueued.is_err()
         };
         if is_stuck {
             // It takes nothing: what it lacks it gets by snapshot, on another link.
--- a/crates/daemon/mesh/src/peers/state.rs
+++ b/crates/daemon/mesh/src/peers/state.rs
@@ -35,6 +35,8 @@
     pub(super) pending_calls: RefCell<BTreeMap<u64, oneshot::Sender<CallOutcome<ControlValue>>>>,
     /// The links that are up, by node; the newest is written to.
     pub(super) links: RefCell<BTreeMap<Node, Vec<Link>>>,
+    /// The most that ever waited to be written on one link, in bytes.
+    pub(super) link_backlog_peak: Cell<usize>,
     /// The next number of a link or call.
     pub(super) next_number: Cell<u64>,
     pub(super) udp: UdpSocket,
@@ -85,6 +87,7 @@
             disk_full: RefCell::default(),
             pending_calls: RefCell::default(),
             links: RefCell::default(),
+            link_backlog_peak: Cell::new(0),
             next_number: Cell::new(1),
             udp,
             deadline_changed: Notify::new(),
@@ -101,6 +104,16 @@
         self.control_store.as_ref().map(|store| look(&store.borrow()))
     }
 
+    /// Bytes that wait to be written on all links.
+    pub(crate) fn link_backlog(&self) -> usize {
+        self.links.borrow().values().flatten().map(Link::waiting_bytes).sum()
+    }
+
+    /// The most that ever waited to be written on one link, in bytes.
+    pub(crate) fn link_backlog_peak(&self) -> usize {
+        self.link_backlog_peak.get()
+    }
+
     /// Why the disk takes no writes, while it takes none.
     pub(crate) fn disk_full(&self) -> Option<DiskError> {
         self.disk_full.borrow().clone()
--- a/crates/daemon/mesh/src/peers/tests/links.rs
+++ b/crates/daemon/mesh/src/peers/tests/links.rs
@@ -1,7 +1,7 @@
 //! Tests of the links: large frames and small ones, ends that take nothing, links without a first frame.
 use super::super::frame::{encode_frame, Frame, CHUNK_BYTES, MAX_FRAME_BYTES, MAX_HELLO_BYTES};
 use super::super::frame_reader::FrameReader;
-use super::super::frame_writer::{write_all, write_frames, Link, WRITE_STALL_TIMEOUT};
+use super::super::frame_writer::{write_all, write_frames, FramePriority, Link, WRITE_STALL_TIMEOUT};
 use super::super::links::MAX_UNIDENTIFIED_LINKS;
 use crate::peers::accept_links;
 use crate::tests::support::{self, SidecarOptions, TestConnection};
@@ -56,17 +56,13 @@
         let large = Rc::new(encode_frame(&Frame::Membership(update.clone())));
         let writing = async move { write_frames(&mut here, queues).await };
         let reading = async {
-            link.ordinary.send(large.clone()).await.expect("room");
+            link.enqueue(large.clone(), FramePriority::Ordinary).expect("room");
+            assert_eq!(link.waiting_bytes(), large.len());
             let mut some = vec![0; CHUNK_BYTES];
             there.read_exact(&mut some).await.expect("it has begun");
-            link.urgent
-                .send(Rc::new(encode_frame(&Frame::WallClockRequest { asked: at(5) })))
-                .await
-                .expect("room");
-            link.ordinary
-                .send(Rc::new(encode_frame(&Frame::WallClockRequest { asked: at(6) })))
-                .await
-                .expect("room");
+            let small = |micros| Rc::new(encode_frame(&Frame::WallClockRequest { asked: at(micros) }));
+            link.enqueue(small(5), FramePriority::Urgent).expect("room");
+            link.enqueue(small(6), FramePriority::Ordinary).expect("room");
             drop(link);
             let mut reader = FrameReader::new(std::io::Cursor::new(some).chain(there));
             let mut came = Vec::new();
