--- a/crates/control/mesh-membership/tests/simulation/network.rs
+++ b/crates/control/mesh-membership/tests/simulation/network.rs
@@ -65,17 +65,35 @@
         self.count += 1;
         let connection = self.count;
         let pair = Pair::of(node, to);
-        self.connections
-            .insert(pair, Connection { id: connection, lost: false, last_arrival: BTreeMap::new() });
+        self.connections.insert(
+            pair,
+            Connection {
+                id: connection,
+                lost: false,
+                last_arrival: BTreeMap::new(),
+                sent_until: BTreeMap::new(),
+            },
+        );
         self.push(now, node, Event::Up { peer: to, connection });
         self.push(now, to, Event::Up { peer: node, connection });
     }
 
+    /// How long so many bytes take to leave a machine on one connection.
+    fn transfer_time(&self, from: Node, bytes: u64) -> Duration {
+        match self.thin_link_bytes_per_second {
+            Some(rate) if !self.machines[&from].is_control => {
+                Duration::from_micros((bytes * 1_000_000 / rate) as i64)
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
     pub(super) fn send_message(&mut self, node: Node, to: Node, message: MembershipMessage<Body>) {
         let (now, delay) = (self.now, self.delay(node, to));
         let cut = self.is_cut_from(node, to);
         self.traffic.messages += 1;
         let bytes = bitcode::encode(&message).len() as u64;
+        let transfer = self.transfer_time(node, bytes);
         self.count_bytes(node, to, bytes, matches!(message, MembershipMessage::Update { .. }));
         let Some(connection) = self.connections.get_mut(&Pair::of(node, to)) else {
             if !cut {
@@ -87,8 +105,10 @@
             connection.lost = true;
             return;
         }
+        let sent_until = connection.sent_until.entry(to).or_insert(Instant::ZERO);
+        *sent_until = (*sent_until).max(now) + transfer;
         let arrival = connection.last_arrival.entry(to).or_insert(Instant::ZERO);
-        *arrival = (*arrival).max(now + delay);
+        *arrival = (*arrival).max(*sent_until + delay);
         let (at, connection) = (*arrival, connection.id);
         self.push(at, to, Event::Message { from: node, connection, message });
     }
--- a/crates/control/mesh-membership/tests/simulation/world.rs
+++ b/crates/control/mesh-membership/tests/simulation/world.rs
@@ -42,6 +42,8 @@
     pub lost: bool,
     /// When the last message to each side arrives.
     pub last_arrival: BTreeMap<Node, Instant>,
+    /// When the last message to each side has left the sender's machine.
+    pub sent_until: BTreeMap<Node, Instant>,
 }
 
 #[derive(Clone, Copy, Default, Debug)]
@@ -125,6 +127,8 @@
     /// Datagrams lost, of 1,000.
     pub loss: u64,
     pub zone_delay: Duration,
+    /// What a connection of a sidecar carries in each direction; without it, any number of bytes at once.
+    pub thin_link_bytes_per_second: Option<u64>,
     pub traffic: Traffic,
     pub gone: Vec<GoneReport>,
     pub trace: bool,
@@ -163,6 +167,7 @@
             cuts: BTreeSet::new(),
             loss: 5,
             zone_delay: ms(1),
+            thin_link_bytes_per_second: None,
             traffic: Traffic::default(),
             gone: Vec::new(),
             trace: false,
@@ -294,8 +299,16 @@
     }
 
     pub fn publish(&mut self, node: Node, key: &str, revision: Revision) {
+        self.publish_sized(node, key, revision, 100);
+    }
+
+    /// Publishes an entry with a value of so many bytes.
+    pub fn publish_sized(&mut self, node: Node, key: &str, revision: Revision, bytes: usize) {
         let now = self.now;
-        self.with(node, |membership| membership.publish(now, key, revision, vec![7; 100]));
+        // Not all alike: the encoding packs equal bytes.
+        let value =
+            (0..bytes as u64).map(|at| (at.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 56) as u8).collect();
+        self.with(node, |membership| membership.publish(now, key, revision, value));
     }
 
     pub fn update_body(&mut self, node: Node, body: Body) {
