Mend: of a control entry one version at a time is on its way on a link, and the newest after it

Cause: each version of the whole configuration (66 KB here) was queued for each of a relay's four children, 272 KB a version on a link of 900 KB/s, while a change came each 150 ms. Nothing took superseded versions out of the queues, on no level of the tree; at a control node they took 120 MB. Change: what waits for a link is the key; the content is read when the link takes it (entry_outbox.rs). The shell reports when the network has taken a message with entries (Effect::SendEntries, entries_left). Anti-entropy does not send again what was sent a moment ago. Invariants that run in the program: oneVersionUnderWay, newestInForce, boundedBacklog. Messages and their encoding are as before.

--- a/crates/control/mesh-membership/src/anti_entropy.rs
+++ b/crates/control/mesh-membership/src/anti_entropy.rs
@@ -65,7 +65,7 @@
             known.version() > introduced || (known.version() == introduced && known.body != body)
         });
         if has_newer {
-            self.send_update(from, BTreeSet::from([from]), BTreeSet::new());
+            self.send_records(from, BTreeSet::from([from]));
         }
     }
 
@@ -127,7 +127,8 @@
         };
         let newer_here = self.newer_here(buckets, &remote);
         let newer_there = self.newer_there(&remote);
-        self.send_update(from, newer_here.nodes, newer_here.keys);
+        self.send_records(from, newer_here.nodes);
+        self.offer_entries(from, newer_here.keys);
         if let Some(own) = remote.records.get(&self.config.local_node).copied() {
             self.receive_own_version(now, own);
         }
--- a/crates/control/mesh-membership/src/effect.rs
+++ b/crates/control/mesh-membership/src/effect.rs
@@ -25,6 +25,14 @@
         /// What.
         message: MembershipMessage<T>,
     },
+    /// Send a message with control entries over the link. Once the network has taken all of it, or its connection has ended
+    /// while the link stays up, it is reported by `entries_left`; until then there is no further one for this link.
+    SendEntries {
+        /// To whom.
+        to: Node,
+        /// What.
+        message: MembershipMessage<T>,
+    },
     /// Send a datagram.
     SendDatagram {
         /// To whom.
--- a/crates/control/mesh-membership/src/events.rs
+++ b/crates/control/mesh-membership/src/events.rs
@@ -43,8 +43,8 @@
                 self.receive_version_index(now, from, &buckets, records, entries);
             }
             MembershipMessage::Fetch { nodes, keys } => {
-                let (nodes, keys) = (nodes.into_iter().collect(), keys.into_iter().collect());
-                self.send_update(from, nodes, keys);
+                self.send_records(from, nodes.into_iter().collect());
+                self.offer_entries(from, keys.into_iter().collect());
             }
             MembershipMessage::Update { records, entries }
             | MembershipMessage::Snapshot { records, entries } => {
--- a/crates/control/mesh-membership/src/lib.rs
+++ b/crates/control/mesh-membership/src/lib.rs
@@ -7,7 +7,8 @@
 //! - A node's [`NodeRecord`] is written by the node itself; the highest (incarnation, sequence, gone) wins everywhere.
 //!   Watchers may only add `gone` to what the node wrote last, and the node refutes that with a higher `sequence`. This is
 //!   the incarnation rule of SWIM (Das, Gupta and Motivala, 2002, section 4.2).
-//! - Updates flood over the links of the tree; what is not newer than what is known is not forwarded.
+//! - Updates flood over the links of the tree; what is not newer than what is known is not forwarded. Of a control entry at
+//!   most one version at a time is on its way over a link, and the newest one after it.
 //! - On every link digests are compared about once a second; where they differ, the versions in the differing buckets are
 //!   listed and only what is missing is sent (anti-entropy).
 //! - Every node sends heartbeats to its next few nodes on a ring. These declare it gone only together or after a failed
@@ -25,6 +26,7 @@
 mod control_links;
 mod datagram;
 mod effect;
+mod entry_outbox;
 mod events;
 mod freshness;
 mod freshness_check;
--- a/crates/control/mesh-membership/src/link.rs
+++ b/crates/control/mesh-membership/src/link.rs
@@ -1,5 +1,6 @@
 //! What is kept of the links: those that are up, those being made, those that failed, and the parent among them. Data with
 //! the questions that it alone answers; what is done with them stands in `link_keepalive`, `relay_tree` and `control_links`.
+use crate::entry_outbox::EntryOutbox;
 use crate::message::TreePosition;
 use crate::node::Node;
 use crate::parent_candidates::ParentCandidates;
@@ -16,6 +17,8 @@
     pub(crate) next_keepalive_at: Instant,
     /// The other side has sent its hello.
     pub(crate) greeted: bool,
+    /// Control entries for the other side.
+    pub(crate) outbox: EntryOutbox,
     position: TreePosition,
 }
 
@@ -26,6 +29,7 @@
             dialled_here: false,
             next_keepalive_at,
             greeted: false,
+            outbox: EntryOutbox::default(),
             position: TreePosition::default(),
         }
     }
--- a/crates/control/mesh-membership/src/metrics.rs
+++ b/crates/control/mesh-membership/src/metrics.rs
@@ -7,6 +7,8 @@
     pub messages_sent: u64,
     /// Bytes of control entries, and of records at 64 each, that came and were known already.
     pub redundant_bytes: u64,
+    /// Versions of control entries that were superseded before a link took them, and so were not sent on it.
+    pub entries_superseded: u64,
     /// Datagrams sent.
     pub datagrams_sent: u64,
     /// Nodes that other watchers were asked about.
--- a/crates/control/mesh-membership/src/updates.rs
+++ b/crates/control/mesh-membership/src/updates.rs
@@ -10,22 +10,14 @@
 use crate::record::NodeRecord;
 use crate::version_table::Outcome;
 use silvercross_time::Instant;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
 
 /// Records in one message of a snapshot or an update.
 const MAX_MESSAGE_RECORDS: usize = 1_024;
-/// Bytes of control entries after which a further message is begun.
-const MESSAGE_ENTRY_BYTES: usize = 256 << 10;
 /// What a record counts for in `redundant_bytes`.
 const RECORD_BYTES: u64 = 64;
 
-/// Records and control entries, chunk by chunk.
-struct Chunk<T> {
-    records: Vec<NodeRecord<T>>,
-    entries: Vec<ControlEntry>,
-}
-
 impl<T: Clone + PartialEq + Debug> Membership<T> {
     /// A control entry in its newest version, by its owner. An older one than is known changes nothing.
     pub fn publish(&mut self, now: Instant, key: &str, revision: Revision, bytes: Vec<u8>) {
@@ -93,6 +85,7 @@
 
     /// A neighbour sent a control entry.
     pub(crate) fn receive_entry(&mut self, now: Instant, from: Node, entry: ControlEntry) {
+        self.note_remote_entry(from, &entry.key, entry.revision);
         match self.table.put_entry(now, entry.clone()) {
             Outcome::Newer => {
                 self.pending.insert(Subject::Entry(entry.key.clone()), Some(from));
@@ -103,70 +96,104 @@
         }
     }
 
+    /// A neighbour has this revision: if it is the newest one, nothing has to be sent to it.
+    fn note_remote_entry(&mut self, from: Node, key: &str, revision: Revision) {
+        let newest = self.table.entry(key).map_or(revision, |known| known.revision);
+        if let Some(link) = self.links.up.get_mut(&from) {
+            link.outbox.note_remote(key, revision, newest);
+        }
+    }
+
     /// Sends everything that is there to a node that knows nothing yet.
     pub(crate) fn send_snapshot(&mut self, to: Node) {
         let present = self.table.records().filter(|record| !record.gone && record.node != to);
         let nodes = present.map(|record| record.node).collect();
-        let keys = self.table.entries().map(|entry| entry.key.to_string()).collect();
-        for Chunk { records, entries } in self.chunks(nodes, keys) {
-            self.send(to, MembershipMessage::Snapshot { records, entries });
+        for records in self.record_chunks(nodes) {
+            self.send(to, MembershipMessage::Snapshot { records, entries: Vec::new() });
         }
+        let keys = self.table.entries().map(|entry| entry.key.to_string()).collect();
+        self.offer_entries(to, keys);
     }
 
-    /// Sends records and control entries as they are now.
-    pub(crate) fn send_update(&mut self, to: Node, nodes: BTreeSet<Node>, keys: BTreeSet<String>) {
-        for Chunk { records, entries } in self.chunks(nodes, keys) {
-            self.send(to, MembershipMessage::Update { records, entries });
+    /// Sends records as they are now.
+    pub(crate) fn send_records(&mut self, to: Node, nodes: BTreeSet<Node>) {
+        for records in self.record_chunks(nodes) {
+            self.send(to, MembershipMessage::Update { records, entries: Vec::new() });
         }
     }
 
-    /// Records and control entries as they are now, in chunks of a bounded size (one entry may be longer).
-    fn chunks(&self, nodes: BTreeSet<Node>, keys: BTreeSet<String>) -> Vec<Chunk<T>> {
-        let mut chunks = Vec::new();
-        let mut records = Vec::new();
-        for node in nodes {
-            records.extend(self.table.record(node).cloned());
-            if records.len() >= MAX_MESSAGE_RECORDS {
-                chunks.push(Chunk { records: std::mem::take(&mut records), entries: Vec::new() });
-            }
-        }
-        let mut entries = Vec::new();
-        let mut bytes = 0;
+    /// The neighbour lacks these control entries: each follows as it is when the link takes it.
+    pub(crate) fn offer_entries(&mut self, to: Node, keys: BTreeSet<String>) {
+        let Some(link) = self.links.up.get_mut(&to) else { return };
         for key in keys {
-            let Some(EntryView { revision, bytes: content, .. }) = self.table.entry(&key) else { continue };
-            bytes += content.len();
-            entries.push(ControlEntry { key, revision, bytes: content.to_vec() });
-            if bytes >= MESSAGE_ENTRY_BYTES {
-                bytes = 0;
-                let (records, entries) = (std::mem::take(&mut records), std::mem::take(&mut entries));
-                chunks.push(Chunk { records, entries });
+            if let Some(entry) = self.table.entry(&key) {
+                link.outbox.offer(self.last_call_at, &key, entry.revision);
             }
         }
-        if !records.is_empty() || !entries.is_empty() {
-            chunks.push(Chunk { records, entries });
+    }
+
+    /// The network has taken the message of the last [`Effect::SendEntries`] for this link.
+    pub fn entries_left(&mut self, now: Instant, to: Node) {
+        self.note_time(now);
+        if let Some(link) = self.links.up.get_mut(&to) {
+            link.outbox.message_left(now);
         }
-        chunks
     }
 
-    /// Sends gathered updates, so that digests sent after them cover them.
+    /// Records as they are now, in chunks of a bounded size.
+    fn record_chunks(&self, nodes: BTreeSet<Node>) -> Vec<Vec<NodeRecord<T>>> {
+        let records: Vec<NodeRecord<T>> =
+            nodes.into_iter().filter_map(|node| self.table.record(node).cloned()).collect();
+        records.chunks(MAX_MESSAGE_RECORDS).map(<[_]>::to_vec).collect()
+    }
+
+    /// Sends gathered updates, so that digests sent after them cover them, as far as links take them.
     pub(crate) fn flush_updates(&mut self) {
-        if self.pending.is_empty() {
-            return;
-        }
         let pending = std::mem::take(&mut self.pending);
         for to in self.linked_nodes() {
-            let mut nodes = BTreeSet::new();
-            let mut keys = BTreeSet::new();
-            for (subject, from) in &pending {
-                if self.has_update_from(to, *from) {
-                    continue;
-                }
-                match subject {
-                    Subject::Record(node) => drop(nodes.insert(*node)),
-                    Subject::Entry(key) => drop(keys.insert(key.clone())),
-                }
+            if !pending.is_empty() {
+                self.distribute(to, &pending);
+            }
+            self.send_next_entries(to);
+        }
+    }
+
+    /// Sends records of these, and puts control entries in line.
+    fn distribute(&mut self, to: Node, pending: &BTreeMap<Subject, Option<Node>>) {
+        let mut nodes = BTreeSet::new();
+        for (subject, from) in pending {
+            if self.has_update_from(to, *from) {
+                continue;
+            }
+            match subject {
+                Subject::Record(node) => drop(nodes.insert(*node)),
+                Subject::Entry(key) => self.enqueue_entry(to, key),
             }
-            self.send_update(to, nodes, keys);
+        }
+        self.send_records(to, nodes);
+    }
+
+    fn enqueue_entry(&mut self, to: Node, key: &str) {
+        if let Some(link) = self.links.up.get_mut(&to) {
+            self.metrics.entries_superseded += u64::from(link.outbox.enqueue(key));
+        }
+    }
+
+    /// Sends the control entries that wait for this link, if it takes any.
+    fn send_next_entries(&mut self, to: Node) {
+        let (table, now) = (&self.table, self.last_call_at);
+        let newest = |key: &str| {
+            table.entry(key).map(|EntryView { revision, bytes, .. }| ControlEntry {
+                key: key.to_string(),
+                revision,
+                bytes: bytes.to_vec(),
+            })
+        };
+        let Some(link) = self.links.up.get_mut(&to) else { return };
+        if let Some(entries) = link.outbox.next_message(now, newest) {
+            self.metrics.messages_sent += 1;
+            let message = MembershipMessage::Update { records: Vec::new(), entries };
+            self.effects.push(Effect::SendEntries { to, message });
         }
     }
 
--- a/crates/control/mesh-membership/tests/simulation/effects.rs
+++ b/crates/control/mesh-membership/tests/simulation/effects.rs
@@ -36,6 +36,11 @@
             Effect::OpenLink { to } => self.open_link(node, to),
             Effect::CloseLink { to } => self.close_link(node, to),
             Effect::SendMessage { to, message } => self.send_message(node, to, message),
+            Effect::SendEntries { to, message } => {
+                self.send_message(node, to, message);
+                let left_at = self.left_at(node, to);
+                self.push(left_at, node, Event::EntriesLeft { to });
+            }
             Effect::SendDatagram { to, datagram } => self.send_datagram(node, to, datagram),
             Effect::Probe { node: probed } => self.probe(node, probed),
             Effect::RecordChanged(record) if record.gone => {
--- a/crates/control/mesh-membership/tests/simulation/network.rs
+++ b/crates/control/mesh-membership/tests/simulation/network.rs
@@ -113,6 +113,13 @@
         self.push(at, to, Event::Message { from: node, connection, message });
     }
 
+    /// When the last message to a node has left this machine; now, if there is no connection.
+    pub(super) fn left_at(&self, node: Node, to: Node) -> Instant {
+        let connection = self.connections.get(&Pair::of(node, to));
+        let left_at = connection.and_then(|connection| connection.sent_until.get(&to).copied());
+        left_at.unwrap_or(self.now).max(self.now)
+    }
+
     pub(super) fn send_datagram(&mut self, node: Node, to: Node, datagram: Datagram) {
         let bytes = bitcode::encode(&datagram).len() as u64;
         self.traffic.datagrams += 1;
--- a/crates/control/mesh-membership/tests/simulation/world.rs
+++ b/crates/control/mesh-membership/tests/simulation/world.rs
@@ -16,6 +16,7 @@
     Up { peer: Node, connection: u64 },
     Down { peer: Node, connection: u64 },
     Message { from: Node, connection: u64, message: MembershipMessage<Body> },
+    EntriesLeft { to: Node },
     Datagram { from: Node, datagram: Datagram },
     Probed { node: Node, reachable: bool },
     Confirm { request_id: u64, revisions: Vec<EntryRevision> },
--- a/crates/daemon/mesh/src/metrics.rs
+++ b/crates/daemon/mesh/src/metrics.rs
@@ -30,6 +30,7 @@
         "routeLateUs": unrouted.longest_wait.as_micros(),
         "linkBacklogBytes": node_state.peers.link_backlog(),
         "linkBacklogPeakBytes": node_state.peers.link_backlog_peak(),
+        "entriesSuperseded": membership.entries_superseded, "invariantViolations": node_state.violations_report(),
         "feed": node_state.event_stream.get().map(|event_stream| event_stream.metrics()),
     });
     if let Some(members) = node_state.member_throttle.metrics() {
--- a/crates/daemon/mesh/src/node_state.rs
+++ b/crates/daemon/mesh/src/node_state.rs
@@ -9,6 +9,7 @@
 mod control_entries;
 mod counters;
 mod in_force;
+mod invariants;
 mod local_upstream;
 mod other_nodes;
 mod own_record;
@@ -22,6 +23,7 @@
 mod upstream_lists;
 
 pub(crate) use counters::{ConnectionKind, GaugeGuard};
+pub(crate) use invariants::Invariant;
 pub(crate) use local_upstream::Heartbeat;
 #[cfg(test)]
 pub(crate) use readiness::NotReady;
--- a/crates/daemon/mesh/src/node_state/state.rs
+++ b/crates/daemon/mesh/src/node_state/state.rs
@@ -1,6 +1,7 @@
 //! The parts that the tasks of a process share.
 use super::counters::{ConnectionKind, Counters};
 use super::in_force::InForce;
+use super::invariants::Violations;
 use super::local_upstream::LocalUpstream;
 use super::unrouted_requests::UnroutedRequests;
 use super::upstream_lists::WarmUps;
@@ -67,6 +68,7 @@
     pub(super) rejected_connections_logs: [RateLimitedLog; ConnectionKind::COUNT],
     pub(super) clock: Clock,
     pub(super) in_force: RefCell<InForce>,
+    pub(super) violations: Violations,
     pub(super) unrouted_requests: RefCell<UnroutedRequests>,
     /// Requests answered 404, for the log.
     pub(super) unrouted_log: RateLimitedLog,
@@ -130,6 +132,7 @@
             rejected_connections_logs: Default::default(),
             clock,
             in_force: RefCell::default(),
+            violations: Violations::default(),
             unrouted_requests: RefCell::default(),
             unrouted_log: RateLimitedLog::default(),
             service_balancers: RefCell::default(),
--- a/crates/daemon/mesh/src/peers/effects.rs
+++ b/crates/daemon/mesh/src/peers/effects.rs
@@ -27,6 +27,9 @@
             MembershipEffect::SendMessage { to, message } => {
                 self.send(node_state, to, &Frame::Membership(message))
             }
+            MembershipEffect::SendEntries { to, message } => {
+                self.send_entries(node_state, to, &Frame::Membership(message))
+            }
             MembershipEffect::SendDatagram { to, datagram } => self.send_datagram(node_state, to, &datagram),
             MembershipEffect::Probe { node } => self.probe(node_state, node),
             MembershipEffect::ConfirmRevisions { request_id } => {
--- a/crates/daemon/mesh/src/peers/links.rs
+++ b/crates/daemon/mesh/src/peers/links.rs
@@ -1,9 +1,9 @@
 //! Links between nodes: opened and accepted, identified, read and written, until they end.
 use super::frame::{encode_frame, Frame, CHUNK_BYTES, MAX_FRAME_BYTES, MAX_HELLO_BYTES, PROTOCOL_VERSION};
 use super::frame_reader::FrameReader;
-use super::frame_writer::{write_frames, FramePriority, FrameQueues, Link};
+use super::frame_writer::{write_frames, FrameClass, FrameQueues, Link};
 use super::state::{ip_of, store_node, Peers};
-use crate::node_state::{ConnectionKind, GaugeGuard, NodeState};
+use crate::node_state::{ConnectionKind, GaugeGuard, Invariant, NodeState};
 use crate::peer_connection;
 use silvercross_mesh_membership::Node;
 use silvercross_throttle::{PeerClockReading, UnixTime};
@@ -29,24 +29,58 @@
 impl Peers {
     /// Send a frame to a node that is linked; for another one it is lost.
     pub(super) fn send(&self, node_state: &Rc<NodeState>, to: Node, frame: &Frame) {
+        let is_ordinary = matches!(frame, Frame::Membership(_));
+        let class = if is_ordinary { FrameClass::Ordinary } else { FrameClass::Urgent };
+        self.send_as(node_state, to, frame, class);
+    }
+
+    /// Send a frame with control entries; membership hears when the network has taken it, and sends no further one before.
+    pub(super) fn send_entries(&self, node_state: &Rc<NodeState>, to: Node, frame: &Frame) {
+        let under_way =
+            self.links.borrow().get(&to).and_then(|links| links.last()).map_or(0, Link::entry_frames);
+        if under_way > 0 {
+            let found = format!("{under_way} on the link to {}", ip_of(to));
+            node_state.report_violation(
+                Invariant::OneVersionUnderWay,
+                "no frame with control entries",
+                &found,
+            );
+        }
+        self.send_as(node_state, to, frame, FrameClass::Entries);
+    }
+
+    fn send_as(&self, node_state: &Rc<NodeState>, to: Node, frame: &Frame, class: FrameClass) {
         let bytes = encode_frame(frame);
         node_state.counters.frames_sent.set(node_state.counters.frames_sent.get() + 1);
         let is_stuck = {
             let links = self.links.borrow();
             let Some(link) = links.get(&to).and_then(|links| links.last()) else { return };
-            let is_ordinary = matches!(frame, Frame::Membership(_));
-            let priority = if is_ordinary { FramePriority::Ordinary } else { FramePriority::Urgent };
-            let enqueued = link.enqueue(Rc::new(bytes), priority);
+            let enqueued = link.enqueue(Rc::new(bytes), class);
             self.link_backlog_peak.set(self.link_backlog_peak.get().max(link.waiting_bytes()));
             enqueued.is_err()
         };
         if is_stuck {
             // It takes nothing: what it lacks it gets by snapshot, on another link.
+            let found = format!("a full queue to {}", ip_of(to));
+            node_state.report_violation(Invariant::BoundedBacklog, "a link that takes what is sent", &found);
             self.links.borrow_mut().remove(&to);
             self.link_lost(node_state, to);
         }
     }
 
+    /// The network has taken a frame with control entries on a link.
+    fn entries_left(&self, node_state: &Rc<NodeState>, node: Node, number: u64) {
+        let is_up = self
+            .links
+            .borrow()
+            .get(&node)
+            .is_some_and(|links| links.iter().any(|link| link.number == number));
+        if is_up {
+            self.membership.borrow_mut().entries_left(node_state.now(), node);
+            self.carry_out_effects(node_state);
+        }
+    }
+
     /// No link to this node is left.
     pub(super) fn link_lost(&self, node_state: &Rc<NodeState>, node: Node) {
         let now = node_state.now();
@@ -147,8 +181,11 @@
         };
         if was_last {
             self.link_lost(node_state, node);
-            self.carry_out_effects(node_state);
+        } else {
+            // What was on its way on it is not reported any more.
+            self.membership.borrow_mut().entries_left(node_state.now(), node);
         }
+        self.carry_out_effects(node_state);
     }
 }
 
@@ -204,7 +241,7 @@
     };
     tokio::select! {
         _ = reading => {}
-        _ = write_frames(&mut write, queues) => {}
+        _ = write_frames(&mut write, queues, || peers.entries_left(&node_state, node, number)) => {}
     }
     peers.link_ended(&node_state, node, number);
 }
--- a/crates/daemon/mesh/src/peers/tests/links.rs
+++ b/crates/daemon/mesh/src/peers/tests/links.rs
@@ -1,7 +1,7 @@
 //! Tests of the links: large frames and small ones, ends that take nothing, links without a first frame.
 use super::super::frame::{encode_frame, Frame, CHUNK_BYTES, MAX_FRAME_BYTES, MAX_HELLO_BYTES};
 use super::super::frame_reader::FrameReader;
-use super::super::frame_writer::{write_all, write_frames, FramePriority, Link, WRITE_STALL_TIMEOUT};
+use super::super::frame_writer::{write_all, write_frames, FrameClass, Link, WRITE_STALL_TIMEOUT};
 use super::super::links::MAX_UNIDENTIFIED_LINKS;
 use crate::peers::accept_links;
 use crate::tests::support::{self, SidecarOptions, TestConnection};
@@ -54,15 +54,18 @@
         };
         let update = MembershipMessage::Update { records: Vec::new(), entries: vec![entry] };
         let large = Rc::new(encode_frame(&Frame::Membership(update.clone())));
-        let writing = async move { write_frames(&mut here, queues).await };
+        let reports = std::cell::Cell::new(0);
+        let report = || reports.set(reports.get() + 1);
+        let writing = async move { write_frames(&mut here, queues, report).await };
         let reading = async {
-            link.enqueue(large.clone(), FramePriority::Ordinary).expect("room");
+            link.enqueue(large.clone(), FrameClass::Entries).expect("room");
             assert_eq!(link.waiting_bytes(), large.len());
             let mut some = vec![0; CHUNK_BYTES];
             there.read_exact(&mut some).await.expect("it has begun");
+            assert_eq!((reports.get(), link.entry_frames()), (0, 1), "the network has not taken it");
             let small = |micros| Rc::new(encode_frame(&Frame::WallClockRequest { asked: at(micros) }));
-            link.enqueue(small(5), FramePriority::Urgent).expect("room");
-            link.enqueue(small(6), FramePriority::Ordinary).expect("room");
+            link.enqueue(small(5), FrameClass::Urgent).expect("room");
+            link.enqueue(small(6), FrameClass::Ordinary).expect("room");
             drop(link);
             let mut reader = FrameReader::new(std::io::Cursor::new(some).chain(there));
             let mut came = Vec::new();
@@ -76,6 +79,7 @@
         assert!(matches!(&came[1], Frame::Membership(message) if *message == update));
         assert!(matches!(came[2], Frame::WallClockRequest { asked } if asked == at(6)));
         assert_eq!(came.len(), 3);
+        assert_eq!(reports.get(), 1);
     });
 }
 
--- a/crates/daemon/mesh/src/periodic.rs
+++ b/crates/daemon/mesh/src/periodic.rs
@@ -23,6 +23,7 @@
         tokio::time::sleep(LOOK_INTERVAL.to_std()).await;
         let now = node_state.now();
         node_state.note_awake();
+        node_state.check_newest_in_force();
         node_state.check_local_upstream();
         log_rollbacks(&node_state, &mut rollbacks);
         let replica_set = node_state.known_replica_set();
--- a/crates/testing/control-sim/src/effects.rs
+++ b/crates/testing/control-sim/src/effects.rs
@@ -26,6 +26,8 @@
 const MAX_SYNC_DELAY: Duration = Duration::from_micros(5_300);
 /// What is drawn on top of that where it is late.
 const MAX_EXTRA_SYNC_DELAY: Duration = Duration::from_millis(300);
+/// The network has taken a message with control entries after this.
+const ENTRIES_WRITE_TIME: Duration = Duration::from_micros(200);
 
 impl World {
     /// A node announces its status to the others.
@@ -101,6 +103,13 @@
                     self.send(node, to, Frame::Membership(message));
                 }
             }
+            Effect::SendEntries { to, message } => {
+                if let Some(to) = self.index(to.0) {
+                    self.send(node, to, Frame::Membership(message));
+                    let generation = self.nodes[node].generation;
+                    self.after(ENTRIES_WRITE_TIME, Event::EntriesLeft { node, generation, to });
+                }
+            }
             Effect::SendDatagram { to, datagram } => {
                 if let Some(to) = self.index(to.0) {
                     self.send_datagram(node, to, datagram);
--- a/crates/testing/control-sim/src/event.rs
+++ b/crates/testing/control-sim/src/event.rs
@@ -56,6 +56,11 @@
         to: usize,
         datagram: Datagram,
     },
+    EntriesLeft {
+        node: usize,
+        generation: u64,
+        to: usize,
+    },
     ProbeEnded {
         node: usize,
         generation: u64,
@@ -93,6 +98,7 @@
         match self {
             Event::ConnectFailed { node, .. }
             | Event::Connected { node, .. }
+            | Event::EntriesLeft { node, .. }
             | Event::ProbeEnded { node, .. }
             | Event::WriteSynced { node, .. }
             | Event::Wakeup { node, .. }
--- a/crates/testing/control-sim/src/node_events.rs
+++ b/crates/testing/control-sim/src/node_events.rs
@@ -40,6 +40,14 @@
                     self.run_effects(to);
                 }
             }
+            Event::EntriesLeft { node, generation, to } => {
+                let (now, to) = (self.local_now(node), Node(self.nodes[to].id));
+                let is_current = self.nodes[node].generation == generation;
+                if let Some(membership) = self.nodes[node].membership.as_mut().filter(|_| is_current) {
+                    membership.entries_left(now, to);
+                    self.run_effects(node);
+                }
+            }
             Event::ProbeEnded { node, generation, about, is_reachable } => {
                 let (now, about) = (self.local_now(node), Node(self.nodes[about].id));
                 let is_current = self.nodes[node].generation == generation;
