--- a/crates/control/config-item/src/entry.rs
+++ b/crates/control/config-item/src/entry.rs
@@ -79,6 +79,13 @@
         Entry::Tombstone { version, order: 0 }
     }
 
+    /// Forgets the JSON as sent, for nodes that only use the item.
+    pub fn clear_raw_json(&mut self) {
+        if let Entry::Set(item) = self {
+            item.raw_json.clear();
+        }
+    }
+
     /// The item; `None` for a tombstone.
     pub fn item(&self) -> Option<&Item<T>> {
         match self {
--- a/crates/control/mesh-config/src/configuration.rs
+++ b/crates/control/mesh-config/src/configuration.rs
@@ -144,6 +144,16 @@
         out
     }
 
+    /// Forgets the JSON of all items as sent. What is left routes requests alike, and takes less than half of the bytes; it can't be
+    /// read back ([`to_json`](Self::to_json)) and takes no calls.
+    pub fn clear_raw_json(&mut self) {
+        self.routes.values_mut().for_each(Entry::clear_raw_json);
+        self.destinations.values_mut().for_each(Entry::clear_raw_json);
+        if let Some(limits) = &mut self.limits {
+            limits.raw_json.clear();
+        }
+    }
+
     /// The routes that stand, by name.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.routes.values().filter_map(Entry::parsed)
--- a/crates/daemon/mesh/src/control_value.rs
+++ b/crates/daemon/mesh/src/control_value.rs
@@ -157,6 +157,18 @@
             other => other,
         }
     }
+
+    /// What goes down the relay tree: what stands, without the text of routes, destinations and limits as it was sent. Nodes route by the
+    /// items as parsed, and the text is most of the bytes; operators' reads are answered from the control store, which has it.
+    pub(crate) fn delivered(self) -> ControlValue {
+        let mut delivered = self.published();
+        match &mut delivered {
+            ControlValue::Configuration(configuration) => configuration.clear_raw_json(),
+            ControlValue::WithMembers(whole) => whole.configuration.clear_raw_json(),
+            _ => {}
+        }
+        delivered
+    }
 }
 
 #[cfg(test)]
--- a/crates/daemon/mesh/src/control_value/tests.rs
+++ b/crates/daemon/mesh/src/control_value/tests.rs
@@ -83,3 +83,32 @@
     assert_eq!(control_value.apply(&ControlChange::Call(Box::new(members))), Ok(true));
     assert!(matches!(control_value.published(), ControlValue::WithMembers(_)));
 }
+
+/// Seen in service: a change took relays on thin links 0.3 s to hand on, three quarters of it text that no sidecar reads.
+#[test]
+fn what_is_delivered_routes_alike_in_less_than_half_of_the_bytes() {
+    let routes: Vec<String> = (0..310)
+        .map(|number| {
+            format!(
+                r#"{{"name":"r-xd9d{number}","lane":"/lepu{number}/","routeKind":"safe","deadlineS":4,"targetS":0.6,"priority":2,"destination":"d","attempts":2,"edition":1{number}}}"#
+            )
+        })
+        .collect();
+    let call = format!(
+        r#"{{"deliver":{{"destinations":[{{"name":"d","healthPath":"/h","edition":1}}],"depots":[{{"depot":"jepu9.example","lanes":[{}]}}]}}}}"#,
+        routes.join(",")
+    );
+    let patch = silvercross_mesh_config::parse_change(call.as_bytes()).expect("well-formed");
+    let mut control_value = ControlValue::Blank;
+    control_value.apply(&ControlChange::Patch(patch)).expect("valid");
+    let (whole, delivered) = (control_value.clone(), control_value.delivered());
+    let (whole_bytes, bytes) = (bitcode::encode(&whole).len(), bitcode::encode(&delivered).len());
+    assert!(bytes * 2 < whole_bytes, "{bytes} of {whole_bytes}");
+    let table = |value: &ControlValue| match value {
+        ControlValue::Configuration(configuration) => {
+            silvercross_mesh_config::RoutingTable::new(configuration)
+        }
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(table(&whole), table(&delivered));
+}
--- a/crates/daemon/mesh/src/peers/effects.rs
+++ b/crates/daemon/mesh/src/peers/effects.rs
@@ -104,7 +104,7 @@
             }
             StoreEffect::Committed { key, revision, value } => {
                 let revision = entry_revision(revision);
-                let value = value.published();
+                let value = value.delivered();
                 let bytes = bitcode::encode(&value);
                 self.membership.borrow_mut().publish(node_state.now(), &key, revision, bytes);
                 node_state.apply_control_entry(&key, revision, value);
