Soak of real processes under overlapping faults; large frames keep a thin link alive; single-node rules of the outbox

Soak (silvercross-testbed soak): drawn kills, pauses, cuts and dropped answers, two or three at a time, thin links, changes as fast as they are acknowledged, each watched at each sidecar from outside, invariants read from all logs.

--- a/crates/control/mesh-membership/src/events.rs
+++ b/crates/control/mesh-membership/src/events.rs
@@ -59,6 +59,14 @@
         self.settle(now);
     }
 
+    /// Part of a message came over a link: the other side is there.
+    pub fn heard(&mut self, now: Instant, from: Node) {
+        self.note_time(now);
+        if let Some(link) = self.links.up.get_mut(&from) {
+            link.heard_at = now;
+        }
+    }
+
     /// A datagram came.
     pub fn receive_datagram(&mut self, now: Instant, from: Node, datagram: Datagram) {
         self.note_time(now);
--- a/crates/control/mesh-membership/tests/single_node.rs
+++ b/crates/control/mesh-membership/tests/single_node.rs
@@ -36,18 +36,98 @@
     membership.take_effects().into_iter().filter_map(updates).collect()
 }
 
+/// A message with control entries, as far as these tests go by it.
+#[derive(Clone, Copy, PartialEq, Debug)]
+struct SentEntry {
+    to: Node,
+    revision: Revision,
+}
+
+fn sent_entries(effects: Vec<Effect<u32>>) -> Vec<SentEntry> {
+    let entries = |effect| match effect {
+        Effect::SendEntries { to, message: MembershipMessage::Update { entries, .. } } => Some((to, entries)),
+        _ => None,
+    };
+    let sent = effects.into_iter().filter_map(entries);
+    sent.flat_map(|(to, entries)| entries.into_iter().map(move |e| SentEntry { to, revision: e.revision }))
+        .collect()
+}
+
 #[test]
 fn an_update_goes_to_all_but_where_it_came_from_and_only_once() {
     let mut membership = membership();
-    let both = || update(vec![record(Node(30), 1, 1)], vec![entry(Revision::new(1, 0, 0), 3)]);
+    let revision = Revision::new(1, 0, 0);
+    let both = || update(vec![record(Node(30), 1, 1)], vec![entry(revision, 3)]);
     membership.receive(at(1), Node(20), both());
-    assert_eq!(updated(&mut membership), [PARENT, Node(21)], "one message each");
-    membership.receive(at(2), Node(21), both());
-    membership.receive(at(2), PARENT, both());
-    assert!(updated(&mut membership).is_empty());
+    let effects = membership.take_effects();
+    let is_update = |effect: &&Effect<u32>| {
+        matches!(effect, Effect::SendMessage { message: MembershipMessage::Update { .. }, .. })
+    };
+    let records: Vec<_> = effects.iter().filter(is_update).collect();
+    assert_eq!(records.len(), 2, "one message each: {records:?}");
+    let others = [PARENT, Node(21)].map(|to| SentEntry { to, revision });
+    assert_eq!(sent_entries(effects), others, "one message each");
+    for node in [PARENT, Node(21)] {
+        membership.entries_left(at(2), node);
+        membership.receive(at(2), node, both());
+    }
+    let effects = membership.take_effects();
+    assert!(!effects.iter().any(|effect| is_update(&effect)) && sent_entries(effects).is_empty());
     assert!(membership.metrics().redundant_bytes > 0);
 }
 
+/// Of an entry one version at a time is on its way on a link; the newest one follows, and those between never go.
+#[test]
+fn while_a_version_is_on_its_way_the_newer_ones_wait_and_only_the_newest_goes() {
+    let mut membership = membership();
+    let publish = |membership: &mut Membership<u32>, change| {
+        membership.publish(at(1), KEY, Revision::new(1, 0, change), vec![change as u8]);
+        sent_entries(membership.take_effects())
+    };
+    assert_eq!(publish(&mut membership, 1).len(), LINKED.len());
+    assert!((2..=9).all(|change| publish(&mut membership, change).is_empty()));
+    membership.entries_left(at(2), PARENT);
+    let newest = SentEntry { to: PARENT, revision: Revision::new(1, 0, 9) };
+    assert_eq!(sent_entries(membership.take_effects()), [newest], "on the link that took the first one");
+    assert_eq!(membership.metrics().entries_superseded, 7 * LINKED.len() as u64);
+    membership.entries_left(at(3), PARENT);
+    assert!(sent_entries(membership.take_effects()).is_empty(), "nothing is left");
+    // It came from there meanwhile: it does not go back.
+    membership.receive(at(4), Node(20), update(vec![], vec![entry(Revision::new(2, 0, 0), 3)]));
+    membership.entries_left(at(5), Node(20));
+    assert!(sent_entries(membership.take_effects()).iter().all(|sent| sent.to != Node(20)));
+}
+
+#[test]
+fn what_is_asked_for_while_it_is_on_its_way_goes_once_and_later_again() {
+    let mut membership = membership();
+    let fetch = || MembershipMessage::Fetch { nodes: Vec::new(), keys: vec![KEY.to_string()] };
+    membership.publish(at(1), KEY, Revision::new(1, 0, 1), vec![1]);
+    assert_eq!(sent_entries(membership.take_effects()).len(), LINKED.len());
+    membership.receive(at(2), PARENT, fetch());
+    membership.entries_left(at(3), PARENT);
+    membership.receive(at(4), PARENT, fetch());
+    assert!(sent_entries(membership.take_effects()).is_empty(), "it is on its way");
+    let later = at(3) + LINK_TIMEOUT + Duration::from_millis(1);
+    membership.receive(later, PARENT, fetch());
+    assert_eq!(sent_entries(membership.take_effects()).len(), 1, "it did not arrive");
+}
+
+/// Over a thin link a large message takes longer than a silent link is kept.
+#[test]
+fn a_link_on_which_part_of_a_message_comes_is_kept() {
+    let mut membership = membership();
+    let step = LINK_TIMEOUT / 2;
+    let mut now = START;
+    for _ in 0..8 {
+        now += step;
+        membership.heard(now, PARENT);
+        membership.tick(now);
+    }
+    assert!(membership.linked_nodes().contains(&PARENT));
+    assert!(!membership.linked_nodes().contains(&Node(20)), "nothing came from there");
+}
+
 #[test]
 fn nothing_goes_back() {
     let mut membership = membership();
--- a/crates/daemon/mesh/src/peers/links.rs
+++ b/crates/daemon/mesh/src/peers/links.rs
@@ -1,6 +1,6 @@
 //! Links between nodes: opened and accepted, identified, read and written, until they end.
 use super::frame::{encode_frame, Frame, CHUNK_BYTES, MAX_FRAME_BYTES, MAX_HELLO_BYTES, PROTOCOL_VERSION};
-use super::frame_reader::FrameReader;
+use super::frame_reader::{FrameReader, Incoming};
 use super::frame_writer::{write_frames, FrameClass, FrameQueues, Link};
 use super::state::{ip_of, store_node, Peers};
 use crate::node_state::{ConnectionKind, GaugeGuard, Invariant, NodeState};
@@ -233,9 +233,15 @@
     drop(unidentified);
     let (number, queues) = peers.link_up(&node_state, node);
     let reading = async {
-        while let Some(frame) = reader.next(MAX_FRAME_BYTES).await {
-            if !peers.receive(&node_state, node, frame) {
-                break;
+        while let Some(incoming) = reader.next_incoming(MAX_FRAME_BYTES).await {
+            match incoming {
+                // Over a thin link a large frame may take longer than a silent link is kept.
+                Incoming::Chunk => peers.membership.borrow_mut().heard(node_state.now(), node),
+                Incoming::Frame(frame) => {
+                    if !peers.receive(&node_state, node, *frame) {
+                        break;
+                    }
+                }
             }
         }
     };
--- a/crates/tools/testbed/src/lib.rs
+++ b/crates/tools/testbed/src/lib.rs
@@ -2,7 +2,7 @@
 //! it (upstreams, clients, an operator) are stand-ins in this process. Everything started ends with its [`Testbed`].
 //!
 //! It must not know how the program works inside: it speaks to it as platforms, clients, upstreams and operators do. Read on at
-//! [`testbed`], then [`mesh`] and [`upstream`], then a play: [`faults`], [`control`] or [`lapse`].
+//! [`testbed`], then [`mesh`] and [`upstream`], then a play: [`faults`], [`control`], [`soak`] or [`lapse`].
 #![forbid(unsafe_code)]
 #![deny(missing_docs, unreachable_pub)]
 #![deny(clippy::too_many_lines, clippy::too_many_arguments)]
@@ -20,6 +20,7 @@
 pub mod mesh;
 pub mod operator;
 pub mod program;
+pub mod soak;
 pub mod testbed;
 pub mod traffic;
 pub mod upgrade;
--- a/crates/tools/testbed/src/links.rs
+++ b/crates/tools/testbed/src/links.rs
@@ -4,6 +4,7 @@
 use anyhow::{Context, Result};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -36,6 +37,8 @@
     called: SocketAddr,
     /// Where the other machine listens.
     target: SocketAddr,
+    /// What a connection carries in each direction, in bytes a second.
+    bytes_per_second: Option<u64>,
     isolated: watch::Receiver<IsolatedMachines>,
 }
 
@@ -67,7 +70,11 @@
         for (from, to) in pairs.filter(|(from, to)| from != to) {
             let (caller, target) = (mesh.internal(from), mesh.internal(to));
             let called = SocketAddr::new(target.ip(), caller.port());
-            let relay = Relay { from, to, caller, called, target, isolated: changes.clone() };
+            // Control machines are linked as well as they can be, as in service.
+            let is_thin = !(mesh.machines[from].is_control && mesh.machines[to].is_control);
+            let bytes_per_second = mesh.link_bytes_per_second().filter(|_| is_thin);
+            let relay =
+                Relay { from, to, caller, called, target, bytes_per_second, isolated: changes.clone() };
             let sockets = relay.open().await.with_context(|| format!("a link at {called}"))?;
             tasks.push(tokio::spawn(relay.run(sockets)));
         }
@@ -86,6 +93,36 @@
     }
 }
 
+/// Bytes that a thin connection passes on at a time.
+const THIN_CHUNK_BYTES: usize = 4 * 1024;
+
+/// Pass on what comes in both directions until either ends.
+async fn copy_both_ways(near: &mut TcpStream, far: &mut TcpStream, bytes_per_second: Option<u64>) {
+    let Some(rate) = bytes_per_second else {
+        let _ = tokio::io::copy_bidirectional(near, far).await;
+        return;
+    };
+    let ((near_read, near_write), (far_read, far_write)) = (near.split(), far.split());
+    tokio::select! {
+        _ = copy_at_rate(near_read, far_write, rate) => {}
+        _ = copy_at_rate(far_read, near_write, rate) => {}
+    }
+}
+
+/// Pass on what comes, at so many bytes a second, until either end ends.
+async fn copy_at_rate(mut from: impl AsyncRead + Unpin, mut to: impl AsyncWrite + Unpin, rate: u64) {
+    let mut chunk = vec![0; THIN_CHUNK_BYTES];
+    let mut free_at = tokio::time::Instant::now();
+    while let Ok(length) = from.read(&mut chunk).await {
+        if length == 0 || to.write_all(&chunk[..length]).await.is_err() {
+            return;
+        }
+        let transfer = Duration::from_secs_f64(length as f64 / rate as f64);
+        free_at = free_at.max(tokio::time::Instant::now()) + transfer;
+        tokio::time::sleep_until(free_at).await;
+    }
+}
+
 impl Relay {
     fn is_cut(&self, isolated: &IsolatedMachines) -> bool {
         isolated.contains(&self.from) != isolated.contains(&self.to)
@@ -157,7 +194,7 @@
             change = self.isolated.wait_for(|isolated| this.is_cut(isolated)) => if change.is_err() {
                 return;
             },
-            _ = tokio::io::copy_bidirectional(&mut stream, &mut onward) => return,
+            _ = copy_both_ways(&mut stream, &mut onward, self.bytes_per_second) => return,
         }
         // Silent until the machines are joined.
         let _ = self.isolated.wait_for(|isolated| !this.is_cut(isolated)).await;
--- a/crates/tools/testbed/src/main.rs
+++ b/crates/tools/testbed/src/main.rs
@@ -9,14 +9,15 @@
 use silvercross_testbed::lapse::{LapseOptions, LapsePlay};
 use silvercross_testbed::load::LoadOptions;
 use silvercross_testbed::mesh::OtherProgram;
-use silvercross_testbed::{control, faults, lapse, load, program, upgrade, walkthrough};
+use silvercross_testbed::soak::SoakOptions;
+use silvercross_testbed::{control, faults, lapse, load, program, soak, upgrade, walkthrough};
 use std::convert::Infallible;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 
-const HELP: &str = "silvercross-testbed show | load | faults | control | lapse | upgrade
+const HELP: &str = "silvercross-testbed show | load | faults | control | lapse | soak | upgrade
   show      start a small mesh, have a request served, and show what happened
   load      what a request costs through two sidecars, beside two bare forwarders
     --seconds S       each way is loaded for so long (6)
@@ -34,6 +35,12 @@
     --only NAME       one play; otherwise all
     --svg FOLDER      a plot for each play
     --sides N         machines with an upstream (9)
+  soak      drawn kills, pauses, cuts and lost answers that overlap, while changes come fast over thin links; exit code 3 if broken
+    --seed N          the first seed (1)
+    --seeds N         how many, one after the other (20)
+    --seconds S       faults are drawn for so long (15)
+    --routes N        routes that make the configuration large (300)
+    --rate BYTES      what a connection carries, in bytes a second (150000)
   upgrade   three control machines of two builds: changes before and after one is killed, read by the others
     --old PATH        the program of the build that is upgraded from
     --old-word WORD   its word on the command line for a control machine (control)
@@ -45,6 +52,7 @@
     Faults(Vec<FaultPlay>),
     Control(Vec<ControlPlay>, PlayExtent),
     Lapse(LapseOptions),
+    Soak(SoakOptions),
     Upgrade(OtherProgram, usize),
     Forward(std::net::SocketAddr),
 }
@@ -88,6 +96,22 @@
     })
 }
 
+fn soak_options(args: &mut pico_args::Arguments) -> Result<SoakOptions> {
+    let full = SoakOptions::FULL;
+    let seconds = args.opt_value_from_str::<_, f64>("--seconds")?.unwrap_or(full.span.as_secs_f64());
+    Ok(SoakOptions {
+        first_seed: args.opt_value_from_str("--seed")?.unwrap_or(full.first_seed),
+        seeds: args.opt_value_from_str("--seeds")?.unwrap_or(full.seeds).clamp(1, 10_000),
+        span: Duration::from_secs_f64(seconds.clamp(3.0, 600.0)),
+        filler_routes: args.opt_value_from_str("--routes")?.unwrap_or(full.filler_routes).min(2_000),
+        link_bytes_per_second: args
+            .opt_value_from_str("--rate")?
+            .unwrap_or(full.link_bytes_per_second)
+            .max(1_000),
+        ..full
+    })
+}
+
 fn upgrade_command(args: &mut pico_args::Arguments) -> Result<Command> {
     let path = args.value_from_os_str("--old", |path| Ok::<_, Infallible>(PathBuf::from(path)))?;
     let old = OtherProgram { path, word: args.opt_value_from_str("--old-word")? };
@@ -108,6 +132,7 @@
         }
         Some("control") => control_command(&mut args)?,
         Some("lapse") => Command::Lapse(lapse_options(&mut args)?),
+        Some("soak") => Command::Soak(soak_options(&mut args)?),
         Some("upgrade") => upgrade_command(&mut args)?,
         Some("forward") => Command::Forward(args.free_from_str()?),
         _ => return Ok(None),
@@ -144,6 +169,7 @@
         Command::Faults(plays) => Ok(faults::run(program, plays).await),
         Command::Control(plays, extent) => Ok(control::run(program, plays, *extent).await),
         Command::Lapse(options) => Ok(lapse::run(program, options).await),
+        Command::Soak(options) => Ok(soak::run(program, options).await),
         Command::Upgrade(old, runs) => upgrade::run(program, old, *runs).await,
         Command::Forward(_) => Ok(true),
     }
--- a/crates/tools/testbed/src/mesh/machines.rs
+++ b/crates/tools/testbed/src/mesh/machines.rs
@@ -136,6 +136,11 @@
         self.block.internal(machine, if self.plan.has_links { machine as u16 } else { 0 })
     }
 
+    /// What a connection between two machines carries, in bytes a second.
+    pub(crate) fn link_bytes_per_second(&self) -> Option<u64> {
+        self.plan.link_bytes_per_second
+    }
+
     /// Numbers of the machines that hold the control state.
     pub fn control_machines(&self) -> Range<usize> {
         0..self.plan.control_count
--- a/crates/tools/testbed/src/mesh/plan.rs
+++ b/crates/tools/testbed/src/mesh/plan.rs
@@ -23,6 +23,9 @@
     pub spare_count: usize,
     /// Whether each machine calls the others at a port of its own, so that [`crate::links::Links`] can stand in between.
     pub has_links: bool,
+    /// What a connection over those links, but one between control machines, carries in each direction, in bytes a second; `None`: as
+    /// much as it can.
+    pub link_bytes_per_second: Option<u64>,
     /// Zones, over which both kinds are dealt out.
     pub zone_count: usize,
     /// Services, dealt out over the sides.
@@ -55,6 +58,7 @@
             side_count: 4,
             spare_count: 0,
             has_links: false,
+            link_bytes_per_second: None,
             zone_count: 3,
             services: vec!["bakery".to_string(), "smithy".to_string()],
             heartbeat_s: 0.5,
