Outbox: begins anew on another connection, and lets entries take turns

Three ways to break it: - a process that was killed and is back before the end of its old connection is seen would have waited for what counted as on its way there; - a report about an older connection would have counted for the newest; - the configuration, if larger than a message and changed all the time, would have kept evacuations back for good. Tests: on_another_connection_what_was_on_its_way_goes_again, no_entry_waits_for_one_that_changes_all_the_time.

--- a/crates/control/mesh-membership/src/effect.rs
+++ b/crates/control/mesh-membership/src/effect.rs
@@ -25,8 +25,8 @@
         /// What.
         message: MembershipMessage<T>,
     },
-    /// Send a message with control entries over the link. Once the network has taken all of it, or its connection has ended
-    /// while the link stays up, it is reported by `entries_left`; until then there is no further one for this link.
+    /// Send a message with control entries over the link. Once the network has taken all of it, it is reported by `entries_left`;
+    /// until then there is no further one on this connection.
     SendEntries {
         /// To whom.
         to: Node,
--- a/crates/control/mesh-membership/src/entry_outbox.rs
+++ b/crates/control/mesh-membership/src/entry_outbox.rs
@@ -7,6 +7,7 @@
 use crate::timing::LINK_TIMEOUT;
 use silvercross_time::Instant;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 /// Bytes of control entries after which a further message is begun.
 const MESSAGE_ENTRY_BYTES: usize = 256 << 10;
@@ -25,6 +26,9 @@
     pending: BTreeSet<String>,
     /// Entries in the message that the network has not taken yet; empty if there is none.
     in_flight: Vec<String>,
+    /// The last entry that was put in a message: the next message begins behind it, so that one which changes all the time keeps no
+    /// other one back.
+    last_key: String,
     /// Bounded by the entries that are known.
     sent: BTreeMap<String, SentEntry>,
 }
@@ -66,17 +70,32 @@
         let mut entries = Vec::new();
         let mut bytes = 0;
         while bytes < MESSAGE_ENTRY_BYTES {
-            let Some(key) = self.pending.pop_first() else { break };
+            let Some(key) = self.next_pending() else { break };
+            self.pending.remove(&key);
             let Some(entry) = newest(&key) else { continue };
             bytes += entry.bytes.len();
             self.sent.insert(key.clone(), SentEntry { revision: entry.revision, at: now });
+            self.last_key.clone_from(&key);
             self.in_flight.push(key);
             entries.push(entry);
         }
         (!entries.is_empty()).then_some(entries)
     }
 
-    /// The network has taken the message that was on its way, or its connection has ended.
+    /// The pending entry behind the last one that was sent, or else the first.
+    fn next_pending(&self) -> Option<String> {
+        let behind = (Bound::Excluded(self.last_key.as_str()), Bound::Unbounded);
+        self.pending.range::<str, _>(behind).next().or_else(|| self.pending.first()).cloned()
+    }
+
+    /// Another connection is used from here on. What was sent on the one before may be lost, and its end may not even be known: what
+    /// was on its way goes again, and nothing counts as sent a moment ago.
+    pub(crate) fn connection_changed(&mut self) {
+        self.pending.extend(std::mem::take(&mut self.in_flight));
+        self.sent.clear();
+    }
+
+    /// The network has taken the message that was on its way.
     pub(crate) fn message_left(&mut self, now: Instant) {
         for key in std::mem::take(&mut self.in_flight) {
             if let Some(sent) = self.sent.get_mut(&key) {
--- a/crates/control/mesh-membership/src/updates.rs
+++ b/crates/control/mesh-membership/src/updates.rs
@@ -140,6 +140,14 @@
         }
     }
 
+    /// The connection on which messages to this node went has ended, and another one is up.
+    pub fn connection_changed(&mut self, now: Instant, to: Node) {
+        self.note_time(now);
+        if let Some(link) = self.links.up.get_mut(&to) {
+            link.outbox.connection_changed();
+        }
+    }
+
     /// Records as they are now, in chunks of a bounded size.
     fn record_chunks(&self, nodes: BTreeSet<Node>) -> Vec<Vec<NodeRecord<T>>> {
         let records: Vec<NodeRecord<T>> =
--- a/crates/control/mesh-membership/tests/single_node.rs
+++ b/crates/control/mesh-membership/tests/single_node.rs
@@ -113,6 +113,45 @@
     assert_eq!(sent_entries(membership.take_effects()).len(), 1, "it did not arrive");
 }
 
+/// A process that was killed is back before the end of its old connection is seen: it gets what was sent there.
+#[test]
+fn on_another_connection_what_was_on_its_way_goes_again() {
+    let mut membership = membership();
+    membership.publish(at(1), KEY, Revision::new(1, 0, 1), vec![1]);
+    assert_eq!(sent_entries(membership.take_effects()).len(), LINKED.len());
+    membership.link_up(at(2), PARENT);
+    let again = SentEntry { to: PARENT, revision: Revision::new(1, 0, 1) };
+    assert_eq!(sent_entries(membership.take_effects()), [again]);
+    membership.entries_left(at(3), PARENT);
+    membership.connection_changed(at(4), PARENT);
+    let fetch = MembershipMessage::Fetch { nodes: Vec::new(), keys: vec![KEY.to_string()] };
+    membership.receive(at(5), PARENT, fetch);
+    assert_eq!(sent_entries(membership.take_effects()), [again], "nothing counts as sent a moment ago");
+}
+
+/// An entry that changes all the time, larger than a message, leaves the others their turn.
+#[test]
+fn no_entry_waits_for_one_that_changes_all_the_time() {
+    let mut membership = membership();
+    let large = vec![1; 300 << 10];
+    membership.publish(at(1), "a", Revision::new(1, 0, 1), large.clone());
+    membership.publish(at(1), "b", Revision::new(1, 0, 1), vec![1]);
+    let mut keys = Vec::new();
+    for change in 2..=4 {
+        let to_parent = |effect| match effect {
+            Effect::SendEntries { to: PARENT, message: MembershipMessage::Update { entries, .. } } => {
+                Some(entries)
+            }
+            _ => None,
+        };
+        let sent = membership.take_effects().into_iter().filter_map(to_parent).flatten();
+        keys.extend(sent.map(|entry| entry.key));
+        membership.publish(at(change), "a", Revision::new(1, 0, change as u64), large.clone());
+        membership.entries_left(at(change), PARENT);
+    }
+    assert_eq!(keys[..3], ["a", "b", "a"]);
+}
+
 /// Over a thin link a large message takes longer than a silent link is kept.
 #[test]
 fn a_link_on_which_part_of_a_message_comes_is_kept() {
--- a/crates/daemon/mesh/src/peers/links.rs
+++ b/crates/daemon/mesh/src/peers/links.rs
@@ -70,17 +70,18 @@
 
     /// The network has taken a frame with control entries on a link.
     fn entries_left(&self, node_state: &Rc<NodeState>, node: Node, number: u64) {
-        let is_up = self
-            .links
-            .borrow()
-            .get(&node)
-            .is_some_and(|links| links.iter().any(|link| link.number == number));
-        if is_up {
+        // Of an older connection it says nothing: membership has begun anew with the newest one.
+        if self.newest_link(node) == Some(number) {
             self.membership.borrow_mut().entries_left(node_state.now(), node);
             self.carry_out_effects(node_state);
         }
     }
 
+    /// The number of the link to a node that is written to.
+    fn newest_link(&self, node: Node) -> Option<u64> {
+        self.links.borrow().get(&node).and_then(|links| links.last()).map(|link| link.number)
+    }
+
     /// No link to this node is left.
     pub(super) fn link_lost(&self, node_state: &Rc<NodeState>, node: Node) {
         let now = node_state.now();
@@ -169,6 +170,7 @@
 
     /// A link has ended.
     fn link_ended(&self, node_state: &Rc<NodeState>, node: Node, number: u64) {
+        let was_newest = self.newest_link(node) == Some(number);
         let was_last = {
             let mut links = self.links.borrow_mut();
             let Some(of_node) = links.get_mut(&node) else { return };
@@ -181,9 +183,8 @@
         };
         if was_last {
             self.link_lost(node_state, node);
-        } else {
-            // What was on its way on it is not reported any more.
-            self.membership.borrow_mut().entries_left(node_state.now(), node);
+        } else if was_newest {
+            self.membership.borrow_mut().connection_changed(node_state.now(), node);
         }
         self.carry_out_effects(node_state);
     }
