--- a/crates/daemon/mesh/src/node_state.rs
+++ b/crates/daemon/mesh/src/node_state.rs
@@ -9,6 +9,7 @@
 mod control_entries;
 mod counters;
 mod in_force;
+mod invariant_checks;
 mod invariants;
 mod local_upstream;
 mod other_nodes;
--- a/crates/daemon/mesh/src/node_state/invariants.rs
+++ b/crates/daemon/mesh/src/node_state/invariants.rs
@@ -1,9 +1,9 @@
 //! What has to hold while the process runs, checked where it could be broken, counted by name and logged with both values that
-//! disagree: the log outlives the process, the counts don't. Each is 0 in tests.
-use super::state::NodeState;
+//! disagree: the log outlives the process, the counts don't. Each is 0 in tests. Knows nothing of what is checked: go on with
+//! `invariant_checks.rs`.
 use crate::rate_limited_log::RateLimitedLog;
 use serde_json::{Map, Value};
-use slog::warn;
+use silvercross_time::Instant;
 use std::cell::Cell;
 
 /// What has to hold.
@@ -23,7 +23,7 @@
         [Invariant::OneVersionUnderWay, Invariant::NewestInForce, Invariant::BoundedBacklog];
 
     /// Its name in the log and on the metrics page.
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             Invariant::OneVersionUnderWay => "oneVersionUnderWay",
             Invariant::NewestInForce => "newestInForce",
@@ -39,38 +39,18 @@
     logs: [RateLimitedLog; Invariant::ALL.len()],
 }
 
-impl NodeState {
-    /// An invariant does not hold.
-    pub(crate) fn report_violation(&self, invariant: Invariant, expected: &str, found: &str) {
-        let count = &self.violations.counts[invariant as usize];
+impl Violations {
+    /// An invariant does not hold: for how many violations a log line is due, if one is.
+    pub(super) fn count(&self, now: Instant, invariant: Invariant) -> Option<u64> {
+        let count = &self.counts[invariant as usize];
         count.set(count.get() + 1);
-        if let Some(times) = self.violations.logs[invariant as usize].due(self.now()) {
-            warn!(self.log, "invariant violated"; "invariant" => invariant.name(), "expected" => expected,
-                "found" => found, "count" => times);
-        }
+        self.logs[invariant as usize].due(now)
     }
 
     /// Violations by name.
-    pub(crate) fn violations_report(&self) -> Value {
-        let counts = Invariant::ALL.map(|invariant| {
-            (invariant.name().to_string(), self.violations.counts[invariant as usize].get().into())
-        });
+    pub(super) fn report(&self) -> Value {
+        let counts = Invariant::ALL
+            .map(|invariant| (invariant.name().to_string(), self.counts[invariant as usize].get().into()));
         Value::Object(Map::from_iter(counts))
     }
-
-    /// Compares what is in force with the newest revisions that membership knows.
-    pub(crate) fn check_newest_in_force(&self) {
-        let in_force = self.revisions();
-        let behind = self.peers.membership(|membership| {
-            let mut entries = membership.control_entries();
-            let behind =
-                entries.find(|entry| in_force.get(entry.key).is_none_or(|here| *here < entry.revision));
-            behind.map(|entry| (entry.key.to_string(), entry.revision))
-        });
-        if let Some((key, known)) = behind {
-            let expected = format!("{key} at {known:?}");
-            let found = format!("{:?}", in_force.get(&key));
-            self.report_violation(Invariant::NewestInForce, &expected, &found);
-        }
-    }
 }
