--- a/crates/control/mesh-config/src/configuration.rs
+++ b/crates/control/mesh-config/src/configuration.rs
@@ -154,6 +154,16 @@
         }
     }
 
+    /// Routes and tombstones of routes.
+    pub(crate) fn route_entries(&self) -> &Entries<Route> {
+        &self.routes
+    }
+
+    /// Destinations and tombstones of destinations.
+    pub(crate) fn destination_entries(&self) -> &Entries<Destination> {
+        &self.destinations
+    }
+
     /// The routes that stand, by name.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.routes.values().filter_map(Entry::parsed)
--- a/crates/control/mesh-config/src/lib.rs
+++ b/crates/control/mesh-config/src/lib.rs
@@ -13,6 +13,7 @@
 mod client_limits;
 mod configuration;
 mod consistency;
+mod delivered_size;
 mod destination;
 mod error;
 mod history;
--- a/crates/control/mesh-membership/src/freshness.rs
+++ b/crates/control/mesh-membership/src/freshness.rs
@@ -21,7 +21,7 @@
     },
 }
 
-/// A rule of the check that is changed on purpose, so that tests see their checkers catch it. Without the feature `mutants`
+/// A rule of this package that is changed on purpose, so that tests see their checkers catch it. Without the feature `mutants`
 /// nothing heeds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mutation {
@@ -29,4 +29,6 @@
     AnswersWithoutMajority,
     /// A request joins the one that is in flight already.
     JoinsReadInFlight,
+    /// A control entry goes at once, whatever is on its way on the link.
+    SendsEveryVersion,
 }
--- a/crates/control/mesh-membership/src/updates.rs
+++ b/crates/control/mesh-membership/src/updates.rs
@@ -2,6 +2,7 @@
 //! side has it. What neighbours still lack is found in `anti_entropy`.
 use crate::control_entry::{ControlEntry, EntryView, Revision};
 use crate::effect::Effect;
+use crate::freshness::Mutation;
 use crate::limits::MAX_FORMER_CONTROL_NODES;
 use crate::link::Link;
 use crate::membership::{Membership, Subject};
@@ -198,6 +199,9 @@
             })
         };
         let Some(link) = self.links.up.get_mut(&to) else { return };
+        if self.check.has_mutation(Mutation::SendsEveryVersion) {
+            link.outbox.message_left(now);
+        }
         if let Some(entries) = link.outbox.next_message(now, newest) {
             self.metrics.messages_sent += 1;
             let message = MembershipMessage::Update { records: Vec::new(), entries };
--- a/crates/control/mesh-membership/tests/mutants.rs
+++ b/crates/control/mesh-membership/tests/mutants.rs
@@ -4,6 +4,7 @@
 mod simulation;
 use silvercross_mesh_membership::Mutation;
 use simulation::schedules::{run, starts_during_a_read, Case, Fault, Reachable, Starting, KEY, OLD};
+use simulation::thin_links::{longest_lag, MAX_LAG};
 use simulation::{secs, World};
 
 /// A node called itself current with the old entry.
@@ -25,3 +26,9 @@
 fn a_request_that_joins_the_one_in_flight_is_caught() {
     assert_caught(&starts_during_a_read(Some(Mutation::JoinsReadInFlight)));
 }
+
+#[test]
+fn a_relay_that_sends_every_version_falls_behind() {
+    let lag = longest_lag(1, Some(Mutation::SendsEveryVersion));
+    assert!(lag.is_none_or(|lag| lag > MAX_LAG * 2), "{lag:?}");
+}
--- a/crates/control/mesh-membership/tests/simulation/mod.rs
+++ b/crates/control/mesh-membership/tests/simulation/mod.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod network;
 pub mod schedules;
+pub mod thin_links;
 pub mod world;
 
 pub use world::World;
--- a/crates/daemon/mesh/src/control_value.rs
+++ b/crates/daemon/mesh/src/control_value.rs
@@ -6,12 +6,16 @@
 use bitcode::{Decode, Encode};
 use silvercross_control_store::{Rejection, State};
 use silvercross_mesh_config::{
-    Configuration, ConfigurationChange, ConfigurationUpdate, ConfigurationWithMembers, VersionedConfiguration,
+    Configuration, ConfigurationChange, ConfigurationUpdate, ConfigurationWithMembers,
+    VersionedConfiguration, MAX_MEMBER_LIST_BYTES,
 };
+use silvercross_mesh_membership::MAX_CONTROL_ENTRY_BYTES;
 use silvercross_throttle::{LapseChange, LapseState, MemberListChange};
 
 /// The key of the whole configuration: one key, so that a call over many items is one change. Stored data.
 pub(crate) const CONFIGURATION_KEY: &str = "configuration";
+/// What a list of members takes on nodes, at most: its items as sent, and as they are used.
+const MEMBER_LIST_BYTES_BOUND: usize = 3 * MAX_MEMBER_LIST_BYTES;
 /// Before a zone's name: the key of its evacuation. Stored data.
 const EVACUATION_PREFIX: &str = "evacuation/";
 
@@ -74,8 +78,10 @@
 
     fn apply(&mut self, change: &ControlChange) -> Result<bool, Rejection> {
         match change {
-            ControlChange::Patch(change) => self.apply_items(change, &MemberListChange::default()),
-            ControlChange::Call(call) => self.apply_items(&call.configuration, &call.members),
+            ControlChange::Patch(change) => {
+                self.apply_items_if_deliverable(change, &MemberListChange::default())
+            }
+            ControlChange::Call(call) => self.apply_items_if_deliverable(&call.configuration, &call.members),
             ControlChange::Evacuate(on) => match self {
                 ControlValue::Configuration(_)
                 | ControlValue::WithMembers(_)
@@ -103,11 +109,66 @@
     }
 }
 
+fn too_large(bytes: usize) -> Rejection {
+    let reason = format!(
+        "the configuration would take {bytes} bytes on every node, and {MAX_CONTROL_ENTRY_BYTES} at most are delivered \
+         (withdraw items that are not used)"
+    );
+    Rejection { conflict: false, reason }
+}
+
 fn wrong_kind() -> Rejection {
     Rejection { conflict: false, reason: "the key holds something else".to_string() }
 }
 
 impl ControlValue {
+    /// Sets and drops items, unless nodes could not be given what would stand then. One that is too large already, taken by an older
+    /// build, may only shrink.
+    fn apply_items_if_deliverable(
+        &mut self,
+        change: &ConfigurationChange,
+        members: &MemberListChange,
+    ) -> Result<bool, Rejection> {
+        if self.delivered_bytes_bound() + change.delivered_bytes_bound() <= MAX_CONTROL_ENTRY_BYTES {
+            return self.apply_items(change, members);
+        }
+        let before = self.clone();
+        let has_changed = self.apply_items(change, members)?;
+        let bytes = self.delivered_bytes();
+        if bytes > MAX_CONTROL_ENTRY_BYTES && bytes > before.delivered_bytes() {
+            *self = before;
+            return Err(too_large(bytes));
+        }
+        Ok(has_changed)
+    }
+
+    /// The bytes that nodes are given, at most.
+    fn delivered_bytes_bound(&self) -> usize {
+        let of_members = |whole: &ConfigurationWithMembers| {
+            if whole.member_list == Default::default() {
+                0
+            } else {
+                MEMBER_LIST_BYTES_BOUND
+            }
+        };
+        match self {
+            ControlValue::Configuration(configuration) => configuration.delivered_bytes_bound(),
+            ControlValue::WithMembers(whole) => {
+                whole.configuration.delivered_bytes_bound() + of_members(whole)
+            }
+            ControlValue::Versioned(versioned) => {
+                let whole = &versioned.current;
+                whole.configuration.delivered_bytes_bound() + of_members(whole)
+            }
+            ControlValue::Blank | ControlValue::Evacuation(_) | ControlValue::Lapse(_) => 0,
+        }
+    }
+
+    /// The bytes that nodes are given.
+    fn delivered_bytes(&self) -> usize {
+        bitcode::encode(&self.clone().delivered()).len()
+    }
+
     /// Sets and drops items. A form that knows more is taken only when there is more to know: what was taken before once
     /// something was overtaken, members once a call said something of them.
     fn apply_items(
--- a/crates/daemon/mesh/src/control_value/tests.rs
+++ b/crates/daemon/mesh/src/control_value/tests.rs
@@ -112,3 +112,40 @@
     };
     assert_eq!(table(&whole), table(&delivered));
 }
+
+/// Found by reading: what was acknowledged and is larger than an entry was dropped by every sidecar, and in force at none.
+#[test]
+fn what_nodes_could_not_be_given_is_rejected_and_may_still_shrink() {
+    let long = "x".repeat(2_000);
+    let patch = |first: usize, count: usize, set: bool, edition: u64| {
+        let names: Vec<String> = (first..first + count).map(|number| format!("r-{number}")).collect();
+        let set_item = |name: &String| {
+            format!(
+                r#"{{"name":"{name}","lane":"/{name}-{long}/","routeKind":"safe","deadlineS":4,"targetS":0.6,"priority":2,"destination":"d","attempts":2,"edition":{edition}}}"#
+            )
+        };
+        let drop_item = |name: &String| format!(r#"{{"name":"{name}","edition":{edition}}}"#);
+        let call = if set {
+            let items: Vec<String> = names.iter().map(set_item).collect();
+            format!(
+                r#"{{"deliver":{{"destinations":[{{"name":"d","healthPath":"/h","edition":1}}],"depots":[{{"depot":"h.example","lanes":[{}]}}]}}}}"#,
+                items.join(",")
+            )
+        } else {
+            let items: Vec<String> = names.iter().map(drop_item).collect();
+            format!(r#"{{"withdraw":{{"routes":[{}]}}}}"#, items.join(","))
+        };
+        ControlChange::Patch(silvercross_mesh_config::parse_change(call.as_bytes()).expect("well-formed"))
+    };
+    let mut value = ControlValue::Blank;
+    assert_eq!(value.apply(&patch(0, 1_500, true, 1)), Ok(true), "3 MB");
+    let before = value.clone();
+    let rejection = value.apply(&patch(1_500, 1_500, true, 1)).expect_err("6 MB");
+    assert!(!rejection.conflict && rejection.reason.contains("withdraw"), "{rejection}");
+    assert_eq!(value, before, "nothing of it stands");
+    let delivered = |value: &ControlValue| bitcode::encode(&value.clone().delivered()).len();
+    assert!(delivered(&value) <= MAX_CONTROL_ENTRY_BYTES);
+    assert_eq!(value.apply(&patch(0, 1_000, false, 2)), Ok(true));
+    assert_eq!(value.apply(&patch(1_500, 1_000, true, 1)), Ok(true), "there is room again");
+    assert!(delivered(&value) <= MAX_CONTROL_ENTRY_BYTES);
+}
