--- a/crates/control/mesh-membership/tests/single_node.rs
+++ b/crates/control/mesh-membership/tests/single_node.rs
@@ -27,13 +27,18 @@
     ControlEntry { key: KEY.into(), revision, bytes: vec![1; bytes] }
 }
 
-/// To whom updates were sent.
-fn updated(membership: &mut Membership<u32>) -> Vec<Node> {
-    let updates = |effect| match effect {
-        Effect::SendMessage { to, message: MembershipMessage::Update { .. } } => Some(to),
+/// To whom updates of records were sent.
+fn record_updates(effects: &[Effect<u32>]) -> Vec<Node> {
+    let to = |effect: &Effect<u32>| match effect {
+        Effect::SendMessage { to, message: MembershipMessage::Update { .. } } => Some(*to),
         _ => None,
     };
-    membership.take_effects().into_iter().filter_map(updates).collect()
+    effects.iter().filter_map(to).collect()
+}
+
+/// To whom updates of records were sent since the last look.
+fn updated(membership: &mut Membership<u32>) -> Vec<Node> {
+    record_updates(&membership.take_effects())
 }
 
 /// A message with control entries, as far as these tests go by it.
@@ -60,11 +65,7 @@
     let both = || update(vec![record(Node(30), 1, 1)], vec![entry(revision, 3)]);
     membership.receive(at(1), Node(20), both());
     let effects = membership.take_effects();
-    let is_update = |effect: &&Effect<u32>| {
-        matches!(effect, Effect::SendMessage { message: MembershipMessage::Update { .. }, .. })
-    };
-    let records: Vec<_> = effects.iter().filter(is_update).collect();
-    assert_eq!(records.len(), 2, "one message each: {records:?}");
+    assert_eq!(record_updates(&effects), [PARENT, Node(21)], "one message each");
     let others = [PARENT, Node(21)].map(|to| SentEntry { to, revision });
     assert_eq!(sent_entries(effects), others, "one message each");
     for node in [PARENT, Node(21)] {
@@ -72,7 +73,8 @@
         membership.receive(at(2), node, both());
     }
     let effects = membership.take_effects();
-    assert!(!effects.iter().any(|effect| is_update(&effect)) && sent_entries(effects).is_empty());
+    assert!(record_updates(&effects).is_empty());
+    assert!(sent_entries(effects).is_empty());
     assert!(membership.metrics().redundant_bytes > 0);
 }
 
