Sight: work that goes on after its sender has left, by hop; the parent beside each configuration in force

The record can't tell whether an origin or a gate knew that a client had left, nor below whom a sidecar that is behind hangs. Change: the origin reads a client's connection on while its request is served and counts leavers; nothing is cancelled by it yet. Metrics 'departures', a log line for work that went on for over 0.5 s; 'configuration in force' names the parent.

--- a/crates/daemon/mesh/src/client_listener.rs
+++ b/crates/daemon/mesh/src/client_listener.rs
@@ -7,6 +7,7 @@
 mod attempt_query;
 mod attempt_result;
 mod client_connection;
+mod client_departure;
 mod client_response;
 mod idle_wait;
 mod listener;
--- a/crates/daemon/mesh/src/client_listener/client_connection.rs
+++ b/crates/daemon/mesh/src/client_listener/client_connection.rs
@@ -1,11 +1,12 @@
 //! One client's connection: its requests are read one after the other, served and answered.
-use super::client_response::{refuse, DISCARD_TIMEOUT};
+use super::client_departure::wait_until_left;
+use super::client_response::{refuse, ClientResponse, DISCARD_TIMEOUT};
 use super::idle_wait::wait_for_request;
 use super::open_request::OpenRequestGuard;
 use super::route::serve;
 use super::streamed_request::serve_streamed;
 use crate::body_buffer::BodyBuffer;
-use crate::node_state::NodeState;
+use crate::node_state::{DepartedPeer, DepartedRequest, NodeState};
 use crate::wire::{Connection, PeerKind, ReadError, RequestHead};
 use silvercross_net::http::Framing;
 use silvercross_net::stream::Decoder;
@@ -72,7 +73,7 @@
     body: Rc<BodyBuffer>,
 ) -> bool {
     let open = OpenRequestGuard::new(node_state);
-    let mut response = serve(node_state, head, &body).await;
+    let mut response = serve_watched(node_state, connection, head, &body).await;
     drop(body);
     drop(open);
     let closes = !head.keep_alive || head.is_http_10 || node_state.stopping();
@@ -95,3 +96,21 @@
     }
     !closes
 }
+
+/// Serve a request while its client is watched. A client that leaves is counted.
+async fn serve_watched(
+    node_state: &Rc<NodeState>,
+    connection: &mut Connection,
+    head: &RequestHead,
+    body: &Rc<BodyBuffer>,
+) -> ClientResponse {
+    let serving = serve(node_state, head, body);
+    tokio::pin!(serving);
+    tokio::select! {
+        biased;
+        response = &mut serving => return response,
+        () = wait_until_left(connection) => {}
+    }
+    let _departed = DepartedRequest::new(node_state, DepartedPeer::Client);
+    serving.await
+}
--- a/crates/daemon/mesh/src/metrics.rs
+++ b/crates/daemon/mesh/src/metrics.rs
@@ -1,6 +1,6 @@
 //! The metrics page: counters and gauges of this process. The keys of the JSON are the operators' (`docs/operators/mesh.md`) and
 //! stay, whatever the code calls what they count.
-use crate::node_state::NodeState;
+use crate::node_state::{DepartedPeer, NodeState};
 use crate::service_balancer::UpstreamCounts;
 use serde_json::{json, Value};
 
@@ -33,12 +33,21 @@
         "entriesSuperseded": membership.entries_superseded, "invariantViolations": node_state.violations_report(),
         "feed": node_state.event_stream.get().map(|event_stream| event_stream.metrics()),
     });
+    report["departures"] = json!({
+        "clients": departures(node_state, DepartedPeer::Client),
+        "origins": departures(node_state, DepartedPeer::Origin),
+    });
     if let Some(members) = node_state.member_throttle.metrics() {
         report["members"] = members;
     }
     report
 }
 
+fn departures(node_state: &NodeState, peer: DepartedPeer) -> Value {
+    let counts = node_state.departures.counts(peer);
+    json!({ "left": counts.departures, "outlived": counts.outlived, "longestUs": counts.longest.as_micros() })
+}
+
 fn balancers(node_state: &NodeState) -> Vec<Value> {
     let services = node_state.balanced_services();
     let rows = services.iter().map(|service| {
--- a/crates/daemon/mesh/src/node_state.rs
+++ b/crates/daemon/mesh/src/node_state.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod control_entries;
 mod counters;
+mod departures;
 mod in_force;
 mod invariant_checks;
 mod invariants;
@@ -24,6 +25,7 @@
 mod upstream_lists;
 
 pub(crate) use counters::{ConnectionKind, GaugeGuard};
+pub(crate) use departures::{DepartedPeer, DepartedRequest};
 pub(crate) use invariants::Invariant;
 pub(crate) use local_upstream::Heartbeat;
 #[cfg(test)]
--- a/crates/daemon/mesh/src/node_state/control_entries.rs
+++ b/crates/daemon/mesh/src/node_state/control_entries.rs
@@ -104,7 +104,9 @@
         self.report_late_routes(revision);
         let idle_timeout = self.routing_table().limits().idle_timeout;
         self.idle_timeout.borrow_mut().set_limit(self.now(), idle_timeout);
-        info!(self.log, "configuration in force"; "round" => revision.epoch, "change" => revision.sequence);
+        let parent = self.peers.parent_ip().map_or_else(|| "none".to_string(), |ip| ip.to_string());
+        info!(self.log, "configuration in force"; "round" => revision.epoch, "change" => revision.sequence,
+            "parent" => parent);
         self.update_upstream_allowance();
         self.reconfigure_balancers();
         self.routing_changed.notify_waiters();
--- a/crates/daemon/mesh/src/node_state/state.rs
+++ b/crates/daemon/mesh/src/node_state/state.rs
@@ -1,5 +1,6 @@
 //! The parts that the tasks of a process share.
 use super::counters::{ConnectionKind, Counters};
+use super::departures::Departures;
 use super::in_force::InForce;
 use super::invariants::Violations;
 use super::local_upstream::LocalUpstream;
@@ -45,6 +46,8 @@
     pub(crate) log: Logger,
     /// Its counters and gauges.
     pub(crate) counters: Rc<Counters>,
+    /// Work that goes on after whoever asked for it has left.
+    pub(crate) departures: Departures,
     /// Idle connections that are kept.
     pub(crate) pool: ConnectionPool,
     /// Memory for the bodies held here.
@@ -121,6 +124,7 @@
             settings,
             log,
             counters: Rc::default(),
+            departures: Departures::default(),
             pool,
             gate,
             peers,
--- a/crates/daemon/mesh/src/peers/state.rs
+++ b/crates/daemon/mesh/src/peers/state.rs
@@ -99,6 +99,11 @@
         look(&self.membership.borrow())
     }
 
+    /// Where updates come from now; none on a control node.
+    pub(crate) fn parent_ip(&self) -> Option<IpAddr> {
+        self.membership(|membership| membership.parent()).map(ip_of)
+    }
+
     /// Look at the control store; `None` where this node has none.
     pub(crate) fn control_store<R>(&self, look: impl FnOnce(&ControlStore<ControlValue>) -> R) -> Option<R> {
         self.control_store.as_ref().map(|store| look(&store.borrow()))
--- a/crates/daemon/mesh/src/upstream_gate/sidecar_connection.rs
+++ b/crates/daemon/mesh/src/upstream_gate/sidecar_connection.rs
@@ -9,7 +9,7 @@
 use super::streamed_request::serve_streamed;
 use crate::body_buffer::BodyBuffer;
 use crate::forwarding_headers::{self, ForwardingHeaders, GateStatus, ATTEMPT_QUERY_HOST, ENCODING_VERSION};
-use crate::node_state::{GaugeGuard, NodeState};
+use crate::node_state::{DepartedPeer, DepartedRequest, GaugeGuard, NodeState};
 use crate::wire::{Connection, ConnectionEvent, ReadError, RequestHead, MAX_BUFFERED_BODY_BYTES};
 use silvercross_net::stream::Decoder;
 use std::rc::Rc;
@@ -133,7 +133,8 @@
 ) -> bool {
     let SidecarRequest { head, forwarding, replay_entry, incarnation } = request;
     let Some(forwarding) = forwarding else { return false };
-    let mut is_orphaned = false;
+    // Its origin's connection has broken, and the request goes on.
+    let mut orphaned = None;
     let mut received = {
         let delivery = Delivery::from_sidecar(&head, &forwarding, body, replay_entry.as_ref());
         let delivering = deliver(node_state, delivery);
@@ -141,10 +142,10 @@
         loop {
             tokio::select! {
                 received = &mut delivering => break received,
-                event = connection.wait_for_event(), if !is_orphaned => match event {
+                event = connection.wait_for_event(), if orphaned.is_none() => match event {
                     // Its origin will ask for the response.
                     ConnectionEvent::Broken if replay_entry.is_some() => {
-                        is_orphaned = true;
+                        orphaned = Some(DepartedRequest::new(node_state, DepartedPeer::Origin));
                         count_orphaned(node_state);
                     }
                     // An origin that hangs up has cancelled the attempt.
@@ -156,7 +157,7 @@
     let encoded = encode_for_origin(&head, &mut received, incarnation, false);
     let framing = encoded.remainder;
     let bytes = store_response(replay_entry, encoded, incarnation.is_some());
-    if is_orphaned || connection.write(&bytes).await.is_err() {
+    if orphaned.is_some() || connection.write(&bytes).await.is_err() {
         return false;
     }
     let (Some(remainder), Some(framing)) = (received.remainder.take(), framing) else { return true };
--- a/crates/daemon/mesh/src/wire/connection.rs
+++ b/crates/daemon/mesh/src/wire/connection.rs
@@ -71,6 +71,11 @@
         !self.received.is_empty() && !mutation::is_active(Mutation::SurplusBytesKept)
     }
 
+    /// Bytes that were received and not parsed yet.
+    pub(crate) fn unread_length(&self) -> usize {
+        self.received.len()
+    }
+
     /// Whether both halves are here.
     pub(crate) fn has_both_halves(&self) -> bool {
         matches!(self.halves, Halves::Joined(_))
