--- a/crates/control/mesh-membership/tests/mutants.rs
+++ b/crates/control/mesh-membership/tests/mutants.rs
@@ -29,6 +29,6 @@
 
 #[test]
 fn a_relay_that_sends_every_version_falls_behind() {
-    let lag = longest_lag(1, Some(Mutation::SendsEveryVersion));
+    let lag = longest_lag(1, 0, Some(Mutation::SendsEveryVersion));
     assert!(lag.is_none_or(|lag| lag > MAX_LAG * 2), "{lag:?}");
 }
--- a/crates/control/mesh-membership/tests/simulation/effects.rs
+++ b/crates/control/mesh-membership/tests/simulation/effects.rs
@@ -38,8 +38,8 @@
             Effect::SendMessage { to, message } => self.send_message(node, to, message),
             Effect::SendEntries { to, message } => {
                 self.send_message(node, to, message);
-                let left_at = self.left_at(node, to);
-                self.push(left_at, node, Event::EntriesLeft { to });
+                let taken_at = self.taken_at(node, to);
+                self.push(taken_at, node, Event::EntriesLeft { to });
             }
             Effect::SendDatagram { to, datagram } => self.send_datagram(node, to, datagram),
             Effect::Probe { node: probed } => self.probe(node, probed),
--- a/crates/control/mesh-membership/tests/simulation/network.rs
+++ b/crates/control/mesh-membership/tests/simulation/network.rs
@@ -113,11 +113,13 @@
         self.push(at, to, Event::Message { from: node, connection, message });
     }
 
-    /// When the last message to a node has left this machine; now, if there is no connection.
-    pub(super) fn left_at(&self, node: Node, to: Node) -> Instant {
+    /// When the system has taken the last message to a node: what is not in its buffer has left this machine. Now, if there is no
+    /// connection.
+    pub(super) fn taken_at(&self, node: Node, to: Node) -> Instant {
         let connection = self.connections.get(&Pair::of(node, to));
-        let left_at = connection.and_then(|connection| connection.sent_until.get(&to).copied());
-        left_at.unwrap_or(self.now).max(self.now)
+        let sent_until = connection.and_then(|connection| connection.sent_until.get(&to).copied());
+        let buffered = self.transfer_time(node, self.send_buffer_bytes);
+        sent_until.map_or(self.now, |sent_until| sent_until - buffered).max(self.now)
     }
 
     pub(super) fn send_datagram(&mut self, node: Node, to: Node, datagram: Datagram) {
--- a/crates/control/mesh-membership/tests/simulation/thin_links.rs
+++ b/crates/control/mesh-membership/tests/simulation/thin_links.rs
@@ -11,6 +11,8 @@
 const CONNECTION_BYTES_PER_SECOND: u64 = 56_000;
 /// Between two changes: a relay needs twice as long to send one entry to its children.
 const CHANGE_INTERVAL: Duration = ms(150);
+/// What the system buffers of a connection: eight entries.
+pub const SEND_BUFFER_BYTES: u64 = 128 * 1024;
 /// A node lacks no change for longer: the entry that is on its way on each of three levels, and the newest one after it.
 pub const MAX_LAG: Duration = secs(2);
 
@@ -41,10 +43,11 @@
 }
 
 /// The longest time that any node lacks a change while they come, and until all have the newest; `None` if that is not soon.
-pub fn longest_lag(seed: u64, mutation: Option<Mutation>) -> Option<Duration> {
+pub fn longest_lag(seed: u64, send_buffer_bytes: u64, mutation: Option<Mutation>) -> Option<Duration> {
     let mut world = World::settled(SIDECARS, seed);
     world.mutate_all(mutation);
     world.thin_link_bytes_per_second = Some(CONNECTION_BYTES_PER_SECOND);
+    world.send_buffer_bytes = send_buffer_bytes;
     let mut changes = Changes { published_at: Vec::new() };
     let mut longest = Duration::ZERO;
     for _ in 0..80 {
--- a/crates/control/mesh-membership/tests/simulation/world.rs
+++ b/crates/control/mesh-membership/tests/simulation/world.rs
@@ -130,6 +130,8 @@
     pub zone_delay: Duration,
     /// What a connection of a sidecar carries in each direction; without it, any number of bytes at once.
     pub thin_link_bytes_per_second: Option<u64>,
+    /// Bytes of a connection that the system takes before they have left the machine.
+    pub send_buffer_bytes: u64,
     pub traffic: Traffic,
     pub gone: Vec<GoneReport>,
     pub trace: bool,
@@ -169,6 +171,7 @@
             loss: 5,
             zone_delay: ms(1),
             thin_link_bytes_per_second: None,
+            send_buffer_bytes: 0,
             traffic: Traffic::default(),
             gone: Vec::new(),
             trace: false,
--- a/crates/daemon/mesh/src/tests/mod.rs
+++ b/crates/daemon/mesh/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod added_routes;
 mod connection_reuse;
 mod control_redirects;
+mod departed_clients;
 mod forwarding_headers;
 mod graceful_stop;
 mod heartbeats;
