Mend of CONFIG: control entries are announced by revision, and sent to those that ask for them

Cause: of an entry the next version was sent when the network had taken the one before; but what the system has taken of a connection has not arrived. Its buffers held some eight versions of 14 KB on each link of a busy relay, in order: 1.8 s a level, over 3 s on three levels. Class: a queue of superseded state, this time out of the program's sight. Change: a newer version is announced by its revision (an index of no bucket, a message as before), and the neighbour asks for it (Fetch, as before) when all that it asked for has arrived. So no more than one version of an entry is on a link, whatever is buffered below.

--- a/crates/control/mesh-membership/src/anti_entropy.rs
+++ b/crates/control/mesh-membership/src/anti_entropy.rs
@@ -10,13 +10,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
 
-/// Records and entries, by whose they are.
-#[derive(Default)]
-struct Selection {
+/// Records and entries that are newer here, by whose they are.
+struct NewerHere {
     nodes: BTreeSet<Node>,
     keys: BTreeSet<String>,
 }
 
+/// Records and entries that are newer at the other side of a link.
+struct NewerThere {
+    nodes: Vec<Node>,
+    entries: Vec<EntryRevision>,
+}
+
 /// The versions in some buckets at the other side of a link.
 struct RemoteVersions {
     records: BTreeMap<Node, RecordVersion>,
@@ -112,7 +117,8 @@
         self.send(from, MembershipMessage::VersionIndex { buckets, records, entries });
     }
 
-    /// Compares what the other listed: sends what is newer here and fetches what is newer there.
+    /// Compares what the other listed: sends or announces what is newer here, and fetches what is newer there. One that lists no bucket
+    /// announces entries.
     pub(crate) fn receive_version_index(
         &mut self,
         now: Instant,
@@ -121,6 +127,9 @@
         records: Vec<RecordVersion>,
         entries: Vec<EntryRevision>,
     ) {
+        for entry in &entries {
+            self.note_remote_entry(from, &entry.key, entry.revision);
+        }
         let remote = RemoteVersions {
             records: records.into_iter().map(|version| (version.node, version)).collect(),
             entries: entries.into_iter().map(|entry| (entry.key, entry.revision)).collect(),
@@ -132,15 +141,14 @@
         if let Some(own) = remote.records.get(&self.config.local_node).copied() {
             self.receive_own_version(now, own);
         }
-        if !newer_there.nodes.is_empty() || !newer_there.keys.is_empty() {
-            let nodes = newer_there.nodes.into_iter().collect();
-            let keys = newer_there.keys.into_iter().collect();
-            self.send(from, MembershipMessage::Fetch { nodes, keys });
+        if !newer_there.nodes.is_empty() {
+            self.send(from, MembershipMessage::Fetch { nodes: newer_there.nodes, keys: Vec::new() });
         }
+        self.want_entries(from, newer_there.entries);
     }
 
     /// What is newer here, in these buckets. A node that is gone is not shown to one that never knew it.
-    fn newer_here(&self, buckets: &[u8], remote: &RemoteVersions) -> Selection {
+    fn newer_here(&self, buckets: &[u8], remote: &RemoteVersions) -> NewerHere {
         let local = self.table.versions_in(buckets);
         let records = local.records.iter().filter(|version| match remote.records.get(&version.node) {
             Some(other) => other < *version,
@@ -150,14 +158,14 @@
             .entries
             .into_iter()
             .filter(|entry| remote.entries.get(&entry.key).is_none_or(|other| *other < entry.revision));
-        Selection {
+        NewerHere {
             nodes: records.map(|version| version.node).collect(),
             keys: entries.map(|entry| entry.key).collect(),
         }
     }
 
     /// What is newer there.
-    fn newer_there(&self, remote: &RemoteVersions) -> Selection {
+    fn newer_there(&self, remote: &RemoteVersions) -> NewerThere {
         let records = remote
             .records
             .values()
@@ -166,9 +174,11 @@
             .entries
             .iter()
             .filter(|(key, other)| self.table.entry(key).is_none_or(|own| own.revision < **other));
-        Selection {
+        NewerThere {
             nodes: records.map(|other| other.node).collect(),
-            keys: entries.map(|(key, _)| key.clone()).collect(),
+            entries: entries
+                .map(|(key, revision)| EntryRevision { key: key.clone(), revision: *revision })
+                .collect(),
         }
     }
 }
--- a/crates/control/mesh-membership/src/entry_outbox.rs
+++ b/crates/control/mesh-membership/src/entry_outbox.rs
@@ -1,67 +1,75 @@
-//! Control entries on their way to one neighbour.
+//! Control entries for one neighbour, at the side that has them.
 //!
-//! An entry is sent whole, and a link may carry fewer bytes than entries change: what waits is therefore the key alone, and its
-//! content is read when the link takes it. Invariants: of an entry at most one version is on its way, none that was superseded
-//! waits, and after the last change the newest version follows. Knows nothing of links, messages and the content.
-use crate::control_entry::{ControlEntry, Revision};
-use crate::timing::LINK_TIMEOUT;
-use silvercross_time::Instant;
-use std::collections::{BTreeMap, BTreeSet};
+//! An entry is sent whole, and a link may carry fewer bytes than entries change. So a newer version is announced, by its revision
+//! alone, and the neighbour asks for the entry when it has received what it asked for before (`entry_requests`): what the system has
+//! taken of a connection has not arrived, and what waits in its buffers can't be taken back. The content is read when the message is made.
+//!
+//! Invariants: an entry is sent only where it was asked for, and one message at a time; none that was superseded waits; after the last
+//! change the newest version is announced. Knows nothing of links, messages and the content.
+use crate::control_entry::{ControlEntry, EntryRevision, Revision};
+use std::collections::BTreeSet;
 use std::ops::Bound;
 
 /// Bytes of control entries after which a further message is begun.
 const MESSAGE_ENTRY_BYTES: usize = 256 << 10;
 
-/// What was sent of an entry last.
-struct SentEntry {
-    revision: Revision,
-    /// When the network had taken it, or when it was handed over if it hasn't yet.
-    at: Instant,
-}
-
-/// The control entries for one neighbour.
+/// The control entries for one neighbour. Each set is bounded by the entries that are known.
 #[derive(Default)]
 pub(crate) struct EntryOutbox {
-    /// Entries that the neighbour lacks, as far as is known here. Bounded by the entries that are known.
-    pending: BTreeSet<String>,
+    /// Entries of which the neighbour has not heard that there is a newer version.
+    unannounced: BTreeSet<String>,
+    /// Entries that were announced, and neither asked for nor found to be there since.
+    announced: BTreeSet<String>,
+    /// Entries that the neighbour asked for.
+    requested: BTreeSet<String>,
     /// Entries in the message that the network has not taken yet; empty if there is none.
     in_flight: Vec<String>,
     /// The last entry that was put in a message: the next message begins behind it, so that one which changes all the time keeps no
     /// other one back.
     last_key: String,
-    /// Bounded by the entries that are known.
-    sent: BTreeMap<String, SentEntry>,
 }
 
 impl EntryOutbox {
-    /// The neighbour lacks the newest version of this entry. Whether an older one was still waiting.
+    /// The neighbour lacks the newest version of this entry. Whether it had not asked for an older one yet, or not got it.
     pub(crate) fn enqueue(&mut self, key: &str) -> bool {
-        !self.pending.insert(key.to_string())
+        let is_superseded = self.announced.contains(key) || self.requested.contains(key);
+        !self.unannounced.insert(key.to_string()) || is_superseded
     }
 
-    /// The neighbour said that it lacks this revision. One that is on its way to it, or was sent a moment ago, is not sent
-    /// again: a neighbour that is silent for [`LINK_TIMEOUT`] is given up, and with it what was on the way.
-    pub(crate) fn offer(&mut self, now: Instant, key: &str, revision: Revision) {
-        let is_under_way = self.sent.get(key).is_some_and(|sent| {
-            let is_recent = self.in_flight.iter().any(|other| other == key) || now - sent.at <= LINK_TIMEOUT;
-            sent.revision >= revision && is_recent
-        });
-        if !is_under_way {
-            self.enqueue(key);
-        }
+    /// The neighbour asks for the newest version of this entry.
+    pub(crate) fn request(&mut self, key: &str) {
+        self.announced.remove(key);
+        self.requested.insert(key.to_string());
     }
 
     /// The neighbour has this revision of an entry, of which `newest` is known here.
     pub(crate) fn note_remote(&mut self, key: &str, revision: Revision, newest: Revision) {
         if revision >= newest {
-            self.pending.remove(key);
+            self.unannounced.remove(key);
+            self.announced.remove(key);
+            self.requested.remove(key);
+        }
+    }
+
+    /// What is to be announced now. An entry that was asked for follows as it is then, so it needs no announcement.
+    pub(crate) fn next_announcement(
+        &mut self,
+        newest: impl Fn(&str) -> Option<Revision>,
+    ) -> Vec<EntryRevision> {
+        let mut entries = Vec::new();
+        for key in std::mem::take(&mut self.unannounced) {
+            let Some(revision) = newest(&key) else { continue };
+            if !self.requested.contains(&key) {
+                self.announced.insert(key.clone());
+                entries.push(EntryRevision { key, revision });
+            }
         }
+        entries
     }
 
-    /// The next message's entries, as they are now; `None` while one is on its way, or if nothing waits.
+    /// The next message's entries, as they are now; `None` while one is on its way, or if none was asked for.
     pub(crate) fn next_message(
         &mut self,
-        now: Instant,
         newest: impl Fn(&str) -> Option<ControlEntry>,
     ) -> Option<Vec<ControlEntry>> {
         if !self.in_flight.is_empty() {
@@ -70,11 +78,11 @@
         let mut entries = Vec::new();
         let mut bytes = 0;
         while bytes < MESSAGE_ENTRY_BYTES {
-            let Some(key) = self.next_pending() else { break };
-            self.pending.remove(&key);
+            let Some(key) = self.next_requested() else { break };
+            self.requested.remove(&key);
             let Some(entry) = newest(&key) else { continue };
             bytes += entry.bytes.len();
-            self.sent.insert(key.clone(), SentEntry { revision: entry.revision, at: now });
+            self.unannounced.remove(&key);
             self.last_key.clone_from(&key);
             self.in_flight.push(key);
             entries.push(entry);
@@ -82,25 +90,22 @@
         (!entries.is_empty()).then_some(entries)
     }
 
-    /// The pending entry behind the last one that was sent, or else the first.
-    fn next_pending(&self) -> Option<String> {
+    /// The requested entry behind the last one that was sent, or else the first.
+    fn next_requested(&self) -> Option<String> {
         let behind = (Bound::Excluded(self.last_key.as_str()), Bound::Unbounded);
-        self.pending.range::<str, _>(behind).next().or_else(|| self.pending.first()).cloned()
+        self.requested.range::<str, _>(behind).next().or_else(|| self.requested.first()).cloned()
     }
 
-    /// Another connection is used from here on. What was sent on the one before may be lost, and its end may not even be known: what
-    /// was on its way goes again, and nothing counts as sent a moment ago.
+    /// Another connection is used from here on. What was sent on the one before may be lost, and its end may not even be known: all
+    /// that the neighbour may lack is announced again.
     pub(crate) fn connection_changed(&mut self) {
-        self.pending.extend(std::mem::take(&mut self.in_flight));
-        self.sent.clear();
+        self.unannounced.extend(std::mem::take(&mut self.in_flight));
+        self.unannounced.append(&mut self.announced);
+        self.unannounced.append(&mut self.requested);
     }
 
     /// The network has taken the message that was on its way.
-    pub(crate) fn message_left(&mut self, now: Instant) {
-        for key in std::mem::take(&mut self.in_flight) {
-            if let Some(sent) = self.sent.get_mut(&key) {
-                sent.at = now;
-            }
-        }
+    pub(crate) fn message_left(&mut self) {
+        self.in_flight.clear();
     }
 }
--- a/crates/control/mesh-membership/src/events.rs
+++ b/crates/control/mesh-membership/src/events.rs
@@ -44,7 +44,7 @@
             }
             MembershipMessage::Fetch { nodes, keys } => {
                 self.send_records(from, nodes.into_iter().collect());
-                self.offer_entries(from, keys.into_iter().collect());
+                self.receive_entry_request(from, keys);
             }
             MembershipMessage::Update { records, entries }
             | MembershipMessage::Snapshot { records, entries } => {
@@ -64,6 +64,7 @@
         self.note_time(now);
         if let Some(link) = self.links.up.get_mut(&from) {
             link.heard_at = now;
+            link.requests.progressed(now);
         }
     }
 
--- a/crates/control/mesh-membership/src/freshness.rs
+++ b/crates/control/mesh-membership/src/freshness.rs
@@ -29,6 +29,8 @@
     AnswersWithoutMajority,
     /// A request joins the one that is in flight already.
     JoinsReadInFlight,
-    /// A control entry goes at once, whatever is on its way on the link.
+    /// A control entry goes at once and unasked, whatever is on its way on the link.
     SendsEveryVersion,
+    /// A control entry is asked for at once, whatever was asked for before and has not arrived.
+    AsksForEveryVersion,
 }
--- a/crates/control/mesh-membership/src/link.rs
+++ b/crates/control/mesh-membership/src/link.rs
@@ -1,6 +1,7 @@
 //! What is kept of the links: those that are up, those being made, those that failed, and the parent among them. Data with
 //! the questions that it alone answers; what is done with them stands in `link_keepalive`, `relay_tree` and `control_links`.
 use crate::entry_outbox::EntryOutbox;
+use crate::entry_requests::EntryRequests;
 use crate::message::TreePosition;
 use crate::node::Node;
 use crate::parent_candidates::ParentCandidates;
@@ -19,6 +20,8 @@
     pub(crate) greeted: bool,
     /// Control entries for the other side.
     pub(crate) outbox: EntryOutbox,
+    /// Control entries that the other side has announced.
+    pub(crate) requests: EntryRequests,
     position: TreePosition,
 }
 
@@ -30,10 +33,17 @@
             next_keepalive_at,
             greeted: false,
             outbox: EntryOutbox::default(),
+            requests: EntryRequests::default(),
             position: TreePosition::default(),
         }
     }
 
+    /// Another connection is used from here on.
+    pub(crate) fn connection_changed(&mut self) {
+        self.outbox.connection_changed();
+        self.requests.connection_changed();
+    }
+
     /// Notes where the other side stands; whether that is different from before.
     pub(crate) fn set_position(&mut self, position: TreePosition) -> bool {
         let position = position.bounded();
--- a/crates/control/mesh-membership/src/link_keepalive.rs
+++ b/crates/control/mesh-membership/src/link_keepalive.rs
@@ -44,7 +44,7 @@
         self.links.failed.remove(&node);
         let next_keepalive_at = now + self.link_timing(node).keepalive_interval;
         let link = self.links.up.entry(node).or_insert(Link::new(now, next_keepalive_at));
-        link.outbox.connection_changed();
+        link.connection_changed();
         link.heard_at = now;
         link.dialled_here |= dialled;
     }
--- a/crates/control/mesh-membership/src/timing.rs
+++ b/crates/control/mesh-membership/src/timing.rs
@@ -19,6 +19,9 @@
 pub const NEXT_DIAL_DELAY: Duration = Duration::from_millis(300);
 /// A link that didn't come up in this time is given up.
 pub const LINK_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Control entries that were asked for are asked for again when nothing of them came for so long. A neighbour that is silent is given
+/// up before, and with it what was on the way: this is for one that no longer has what it announced.
+pub const ENTRY_REQUEST_TIMEOUT: Duration = Duration::from_millis(2_600);
 /// A better parent is tried again after so long with a substitute.
 pub const PARENT_RETRY_DELAY: Duration = Duration::from_secs(3);
 /// Between two dials of a control node to another, and of a node without any parent.
--- a/crates/control/mesh-membership/src/updates.rs
+++ b/crates/control/mesh-membership/src/updates.rs
@@ -1,6 +1,6 @@
 //! Dissemination: records and control entries are taken in, and what is newer floods over all links but those whose other
 //! side has it. What neighbours still lack is found in `anti_entropy`.
-use crate::control_entry::{ControlEntry, EntryView, Revision};
+use crate::control_entry::{ControlEntry, EntryRevision, EntryView, Revision};
 use crate::effect::Effect;
 use crate::freshness::Mutation;
 use crate::limits::MAX_FORMER_CONTROL_NODES;
@@ -87,6 +87,9 @@
     /// A neighbour sent a control entry.
     pub(crate) fn receive_entry(&mut self, now: Instant, from: Node, entry: ControlEntry) {
         self.note_remote_entry(from, &entry.key, entry.revision);
+        if let Some(link) = self.links.up.get_mut(&from) {
+            link.requests.received(&entry.key, entry.revision);
+        }
         match self.table.put_entry(now, entry.clone()) {
             Outcome::Newer => {
                 self.pending.insert(Subject::Entry(entry.key.clone()), Some(from));
@@ -98,7 +101,7 @@
     }
 
     /// A neighbour has this revision: if it is the newest one, nothing has to be sent to it.
-    fn note_remote_entry(&mut self, from: Node, key: &str, revision: Revision) {
+    pub(crate) fn note_remote_entry(&mut self, from: Node, key: &str, revision: Revision) {
         let newest = self.table.entry(key).map_or(revision, |known| known.revision);
         if let Some(link) = self.links.up.get_mut(&from) {
             link.outbox.note_remote(key, revision, newest);
@@ -123,13 +126,27 @@
         }
     }
 
-    /// The neighbour lacks these control entries: each follows as it is when the link takes it.
+    /// The neighbour lacks these control entries.
     pub(crate) fn offer_entries(&mut self, to: Node, keys: BTreeSet<String>) {
         let Some(link) = self.links.up.get_mut(&to) else { return };
         for key in keys {
-            if let Some(entry) = self.table.entry(&key) {
-                link.outbox.offer(self.last_call_at, &key, entry.revision);
-            }
+            link.outbox.enqueue(&key);
+        }
+    }
+
+    /// The neighbour asks for these control entries: each follows as it is when the link takes it.
+    pub(crate) fn receive_entry_request(&mut self, from: Node, keys: Vec<String>) {
+        let Some(link) = self.links.up.get_mut(&from) else { return };
+        for key in keys.iter().filter(|key| self.table.entry(key).is_some()) {
+            link.outbox.request(key);
+        }
+    }
+
+    /// The neighbour has these revisions, which are newer than those here.
+    pub(crate) fn want_entries(&mut self, from: Node, entries: Vec<EntryRevision>) {
+        let Some(link) = self.links.up.get_mut(&from) else { return };
+        for entry in entries {
+            link.requests.want(&entry.key, entry.revision);
         }
     }
 
@@ -137,7 +154,7 @@
     pub fn entries_left(&mut self, now: Instant, to: Node) {
         self.note_time(now);
         if let Some(link) = self.links.up.get_mut(&to) {
-            link.outbox.message_left(now);
+            link.outbox.message_left();
         }
     }
 
@@ -145,7 +162,7 @@
     pub fn connection_changed(&mut self, now: Instant, to: Node) {
         self.note_time(now);
         if let Some(link) = self.links.up.get_mut(&to) {
-            link.outbox.connection_changed();
+            link.connection_changed();
         }
     }
 
@@ -163,7 +180,9 @@
             if !pending.is_empty() {
                 self.distribute(to, &pending);
             }
+            self.announce_entries(to);
             self.send_next_entries(to);
+            self.send_next_request(to);
         }
     }
 
@@ -188,9 +207,24 @@
         }
     }
 
-    /// Sends the control entries that wait for this link, if it takes any.
+    /// Says of which control entries there are newer versions: by an index of no bucket, which lists these alone.
+    fn announce_entries(&mut self, to: Node) {
+        let table = &self.table;
+        let Some(link) = self.links.up.get_mut(&to) else { return };
+        let entries = link.outbox.next_announcement(|key| table.entry(key).map(|entry| entry.revision));
+        if self.check.has_mutation(Mutation::SendsEveryVersion) {
+            entries.iter().for_each(|entry| link.outbox.request(&entry.key));
+            return;
+        }
+        if !entries.is_empty() {
+            let (buckets, records) = (Vec::new(), Vec::new());
+            self.send(to, MembershipMessage::VersionIndex { buckets, records, entries });
+        }
+    }
+
+    /// Sends the control entries that the neighbour asked for, if the link takes any.
     fn send_next_entries(&mut self, to: Node) {
-        let (table, now) = (&self.table, self.last_call_at);
+        let table = &self.table;
         let newest = |key: &str| {
             table.entry(key).map(|EntryView { revision, bytes, .. }| ControlEntry {
                 key: key.to_string(),
@@ -200,15 +234,28 @@
         };
         let Some(link) = self.links.up.get_mut(&to) else { return };
         if self.check.has_mutation(Mutation::SendsEveryVersion) {
-            link.outbox.message_left(now);
+            link.outbox.message_left();
         }
-        if let Some(entries) = link.outbox.next_message(now, newest) {
+        if let Some(entries) = link.outbox.next_message(newest) {
             self.metrics.messages_sent += 1;
             let message = MembershipMessage::Update { records: Vec::new(), entries };
             self.effects.push(Effect::SendEntries { to, message });
         }
     }
 
+    /// Asks for control entries that the neighbour has announced, unless an answer of it is on its way.
+    fn send_next_request(&mut self, to: Node) {
+        let (table, now) = (&self.table, self.last_call_at);
+        let Some(link) = self.links.up.get_mut(&to) else { return };
+        if self.check.has_mutation(Mutation::AsksForEveryVersion) {
+            link.requests.connection_changed();
+        }
+        let keys = link.requests.next_request(now, |key| table.entry(key).map(|entry| entry.revision));
+        if !keys.is_empty() {
+            self.send(to, MembershipMessage::Fetch { nodes: Vec::new(), keys });
+        }
+    }
+
     /// Whether `to` has what `from` sent: the same node, or control nodes that are linked with each other.
     fn has_update_from(&self, to: Node, from: Option<Node>) -> bool {
         let Some(from) = from else { return false };
--- a/crates/control/mesh-membership/tests/mutants.rs
+++ b/crates/control/mesh-membership/tests/mutants.rs
@@ -4,7 +4,7 @@
 mod simulation;
 use silvercross_mesh_membership::Mutation;
 use simulation::schedules::{run, starts_during_a_read, Case, Fault, Reachable, Starting, KEY, OLD};
-use simulation::thin_links::{longest_lag, MAX_LAG};
+use simulation::thin_links::{longest_lag, MAX_LAG, SEND_BUFFER_BYTES};
 use simulation::{secs, World};
 
 /// A node called itself current with the old entry.
@@ -32,3 +32,9 @@
     let lag = longest_lag(1, 0, Some(Mutation::SendsEveryVersion));
     assert!(lag.is_none_or(|lag| lag > MAX_LAG * 2), "{lag:?}");
 }
+
+#[test]
+fn a_node_that_asks_for_every_version_falls_behind() {
+    let lag = longest_lag(1, SEND_BUFFER_BYTES, Some(Mutation::AsksForEveryVersion));
+    assert!(lag.is_none_or(|lag| lag > MAX_LAG * 2), "{lag:?}");
+}
