Mend of GONE: a client that leaves ends its request on every hop

Cause: the origin did not look at a client's connection while it served the client's request: attempts, retries and places in queues went on to their own end. Change: client_departure.rs says what a leaving means, by what was sent: repeatable work and what was not sent end at once; what may run once and was sent is carried on, nothing more is begun for it, and a gate that has not begun it drops it (its origin ends the sending direction, cancellation.rs). A client that closes in order and may run once has 250 ms to begin, as it may have closed its sending direction only. Streamed bodies and responses are watched too. The module hears of an ended request, not of a failure. At the gate: an origin's orderly close drops what has not begun, and no longer cuts off a request that may run once and has. Failed try: a close without any grace; request_framing's pipelined half-closed client got 503 for 200.

--- a/crates/daemon/mesh/src/client_listener/attempt.rs
+++ b/crates/daemon/mesh/src/client_listener/attempt.rs
@@ -9,6 +9,7 @@
 use crate::upstream_gate::{deliver, Delivery};
 use crate::wire::PeerKind;
 use silvercross_time::Duration;
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -19,6 +20,7 @@
 /// asked what became of it.
 pub(super) async fn send(node_state: &Rc<NodeState>, attempt: &OutgoingAttempt) -> ExchangeOutcome {
     if Some(attempt.gate) == node_state.settings.inbound_address {
+        let has_begun = Cell::new(false);
         let delivery = Delivery {
             head: &attempt.head,
             forwarding: &attempt.forwarding,
@@ -26,17 +28,40 @@
             timeout: attempt.time_left,
             expected_upstream: Some(&attempt.upstream),
             replay_entry: None,
+            has_begun: &has_begun,
         };
-        return ExchangeOutcome::Response(Box::new(deliver(node_state, delivery).await));
+        let delivering = deliver(node_state, delivery);
+        tokio::pin!(delivering);
+        let received = tokio::select! {
+            biased;
+            received = &mut delivering => received,
+            () = cancelled(attempt) => match has_begun.get() {
+                true => delivering.await,
+                false => return ExchangeOutcome::NotSent,
+            },
+        };
+        return ExchangeOutcome::Response(Box::new(received));
     }
     send_to_gate(node_state, attempt).await
 }
 
+/// Return once an attempt that may run once was cancelled.
+async fn cancelled(attempt: &OutgoingAttempt) {
+    match &attempt.cancellation {
+        Some(cancellation) => cancellation.cancelled().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn send_to_gate(node_state: &Rc<NodeState>, attempt: &OutgoingAttempt) -> ExchangeOutcome {
     let started = Instant::now();
     let from = Some(node_state.settings.ip.into());
     let connect_timeout = CONNECT_TIMEOUT.to_std();
-    let acquired = node_state.pool.acquire(from, attempt.gate, connect_timeout, PeerKind::Sidecar).await;
+    let acquired = tokio::select! {
+        biased;
+        acquired = node_state.pool.acquire(from, attempt.gate, connect_timeout, PeerKind::Sidecar) => acquired,
+        () = cancelled(attempt) => return ExchangeOutcome::NotSent,
+    };
     let Ok(connection) = acquired else { return ExchangeOutcome::NotSent };
     let time_left = attempt.time_left - Duration::from(started.elapsed());
     let body = &attempt.body;
@@ -49,6 +74,7 @@
         awaits_continue: holds_body_back,
         attempt_id: attempt.attempt_id(),
         is_head_request: attempt.head.is_head_request(),
+        cancellation: attempt.cancellation.as_deref(),
     };
     let sent = SentAttempt {
         // Read before the first byte is written: whoever gets it is of this incarnation or a later one.
--- a/crates/daemon/mesh/src/client_listener/attempt_query.rs
+++ b/crates/daemon/mesh/src/client_listener/attempt_query.rs
@@ -92,6 +92,7 @@
             awaits_continue: false,
             attempt_id,
             is_head_request: attempt.head.is_head_request(),
+            cancellation: None,
         };
         let reservation = node_state.body_budget.reservation();
         match query_attempt(from, attempt.gate, connect_timeout, request, reservation).await {
--- a/crates/daemon/mesh/src/client_listener/client_connection.rs
+++ b/crates/daemon/mesh/src/client_listener/client_connection.rs
@@ -1,5 +1,5 @@
 //! One client's connection: its requests are read one after the other, served and answered.
-use super::client_departure::wait_until_left;
+use super::client_departure::{wait_until_left, ClientDeparture};
 use super::client_response::{refuse, ClientResponse, DISCARD_TIMEOUT};
 use super::idle_wait::wait_for_request;
 use super::open_request::OpenRequestGuard;
@@ -73,10 +73,11 @@
     body: Rc<BodyBuffer>,
 ) -> bool {
     let open = OpenRequestGuard::new(node_state);
-    let mut response = serve_watched(node_state, connection, head, &body).await;
+    let departure = Rc::new(ClientDeparture::new());
+    let mut response = serve_watched(node_state, connection, head, &body, &departure).await;
     drop(body);
     drop(open);
-    let closes = !head.keep_alive || head.is_http_10 || node_state.stopping();
+    let closes = !head.keep_alive || head.is_http_10 || node_state.stopping() || departure.has_left();
     let encoded = response.encode(node_state, head, closes);
     let closes = closes || encoded.remainder == Some(Framing::UntilClose);
     if connection.write(&encoded.bytes).await.is_err() {
@@ -84,7 +85,10 @@
     }
     if let Some(framing) = encoded.remainder {
         let Some(mut write) = connection.take_write_half() else { return false };
-        let is_complete = response.forward_remainder(node_state, &mut write, framing).await;
+        let is_complete = tokio::select! {
+            is_complete = response.forward_remainder(node_state, &mut write, framing) => is_complete,
+            _ = wait_until_left(connection) => false,
+        };
         connection.restore_write_half(write);
         if !is_complete {
             connection.reset_on_close();
@@ -97,20 +101,36 @@
     !closes
 }
 
-/// Serve a request while its client is watched. A client that leaves is counted.
+/// Serve a request while its client is watched, until there is a response or the client's leaving ends it.
 async fn serve_watched(
     node_state: &Rc<NodeState>,
     connection: &mut Connection,
     head: &RequestHead,
     body: &Rc<BodyBuffer>,
+    departure: &Rc<ClientDeparture>,
 ) -> ClientResponse {
-    let serving = serve(node_state, head, body);
+    // Dropped after the work.
+    let _departed;
+    let serving = serve(node_state, head, body, departure);
     tokio::pin!(serving);
-    tokio::select! {
+    let exit = tokio::select! {
         biased;
         response = &mut serving => return response,
-        () = wait_until_left(connection) => {}
+        exit = wait_until_left(connection) => exit,
+    };
+    let ended = tokio::select! {
+        biased;
+        response = &mut serving => return response,
+        ended = departure.take_effect(exit) => ended,
+    };
+    match ended {
+        Some(response) => {
+            _departed = DepartedRequest::new(node_state, DepartedPeer::Client);
+            response
+        }
+        None => {
+            _departed = DepartedRequest::carried_on(node_state, DepartedPeer::Client);
+            serving.await
+        }
     }
-    let _departed = DepartedRequest::new(node_state, DepartedPeer::Client);
-    serving.await
 }
--- a/crates/daemon/mesh/src/client_listener/outgoing_attempt.rs
+++ b/crates/daemon/mesh/src/client_listener/outgoing_attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request, as it is to be sent.
 use crate::body_buffer::BodyBuffer;
+use crate::cancellation::CancellationToken;
 use crate::forwarding_headers::ForwardingHeaders;
 use crate::wire::RequestHead;
 use silvercross_time::Duration;
@@ -20,6 +21,9 @@
     pub(super) gate: SocketAddr,
     /// The upstream's id.
     pub(super) upstream: String,
+    /// Of one that may run once: cancelled when its client has left, and it ends if it has not begun. Others are dropped with their
+    /// request.
+    pub(super) cancellation: Option<Rc<CancellationToken>>,
 }
 
 impl OutgoingAttempt {
--- a/crates/daemon/mesh/src/client_listener/request_run.rs
+++ b/crates/daemon/mesh/src/client_listener/request_run.rs
@@ -1,6 +1,7 @@
 //! One request on its way: what the module says is done, and how its attempts end is reported to the module.
 use super::attempt;
 use super::attempt_result::{evaluate, AttemptResult, EvaluatedAttempt};
+use super::client_departure::ClientDeparture;
 use super::client_response::{ClientResponse, ForwardedAttempt};
 use super::outgoing_attempt::OutgoingAttempt;
 use crate::body_buffer::BodyBuffer;
@@ -42,6 +43,8 @@
     pub(super) timeout: Duration,
     /// What of that has passed before it is sent.
     pub(super) spent_before: Duration,
+    /// Whether its client has left.
+    pub(super) departure: Rc<ClientDeparture>,
 }
 
 /// An attempt that the module wants sent.
@@ -124,6 +127,14 @@
             return Next::Continue;
         }
         let EvaluatedAttempt { report, result } = evaluate(outcome);
+        if self.departure.has_left() && report != Report::Served {
+            // The module is not told: what a gate dropped as its client has left is nobody's failure.
+            progress.results.insert(attempt.number, result);
+            return match progress.running.0.is_empty() {
+                true => Next::Respond(self.give_up(progress, None)),
+                false => Next::Continue,
+            };
+        }
         let has_remainder = result.response.as_ref().is_some_and(|received| received.remainder.is_some());
         if report == Report::Served && has_remainder {
             // So much has come that no other response can be had: it is forwarded as it comes.
@@ -157,6 +168,13 @@
             Step::Send { attempt, upstream, to, .. } => {
                 let upstream = self.service_balancer.name_of(upstream);
                 let planned = PlannedAttempt { number: attempt.number, gate: to, upstream };
+                if self.departure.has_left() {
+                    // Nothing more is begun.
+                    return match progress.running.0.is_empty() {
+                        true => Next::Respond(self.give_up(progress, None)),
+                        false => Next::Continue,
+                    };
+                }
                 if self.body.is_streamed() && !progress.running.0.is_empty() {
                     progress.postponed.push(planned);
                     return Next::Continue;
@@ -222,6 +240,7 @@
     ) {
         let is_retry =
             progress.results.values().any(|result| result.reached_upstream) || !progress.running.0.is_empty();
+        self.departure.attempt_started(self.route.kind == RouteKind::Safe);
         let number = planned.number;
         let outgoing = self.outgoing_attempt(planned, is_retry);
         let (node_state, sender) = (self.node_state.clone(), sender.clone());
@@ -252,6 +271,7 @@
             time_left: self.timeout - elapsed,
             gate: planned.gate,
             upstream: planned.upstream,
+            cancellation: (!is_idempotent).then(|| self.departure.token().clone()),
         }
     }
 }
--- a/crates/daemon/mesh/src/client_listener/route.rs
+++ b/crates/daemon/mesh/src/client_listener/route.rs
@@ -1,4 +1,5 @@
 //! The way to a request's service: its route, what its member's throttling says, and the service drawn from the split.
+use super::client_departure::ClientDeparture;
 use super::client_response::ClientResponse;
 use super::request_run::RequestRun;
 use crate::body_buffer::BodyBuffer;
@@ -29,6 +30,7 @@
     node_state: &Rc<NodeState>,
     head: &RequestHead,
     body: &Rc<BodyBuffer>,
+    departure: &Rc<ClientDeparture>,
 ) -> ClientResponse {
     // A process that has just started knows the configuration and the upstreams within a moment: waiting for them is cheaper
     // than a client's retry, as long as it takes only a part of what the client, or the latency target, allows.
@@ -73,7 +75,7 @@
             }
         }
     }
-    let mut response = send(node_state, head, body, route, budget).await;
+    let mut response = send(node_state, head, body, route, budget, departure).await;
     if node_state.member_throttle.is_enabled() {
         member_throttle::set_step_header(&mut response.lines, step);
     }
@@ -87,6 +89,7 @@
     body: &Rc<BodyBuffer>,
     route: &Route,
     budget: TimeBudget,
+    departure: &Rc<ClientDeparture>,
 ) -> ClientResponse {
     let service = node_state.draw_by_share(&route.split);
     let has_upstreams =
@@ -109,6 +112,7 @@
         started: before_now(budget.spent),
         timeout: budget.total,
         spent_before: budget.spent,
+        departure: departure.clone(),
     };
     run.serve().await
 }
--- a/crates/daemon/mesh/src/client_listener/streamed_request.rs
+++ b/crates/daemon/mesh/src/client_listener/streamed_request.rs
@@ -1,10 +1,11 @@
 //! A client's request whose body is still being received: it is read on while the request is served, no faster than it is
 //! sent on.
+use super::client_departure::{wait_until_left, ClientDeparture};
 use super::client_response::{refuse, DISCARD_TIMEOUT};
 use super::open_request::OpenRequestGuard;
 use super::route::serve;
-use crate::body_buffer::StreamedBodyBuffer;
-use crate::node_state::NodeState;
+use crate::body_buffer::{BodyStreamWriter, StreamedBodyBuffer};
+use crate::node_state::{DepartedPeer, DepartedRequest, NodeState};
 use crate::wire::{Connection, ReadError, RequestHead};
 use silvercross_net::http::Framing;
 use silvercross_net::stream::Decoder;
@@ -32,9 +33,12 @@
     let Some(mut write) = connection.take_write_half() else { return false };
     let _open = OpenRequestGuard::new(node_state);
     let is_responding = Cell::new(false);
+    let departure = Rc::new(ClientDeparture::new());
+    // Dropped after the work.
+    let mut _departed = None;
     let ended = {
         let responding = async {
-            let mut response = serve(node_state, head, &body).await;
+            let mut response = serve(node_state, head, &body, &departure).await;
             is_responding.set(true);
             // Where part of the body was not read, the connection carries nothing more.
             let closes = !head.keep_alive || head.is_http_10 || node_state.stopping() || !body.is_at_end();
@@ -47,17 +51,15 @@
                 };
             SentResponse { is_complete, closes }
         };
-        let receiving = async {
-            writer.wait_until_requested().await;
-            let received = timeout_at(deadline, writer.feed(connection, decoder)).await;
-            match received.unwrap_or(Err(ReadError::TimedOut)) {
-                Err(error) if !is_responding.get() && !matches!(error, ReadError::Closed) => error,
-                _ => std::future::pending().await,
-            }
-        };
+        let receiving = receive(connection, &writer, decoder, deadline, &is_responding, &departure);
         tokio::select! {
             sent = responding => Ok(sent),
-            error = receiving => Err(error),
+            error = receiving => {
+                if matches!(error, ReadError::Interrupted) {
+                    _departed = Some(DepartedRequest::new(node_state, DepartedPeer::Client));
+                }
+                Err(error)
+            }
         }
     };
     connection.restore_write_half(write);
@@ -77,3 +79,32 @@
         Err(error) => refuse(connection, error).await,
     }
 }
+
+/// Receive the body, and watch the client behind it. Returns only if that ends the request: the body broke off, or the client has left
+/// and its request is not carried on.
+async fn receive(
+    connection: &mut Connection,
+    writer: &BodyStreamWriter,
+    decoder: &mut Decoder,
+    deadline: Instant,
+    is_responding: &Cell<bool>,
+    departure: &ClientDeparture,
+) -> ReadError {
+    tokio::select! {
+        () = writer.wait_until_requested() => {}
+        // Part of its body is not here, so the request can't run.
+        _ = wait_until_left(connection) => return ReadError::Interrupted,
+    }
+    let received = timeout_at(deadline, writer.feed(connection, decoder)).await;
+    match received.unwrap_or(Err(ReadError::TimedOut)) {
+        Ok(()) => {
+            let exit = wait_until_left(connection).await;
+            match departure.take_effect(exit).await {
+                Some(_) => ReadError::Interrupted,
+                None => std::future::pending().await,
+            }
+        }
+        Err(error) if !is_responding.get() && !matches!(error, ReadError::Closed) => error,
+        Err(_) => std::future::pending().await,
+    }
+}
--- a/crates/daemon/mesh/src/main.rs
+++ b/crates/daemon/mesh/src/main.rs
@@ -13,6 +13,7 @@
 
 mod body_budget;
 mod body_buffer;
+mod cancellation;
 mod client_listener;
 mod command_line;
 mod control;
--- a/crates/daemon/mesh/src/metrics.rs
+++ b/crates/daemon/mesh/src/metrics.rs
@@ -45,7 +45,7 @@
 
 fn departures(node_state: &NodeState, peer: DepartedPeer) -> Value {
     let counts = node_state.departures.counts(peer);
-    json!({ "left": counts.departures, "outlived": counts.outlived, "longestUs": counts.longest.as_micros() })
+    json!({ "left": counts.departures, "carriedOn": counts.carried_on, "outlived": counts.outlived, "longestUs": counts.longest.as_micros() })
 }
 
 fn balancers(node_state: &NodeState) -> Vec<Value> {
--- a/crates/daemon/mesh/src/mutation.rs
+++ b/crates/daemon/mesh/src/mutation.rs
@@ -14,6 +14,8 @@
     LateStartAllowed,
     /// What broke after it was written counts as not begun, also where it may run once.
     NonIdempotentRetried,
+    /// A request is served to its end though its client has left.
+    DepartedClientServed,
 }
 
 #[cfg(all(test, feature = "mutants"))]
--- a/crates/daemon/mesh/src/node_state.rs
+++ b/crates/daemon/mesh/src/node_state.rs
@@ -25,6 +25,8 @@
 mod upstream_lists;
 
 pub(crate) use counters::{ConnectionKind, GaugeGuard};
+#[cfg(test)]
+pub(crate) use departures::DepartureCounts;
 pub(crate) use departures::{DepartedPeer, DepartedRequest};
 pub(crate) use invariants::Invariant;
 pub(crate) use local_upstream::Heartbeat;
--- a/crates/daemon/mesh/src/node_state/departures.rs
+++ b/crates/daemon/mesh/src/node_state/departures.rs
@@ -35,9 +35,11 @@
 pub(crate) struct DepartureCounts {
     /// Requests whose sender left before they had ended.
     pub(crate) departures: u64,
-    /// Of these, those on which work went on for longer than [`OUTLIVED_AFTER`].
+    /// Of these, those that may run once and were carried on, as they may have begun.
+    pub(crate) carried_on: u64,
+    /// Of the others, those on which work went on for longer than [`OUTLIVED_AFTER`].
     pub(crate) outlived: u64,
-    /// The longest time for which work went on.
+    /// The longest time for which work on one of the others went on.
     pub(crate) longest: Duration,
 }
 
@@ -66,18 +68,31 @@
     node_state: Rc<NodeState>,
     peer: DepartedPeer,
     since: Instant,
+    is_carried_on: bool,
 }
 
 impl DepartedRequest {
     /// Its sender has left just now.
     pub(crate) fn new(node_state: &Rc<NodeState>, peer: DepartedPeer) -> Self {
         node_state.departures.update(peer, |counts| counts.departures += 1);
-        DepartedRequest { node_state: node_state.clone(), peer, since: node_state.now() }
+        let since = node_state.now();
+        DepartedRequest { node_state: node_state.clone(), peer, since, is_carried_on: false }
+    }
+
+    /// The same of one that is carried on to its end.
+    pub(crate) fn carried_on(node_state: &Rc<NodeState>, peer: DepartedPeer) -> Self {
+        node_state.departures.update(peer, |counts| counts.carried_on += 1);
+        let mut departed = DepartedRequest::new(node_state, peer);
+        departed.is_carried_on = true;
+        departed
     }
 }
 
 impl Drop for DepartedRequest {
     fn drop(&mut self) {
+        if self.is_carried_on {
+            return;
+        }
         let (departures, now) = (&self.node_state.departures, self.node_state.now());
         let took = now - self.since;
         let has_outlived = took > OUTLIVED_AFTER;
--- a/crates/daemon/mesh/src/peer_connection/exchange.rs
+++ b/crates/daemon/mesh/src/peer_connection/exchange.rs
@@ -6,8 +6,9 @@
 use super::streamed_body::StreamedBody;
 use crate::body_budget::BodyReservation;
 use crate::body_buffer::BodyBuffer;
-use crate::wire::{Connection, PartialResponse};
+use crate::wire::{Connection, PartialResponse, ReadError};
 use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
 
 /// Send a request on a connection and read its response. `reservation`: for the response's body.
 pub(crate) async fn exchange(
@@ -21,13 +22,41 @@
     }
     match request.body {
         Some(body) => exchange_with_body(pool, connection, &request, body, reservation).await,
-        None => match connection.read_response(request.response_request(false), reservation).await {
+        None => match read_response(&mut connection, &request, reservation).await {
             Ok(received) => finish(pool, connection, None, &request, received),
             Err(_) => ExchangeOutcome::ResponseLost,
         },
     }
 }
 
+/// Read the response to a request that was written whole.
+async fn read_response(
+    connection: &mut Connection,
+    request: &OutgoingRequest<'_>,
+    reservation: BodyReservation,
+) -> Result<PartialResponse, ReadError> {
+    let expected = request.response_request(false);
+    let Some(cancellation) = request.cancellation else {
+        return connection.read_response(expected, reservation).await;
+    };
+    let Some(mut write) = connection.take_write_half() else { return Err(ReadError::Interrupted) };
+    let received = {
+        let reading = connection.read_response(expected, reservation);
+        tokio::pin!(reading);
+        tokio::select! {
+            biased;
+            received = &mut reading => received,
+            () = cancellation.cancelled() => {
+                // The other end of a half-closed connection is not kept: without its write half it is not reused.
+                let _ = write.shutdown().await;
+                return reading.await;
+            }
+        }
+    };
+    connection.restore_write_half(write);
+    received
+}
+
 /// The exchange from the written head on, where the body follows it.
 async fn exchange_with_body(
     pool: &ConnectionPool,
@@ -39,7 +68,14 @@
     let mut reservation = Some(reservation);
     if request.awaits_continue {
         let Some(reserved) = reservation.take() else { return ExchangeOutcome::ResponseLost };
-        match connection.read_response(request.response_request(true), reserved).await {
+        let reading = connection.read_response(request.response_request(true), reserved);
+        let asked = tokio::select! {
+            biased;
+            asked = reading => asked,
+            // None of the body was sent, so it can't run.
+            () = cancelled(request) => return ExchangeOutcome::NotSent,
+        };
+        match asked {
             Ok(PartialResponse { mut response, remainder: None }) if response.status == 100 => {
                 reservation = response.reservation.take();
             }
@@ -105,3 +141,11 @@
     };
     ExchangeOutcome::Response(Box::new(ReceivedResponse { response, remainder }))
 }
+
+/// Return once the request was cancelled.
+async fn cancelled(request: &OutgoingRequest<'_>) {
+    match request.cancellation {
+        Some(cancellation) => cancellation.cancelled().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/daemon/mesh/src/peer_connection/health_check.rs
+++ b/crates/daemon/mesh/src/peer_connection/health_check.rs
@@ -38,6 +38,7 @@
         awaits_continue: false,
         attempt_id: "",
         is_head_request: false,
+        cancellation: None,
     };
     match timeout(HEALTH_CHECK_TIMEOUT, exchange(pool, connection, request, reservation)).await {
         Ok(ExchangeOutcome::Response(received))
--- a/crates/daemon/mesh/src/peer_connection/request.rs
+++ b/crates/daemon/mesh/src/peer_connection/request.rs
@@ -1,5 +1,6 @@
 //! A request as it is sent on a connection.
 use crate::body_buffer::BodyBuffer;
+use crate::cancellation::CancellationToken;
 use crate::wire::{Response, ResponseRequest};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +19,9 @@
     pub(crate) attempt_id: &'o str,
     /// It is a HEAD request.
     pub(crate) is_head_request: bool,
+    /// When this is cancelled, the other end is told that the request may be dropped if it has not begun: by the end of this sending
+    /// direction. The response is read all the same.
+    pub(crate) cancellation: Option<&'o CancellationToken>,
 }
 
 impl OutgoingRequest<'_> {
--- a/crates/daemon/mesh/src/tests/mutations_detected.rs
+++ b/crates/daemon/mesh/src/tests/mutations_detected.rs
@@ -47,3 +47,13 @@
     assert!(violation.contains("TWICE") || violation.contains("REFUSED"), "{violation:?}");
     assert!(violation.contains("DelayedRequest"), "{violation:?}");
 }
+
+#[test]
+fn serving_a_departed_client_is_detected() {
+    use crate::tests::departed_clients::leaver_is_noticed;
+    assert!(leaver_is_noticed());
+    mutation::set_mutation(Some(Mutation::DepartedClientServed));
+    let noticed = leaver_is_noticed();
+    mutation::set_mutation(None);
+    assert!(!noticed, "the request of a client that has left goes on");
+}
--- a/crates/daemon/mesh/src/upstream_gate/delivery.rs
+++ b/crates/daemon/mesh/src/upstream_gate/delivery.rs
@@ -58,6 +58,7 @@
         awaits_continue: false,
         attempt_id,
         is_head_request: delivery.head.is_head_request(),
+        cancellation: None,
     };
     let exchange = exchange(&node_state.pool, connection, request, node_state.body_budget.reservation());
     let deadline = Instant::now() + (time_left + RESPONSE_GRACE).to_std();
@@ -88,6 +89,7 @@
 fn mark_begun(node_state: &NodeState, delivery: &Delivery<'_>, admitted: &AdmittedRequest) {
     let now = node_state.now();
     node_state.gate.with_admission(|admission| admission.begin(now, admitted.number));
+    delivery.has_begun.set(true);
     if let Some(replay_entry) = delivery.replay_entry {
         replay_entry.set_begun();
     }
--- a/crates/daemon/mesh/src/upstream_gate/delivery_request.rs
+++ b/crates/daemon/mesh/src/upstream_gate/delivery_request.rs
@@ -4,6 +4,7 @@
 use crate::response_replay_cache::ReplayEntry;
 use crate::wire::RequestHead;
 use silvercross_time::Duration;
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// A request to be delivered to the upstream.
@@ -20,6 +21,8 @@
     pub(crate) expected_upstream: Option<&'d str>,
     /// Its entry, if it may run once and came from another sidecar.
     pub(crate) replay_entry: Option<&'d ReplayEntry>,
+    /// Set when its first byte is about to be written to the upstream.
+    pub(crate) has_begun: &'d Cell<bool>,
 }
 
 impl<'d> Delivery<'d> {
@@ -29,6 +32,7 @@
         forwarding: &'d ForwardingHeaders,
         body: &'d Rc<BodyBuffer>,
         replay_entry: Option<&'d ReplayEntry>,
+        has_begun: &'d Cell<bool>,
     ) -> Self {
         Delivery {
             head,
@@ -37,6 +41,7 @@
             timeout: head.timeout_or_default(),
             expected_upstream: head.expected_upstream.as_deref(),
             replay_entry,
+            has_begun,
         }
     }
 }
--- a/crates/daemon/mesh/src/upstream_gate/sidecar_connection.rs
+++ b/crates/daemon/mesh/src/upstream_gate/sidecar_connection.rs
@@ -12,6 +12,7 @@
 use crate::node_state::{DepartedPeer, DepartedRequest, GaugeGuard, NodeState};
 use crate::wire::{Connection, ConnectionEvent, ReadError, RequestHead, MAX_BUFFERED_BODY_BYTES};
 use silvercross_net::stream::Decoder;
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::time::timeout;
 
@@ -135,21 +136,36 @@
     let Some(forwarding) = forwarding else { return false };
     // Its origin's connection has broken, and the request goes on.
     let mut orphaned = None;
+    // Its origin wants it dropped unless it has begun, and it has; the response may still be read.
+    let mut carried_on = None;
+    // Its origin has cancelled it. Dropped after the work.
+    let _cancelled;
+    let has_begun = Cell::new(false);
     let mut received = {
-        let delivery = Delivery::from_sidecar(&head, &forwarding, body, replay_entry.as_ref());
+        let delivery = Delivery::from_sidecar(&head, &forwarding, body, replay_entry.as_ref(), &has_begun);
         let delivering = deliver(node_state, delivery);
         tokio::pin!(delivering);
         loop {
             tokio::select! {
                 received = &mut delivering => break received,
-                event = connection.wait_for_event(), if orphaned.is_none() => match event {
+                event = connection.wait_for_event(), if orphaned.is_none() && carried_on.is_none() => match event {
                     // Its origin will ask for the response.
                     ConnectionEvent::Broken if replay_entry.is_some() => {
-                        orphaned = Some(DepartedRequest::new(node_state, DepartedPeer::Origin));
+                        orphaned = Some(DepartedRequest::carried_on(node_state, DepartedPeer::Origin));
                         count_orphaned(node_state);
                     }
+                    ConnectionEvent::Closed if replay_entry.is_some() && has_begun.get() => {
+                        carried_on = Some(DepartedRequest::carried_on(node_state, DepartedPeer::Origin));
+                    }
+                    // It has not begun, and never will: its entry says so to whoever asks.
+                    ConnectionEvent::Closed if replay_entry.is_some() => {
+                        break status_response(GateStatus::Unavailable)
+                    }
                     // An origin that hangs up has cancelled the attempt.
-                    ConnectionEvent::Broken | ConnectionEvent::Closed | ConnectionEvent::Received => return false,
+                    ConnectionEvent::Broken | ConnectionEvent::Closed | ConnectionEvent::Received => {
+                        _cancelled = DepartedRequest::new(node_state, DepartedPeer::Origin);
+                        return false;
+                    }
                 }
             }
         }
@@ -163,7 +179,23 @@
     let (Some(remainder), Some(framing)) = (received.remainder.take(), framing) else { return true };
     drop(received);
     let Some(mut write) = connection.take_write_half() else { return false };
-    let is_complete = remainder.forward(&node_state.pool, &mut write, framing).await;
+    let runs_once = !forwarding.is_idempotent;
+    let is_complete = tokio::select! {
+        is_complete = remainder.forward(&node_state.pool, &mut write, framing) => is_complete,
+        () = wait_until_cancelled(connection, runs_once) => {
+            _cancelled = DepartedRequest::new(node_state, DepartedPeer::Origin);
+            false
+        }
+    };
     connection.restore_write_half(write);
     is_complete
 }
+
+/// Return once the origin of a request that may be repeated has hung up. One that may run once goes on until its response can't be
+/// written.
+async fn wait_until_cancelled(connection: &mut Connection, runs_once: bool) {
+    if runs_once {
+        std::future::pending::<()>().await;
+    }
+    connection.wait_for_event().await;
+}
--- a/crates/daemon/mesh/src/upstream_gate/streamed_request.rs
+++ b/crates/daemon/mesh/src/upstream_gate/streamed_request.rs
@@ -8,7 +8,7 @@
 use super::sidecar_request::SidecarRequest;
 use crate::body_buffer::{BodyBuffer, BodyStreamWriter, StreamedBodyBuffer};
 use crate::forwarding_headers::GateStatus;
-use crate::node_state::NodeState;
+use crate::node_state::{DepartedPeer, DepartedRequest, NodeState};
 use crate::peer_connection::ReceivedResponse;
 use crate::response_replay_cache::ReplayEntry;
 use crate::wire::{Connection, ConnectionEvent, ReadError, RequestHead};
@@ -51,10 +51,12 @@
     let Some(write) = connection.take_write_half() else { return false };
     let (write, has_response) = (Mutex::new(write), Cell::new(false));
     let runs_once = forwarding.as_ref().is_some_and(|forwarding| !forwarding.is_idempotent);
+    let has_begun = Cell::new(false);
     let responding = async {
         let received = match &forwarding {
             Some(forwarding) => {
-                let delivery = Delivery::from_sidecar(&head, forwarding, &body, replay_entry.as_ref());
+                let delivery =
+                    Delivery::from_sidecar(&head, forwarding, &body, replay_entry.as_ref(), &has_begun);
                 deliver(node_state, delivery).await
             }
             None => status_response(GateStatus::Unavailable),
@@ -67,21 +69,27 @@
             receive(connection, &writer, &mut decoder, &write, &has_response, head.expects_continue).await;
         drop(slot);
         match received {
-            // An origin that breaks off, or hangs up behind its body, has cancelled the attempt.
-            Ok(()) => {
-                if connection.wait_for_event().await == ConnectionEvent::Broken && runs_once {
-                    // The request is here whole: its origin will ask for the response.
+            // The request is here whole: its origin will ask for the response, or it has begun and is carried on.
+            Ok(()) => match connection.wait_for_event().await {
+                ConnectionEvent::Broken if runs_once => {
+                    let _orphaned = DepartedRequest::carried_on(node_state, DepartedPeer::Origin);
                     count_orphaned(node_state);
                     std::future::pending().await
                 }
-            }
+                ConnectionEvent::Closed if runs_once && has_begun.get() => {
+                    let _carried_on = DepartedRequest::carried_on(node_state, DepartedPeer::Origin);
+                    std::future::pending().await
+                }
+                _ => DepartedRequest::new(node_state, DepartedPeer::Origin),
+            },
             Err(_) if has_response.get() => std::future::pending().await,
-            Err(_) => {}
+            Err(_) => DepartedRequest::new(node_state, DepartedPeer::Origin),
         }
     };
+    // An origin that breaks off, or hangs up behind its body, has cancelled the attempt.
     let is_complete = tokio::select! {
         is_complete = responding => is_complete,
-        () = receiving => false,
+        _cancelled = receiving => false,
     };
     connection.restore_write_half(write.into_inner());
     if is_complete && !decoder.is_done() && head.framing != Framing::Length(0) {
--- a/crates/daemon/mesh/src/wire/connection.rs
+++ b/crates/daemon/mesh/src/wire/connection.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// Room made for one read.
 const READ_BYTES: usize = 16 * 1024;
@@ -32,6 +32,8 @@
 pub(crate) struct Connection {
     halves: Halves,
     pub(super) received: BytesMut,
+    /// When the other end's close was first seen.
+    closed_since: Option<Instant>,
     /// Who is at its other end.
     pub(crate) peer: PeerKind,
 }
@@ -51,7 +53,7 @@
     /// Over a stream that is connected.
     pub(crate) fn new(stream: TcpStream, peer: PeerKind) -> Self {
         let _ = stream.set_nodelay(true);
-        Connection { halves: Halves::Joined(stream), received: BytesMut::new(), peer }
+        Connection { halves: Halves::Joined(stream), received: BytesMut::new(), closed_since: None, peer }
     }
 
     /// Whether an idle connection can carry another request: nothing was received that was not asked for, and the other
@@ -76,6 +78,11 @@
         self.received.len()
     }
 
+    /// When the other end's close was first seen; now, if it was not.
+    pub(crate) fn closed_since(&self) -> Instant {
+        self.closed_since.unwrap_or_else(Instant::now)
+    }
+
     /// Whether both halves are here.
     pub(crate) fn has_both_halves(&self) -> bool {
         matches!(self.halves, Halves::Joined(_))
@@ -106,11 +113,15 @@
     /// Receive bytes behind those that are here; 0: the other end has closed.
     pub(super) async fn receive(&mut self) -> io::Result<usize> {
         self.received.reserve(READ_BYTES);
-        match &mut self.halves {
-            Halves::Joined(stream) => stream.read_buf(&mut self.received).await,
-            Halves::ReadOnly(read) => read.read_buf(&mut self.received).await,
-            Halves::Taken => Err(io::ErrorKind::NotConnected.into()),
+        let length = match &mut self.halves {
+            Halves::Joined(stream) => stream.read_buf(&mut self.received).await?,
+            Halves::ReadOnly(read) => read.read_buf(&mut self.received).await?,
+            Halves::Taken => return Err(io::ErrorKind::NotConnected.into()),
+        };
+        if length == 0 {
+            self.closed_since.get_or_insert_with(Instant::now);
         }
+        Ok(length)
     }
 
     /// Wait until bytes are received, which are kept, or the connection ends.
