Soak: clients that leave, clients that stay until the process is gone, SIGTERM in series, SIGHUP, large meshes

Need: the soak had neither clients that leave nor planned ends, and judged the configuration alone. The execution log of the stand-in upstreams knows when a run ended.

--- a/crates/tools/testbed/src/execution_log.rs
+++ b/crates/tools/testbed/src/execution_log.rs
@@ -2,16 +2,44 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Mutex, PoisonError};
+use tokio::time::Instant;
 
 /// Which requests ran, and where. Bounded by the length of a run only: it is the checker's memory.
 #[derive(Debug, Default)]
 pub struct ExecutionLog {
     upstreams_by_attempt: Mutex<BTreeMap<String, Vec<String>>>,
     count_by_upstream: Mutex<BTreeMap<String, u64>>,
+    runs: Mutex<Vec<Run>>,
     in_flight: AtomicUsize,
     unrecorded: AtomicU64,
 }
 
+/// One run of an attempt at an upstream.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The attempt.
+    pub attempt: String,
+    /// The upstream.
+    pub upstream: String,
+    /// When it began.
+    pub began: Instant,
+    /// When it ended, by itself or with its connection; `None` while it is at work.
+    pub ended: Option<Instant>,
+}
+
+/// A run that is at work; it ends when this is dropped.
+pub(crate) struct RunGuard<'a> {
+    log: &'a ExecutionLog,
+    index: usize,
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        let mut runs = self.log.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs[self.index].ended = Some(Instant::now());
+    }
+}
+
 impl ExecutionLog {
     /// An attempt begins to run at an upstream.
     pub fn record(&self, attempt: &str, upstream: &str) {
@@ -22,6 +50,21 @@
         *counts.entry(upstream.into()).or_default() += 1;
     }
 
+    /// The same of one that is at work for as long as the guard lives.
+    pub(crate) fn begin(&self, attempt: &str, upstream: &str) -> RunGuard<'_> {
+        self.record(attempt, upstream);
+        let run =
+            Run { attempt: attempt.into(), upstream: upstream.into(), began: Instant::now(), ended: None };
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.push(run);
+        RunGuard { log: self, index: runs.len() - 1 }
+    }
+
+    /// All runs, in the order in which they began.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// An attempt runs of which only the number is kept.
     pub(crate) fn count_unrecorded(&self) {
         self.unrecorded.fetch_add(1, Relaxed);
--- a/crates/tools/testbed/src/http_connection.rs
+++ b/crates/tools/testbed/src/http_connection.rs
@@ -141,6 +141,12 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Reset the connection.
+    pub fn reset(self) {
+        // Where the system refuses, it is closed in order.
+        let _ = self.stream.set_zero_linger();
+    }
+
     /// Returns once the other end has closed; what arrives before is kept.
     pub async fn closed(&mut self) {
         while matches!(self.fill().await, Ok(count) if count > 0) {}
--- a/crates/tools/testbed/src/main.rs
+++ b/crates/tools/testbed/src/main.rs
@@ -35,12 +35,15 @@
     --only NAME       one play; otherwise all
     --svg FOLDER      a plot for each play
     --sides N         machines with an upstream (9)
-  soak      drawn kills, pauses, cuts and lost answers that overlap, while changes come fast over thin links; exit code 3 if broken
+  soak      drawn kills, pauses, cuts, SIGHUPs and lost answers over a series of SIGTERMs, while changes come fast over thin links, clients leave and
+            others stay until their process is gone; exit code 3 if broken
     --seed N          the first seed (1)
     --seeds N         how many, one after the other (20)
     --seconds S       faults are drawn for so long (15)
     --routes N        routes that make the configuration large (300)
     --rate BYTES      what a connection carries, in bytes a second (150000)
+    --sides N         machines with an upstream (9); beyond 11 no links stand in between and no machine is cut off
+    --clients N       clients that leave, and as many that stay, at each side (1)
   upgrade   three control machines of two builds: changes before and after one is killed, read by the others
     --old PATH        the program of the build that is upgraded from
     --old-word WORD   its word on the command line for a control machine (control)
@@ -108,7 +111,8 @@
             .opt_value_from_str("--rate")?
             .unwrap_or(full.link_bytes_per_second)
             .max(1_000),
-        ..full
+        side_count: args.opt_value_from_str("--sides")?.unwrap_or(full.side_count).clamp(2, 240),
+        clients_per_side: args.opt_value_from_str("--clients")?.unwrap_or(full.clients_per_side).min(64),
     })
 }
 
--- a/crates/tools/testbed/src/mesh/machines.rs
+++ b/crates/tools/testbed/src/mesh/machines.rs
@@ -12,7 +12,7 @@
 use std::process::{Child, Command, Stdio};
 
 /// Machines of a mesh, at most.
-const MAX_MACHINES: usize = 64;
+const MAX_MACHINES: usize = 250;
 /// Control machines that a process is told of at its start.
 const SEEDS: usize = 3;
 
@@ -301,6 +301,14 @@
         self.signal(machine, Signal::TERM)
     }
 
+    /// SIGHUP.
+    ///
+    /// # Errors
+    /// When it does not run.
+    pub fn hang_up(&self, machine: usize) -> Result<()> {
+        self.signal(machine, Signal::HUP)
+    }
+
     /// Whether a machine's process is no more; it may be started again then.
     pub fn has_ended(&mut self, machine: usize) -> bool {
         let child = &mut self.machines[machine].child;
--- a/crates/tools/testbed/src/soak/run.rs
+++ b/crates/tools/testbed/src/soak/run.rs
@@ -1,12 +1,13 @@
 //! A soak from its beginning to its verdict.
 use super::changes::{filler, write_changes, Acknowledged};
-use super::schedule::{draw, Fault, FaultKind};
+use super::clients::{judge, leave_again_and_again, stay, ClientLog, ClientPlace, JudgedMesh, SLOW_WORK};
+use super::schedule::{draw, Drawing, Fault, FaultKind};
 use super::watch::{watch, Disturbances, Observations, WatchedNode};
 use crate::mesh::MeshPlan;
 use crate::testbed::{get_json, Testbed, STATE_PATH};
-use crate::upstream::UpstreamBehaviour;
+use crate::upstream::{Upstream, UpstreamBehaviour};
 use crate::wait::wait_until;
-use anyhow::{Context, Result};
+use anyhow::{bail, Context, Result};
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -37,10 +38,16 @@
     pub side_count: usize,
     /// Routes that make the configuration large.
     pub filler_routes: usize,
-    /// What a connection between two machines carries in each direction, in bytes a second.
+    /// What a connection between two machines carries in each direction, in bytes a second. Beyond [`MAX_LINKED_SIDES`] sides nothing
+    /// stands between machines, and none is cut off.
     pub link_bytes_per_second: u64,
+    /// Clients that leave, and clients that stay, at each side.
+    pub clients_per_side: usize,
 }
 
+/// Sides that links can stand between.
+pub const MAX_LINKED_SIDES: usize = 11;
+
 impl SoakOptions {
     /// The full size.
     pub const FULL: SoakOptions = SoakOptions {
@@ -50,10 +57,15 @@
         side_count: 9,
         filler_routes: 300,
         link_bytes_per_second: 150_000,
+        clients_per_side: 1,
     };
     /// As CI plays it.
     pub const SHORT: SoakOptions =
-        SoakOptions { seeds: 1, span: Duration::from_secs(9), side_count: 6, ..SoakOptions::FULL };
+        SoakOptions { seeds: 3, span: Duration::from_secs(9), side_count: 6, ..SoakOptions::FULL };
+
+    fn has_links(&self) -> bool {
+        self.side_count <= MAX_LINKED_SIDES
+    }
 }
 
 /// What a seed showed.
@@ -65,6 +77,10 @@
     pub changes: usize,
     /// Answers of nodes in touch that were checked.
     pub checked: u64,
+    /// Requests whose clients had left while an upstream was at work, that were checked.
+    pub left: usize,
+    /// Requests of clients that stayed.
+    pub stayed: usize,
     /// From the end of the faults and changes until all nodes agreed.
     pub converged_after: Option<Duration>,
     /// What was wrong.
@@ -103,19 +119,43 @@
             let machines: Vec<usize> = cut_off.iter().copied().collect();
             testbed.links.as_ref().context("links")?.cut(&machines);
         }
+        (FaultKind::Terminate, false) => testbed.mesh.terminate(machine)?,
+        (FaultKind::Terminate, true) => {
+            if !testbed.mesh.has_ended(machine) {
+                bail!("machine {machine} still runs after its grace");
+            }
+            testbed.mesh.start(machine, false)?;
+        }
+        (FaultKind::Reload, false) => testbed.mesh.hang_up(machine)?,
+        (FaultKind::Reload, true) => {}
     }
     Ok(())
 }
 
-async fn run_schedule(testbed: &mut Testbed, faults: &[Fault], disturbances: &Disturbances) -> Result<()> {
+/// When each machine was disturbed last.
+struct Disturbed {
+    /// By any fault: its configuration may be old.
+    by_any: Disturbances,
+    /// By an unplanned one: its clients may lose what is open.
+    unplanned: Disturbances,
+}
+
+async fn run_schedule(testbed: &mut Testbed, faults: &[Fault], disturbed: &Disturbed) -> Result<()> {
     let (began, mut cut_off) = (Instant::now(), BTreeSet::new());
     for step in steps(faults) {
         tokio::time::sleep_until(began + step.at).await;
         let fault = &step.fault;
-        disturbances.disturb(fault.machine, Instant::now().max(began + fault.until));
+        let until = Instant::now().max(began + fault.until);
+        if fault.kind != FaultKind::Reload {
+            disturbed.by_any.disturb(fault.machine, until);
+        }
+        if fault.kind.is_unplanned() {
+            disturbed.unplanned.disturb(fault.machine, until);
+        }
         if fault.kind == FaultKind::Cut {
             // Its neighbours' links to it are reset when it is joined again.
-            testbed.mesh.control_machines().for_each(|machine| disturbances.disturb(machine, Instant::now()));
+            let control_machines = testbed.mesh.control_machines();
+            control_machines.for_each(|machine| disturbed.by_any.disturb(machine, Instant::now()));
         }
         carry_out(testbed, &step, &mut cut_off)?;
     }
@@ -145,75 +185,120 @@
     MeshPlan {
         side_count: options.side_count,
         zone_count: 1,
-        has_links: true,
-        link_bytes_per_second: Some(options.link_bytes_per_second),
+        has_links: options.has_links(),
+        link_bytes_per_second: options.has_links().then_some(options.link_bytes_per_second),
         ..MeshPlan::default()
     }
 }
 
+/// Clients that leave and clients that stay, at each side.
+fn start_clients(testbed: &Testbed, seed: u64, count: usize, log: &ClientLog) -> Vec<JoinHandle<()>> {
+    let mut tasks = Vec::new();
+    for machine in testbed.mesh.side_machines() {
+        for number in 0..count {
+            let place = ClientPlace {
+                machine,
+                outbound: testbed.mesh.outbound(machine),
+                sender: testbed.mesh.machines[machine].service.clone(),
+                service: testbed.services()[number % testbed.services().len()].clone(),
+            };
+            let seed = seed ^ ((machine * count + number) as u64) << 32;
+            tasks.push(tokio::spawn(leave_again_and_again(place.clone(), seed, log.clone())));
+            tasks.push(tokio::spawn(stay(place, log.clone())));
+        }
+    }
+    tasks
+}
+
+/// A watcher at each side.
+fn start_watchers(
+    testbed: &Testbed,
+    acknowledged: &Acknowledged,
+    disturbances: &Disturbances,
+    observations: &Observations,
+) -> Vec<JoinHandle<()>> {
+    let watcher = |machine: usize| {
+        let (name, outbound) = (testbed.mesh.machines[machine].name.clone(), testbed.mesh.outbound(machine));
+        let node = WatchedNode { machine, name, outbound };
+        tokio::spawn(watch(node, acknowledged.clone(), disturbances.clone(), observations.clone()))
+    };
+    testbed.mesh.side_machines().map(watcher).collect()
+}
+
+/// What is wrong, or how long it took, until all nodes agree.
+async fn converge(testbed: &Testbed, result: &mut SoakResult) -> Result<()> {
+    let ended = Instant::now();
+    let agreed = wait_until("all nodes have the same configuration in force", CONVERGED_WITHIN, || async {
+        revisions(testbed).await.len() == 1
+    })
+    .await;
+    match agreed {
+        Ok(()) => result.converged_after = Some(ended.elapsed()),
+        Err(error) => result.faults.push(format!("{error:#}: {:?}", revisions(testbed).await)),
+    }
+    let missing = testbed.operator.missing_from(&testbed.operator.configuration().await?);
+    result.faults.extend(missing.into_iter().map(|fault| format!("read back: {fault}")));
+    Ok(())
+}
+
 /// Play one seed.
 ///
 /// # Errors
 /// When the mesh does not start, or a fault can't be brought about.
 pub async fn play(program: &Path, seed: u64, options: &SoakOptions) -> Result<SoakResult> {
-    let mut testbed = Testbed::start(&plan(options), UpstreamBehaviour::default(), program).await?;
+    let behaviour = UpstreamBehaviour { slow_work: SLOW_WORK, ..UpstreamBehaviour::default() };
+    let mut testbed = Testbed::start(&plan(options), behaviour, program).await?;
     let service = testbed.services()[0].clone();
     testbed.operator.patch(&filler(&service, options.filler_routes)).await?;
-    let machines = testbed.mesh.machines.len();
-    let control_count = testbed.mesh.control_machines().len();
-    let faults = draw(seed, options.span, machines, control_count);
+    let (machines, control_count) = (testbed.mesh.machines.len(), testbed.mesh.control_machines().len());
+    let (span, has_links) = (options.span, options.has_links());
+    let faults = draw(seed, &Drawing { span, machines, control_count, has_links });
     let (acknowledged, observations) = (Acknowledged::default(), Observations::default());
-    let disturbances = Disturbances::new(machines, control_count);
+    let disturbed = Disturbed {
+        by_any: Disturbances::new(machines, control_count),
+        unplanned: Disturbances::new(machines, control_count),
+    };
     let addresses = testbed.mesh.control_machines().map(|machine| testbed.mesh.control(machine)).collect();
     let is_ending = Arc::new(AtomicBool::new(false));
     let operator = testbed.operator.clone();
     let writing = write_changes(operator, addresses, service, seed, acknowledged.clone(), is_ending.clone());
     let writer = tokio::spawn(writing);
-    let watchers: Vec<JoinHandle<()>> = testbed
-        .mesh
-        .side_machines()
-        .map(|machine| {
-            let (name, outbound) =
-                (testbed.mesh.machines[machine].name.clone(), testbed.mesh.outbound(machine));
-            let node = WatchedNode { machine, name, outbound };
-            tokio::spawn(watch(node, acknowledged.clone(), disturbances.clone(), observations.clone()))
-        })
-        .collect();
-    let played = run_schedule(&mut testbed, &faults, &disturbances).await;
+    let client_log = ClientLog::default();
+    let mut tasks = start_watchers(&testbed, &acknowledged, &disturbed.by_any, &observations);
+    tasks.extend(start_clients(&testbed, seed, options.clients_per_side, &client_log));
+    let played = run_schedule(&mut testbed, &faults, &disturbed).await;
     // In calm, with changes still coming, for as long as a node takes to count again.
     tokio::time::sleep(Duration::from_secs(5)).await;
     is_ending.store(true, Relaxed);
     let stopped = writer.await?.err().map(|error| format!("the operator: {error:#}"));
-    watchers.iter().for_each(JoinHandle::abort);
-    played?;
+    tasks.iter().for_each(JoinHandle::abort);
     let mut result = SoakResult {
         schedule: faults.iter().map(Fault::to_string).collect(),
         changes: acknowledged.count(),
         ..SoakResult::default()
     };
-    let ended = Instant::now();
-    let agreed = wait_until("all nodes have the same configuration in force", CONVERGED_WITHIN, || async {
-        revisions(&testbed).await.len() == 1
-    })
-    .await;
-    match agreed {
-        Ok(()) => result.converged_after = Some(ended.elapsed()),
-        Err(error) => result.faults.push(format!("{error:#}: {:?}", revisions(&testbed).await)),
-    }
-    let missing = testbed.operator.missing_from(&testbed.operator.configuration().await?);
-    result.faults.extend(missing.into_iter().map(|fault| format!("read back: {fault}")));
+    result.faults.extend(played.err().map(|error| format!("{error:#}")));
+    converge(&testbed, &mut result).await?;
+    testbed.wait_until_idle().await?;
+    let of_machine = |(machine, upstream): (&usize, &Upstream)| (upstream.id().to_string(), *machine);
+    let machine_of = testbed.upstreams.iter().map(of_machine).collect();
+    let (executions, unplanned) = (&testbed.executions, &disturbed.unplanned);
+    let of_clients = judge(&client_log, &JudgedMesh { executions, machine_of: &machine_of, unplanned });
     let observed = observations.get();
     result.checked = observed.checked;
+    (result.left, result.stayed) = (of_clients.left, of_clients.stayed);
     result.faults.extend(observed.faults);
+    result.faults.extend(of_clients.faults);
     result.faults.extend(violations(&testbed));
     result.faults.extend(stopped);
     Ok(result)
 }
 
 fn print(seed: u64, result: &SoakResult) {
-    let SoakResult { schedule, changes, checked, converged_after, faults } = result;
+    let SoakResult { schedule, changes, checked, left, stayed, converged_after, faults } = result;
     println!(
-        "seed {seed}: {} faults, {changes} changes, {checked} answers of nodes in touch checked, agreed after {converged_after:?}, {} wrong",
+        "seed {seed}: {} faults, {changes} changes, {checked} answers of nodes in touch checked, {left} requests of leavers, {stayed} of \
+         stayers, agreed after {converged_after:?}, {} wrong",
         schedule.len(),
         faults.len()
     );
--- a/crates/tools/testbed/src/soak/watch.rs
+++ b/crates/tools/testbed/src/soak/watch.rs
@@ -31,6 +31,12 @@
         all[machine] = all[machine].max(until);
     }
 
+    /// Whether a machine, whatever becomes of others, was undisturbed for so long before that moment.
+    pub(crate) fn was_undisturbed(&self, machine: usize, moment: Instant) -> bool {
+        let all = self.until.lock().unwrap_or_else(PoisonError::into_inner);
+        all[machine] + CONTACT <= moment
+    }
+
     /// Whether a node had been in touch at that moment. Those on its way to the control machines may have been disturbed: such a
     /// node has to find another way.
     fn was_in_touch(&self, machine: usize, moment: Instant) -> bool {
--- a/crates/tools/testbed/src/upstream.rs
+++ b/crates/tools/testbed/src/upstream.rs
@@ -4,6 +4,7 @@
 mod stamp;
 mod state;
 
+pub(crate) use server::SLOW_SUFFIX;
 pub use stamp::{response_body, stamp};
 pub use state::{UpstreamBehaviour, UpstreamPlace};
 
--- a/crates/tools/testbed/src/upstream/server.rs
+++ b/crates/tools/testbed/src/upstream/server.rs
@@ -10,6 +10,8 @@
 const UPSTREAM_HEADER: &str = "Station";
 /// The header that holds an answer's stamp. A name of the wire.
 const STAMP_HEADER: &str = "Postmark";
+/// What the path of a request that takes long ends with.
+pub(crate) const SLOW_SUFFIX: &str = "/slow";
 /// How long a request without a deadline waits, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
@@ -68,13 +70,16 @@
     let attempt_id = request.attempt_id.as_deref();
     let name = attempt_id.unwrap_or_default();
     let _in_flight = CountGuard::new(state.executions.in_flight_counter());
-    if state.behaviour.is_recorded {
-        state.executions.record(name, &state.id);
-    } else {
+    let _run = state.behaviour.is_recorded.then(|| state.executions.begin(name, &state.id));
+    if !state.behaviour.is_recorded {
         state.executions.count_unrecorded();
     }
-    if !state.behaviour.work.is_zero() {
-        tokio::time::sleep(state.behaviour.work).await;
+    let work = match request.target.ends_with(SLOW_SUFFIX) {
+        true => state.behaviour.slow_work,
+        false => state.behaviour.work,
+    };
+    if !work.is_zero() {
+        tokio::time::sleep(work).await;
     }
     let number = state.executed.fetch_add(1, Relaxed) + 1;
     let cut_every = state.behaviour.cut_every;
--- a/crates/tools/testbed/src/upstream/state.rs
+++ b/crates/tools/testbed/src/upstream/state.rs
@@ -25,6 +25,8 @@
     pub queue: usize,
     /// Time that a request takes.
     pub work: Duration,
+    /// Time that a request takes whose path ends with `/slow`.
+    pub slow_work: Duration,
     /// Every n-th request runs, but its connection is closed without an answer; 0: none.
     pub cut_every: u64,
     /// After its start it warms up for so long, in seconds.
@@ -36,7 +38,15 @@
 impl Default for UpstreamBehaviour {
     fn default() -> Self {
         let work = Duration::from_millis(4);
-        UpstreamBehaviour { slots: 16, queue: 16, work, cut_every: 0, warm_up_s: 0.0, is_recorded: true }
+        UpstreamBehaviour {
+            slots: 16,
+            queue: 16,
+            work,
+            slow_work: work,
+            cut_every: 0,
+            warm_up_s: 0.0,
+            is_recorded: true,
+        }
     }
 }
 
