--- a/crates/control/mesh-membership/tests/support/mod.rs
+++ b/crates/control/mesh-membership/tests/support/mod.rs
@@ -58,3 +58,37 @@
 pub fn heartbeat(incarnation: u64, sequence: u64) -> Datagram {
     Datagram::Heartbeat { incarnation, sequence }
 }
+
+/// The node under test.
+pub const ME: Node = Node(10);
+/// Its parent.
+pub const PARENT: Node = Node(1);
+/// The nodes that it is linked with.
+pub const LINKED: [Node; 3] = [PARENT, Node(20), Node(21)];
+/// A control entry's.
+pub const KEY: &str = "k";
+
+/// The node with its links up.
+pub fn linked_membership() -> Membership<u32> {
+    let mut membership = Membership::new(START, config(ME, false, PARENT, 5), 0);
+    for node in LINKED {
+        membership.link_up(START, node);
+        membership.receive(START, node, hello(node, node == PARENT));
+    }
+    membership.take_effects();
+    membership
+}
+
+/// A revision of the entry.
+pub fn entry(revision: Revision, bytes: usize) -> ControlEntry {
+    ControlEntry { key: KEY.into(), revision, bytes: vec![1; bytes] }
+}
+
+/// To whom updates of records were sent.
+pub fn record_updates(effects: &[Effect<u32>]) -> Vec<Node> {
+    let to = |effect: &Effect<u32>| match effect {
+        Effect::SendMessage { to, message: MembershipMessage::Update { .. } } => Some(*to),
+        _ => None,
+    };
+    effects.iter().filter_map(to).collect()
+}
--- a/crates/daemon/mesh/src/node_state.rs
+++ b/crates/daemon/mesh/src/node_state.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod control_entries;
 mod counters;
+mod departed_request;
 mod departures;
 mod in_force;
 mod invariant_checks;
@@ -25,9 +26,10 @@
 mod upstream_lists;
 
 pub(crate) use counters::{ConnectionKind, GaugeGuard};
+pub(crate) use departed_request::DepartedRequest;
+pub(crate) use departures::DepartedPeer;
 #[cfg(test)]
 pub(crate) use departures::DepartureCounts;
-pub(crate) use departures::{DepartedPeer, DepartedRequest};
 pub(crate) use invariants::Invariant;
 pub(crate) use local_upstream::Heartbeat;
 #[cfg(test)]
--- a/crates/testing/emulator/src/figures.rs
+++ b/crates/testing/emulator/src/figures.rs
@@ -1,6 +1,5 @@
 //! What a run comes to: worth served in time, by class and second, times, attempts, and whether what the script expects
 //! has held. Fed with what clients saw; the same for both drivers.
-use crate::baselines::NAMED;
 use crate::checker::Rules;
 use crate::plan::Ask;
 use crate::script::{ms, Expect, Script};
@@ -285,38 +284,6 @@
     f
 }
 
-/// Names of figures that are there in every run.
-const PLAIN: [&str; 14] = [
-    "served_worth",
-    "worst_5s",
-    "served",
-    "refused",
-    "failed",
-    "gave_up",
-    "tries_per_ask",
-    "attempts_per_try",
-    "connections_per_attempt",
-    "crossed",
-    "list_calls",
-    "p50_ms",
-    "p99_ms",
-    "asks",
-];
-const RULES: [&str; 6] = ["lost", "sent_after", "duplicated", "drained_late", "cold_fallen", "broken"];
-
-/// Whether an expectation may name this.
-pub fn is_name(name: &str, script: &Script) -> bool {
-    let known = |n: &str| NAMED.iter().any(|(b, _)| *b == n);
-    match name.split_once('.') {
-        None => PLAIN.contains(&name),
-        Some(("rules", rule)) => RULES.contains(&rule),
-        Some(("by_class", class)) => script.classes.iter().any(|c| c.name == class),
-        Some(("by_site", site)) => script.sites.iter().any(|s| s.name == site),
-        Some(("gain" | "baselines", policy)) => known(policy),
-        Some(_) => false,
-    }
-}
-
 impl Figures {
     /// A figure by its name; `None`: this run has none of that name.
     pub fn named(&self, name: &str) -> Option<f64> {
--- a/crates/testing/emulator/src/lib.rs
+++ b/crates/testing/emulator/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod baselines;
 pub mod chance;
 pub mod checker;
+mod figure_names;
 pub mod figures;
 pub mod list;
 pub mod plan;
--- a/crates/testing/emulator/src/script.rs
+++ b/crates/testing/emulator/src/script.rs
@@ -1,5 +1,6 @@
 //! What a script may say, and what is wrong with one that cannot be played. TOML; unknown keys are refused. All that
 //! follows from the figures alone is checked here, once, so that nothing behind it needs to doubt them.
+use crate::figure_names::{is_name, Declared};
 use serde::Deserialize;
 use silvercross_core::interface::{Class, DedupGroup, Effect, Micros, Prices, Settings};
 use silvercross_settings::{seconds, Front};
@@ -691,11 +692,15 @@
         for (i, f) in self.faults.iter().enumerate() {
             self.check_fault(c, i, f);
         }
+        let declared = Declared {
+            classes: self.classes.iter().map(|class| class.name.as_str()).collect(),
+            sites: self.sites.iter().map(|site| site.name.as_str()).collect(),
+        };
         for (i, e) in self.expects.iter().enumerate() {
             if e.least.is_none() && e.most.is_none() {
                 c.say("expect", i, "figure", "neither least nor most is stated".into());
             }
-            if !crate::figures::is_name(&e.figure, self) {
+            if !is_name(&e.figure, &declared) {
                 c.say("expect", i, "figure", format!("{:?} is no figure of a run", e.figure));
             }
         }
--- a/crates/tools/testbed/src/soak/clients.rs
+++ b/crates/tools/testbed/src/soak/clients.rs
@@ -62,7 +62,7 @@
     stayed: Arc<Mutex<Vec<StayersAttempt>>>,
 }
 
-/// What the judge found.
+/// What the checker found.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ClientVerdict {
     /// Requests whose clients had left while an upstream was at work, at machines that nothing had struck.
@@ -112,8 +112,8 @@
     }
 }
 
-/// Where everything ran, for the judge.
-pub(super) struct JudgedMesh<'j> {
+/// Where everything ran, for the checker.
+pub(super) struct CheckedMesh<'j> {
     pub(super) executions: &'j ExecutionLog,
     /// The machine of each upstream.
     pub(super) machine_of: &'j BTreeMap<String, usize>,
@@ -121,7 +121,7 @@
     pub(super) unplanned: &'j Disturbances,
 }
 
-impl JudgedMesh<'_> {
+impl CheckedMesh<'_> {
     /// Whether nothing unplanned had struck the machine of an upstream.
     fn upstream_was_undisturbed(&self, upstream: &str, moment: Instant) -> bool {
         self.machine_of.get(upstream).is_some_and(|machine| self.unplanned.was_undisturbed(*machine, moment))
@@ -161,18 +161,18 @@
 }
 
 /// Hold what clients did against what upstreams ran, once nothing is at work any more.
-pub(super) fn judge(log: &ClientLog, mesh: &JudgedMesh<'_>) -> ClientVerdict {
+pub(super) fn check_clients(log: &ClientLog, mesh: &CheckedMesh<'_>) -> ClientVerdict {
     let left = log.left.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let stayed = log.stayed.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let by_id: BTreeMap<&str, &LeftRequest> = left.iter().map(|left| (left.id.as_str(), left)).collect();
     let mut verdict = ClientVerdict { stayed: stayed.len(), ..ClientVerdict::default() };
     for run in mesh.executions.runs() {
         let Some(left) = by_id.get(run.attempt.as_str()) else { continue };
-        let judged_at = left.left_at + LEFT_WORK_ENDS_WITHIN;
-        let is_judged = run.ended.is_none_or(|ended| ended > left.left_at)
-            && mesh.unplanned.was_undisturbed(left.machine, judged_at)
-            && mesh.upstream_was_undisturbed(&run.upstream, judged_at);
-        if is_judged {
+        let checked_at = left.left_at + LEFT_WORK_ENDS_WITHIN;
+        let is_checked = run.ended.is_none_or(|ended| ended > left.left_at)
+            && mesh.unplanned.was_undisturbed(left.machine, checked_at)
+            && mesh.upstream_was_undisturbed(&run.upstream, checked_at);
+        if is_checked {
             verdict.left += 1;
             verdict.faults.extend(mesh.outlived(left, &run));
         }
--- a/crates/tools/testbed/src/soak/clients/tests.rs
+++ b/crates/tools/testbed/src/soak/clients/tests.rs
@@ -1,4 +1,4 @@
-//! The judge of clients sees what it stands for. Time is counted from a moment at which no machine has been disturbed for long.
+//! The checker of clients sees what it stands for. Time is counted from a moment at which no machine has been disturbed for long.
 use super::*;
 
 const UPSTREAM: &str = "i-1";
@@ -8,13 +8,13 @@
     Instant::now() + Duration::from_secs(10)
 }
 
-/// A judge over one machine; `disturbed_at`: when that was killed, paused or cut off.
-fn with_judge<R>(disturbed_at: Option<Instant>, look: impl FnOnce(&JudgedMesh<'_>) -> R) -> R {
+/// A checker over one machine; `disturbed_at`: when that was killed, paused or cut off.
+fn with_checker<R>(disturbed_at: Option<Instant>, look: impl FnOnce(&CheckedMesh<'_>) -> R) -> R {
     let (executions, unplanned) = (ExecutionLog::default(), Disturbances::new(4, 3));
     disturbed_at.into_iter().for_each(|at| unplanned.disturb(MACHINE, at));
     drop(executions.begin("ran", UPSTREAM));
     let machine_of = BTreeMap::from([(UPSTREAM.to_string(), MACHINE)]);
-    look(&JudgedMesh { executions: &executions, machine_of: &machine_of, unplanned: &unplanned })
+    look(&CheckedMesh { executions: &executions, machine_of: &machine_of, unplanned: &unplanned })
 }
 
 #[test]
@@ -24,7 +24,7 @@
     let ms = |count: u64| left_at + Duration::from_millis(count);
     let found = |began: Instant, ended: Option<Instant>| {
         let run = Run { attempt: "ran".into(), upstream: UPSTREAM.into(), began, ended };
-        with_judge(None, |judge| judge.outlived(&left, &run))
+        with_checker(None, |mesh| mesh.outlived(&left, &run))
     };
     assert_eq!(found(ms(0), Some(ms(300))), None);
     assert!(found(ms(0), Some(ms(1_100))).is_some_and(|fault| fault.contains("was at work")));
@@ -50,7 +50,7 @@
             outcome,
         };
         let stayed = StayersAttempt { machine: MACHINE, sent_at: ended_at, ended_at, attempt };
-        let found = with_judge(disturbed_at, |judge| judge.is_cut_off(&stayed));
+        let found = with_checker(disturbed_at, |mesh| mesh.is_cut_off(&stayed));
         assert_eq!(found, expected, "{id} {disturbed_at:?}");
     }
 }
--- a/crates/tools/testbed/src/soak/run.rs
+++ b/crates/tools/testbed/src/soak/run.rs
@@ -1,6 +1,8 @@
 //! A soak from its beginning to its verdict.
 use super::changes::{filler, write_changes, Acknowledged};
-use super::clients::{judge, leave_again_and_again, stay, ClientLog, ClientPlace, JudgedMesh, SLOW_WORK};
+use super::clients::{
+    check_clients, leave_again_and_again, stay, CheckedMesh, ClientLog, ClientPlace, SLOW_WORK,
+};
 use super::schedule::{draw, Drawing, Fault, FaultKind};
 use super::watch::{watch, Disturbances, Observations, WatchedNode};
 use crate::mesh::MeshPlan;
@@ -283,7 +285,8 @@
     let of_machine = |(machine, upstream): (&usize, &Upstream)| (upstream.id().to_string(), *machine);
     let machine_of = testbed.upstreams.iter().map(of_machine).collect();
     let (executions, unplanned) = (&testbed.executions, &disturbed.unplanned);
-    let of_clients = judge(&client_log, &JudgedMesh { executions, machine_of: &machine_of, unplanned });
+    let of_clients =
+        check_clients(&client_log, &CheckedMesh { executions, machine_of: &machine_of, unplanned });
     let observed = observations.get();
     result.checked = observed.checked;
     (result.left, result.stayed) = (of_clients.left, of_clients.stayed);
