--- a/review/standins/harness.rs
+++ b/review/standins/harness.rs
@@ -862,6 +862,7 @@
 #[derive(Clone, Debug)]
 pub struct Answered {
     pub attempt_id: String,
+    pub sent_at: f64,
     pub ended_at: f64,
     /// `None`: the connection ended without a head, or none came up.
     pub status: Option<u16>,
@@ -884,6 +885,7 @@
     let sent_at = record.now();
     let mut result = Answered {
         attempt_id: attempt_id.to_string(),
+        sent_at,
         ended_at: sent_at,
         status: None,
         is_complete: false,
