--- a/crates/daemon/mesh/src/client_listener/client_connection.rs
+++ b/crates/daemon/mesh/src/client_listener/client_connection.rs
@@ -73,11 +73,11 @@
     head: &RequestHead,
     body: Rc<BodyBuffer>,
 ) -> bool {
-    let open = OpenRequestGuard::new(node_state);
+    // Until the client has the whole response: a stopping process ends once no request is open.
+    let _open = OpenRequestGuard::new(node_state);
     let departure = Rc::new(ClientDeparture::new());
     let mut response = serve_watched(node_state, connection, head, &body, &departure).await;
     drop(body);
-    drop(open);
     let closes = !head.keep_alive || head.is_http_10 || node_state.stopping() || departure.has_disconnected();
     let encoded = response.encode(node_state, head, closes);
     let closes = closes || encoded.remainder == Some(Framing::UntilClose);
--- a/crates/daemon/mesh/src/runtime.rs
+++ b/crates/daemon/mesh/src/runtime.rs
@@ -89,7 +89,10 @@
     node_state.peers.leave_membership(node_state);
     tokio::time::sleep(LEAVE_PROPAGATION_TIME).await;
     wait_while(node_state, end_by, || node_state.is_busy()).await;
-    info!(node_state.log, "ended"; "open" => node_state.open_requests.get());
+    let counters = &node_state.counters;
+    info!(node_state.log, "ended"; "open" => node_state.open_requests.get(),
+        "is_grace_over" => node_state.now() >= end_by, "client_connections" => counters.client_connections.get(),
+        "gate_connections" => counters.hop_connections.get());
 }
 
 /// Serves until no more requests are to be accepted; returns the deadline of the process.
--- a/crates/daemon/mesh/src/tests/mod.rs
+++ b/crates/daemon/mesh/src/tests/mod.rs
@@ -18,4 +18,5 @@
 mod response_validation;
 mod stopping;
 pub(crate) mod support;
+mod under_way_at_stop;
 mod upstream_gate;
--- /dev/null
+++ b/crates/daemon/mesh/src/tests/under_way_at_stop.rs
@@ -0,0 +1,149 @@
+//! What is under way when a process is told to stop counts as open until its client has it all: a stopping process ends once
+//! nothing is open.
+use crate::tests::support::{
+    self, bind_upstream, patterned_bytes, status, BoundUpstream, ReceivedBody, Sidecar, SidecarOptions,
+    TestConnection, ATTEMPT_ID_LINE,
+};
+use crate::wire::MAX_BUFFERED_BODY_BYTES;
+use tokio::net::TcpListener;
+
+/// Bytes of a response that is passed on while it comes.
+const RESPONSE_BYTES: usize = 3 * MAX_BUFFERED_BODY_BYTES;
+/// Of these, what the upstream has sent when the processes are told to stop.
+const FIRST_PART_BYTES: usize = 2 * MAX_BUFFERED_BODY_BYTES;
+
+/// A client's sidecar, the sidecar beside the upstream, which may be the same one, and the upstream.
+struct Mesh {
+    origin: Sidecar,
+    gate: Sidecar,
+    upstream: TcpListener,
+}
+
+impl Mesh {
+    async fn start(is_local: bool) -> Mesh {
+        let BoundUpstream { listener, address } = bind_upstream().await;
+        let gate = support::start_sidecar(2, address, SidecarOptions::default()).await;
+        gate.send_heartbeat();
+        gate.learn_sidecar(&gate);
+        if is_local {
+            return Mesh { origin: gate.clone(), gate, upstream: listener };
+        }
+        let unused_address = bind_upstream().await.address;
+        let origin = support::start_sidecar(1, unused_address, SidecarOptions::default()).await;
+        origin.learn_sidecar(&gate);
+        Mesh { origin, gate, upstream: listener }
+    }
+
+    fn is_busy(&self) -> [bool; 2] {
+        [self.origin.node_state.is_busy(), self.gate.node_state.is_busy()]
+    }
+
+    /// Lets the processes work until neither has anything open.
+    async fn wait_until_idle(&self) {
+        while self.is_busy() != [false, false] {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Accepts a request at the upstream.
+    async fn accept_request(&self) -> TestConnection {
+        let (stream, _) = self.upstream.accept().await.expect("accepted connection");
+        let mut upstream = TestConnection::from_stream(stream);
+        let head = upstream.read_head().await;
+        assert!(upstream.read_body(&head).await.is_complete, "{head}");
+        upstream
+    }
+}
+
+/// How the length of a response is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    ContentLength,
+    Chunked,
+    /// The client understands no chunks, and the response ends with its connection.
+    UntilClose,
+}
+
+/// A request whose response is passed on while it comes.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    is_local: bool,
+    route: &'static str,
+    body_bytes: usize,
+    framing: Framing,
+}
+
+impl Case {
+    fn all() -> Vec<Case> {
+        let mut cases = Vec::new();
+        for is_local in [false, true] {
+            for (route, body_bytes) in [("safe", 0), ("once", 900), ("up", FIRST_PART_BYTES)] {
+                for framing in [Framing::ContentLength, Framing::Chunked, Framing::UntilClose] {
+                    cases.push(Case { is_local, route, body_bytes, framing });
+                }
+            }
+        }
+        cases
+    }
+
+    fn request(self) -> Vec<u8> {
+        let Case { route, body_bytes, framing, .. } = self;
+        let version = if framing == Framing::UntilClose { "1.0" } else { "1.1" };
+        let head = format!(
+            "POST /{route}/x HTTP/{version}\r\nHost: h\r\n{ATTEMPT_ID_LINE}Content-Length: {body_bytes}\r\n\r\n"
+        );
+        [head.into_bytes(), patterned_bytes(body_bytes)].concat()
+    }
+
+    /// The head of the upstream's response, and its body as two parts that are sent one after the other.
+    fn response(self) -> [Vec<u8>; 2] {
+        let is_chunked = self.framing != Framing::ContentLength;
+        let line = match is_chunked {
+            true => "Transfer-Encoding: chunked\r\n".to_string(),
+            false => format!("Content-Length: {RESPONSE_BYTES}\r\n"),
+        };
+        let head = support::upstream_response_head(&format!("x\r\n{ATTEMPT_ID_LINE}"), 200, &line);
+        let body = patterned_bytes(RESPONSE_BYTES);
+        let (first, rest) = body.split_at(FIRST_PART_BYTES);
+        let chunk = |bytes: &[u8]| match is_chunked {
+            true => [format!("{:x}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat(),
+            false => bytes.to_vec(),
+        };
+        let end: &[u8] = if is_chunked { b"0\r\n\r\n" } else { b"" };
+        [[head.into_bytes(), chunk(first)].concat(), [&chunk(rest), end].concat()]
+    }
+
+    /// Reads the rest of a response body of which `received` has come.
+    async fn read_rest(self, client: &mut TestConnection, head: &str) -> ReceivedBody {
+        if self.framing != Framing::UntilClose {
+            return client.read_body(head).await;
+        }
+        let bytes = client.read_bytes(usize::MAX).await;
+        ReceivedBody { is_complete: true, bytes }
+    }
+}
+
+/// Guards against LOST: a process that was told to stop counted a request only until its response began, ended while it
+/// passed the response on, and cut it off (review case 2).
+#[test]
+fn a_response_that_is_passed_on_keeps_a_stopping_process_until_its_client_has_it() {
+    support::run(async {
+        for case in Case::all() {
+            let mesh = Mesh::start(case.is_local).await;
+            let mut client = TestConnection::connect(mesh.origin.outbound).await;
+            let request = case.request();
+            let ((), mut upstream) = tokio::join!(client.send(&request), mesh.accept_request());
+            let [first, rest] = case.response();
+            let (head, ()) = tokio::join!(client.read_head(), upstream.send(&first));
+            assert_eq!(status(&head), "200", "{case:?}: {head}");
+            mesh.origin.node_state.begin_stop();
+            mesh.gate.node_state.begin_stop();
+            assert_eq!(mesh.is_busy(), [true, true], "{case:?}: the client has only the first part");
+            let (body, ()) = tokio::join!(case.read_rest(&mut client, &head), upstream.send(&rest));
+            let expected = ReceivedBody { bytes: patterned_bytes(RESPONSE_BYTES), is_complete: true };
+            assert!(body == expected, "{case:?}: {} bytes", body.bytes.len());
+            drop(client);
+            mesh.wait_until_idle().await;
+        }
+    });
+}
