mesh: requests count as open from their first byte, at clients' and other sidecars' listeners

Callers could see: a connection that ends while their request is coming in, or before the reason of a refusal is read; another sidecar: an answer that the upstream had given and the gate was still writing. Cause: a request was counted from the end of its body at the client's listener, and only while admitted at the gate, so the stop, which ends after 0.25 s without anything open, saw nothing. Evidence: two tests fail before: is_busy false with "POST /onc" received, and with a 413 answered and unread. Fix: a guard from the first byte on, at both listeners, until the connection is closed or free (clients) or the response is written (other sidecars).

--- a/crates/daemon/mesh/src/client_listener/client_connection.rs
+++ b/crates/daemon/mesh/src/client_listener/client_connection.rs
@@ -2,7 +2,7 @@
 use super::client_departure::{wait_for_disconnect, ClientDeparture};
 use super::client_response::{refuse, ClientResponse, DISCARD_TIMEOUT};
 use super::idle_wait::wait_for_request;
-use super::open_request::OpenRequestGuard;
+use super::open_request::{count_request, OpenRequestGuard};
 use super::route::serve;
 use super::streamed_request::serve_streamed;
 use crate::body_buffer::BodyBuffer;
@@ -28,6 +28,8 @@
     if !wait_for_request(node_state, connection).await {
         return false;
     }
+    // Open from its first byte until its client has the whole response: a stopping process ends once nothing is open.
+    let _open = OpenRequestGuard::new(node_state);
     let limits = node_state.routing_table().limits();
     let max_body_bytes = limits.max_body_bytes.min(usize::MAX as u64) as usize;
     let head_timeout = limits.head_timeout.max(MIN_TIMEOUT).to_std();
@@ -49,10 +51,12 @@
     let read = connection.read_body_prefix(&mut decoder, head.content_length(), &mut reservation, false);
     match timeout_at(deadline, read).await.unwrap_or(Err(ReadError::TimedOut)) {
         Ok(prefix) if prefix.is_complete => {
+            count_request(node_state);
             let body = BodyBuffer::complete(prefix.bytes, reservation);
             serve_buffered(node_state, connection, &head, body).await
         }
         Ok(prefix) => {
+            count_request(node_state);
             let body = BodyBuffer::streamed(prefix.bytes, head.content_length(), reservation);
             serve_streamed(node_state, connection, &head, body, &mut decoder, deadline).await
         }
@@ -73,8 +77,6 @@
     head: &RequestHead,
     body: Rc<BodyBuffer>,
 ) -> bool {
-    // Until the client has the whole response: a stopping process ends once no request is open.
-    let _open = OpenRequestGuard::new(node_state);
     let departure = Rc::new(ClientDeparture::new());
     let mut response = serve_watched(node_state, connection, head, &body, &departure).await;
     drop(body);
--- a/crates/daemon/mesh/src/client_listener/streamed_request.rs
+++ b/crates/daemon/mesh/src/client_listener/streamed_request.rs
@@ -2,7 +2,6 @@
 //! is sent on.
 use super::client_departure::{wait_for_disconnect, ClientDeparture};
 use super::client_response::{refuse, DISCARD_TIMEOUT};
-use super::open_request::OpenRequestGuard;
 use super::route::serve;
 use crate::body_buffer::{BodyStreamWriter, StreamedBodyBuffer};
 use crate::node_state::{DepartedPeer, DepartedRequest, NodeState};
@@ -32,7 +31,6 @@
 ) -> bool {
     let StreamedBodyBuffer { body, writer } = streamed;
     let Some(mut write) = connection.take_write_half() else { return false };
-    let _open = OpenRequestGuard::new(node_state);
     let is_responding = Cell::new(false);
     let departure = Rc::new(ClientDeparture::new());
     // Declared outside the block, so that it is dropped after the work in it.
--- a/crates/daemon/mesh/src/node_state/counters.rs
+++ b/crates/daemon/mesh/src/node_state/counters.rs
@@ -13,6 +13,8 @@
     pub(crate) hop_connections: Cell<u64>,
     /// Of these, connections without an open request.
     pub(crate) idle_hop_connections: Cell<u64>,
+    /// Gauge of requests of other sidecars, each from its first byte until its response is written.
+    pub(crate) open_hop_requests: Cell<u64>,
     /// Connections from other sidecars rejected because of the limit.
     pub(crate) rejected_hops: Cell<u64>,
     /// Gauge of links whose first frame has not been received.
--- a/crates/daemon/mesh/src/node_state/stopping.rs
+++ b/crates/daemon/mesh/src/node_state/stopping.rs
@@ -58,10 +58,13 @@
         self.graceful_stop.borrow_mut().iter_mut().for_each(|stop| stop.not_ready_reply(now));
     }
 
-    /// Whether a request or a control call is open here, or a request at the upstream on this machine.
+    /// Whether anything is under way here: a request of a client or of another sidecar, each from its first byte until its
+    /// response is written or received, a control call, or a request at the upstream on this machine.
     pub(crate) fn is_busy(&self) -> bool {
         let load = self.gate.with_admission(|admission| admission.load());
-        let open = self.open_requests.get() + self.counters.open_control_calls.get();
+        let counters = &self.counters;
+        let of_sidecars = counters.open_hop_requests.get();
+        let open = self.open_requests.get() + of_sidecars + counters.open_control_calls.get();
         open > 0 || load.in_flight + load.pending > 0
     }
 
--- a/crates/daemon/mesh/src/tests/under_way_at_stop.rs
+++ b/crates/daemon/mesh/src/tests/under_way_at_stop.rs
@@ -12,6 +12,9 @@
 /// Of these, what the upstream has sent when the processes are told to stop.
 const FIRST_PART_BYTES: usize = 2 * MAX_BUFFERED_BODY_BYTES;
 
+/// Turns of all tasks in which a process has done what it does without further events.
+const TURNS: usize = 200;
+
 /// A client's sidecar, the sidecar beside the upstream, which may be the same one, and the upstream.
 struct Mesh {
     origin: Sidecar,
@@ -45,6 +48,13 @@
         }
     }
 
+    /// Lets all tasks of the processes have many turns.
+    async fn take_turns(&self) {
+        for _ in 0..TURNS {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Accepts a request at the upstream.
     async fn accept_request(&self) -> TestConnection {
         let (stream, _) = self.upstream.accept().await.expect("accepted connection");
@@ -147,3 +157,38 @@
         }
     });
 }
+
+/// Guards against a process that ends while a request is coming in, of which its client would never hear.
+#[test]
+fn a_request_that_is_still_coming_in_keeps_a_stopping_process() {
+    support::run(async {
+        let mesh = Mesh::start(false).await;
+        let head = format!("POST /once/x HTTP/1.1\r\nHost: h\r\n{ATTEMPT_ID_LINE}Content-Length: 9\r\n\r\n");
+        for part in [&head[..9], &head] {
+            for (address, expected) in
+                [(mesh.origin.outbound, [true, false]), (mesh.gate.inbound, [false, true])]
+            {
+                let mut client = TestConnection::connect(address).await;
+                client.send(part.as_bytes()).await;
+                mesh.take_turns().await;
+                assert_eq!(mesh.is_busy(), expected, "{address}: {part:?}");
+                drop(client);
+                mesh.wait_until_idle().await;
+            }
+        }
+    });
+}
+
+/// Guards against a process that ends before the reason why a request is refused has been read.
+#[test]
+fn a_refused_request_keeps_a_stopping_process_until_its_client_has_the_reason() {
+    support::run(async {
+        let mesh = Mesh::start(false).await;
+        let mut client = TestConnection::connect(mesh.origin.outbound).await;
+        client.send(b"POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\nunread").await;
+        assert_eq!(status(&client.read_head().await), "413");
+        assert!(mesh.origin.node_state.is_busy());
+        drop(client);
+        mesh.wait_until_idle().await;
+    });
+}
--- a/crates/daemon/mesh/src/upstream_gate/sidecar_connection.rs
+++ b/crates/daemon/mesh/src/upstream_gate/sidecar_connection.rs
@@ -41,6 +41,7 @@
     if !wait_for_request(node_state, connection).await {
         return false;
     }
+    let _open = GaugeGuard::new(&node_state.counters, |counters| &counters.open_hop_requests);
     let Ok(mut head) = connection.read_request_head(IDLE_TIMEOUT, RECEIVE_TIMEOUT, usize::MAX).await else {
         return false;
     };
