mesh: a connection is closed once its last response is sent, so that slow readers lose nothing

Cause: the system resets a closed connection on which something comes, and drops what it has not sent.

--- a/crates/daemon/mesh/src/client_listener/client_connection.rs
+++ b/crates/daemon/mesh/src/client_listener/client_connection.rs
@@ -12,8 +12,11 @@
 use silvercross_net::stream::Decoder;
 use silvercross_time::Duration;
 use std::rc::Rc;
+use std::time::Duration as StdDuration;
 use tokio::time::{timeout_at, Instant};
 
+/// How long input on a connection is discarded that is closed while it is idle.
+const IDLE_DISCARD_TIMEOUT: StdDuration = StdDuration::ZERO;
 /// Minimum timeout.
 const MIN_TIMEOUT: Duration = Duration::from_micros(1);
 
@@ -25,11 +28,14 @@
 /// Serves one request, under the limits in force when it arrives. Returns whether the connection may carry another
 /// one.
 async fn serve_one(node_state: &Rc<NodeState>, connection: &mut Connection) -> bool {
-    if !wait_for_request(node_state, connection).await {
+    let has_request = wait_for_request(node_state, connection).await;
+    // Open from its first byte until its client has the whole response, or has what an idle connection still holds of one: a
+    // stopping process ends once nothing is open.
+    let _open = OpenRequestGuard::new(node_state);
+    if !has_request {
+        connection.close_gracefully(IDLE_DISCARD_TIMEOUT).await;
         return false;
     }
-    // Open from its first byte until its client has the whole response: a stopping process ends once nothing is open.
-    let _open = OpenRequestGuard::new(node_state);
     let limits = node_state.routing_table().limits();
     let max_body_bytes = limits.max_body_bytes.min(usize::MAX as u64) as usize;
     let head_timeout = limits.head_timeout.max(MIN_TIMEOUT).to_std();
--- a/crates/daemon/mesh/src/tests/under_way_at_stop.rs
+++ b/crates/daemon/mesh/src/tests/under_way_at_stop.rs
@@ -5,7 +5,7 @@
     TestConnection, ATTEMPT_ID_LINE,
 };
 use crate::wire::MAX_BUFFERED_BODY_BYTES;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// Bytes of a response that is passed on while it comes.
 const RESPONSE_BYTES: usize = 3 * MAX_BUFFERED_BODY_BYTES;
@@ -14,6 +14,8 @@
 
 /// Turns of all tasks in which a process has done what it does without further events.
 const TURNS: usize = 200;
+/// The receive buffer of a client that reads slowly.
+const SLOW_READER_BUFFER_BYTES: u32 = 4096;
 
 /// A client's sidecar, the sidecar beside the upstream, which may be the same one, and the upstream.
 struct Mesh {
@@ -55,6 +57,14 @@
         }
     }
 
+    /// Connects a client whose system takes few bytes that it has not read.
+    async fn connect_slow_reader(&self) -> TestConnection {
+        let socket = TcpSocket::new_v4().expect("socket");
+        socket.set_recv_buffer_size(SLOW_READER_BUFFER_BYTES).expect("SO_RCVBUF is set");
+        let stream = socket.connect(self.origin.outbound).await.expect("open connection");
+        TestConnection::from_stream(stream)
+    }
+
     /// Accepts a request at the upstream.
     async fn accept_request(&self) -> TestConnection {
         let (stream, _) = self.upstream.accept().await.expect("accepted connection");
@@ -158,6 +168,43 @@
     });
 }
 
+/// Guards against LOST: a client that reads slowly lost what its system had not taken of a response when its connection was
+/// closed meanwhile and it sent its next request: the system resets a closed connection on which something comes.
+#[test]
+fn a_slow_reader_gets_its_whole_response_from_a_connection_that_is_closed_behind_it() {
+    support::run(async {
+        for bytes in [MAX_BUFFERED_BODY_BYTES - 1, 2 * MAX_BUFFERED_BODY_BYTES] {
+            let mesh = Mesh::start(false).await;
+            let mut client = mesh.connect_slow_reader().await;
+            let request = format!("GET /safe/x HTTP/1.1\r\nHost: h\r\n{ATTEMPT_ID_LINE}\r\n");
+            client.send(request.as_bytes()).await;
+            let mut upstream = mesh.accept_request().await;
+            let framing = format!("Content-Length: {bytes}\r\n");
+            let head = support::upstream_response_head(&format!("x\r\n{ATTEMPT_ID_LINE}"), 200, &framing);
+            upstream.send(&[head.into_bytes(), patterned_bytes(bytes)].concat()).await;
+            while mesh.gate.node_state.is_busy() {
+                tokio::task::yield_now().await;
+            }
+            mesh.take_turns().await;
+            mesh.origin.node_state.begin_stop();
+            mesh.origin.node_state.close_idle_connections();
+            mesh.take_turns().await;
+            client.send(request.as_bytes()).await;
+            let was_busy = mesh.origin.node_state.is_busy();
+            let head = client.read_head().await;
+            let body = client.read_body(&head).await;
+            assert!(
+                body.is_complete && body.bytes == patterned_bytes(bytes),
+                "{} of {bytes}",
+                body.bytes.len()
+            );
+            assert!(was_busy, "{bytes}: the process would have ended before");
+            drop(client);
+            mesh.wait_until_idle().await;
+        }
+    });
+}
+
 /// Guards against a process that ends while a request is coming in, of which its client would never hear.
 #[test]
 fn a_request_that_is_still_coming_in_keeps_a_stopping_process() {
--- a/crates/daemon/mesh/src/wire/connection.rs
+++ b/crates/daemon/mesh/src/wire/connection.rs
@@ -4,6 +4,7 @@
 use super::PeerKind;
 use crate::mutation::{self, Mutation};
 use bytes::BytesMut;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io;
 use std::mem::MaybeUninit;
 use std::time::Duration;
@@ -14,6 +15,10 @@
 
 /// Buffer space reserved for one read, in bytes.
 const READ_BYTES: usize = 16 * 1024;
+/// Longest wait before a close until all that was written is sent: the other end may read slowly.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Interval of the checks during that wait.
+const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Most input that is read and discarded before a close, in bytes.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
@@ -164,20 +169,44 @@
         }
     }
 
-    /// Close gracefully after a last message: input is read and discarded for at most `discard_timeout`, since a close with
-    /// unread bytes resets the connection and the other end could lose the message.
+    /// Close gracefully after a last message. A reset loses what the other end has not received, and both unread input at the
+    /// close and input after it cause one. So input is read and discarded until all bytes were sent, at most for
+    /// [`DELIVERY_TIMEOUT`], and then until the other end closes, at most for `discard_timeout`.
     pub(crate) async fn close_gracefully(&mut self, discard_timeout: Duration) {
+        let mut left = MAX_DISCARDED_BYTES;
+        let deadline = Instant::now() + DELIVERY_TIMEOUT;
+        while !self.is_all_sent() && Instant::now() < deadline {
+            if timeout(DELIVERY_CHECK_INTERVAL, self.discard_input(&mut left)).await.is_ok() {
+                // No input that could cause a reset comes any more: the system sends the rest.
+                return;
+            }
+        }
         self.shut_down_writing().await;
-        let read = async {
-            let mut left = MAX_DISCARDED_BYTES;
-            while let Ok(n) = self.receive().await {
-                self.received.clear();
-                if n == 0 || left < n {
-                    break;
-                }
-                left -= n;
+        let _ = timeout(discard_timeout, self.discard_input(&mut left)).await;
+    }
+
+    /// Read and discard input until the other end closes or the connection breaks. Nothing is read beyond the bound `left`.
+    async fn discard_input(&mut self, left: &mut usize) {
+        while *left > 0 {
+            match self.receive().await {
+                Ok(n) if n > 0 => *left = left.saturating_sub(n),
+                _ => return,
             }
-        };
-        let _ = timeout(discard_timeout, read).await;
+            self.received.clear();
+        }
+        std::future::pending().await
+    }
+
+    /// Whether all that was written was sent, so that none of it waits for the other end to read. Also `true` for a connection
+    /// of which that can't be told.
+    fn is_all_sent(&self) -> bool {
+        let Halves::Joined(stream) = &self.halves else { return true };
+        // With this limit a socket is writable only once nothing waits to be sent.
+        if socket2::SockRef::from(stream).set_tcp_notsent_lowat(1).is_err() {
+            return true;
+        }
+        let mut polled = [PollFd::new(stream, PollFlags::OUT)];
+        let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+        !matches!(poll(&mut polled, Some(&now)), Ok(0))
     }
 }
