control: every call keeps a stopping process until its response is written

Callers could see: a connection that ends while their call is coming in, while a read of the configuration waits for a majority, or in a long response, when the process is told to end. Found by the table of what can be under way at a stop. Cause: only changes were counted, until their outcome was known. Evidence: the new test fails before: is_busy false with a call half received. Fix: the listener counts calls of all kinds from the first byte until the response is written; connections that end with a call are closed in order. Followers of events are not counted: they have no end.

--- a/crates/daemon/mesh/src/control/changes.rs
+++ b/crates/daemon/mesh/src/control/changes.rs
@@ -1,7 +1,7 @@
 //! Changing keys of the control store, and redirecting callers to a replica.
 use super::response::CallResponse;
 use crate::control_value::{ControlChange, CONFIGURATION_KEY};
-use crate::node_state::{GaugeGuard, NodeState};
+use crate::node_state::NodeState;
 use silvercross_control_store::{CallOutcome, Rejection};
 use slog::info;
 use std::rc::Rc;
@@ -28,7 +28,6 @@
     path: &str,
 ) -> CallResponse {
     node_state.counters.control_calls.set(node_state.counters.control_calls.get() + 1);
-    let _open = GaugeGuard::new(&node_state.counters, |counters| &counters.open_control_calls);
     match node_state.peers.change_key(node_state, key, change).await {
         Some(CallOutcome::Committed { revision, changed }) => {
             if changed {
--- a/crates/daemon/mesh/src/control/listener.rs
+++ b/crates/daemon/mesh/src/control/listener.rs
@@ -2,7 +2,7 @@
 use super::call::{find, Call};
 use super::response::CallResponse;
 use crate::event_stream;
-use crate::node_state::{ConnectionKind, NodeState};
+use crate::node_state::{ConnectionKind, GaugeGuard, NodeState};
 use crate::wire::{self, Connection, PeerKind, ReadError, RequestHead};
 use silvercross_mesh_config::MAX_BODY_BYTES;
 use silvercross_net::http::MessageError;
@@ -48,8 +48,8 @@
             let reader = serve_connection(&node_state, &mut connection, calls).await;
             open.set(open.get() - 1);
             // Event streams have a limit of their own, so the connection no longer counts here.
-            if let Some(EventReader { request, body }) = reader {
-                event_stream::serve(node_state, connection, *request, body).await;
+            if let Some(EventReader { open, request, body }) = reader {
+                event_stream::serve(node_state, connection, *request, body, open).await;
             }
         });
     }
@@ -57,6 +57,7 @@
 
 /// A call for the event stream, which takes over its connection.
 struct EventReader {
+    open: GaugeGuard,
     request: Box<RequestHead>,
     body: Vec<u8>,
 }
@@ -84,6 +85,11 @@
 }
 
 async fn serve_call(node_state: &Rc<NodeState>, connection: &mut Connection, calls: &[&Call]) -> Next {
+    if !connection.wait_for_bytes(IDLE_TIMEOUT).await {
+        return Next::End;
+    }
+    // Open from its first byte until its response is written: a stopping process ends once nothing is open.
+    let open = GaugeGuard::new(&node_state.counters, |counters| &counters.open_control_calls);
     let request = match connection.read_request_head(IDLE_TIMEOUT, READ_TIMEOUT, MAX_BODY_BYTES).await {
         Ok(request) => request,
         Err(ReadError::Invalid(error)) => return respond_unreadable(connection, &error).await,
@@ -99,7 +105,7 @@
     };
     let serves_events = find(calls, "GET", super::calls::STATE.path).is_ok();
     if serves_events && event_stream::is_event_stream_call(&request) {
-        return Next::Events(EventReader { request: Box::new(request), body });
+        return Next::Events(EventReader { open, request: Box::new(request), body });
     }
     let response = match find(calls, &request.method, &request.target) {
         Ok(found) => (found.call.handler)(node_state, &found.name, &body).await,
@@ -110,11 +116,14 @@
     let close = !request.keep_alive || node_state.stopping();
     let (lines, content) = (response.lines.as_bytes(), response.body.as_bytes());
     let bytes = wire::encode_response(response.status, lines, content, close, false);
-    if connection.write(&bytes).await.is_ok() && !close {
-        Next::Call
-    } else {
-        Next::End
+    if connection.write(&bytes).await.is_err() {
+        return Next::End;
+    }
+    if close {
+        connection.close_gracefully(DRAIN_TIMEOUT).await;
+        return Next::End;
     }
+    Next::Call
 }
 
 /// Respond to a call that can't be read. Its remaining input is read and discarded: closing with unread input would reset
--- a/crates/daemon/mesh/src/control/tests.rs
+++ b/crates/daemon/mesh/src/control/tests.rs
@@ -1,7 +1,47 @@
 //! Tests of the call listener. Inside the crate, since a binary can't be imported.
+use super::call::{Call, HandlerFuture};
 use super::listener::MAX_CONNECTIONS;
+use super::response::CallResponse;
 use super::{listen, READY_CALLS};
+use crate::node_state::NodeState;
 use crate::tests::support::{self, SidecarOptions, TestConnection};
+use std::rc::Rc;
+
+/// Bytes of the response of [`LONG_READ`].
+const LONG_BODY_BYTES: usize = 6 << 20;
+
+/// A call whose response is larger than what the system takes for a caller that does not read.
+const LONG_READ: Call = Call { method: "GET", path: "/long", handler: long_read };
+
+fn long_read<'c>(_: &'c Rc<NodeState>, _: &'c str, _: &'c [u8]) -> HandlerFuture<'c> {
+    Box::pin(async { CallResponse::json(200, "x".repeat(LONG_BODY_BYTES)) })
+}
+
+/// Guards against a control node that ends while a call is coming in, or before its response has been read.
+#[test]
+fn a_call_keeps_a_stopping_process_until_its_response_is_read() {
+    support::run(async {
+        let unused_address = support::bind_upstream().await.address;
+        let sidecar = support::start_sidecar(1, unused_address, SidecarOptions::default()).await;
+        let support::BoundUpstream { listener, address: call_address } = support::bind_upstream().await;
+        let node_state = sidecar.node_state.clone();
+        tokio::task::spawn_local(listen(node_state.clone(), listener, &[&LONG_READ]));
+        let mut caller = TestConnection::connect(call_address).await;
+        caller.send(b"GET /long HTTP/1.1\r\n").await;
+        assert!(caller.is_open_and_quiet().await);
+        assert!(node_state.is_busy(), "the call is coming in");
+        caller.send(b"Host: h\r\n\r\n").await;
+        let head = caller.read_head().await;
+        node_state.begin_stop();
+        assert!(node_state.is_busy(), "the response is not read yet");
+        let body = caller.read_body(&head).await;
+        assert!(body.is_complete && body.bytes.len() == LONG_BODY_BYTES, "{}", body.bytes.len());
+        drop(caller);
+        while node_state.is_busy() {
+            tokio::task::yield_now().await;
+        }
+    });
+}
 
 #[test]
 fn calls_beyond_the_limit_are_closed_and_counted() {
--- a/crates/daemon/mesh/src/event_stream/serve.rs
+++ b/crates/daemon/mesh/src/event_stream/serve.rs
@@ -1,7 +1,7 @@
 //! Serves readers of events: one response with the current events, or a stream for readers that follow.
 use super::query::EventQuery;
 use super::state::EventStream;
-use crate::node_state::NodeState;
+use crate::node_state::{GaugeGuard, NodeState};
 use crate::wire::{self, Connection, RequestHead};
 use serde_json::{json, Value};
 use silvercross_event_feed::{key_kind, Cursor, FeedEntry, Position, Reader};
@@ -18,6 +18,8 @@
 const BATCH_DELAY: Duration = Duration::from_millis(50);
 /// A reader that a write is blocked on for this long is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long input after a response is read and discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval of empty lines while there are no events, so that both sides detect a lost connection.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(15);
 /// A cursor is sent to a follower after this many events,
@@ -49,12 +51,13 @@
     wire::encode_response(status, lines.as_bytes(), body.as_bytes(), true, false)
 }
 
-/// Answers a call for events, and closes the connection afterwards.
+/// Answers a call for events, and closes the connection afterwards. `open_call` counts the call as open.
 pub(crate) async fn serve(
     node_state: Rc<NodeState>,
     mut connection: Connection,
     request: RequestHead,
     body: Vec<u8>,
+    open_call: GaugeGuard,
 ) {
     let bytes = match (node_state.event_stream.get(), EventQuery::read(&request.target, &body)) {
         (None, _) => {
@@ -64,6 +67,8 @@
         (Some(stream), Ok(query)) if query.follow => {
             if stream.followers.get() < MAX_FOLLOWERS {
                 let _follower = Follower::new(&stream.followers);
+                // A stream has no end, so a stopping process does not wait for it.
+                drop(open_call);
                 return follow(&node_state, stream, &mut connection, query).await;
             }
             let retry_after = format!("Retry-After: {RETRY_AFTER_S}\r\n");
@@ -72,7 +77,9 @@
         (Some(stream), Ok(query)) => current_events(&node_state, stream, query),
     };
     // A failed write means that the reader is gone.
-    let _ = timeout(WRITE_TIMEOUT, connection.write(&bytes)).await;
+    if let Ok(Ok(())) = timeout(WRITE_TIMEOUT, connection.write(&bytes)).await {
+        connection.close_gracefully(DISCARD_TIMEOUT).await;
+    }
 }
 
 fn current_events(node_state: &NodeState, stream: &EventStream, query: EventQuery) -> Vec<u8> {
--- a/crates/daemon/mesh/src/node_state/counters.rs
+++ b/crates/daemon/mesh/src/node_state/counters.rs
@@ -46,7 +46,7 @@
     pub(crate) heartbeats: Cell<u64>,
     /// Operators' calls that request a change.
     pub(crate) control_calls: Cell<u64>,
-    /// Of these, gauge of calls that have not been answered.
+    /// Gauge of calls of all kinds, each from its first byte until its response is written.
     pub(crate) open_control_calls: Cell<u64>,
     /// Frames sent on links.
     pub(crate) frames_sent: Cell<u64>,
