mesh: a reader that pauses in a streamed body is no vanished peer

Callers saw: a response or an upload of 32 MiB whose reader pauses for 2.5 s ends with a reset. Not only at a stop. Cause: hops and connections to upstreams have a TCP_USER_TIMEOUT of 1.5 s, so that a partition is noticed; the system counts bytes for which the reader leaves no room as not acknowledged. Evidence: bare sockets with that timeout: all of 3,910,656 bytes after a pause of 1 s, a reset after one of 3 s. Between sidecars 831,390 of 33,554,432 bytes down and 126,976 up; the upstream's write fails with a reset, so it was not the client's sidecar that gave up, and the deadline was 20 s. Fix: the bound is lifted for streamed bodies, whose wait the request's deadline bounds, and set again before further requests. Result: the new test fails before, passes now.

--- a/crates/daemon/mesh/src/peer_connection.rs
+++ b/crates/daemon/mesh/src/peer_connection.rs
@@ -14,7 +14,9 @@
 mod streamed_body;
 
 pub(crate) use attempt_query::{query_attempt, QueryOutcome};
-pub(crate) use connect::{connect, set_liveness_options};
+#[cfg(test)]
+pub(crate) use connect::MAX_UNACKNOWLEDGED;
+pub(crate) use connect::{allow_slow_reader, connect, set_liveness_options};
 pub(crate) use exchange::exchange;
 pub(crate) use health_check::{check_health, HealthyUpstream};
 pub(crate) use outcome::{ExchangeOutcome, ReceivedResponse};
--- a/crates/daemon/mesh/src/peer_connection/body_sender.rs
+++ b/crates/daemon/mesh/src/peer_connection/body_sender.rs
@@ -1,4 +1,5 @@
 //! Sends a body while its response is awaited.
+use super::connect::{allow_slow_reader, bound_unacknowledged};
 use crate::body_buffer::BodyBuffer;
 use crate::wire::{write_body_part, LAST_CHUNK};
 use silvercross_net::http::Framing;
@@ -13,15 +14,18 @@
 impl BodySender {
     /// Starts sending a body on a connection's write half.
     pub(super) fn spawn(write: OwnedWriteHalf, body: Rc<BodyBuffer>) -> Self {
+        allow_slow_reader(write.as_ref());
         BodySender(tokio::task::spawn_local(send(write, body)))
     }
 
-    /// Returns the write half if the whole body has been sent.
+    /// Returns the write half, for further requests, if the whole body has been sent.
     pub(super) async fn finished(&mut self) -> Option<OwnedWriteHalf> {
-        match self.0.is_finished() {
-            true => (&mut self.0).await.ok().flatten(),
-            false => None,
+        if !self.0.is_finished() {
+            return None;
         }
+        let write = (&mut self.0).await.ok().flatten()?;
+        bound_unacknowledged(write.as_ref());
+        Some(write)
     }
 }
 
--- a/crates/daemon/mesh/src/peer_connection/connect.rs
+++ b/crates/daemon/mesh/src/peer_connection/connect.rs
@@ -6,8 +6,8 @@
 use tokio::time::timeout;
 
 /// A connection is closed when written bytes stay unacknowledged for this long, since a network partition causes no
-/// reset.
-const MAX_UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
+/// reset. The system counts bytes that the peer has no room for as well.
+pub(crate) const MAX_UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unacknowledged keepalive probes after which a connection is closed.
@@ -37,10 +37,21 @@
 pub(crate) fn set_liveness_options(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
     let _ = socket.set_tcp_nodelay(true);
-    let _ = socket.set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED));
+    bound_unacknowledged(stream);
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     let _ = socket.set_tcp_keepalive(&keepalive);
 }
+
+/// Closes the connection if written bytes stay unacknowledged for [`MAX_UNACKNOWLEDGED`].
+pub(super) fn bound_unacknowledged(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED));
+}
+
+/// Lifts that bound for a streamed body: who reads it may be slow, or pass it on to somebody slow. The deadline of the request
+/// bounds the wait.
+pub(crate) fn allow_slow_reader(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(None);
+}
--- a/crates/daemon/mesh/src/tests/mod.rs
+++ b/crates/daemon/mesh/src/tests/mod.rs
@@ -16,6 +16,7 @@
 mod request_framing;
 mod response_replay;
 mod response_validation;
+mod slow_readers;
 mod stopping;
 pub(crate) mod support;
 mod under_way_at_stop;
--- a/crates/daemon/mesh/src/upstream_gate/sidecar_connection.rs
+++ b/crates/daemon/mesh/src/upstream_gate/sidecar_connection.rs
@@ -10,6 +10,7 @@
 use crate::body_buffer::BodyBuffer;
 use crate::forwarding_headers::{self, ForwardingHeaders, GateStatus, ATTEMPT_QUERY_HOST, ENCODING_VERSION};
 use crate::node_state::{DepartedPeer, DepartedRequest, GaugeGuard, NodeState};
+use crate::peer_connection::allow_slow_reader;
 use crate::wire::{Connection, ConnectionEvent, ReadError, RequestHead, MAX_BUFFERED_BODY_BYTES};
 use silvercross_net::stream::Decoder;
 use std::cell::Cell;
@@ -185,6 +186,7 @@
     let (Some(remainder), Some(framing)) = (received.remainder.take(), framing) else { return true };
     drop(received);
     let Some(mut write) = connection.take_write_half() else { return false };
+    allow_slow_reader(write.as_ref());
     let is_non_idempotent = !forwarding.is_idempotent;
     let is_complete = tokio::select! {
         is_complete = remainder.forward(&node_state.pool, &mut write, framing) => is_complete,
--- a/crates/daemon/mesh/src/upstream_gate/streamed_request.rs
+++ b/crates/daemon/mesh/src/upstream_gate/streamed_request.rs
@@ -10,7 +10,7 @@
 use crate::body_buffer::{BodyBuffer, BodyStreamWriter, StreamedBodyBuffer};
 use crate::forwarding_headers::GateStatus;
 use crate::node_state::{DepartedPeer, DepartedRequest, NodeState};
-use crate::peer_connection::ReceivedResponse;
+use crate::peer_connection::{allow_slow_reader, ReceivedResponse};
 use crate::response_replay_cache::ReplayEntry;
 use crate::wire::{Connection, ConnectionEvent, ReadError, RequestHead};
 use silvercross_net::http::Framing;
@@ -151,7 +151,10 @@
         return false;
     }
     match (received.remainder.take(), framing) {
-        (Some(remainder), Some(framing)) => remainder.forward(&node_state.pool, &mut *write, framing).await,
+        (Some(remainder), Some(framing)) => {
+            allow_slow_reader((*write).as_ref());
+            remainder.forward(&node_state.pool, &mut *write, framing).await
+        }
         _ => true,
     }
 }
