sidecar: a connection is closed once its last response is sent, as in the mesh

Callers saw: a client that reads slowly and sends its next request loses the rest of a response when its connection is closed, at a stop, when idle or in favour of another. Cause: as in the mesh's sidecar, the system resets a closed connection on which something comes. Evidence: the new test of a slow reader through a stop fails before. The question to the system moves from the mesh to silvercross-net, for both programs.

--- a/crates/daemon/mesh/src/wire/connection.rs
+++ b/crates/daemon/mesh/src/wire/connection.rs
@@ -4,7 +4,7 @@
 use super::PeerKind;
 use crate::mutation::{self, Mutation};
 use bytes::BytesMut;
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use silvercross_net::send_queue;
 use std::io;
 use std::mem::MaybeUninit;
 use std::time::Duration;
@@ -200,13 +200,9 @@
     /// Whether all that was written was sent, so that none of it waits for the other end to read. Also `true` for a connection
     /// of which that can't be told.
     fn is_all_sent(&self) -> bool {
-        let Halves::Joined(stream) = &self.halves else { return true };
-        // With this limit a socket is writable only once nothing waits to be sent.
-        if socket2::SockRef::from(stream).set_tcp_notsent_lowat(1).is_err() {
-            return true;
+        match &self.halves {
+            Halves::Joined(stream) => send_queue::is_empty(stream),
+            Halves::ReadOnly(_) | Halves::Taken => true,
         }
-        let mut polled = [PollFd::new(stream, PollFlags::OUT)];
-        let now = Timespec { tv_sec: 0, tv_nsec: 0 };
-        !matches!(poll(&mut polled, Some(&now)), Ok(0))
     }
 }
--- a/crates/daemon/sidecar/src/event_loop.rs
+++ b/crates/daemon/sidecar/src/event_loop.rs
@@ -597,10 +597,7 @@
         // the clients open new ones, which are still accepted for now, and are refused once the process has ended.
         for handle in self.connections.from_applications() {
             self.catch_panic(Some(handle), |l| {
-                l.application_ready(handle);
-                if l.connections.application(handle).is_some_and(|c| c.is_idle()) {
-                    l.close_application(handle);
-                }
+                l.close_if_idle(handle);
                 l.run_steps();
             });
         }
--- a/crates/daemon/sidecar/src/event_loop/applications.rs
+++ b/crates/daemon/sidecar/src/event_loop/applications.rs
@@ -29,6 +29,8 @@
 const MAX_REQUESTS_AHEAD: u32 = 16;
 /// Header line of a response to a request that was certainly not executed.
 const UNPROCESSED: &str = "X-Unprocessed: 1\r\n";
+/// Interval of the checks whether a last response is sent.
+const SEND_CHECK_INTERVAL: Micros = 20_000;
 /// Time for a client to close its end after a response that ended the connection.
 const LINGER_TIMEOUT: Micros = 1_000_000;
 
@@ -104,14 +106,22 @@
         false
     }
 
-    /// Closes an idle application connection unless a request has just arrived on it.
+    /// Closes an idle application connection unless a request has just arrived on it or the system still sends its last
+    /// response; such a one is closed after that. Returns whether it is closed.
     pub(super) fn close_if_idle(&mut self, handle: Handle) -> bool {
         self.application_ready(handle);
-        let closed = self.connections.application(handle).is_none_or(|c| c.is_idle());
-        if closed {
-            self.close_application(handle);
+        match self.connections.application(handle) {
+            None => true,
+            Some(c) if !c.is_idle() => false,
+            Some(c) if !c.is_all_sent() => {
+                self.linger(handle);
+                false
+            }
+            Some(_) => {
+                self.close_application(handle);
+                true
+            }
         }
-        closed
     }
 
     /// The time for what an application's connection is in the middle of is over.
@@ -127,7 +137,8 @@
                 };
                 return self.relay_failed(upstream, attempt, Cause::NotInTime);
             }
-            State::Answering | State::Lingering => return self.close_application(handle),
+            State::Sending if c.since + WRITE_TIMEOUT > self.balancer.now() => return self.linger(handle),
+            State::Answering | State::Sending | State::Lingering => return self.close_application(handle),
         }
         let by = c.send_by.unwrap_or(0) + Self::transfer_time(c.received);
         if by > self.balancer.now() {
@@ -143,7 +154,7 @@
     pub(super) fn application_ready(&mut self, handle: Handle) {
         let Some(c) = self.connections.application(handle) else { return };
         match c.state {
-            State::Lingering => {
+            State::Sending | State::Lingering => {
                 if !c.discard() {
                     self.close_application(handle);
                 }
@@ -578,13 +589,19 @@
         }
     }
 
+    /// Ends a connection after its last response: once that is sent, the client has some time to close its end.
     pub(super) fn linger(&mut self, handle: Handle) {
+        let now = self.balancer.now();
         let Some(c) = self.connections.application(handle) else { return };
         c.input.take().into_iter().for_each(|b| self.pool.put_back(b));
+        if c.state != State::Sending {
+            c.since = now;
+        }
         match c.linger() {
             Ok(()) => {
                 c.stalled_at = None;
-                self.set_client_timeout(handle, LINGER_TIMEOUT);
+                let span = if c.state == State::Sending { SEND_CHECK_INTERVAL } else { LINGER_TIMEOUT };
+                self.set_client_timeout(handle, span);
             }
             Err(_) => self.close_application(handle),
         }
--- a/crates/daemon/sidecar/src/wire/application.rs
+++ b/crates/daemon/sidecar/src/wire/application.rs
@@ -5,6 +5,7 @@
 use silvercross_net::buffers::{Buffer, Pool};
 use silvercross_net::http::{self, Framing, MessageError};
 use silvercross_net::registry::{Interest, Watched};
+use silvercross_net::send_queue;
 use silvercross_net::table::Handle;
 use silvercross_settings::digest;
 use std::io::{self, Read, Write};
@@ -21,7 +22,10 @@
     Passing(Handle, Handle),
     /// A response is being written.
     Answering,
-    /// The response is written and the write side is shut down. Further bytes are discarded, because a close with unread
+    /// The last response is written and the system still sends it, because its client reads slowly. Further bytes are discarded,
+    /// because a close would make them reset the connection and the rest of the response would be lost.
+    Sending,
+    /// The response is sent and the write side is shut down. Further bytes are discarded, because a close with unread
     /// bytes would reset the connection and the response could be lost.
     Lingering,
 }
@@ -177,11 +181,20 @@
         Ok(true)
     }
 
-    /// Shuts down the write side and continues to read.
+    /// Shuts down the write side once all is sent, and continues to read.
     pub fn linger(&mut self) -> io::Result<()> {
-        self.state = State::Lingering;
-        self.socket.get().shutdown(Shutdown::Write)?;
-        self.socket.set(Interest::Read)
+        self.state = State::Sending;
+        if self.is_all_sent() {
+            self.state = State::Lingering;
+            self.socket.get().shutdown(Shutdown::Write)?;
+        }
+        let may_discard = self.wasted < MAX_DISCARDED_BYTES;
+        self.socket.set(if may_discard { Interest::Read } else { Interest::Nothing })
+    }
+
+    /// Whether the system has sent all that was written. Only asked once nothing more is written.
+    pub fn is_all_sent(&self) -> bool {
+        send_queue::is_empty(self.socket.get())
     }
 }
 
--- a/crates/daemon/sidecar/tests/streams.rs
+++ b/crates/daemon/sidecar/tests/streams.rs
@@ -343,3 +343,60 @@
     drop(trickle);
     writer.join().expect("the writer's end");
 }
+
+/// Starts an upstream that answers each request with this body: its second half comes after a pause.
+fn pausing(all: Arc<Vec<u8>>, pause: Duration) -> SocketAddr {
+    upstream(move |stream| {
+        let mut write = stream.try_clone().expect("copied");
+        let mut read = BufReader::new(stream);
+        while read_any(&mut read).is_some() {
+            let (first, rest) = all.split_at(all.len() / 2);
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", all.len());
+            let sent = write.write_all(head.as_bytes()).and_then(|()| write.write_all(first));
+            thread::sleep(pause);
+            if sent.and_then(|()| write.write_all(rest)).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// Guards against a process that ends after SIGTERM while it passes on a response: longer than it listens and stays quiet.
+#[test]
+fn a_stop_waits_for_a_response_that_is_passed_on() {
+    let all = Arc::new(body(3_000_000));
+    let mut sidecar = started(pausing(all.clone(), Duration::from_millis(1_600)));
+    let mut client = sidecar.connect();
+    client.send_text(&call("commit", BUDGET_MS, ""));
+    assert!(!client.read.fill_buf().expect("a first part").is_empty());
+    sidecar.terminate();
+    let answer = read_any(&mut client.read).expect("a whole answer");
+    assert!(answer.body == *all, "the response differs from the bytes sent");
+    assert!(sidecar.ended().success());
+}
+
+/// Connects a client whose system takes few bytes that it has not read.
+fn connect_slow_reader(sidecar: &Sidecar) -> Client {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("set");
+    socket.connect(&sidecar.address.into()).expect("accepted");
+    let stream = TcpStream::from(socket);
+    Client { read: BufReader::new(stream.try_clone().expect("copied")), write: stream }
+}
+
+/// Guards against a close behind a slow reader: the system resets a closed connection on which something comes, and what it had
+/// not sent of the response is lost.
+#[test]
+fn a_slow_reader_gets_its_whole_response_from_a_connection_that_a_stop_closes() {
+    let all = Arc::new(body(2_000_000));
+    let mut sidecar = started(pausing(all.clone(), Duration::ZERO));
+    let mut client = connect_slow_reader(&sidecar);
+    client.send_text(&call("commit", BUDGET_MS, ""));
+    until("the response is written", || (metric(&sidecar, "fulfilled") == 1).then_some(()));
+    sidecar.terminate();
+    until("the stop", || sidecar.has_logged("stopping").then_some(()));
+    client.send_text(&call("commit", BUDGET_MS, ""));
+    let answer = read_any(&mut client.read).expect("a whole answer");
+    assert!(answer.body == *all, "the response differs from the bytes sent");
+    assert!(sidecar.ended().success());
+}
