--- a/crates/daemon/mesh/src/tests/under_way_at_stop.rs
+++ b/crates/daemon/mesh/src/tests/under_way_at_stop.rs
@@ -239,3 +239,47 @@
         mesh.wait_until_idle().await;
     });
 }
+
+/// The same with an upstream that responds before it has the whole body: neither direction is cut off.
+#[test]
+fn a_response_that_comes_during_its_upload_keeps_a_stopping_process_until_both_are_whole() {
+    support::run(async {
+        let mesh = Mesh::start(false).await;
+        let mut client = TestConnection::connect(mesh.origin.outbound).await;
+        let upload = patterned_bytes(RESPONSE_BYTES);
+        let case = Case {
+            is_local: false,
+            route: "up",
+            body_bytes: RESPONSE_BYTES,
+            framing: Framing::ContentLength,
+        };
+        let request = case.request();
+        let (sent_before, sent_after) = request.split_at(request.len() - MAX_BUFFERED_BODY_BYTES);
+        let accepting = async {
+            let (stream, _) = mesh.upstream.accept().await.expect("accepted connection");
+            let mut upstream = TestConnection::from_stream(stream);
+            let head = upstream.read_head().await;
+            let first = upstream.read_bytes(MAX_BUFFERED_BODY_BYTES).await;
+            (upstream, head, first)
+        };
+        let ((), (mut upstream, request_head, mut received)) =
+            tokio::join!(client.send(sent_before), accepting);
+        let [first, rest] = case.response();
+        let (head, ()) = tokio::join!(client.read_head(), upstream.send(&first));
+        mesh.origin.node_state.begin_stop();
+        mesh.gate.node_state.begin_stop();
+        assert_eq!(mesh.is_busy(), [true, true], "{request_head}");
+        let left = RESPONSE_BYTES - received.len();
+        let (rest_received, ()) = tokio::join!(upstream.read_bytes(left), client.send(sent_after));
+        received.extend(rest_received);
+        assert!(received == upload, "{} bytes of the upload", received.len());
+        let (body, ()) = tokio::join!(case.read_rest(&mut client, &head), upstream.send(&rest));
+        assert!(
+            body.is_complete && body.bytes == patterned_bytes(RESPONSE_BYTES),
+            "{} bytes",
+            body.bytes.len()
+        );
+        drop(client);
+        mesh.wait_until_idle().await;
+    });
+}
--- a/crates/daemon/sidecar/tests/gateway.rs
+++ b/crates/daemon/sidecar/tests/gateway.rs
@@ -4,11 +4,12 @@
 
 use common::*;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
+use std::time::Duration;
 
 struct Gateway {
     child: Child,
@@ -187,3 +188,47 @@
     assert!(status.success());
     until("the listener to close", || client(home.near).is_none().then_some(()));
 }
+
+/// Bytes of a response that is passed on over a link while it comes.
+const LONG_BYTES: usize = 3_000_000;
+
+/// Starts an upstream that sends the second half of a long response after a pause.
+fn long_upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        let mut stream = listener.accept().expect("a connection").0;
+        read_message(&mut BufReader::new(stream.try_clone().expect("copied"))).expect("a request");
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_BYTES}\r\n\r\n");
+        stream.write_all(head.as_bytes()).expect("written");
+        stream.write_all(&[b'1'; LONG_BYTES / 2]).expect("written");
+        thread::sleep(Duration::from_millis(1_600));
+        stream.write_all(&[b'2'; LONG_BYTES / 2]).expect("written");
+    });
+    at
+}
+
+/// Guards against a gateway that ends after SIGTERM while a response crosses its link: here, on the other side, or at both.
+#[test]
+fn a_stop_of_either_gateway_waits_for_a_response_that_crosses() {
+    for (home_stops, far_stops) in [(true, false), (false, true), (true, true)] {
+        let (mut home, mut far) = pair(&[long_upstream()]);
+        let mut c = near_client(&home);
+        c.send_text(&call("commit", 6_000, ""));
+        assert!(!c.read.fill_buf().expect("a first part").is_empty());
+        for gateway in
+            [(home_stops, &home), (far_stops, &far)].into_iter().filter_map(|(is, g)| is.then_some(g))
+        {
+            let kill = format!("kill -TERM {}", gateway.child.id());
+            assert!(Command::new("sh").arg("-c").arg(kill).status().expect("run").success());
+        }
+        let answer = c.receive();
+        let whole = [vec![b'1'; LONG_BYTES / 2], vec![b'2'; LONG_BYTES / 2]].concat();
+        assert!(answer.body == whole, "home {home_stops}, far {far_stops}: {} bytes", answer.body.len());
+        for (stops, gateway) in [(home_stops, &mut home), (far_stops, &mut far)] {
+            if stops {
+                assert!(until("its end", || gateway.child.try_wait().expect("asked")).success());
+            }
+        }
+    }
+}
