--- a/crates/tools/testbed/src/soak/long_requests.rs
+++ b/crates/tools/testbed/src/soak/long_requests.rs
@@ -1,8 +1,10 @@
 //! Clients whose requests and responses are longer than any buffer on their way: responses that upstreams send evenly over seconds,
 //! uploads that take as long, readers that are slow or pause, next requests that are sent ahead, on connections that are used until
 //! the process is gone.
+mod attempt;
 mod check;
 
+pub(super) use attempt::LongLog;
 pub(super) use check::{check_long_requests, Stops};
 
 use super::clients::ClientPlace;
@@ -11,15 +13,13 @@
 use crate::identifiers::attempt_id;
 use crate::operator::Route;
 use crate::upstream::LongResponsePlan;
+use attempt::{LongAttempt, LongOutcome, DEADLINE_MS};
 use serde_json::{json, Value};
 use silvercross_test_rng::Rng;
 use std::io;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::time::{sleep_until, timeout, Instant};
 
-/// A client waits so long, in milliseconds. The route allows a second more.
-const DEADLINE_MS: u64 = 9_000;
 /// How long after its deadline a client gives up.
 const GIVE_UP_SLACK: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -83,54 +83,6 @@
     sends_ahead: bool,
 }
 
-/// How a long request ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum LongOutcome {
-    /// With a whole response that is right.
-    Served,
-    /// With a whole response of this status, of the sidecar itself.
-    Status(u16),
-    /// With a response that is not the upstream's.
-    Wrong(String),
-    /// Its connection ended without a whole response.
-    Cut {
-        /// Bytes received until then.
-        received: u64,
-    },
-    /// No connection: not sent.
-    NotSent,
-    /// Its client has given up at its deadline.
-    GivenUp,
-}
-
-/// A long request and what came of it.
-#[derive(Clone, Debug)]
-struct LongAttempt {
-    machine: usize,
-    id: String,
-    kind: RequestKind,
-    is_slow_reader: bool,
-    sent_at: Instant,
-    ended_at: Instant,
-    outcome: LongOutcome,
-}
-
-/// All long requests.
-#[derive(Clone, Debug, Default)]
-pub(super) struct LongLog {
-    attempts: Arc<Mutex<Vec<LongAttempt>>>,
-}
-
-impl LongLog {
-    fn add(&self, attempt: LongAttempt) {
-        self.attempts.lock().unwrap_or_else(PoisonError::into_inner).push(attempt);
-    }
-
-    fn get(&self) -> Vec<LongAttempt> {
-        self.attempts.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-}
-
 impl LongRequest {
     fn draw(rng: &mut Rng, may_be_very_long: bool) -> Self {
         let mut bytes = || {
--- a/crates/tools/testbed/src/soak/long_requests/check.rs
+++ b/crates/tools/testbed/src/soak/long_requests/check.rs
@@ -1,6 +1,6 @@
 //! What is wrong with long requests: one that reached an upstream and whose response its client has not whole, with nothing to blame.
 use super::super::clients::CheckedMesh;
-use super::{LongAttempt, LongLog, LongOutcome, DEADLINE_MS};
+use super::attempt::{LongAttempt, LongLog, LongOutcome, DEADLINE_MS};
 use crate::checker::is_rejection;
 use crate::client::RequestKind;
 use crate::execution_log::Run;
--- a/crates/tools/testbed/src/soak/run.rs
+++ b/crates/tools/testbed/src/soak/run.rs
@@ -174,13 +174,10 @@
     for step in steps(faults) {
         let fault = &step.fault;
         // A process has its grace from the moment at which it is told, which may be late on a busy machine.
-        let told_to_end = if step.is_end && fault.kind == FaultKind::Terminate {
-            disturbed.stops.last(fault.machine)
-        } else {
-            None
-        };
-        let due =
-            told_to_end.map_or(began + step.at, |told| (began + step.at).max(told + fault.until - fault.at));
+        let is_end_of_grace = step.is_end && fault.kind == FaultKind::Terminate;
+        let signalled_at = disturbed.stops.last(fault.machine).filter(|_| is_end_of_grace);
+        let due = began + step.at;
+        let due = signalled_at.map_or(due, |at| due.max(at + fault.until - fault.at));
         tokio::time::sleep_until(due).await;
         let until = Instant::now().max(began + fault.until);
         if !fault.kind.is_mere_signal() {
--- a/crates/tools/testbed/src/upstream/long_response.rs
+++ b/crates/tools/testbed/src/upstream/long_response.rs
@@ -1,6 +1,5 @@
 //! Responses longer than any buffer on their way, which an upstream sends evenly over some time. The request's path says how.
-use super::server::STAMP_HEADER;
-use super::stamp::stamp;
+use super::stamp::{stamp, STAMP_HEADER};
 use crate::http_connection::HttpConnection;
 use crate::identifiers::hash;
 use silvercross_test_rng::Rng;
--- a/crates/tools/testbed/src/upstream/server.rs
+++ b/crates/tools/testbed/src/upstream/server.rs
@@ -1,6 +1,6 @@
 //! How an upstream answers requests, and in which order it rejects them.
 use super::long_response::{LongResponse, LongResponsePlan};
-use super::stamp::{response_body, stamp};
+use super::stamp::{response_body, stamp, STAMP_HEADER};
 use super::state::State;
 use crate::execution_log::RunGuard;
 use crate::http_connection::{HttpConnection, Request};
@@ -10,8 +10,6 @@
 
 /// The header that names the upstream. A name of the wire.
 const UPSTREAM_HEADER: &str = "Station";
-/// The header that holds an answer's stamp. A name of the wire.
-pub(super) const STAMP_HEADER: &str = "Postmark";
 /// What the path of a request that takes long ends with.
 pub(crate) const SLOW_SUFFIX: &str = "/slow";
 /// How long a request without a deadline waits, in milliseconds.
--- a/crates/tools/testbed/src/upstream/stamp.rs
+++ b/crates/tools/testbed/src/upstream/stamp.rs
@@ -2,6 +2,9 @@
 use crate::http_connection::Request;
 use crate::identifiers::hash;
 
+/// The header that holds an answer's stamp. A name of the wire.
+pub(super) const STAMP_HEADER: &str = "Postmark";
+
 /// The body that an upstream answers with: who served what, and what came of the request's body.
 pub fn response_body(upstream: &str, request: &Request) -> String {
     let id = request.attempt_id.as_deref().unwrap_or("-");
