--- a/crates/tools/testbed/src/operator.rs
+++ b/crates/tools/testbed/src/operator.rs
@@ -32,11 +32,11 @@
     /// Its service.
     pub service: String,
     /// Its requests take so long at most, in seconds.
-    pub deadline_s: f64,
+    pub deadline_s: u64,
 }
 
 /// Requests of a route take so long at most unless it says otherwise, in seconds.
-const DEFAULT_DEADLINE_S: f64 = 3.0;
+const DEFAULT_DEADLINE_S: u64 = 3;
 
 impl Route {
     /// The route of a service for requests of a kind.
--- a/crates/tools/testbed/src/soak/long_requests.rs
+++ b/crates/tools/testbed/src/soak/long_requests.rs
@@ -50,7 +50,7 @@
     let route = |kind: RequestKind| Route {
         name: format!("long-{service}-{}", kind.word()),
         path_prefix: path_prefix(service, kind),
-        deadline_s: DEADLINE_MS as f64 / 1000.0 + 1.0,
+        deadline_s: DEADLINE_MS / 1000 + 1,
         ..Route::of(service, kind)
     };
     RequestKind::ALL.map(route).to_vec()
