mesh: one gauge for open requests, one pair of sidecars for three test files

A guard of its own counted clients' open requests where GaugeGuard does the same for all else; the pair of an origin and a gate stood in departed_clients, under_way_at_stop and slow_readers.

--- a/crates/daemon/mesh/src/client_listener.rs
+++ b/crates/daemon/mesh/src/client_listener.rs
@@ -13,7 +13,6 @@
 mod client_response;
 mod idle_wait;
 mod listener;
-mod open_request;
 mod outgoing_attempt;
 mod request_run;
 mod route;
--- a/crates/daemon/mesh/src/client_listener/client_connection.rs
+++ b/crates/daemon/mesh/src/client_listener/client_connection.rs
@@ -2,11 +2,10 @@
 use super::client_departure::{wait_for_disconnect, ClientDeparture};
 use super::client_response::{refuse, ClientResponse, DISCARD_TIMEOUT};
 use super::idle_wait::wait_for_request;
-use super::open_request::{count_request, OpenRequestGuard};
 use super::route::serve;
 use super::streamed_request::serve_streamed;
 use crate::body_buffer::BodyBuffer;
-use crate::node_state::{DepartedPeer, DepartedRequest, NodeState};
+use crate::node_state::{DepartedPeer, DepartedRequest, GaugeGuard, NodeState};
 use crate::wire::{Connection, PeerKind, ReadError, RequestHead};
 use silvercross_net::http::Framing;
 use silvercross_net::stream::Decoder;
@@ -31,7 +30,7 @@
     let has_request = wait_for_request(node_state, connection).await;
     // Open from its first byte until its client has the whole response, or has what an idle connection still holds of one: a
     // stopping process ends once nothing is open.
-    let _open = OpenRequestGuard::new(node_state);
+    let _open = GaugeGuard::new(&node_state.counters, |counters| &counters.open_requests);
     if !has_request {
         connection.close_gracefully(IDLE_DISCARD_TIMEOUT).await;
         return false;
@@ -76,6 +75,12 @@
     }
 }
 
+/// Counts a request that has been read.
+fn count_request(node_state: &NodeState) {
+    let counter = &node_state.counters.requests;
+    counter.set(counter.get() + 1);
+}
+
 /// Serves a request whose body is complete. Returns whether the connection may carry another one.
 async fn serve_buffered(
     node_state: &Rc<NodeState>,
--- a/crates/daemon/mesh/src/node_state/counters.rs
+++ b/crates/daemon/mesh/src/node_state/counters.rs
@@ -7,6 +7,8 @@
 pub(crate) struct Counters {
     /// Gauge of client connections.
     pub(crate) client_connections: Cell<u64>,
+    /// Gauge of requests of clients, each from its first byte until its connection is closed or free for another.
+    pub(crate) open_requests: Cell<u64>,
     /// Client connections rejected because of the limit on file descriptors.
     pub(crate) rejected_clients: Cell<u64>,
     /// Gauge of connections from other sidecars.
--- a/crates/daemon/mesh/src/node_state/state.rs
+++ b/crates/daemon/mesh/src/node_state/state.rs
@@ -62,8 +62,6 @@
     pub(crate) member_throttle: MemberThrottle,
     /// The event stream for other tools, if requested.
     pub(crate) event_stream: OnceCell<EventStream>,
-    /// The number of open requests.
-    pub(crate) open_requests: Cell<u64>,
     /// The idle timeout of client connections.
     pub(crate) idle_timeout: RefCell<IdleTimeout>,
     /// Limits log lines about rejected operators' calls.
@@ -130,7 +128,6 @@
             peers,
             member_throttle: MemberThrottle::new(is_only_replica.unwrap_or(false)),
             event_stream: OnceCell::new(),
-            open_requests: Cell::new(0),
             idle_timeout: RefCell::default(),
             rejected_calls_log: RateLimitedLog::default(),
             rejected_connections_logs: Default::default(),
--- a/crates/daemon/mesh/src/node_state/stopping.rs
+++ b/crates/daemon/mesh/src/node_state/stopping.rs
@@ -63,8 +63,8 @@
     pub(crate) fn is_busy(&self) -> bool {
         let load = self.gate.with_admission(|admission| admission.load());
         let counters = &self.counters;
-        let of_sidecars = counters.open_hop_requests.get();
-        let open = self.open_requests.get() + of_sidecars + counters.open_control_calls.get();
+        let (of_clients, of_sidecars) = (counters.open_requests.get(), counters.open_hop_requests.get());
+        let open = of_clients + of_sidecars + counters.open_control_calls.get();
         open > 0 || load.in_flight + load.pending > 0
     }
 
--- a/crates/daemon/mesh/src/runtime.rs
+++ b/crates/daemon/mesh/src/runtime.rs
@@ -90,7 +90,7 @@
     tokio::time::sleep(LEAVE_PROPAGATION_TIME).await;
     wait_while(node_state, end_by, || node_state.is_busy()).await;
     let counters = &node_state.counters;
-    info!(node_state.log, "ended"; "open" => node_state.open_requests.get(),
+    info!(node_state.log, "ended"; "open" => counters.open_requests.get(),
         "is_grace_over" => node_state.now() >= end_by, "client_connections" => counters.client_connections.get(),
         "gate_connections" => counters.hop_connections.get());
 }
--- a/crates/daemon/mesh/src/tests/departed_clients.rs
+++ b/crates/daemon/mesh/src/tests/departed_clients.rs
@@ -2,8 +2,9 @@
 //! connection end.
 use crate::node_state::{DepartedPeer, DepartureCounts};
 use crate::tests::support::{
-    self, bind_upstream, patterned_bytes, status, upstream_response_head, BoundUpstream, Sidecar,
-    SidecarOptions, TestConnection, ATTEMPT_ID_LINE, SERVICE,
+    self, accept_request, bind_upstream, patterned_bytes, status, upstream_response_head, Sidecar,
+    SidecarOptions, SidecarPair, TestConnection, UpstreamLocation, ATTEMPT_ID_LINE, SERVICE,
+    UPSTREAM_LOCATIONS,
 };
 use crate::wire::MAX_BUFFERED_BODY_BYTES;
 use silvercross_admission::Load;
@@ -31,18 +32,6 @@
     DepartureKind::ClosesBehindNextRequest,
 ];
 
-/// The sidecar that the upstream is attached to.
-#[derive(Clone, Copy, Debug)]
-enum UpstreamLocation {
-    /// The sidecar that the client is connected to.
-    SameSidecar,
-    /// Another sidecar.
-    OtherSidecar,
-}
-
-const UPSTREAM_LOCATIONS: [UpstreamLocation; 2] =
-    [UpstreamLocation::SameSidecar, UpstreamLocation::OtherSidecar];
-
 /// Concurrent requests that the upstream accepts.
 const SLOTS: usize = 8;
 
@@ -56,26 +45,14 @@
 
 impl Mesh {
     async fn start(upstream_location: UpstreamLocation) -> Mesh {
-        let BoundUpstream { listener, address } = bind_upstream().await;
-        let gate = support::start_sidecar(2, address, SidecarOptions::default()).await;
-        gate.send_heartbeat();
-        gate.learn_sidecar(&gate);
-        let origin = match upstream_location {
-            UpstreamLocation::SameSidecar => gate.clone(),
-            UpstreamLocation::OtherSidecar => {
-                let unused_address = bind_upstream().await.address;
-                let origin = support::start_sidecar(1, unused_address, SidecarOptions::default()).await;
-                origin.learn_sidecar(&gate);
-                origin
-            }
-        };
-        Mesh { origin, gate, upstream: listener, sent_requests: Cell::new(0) }
+        let SidecarPair { origin, gate, upstream } = SidecarPair::start(upstream_location).await;
+        Mesh { origin, gate, upstream, sent_requests: Cell::new(0) }
     }
 
     /// Sends a request, and returns the client's and the upstream's connection once the upstream has received all of it.
     async fn begin_request(&self, route: &str) -> (TestConnection, TestConnection) {
         let client = self.send_request(route, &[]).await;
-        let upstream = self.accept_request().await;
+        let upstream = accept_request(&self.upstream).await;
         (client, upstream)
     }
 
@@ -90,14 +67,6 @@
         client
     }
 
-    async fn accept_request(&self) -> TestConnection {
-        let (stream, _) = self.upstream.accept().await.expect("accepted connection");
-        let mut upstream = TestConnection::from_stream(stream);
-        let head = upstream.read_head().await;
-        assert!(upstream.read_body(&head).await.is_complete, "{head}");
-        upstream
-    }
-
     fn load(&self) -> Load {
         self.gate.node_state.gate.with_admission(|admission| admission.load())
     }
@@ -105,7 +74,7 @@
     /// Waits until no request is left on any hop.
     async fn wait_until_idle(&self) {
         while self.load().in_flight + self.load().pending > 0
-            || self.origin.node_state.open_requests.get() > 0
+            || self.origin.node_state.counters.open_requests.get() > 0
         {
             tokio::task::yield_now().await;
         }
@@ -172,7 +141,7 @@
                     let case = format!("{upstream_location:?} {departure:?} {}", body.len());
                     let mesh = Mesh::start(upstream_location).await;
                     let client = mesh.send_request("once", &body).await;
-                    let mut upstream = mesh.accept_request().await;
+                    let mut upstream = accept_request(&mesh.upstream).await;
                     let half_closed = disconnect(client, departure).await;
                     while mesh.departures().departures == 0 {
                         tokio::task::yield_now().await;
@@ -220,7 +189,7 @@
                     if mesh.load().pending > 0 {
                         break client;
                     }
-                    running.push((client, mesh.accept_request().await));
+                    running.push((client, accept_request(&mesh.upstream).await));
                 };
                 assert!(running.len() >= SLOTS, "{case}");
                 // After an orderly close, a request that may run once could still begin for a moment.
@@ -253,11 +222,11 @@
             );
             client.send(head.as_bytes()).await;
             client.send(&patterned_bytes(body_bytes / 2)).await;
-            while origin.node_state.open_requests.get() == 0 && body_bytes == 0 {
+            while origin.node_state.counters.open_requests.get() == 0 && body_bytes == 0 {
                 tokio::task::yield_now().await;
             }
             drop(client);
-            while origin.node_state.open_requests.get() > 0
+            while origin.node_state.counters.open_requests.get() > 0
                 || origin.node_state.counters.client_connections.get() > 0
             {
                 tokio::task::yield_now().await;
--- a/crates/daemon/mesh/src/tests/slow_readers.rs
+++ b/crates/daemon/mesh/src/tests/slow_readers.rs
@@ -1,46 +1,21 @@
 //! Streamed bodies whose readers pause for longer than a hop waits for written bytes to be acknowledged.
 use crate::peer_connection::MAX_UNACKNOWLEDGED;
 use crate::tests::support::{
-    self, bind_upstream, patterned_bytes, status, upstream_response_head, BoundUpstream, ReceivedBody,
-    Sidecar, SidecarOptions, TestConnection,
+    self, accept_connection, patterned_bytes, status, upstream_response_head, ReceivedBody, SidecarPair,
+    TestConnection, UpstreamLocation,
 };
-use tokio::net::TcpListener;
 
 /// Bytes of a body: more than the buffers of all systems on its way take before a reader that pauses.
 const BODY_BYTES: usize = 32 << 20;
 
-/// A client's sidecar, the sidecar beside the upstream, and the upstream.
-struct Mesh {
-    origin: Sidecar,
-    _gate: Sidecar,
-    upstream: TcpListener,
-}
-
-impl Mesh {
-    async fn start() -> Mesh {
-        let BoundUpstream { listener, address } = bind_upstream().await;
-        let unused_address = bind_upstream().await.address;
-        let origin = support::start_sidecar(1, unused_address, SidecarOptions::default()).await;
-        let gate = support::start_sidecar(2, address, SidecarOptions::default()).await;
-        gate.send_heartbeat();
-        origin.learn_sidecar(&gate);
-        Mesh { origin, _gate: gate, upstream: listener }
-    }
-
-    /// Sends the head of a request with a body of this many bytes.
-    async fn begin_request(&self, route: &str, body_bytes: usize) -> TestConnection {
-        let mut client = TestConnection::connect(self.origin.outbound).await;
-        let head = format!(
-            "POST /{route}/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: {route}\r\nContent-Length: {body_bytes}\r\n\r\n"
-        );
-        client.send(head.as_bytes()).await;
-        client
-    }
-
-    async fn accept_request(&self) -> TestConnection {
-        let (stream, _) = self.upstream.accept().await.expect("accepted connection");
-        TestConnection::from_stream(stream)
-    }
+/// Sends the head of a request with a body of this many bytes.
+async fn begin_request(pair: &SidecarPair, route: &str, body_bytes: usize) -> TestConnection {
+    let mut client = TestConnection::connect(pair.origin.outbound).await;
+    let head = format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: {route}\r\nContent-Length: {body_bytes}\r\n\r\n"
+    );
+    client.send(head.as_bytes()).await;
+    client
 }
 
 /// Reads the body behind a head after a pause.
@@ -50,9 +25,9 @@
 }
 
 async fn pause_in_response() {
-    let mesh = Mesh::start().await;
-    let mut client = mesh.begin_request("safe", 0).await;
-    let mut upstream = mesh.accept_request().await;
+    let pair = SidecarPair::start(UpstreamLocation::OtherSidecar).await;
+    let mut client = begin_request(&pair, "safe", 0).await;
+    let mut upstream = accept_connection(&pair.upstream).await;
     let head = upstream.read_head().await;
     let framing = format!("Content-Length: {BODY_BYTES}\r\n");
     upstream.send(upstream_response_head(&head, 200, &framing).as_bytes()).await;
@@ -66,11 +41,11 @@
 }
 
 async fn pause_in_upload() {
-    let mesh = Mesh::start().await;
-    let mut client = mesh.begin_request("up", BODY_BYTES).await;
+    let pair = SidecarPair::start(UpstreamLocation::OtherSidecar).await;
+    let mut client = begin_request(&pair, "up", BODY_BYTES).await;
     let body = patterned_bytes(BODY_BYTES);
     let reading = async {
-        let mut upstream = mesh.accept_request().await;
+        let mut upstream = accept_connection(&pair.upstream).await;
         let head = upstream.read_head().await;
         let received = read_after_pause(&mut upstream, &head).await;
         upstream.send(upstream_response_head(&head, 200, "Content-Length: 0\r\n").as_bytes()).await;
--- a/crates/daemon/mesh/src/tests/support/mod.rs
+++ b/crates/daemon/mesh/src/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod routes;
 mod scripted_mesh;
 mod sidecar;
+mod sidecar_pair;
 mod test_connection;
 mod upstream;
 
@@ -17,6 +18,9 @@
     start_sidecar, start_sidecar_at, start_sidecar_with_settings, Sidecar, SidecarOptions, StartedSidecar,
     SERVICE,
 };
+pub(crate) use sidecar_pair::{
+    accept_connection, accept_request, SidecarPair, UpstreamLocation, UPSTREAM_LOCATIONS,
+};
 pub(crate) use test_connection::{
     header_value, patterned_bytes, status, ReceivedBody, TestConnection, ATTEMPT_ID_LINE,
 };
--- a/crates/daemon/mesh/src/tests/under_way_at_stop.rs
+++ b/crates/daemon/mesh/src/tests/under_way_at_stop.rs
@@ -1,11 +1,11 @@
 //! What is under way when a process is told to stop counts as open until its client has it all: a stopping process ends once
 //! nothing is open.
 use crate::tests::support::{
-    self, bind_upstream, patterned_bytes, status, BoundUpstream, ReceivedBody, Sidecar, SidecarOptions,
-    TestConnection, ATTEMPT_ID_LINE,
+    self, accept_connection, accept_request, patterned_bytes, status, ReceivedBody, SidecarPair,
+    TestConnection, UpstreamLocation, ATTEMPT_ID_LINE, UPSTREAM_LOCATIONS,
 };
 use crate::wire::MAX_BUFFERED_BODY_BYTES;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpSocket;
 
 /// Bytes of a response that is passed on while it comes.
 const RESPONSE_BYTES: usize = 3 * MAX_BUFFERED_BODY_BYTES;
@@ -17,28 +17,7 @@
 /// The receive buffer of a client that reads slowly.
 const SLOW_READER_BUFFER_BYTES: u32 = 4096;
 
-/// A client's sidecar, the sidecar beside the upstream, which may be the same one, and the upstream.
-struct Mesh {
-    origin: Sidecar,
-    gate: Sidecar,
-    upstream: TcpListener,
-}
-
-impl Mesh {
-    async fn start(is_local: bool) -> Mesh {
-        let BoundUpstream { listener, address } = bind_upstream().await;
-        let gate = support::start_sidecar(2, address, SidecarOptions::default()).await;
-        gate.send_heartbeat();
-        gate.learn_sidecar(&gate);
-        if is_local {
-            return Mesh { origin: gate.clone(), gate, upstream: listener };
-        }
-        let unused_address = bind_upstream().await.address;
-        let origin = support::start_sidecar(1, unused_address, SidecarOptions::default()).await;
-        origin.learn_sidecar(&gate);
-        Mesh { origin, gate, upstream: listener }
-    }
-
+impl SidecarPair {
     fn is_busy(&self) -> [bool; 2] {
         [self.origin.node_state.is_busy(), self.gate.node_state.is_busy()]
     }
@@ -64,15 +43,6 @@
         let stream = socket.connect(self.origin.outbound).await.expect("open connection");
         TestConnection::from_stream(stream)
     }
-
-    /// Accepts a request at the upstream.
-    async fn accept_request(&self) -> TestConnection {
-        let (stream, _) = self.upstream.accept().await.expect("accepted connection");
-        let mut upstream = TestConnection::from_stream(stream);
-        let head = upstream.read_head().await;
-        assert!(upstream.read_body(&head).await.is_complete, "{head}");
-        upstream
-    }
 }
 
 /// How the length of a response is told.
@@ -87,7 +57,7 @@
 /// A request whose response is passed on while it comes.
 #[derive(Clone, Copy, Debug)]
 struct Case {
-    is_local: bool,
+    upstream_location: UpstreamLocation,
     route: &'static str,
     body_bytes: usize,
     framing: Framing,
@@ -96,10 +66,10 @@
 impl Case {
     fn all() -> Vec<Case> {
         let mut cases = Vec::new();
-        for is_local in [false, true] {
+        for upstream_location in UPSTREAM_LOCATIONS {
             for (route, body_bytes) in [("safe", 0), ("once", 900), ("up", FIRST_PART_BYTES)] {
                 for framing in [Framing::ContentLength, Framing::Chunked, Framing::UntilClose] {
-                    cases.push(Case { is_local, route, body_bytes, framing });
+                    cases.push(Case { upstream_location, route, body_bytes, framing });
                 }
             }
         }
@@ -149,10 +119,10 @@
 fn a_response_that_is_passed_on_keeps_a_stopping_process_until_its_client_has_it() {
     support::run(async {
         for case in Case::all() {
-            let mesh = Mesh::start(case.is_local).await;
+            let mesh = SidecarPair::start(case.upstream_location).await;
             let mut client = TestConnection::connect(mesh.origin.outbound).await;
             let request = case.request();
-            let ((), mut upstream) = tokio::join!(client.send(&request), mesh.accept_request());
+            let ((), mut upstream) = tokio::join!(client.send(&request), accept_request(&mesh.upstream));
             let [first, rest] = case.response();
             let (head, ()) = tokio::join!(client.read_head(), upstream.send(&first));
             assert_eq!(status(&head), "200", "{case:?}: {head}");
@@ -174,11 +144,11 @@
 fn a_slow_reader_gets_its_whole_response_from_a_connection_that_is_closed_behind_it() {
     support::run(async {
         for bytes in [MAX_BUFFERED_BODY_BYTES - 1, 2 * MAX_BUFFERED_BODY_BYTES] {
-            let mesh = Mesh::start(false).await;
+            let mesh = SidecarPair::start(UpstreamLocation::OtherSidecar).await;
             let mut client = mesh.connect_slow_reader().await;
             let request = format!("GET /safe/x HTTP/1.1\r\nHost: h\r\n{ATTEMPT_ID_LINE}\r\n");
             client.send(request.as_bytes()).await;
-            let mut upstream = mesh.accept_request().await;
+            let mut upstream = accept_request(&mesh.upstream).await;
             let framing = format!("Content-Length: {bytes}\r\n");
             let head = support::upstream_response_head(&format!("x\r\n{ATTEMPT_ID_LINE}"), 200, &framing);
             upstream.send(&[head.into_bytes(), patterned_bytes(bytes)].concat()).await;
@@ -209,7 +179,7 @@
 #[test]
 fn a_request_that_is_still_coming_in_keeps_a_stopping_process() {
     support::run(async {
-        let mesh = Mesh::start(false).await;
+        let mesh = SidecarPair::start(UpstreamLocation::OtherSidecar).await;
         let head = format!("POST /once/x HTTP/1.1\r\nHost: h\r\n{ATTEMPT_ID_LINE}Content-Length: 9\r\n\r\n");
         for part in [&head[..9], &head] {
             for (address, expected) in
@@ -230,7 +200,7 @@
 #[test]
 fn a_refused_request_keeps_a_stopping_process_until_its_client_has_the_reason() {
     support::run(async {
-        let mesh = Mesh::start(false).await;
+        let mesh = SidecarPair::start(UpstreamLocation::OtherSidecar).await;
         let mut client = TestConnection::connect(mesh.origin.outbound).await;
         client.send(b"POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\nunread").await;
         assert_eq!(status(&client.read_head().await), "413");
@@ -244,11 +214,11 @@
 #[test]
 fn a_response_that_comes_during_its_upload_keeps_a_stopping_process_until_both_are_whole() {
     support::run(async {
-        let mesh = Mesh::start(false).await;
+        let mesh = SidecarPair::start(UpstreamLocation::OtherSidecar).await;
         let mut client = TestConnection::connect(mesh.origin.outbound).await;
         let upload = patterned_bytes(RESPONSE_BYTES);
         let case = Case {
-            is_local: false,
+            upstream_location: UpstreamLocation::OtherSidecar,
             route: "up",
             body_bytes: RESPONSE_BYTES,
             framing: Framing::ContentLength,
@@ -256,8 +226,7 @@
         let request = case.request();
         let (sent_before, sent_after) = request.split_at(request.len() - MAX_BUFFERED_BODY_BYTES);
         let accepting = async {
-            let (stream, _) = mesh.upstream.accept().await.expect("accepted connection");
-            let mut upstream = TestConnection::from_stream(stream);
+            let mut upstream = accept_connection(&mesh.upstream).await;
             let head = upstream.read_head().await;
             let first = upstream.read_bytes(MAX_BUFFERED_BODY_BYTES).await;
             (upstream, head, first)
