--- a/crates/daemon/sidecar/src/event_loop.rs
+++ b/crates/daemon/sidecar/src/event_loop.rs
@@ -3,11 +3,15 @@
 //! The files in `event_loop/` hold the code for each kind of peer: applications, upstreams, discovery, operators,
 //! other sidecars, far gateways.
 mod applications;
+mod client_close;
 mod discovery_side;
 mod fleet_side;
 pub mod gateway_side;
+mod neighbour;
 mod operators;
 mod records_side;
+mod responses;
+mod stopping;
 mod streams;
 mod upstreams;
 
@@ -18,11 +22,10 @@
 use crate::lifecycle::fleet::Peers;
 use crate::lifecycle::logging::Paced;
 use crate::lifecycle::seat::Seat;
-use crate::lifecycle::start::listen;
 use crate::lifecycle::stop::Stop;
 use crate::memory::connections::{Connection, Connections};
 use crate::memory::requests::Request;
-use crate::wire::application::{self, State};
+use crate::wire::application::State;
 use crate::wire::discovery::Purpose;
 use crate::wire::upstream::{AttemptError, Cause, Stage, Work};
 use applications::CLIENT_IDLE_TIMEOUT;
@@ -58,12 +61,6 @@
 /// Idle connections to upstreams are closed after this share of the time after which the upstream closes them: a
 /// request written to one that is just being closed ends as a reset.
 const UPSTREAM_IDLE_SHARE: f64 = 0.5;
-/// While two processes of one sidecar run, the descriptors divided by this stay unused, for connections that either
-/// process opens before the other one reads its count. Each process has its own reserve besides.
-const UNUSED_DIVISOR: usize = 8;
-/// If discovery has sent no list for this long after the start, the process serves with the list from its configuration:
-/// whoever starts it waits 6 s for it to serve.
-const FIRST_LIST_TIMEOUT: Micros = 4_000_000;
 /// Used if the settings do not say when upstreams close idle connections.
 const DEFAULT_UPSTREAM_IDLE_LIMIT: Micros = 5_000_000;
 
@@ -572,122 +569,4 @@
             self.run_steps();
         }
     }
-
-    // --- stop ---
-
-    fn begin_stop(&mut self) {
-        drain(self.stops.get());
-        if self.stop.is_some() {
-            return;
-        }
-        let now = self.balancer.now();
-        let stop = Stop::begin(now, self.balancer.longest_deadline());
-        info!(self.log, "stopping"; "open" => self.balancer.unanswered());
-        self.stop = Some(stop);
-        self.catch_panic(None, Self::leave_records);
-        self.catch_panic(None, Self::leave_fleet);
-        self.has_successor = self.seat.as_ref().is_some_and(Seat::has_successor);
-        self.balancer.answer_by(stop.answer_by());
-        self.balancer.set_timer(stop.look_again(now), Wake::Stopping);
-        if self.has_successor {
-            // New connections go to the successor; open ones are closed after their next response, or when idle.
-            return self.hand_over();
-        }
-        // Clients use their connections for as long as these are open. Closing those that are between two requests makes
-        // the clients open new ones, which are still accepted for now, and are refused once the process has ended.
-        for handle in self.connections.from_applications() {
-            self.catch_panic(Some(handle), |l| {
-                l.close_if_idle(handle);
-                l.run_steps();
-            });
-        }
-    }
-
-    /// Accepts all connections that wait at the listener for applications, then closes it; the successor's listener stays
-    /// open. Nothing is done between the last accept and the close: a connection that arrives in between would be lost.
-    fn hand_over(&mut self) {
-        while self.listener.is_some() && self.accept() {}
-        if self.listener.is_some() && !self.connections.closed_to_applications() {
-            self.listener = None;
-        }
-    }
-
-    // --- running beside another process of the same sidecar ---
-
-    /// Whether discovery has sent a list, or has been silent for so long that the list from the configuration is used.
-    fn has_list(&self) -> bool {
-        self.has_received_list
-            || self.discovery.is_none()
-            || self.balancer.now() >= self.started + FIRST_LIST_TIMEOUT
-    }
-
-    /// Checks whether another process of this sidecar is running, and adapts the limits that the two share.
-    fn check_neighbour(&mut self) {
-        let Some(seat) = &mut self.seat else { return };
-        let other = seat.neighbour_says();
-        let (all, has_neighbour) = (self.bounds.descriptors, other.is_some());
-        if has_neighbour {
-            seat.say(self.serving, self.connections.len());
-        }
-        if has_neighbour != self.has_neighbour {
-            self.has_neighbour = has_neighbour;
-            info!(self.log, "another process of this sidecar started or ended"; "paired" => has_neighbour);
-            self.pool.set_limit(self.bounds.buffer_bytes / if has_neighbour { 2 } else { 1 });
-        }
-        // The other process's count is slightly out of date, so a part for what either may have opened since stays free.
-        let used = other.map(|said| said.map_or(all, |s| s.held) + all / UNUSED_DIVISOR);
-        self.connections.set_descriptor_limit(used.map_or(all, |used| all.saturating_sub(used).max(all / 2)));
-        while self.connections.over_outwards() && self.close_idle_upstream() {}
-        self.start_serving();
-    }
-
-    /// Once it can serve, a process that was started beside another one listens and says so in its lock file.
-    fn start_serving(&mut self) {
-        let can = self.has_list() && self.balancer.ready();
-        if self.stop.is_some() || !can || self.seat.is_none() || self.serving {
-            return;
-        }
-        if self.listener.is_none() {
-            let made = listen(self.listen_at, true)
-                .and_then(|l| self.registry.watch(l, LISTENER_KEY, Interest::Read));
-            match made {
-                Ok(listener) => self.listener = Some(listener),
-                // Tried again by the next housekeeping.
-                Err(e) => return warn!(self.log, "cannot listen"; "error" => e.to_string()),
-            }
-        }
-        self.serving = true;
-        let open = self.connections.len();
-        self.seat.iter_mut().for_each(|s| s.say(true, open));
-        info!(self.log, "serving");
-    }
-
-    /// Whether all accepted work is finished. Connections and bytes that the kernel has received and the loop has not
-    /// seen yet count as accepted, so it checks once more before it returns `true`.
-    fn may_end(&mut self) -> bool {
-        let over = |l: &mut Self| match l.stop {
-            Some(s) if l.has_successor => {
-                l.listener.is_none() && l.connections.applications == 0 || s.is_due(l.balancer.now())
-            }
-            Some(s) => s.may_end(l.balancer.now(), l.busy()),
-            None => false,
-        };
-        if !over(self) {
-            return false;
-        }
-        self.catch_panic(None, |l| {
-            l.accept();
-        });
-        for handle in self.connections.from_applications() {
-            self.catch_panic(Some(handle), |l| l.ready(handle));
-        }
-        over(self)
-    }
-
-    /// Number of connections from applications that are in the middle of a request.
-    fn busy(&mut self) -> usize {
-        let all = self.connections.from_applications();
-        let busy = |c: &application::Conn| !c.is_idle() && c.state != State::Lingering;
-        all.into_iter().filter(|h| self.connections.application(*h).is_some_and(|c| busy(c))).count()
-    }
 }
--- a/crates/daemon/sidecar/src/event_loop/applications.rs
+++ b/crates/daemon/sidecar/src/event_loop/applications.rs
@@ -4,18 +4,15 @@
 use crate::memory::connections::Connection;
 use crate::memory::requests::{Guest, Request};
 use crate::wire::application::{self, Asked, Call, Front, Got, State};
-use crate::wire::upstream::{Cause, Stage, Work};
 use silvercross_core::interface::Micros;
 use silvercross_facade::Request as BalancerRequest;
 use silvercross_gateway::offer::RemoteOutcome;
-use silvercross_net::http::{self, Framing, MessageError};
+use silvercross_net::http::{Framing, MessageError};
 use silvercross_net::registry::Interest;
 use silvercross_net::table::Handle;
 use slog::{debug, warn};
 use std::io::{self, Write};
 
-/// Time for a client to read a response.
-const WRITE_TIMEOUT: Micros = 10_000_000;
 /// Time for a client to send a request, from the request's first byte; extended by the bytes received, at the minimum rate
 /// of [`EventLoop::transfer_time`].
 pub(super) const REQUEST_TIMEOUT: Micros = 2_500_000;
@@ -27,12 +24,6 @@
 const MAX_ACCEPTS_AT_ONCE: usize = 64;
 /// Maximum number of requests that a client may have sent ahead of the responses.
 const MAX_REQUESTS_AHEAD: u32 = 16;
-/// Header line of a response to a request that was certainly not executed.
-const UNPROCESSED: &str = "X-Unprocessed: 1\r\n";
-/// Interval of the checks whether a last response is sent.
-const SEND_CHECK_INTERVAL: Micros = 20_000;
-/// Time for a client to close its end after a response that ended the connection.
-const LINGER_TIMEOUT: Micros = 1_000_000;
 
 impl EventLoop {
     /// Accepts waiting connections; `false` if no more can be accepted now.
@@ -95,62 +86,6 @@
         }
     }
 
-    /// Closes the application connection that has been idle for longest and on which no request has just arrived; `false`
-    /// if there is none.
-    pub(super) fn close_idle_application(&mut self) -> bool {
-        while let Some(handle) = self.connections.idle_application(self.balancer.now()) {
-            if self.close_if_idle(handle) {
-                return true;
-            }
-        }
-        false
-    }
-
-    /// Closes an idle application connection unless a request has just arrived on it or the system still sends its last
-    /// response; such a one is closed after that. Returns whether it is closed.
-    pub(super) fn close_if_idle(&mut self, handle: Handle) -> bool {
-        self.application_ready(handle);
-        match self.connections.application(handle) {
-            None => true,
-            Some(c) if !c.is_idle() => false,
-            Some(c) if !c.is_all_sent() => {
-                self.linger(handle);
-                false
-            }
-            Some(_) => {
-                self.close_application(handle);
-                true
-            }
-        }
-    }
-
-    /// The time for what an application's connection is in the middle of is over.
-    pub(super) fn client_timed_out(&mut self, handle: Handle) {
-        let Some(c) = self.connections.application(handle) else { return };
-        match c.state {
-            State::Reading => {}
-            State::Waiting(request) => return self.upload_stalled(handle, request),
-            State::Passing(_, upstream) => {
-                let attempt = match self.connections.upstream(upstream).map(|c| c.work) {
-                    Some(Work::Busy(attempt, Stage::Passing)) => attempt,
-                    _ => return self.close_application(handle),
-                };
-                return self.relay_failed(upstream, attempt, Cause::NotInTime);
-            }
-            State::Sending if c.since + WRITE_TIMEOUT > self.balancer.now() => return self.linger(handle),
-            State::Answering | State::Sending | State::Lingering => return self.close_application(handle),
-        }
-        let by = c.send_by.unwrap_or(0) + Self::transfer_time(c.received);
-        if by > self.balancer.now() {
-            c.stalled_at = Some(by);
-            return self.balancer.set_timer(by, Wake::ClientTimeout(handle));
-        }
-        self.counts.bad_requests += 1;
-        c.close = true;
-        c.input.take().into_iter().for_each(|b| self.pool.put_back(b));
-        self.answer(handle, 408, b"", &[b"the request did not come in time\n"]);
-    }
-
     pub(super) fn application_ready(&mut self, handle: Handle) {
         let Some(c) = self.connections.application(handle) else { return };
         match c.state {
@@ -194,33 +129,6 @@
         }
     }
 
-    /// Refuses a request for lack of a buffer. It has not been sent to an upstream, so it was not executed.
-    pub(super) fn refuse_without_buffer(&mut self, handle: Handle) {
-        const ANSWER: &[u8] =
-            b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-        self.warn_limit("buffers");
-        let Some(c) = self.connections.application(handle) else { return };
-        c.discard();
-        let _ = c.socket.get().write(ANSWER);
-        self.linger(handle);
-    }
-
-    pub(super) fn client_gone(&mut self, handle: Handle, request: Handle) {
-        self.counts.client_gone += 1;
-        debug!(self.log, "client disconnected"; "request" => request.number());
-        if let Some(r) = self.requests.get_mut(request) {
-            r.client = None;
-            r.bytes.take().into_iter().for_each(|b| self.pool.put_back(b));
-        }
-        self.close_application(handle);
-        self.remote_request_ended(request, RemoteOutcome::Disconnected);
-        let sent = self.requests.get(request).is_some_and(|r| !r.attempts.is_empty());
-        self.release_claim(request, sent);
-        let decision = self.balancer.client_disconnected(request);
-        self.queue_steps(decision);
-        self.forget_if_done(request);
-    }
-
     /// Processes the input buffer until a response must be awaited or a request is incomplete.
     pub(super) fn process_input(&mut self, handle: Handle) {
         loop {
@@ -447,35 +355,6 @@
         self.queue_steps(decision);
     }
 
-    pub(super) fn refuse_bad(&mut self, handle: Handle, bad: MessageError) {
-        self.counts.bad_requests += 1;
-        let (status, why) = match bad {
-            MessageError::Malformed(why) => (400, why),
-            MessageError::HeadTooLarge => (431, "the head is too large"),
-            MessageError::BodyTooLarge => (413, "the body is too large"),
-            MessageError::IdInUse => (409, "a request with this correlation id is open"),
-            MessageError::TooManyAhead => (429, "too many requests ahead of their answers"),
-        };
-        debug!(self.log, "bad request"; "status" => status, "why" => why);
-        if let Some(c) = self.connections.application(handle) {
-            // The start of the next request is not known.
-            c.close = true;
-            c.input.take().into_iter().for_each(|b| self.pool.put_back(b));
-        }
-        self.answer(handle, status, b"", &[why.as_bytes(), b"\n"]);
-    }
-
-    /// As a gateway: rejects a request unprocessed, before it was passed to the balancer.
-    fn reject_unprocessed(&mut self, handle: Handle, end: usize, why: &'static str) {
-        self.counts.refused += 1;
-        if let Some(c) = self.connections.application(handle) {
-            c.input.iter_mut().for_each(|i| i.consume(end));
-            c.tidy(&mut self.pool);
-        }
-        let lines = format!("{UNPROCESSED}{}", self.gateway_lines());
-        self.answer(handle, 503, lines.as_bytes(), &[why.as_bytes(), b"\n"]);
-    }
-
     /// A request from the far site that was admitted is not processed after all.
     fn withdraw_remote_request(&mut self, guest: Option<Guest>) {
         if let (Some(GatewayHalf::In(i)), Some(g)) = (self.gateway.as_mut(), guest) {
@@ -483,130 +362,6 @@
         }
     }
 
-    /// The decision module refuses a request. A gateway adds the header that says it was not executed only if that is so,
-    /// since the sender relies on it.
-    pub(super) fn refuse(&mut self, request: Handle, lines: &str) {
-        let ran = self.requests.get(request).is_some_and(|r| r.may_have_run);
-        self.release_claim(request, ran);
-        if self.gateway.is_none() {
-            return self.answer_call(request, 503, lines.as_bytes(), &[b"refused\n"]);
-        }
-        self.remote_request_ended(request, RemoteOutcome::Rejected);
-        self.refuse_or_fail(request, lines);
-    }
-
-    /// The decision module ends a request as failed.
-    pub(super) fn fail(&mut self, request: Handle) {
-        let sent = self.requests.get(request).is_some_and(|r| !r.attempts.is_empty());
-        self.release_claim(request, sent);
-        if self.gateway.is_none() {
-            return self.answer_call(request, 502, b"", &[b"failed\n"]);
-        }
-        self.remote_request_ended(request, RemoteOutcome::Failed);
-        self.refuse_or_fail(request, "");
-    }
-
-    fn refuse_or_fail(&mut self, request: Handle, lines: &str) {
-        let ran = self.requests.get(request).is_none_or(|r| r.may_have_run);
-        let offer = self.gateway_lines();
-        match ran {
-            true => self.answer_call(request, 502, offer.as_bytes(), &[b"failed\n"]),
-            false => {
-                let lines = format!("{UNPROCESSED}{offer}{lines}");
-                self.answer_call(request, 503, lines.as_bytes(), &[b"refused\n"]);
-            }
-        }
-    }
-
-    /// Sends a request's final response to its client, if the client is still connected.
-    pub(super) fn answer_call(&mut self, request: Handle, status: u16, lines: &[u8], parts: &[&[u8]]) {
-        let Some(r) = self.requests.get_mut(request) else { return };
-        let coming = r.is_coming();
-        r.upload = None;
-        r.bytes.take().into_iter().for_each(|b| self.pool.put_back(b));
-        let client = r.client.take();
-        self.forget_if_done(request);
-        let Some(client) = client else { return };
-        if let Some(c) = self.connections.application(client) {
-            if let State::Passing(..) = c.state {
-                // Part of another response has been sent already.
-                return self.cut_off(client);
-            }
-            if coming {
-                // The start of the next request is not known.
-                c.close = true;
-                c.input.take().into_iter().for_each(|b| self.pool.put_back(b));
-            }
-        }
-        self.answer(client, status, lines, parts);
-    }
-
-    pub(super) fn answer(&mut self, handle: Handle, status: u16, lines: &[u8], parts: &[&[u8]]) {
-        let now = self.balancer.now();
-        self.stop.iter_mut().for_each(|s| s.note_activity(now));
-        // While the process does not listen no connection stays open: its requests would only be rejected.
-        let ends = self.stop.is_some() || self.listener.is_none();
-        let Some(c) = self.connections.application(handle) else { return };
-        // Responses are counted here, unless they are relayed or written for lack of a buffer.
-        if let Some(class) = c.counted.take() {
-            self.management.metrics.count_response(class, status);
-        }
-        c.close |= ends;
-        let Some(mut output) = c.output.take().or_else(|| self.pool.take_for_response()) else {
-            self.warn_limit("buffers");
-            return self.close_application(handle);
-        };
-        // If the response is too long with its header lines it is sent without them.
-        let written = http::write_response(&mut output, status, lines, parts, c.close)
-            || http::write_response(&mut output, status, b"", parts, c.close);
-        c.output = Some(output);
-        (c.state, c.since, c.used) = (State::Answering, now, true);
-        (c.stalled_at, c.send_by) = (None, None);
-        if !written {
-            return self.close_application(handle);
-        }
-        self.flush(handle);
-    }
-
-    pub(super) fn flush(&mut self, handle: Handle) {
-        let now = self.balancer.now();
-        let Some(c) = self.connections.application(handle) else { return };
-        match c.flush(&mut self.pool) {
-            Ok(true) if c.close => self.linger(handle),
-            Ok(true) => {
-                (c.state, c.since, c.stalled_at) = (State::Reading, now, None);
-                c.received = c.input.as_ref().map_or(0, |b| b.filled().len());
-                match c.socket.set(Interest::Read) {
-                    Ok(()) => self.process_input(handle),
-                    Err(_) => self.close_application(handle),
-                }
-            }
-            Ok(false) => self.set_client_timeout(handle, WRITE_TIMEOUT),
-            Err(e) => {
-                debug!(self.log, "writing a response failed"; "error" => e.to_string());
-                self.close_application(handle);
-            }
-        }
-    }
-
-    /// Ends a connection after its last response: once that is sent, the client has some time to close its end.
-    pub(super) fn linger(&mut self, handle: Handle) {
-        let now = self.balancer.now();
-        let Some(c) = self.connections.application(handle) else { return };
-        c.input.take().into_iter().for_each(|b| self.pool.put_back(b));
-        if c.state != State::Sending {
-            c.since = now;
-        }
-        match c.linger() {
-            Ok(()) => {
-                c.stalled_at = None;
-                let span = if c.state == State::Sending { SEND_CHECK_INTERVAL } else { LINGER_TIMEOUT };
-                self.set_client_timeout(handle, span);
-            }
-            Err(_) => self.close_application(handle),
-        }
-    }
-
     pub(super) fn set_client_timeout(&mut self, handle: Handle, span: Micros) {
         let at = self.balancer.now() + span;
         let Some(c) = self.connections.application(handle).filter(|c| c.stalled_at.is_none()) else { return };
@@ -614,13 +369,6 @@
         self.balancer.set_timer(at, Wake::ClientTimeout(handle));
     }
 
-    pub(super) fn close_application(&mut self, handle: Handle) {
-        if let Some(Connection::Application(mut c)) = self.connections.remove(handle) {
-            c.input.take().into_iter().chain(c.output.take()).for_each(|b| self.pool.put_back(b));
-            self.resume_accepting();
-        }
-    }
-
     pub(super) fn resume_accepting(&mut self) {
         if !self.connections.closed_to_applications() {
             self.set_listener_interest(Interest::Read);
