--- a/crates/daemon/mesh/src/control/calls.rs
+++ b/crates/daemon/mesh/src/control/calls.rs
@@ -36,17 +36,29 @@
         Ok(heartbeat) => heartbeat,
         Err(e) => return CallResponse::error(400, &format!("the heartbeat can't be read: {e}")),
     };
-    if node_state.upstream_heartbeat(id, heartbeat) {
+    let is_draining = heartbeat.is_draining();
+    if !node_state.upstream_heartbeat(id, heartbeat) {
+        CallResponse::error(409, "this incarnation has signed off (start under another id)")
+    } else if is_draining {
+        acknowledge_departure(node_state, id).await
+    } else {
+        CallResponse::ok()
+    }
+}
+
+/// Acknowledges a departure once other nodes have it: this process may end at any time.
+async fn acknowledge_departure(node_state: &Rc<NodeState>, id: &str) -> CallResponse {
+    if node_state.replicate_departure(id).await {
         CallResponse::ok()
     } else {
-        CallResponse::error(409, "this incarnation has signed off (start under another id)")
+        CallResponse::retry_later()
     }
 }
 
 call!(SIGN_OFF, "POST", "/-/Stations.SignOff/{}", sign_off);
 async fn sign_off(node_state: &Rc<NodeState>, id: &str, _: &[u8]) -> CallResponse {
     node_state.upstream_signed_off(id);
-    CallResponse::ok()
+    acknowledge_departure(node_state, id).await
 }
 
 call!(PATCH, "POST", "/-/Config.Patch", patch);
--- a/crates/daemon/mesh/src/metrics.rs
+++ b/crates/daemon/mesh/src/metrics.rs
@@ -1,6 +1,6 @@
 //! The metrics page: counters and gauges of this process. The JSON keys are a public interface (`docs/operators/mesh.md`) and
 //! keep their names even where the code uses others.
-use crate::node_state::{DepartedPeer, NodeState};
+use crate::node_state::{DepartedPeer, NodeState, TombstoneTable};
 use crate::service_balancer::UpstreamCounts;
 use serde_json::{json, Value};
 
@@ -37,6 +37,11 @@
         "clients": departures(node_state, DepartedPeer::Client),
         "origins": departures(node_state, DepartedPeer::Origin),
     });
+    report["upstreamDepartures"] = json!({
+        "remembered": node_state.tombstones(TombstoneTable::len),
+        "lateHeartbeats": counters.heartbeats_after_departure.get(),
+        "unconfirmed": counters.unconfirmed_departures.get(),
+    });
     if let Some(members) = node_state.member_throttle.metrics() {
         report["members"] = members;
     }
--- a/crates/daemon/mesh/src/node_state.rs
+++ b/crates/daemon/mesh/src/node_state.rs
@@ -20,7 +20,9 @@
 mod reloading;
 mod state;
 mod stopping;
+mod tombstones;
 mod unrouted_requests;
+mod upstream_departures;
 mod upstream_health;
 mod upstream_heartbeats;
 mod upstream_lists;
@@ -35,3 +37,4 @@
 #[cfg(test)]
 pub(crate) use readiness::NotReady;
 pub(crate) use state::NodeState;
+pub(crate) use tombstones::{Departure, SidecarVersion, Tombstone, TombstoneTable, TOMBSTONE_RETENTION};
--- a/crates/daemon/mesh/src/node_state/balancers.rs
+++ b/crates/daemon/mesh/src/node_state/balancers.rs
@@ -103,13 +103,15 @@
                 ip: Ipv4Addr::from_bits(record.node.0),
                 zone: &record.zone,
                 sidecar_incarnation: record.incarnation,
+                has_departed: self.has_departed(record, &upstream.id),
             };
             lists.add(place, &record.body, upstream);
         }
         if let Some(local) = &*self.local_upstream.borrow() {
             let body = self.record_body_with(Some(local.record.clone()));
             let (ip, zone) = (self.settings.ip, self.settings.zone.as_str());
-            let place = UpstreamPlace { ip, zone, sidecar_incarnation: OWN_INCARNATION };
+            let sidecar_incarnation = OWN_INCARNATION;
+            let place = UpstreamPlace { ip, zone, sidecar_incarnation, has_departed: false };
             lists.add(place, &body, &local.record);
         }
         lists.forget_unlisted();
--- a/crates/daemon/mesh/src/node_state/control_entries.rs
+++ b/crates/daemon/mesh/src/node_state/control_entries.rs
@@ -112,6 +112,7 @@
         self.update_upstream_limits();
         self.reconfigure_balancers();
         self.routing_changed.notify_waiters();
+        self.process_early_heartbeat();
         self.check_upstream_health();
     }
 }
--- a/crates/daemon/mesh/src/node_state/counters.rs
+++ b/crates/daemon/mesh/src/node_state/counters.rs
@@ -46,6 +46,10 @@
     pub(crate) rejected_by_gate: Cell<u64>,
     /// Heartbeats received from the upstream.
     pub(crate) heartbeats: Cell<u64>,
+    /// Heartbeats that arrived after the departure of their upstream and did not report it.
+    pub(crate) heartbeats_after_departure: Cell<u64>,
+    /// Departures that were not acknowledged because no other node confirmed them in time.
+    pub(crate) unconfirmed_departures: Cell<u64>,
     /// Operators' calls that request a change.
     pub(crate) control_calls: Cell<u64>,
     /// Gauge of calls of all kinds, each from its first byte until its response is written.
--- a/crates/daemon/mesh/src/node_state/local_upstream.rs
+++ b/crates/daemon/mesh/src/node_state/local_upstream.rs
@@ -28,7 +28,7 @@
 
 impl Heartbeat {
     /// Whether the upstream is draining and accepts no more requests.
-    pub(super) fn is_draining(&self) -> bool {
+    pub(crate) fn is_draining(&self) -> bool {
         self.state == "draining"
     }
 
@@ -38,6 +38,12 @@
     }
 }
 
+/// A heartbeat of an upstream that was unknown when it came.
+pub(super) struct EarlyHeartbeat {
+    pub(super) id: String,
+    pub(super) heartbeat: Heartbeat,
+}
+
 /// The upstream on this machine.
 pub(super) struct LocalUpstream {
     /// The description that other nodes get.
--- a/crates/daemon/mesh/src/node_state/other_nodes.rs
+++ b/crates/daemon/mesh/src/node_state/other_nodes.rs
@@ -30,6 +30,7 @@
         if let Some(event_stream) = self.event_stream.get() {
             event_stream.record(&record);
         }
+        self.note_departures(self.other_nodes.borrow().get(&record.node), &record);
         let counts_before = self.sidecar_counts();
         if record.gone {
             self.other_nodes.borrow_mut().remove(&record.node);
--- a/crates/daemon/mesh/src/node_state/state.rs
+++ b/crates/daemon/mesh/src/node_state/state.rs
@@ -3,7 +3,8 @@
 use super::departures::Departures;
 use super::in_force::InForce;
 use super::invariants::Violations;
-use super::local_upstream::LocalUpstream;
+use super::local_upstream::{EarlyHeartbeat, LocalUpstream};
+use super::tombstones::TombstoneTable;
 use super::unrouted_requests::UnroutedRequests;
 use super::upstream_lists::WarmUps;
 use crate::body_budget::BodyBudget;
@@ -77,8 +78,10 @@
     pub(super) other_nodes: RefCell<BTreeMap<Node, NodeRecord<RecordBody>>>,
     pub(super) warm_ups: RefCell<WarmUps>,
     pub(super) local_upstream: RefCell<Option<LocalUpstream>>,
-    /// Ended incarnations of the local upstream, whose late heartbeats are ignored.
-    pub(super) ended_upstreams: RefCell<Vec<String>>,
+    /// The latest heartbeat of an unknown upstream that came before the configuration.
+    pub(super) early_heartbeat: RefCell<Option<EarlyHeartbeat>>,
+    /// Upstreams that leave or have left, here and at other nodes.
+    pub(super) tombstones: RefCell<TombstoneTable>,
     pub(super) rng: RefCell<Pcg64Mcg>,
     pub(super) last_attempt_number: Cell<u64>,
     pub(super) seeds: RefCell<Vec<SocketAddr>>,
@@ -140,7 +143,8 @@
             other_nodes: RefCell::default(),
             warm_ups: RefCell::default(),
             local_upstream: RefCell::default(),
-            ended_upstreams: RefCell::default(),
+            early_heartbeat: RefCell::default(),
+            tombstones: RefCell::default(),
             rng: RefCell::new(rng),
             last_awake: Cell::new(now),
             graceful_stop: RefCell::default(),
--- a/crates/daemon/mesh/src/node_state/upstream_health.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_health.rs
@@ -38,7 +38,7 @@
                     peer_connection::check_health(&node_state.pool, address, &path, body_reservation).await;
                 let is_unknown = node_state.local_upstream.borrow().is_none();
                 if let Some(HealthyUpstream { id, warm_up_left }) = health.filter(|_| is_unknown) {
-                    if !node_state.has_ended(&id) {
+                    if node_state.departure(&id).is_none() {
                         node_state.health_response_received(&id, warm_up_left);
                     }
                     return;
--- a/crates/daemon/mesh/src/node_state/upstream_heartbeats.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_heartbeats.rs
@@ -1,7 +1,8 @@
 //! Processes the heartbeats of the upstream on this machine and their absence: updates admission and the
 //! record for other nodes.
-use super::local_upstream::{Heartbeat, LocalUpstream};
+use super::local_upstream::{EarlyHeartbeat, Heartbeat, LocalUpstream};
 use super::state::NodeState;
+use super::tombstones::Departure;
 use silvercross_admission::{UpstreamLimits, UpstreamReport};
 use silvercross_time::{Duration, Instant};
 use slog::info;
@@ -9,28 +10,75 @@
 
 /// An upstream is silent if its last heartbeat is older than this number of heartbeat intervals.
 const SILENT_AFTER_INTERVALS: f64 = 2.6;
-/// The maximum number of remembered ended incarnations, whose late heartbeats are ignored.
-const MAX_ENDED_UPSTREAMS: usize = 64;
 
 impl NodeState {
     /// Processes a heartbeat of the upstream on this machine. Returns `false` if its incarnation has ended.
     pub(crate) fn upstream_heartbeat(self: &Rc<Self>, id: &str, heartbeat: Heartbeat) -> bool {
         self.counters.heartbeats.set(self.counters.heartbeats.get() + 1);
-        if self.has_ended(id) {
-            return false;
+        if !self.is_local_upstream(id) {
+            if let Some(departure) = self.departure(id) {
+                return self.heartbeat_after_departure(id, &heartbeat, departure);
+            }
+            if !self.knows_earlier_departures() {
+                self.keep_early_heartbeat(id, heartbeat);
+                return true;
+            }
+        }
+        self.current_heartbeat(id, heartbeat);
+        true
+    }
+
+    /// Whether this process has what the other nodes remember of an earlier one on this machine. They send it
+    /// before the configuration.
+    fn knows_earlier_departures(&self) -> bool {
+        self.settings.is_first_start || self.configured()
+    }
+
+    /// Processes a heartbeat that arrives after the departure of its upstream. Only a repeated departure is
+    /// acknowledged once the upstream has ended.
+    fn heartbeat_after_departure(&self, id: &str, heartbeat: &Heartbeat, departure: Departure) -> bool {
+        if !heartbeat.is_draining() {
+            let late = &self.counters.heartbeats_after_departure;
+            late.set(late.get() + 1);
+            info!(self.log, "heartbeat after the departure of its upstream"; "id" => id,
+                "sequence" => heartbeat.sequence, "how" => ?departure);
         }
+        heartbeat.is_draining() || departure < Departure::Ended
+    }
+
+    /// Keeps a heartbeat until this process has a configuration.
+    fn keep_early_heartbeat(&self, id: &str, heartbeat: Heartbeat) {
+        if heartbeat.is_draining() {
+            self.remember_departure(id, Departure::Draining);
+        } else {
+            let early = EarlyHeartbeat { id: id.to_string(), heartbeat };
+            *self.early_heartbeat.borrow_mut() = Some(early);
+        }
+    }
+
+    /// Processes the heartbeat that came before the configuration, if any did.
+    pub(super) fn process_early_heartbeat(self: &Rc<Self>) {
+        let early = self.early_heartbeat.borrow_mut().take();
+        if let Some(EarlyHeartbeat { id, heartbeat }) = early {
+            self.upstream_heartbeat(&id, heartbeat);
+        }
+    }
+
+    /// Processes a heartbeat of the current incarnation, or the first one of another.
+    fn current_heartbeat(self: &Rc<Self>, id: &str, heartbeat: Heartbeat) {
         let now = self.now();
         let (is_draining, warm_up_left) = (heartbeat.is_draining(), heartbeat.warm_up_left());
         let has_changed = {
             let mut local = self.local_upstream.borrow_mut();
             match local.as_mut().filter(|upstream| upstream.record.id == id) {
-                Some(upstream) if upstream.is_overtaken(&heartbeat) => return true,
+                Some(upstream) if upstream.is_overtaken(&heartbeat) => return,
                 Some(upstream) => upstream.update(heartbeat, now),
                 None => {
                     if let Some(previous) = local.take() {
-                        self.remember_ended(previous.record.id);
+                        self.remember_departure(&previous.record.id, Departure::Ended);
                     }
-                    info!(self.log, "upstream"; "id" => id, "service" => &heartbeat.service, "zone" => &heartbeat.zone);
+                    info!(self.log, "upstream"; "id" => id, "service" => &heartbeat.service,
+                        "zone" => &heartbeat.zone, "sequence" => heartbeat.sequence);
                     *local = Some(LocalUpstream::new(id, heartbeat, now));
                     true
                 }
@@ -40,8 +88,24 @@
         if has_changed {
             self.update_upstream_limits();
             self.publish_own_record();
+            self.note_own_departure();
+        }
+    }
+
+    /// Remembers that the upstream on this machine drains, or that it does no longer.
+    fn note_own_departure(&self) {
+        let local = self.local_upstream.borrow();
+        let Some(record) = local.as_ref().map(|upstream| &upstream.record) else { return };
+        if record.draining {
+            self.remember_departure(&record.id, Departure::Draining);
+        } else if self.departure(&record.id).is_some() {
+            self.tombstones.borrow_mut().remove(&record.id);
         }
-        true
+    }
+
+    /// Whether this is the upstream on this machine.
+    pub(super) fn is_local_upstream(&self, id: &str) -> bool {
+        self.local_upstream.borrow().as_ref().is_some_and(|upstream| upstream.record.id == id)
     }
 
     /// Updates admission from the latest heartbeat.
@@ -83,17 +147,21 @@
 
     /// Processes the sign-off of the upstream on this machine.
     pub(crate) fn upstream_signed_off(self: &Rc<Self>, id: &str) {
-        self.remember_ended(id.to_string());
-        let is_known = self.local_upstream.borrow().as_ref().is_some_and(|upstream| upstream.record.id == id);
-        if is_known {
-            info!(self.log, "upstream signed off"; "id" => id);
-            *self.local_upstream.borrow_mut() = None;
-            let now = self.now();
-            self.gate.with_admission(|admission| admission.signed_off(now, id));
-            self.publish_own_record();
+        info!(self.log, "upstream signed off"; "id" => id);
+        self.remember_departure(id, Departure::Ended);
+        if self.is_local_upstream(id) {
+            self.remove_local_upstream(id);
         }
     }
 
+    /// Removes the upstream on this machine, which has ended.
+    pub(super) fn remove_local_upstream(self: &Rc<Self>, id: &str) {
+        *self.local_upstream.borrow_mut() = None;
+        let now = self.now();
+        self.gate.with_admission(|admission| admission.signed_off(now, id));
+        self.publish_own_record();
+    }
+
     /// Marks the upstream on this machine as silent: it refuses connections, or its heartbeats have stopped.
     /// The periodic check publishes this.
     pub(crate) fn mark_upstream_silent(&self) {
@@ -119,20 +187,4 @@
         let now = self.now();
         self.gate.with_admission(|admission| admission.set_limits(now, limits));
     }
-
-    /// Whether this incarnation of the local upstream has ended.
-    pub(super) fn has_ended(&self, id: &str) -> bool {
-        self.ended_upstreams.borrow().iter().any(|ended| ended == id)
-    }
-
-    fn remember_ended(&self, id: String) {
-        let mut ended = self.ended_upstreams.borrow_mut();
-        if ended.contains(&id) {
-            return;
-        }
-        if ended.len() >= MAX_ENDED_UPSTREAMS {
-            ended.remove(0);
-        }
-        ended.push(id);
-    }
 }
--- a/crates/daemon/mesh/src/node_state/upstream_lists.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_lists.rs
@@ -29,6 +29,8 @@
     pub(super) zone: &'r str,
     /// The incarnation of the sidecar on its machine.
     pub(super) sidecar_incarnation: u64,
+    /// Whether its departure is remembered, whatever its sidecar reports.
+    pub(super) has_departed: bool,
 }
 
 /// The upstreams by service, while they are being collected.
@@ -55,7 +57,7 @@
         }
         let address = SocketAddr::new(IpAddr::V4(place.ip), body.inbound_port);
         let is_evacuated = self.in_force.evacuated_zones.contains(place.zone);
-        let is_closed = upstream.draining || body.stopping || is_evacuated;
+        let is_closed = upstream.draining || body.stopping || is_evacuated || place.has_departed;
         let health = if is_closed { Health::Draining } else { Health::Ready };
         let incarnation = place.sidecar_incarnation;
         let known = self.warm_ups.get(&upstream.id);
--- a/crates/daemon/mesh/src/peers.rs
+++ b/crates/daemon/mesh/src/peers.rs
@@ -9,6 +9,7 @@
 //! `effects.rs`, then `links.rs` and `frame.rs` (the protocol between nodes) and `calls.rs` (operators' calls
 //! to the control store).
 mod calls;
+mod confirmations;
 mod deciders;
 mod effects;
 mod frame;
@@ -21,6 +22,8 @@
 mod state;
 #[cfg(test)]
 mod tests;
+mod tombstone_record;
+mod tombstones;
 
 pub(crate) use deciders::{follow_disk, receive_datagrams, run_decision_modules};
 pub(crate) use links::accept_links;
--- a/crates/daemon/mesh/src/peers/links.rs
+++ b/crates/daemon/mesh/src/peers/links.rs
@@ -87,6 +87,7 @@
     /// Reports that the last link to a node has ended.
     pub(super) fn link_lost(&self, node_state: &Rc<NodeState>, node: Node) {
         let now = node_state.now();
+        self.confirmations.connection_changed(node);
         self.membership.borrow_mut().link_down(now, node);
         if let Some(store) = &self.control_store {
             store.borrow_mut().set_reachable(now, store_node(node), false);
@@ -123,6 +124,7 @@
         let number = self.take_number();
         let (link, queues) = Link::new(number);
         self.links.borrow_mut().entry(node).or_default().push(link);
+        self.confirmations.connection_changed(node);
         let now = node_state.now();
         self.membership.borrow_mut().link_up(now, node);
         if let Some(store) = &self.control_store {
@@ -137,9 +139,7 @@
         let now = node_state.now();
         match frame {
             Frame::Hello { .. } => return false,
-            Frame::Membership(message) => {
-                self.membership.borrow_mut().receive(now, from, message);
-            }
+            Frame::Membership(message) => self.receive_membership(node_state, from, message),
             Frame::ControlStore { replica_set_version, message } => {
                 if let Some(store) = &self.control_store {
                     let mut store = store.borrow_mut();
@@ -190,6 +190,7 @@
         if was_last {
             self.link_lost(node_state, node);
         } else if was_newest {
+            self.confirmations.connection_changed(node);
             self.membership.borrow_mut().connection_changed(node_state.now(), node);
         }
         self.carry_out_effects(node_state);
--- a/crates/daemon/mesh/src/peers/state.rs
+++ b/crates/daemon/mesh/src/peers/state.rs
@@ -3,6 +3,7 @@
 //!
 //! It depends on no other state of the process. No borrow of a cell outlives a statement, and none is held
 //! across an `await`.
+use super::confirmations::Confirmations;
 use super::frame_writer::Link;
 use super::record::RecordBody;
 use crate::control_value::ControlValue;
@@ -37,6 +38,7 @@
     pub(super) pending_calls: RefCell<BTreeMap<u64, oneshot::Sender<CallOutcome<ControlValue>>>>,
     /// The established links by node. Frames are sent on the newest one.
     pub(super) links: RefCell<BTreeMap<Node, Vec<Link>>>,
+    pub(super) confirmations: Confirmations,
     /// The largest backlog of a link since the start, in bytes.
     pub(super) link_backlog_peak: Cell<usize>,
     /// The next number for a link or call.
@@ -89,6 +91,7 @@
             disk_full: RefCell::default(),
             pending_calls: RefCell::default(),
             links: RefCell::default(),
+            confirmations: Confirmations::default(),
             link_backlog_peak: Cell::new(0),
             next_number: Cell::new(1),
             udp,
--- a/crates/daemon/mesh/src/tests/mod.rs
+++ b/crates/daemon/mesh/src/tests/mod.rs
@@ -20,4 +20,5 @@
 mod stopping;
 pub(crate) mod support;
 mod under_way_at_stop;
+mod upstream_departures;
 mod upstream_gate;
--- a/crates/tools/testbed/src/upstream.rs
+++ b/crates/tools/testbed/src/upstream.rs
@@ -8,18 +8,16 @@
 pub(crate) use long_response::{long_body, LongResponsePlan};
 pub(crate) use server::SLOW_SUFFIX;
 pub use stamp::{response_body, stamp};
-pub use state::{UpstreamBehaviour, UpstreamPlace};
+pub use state::{HealthAnswers, PreparedCall, UpstreamBehaviour, UpstreamPlace};
 
 use crate::execution_log::ExecutionLog;
-use crate::http_connection::{call, HttpConnection};
-use state::{State, HEARTBEAT_TIMEOUT};
+use crate::http_connection::HttpConnection;
+use state::State;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 
-/// `POST`, followed by the upstream's name: it ends. A name of the wire.
-const SIGN_OFF_PATH: &str = "/-/Stations.SignOff";
 /// How much longer than it has to an upstream serves on when it leaves.
 const LEAVE_SLACK: Duration = Duration::from_millis(200);
 
@@ -62,7 +60,9 @@
         let sending = state.clone();
         let heartbeats = tokio::spawn(async move {
             loop {
-                sending.send_heartbeat().await;
+                if sending.sends_heartbeats() {
+                    sending.send_heartbeat().await;
+                }
                 tokio::time::sleep(sending.place.heartbeat_interval).await;
             }
         });
@@ -95,11 +95,29 @@
         self.state.send_heartbeat().await
     }
 
+    /// The next heartbeat, with what is so now; it is sent by whoever has it.
+    pub fn prepare_heartbeat(&self) -> PreparedCall {
+        self.state.prepare_heartbeat()
+    }
+
+    /// Send no further heartbeats.
+    pub fn stop_heartbeats(&self) {
+        self.state.stop_heartbeats();
+    }
+
+    /// What it says from now on when it is asked for its health.
+    pub fn set_health_answers(&self, answers: HealthAnswers) {
+        self.state.set_health_answers(answers);
+    }
+
+    /// Its sign-off; it serves on.
+    pub fn prepare_sign_off(&self) -> PreparedCall {
+        self.state.prepare_sign_off()
+    }
+
     /// Sign off and end; whether that was acknowledged.
     pub async fn sign_off(self) -> bool {
-        let path = format!("{SIGN_OFF_PATH}/{}", self.state.id);
-        let answer = call(self.state.place.control, "POST", &path, b"", HEARTBEAT_TIMEOUT).await;
-        answer.is_ok_and(|response| (200..300).contains(&response.status))
+        self.state.prepare_sign_off().is_acknowledged().await
     }
 
     /// A planned end: drains, serves on for `drain` after the acknowledgement and a little longer, signs off, ends.
--- a/crates/tools/testbed/src/upstream/server.rs
+++ b/crates/tools/testbed/src/upstream/server.rs
@@ -70,7 +70,7 @@
 }
 
 fn health(state: &State, attempt_id: Option<&str>) -> Vec<u8> {
-    let status = if state.is_draining() { 503 } else { 200 };
+    let status = if state.says_healthy() { 200 } else { 503 };
     let header_lines =
         format!("{UPSTREAM_HEADER}: {}\r\nCold-Ms: {}\r\n", state.id, state.warm_up_left().as_millis());
     answer(status, attempt_id, &header_lines, b"")
--- a/crates/tools/testbed/src/upstream/state.rs
+++ b/crates/tools/testbed/src/upstream/state.rs
@@ -15,6 +15,8 @@
 
 /// `POST`, followed by the upstream's name: it is there. A name of the wire.
 const HEARTBEAT_PATH: &str = "/-/Stations.Heartbeat";
+/// `POST`, followed by the upstream's name: it ends. A name of the wire.
+const SIGN_OFF_PATH: &str = "/-/Stations.SignOff";
 
 /// How an upstream works.
 #[derive(Clone, Debug)]
@@ -68,6 +70,39 @@
     pub heartbeat_interval: Duration,
 }
 
+/// What an upstream says when it is asked for its health.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HealthAnswers {
+    /// Good unless it is draining.
+    #[default]
+    Truthful,
+    /// Good, whatever it does.
+    AlwaysGood,
+    /// Bad, whatever it does.
+    AlwaysBad,
+}
+
+/// A call to a sidecar whose content was taken when it was prepared, and that may be sent much later.
+#[derive(Clone, Debug)]
+pub struct PreparedCall {
+    control: SocketAddr,
+    path: String,
+    body: String,
+}
+
+impl PreparedCall {
+    /// Send it; the status of the answer, if there was one.
+    pub async fn send(&self) -> Option<u16> {
+        let answer = call(self.control, "POST", &self.path, self.body.as_bytes(), HEARTBEAT_TIMEOUT).await;
+        answer.ok().map(|response| response.status)
+    }
+
+    /// Send it; whether it was acknowledged.
+    pub async fn is_acknowledged(&self) -> bool {
+        self.send().await.is_some_and(|status| (200..300).contains(&status))
+    }
+}
+
 /// What an upstream's tasks share.
 pub(crate) struct State {
     pub(crate) id: String,
@@ -81,6 +116,8 @@
     pub(crate) executed: AtomicU64,
     sequence: AtomicU64,
     draining: AtomicBool,
+    is_silent: AtomicBool,
+    health_answers: Mutex<HealthAnswers>,
     warm_up_end: Mutex<Instant>,
 }
 
@@ -97,6 +134,8 @@
             executed: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            is_silent: AtomicBool::new(false),
+            health_answers: Mutex::default(),
             warm_up_end: Mutex::new(Instant::now() + Duration::from_secs_f64(behaviour.warm_up_s.max(0.0))),
             place,
             behaviour,
@@ -122,8 +161,29 @@
         self.draining.load(Relaxed)
     }
 
-    /// Send a heartbeat; whether it was acknowledged. The names in it are the wire's.
-    pub(crate) async fn send_heartbeat(&self) -> bool {
+    pub(crate) fn stop_heartbeats(&self) {
+        self.is_silent.store(true, Relaxed);
+    }
+
+    pub(crate) fn sends_heartbeats(&self) -> bool {
+        !self.is_silent.load(Relaxed)
+    }
+
+    pub(crate) fn set_health_answers(&self, answers: HealthAnswers) {
+        *self.health_answers.lock().unwrap_or_else(PoisonError::into_inner) = answers;
+    }
+
+    /// Whether it says that it is well.
+    pub(crate) fn says_healthy(&self) -> bool {
+        match *self.health_answers.lock().unwrap_or_else(PoisonError::into_inner) {
+            HealthAnswers::Truthful => !self.is_draining(),
+            HealthAnswers::AlwaysGood => true,
+            HealthAnswers::AlwaysBad => false,
+        }
+    }
+
+    /// The next heartbeat, with what is so now. The names in it are the wire's.
+    pub(crate) fn prepare_heartbeat(&self) -> PreparedCall {
         let sequence = self.sequence.fetch_add(1, Relaxed) + 1;
         let state = if self.is_draining() { "draining" } else { "ready" };
         let heartbeat = json!({
@@ -131,8 +191,18 @@
             "edition": "v1", "slots": self.behaviour.slots, "state": state,
             "coldLeftS": self.warm_up_left().as_secs_f64(), "sequence": sequence,
         });
-        let (path, body) = (format!("{HEARTBEAT_PATH}/{}", self.id), heartbeat.to_string());
-        let answer = call(self.place.control, "POST", &path, body.as_bytes(), HEARTBEAT_TIMEOUT).await;
-        answer.is_ok_and(|response| (200..300).contains(&response.status))
+        let (control, path) = (self.place.control, format!("{HEARTBEAT_PATH}/{}", self.id));
+        PreparedCall { control, path, body: heartbeat.to_string() }
+    }
+
+    /// Its sign-off.
+    pub(crate) fn prepare_sign_off(&self) -> PreparedCall {
+        let path = format!("{SIGN_OFF_PATH}/{}", self.id);
+        PreparedCall { control: self.place.control, path, body: String::new() }
+    }
+
+    /// Send a heartbeat; whether it was acknowledged.
+    pub(crate) async fn send_heartbeat(&self) -> bool {
+        self.prepare_heartbeat().is_acknowledged().await
     }
 }
