mesh: a late heartbeat of an earlier incarnation does not shut out the present one

Callers saw 503 for good from an upstream that had taken over an address after a crash: a late heartbeat of the one before came to the sidecar after a restart, and the heartbeats of the present one got 409 from then on.

Cause: the first heartbeat of an unknown id replaced the current upstream and put it on the list of ended ones (sidecar and admission). Ruled out: a wrong record that the next heartbeat mends (no request within 20 s).

Change: where a heartbeat has another id than the current upstream the address is asked, one health check of any status; the incarnation that it names has it. If it names none the current one stays, unless three heartbeats of the other come with none of the current in between.

--- a/crates/daemon/mesh/src/control/calls.rs
+++ b/crates/daemon/mesh/src/control/calls.rs
@@ -5,7 +5,7 @@
 use super::response::CallResponse;
 use crate::control_value::{evacuation_key, ControlChange, ControlValue, CONFIGURATION_KEY};
 use crate::metrics::metrics_report;
-use crate::node_state::{Heartbeat, NodeState};
+use crate::node_state::{ClaimOutcome, Heartbeat, NodeState};
 use crate::state_report::state_report;
 use silvercross_control_store::CallOutcome;
 use std::rc::Rc;
@@ -37,6 +37,15 @@
         Err(e) => return CallResponse::error(400, &format!("the heartbeat can't be read: {e}")),
     };
     let is_draining = heartbeat.is_draining();
+    match node_state.settle_claim(id).await {
+        ClaimOutcome::Accepted => {}
+        // It is late, or the next one settles it.
+        ClaimOutcome::Refuted | ClaimOutcome::Unsettled if !is_draining => return CallResponse::ok(),
+        ClaimOutcome::Refuted | ClaimOutcome::Unsettled => {
+            node_state.upstream_drains(id);
+            return acknowledge_departure(node_state, id).await;
+        }
+    }
     if !node_state.upstream_heartbeat(id, heartbeat) {
         CallResponse::error(409, "this incarnation has signed off (start under another id)")
     } else if is_draining {
--- a/crates/daemon/mesh/src/node_state/local_upstream.rs
+++ b/crates/daemon/mesh/src/node_state/local_upstream.rs
@@ -44,6 +44,13 @@
     pub(super) heartbeat: Heartbeat,
 }
 
+/// An incarnation that sends heartbeats although another one is the current one.
+pub(super) struct UpstreamClaim {
+    pub(super) id: String,
+    /// Its heartbeats since the last one of the current incarnation.
+    pub(super) heartbeats: u32,
+}
+
 /// The upstream on this machine.
 pub(super) struct LocalUpstream {
     /// The description that other nodes get.
--- a/crates/daemon/mesh/src/node_state/state.rs
+++ b/crates/daemon/mesh/src/node_state/state.rs
@@ -3,7 +3,7 @@
 use super::departures::Departures;
 use super::in_force::InForce;
 use super::invariants::Violations;
-use super::local_upstream::{EarlyHeartbeat, LocalUpstream};
+use super::local_upstream::{EarlyHeartbeat, LocalUpstream, UpstreamClaim};
 use super::tombstones::TombstoneTable;
 use super::unrouted_requests::UnroutedRequests;
 use super::upstream_lists::WarmUps;
@@ -80,6 +80,8 @@
     pub(super) local_upstream: RefCell<Option<LocalUpstream>>,
     /// The latest heartbeat of an unknown upstream that came before the configuration.
     pub(super) early_heartbeat: RefCell<Option<EarlyHeartbeat>>,
+    /// The latest incarnation that was not settled to be the one on this machine.
+    pub(super) upstream_claim: RefCell<Option<UpstreamClaim>>,
     /// Upstreams that leave or have left, here and at other nodes.
     pub(super) tombstones: RefCell<TombstoneTable>,
     pub(super) rng: RefCell<Pcg64Mcg>,
@@ -144,6 +146,7 @@
             warm_ups: RefCell::default(),
             local_upstream: RefCell::default(),
             early_heartbeat: RefCell::default(),
+            upstream_claim: RefCell::default(),
             tombstones: RefCell::default(),
             rng: RefCell::new(rng),
             last_awake: Cell::new(now),
--- a/crates/daemon/mesh/src/node_state/upstream_departures.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_departures.rs
@@ -33,6 +33,11 @@
         tombstone
     }
 
+    /// Remembers that an upstream drains that is not the one on this machine.
+    pub(crate) fn upstream_drains(&self, id: &str) {
+        self.remember_departure(id, Departure::Draining);
+    }
+
     /// Learns a tombstone from another node. Returns whether it is new here.
     pub(crate) fn learn_tombstone(self: &Rc<Self>, tombstone: &Tombstone, remaining: Duration) -> bool {
         let is_own = tombstone.sidecar == Node(self.settings.ip.to_bits());
--- a/crates/daemon/mesh/src/node_state/upstream_health.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_health.rs
@@ -4,7 +4,7 @@
 //! its incarnation.
 use super::local_upstream::Heartbeat;
 use super::state::NodeState;
-use crate::peer_connection::{self, HealthyUpstream};
+use crate::peer_connection::{self, HealthReport};
 use silvercross_time::Duration as Span;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,21 +25,17 @@
         if self.settings.is_first_start || self.upstream_health_requested.replace(true) {
             return;
         }
-        let Some(address) = self.settings.upstream_address else { return };
         let node_state = self.clone();
         tokio::task::spawn_local(async move {
             for _ in 0..MAX_HEALTH_CHECKS {
                 if node_state.local_upstream.borrow().is_some() || node_state.stopping() {
                     return;
                 }
-                let path = node_state.health_path();
-                let body_reservation = node_state.body_budget.reservation();
-                let health =
-                    peer_connection::check_health(&node_state.pool, address, &path, body_reservation).await;
+                let report = node_state.check_local_health().await;
                 let is_unknown = node_state.local_upstream.borrow().is_none();
-                if let Some(HealthyUpstream { id, warm_up_left }) = health.filter(|_| is_unknown) {
-                    if node_state.departure(&id).is_none() {
-                        node_state.health_response_received(&id, warm_up_left);
+                if let Some(report) = report.filter(|report| report.is_healthy && is_unknown) {
+                    if node_state.departure(&report.id).is_none() {
+                        node_state.health_response_received(&report.id, report.warm_up_left);
                     }
                     return;
                 }
@@ -48,6 +44,13 @@
         });
     }
 
+    /// Checks the health of the upstream on this machine. Returns `None` unless it states its id.
+    pub(super) async fn check_local_health(&self) -> Option<HealthReport> {
+        let address = self.settings.upstream_address?;
+        let (path, reservation) = (self.health_path(), self.body_budget.reservation());
+        peer_connection::check_health(&self.pool, address, &path, reservation).await
+    }
+
     fn health_path(&self) -> String {
         let table = self.routing_table();
         let destination = table.destination(&self.settings.upstream_service);
--- a/crates/daemon/mesh/src/node_state/upstream_heartbeats.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_heartbeats.rs
@@ -64,7 +64,8 @@
         }
     }
 
-    /// Processes a heartbeat of the current incarnation, or the first one of another.
+    /// Processes a heartbeat of the current incarnation, or the first one of another, which then has the address
+    /// ([`settle_claim`](Self::settle_claim)).
     fn current_heartbeat(self: &Rc<Self>, id: &str, heartbeat: Heartbeat) {
         let now = self.now();
         let (is_draining, warm_up_left) = (heartbeat.is_draining(), heartbeat.warm_up_left());
@@ -74,9 +75,6 @@
                 Some(upstream) if upstream.is_overtaken(&heartbeat) => return,
                 Some(upstream) => upstream.update(heartbeat, now),
                 None => {
-                    if let Some(previous) = local.take() {
-                        self.remember_departure(&previous.record.id, Departure::Ended);
-                    }
                     info!(self.log, "upstream"; "id" => id, "service" => &heartbeat.service,
                         "zone" => &heartbeat.zone, "sequence" => heartbeat.sequence);
                     *local = Some(LocalUpstream::new(id, heartbeat, now));
@@ -84,6 +82,7 @@
                 }
             }
         };
+        *self.upstream_claim.borrow_mut() = None;
         self.update_admission(now, is_draining, warm_up_left);
         if has_changed {
             self.update_upstream_limits();
--- a/crates/daemon/mesh/src/peer_connection.rs
+++ b/crates/daemon/mesh/src/peer_connection.rs
@@ -18,7 +18,7 @@
 pub(crate) use connect::MAX_UNACKNOWLEDGED;
 pub(crate) use connect::{allow_slow_reader, connect, set_liveness_options};
 pub(crate) use exchange::exchange;
-pub(crate) use health_check::{check_health, HealthyUpstream};
+pub(crate) use health_check::{check_health, HealthReport};
 pub(crate) use outcome::{ExchangeOutcome, ReceivedResponse};
 pub(crate) use pool::ConnectionPool;
 pub(crate) use request::OutgoingRequest;
--- a/crates/daemon/mesh/src/peers/tombstones.rs
+++ b/crates/daemon/mesh/src/peers/tombstones.rs
@@ -51,7 +51,8 @@
             }
         }
         for to in self.linked_nodes().into_iter().filter(|to| *to != from) {
-            self.send_tombstones(node_state, to, news.iter().map(|(t, remaining)| (t, *remaining)));
+            let news = news.iter().map(|(tombstone, remaining)| (tombstone, *remaining));
+            self.send_tombstones(node_state, to, news);
         }
     }
 
@@ -77,6 +78,18 @@
         self.links.borrow().keys().copied().collect()
     }
 
+    /// Sends a tombstone to all neighbours.
+    pub(crate) fn send_tombstone(
+        &self,
+        node_state: &Rc<NodeState>,
+        tombstone: &Tombstone,
+        remaining: Duration,
+    ) {
+        for to in self.linked_nodes() {
+            self.send_tombstones(node_state, to, std::iter::once((tombstone, remaining)));
+        }
+    }
+
     /// Sends a tombstone to the neighbours until enough of them have confirmed that they have it. Returns
     /// `false` if they have not in time.
     pub(crate) async fn replicate_tombstone(
--- a/crates/tools/testbed/tests/departures.rs
+++ b/crates/tools/testbed/tests/departures.rs
@@ -250,3 +250,66 @@
     }
     assert!(broken.is_empty(), "{} requests, the first: {:?}", broken.len(), &broken[..broken.len().min(20)]);
 }
+
+/// How the present upstream of a machine is struck while heartbeats of the one before arrive.
+#[derive(Clone, Copy, Debug)]
+struct SuccessorCase {
+    /// Whether its sidecar is killed and started again.
+    is_restarted: bool,
+    health: HealthAnswers,
+}
+
+const SUCCESSOR_CASES: [SuccessorCase; 4] = [
+    SuccessorCase { is_restarted: false, health: HealthAnswers::Truthful },
+    SuccessorCase { is_restarted: false, health: HealthAnswers::AlwaysBad },
+    SuccessorCase { is_restarted: true, health: HealthAnswers::Truthful },
+    SuccessorCase { is_restarted: true, health: HealthAnswers::AlwaysBad },
+];
+
+/// Heartbeats of the earlier incarnation that arrive, and the pause between them.
+const SUCCESSOR_LATE: u32 = 3;
+const SUCCESSOR_LATE_INTERVAL: Duration = Duration::from_millis(350);
+
+/// Wait until an upstream has run so many requests more.
+async fn wait_until_served(testbed: &Testbed, machine: usize, more: u64) {
+    let id = testbed.upstreams[&machine].id();
+    let count = testbed.executions.count_at(id) + more;
+    let is_served = || std::future::ready(testbed.executions.count_at(id) >= count);
+    wait_until("the upstream is sent to", WAIT_TIMEOUT, is_served).await.expect("served");
+}
+
+/// Guards against a late heartbeat of an earlier incarnation that puts the present one on the list of ended ones: its own
+/// heartbeats were refused for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_heartbeat_of_an_earlier_incarnation_does_not_shut_out_the_present_one() {
+    let program = program::find().expect("the program is built");
+    let plan = MeshPlan { side_count: SUCCESSOR_CASES.len(), zone_count: 1, ..MeshPlan::default() };
+    let mut testbed = Testbed::start(&plan, UpstreamBehaviour::default(), &program).await.expect("it starts");
+    let clients = start_clients(&testbed, &SentTimes::default());
+    let machines: Vec<usize> = testbed.mesh.side_machines().collect();
+    // The earlier ones crash: they say nothing.
+    let mut late = Vec::new();
+    for machine in &machines {
+        late.push(testbed.upstreams[machine].prepare_heartbeat());
+        testbed.start_upstream(*machine).await.expect("it starts");
+    }
+    for machine in &machines {
+        wait_until_served(&testbed, *machine, 1).await;
+    }
+    for (case, machine) in SUCCESSOR_CASES.iter().zip(&machines) {
+        testbed.upstreams[machine].set_health_answers(case.health);
+        if case.is_restarted {
+            restart(&mut testbed, *machine).await;
+        }
+    }
+    for _ in 0..SUCCESSOR_LATE {
+        for heartbeat in &late {
+            assert!(heartbeat.send().await.is_some());
+        }
+        sleep(SUCCESSOR_LATE_INTERVAL).await;
+    }
+    for machine in &machines {
+        wait_until_served(&testbed, *machine, 10).await;
+    }
+    clients.iter().for_each(JoinHandle::abort);
+}
