mesh: a departure told to another node binds the sidecar beside the upstream

Callers saw requests at an upstream that had signed off, with 200, at another sidecar or a control machine, since its own did not answer: the clients of its machine were sent to it as before. `draining` got 404 at a control machine; at another sidecar a foreign heartbeat replaced that machine's own upstream.

Cause: a tombstone made a sidecar drop its upstream only if an earlier process of the same machine had written it, and a heartbeat's address was not looked at.

Change: every node takes a departure, for all. A heartbeat of an upstream on another machine is redirected to the sidecar there.

--- a/crates/daemon/mesh/src/control/calls.rs
+++ b/crates/daemon/mesh/src/control/calls.rs
@@ -29,22 +29,22 @@
 
 call!(HEARTBEAT, "POST", "/-/Stations.Heartbeat/{}", heartbeat);
 async fn heartbeat(node_state: &Rc<NodeState>, id: &str, body: &[u8]) -> CallResponse {
-    if node_state.settings.upstream_address.is_none() {
-        return CallResponse::error(404, "no upstream belongs to this machine (call the sidecar beside it)");
-    }
     let heartbeat = match serde_json::from_slice::<Heartbeat>(body) {
         Ok(heartbeat) => heartbeat,
         Err(e) => return CallResponse::error(400, &format!("the heartbeat can't be read: {e}")),
     };
     let is_draining = heartbeat.is_draining();
+    if !node_state.is_beside(&heartbeat) {
+        return heartbeat_from_elsewhere(node_state, id, &heartbeat).await;
+    }
     match node_state.settle_claim(id).await {
         ClaimOutcome::Accepted => {}
-        // It is late, or the next one settles it.
-        ClaimOutcome::Refuted | ClaimOutcome::Unsettled if !is_draining => return CallResponse::ok(),
-        ClaimOutcome::Refuted | ClaimOutcome::Unsettled => {
+        ClaimOutcome::Refuted | ClaimOutcome::Unsettled if is_draining => {
             node_state.upstream_drains(id);
             return acknowledge_departure(node_state, id).await;
         }
+        // It is late, or a further one settles it.
+        ClaimOutcome::Refuted | ClaimOutcome::Unsettled => return CallResponse::ok(),
     }
     if !node_state.upstream_heartbeat(id, heartbeat) {
         CallResponse::error(409, "this incarnation has signed off (start under another id)")
@@ -55,6 +55,23 @@
     }
 }
 
+/// Handles a heartbeat of an upstream on another machine, whose sidecar may not have answered: a departure is
+/// acknowledged by any node.
+async fn heartbeat_from_elsewhere(
+    node_state: &Rc<NodeState>,
+    id: &str,
+    heartbeat: &Heartbeat,
+) -> CallResponse {
+    if heartbeat.is_draining() {
+        node_state.upstream_drains(id);
+        return acknowledge_departure(node_state, id).await;
+    }
+    match node_state.sidecar_of(heartbeat) {
+        Some(address) => CallResponse::redirect(format!("http://{address}/-/Stations.Heartbeat/{id}")),
+        None => CallResponse::error(404, "the upstream is not on this machine (call the sidecar beside it)"),
+    }
+}
+
 /// Acknowledges a departure once other nodes have it: this process may end at any time.
 async fn acknowledge_departure(node_state: &Rc<NodeState>, id: &str) -> CallResponse {
     if node_state.replicate_departure(id).await {
--- a/crates/daemon/mesh/src/node_state/local_upstream.rs
+++ b/crates/daemon/mesh/src/node_state/local_upstream.rs
@@ -2,6 +2,7 @@
 use crate::peers::UpstreamRecord;
 use serde::Deserialize;
 use silvercross_time::{Duration, Instant};
+use std::net::SocketAddr;
 
 /// A warm-up that ends this much later than the previous one is a new one.
 const NEW_WARM_UP_AFTER: Duration = Duration::from_millis(500);
@@ -15,6 +16,8 @@
     #[serde(rename = "destination")]
     pub(super) service: String,
     #[serde(default)]
+    pub(super) address: String,
+    #[serde(default)]
     pub(super) zone: String,
     #[serde(default)]
     pub(super) slots: u32,
@@ -32,6 +35,11 @@
         self.state == "draining"
     }
 
+    /// Returns the address of the upstream, if it is given as an IP address with a port.
+    pub(super) fn address(&self) -> Option<SocketAddr> {
+        self.address.parse().ok()
+    }
+
     /// Returns the remaining time of its warm-up.
     pub(super) fn warm_up_left(&self) -> Duration {
         Duration::from_micros((self.warm_up_left_s.clamp(0.0, MAX_WARM_UP_S) * 1e6) as i64)
--- a/crates/daemon/mesh/src/node_state/upstream_departures.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_departures.rs
@@ -34,8 +34,9 @@
     }
 
     /// Remembers that an upstream drains that is not the one on this machine.
-    pub(crate) fn upstream_drains(&self, id: &str) {
+    pub(crate) fn upstream_drains(self: &Rc<Self>, id: &str) {
         self.remember_departure(id, Departure::Draining);
+        self.update_upstream_lists();
     }
 
     /// Learns a tombstone from another node. Returns whether it is new here.
@@ -50,20 +51,17 @@
             return false;
         }
         info!(self.log, "tombstone of an upstream"; "id" => &tombstone.id, "how" => ?tombstone.departure);
-        if is_own {
-            self.drop_departed_upstream(&tombstone.id);
-        } else {
-            self.update_upstream_lists();
-        }
+        self.drop_departed_upstream(&tombstone.id);
+        self.update_upstream_lists();
         true
     }
 
-    /// Drops the upstream on this machine: an earlier process here has acknowledged its departure.
+    /// Drops the upstream on this machine: an earlier process here, or another node, has acknowledged its departure.
     fn drop_departed_upstream(self: &Rc<Self>, id: &str) {
         if !self.is_local_upstream(id) {
             return;
         }
-        warn!(self.log, "upstream dropped: its departure was acknowledged before the restart"; "id" => id);
+        warn!(self.log, "upstream dropped: its departure was acknowledged elsewhere"; "id" => id);
         self.remove_local_upstream(id);
     }
 
--- a/crates/daemon/mesh/src/node_state/upstream_health.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_health.rs
@@ -68,6 +68,7 @@
         };
         let heartbeat = Heartbeat {
             service: self.settings.upstream_service.clone(),
+            address: String::new(),
             zone: self.settings.zone.clone(),
             slots: slots.unwrap_or(DEFAULT_SLOTS),
             state: "ready".to_string(),
--- a/crates/daemon/mesh/src/node_state/upstream_heartbeats.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_heartbeats.rs
@@ -4,8 +4,10 @@
 use super::state::NodeState;
 use super::tombstones::Departure;
 use silvercross_admission::{UpstreamLimits, UpstreamReport};
+use silvercross_mesh_membership::Node;
 use silvercross_time::{Duration, Instant};
 use slog::info;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 /// An upstream is silent if its last heartbeat is older than this number of heartbeat intervals.
@@ -28,6 +30,20 @@
         true
     }
 
+    /// Whether the upstream of this heartbeat is on this machine. One that gives no address is.
+    pub(crate) fn is_beside(&self, heartbeat: &Heartbeat) -> bool {
+        let Some(own_address) = self.settings.upstream_address else { return false };
+        heartbeat.address().is_none_or(|address| address.ip() == own_address.ip())
+    }
+
+    /// Returns the control address of the sidecar beside the upstream of this heartbeat, if it is known.
+    pub(crate) fn sidecar_of(&self, heartbeat: &Heartbeat) -> Option<SocketAddr> {
+        let IpAddr::V4(ip) = heartbeat.address()?.ip() else { return None };
+        let other_nodes = self.other_nodes.borrow();
+        let record = other_nodes.get(&Node(ip.to_bits())).filter(|record| !record.is_control)?;
+        (record.body.control_port > 0).then(|| SocketAddr::new(IpAddr::V4(ip), record.body.control_port))
+    }
+
     /// Whether this process has what the other nodes remember of an earlier one on this machine. They send it
     /// before the configuration.
     fn knows_earlier_departures(&self) -> bool {
@@ -144,12 +160,14 @@
         }
     }
 
-    /// Processes the sign-off of the upstream on this machine.
+    /// Processes the sign-off of an upstream, on this machine or, if its sidecar did not answer, on another one.
     pub(crate) fn upstream_signed_off(self: &Rc<Self>, id: &str) {
         info!(self.log, "upstream signed off"; "id" => id);
         self.remember_departure(id, Departure::Ended);
         if self.is_local_upstream(id) {
             self.remove_local_upstream(id);
+        } else {
+            self.update_upstream_lists();
         }
     }
 
--- a/crates/tools/testbed/src/upstream.rs
+++ b/crates/tools/testbed/src/upstream.rs
@@ -91,8 +91,13 @@
 
     /// Say that it drains; whether that was acknowledged. It serves on.
     pub async fn drain(&self) -> bool {
+        self.prepare_drain().is_acknowledged().await
+    }
+
+    /// The heartbeat that says that it drains, from now on; it serves on.
+    pub fn prepare_drain(&self) -> PreparedCall {
         self.state.begin_draining();
-        self.state.send_heartbeat().await
+        self.state.prepare_heartbeat()
     }
 
     /// The next heartbeat, with what is so now; it is sent by whoever has it.
--- a/crates/tools/testbed/src/upstream/state.rs
+++ b/crates/tools/testbed/src/upstream/state.rs
@@ -91,6 +91,11 @@
 }
 
 impl PreparedCall {
+    /// The same call to another node.
+    pub fn at(self, control: SocketAddr) -> Self {
+        PreparedCall { control, ..self }
+    }
+
     /// Send it; the status of the answer, if there was one.
     pub async fn send(&self) -> Option<u16> {
         let answer = call(self.control, "POST", &self.path, self.body.as_bytes(), HEARTBEAT_TIMEOUT).await;
--- a/crates/tools/testbed/tests/departures.rs
+++ b/crates/tools/testbed/tests/departures.rs
@@ -40,8 +40,24 @@
 /// What happens to its sidecar after the acknowledgement.
 #[derive(Clone, Copy, Debug)]
 enum Fate {
-    Killed { after: Duration, times: u32 },
+    Killed {
+        after: Duration,
+        times: u32,
+    },
     Terminated,
+    /// It stands still for so long, with what comes meanwhile in its sockets.
+    Frozen(Duration),
+}
+
+/// Whom it tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    /// The sidecar beside it.
+    Own,
+    /// Another machine's sidecar.
+    OtherSidecar,
+    /// A control machine.
+    ControlMachine,
 }
 
 /// One upstream that leaves.
@@ -51,6 +67,7 @@
     /// Its sidecar is killed and started before.
     is_restarted_before: bool,
     announcement: Announcement,
+    told: Told,
     fate: Fate,
     /// It signs off once its sidecar is back.
     signs_off_later: bool,
@@ -59,14 +76,16 @@
 
 const fn case(name: &'static str, announcement: Announcement, fate: Fate) -> Case {
     let health = HealthAnswers::Truthful;
-    Case { name, is_restarted_before: false, announcement, fate, signs_off_later: false, health }
+    let told = Told::Own;
+    Case { name, is_restarted_before: false, announcement, told, fate, signs_off_later: false, health }
 }
 
 const AT_ONCE: Fate = Fate::Killed { after: Duration::ZERO, times: 1 };
 const SOON: Fate = Fate::Killed { after: Duration::from_millis(300), times: 1 };
+const FROZEN: Fate = Fate::Frozen(Duration::from_millis(1_500));
 const TWICE: Fate = Fate::Killed { after: Duration::ZERO, times: 2 };
 
-const CASES: [Case; 10] = [
+const CASES: [Case; 15] = [
     case("sign-off, killed at once", Announcement::SignOff, AT_ONCE),
     case("sign-off, killed soon", Announcement::SignOff, SOON),
     case("sign-off, killed twice", Announcement::SignOff, TWICE),
@@ -80,6 +99,17 @@
     },
     case("draining, terminated", Announcement::Draining, Fate::Terminated),
     Case { signs_off_later: true, ..case("draining, then sign-off", Announcement::Draining, SOON) },
+    Case { told: Told::OtherSidecar, ..case("sign-off to another sidecar", Announcement::SignOff, SOON) },
+    Case { told: Told::OtherSidecar, ..case("draining to another sidecar", Announcement::Draining, FROZEN) },
+    Case {
+        told: Told::ControlMachine,
+        ..case("sign-off to a control machine", Announcement::SignOff, FROZEN)
+    },
+    Case {
+        told: Told::ControlMachine,
+        ..case("draining to a control machine", Announcement::Draining, TWICE)
+    },
+    case("sign-off, frozen", Announcement::SignOff, FROZEN),
 ];
 
 /// When each attempt was sent.
@@ -109,6 +139,8 @@
 enum Step {
     Kill(usize),
     Terminate(usize),
+    Freeze(usize),
+    Thaw(usize),
     /// Once its process has ended.
     Start(usize),
     Call(PreparedCall),
@@ -132,6 +164,8 @@
             sleep_until(at).await;
             match step {
                 Step::Kill(machine) => testbed.mesh.kill(machine).expect("killed"),
+                Step::Freeze(machine) => testbed.mesh.freeze(machine).expect("frozen"),
+                Step::Thaw(machine) => testbed.mesh.thaw(machine).expect("woken"),
                 Step::Terminate(machine) => testbed.mesh.terminate(machine).expect("told to end"),
                 Step::Start(machine) if testbed.mesh.has_ended(machine) => {
                     testbed.mesh.start(machine, false).expect("started");
@@ -159,11 +193,17 @@
     let late = LATE.iter().map(|_| upstream.prepare_heartbeat()).collect();
     upstream.set_health_answers(case.health);
     upstream.stop_heartbeats();
+    let told = match case.told {
+        Told::Own => machine,
+        Told::OtherSidecar => testbed.mesh.side_machines().end - 1,
+        Told::ControlMachine => testbed.mesh.control_machines().start,
+    };
     wait_until("acknowledged", WAIT_TIMEOUT, || async {
-        match case.announcement {
-            Announcement::SignOff => upstream.prepare_sign_off().is_acknowledged().await,
-            Announcement::Draining => upstream.drain().await,
-        }
+        let call = match case.announcement {
+            Announcement::SignOff => upstream.prepare_sign_off(),
+            Announcement::Draining => upstream.prepare_drain(),
+        };
+        call.at(testbed.mesh.control(told)).is_acknowledged().await
     })
     .await
     .expect("acknowledged");
@@ -185,6 +225,10 @@
                 timeline.add(at + DOWN, Step::Start(machine));
             }
         }
+        Fate::Frozen(span) => {
+            timeline.add(now, Step::Freeze(machine));
+            timeline.add(now + span, Step::Thaw(machine));
+        }
         Fate::Terminated => {
             timeline.add(now, Step::Terminate(machine));
             timeline.add(now + END_CHECK_INTERVAL, Step::Start(machine));
