testbed: the soak draws departures of upstreams, kills of the sidecars that acknowledge them, and late heartbeats

Checked: nothing that a machine in touch sends later than drainS after the acknowledgement runs there; each upstream that is there is sent to within 5 s of calm.

Clients of every machine ask both services in turn: before, one service had next to no requests, and nothing there was tested.

The player of schedules is a file of its own, and play() is in parts.

--- a/crates/tools/testbed/src/soak/clients.rs
+++ b/crates/tools/testbed/src/soak/clients.rs
@@ -1,5 +1,6 @@
 //! Clients of two kinds. Some leave while their request is at work, and what was begun for them has to end. Others go on using their
 //! open connections until the process is gone, whatever it told the platform, and what an upstream has run for them has to be answered.
+use super::departures::{DepartureLog, SentRequest};
 use super::watch::Disturbances;
 use crate::checker::{check_attempts, Attempt};
 use crate::client::{Client, Outcome, RequestKind, DEADLINE_MS, HOST};
@@ -43,6 +44,7 @@
 struct LeftRequest {
     id: String,
     machine: usize,
+    sent_at: Instant,
     left_at: Instant,
 }
 
@@ -62,6 +64,25 @@
     stayed: Arc<Mutex<Vec<StayersAttempt>>>,
 }
 
+impl ClientLog {
+    /// All requests.
+    pub(super) fn requests(&self) -> Vec<SentRequest> {
+        let left = self.left.lock().unwrap_or_else(PoisonError::into_inner);
+        let stayed = self.stayed.lock().unwrap_or_else(PoisonError::into_inner);
+        let left = left.iter().map(|left| SentRequest {
+            id: left.id.clone(),
+            machine: left.machine,
+            sent_at: left.sent_at,
+        });
+        let stayed = stayed.iter().map(|stayed| SentRequest {
+            id: stayed.attempt.id.clone(),
+            machine: stayed.machine,
+            sent_at: stayed.sent_at,
+        });
+        left.chain(stayed).collect()
+    }
+}
+
 /// What the checker found.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ClientVerdict {
@@ -83,7 +104,7 @@
         let Ok(mut connection) = HttpConnection::connect(from, place.outbound, CONNECT_TIMEOUT).await else {
             continue;
         };
-        let id = attempt_id();
+        let (id, sent_at) = (attempt_id(), Instant::now());
         let head = format!(
             "GET {target} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\r\n"
         );
@@ -91,7 +112,7 @@
             continue;
         }
         tokio::time::sleep(Duration::from_millis(rng.below(MAX_STAY_MS))).await;
-        let left = LeftRequest { id, machine: place.machine, left_at: Instant::now() };
+        let left = LeftRequest { id, machine: place.machine, sent_at, left_at: Instant::now() };
         log.left.lock().unwrap_or_else(PoisonError::into_inner).push(left);
         if rng.one_in(2) {
             connection.reset();
@@ -119,6 +140,8 @@
     pub(super) machine_of: &'j BTreeMap<String, usize>,
     /// Kills, pauses and cuts of each machine.
     pub(super) unplanned: &'j Disturbances,
+    /// Upstreams that have left.
+    pub(super) departures: &'j DepartureLog,
 }
 
 impl CheckedMesh<'_> {
@@ -156,6 +179,7 @@
             && !timed_out
             && !ran_at.is_empty()
             && self.unplanned.was_undisturbed(stayed.machine, stayed.ended_at)
+            && !ran_at.iter().any(|upstream| self.departures.has_ended(upstream, stayed.ended_at))
             && ran_at.iter().all(|upstream| self.upstream_was_undisturbed(upstream, stayed.ended_at))
     }
 }
--- a/crates/tools/testbed/src/soak/clients/tests.rs
+++ b/crates/tools/testbed/src/soak/clients/tests.rs
@@ -14,13 +14,19 @@
     disturbed_at.into_iter().for_each(|at| unplanned.disturb(MACHINE, at));
     drop(executions.begin("ran", UPSTREAM));
     let machine_of = BTreeMap::from([(UPSTREAM.to_string(), MACHINE)]);
-    look(&CheckedMesh { executions: &executions, machine_of: &machine_of, unplanned: &unplanned })
+    let departures = DepartureLog::default();
+    look(&CheckedMesh {
+        executions: &executions,
+        machine_of: &machine_of,
+        unplanned: &unplanned,
+        departures: &departures,
+    })
 }
 
 #[test]
 fn work_that_outlives_its_client_is_found() {
     let left_at = calm_moment();
-    let left = LeftRequest { id: "ran".into(), machine: MACHINE, left_at };
+    let left = LeftRequest { id: "ran".into(), machine: MACHINE, sent_at: left_at, left_at };
     let ms = |count: u64| left_at + Duration::from_millis(count);
     let found = |began: Instant, ended: Option<Instant>| {
         let run = Run { attempt: "ran".into(), upstream: UPSTREAM.into(), began, ended };
--- a/crates/tools/testbed/src/soak/long_requests/attempt.rs
+++ b/crates/tools/testbed/src/soak/long_requests/attempt.rs
@@ -1,4 +1,5 @@
 //! Long requests and what came of them.
+use super::super::departures::SentRequest;
 use crate::client::RequestKind;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::time::Instant;
@@ -50,6 +51,16 @@
         self.attempts.lock().unwrap_or_else(PoisonError::into_inner).push(attempt);
     }
 
+    /// The requests so far.
+    pub(crate) fn requests(&self) -> Vec<SentRequest> {
+        let sent = |attempt: &LongAttempt| SentRequest {
+            id: attempt.id.clone(),
+            machine: attempt.machine,
+            sent_at: attempt.sent_at,
+        };
+        self.get().iter().map(sent).collect()
+    }
+
     /// All so far.
     pub(super) fn get(&self) -> Vec<LongAttempt> {
         self.attempts.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/tools/testbed/src/soak/long_requests/check.rs
+++ b/crates/tools/testbed/src/soak/long_requests/check.rs
@@ -135,7 +135,12 @@
     fn is_excused(&self) -> bool {
         let timed_out = self.attempt.ended_at - self.attempt.sent_at >= Duration::from_millis(DEADLINE_MS);
         let machines = self.machines().chain([self.attempt.machine]);
-        timed_out || machines.flat_map(|machine| self.stops_of(machine)).any(|stop| self.is_excused_by(stop))
+        let ended_at = self.attempt.ended_at;
+        let upstream_ended =
+            self.reached.iter().any(|upstream| self.mesh.departures.has_ended(upstream, ended_at));
+        timed_out
+            || upstream_ended
+            || machines.flat_map(|machine| self.stops_of(machine)).any(|stop| self.is_excused_by(stop))
     }
 
     fn fault(&self) -> Option<String> {
--- a/crates/tools/testbed/src/soak/long_requests/check/tests.rs
+++ b/crates/tools/testbed/src/soak/long_requests/check/tests.rs
@@ -1,6 +1,7 @@
 //! The checker of long requests sees what it stands for, and excuses what the rule excuses.
 use super::*;
 use crate::execution_log::ExecutionLog;
+use crate::soak::departures::DepartureLog;
 use crate::soak::watch::Disturbances;
 
 const UPSTREAM: &str = "i-1";
@@ -63,7 +64,13 @@
             ended_at: at(self.ended_ms),
             outcome: self.outcome,
         };
-        let mesh = CheckedMesh { executions: &executions, machine_of: &machine_of, unplanned: &unplanned };
+        let departures = DepartureLog::default();
+        let mesh = CheckedMesh {
+            executions: &executions,
+            machine_of: &machine_of,
+            unplanned: &unplanned,
+            departures: &departures,
+        };
         let runs: Vec<&Run> = vec![&run];
         let reached = vec![UPSTREAM.to_string()];
         let runs = if self.is_coming_in { &[] } else { runs.as_slice() };
--- a/crates/tools/testbed/src/soak/run.rs
+++ b/crates/tools/testbed/src/soak/run.rs
@@ -3,18 +3,20 @@
 use super::clients::{
     check_clients, leave_again_and_again, stay, CheckedMesh, ClientLog, ClientPlace, SLOW_WORK,
 };
+use super::departures::{check_departures, DepartureLog};
 use super::long_requests::{
     check_long_requests, limits, long_routes, LongClient, LongLog, Stops, UPSTREAM_PACE,
 };
-use super::schedule::{draw, Drawing, Fault, FaultKind};
+use super::player::{run_schedule, Disturbed, Schedule};
+use super::schedule::{draw, draw_departures, Departure, Drawing, Fault};
 use super::watch::{watch, Disturbances, Observations, WatchedNode};
 use crate::mesh::MeshPlan;
 use crate::operator::patch;
 use crate::testbed::{get_json, Testbed, STATE_PATH};
 use crate::upstream::{Upstream, UpstreamBehaviour};
 use crate::wait::wait_until;
-use anyhow::{bail, Context, Result};
-use std::collections::BTreeSet;
+use anyhow::Result;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
@@ -22,10 +24,16 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+/// How long nothing happens at the end.
+const CALM: Duration = Duration::from_secs(5);
+/// Lines of the log of a sidecar whose upstream is not sent to.
+const UNSERVED_LOG_LINES: usize = 30;
 /// All nodes have the same configuration in force so long after the last fault and the last change.
 const CONVERGED_WITHIN: Duration = Duration::from_secs(10);
 /// Lines of a log that are searched for broken invariants: all.
 const ALL_LINES: usize = usize::MAX;
+/// The log line of a change.
+const CONFIGURED: &str = "configuration in force";
 /// The log line of a broken invariant.
 const VIOLATION: &str = "invariant violated";
 /// The version of the routes and limits for long requests.
@@ -101,6 +109,8 @@
     pub left: usize,
     /// Requests of clients that stayed.
     pub stayed: usize,
+    /// Departures of upstreams that were acknowledged.
+    pub departed: usize,
     /// Long requests.
     pub long: usize,
     /// Those that had reached an upstream while the process of their client's machine was told to end.
@@ -113,92 +123,6 @@
     pub faults: Vec<String>,
 }
 
-/// A fault begins or ends.
-struct Step {
-    at: Duration,
-    is_end: bool,
-    fault: Fault,
-}
-
-fn steps(faults: &[Fault]) -> Vec<Step> {
-    let begin = |fault: &Fault| Step { at: fault.at, is_end: false, fault: *fault };
-    let end = |fault: &Fault| Step { at: fault.until, is_end: true, fault: *fault };
-    let mut steps: Vec<Step> = faults.iter().flat_map(|fault| [begin(fault), end(fault)]).collect();
-    steps.sort_by_key(|step| (step.at, step.is_end));
-    steps
-}
-
-/// Begin or end a fault.
-fn carry_out(testbed: &mut Testbed, step: &Step, cut_off: &mut BTreeSet<usize>) -> Result<()> {
-    let machine = step.fault.machine;
-    match (step.fault.kind, step.is_end) {
-        (FaultKind::Kill, false) => testbed.mesh.kill(machine)?,
-        (FaultKind::Kill, true) => testbed.mesh.start(machine, false)?,
-        (FaultKind::Pause, false) => testbed.mesh.freeze(machine)?,
-        (FaultKind::Pause, true) => testbed.mesh.thaw(machine)?,
-        (FaultKind::Cut, is_end) => {
-            if is_end {
-                cut_off.remove(&machine);
-            } else {
-                cut_off.insert(machine);
-            }
-            let machines: Vec<usize> = cut_off.iter().copied().collect();
-            testbed.links.as_ref().context("links")?.cut(&machines);
-        }
-        (FaultKind::Terminate, false) => testbed.mesh.terminate(machine)?,
-        (FaultKind::Terminate, true) => {
-            if !testbed.mesh.has_ended(machine) {
-                bail!("machine {machine} still runs after its grace");
-            }
-            testbed.mesh.start(machine, false)?;
-        }
-        (FaultKind::Reload | FaultKind::ReloadAtEnd, false) => testbed.mesh.hang_up(machine)?,
-        (FaultKind::TerminateAgain, false) => testbed.mesh.terminate(machine)?,
-        (FaultKind::Reload | FaultKind::ReloadAtEnd | FaultKind::TerminateAgain, true) => {}
-    }
-    Ok(())
-}
-
-/// When each machine was disturbed last.
-struct Disturbed {
-    /// By any fault: its configuration may be old.
-    by_any: Disturbances,
-    /// By an unplanned one: its clients may lose what is open.
-    unplanned: Disturbances,
-    /// Planned ends.
-    stops: Stops,
-}
-
-async fn run_schedule(testbed: &mut Testbed, faults: &[Fault], disturbed: &Disturbed) -> Result<()> {
-    let (began, mut cut_off) = (Instant::now(), BTreeSet::new());
-    for step in steps(faults) {
-        let fault = &step.fault;
-        // A process has its grace from the moment at which it is told, which may be late on a busy machine.
-        let is_end_of_grace = step.is_end && fault.kind == FaultKind::Terminate;
-        let signalled_at = disturbed.stops.last(fault.machine).filter(|_| is_end_of_grace);
-        let due = began + step.at;
-        let due = signalled_at.map_or(due, |at| due.max(at + fault.until - fault.at));
-        tokio::time::sleep_until(due).await;
-        let until = Instant::now().max(began + fault.until);
-        if !fault.kind.is_mere_signal() {
-            disturbed.by_any.disturb(fault.machine, until);
-        }
-        if fault.kind.is_unplanned() {
-            disturbed.unplanned.disturb(fault.machine, until);
-        }
-        if fault.kind == FaultKind::Cut {
-            // Its neighbours' links to it are reset when it is joined again.
-            let control_machines = testbed.mesh.control_machines();
-            control_machines.for_each(|machine| disturbed.by_any.disturb(machine, Instant::now()));
-        }
-        if fault.kind == FaultKind::Terminate && !step.is_end {
-            disturbed.stops.record(fault.machine);
-        }
-        carry_out(testbed, &step, &mut cut_off)?;
-    }
-    Ok(())
-}
-
 /// The revision of the configuration in force at each node, as text.
 async fn revisions(testbed: &Testbed) -> BTreeSet<String> {
     let mut all = BTreeSet::new();
@@ -230,11 +154,14 @@
 
 /// Where a machine's client of this number is, and whom it asks.
 fn client_place(testbed: &Testbed, machine: usize, number: usize) -> ClientPlace {
+    // Machines of either service have clients of both.
+    let services = testbed.services();
+    let service = services[(machine / services.len() + number) % services.len()].clone();
     ClientPlace {
         machine,
         outbound: testbed.mesh.outbound(machine),
         sender: testbed.mesh.machines[machine].service.clone(),
-        service: testbed.services()[number % testbed.services().len()].clone(),
+        service,
     }
 }
 
@@ -306,77 +233,122 @@
     Ok(())
 }
 
-/// Play one seed.
-///
-/// # Errors
-/// When the mesh does not start, or a fault can't be brought about.
-pub async fn play(program: &Path, seed: u64, options: &SoakOptions) -> Result<SoakResult> {
+/// What is wrong with the upstreams that are there: each is sent to in calm.
+async fn check_service(testbed: &Testbed) -> Vec<String> {
+    let count = |upstream: &Upstream| testbed.executions.count_at(upstream.id());
+    let before: BTreeMap<usize, u64> =
+        testbed.upstreams.iter().map(|(m, upstream)| (*m, count(upstream))).collect();
+    tokio::time::sleep(CALM).await;
+    let unserved = testbed.upstreams.iter().filter(|(machine, upstream)| count(upstream) <= before[machine]);
+    let describe = |(machine, upstream): (&usize, &Upstream)| {
+        let log = testbed.mesh.log(*machine, ALL_LINES);
+        let log: Vec<String> = log.into_iter().filter(|line| !line.contains(CONFIGURED)).collect();
+        let log = log[log.len().saturating_sub(UNSERVED_LOG_LINES)..].join("\n");
+        format!(
+            "nothing was sent to {} of machine {machine} for {CALM:?} in calm; its sidecar's log:\n{log}",
+            upstream.id()
+        )
+    };
+    unserved.map(describe).collect()
+}
+
+/// What is written down while a seed is played.
+#[derive(Default)]
+struct Logs {
+    acknowledged: Acknowledged,
+    observations: Observations,
+    clients: ClientLog,
+    long_requests: LongLog,
+    departures: DepartureLog,
+}
+
+/// Start the mesh, with routes for all clients.
+async fn start_testbed(program: &Path, options: &SoakOptions) -> Result<Testbed> {
     let behaviour =
         UpstreamBehaviour { slow_work: SLOW_WORK, read_pace: UPSTREAM_PACE, ..UpstreamBehaviour::default() };
-    let mut testbed = Testbed::start(&plan(options), behaviour, program).await?;
-    let service = testbed.services()[0].clone();
-    testbed.operator.patch(&filler(&service, options.filler_routes)).await?;
+    let testbed = Testbed::start(&plan(options), behaviour, program).await?;
+    testbed.operator.patch(&filler(&testbed.services()[0], options.filler_routes)).await?;
     let long_routes: Vec<_> = testbed.services().iter().flat_map(|service| long_routes(service)).collect();
     testbed.operator.patch(&patch(&long_routes, &[], LONG_ROUTES_VERSION)).await?;
     testbed.operator.patch(&limits(LONG_ROUTES_VERSION)).await?;
+    Ok(testbed)
+}
+
+/// Hold what was written down against what upstreams ran.
+fn check_logs(testbed: &Testbed, logs: &Logs, disturbed: &Disturbed, result: &mut SoakResult) {
+    let of_machine = |(machine, upstream): (&usize, &Upstream)| (upstream.id().to_string(), *machine);
+    let mut machine_of: BTreeMap<String, usize> = testbed.upstreams.iter().map(of_machine).collect();
+    machine_of.extend(logs.departures.machines());
+    let (executions, unplanned) = (&testbed.executions, &disturbed.unplanned);
+    let departures = &logs.departures;
+    let checked_mesh = CheckedMesh { executions, machine_of: &machine_of, unplanned, departures };
+    let of_clients = check_clients(&logs.clients, &checked_mesh);
+    let of_long = check_long_requests(&logs.long_requests, &checked_mesh, &disturbed.stops);
+    let sent = logs.clients.requests().into_iter().chain(logs.long_requests.requests());
+    result.faults.extend(check_departures(departures, sent, executions, &disturbed.by_any));
+    let observed = logs.observations.get();
+    (result.long, result.through_stop) = (of_long.asked, of_long.through_stop);
+    result.through_upstream_stop = of_long.through_upstream_stop;
+    (result.left, result.stayed) = (of_clients.left, of_clients.stayed);
+    (result.changes, result.checked) = (logs.acknowledged.count(), observed.checked);
+    result.departed = departures.acknowledged_count();
+    result.faults.extend(observed.faults);
+    result.faults.extend(of_clients.faults);
+    result.faults.extend(of_long.faults);
+    result.faults.extend(violations(testbed));
+}
+
+/// Play one seed.
+///
+/// # Errors
+/// When the mesh does not start, or a fault can't be brought about.
+pub async fn play(program: &Path, seed: u64, options: &SoakOptions) -> Result<SoakResult> {
+    let mut testbed = start_testbed(program, options).await?;
     let (machines, control_count) = (testbed.mesh.machines.len(), testbed.mesh.control_machines().len());
     let (span, has_links) = (options.span, options.has_links());
-    let faults = draw(seed, &Drawing { span, machines, control_count, has_links });
-    let (acknowledged, observations) = (Acknowledged::default(), Observations::default());
+    let drawing = Drawing { span, machines, control_count, has_links };
+    let faults = draw(seed, &drawing);
+    let departures = draw_departures(seed, &drawing, &faults);
     let disturbed = Disturbed {
         by_any: Disturbances::new(machines, control_count),
         unplanned: Disturbances::new(machines, control_count),
         stops: Stops::default(),
     };
+    let logs = Logs::default();
     let addresses = testbed.mesh.control_machines().map(|machine| testbed.mesh.control(machine)).collect();
     let is_ending = Arc::new(AtomicBool::new(false));
-    let operator = testbed.operator.clone();
-    let writing = write_changes(operator, addresses, service, seed, acknowledged.clone(), is_ending.clone());
+    let (operator, service) = (testbed.operator.clone(), testbed.services()[0].clone());
+    let acknowledged = logs.acknowledged.clone();
+    let writing = write_changes(operator, addresses, service, seed, acknowledged, is_ending.clone());
     let writer = tokio::spawn(writing);
-    let client_log = ClientLog::default();
-    let mut tasks = start_watchers(&testbed, &acknowledged, &disturbed.by_any, &observations);
-    tasks.extend(start_clients(&testbed, seed, options.clients_per_side, &client_log));
-    let long_log = LongLog::default();
-    tasks.extend(start_long_clients(&testbed, seed, options, &long_log));
-    let played = run_schedule(&mut testbed, &faults, &disturbed).await;
+    let mut tasks = start_watchers(&testbed, &logs.acknowledged, &disturbed.by_any, &logs.observations);
+    tasks.extend(start_clients(&testbed, seed, options.clients_per_side, &logs.clients));
+    tasks.extend(start_long_clients(&testbed, seed, options, &logs.long_requests));
+    let schedule = Schedule { faults: &faults, departures: &departures };
+    let played = run_schedule(&mut testbed, &schedule, &disturbed, &logs.departures).await;
     // In calm, with changes still coming, for as long as a node takes to count again.
-    tokio::time::sleep(Duration::from_secs(5)).await;
+    let unserved = check_service(&testbed).await;
     is_ending.store(true, Relaxed);
     let stopped = writer.await?.err().map(|error| format!("the operator: {error:#}"));
     tasks.iter().for_each(JoinHandle::abort);
-    let mut result = SoakResult {
-        schedule: faults.iter().map(Fault::to_string).collect(),
-        changes: acknowledged.count(),
-        ..SoakResult::default()
-    };
+    let of_departures = departures.iter().map(Departure::to_string);
+    let schedule = faults.iter().map(Fault::to_string).chain(of_departures).collect();
+    let mut result = SoakResult { schedule, ..SoakResult::default() };
     result.faults.extend(played.err().map(|error| format!("{error:#}")));
+    result.faults.extend(unserved);
     converge(&testbed, &mut result).await?;
     testbed.wait_until_idle().await?;
-    let of_machine = |(machine, upstream): (&usize, &Upstream)| (upstream.id().to_string(), *machine);
-    let machine_of = testbed.upstreams.iter().map(of_machine).collect();
-    let (executions, unplanned) = (&testbed.executions, &disturbed.unplanned);
-    let checked_mesh = CheckedMesh { executions, machine_of: &machine_of, unplanned };
-    let of_clients = check_clients(&client_log, &checked_mesh);
-    let of_long = check_long_requests(&long_log, &checked_mesh, &disturbed.stops);
-    (result.long, result.through_stop) = (of_long.asked, of_long.through_stop);
-    result.through_upstream_stop = of_long.through_upstream_stop;
-    let observed = observations.get();
-    result.checked = observed.checked;
-    (result.left, result.stayed) = (of_clients.left, of_clients.stayed);
-    result.faults.extend(observed.faults);
-    result.faults.extend(of_clients.faults);
-    result.faults.extend(of_long.faults);
-    result.faults.extend(violations(&testbed));
+    check_logs(&testbed, &logs, &disturbed, &mut result);
     result.faults.extend(stopped);
     Ok(result)
 }
 
 fn print(seed: u64, result: &SoakResult) {
     let SoakResult { schedule, changes, checked, left, stayed, converged_after, faults, .. } = result;
-    let SoakResult { long, through_stop, through_upstream_stop, .. } = result;
+    let SoakResult { departed, long, through_stop, through_upstream_stop, .. } = result;
     println!(
         "seed {seed}: {} faults, {changes} changes, {checked} answers of nodes in touch checked, {left} requests of leavers, {stayed} of \
-         stayers, {long} long ones ({through_stop} through a SIGTERM at their client's machine, {through_upstream_stop} at their upstream's), \
+         stayers, {departed} departures acknowledged, {long} long requests ({through_stop} through a SIGTERM at their client's machine, {through_upstream_stop} at their upstream's), \
          agreed after {converged_after:?}, {} wrong",
         schedule.len(),
         faults.len()
--- a/crates/tools/testbed/src/soak/schedule.rs
+++ b/crates/tools/testbed/src/soak/schedule.rs
@@ -1,6 +1,10 @@
 //! Faults drawn from a seed: two or three at a time, the next one often while another is recovered from, over a
 //! series of planned ends. Knows nothing of
 //! processes.
+mod departures;
+
+pub(crate) use departures::{draw_departures, Announcement, Departure};
+
 use silvercross_test_rng::Rng;
 use std::fmt;
 use std::time::Duration;
@@ -71,6 +75,13 @@
     pub(crate) kind: FaultKind,
 }
 
+impl Fault {
+    /// A fault of a machine that does nothing.
+    fn none(machine: usize) -> Self {
+        Fault { at: Duration::ZERO, until: Duration::ZERO, machine, kind: FaultKind::Reload }
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (from, until) = (self.at.as_secs_f64(), self.until.as_secs_f64());
--- a/crates/tools/testbed/src/soak/schedule/tests.rs
+++ b/crates/tools/testbed/src/soak/schedule/tests.rs
@@ -39,3 +39,33 @@
     assert!(overlapping > 1_000, "{overlapping}");
     assert!(signals_at_end > 500, "{signals_at_end}");
 }
+
+#[test]
+fn departures_are_drawn_in_all_kinds_and_kills_clash_with_no_other_fault() {
+    let (mut killed_at_once, mut received_elsewhere, mut signing_off) = (0, 0, 0);
+    for seed in 0..200 {
+        let drawing =
+            Drawing { span: Duration::from_secs(12), machines: 12, control_count: 3, has_links: true };
+        let faults = draw(seed, &drawing);
+        let departures = draw_departures(seed, &drawing, &faults);
+        assert_eq!(departures, draw_departures(seed, &drawing, &faults), "equal seeds, equal schedules");
+        for departure in &departures {
+            let Departure { machine, at, kills, .. } = *departure;
+            let of_machine = departures.iter().filter(|other| other.machine == machine);
+            assert!(of_machine.count() == 1 && machine >= drawing.control_count, "seed {seed}: {departure}");
+            let span = Fault { at, until: at + Duration::from_secs(3), ..Fault::none(machine) };
+            let strikes = |fault: &&Fault| {
+                fault.machine == machine && fault.at != fault.until && overlaps(fault, &span)
+            };
+            let is_struck = faults.iter().filter(strikes).any(|fault| !fault.kind.is_mere_signal());
+            assert!(kills == 0 || !is_struck, "seed {seed}: {departure}");
+            killed_at_once += usize::from(kills > 0 && departure.killed_after == Duration::ZERO);
+            received_elsewhere += usize::from(departure.receiver != machine);
+            signing_off += usize::from(departure.announcement == Announcement::SignOff);
+        }
+    }
+    assert!(
+        killed_at_once > 50 && received_elsewhere > 50 && signing_off > 200,
+        "{killed_at_once} {received_elsewhere} {signing_off}"
+    );
+}
