mesh: late heartbeats do not end the slow start after an evacuation (FAILBACK)

An upstream that turned cold while its zone was evacuated was paced for 1 s after the end, if heartbeats from before (coldLeftS 0) came late.

Cause: a heartbeat that is the newest so far replaces what is known, however old it is. Change: one health check after the end of an evacuation, and after a restart also where a heartbeat came first; its Cold-Ms is newer than those heartbeats, and none ends the slow start sooner. Without a response the configured time holds.

--- a/crates/daemon/mesh/src/node_state/control_entries.rs
+++ b/crates/daemon/mesh/src/node_state/control_entries.rs
@@ -63,11 +63,15 @@
     }
 
     fn evacuate(self: &Rc<Self>, zone: &str, is_evacuated: bool) {
+        let was_evacuated = self.in_force.borrow().evacuated_zones.contains(zone);
         self.in_force.borrow_mut().set_evacuated(zone, is_evacuated);
         info!(self.log, "evacuation"; "zone" => zone, "on" => is_evacuated);
         if zone == self.settings.zone {
             let now = self.now();
             self.gate.with_admission(|admission| admission.set_evacuated(now, is_evacuated));
+            if was_evacuated && !is_evacuated {
+                self.expect_warm_up();
+            }
         }
         self.update_upstream_lists();
     }
--- a/crates/daemon/mesh/src/node_state/local_upstream.rs
+++ b/crates/daemon/mesh/src/node_state/local_upstream.rs
@@ -67,6 +67,8 @@
     sequence: u64,
     pub(super) last_heartbeat: Instant,
     warm_up_ends: Instant,
+    /// A warm-up is not over before this, whatever a heartbeat says, which may be older.
+    warm_up_not_before: Instant,
     /// Whether the record has been published in its current state.
     pub(super) is_published: bool,
 }
@@ -85,7 +87,24 @@
             warm_up_left,
         };
         let (sequence, warm_up_ends) = (heartbeat.sequence, now + warm_up_left);
-        LocalUpstream { record, sequence, last_heartbeat: now, warm_up_ends, is_published: true }
+        LocalUpstream {
+            record,
+            sequence,
+            last_heartbeat: now,
+            warm_up_ends,
+            warm_up_not_before: now,
+            is_published: true,
+        }
+    }
+
+    /// Sets the time before which no heartbeat ends a warm-up.
+    pub(super) fn set_warm_up_not_before(&mut self, time: Instant) {
+        self.warm_up_not_before = time;
+    }
+
+    /// Returns the remaining warm-up time if a heartbeat reports this.
+    pub(super) fn warm_up_left(&self, reported: Duration, now: Instant) -> Duration {
+        reported.max(self.warm_up_not_before.saturating_since(now))
     }
 
     /// Whether a heartbeat is older than one that was processed.
@@ -95,7 +114,8 @@
 
     /// Processes another heartbeat of the same incarnation. Returns whether the record has to be published.
     pub(super) fn update(&mut self, heartbeat: Heartbeat, now: Instant) -> bool {
-        let (draining, warm_up_left) = (heartbeat.is_draining(), heartbeat.warm_up_left());
+        let draining = heartbeat.is_draining();
+        let warm_up_left = self.warm_up_left(heartbeat.warm_up_left(), now);
         let is_warming_up = warm_up_left > Duration::ZERO;
         let before = self.record.clone();
         (self.sequence, self.last_heartbeat) = (heartbeat.sequence, now);
--- a/crates/daemon/mesh/src/node_state/upstream_health.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_health.rs
@@ -19,8 +19,9 @@
 const DEFAULT_SLOTS: u32 = 4;
 
 impl NodeState {
-    /// Checks the health of the upstream until a heartbeat or a response identifies it. Runs once for each
-    /// process, and not at the first start of the whole system.
+    /// Checks the health of the upstream until a heartbeat or a response identifies it, at least once: the
+    /// heartbeat may be from before a warm-up. Runs once for each process, and not at the first start of the
+    /// whole system.
     pub(super) fn check_upstream_health(self: &Rc<Self>) {
         if self.settings.is_first_start || self.upstream_health_requested.replace(true) {
             return;
@@ -28,12 +29,17 @@
         let node_state = self.clone();
         tokio::task::spawn_local(async move {
             for _ in 0..MAX_HEALTH_CHECKS {
-                if node_state.local_upstream.borrow().is_some() || node_state.stopping() {
+                if node_state.stopping() {
                     return;
                 }
                 let report = node_state.check_local_health().await;
-                let is_unknown = node_state.local_upstream.borrow().is_none();
-                if let Some(report) = report.filter(|report| report.is_healthy && is_unknown) {
+                if let Some(report) = &report {
+                    node_state.note_warm_up(report);
+                }
+                if node_state.local_upstream.borrow().is_some() {
+                    return;
+                }
+                if let Some(report) = report.filter(|report| report.is_healthy) {
                     if node_state.departure(&report.id).is_none() {
                         node_state.health_response_received(&report.id, report.warm_up_left);
                     }
@@ -44,6 +50,36 @@
         });
     }
 
+    /// Processes the remaining warm-up time in a health response, which is newer than any heartbeat that came
+    /// before.
+    fn note_warm_up(&self, report: &HealthReport) {
+        let now = self.now();
+        let mut local = self.local_upstream.borrow_mut();
+        let Some(upstream) = local.as_mut().filter(|upstream| upstream.record.id == report.id) else {
+            return;
+        };
+        upstream.set_warm_up_not_before(now + report.warm_up_left);
+        drop(local);
+        self.gate.with_admission(|admission| admission.set_warmup_left(now, report.warm_up_left));
+    }
+
+    /// Treats the upstream as warming up after the end of an evacuation, until its health response or the end of
+    /// the configured time. Heartbeats from before may still come.
+    pub(super) fn expect_warm_up(self: &Rc<Self>) {
+        let table = self.routing_table();
+        let span =
+            table.destination(&self.settings.upstream_service).map(|destination| destination.slow_start);
+        if let Some(upstream) = self.local_upstream.borrow_mut().as_mut() {
+            upstream.set_warm_up_not_before(self.now() + span.unwrap_or(Span::ZERO));
+        }
+        let node_state = self.clone();
+        tokio::task::spawn_local(async move {
+            if let Some(report) = node_state.check_local_health().await {
+                node_state.note_warm_up(&report);
+            }
+        });
+    }
+
     /// Checks the health of the upstream on this machine. Returns `None` unless it states its id.
     pub(super) async fn check_local_health(&self) -> Option<HealthReport> {
         let address = self.settings.upstream_address?;
--- a/crates/daemon/mesh/src/node_state/upstream_heartbeats.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_heartbeats.rs
@@ -125,8 +125,10 @@
 
     /// Updates admission from the latest heartbeat.
     fn update_admission(&self, now: Instant, is_draining: bool, warm_up_left: Duration) {
-        let record = self.local_upstream.borrow().as_ref().map(|upstream| upstream.record.clone());
-        let Some(record) = record else { return };
+        let local = self.local_upstream.borrow();
+        let Some(upstream) = local.as_ref() else { return };
+        let (record, warm_up_left) = (upstream.record.clone(), upstream.warm_up_left(warm_up_left, now));
+        drop(local);
         let report = UpstreamReport { id: record.id.clone(), service: record.service, slots: record.slots };
         self.gate.with_admission(|admission| {
             if is_draining {
--- a/crates/daemon/mesh/src/tests/heartbeats.rs
+++ b/crates/daemon/mesh/src/tests/heartbeats.rs
@@ -1,9 +1,12 @@
 //! Heartbeats that an upstream sends to its sidecar.
 use crate::control::{self, CONTROL_CALLS};
+use crate::control_value::ControlValue;
 use crate::tests::support::{
     self, bind_upstream, call, header_value, status, CallResponse, SidecarOptions, TestConnection,
 };
+use silvercross_mesh_membership::Revision;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// The largest permitted response to a heartbeat.
 const MAX_RESPONSE_BYTES: usize = 4096;
@@ -61,3 +64,53 @@
         assert_eq!(status(&head), "409");
     });
 }
+
+/// Answers health checks with so much of the warm-up left.
+async fn answer_health(listener: tokio::net::TcpListener, left_ms: u64) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let mut connection = TestConnection::from_stream(stream);
+        tokio::task::spawn_local(async move {
+            while !connection.read_head().await.is_empty() {
+                let head = format!("HTTP/1.1 503 Bad\r\nStation: i-127.0.0.1\r\nCold-Ms: {left_ms}\r\nContent-Length: 0\r\n\r\n");
+                connection.send(head.as_bytes()).await;
+            }
+        });
+    }
+}
+
+/// Guards against heartbeats from before that come after the end of an evacuation and end the pacing of an upstream that has
+/// turned cold since.
+#[test]
+fn late_heartbeats_do_not_end_the_warm_up_after_an_evacuation() {
+    support::run(async {
+        for (left_ms, is_paced) in [(30_000, true), (0, false)] {
+            let upstream = bind_upstream().await;
+            let sidecar = support::start_sidecar(1, upstream.address, SidecarOptions::default()).await;
+            tokio::task::spawn_local(answer_health(upstream.listener, left_ms));
+            let node_state = &sidecar.node_state;
+            sidecar.apply_change(
+                "{\"deliver\":{\"destinations\":[{\"name\":\"quotes\",\"healthPath\":\"/health\",\"lineCap\":50,\"coldS\":40,\"coldRateS\":5,\"edition\":2}]}}",
+            );
+            sidecar.send_heartbeat();
+            for (change, is_evacuated) in [(1, true), (2, false)] {
+                let value = ControlValue::Evacuation(is_evacuated);
+                node_state.apply_control_entry("evacuation/a", Revision::new(1, 1, change), value);
+            }
+            let ended_at = node_state.now();
+            // The health response comes first, as an upstream answers within milliseconds.
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            for sequence in [5, 6] {
+                let late = serde_json::from_str(&heartbeat("ready", sequence)).expect("a heartbeat");
+                assert!(node_state.upstream_heartbeat("i-127.0.0.1", late));
+            }
+            let known =
+                node_state.gate.with_admission(|admission| admission.upstream()).expect("an upstream");
+            let paced_for = known.warming_until - ended_at;
+            assert_eq!(
+                paced_for > silvercross_time::Duration::from_secs(25),
+                is_paced,
+                "{left_ms}: {paced_for:?}"
+            );
+        }
+    });
+}
