--- a/crates/tools/testbed/src/soak/player.rs
+++ b/crates/tools/testbed/src/soak/player.rs
@@ -213,6 +213,10 @@
 
     fn begin_fault(&mut self, fault: &Fault) -> Result<()> {
         let (machine, mesh) = (fault.machine, &mut self.testbed.mesh);
+        if fault.kind.is_mere_signal() && mesh.pid(machine).is_none() {
+            // It was killed because it acknowledged a departure.
+            return Ok(());
+        }
         match fault.kind {
             FaultKind::Kill => mesh.kill(machine),
             FaultKind::Pause => mesh.freeze(machine),
--- a/crates/tools/testbed/src/soak/run.rs
+++ b/crates/tools/testbed/src/soak/run.rs
@@ -12,10 +12,11 @@
 use super::watch::{watch, Disturbances, Observations, WatchedNode};
 use crate::mesh::MeshPlan;
 use crate::operator::patch;
-use crate::testbed::{get_json, Testbed, STATE_PATH};
+use crate::testbed::{get_json, Testbed, METRICS_PATH, STATE_PATH};
 use crate::upstream::{Upstream, UpstreamBehaviour};
 use crate::wait::wait_until;
 use anyhow::Result;
+use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -239,17 +240,29 @@
     let before: BTreeMap<usize, u64> =
         testbed.upstreams.iter().map(|(m, upstream)| (*m, count(upstream))).collect();
     tokio::time::sleep(CALM).await;
-    let unserved = testbed.upstreams.iter().filter(|(machine, upstream)| count(upstream) <= before[machine]);
-    let describe = |(machine, upstream): (&usize, &Upstream)| {
-        let log = testbed.mesh.log(*machine, ALL_LINES);
-        let log: Vec<String> = log.into_iter().filter(|line| !line.contains(CONFIGURED)).collect();
-        let log = log[log.len().saturating_sub(UNSERVED_LOG_LINES)..].join("\n");
-        format!(
-            "nothing was sent to {} of machine {machine} for {CALM:?} in calm; its sidecar's log:\n{log}",
-            upstream.id()
-        )
-    };
-    unserved.map(describe).collect()
+    let mut faults = Vec::new();
+    for (machine, upstream) in &testbed.upstreams {
+        if count(upstream) <= before[machine] {
+            faults.push(describe_unserved(testbed, *machine, upstream.id()).await);
+        }
+    }
+    faults
+}
+
+/// An upstream that is not sent to: what another machine knows of its sidecar, and the sidecar's log.
+async fn describe_unserved(testbed: &Testbed, machine: usize, id: &str) -> String {
+    let other = testbed.mesh.side_machines().find(|other| *other != machine).unwrap_or(machine);
+    let address = testbed.mesh.control(other);
+    let (state, metrics) = (get_json(address, STATE_PATH).await, get_json(address, METRICS_PATH).await);
+    let nodes = state["nodes"].as_array().into_iter().flatten();
+    let known: Vec<String> = nodes.map(Value::to_string).filter(|node| node.contains(id)).collect();
+    let log = testbed.mesh.log(machine, ALL_LINES);
+    let log: Vec<String> = log.into_iter().filter(|line| !line.contains(CONFIGURED)).collect();
+    let log = log[log.len().saturating_sub(UNSERVED_LOG_LINES)..].join("\n");
+    format!(
+        "nothing was sent to {id} of machine {machine} for {CALM:?} in calm; machine {other} knows {known:?} and balances {}; log:\n{log}",
+        metrics["desks"]
+    )
 }
 
 /// What is written down while a seed is played.
--- a/crates/tools/testbed/src/soak/watch.rs
+++ b/crates/tools/testbed/src/soak/watch.rs
@@ -51,6 +51,11 @@
         !spans.iter().any(|span| disturbs(&span))
     }
 
+    /// Whether a machine was in touch in a span: it and all control machines were undisturbed then and for so long before.
+    pub(crate) fn was_in_touch_throughout(&self, machine: usize, from: Instant, to: Instant) -> bool {
+        (0..self.control_count).chain([machine]).all(|machine| self.was_calm(machine, from, to))
+    }
+
     /// Whether a machine, whatever becomes of others, was undisturbed for so long before that moment.
     pub(crate) fn was_undisturbed(&self, machine: usize, moment: Instant) -> bool {
         let all = self.until.lock().unwrap_or_else(PoisonError::into_inner);
