mesh: what tells apart why a node goes by an older order of a zone

The line "evacuation" has the order's revision, its owner, the node's parent and whether that has a way to a majority; "acknowledged" has the call, its caller and how long it was under way; the gate logs and counts what it refuses because its zone is evacuated; the state page has each zone's newest order and since when, and whether there is a way to a majority. H1 (behind) shows as an older round without a way, H2 (reversed) as an End of the newest round with its caller and age, H3 (forgotten) as a zone without an order after a start. Handlers of calls get one typed call in place of name and body.

--- a/crates/control/mesh-membership/src/relay_tree.rs
+++ b/crates/control/mesh-membership/src/relay_tree.rs
@@ -49,6 +49,11 @@
         TreePosition { path, peers: Vec::new(), full: children > 2 * TREE_FANOUT }
     }
 
+    /// Whether this node has a path to a control node that is linked with a majority of the control nodes.
+    pub fn has_path(&self) -> bool {
+        !self.position().path.is_empty()
+    }
+
     /// Control nodes that report a link to a majority of the control nodes, as far as this node knows: the
     /// one at the end of its own path, or for a control node those that it is linked with.
     pub fn reachable_control_nodes(&self) -> Vec<Node> {
--- a/crates/daemon/mesh/src/control/call.rs
+++ b/crates/daemon/mesh/src/control/call.rs
@@ -2,20 +2,34 @@
 use super::response::CallResponse;
 use crate::node_state::NodeState;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use tokio::time::Instant;
 
 /// The future of a handler.
 pub(super) type HandlerFuture<'c> = Pin<Box<dyn Future<Output = CallResponse> + 'c>>;
 
+/// A call that was received.
+pub(crate) struct ReceivedCall {
+    /// The name in its path.
+    pub(super) name: String,
+    /// Its body.
+    pub(super) body: Vec<u8>,
+    /// The other end of its connection, if it could still be determined.
+    pub(super) caller: Option<SocketAddr>,
+    /// When it had been read.
+    pub(super) received_at: Instant,
+}
+
 /// A call that a listener can serve.
 pub(crate) struct Call {
     /// Its HTTP method.
     pub(super) method: &'static str,
     /// Its path; a trailing `{}` stands for a name.
     pub(super) path: &'static str,
-    /// Handles the call; gets the name in the path and the body.
-    pub(super) handler: for<'c> fn(&'c Rc<NodeState>, &'c str, &'c [u8]) -> HandlerFuture<'c>,
+    /// Handles the call.
+    pub(super) handler: for<'c> fn(&'c Rc<NodeState>, &'c ReceivedCall) -> HandlerFuture<'c>,
 }
 
 /// Declares a call: its constant, method, path and handler.
@@ -25,7 +39,7 @@
         pub(super) const $name: Call = Call {
             method: $method,
             path: $path,
-            handler: |node_state, name, body| Box::pin($handler(node_state, name, body)),
+            handler: |node_state, call| Box::pin($handler(node_state, call)),
         };
     };
 }
--- a/crates/daemon/mesh/src/control/calls.rs
+++ b/crates/daemon/mesh/src/control/calls.rs
@@ -1,5 +1,5 @@
 //! The calls, each declared beside its handler, and the lists of calls served by each listener.
-use super::call::{call, Call};
+use super::call::{call, Call, ReceivedCall};
 use super::changes::{change_configuration, change_key, redirect};
 use super::member_calls::{MEMBERS_LAPSE, MEMBERS_LIST, MEMBERS_RENEW};
 use super::response::CallResponse;
@@ -28,7 +28,8 @@
 pub(crate) const READY_CALLS: [&Call; 2] = [&READY, &METRICS];
 
 call!(HEARTBEAT, "POST", "/-/Stations.Heartbeat/{}", heartbeat);
-async fn heartbeat(node_state: &Rc<NodeState>, id: &str, body: &[u8]) -> CallResponse {
+async fn heartbeat(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+    let ReceivedCall { name: id, body, .. } = call;
     let heartbeat = match serde_json::from_slice::<Heartbeat>(body) {
         Ok(heartbeat) => heartbeat,
         Err(e) => return CallResponse::error(400, &format!("the heartbeat can't be read: {e}")),
@@ -82,18 +83,18 @@
 }
 
 call!(SIGN_OFF, "POST", "/-/Stations.SignOff/{}", sign_off);
-async fn sign_off(node_state: &Rc<NodeState>, id: &str, _: &[u8]) -> CallResponse {
-    node_state.upstream_signed_off(id);
-    acknowledge_departure(node_state, id).await
+async fn sign_off(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+    node_state.upstream_signed_off(&call.name);
+    acknowledge_departure(node_state, &call.name).await
 }
 
 call!(PATCH, "POST", "/-/Config.Patch", patch);
-async fn patch(node_state: &Rc<NodeState>, _: &str, body: &[u8]) -> CallResponse {
-    change_configuration(node_state, body, PATCH.path).await
+async fn patch(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+    change_configuration(node_state, call, &call.body, PATCH.path).await
 }
 
 call!(GET, "GET", "/-/Config.Get", get);
-async fn get(node_state: &Rc<NodeState>, _: &str, _: &[u8]) -> CallResponse {
+async fn get(node_state: &Rc<NodeState>, _: &ReceivedCall) -> CallResponse {
     match node_state.peers.read_key(node_state, CONFIGURATION_KEY).await {
         Some(CallOutcome::Value { value: ControlValue::Configuration(configuration), .. }) => {
             CallResponse::json(200, configuration.to_json())
@@ -108,36 +109,36 @@
 }
 
 call!(EVACUATE_START, "POST", "/-/Evacuate.Start/{}", evacuate_start);
-async fn evacuate_start(node_state: &Rc<NodeState>, zone: &str, _: &[u8]) -> CallResponse {
-    evacuate(node_state, zone, true).await
+async fn evacuate_start(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+    evacuate(node_state, call, true).await
 }
 
 call!(EVACUATE_END, "POST", "/-/Evacuate.End/{}", evacuate_end);
-async fn evacuate_end(node_state: &Rc<NodeState>, zone: &str, _: &[u8]) -> CallResponse {
-    evacuate(node_state, zone, false).await
+async fn evacuate_end(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+    evacuate(node_state, call, false).await
 }
 
-async fn evacuate(node_state: &Rc<NodeState>, zone: &str, on: bool) -> CallResponse {
-    let zones = &node_state.settings.zones;
+async fn evacuate(node_state: &Rc<NodeState>, call: &ReceivedCall, on: bool) -> CallResponse {
+    let (zone, zones) = (&call.name, &node_state.settings.zones);
     if !zones.iter().any(|known| known == zone) {
         return CallResponse::error(400, &format!("zone {zone:?}: unknown (name one of {zones:?})"));
     }
     let path = format!("/-/Evacuate.{}/{zone}", if on { "Start" } else { "End" });
-    change_key(node_state, &evacuation_key(zone), ControlChange::Evacuate(on), &path).await
+    change_key(node_state, call, &evacuation_key(zone), ControlChange::Evacuate(on), &path).await
 }
 
 call!(STATE, "GET", "/-/Post.State", state);
-async fn state(node_state: &Rc<NodeState>, _: &str, _: &[u8]) -> CallResponse {
+async fn state(node_state: &Rc<NodeState>, _: &ReceivedCall) -> CallResponse {
     CallResponse::json(200, state_report(node_state).to_string())
 }
 
 call!(METRICS, "GET", "/-/Post.Figures", metrics);
-async fn metrics(node_state: &Rc<NodeState>, _: &str, _: &[u8]) -> CallResponse {
+async fn metrics(node_state: &Rc<NodeState>, _: &ReceivedCall) -> CallResponse {
     CallResponse::json(200, metrics_report(node_state).to_string())
 }
 
 call!(READY, "GET", "/-/ready", ready);
-async fn ready(node_state: &Rc<NodeState>, _: &str, _: &[u8]) -> CallResponse {
+async fn ready(node_state: &Rc<NodeState>, _: &ReceivedCall) -> CallResponse {
     match node_state.not_ready() {
         None => CallResponse::json(200, "{\"ready\":true}".to_string()),
         Some(reason) => {
--- a/crates/daemon/mesh/src/control/changes.rs
+++ b/crates/daemon/mesh/src/control/changes.rs
@@ -1,4 +1,5 @@
 //! Changing keys of the control store, and redirecting callers to a replica.
+use super::call::ReceivedCall;
 use super::response::CallResponse;
 use crate::control_value::{ControlChange, CONFIGURATION_KEY};
 use crate::node_state::NodeState;
@@ -6,9 +7,10 @@
 use slog::info;
 use std::rc::Rc;
 
-/// Apply the configuration update in the body of a call to `path`.
+/// Apply a configuration update on behalf of a call to `path`.
 pub(super) async fn change_configuration(
     node_state: &Rc<NodeState>,
+    call: &ReceivedCall,
     body: &[u8],
     path: &str,
 ) -> CallResponse {
@@ -17,12 +19,13 @@
         Ok(update) => ControlChange::Call(Box::new(update)),
         Err(fault) => return CallResponse::error(400, &fault.to_string()),
     };
-    change_key(node_state, CONFIGURATION_KEY, change, path).await
+    change_key(node_state, call, CONFIGURATION_KEY, change, path).await
 }
 
 /// Change a key on behalf of a call to `path`.
 pub(super) async fn change_key(
     node_state: &Rc<NodeState>,
+    call: &ReceivedCall,
     key: &str,
     change: ControlChange,
     path: &str,
@@ -31,7 +34,9 @@
     match node_state.peers.change_key(node_state, key, change).await {
         Some(CallOutcome::Committed { revision, changed }) => {
             if changed {
-                info!(node_state.log, "acknowledged"; "key" => key, "round" => revision.epoch.round, "change" => revision.sequence);
+                info!(node_state.log, "acknowledged"; "key" => key, "round" => revision.epoch.round, "change" => revision.sequence,
+                    "call" => path, "caller" => call.caller.map(|caller| caller.to_string()),
+                    "us" => call.received_at.elapsed().as_micros() as u64);
             }
             CallResponse::ok()
         }
--- a/crates/daemon/mesh/src/control/listener.rs
+++ b/crates/daemon/mesh/src/control/listener.rs
@@ -1,5 +1,5 @@
 //! Connections for calls: one task per connection, which serves one call at a time.
-use super::call::{find, Call};
+use super::call::{find, Call, ReceivedCall};
 use super::response::CallResponse;
 use crate::event_stream;
 use crate::node_state::{ConnectionKind, GaugeGuard, NodeState};
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// A connection without a call is closed after this.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -108,7 +108,11 @@
         return Next::Events(EventReader { open, request: Box::new(request), body });
     }
     let response = match find(calls, &request.method, &request.target) {
-        Ok(found) => (found.call.handler)(node_state, &found.name, &body).await,
+        Ok(found) => {
+            let (caller, received_at) = (connection.peer_address(), Instant::now());
+            let received = ReceivedCall { name: found.name, body, caller, received_at };
+            (found.call.handler)(node_state, &received).await
+        }
         Err(error) => CallResponse::error(error.status(), "no such call"),
     };
     let response = response.with_bounded_redirections(&request.target);
--- a/crates/daemon/mesh/src/control/member_calls.rs
+++ b/crates/daemon/mesh/src/control/member_calls.rs
@@ -1,5 +1,5 @@
 //! Operators' calls on members.
-use super::call::{call, Call};
+use super::call::{call, Call, ReceivedCall};
 use super::changes::{change_configuration, redirect};
 use super::response::CallResponse;
 use crate::control_value::{ControlValue, CONFIGURATION_KEY};
@@ -9,28 +9,28 @@
 use std::rc::Rc;
 
 call!(MEMBERS_LIST, "GET", "/-/Members.List", members_list);
-async fn members_list(node_state: &Rc<NodeState>, _: &str, _: &[u8]) -> CallResponse {
+async fn members_list(node_state: &Rc<NodeState>, _: &ReceivedCall) -> CallResponse {
     CallResponse::json(200, members_report(node_state).to_string())
 }
 
 call!(MEMBERS_RENEW, "POST", "/-/Members.Renew/{}", members_renew);
-async fn members_renew(node_state: &Rc<NodeState>, name: &str, body: &[u8]) -> CallResponse {
-    let path = format!("/-/Members.Renew/{name}");
-    change_member(node_state, &path, name, |item| renewed_item(item, body)).await
+async fn members_renew(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+    let path = format!("/-/Members.Renew/{}", call.name);
+    change_member(node_state, call, &path, |item| renewed_item(item, &call.body)).await
 }
 
 call!(MEMBERS_LAPSE, "POST", "/-/Members.Lapse/{}", members_lapse);
-async fn members_lapse(node_state: &Rc<NodeState>, name: &str, _: &[u8]) -> CallResponse {
-    let path = format!("/-/Members.Lapse/{name}");
-    change_member(node_state, &path, name, lapsed_item).await
+async fn members_lapse(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+    let path = format!("/-/Members.Lapse/{}", call.name);
+    change_member(node_state, call, &path, lapsed_item).await
 }
 
 /// Read a member's current item, change it, and write it as the next version. Of two concurrent changes one is committed
 /// and the other rejected as a conflict, unless they are equal.
 async fn change_member(
     node_state: &Rc<NodeState>,
+    call: &ReceivedCall,
     path: &str,
-    name: &str,
     change: impl FnOnce(&str) -> Result<String, ItemChangeError>,
 ) -> CallResponse {
     let all = match node_state.peers.read_key(node_state, CONFIGURATION_KEY).await {
@@ -39,11 +39,12 @@
         Some(_) => return CallResponse::retry_later(),
         None => return redirect(node_state, path),
     };
+    let name = &call.name;
     let Some(item) = percent_decoded(name).and_then(|name| all.member_list.raw_json(&name)) else {
         return CallResponse::error(404, &format!("{name:?} is no member here (see /-/Members.List)"));
     };
     match change(item) {
-        Ok(patch) => change_configuration(node_state, patch.as_bytes(), path).await,
+        Ok(patch) => change_configuration(node_state, call, patch.as_bytes(), path).await,
         Err(error) => CallResponse::error(400, &error.to_string()),
     }
 }
--- a/crates/daemon/mesh/src/control/tests.rs
+++ b/crates/daemon/mesh/src/control/tests.rs
@@ -1,5 +1,5 @@
 //! Tests of the call listener. Inside the crate, since a binary can't be imported.
-use super::call::{Call, HandlerFuture};
+use super::call::{Call, HandlerFuture, ReceivedCall};
 use super::listener::MAX_CONNECTIONS;
 use super::response::CallResponse;
 use super::{listen, READY_CALLS};
@@ -13,7 +13,7 @@
 /// A call whose response is larger than what the system takes for a caller that does not read.
 const LONG_READ: Call = Call { method: "GET", path: "/long", handler: long_read };
 
-fn long_read<'c>(_: &'c Rc<NodeState>, _: &'c str, _: &'c [u8]) -> HandlerFuture<'c> {
+fn long_read<'c>(_: &'c Rc<NodeState>, _: &'c ReceivedCall) -> HandlerFuture<'c> {
     Box::pin(async { CallResponse::json(200, "x".repeat(LONG_BODY_BYTES)) })
 }
 
--- a/crates/daemon/mesh/src/metrics.rs
+++ b/crates/daemon/mesh/src/metrics.rs
@@ -3,6 +3,7 @@
 use crate::node_state::{DepartedPeer, NodeState, TombstoneTable};
 use crate::service_balancer::UpstreamCounts;
 use serde_json::{json, Value};
+use silvercross_admission::Rejection;
 
 /// The counters and gauges by name, in the documented order.
 pub(crate) fn metrics_report(node_state: &NodeState) -> Value {
@@ -42,6 +43,8 @@
         "lateHeartbeats": counters.heartbeats_after_departure.get(),
         "unconfirmed": counters.unconfirmed_departures.get(),
     });
+    let admission = node_state.gate.with_admission(|admission| admission.metrics());
+    report["evacuation"] = json!({ "refusedAtGate": admission.rejected[Rejection::Evacuated as usize] });
     if let Some(members) = node_state.member_throttle.metrics() {
         report["members"] = members;
     }
--- a/crates/daemon/mesh/src/node_state.rs
+++ b/crates/daemon/mesh/src/node_state.rs
@@ -33,6 +33,7 @@
 pub(crate) use departures::DepartedPeer;
 #[cfg(test)]
 pub(crate) use departures::DepartureCounts;
+pub(crate) use in_force::ZoneOrder;
 pub(crate) use invariants::Invariant;
 pub(crate) use local_upstream::Heartbeat;
 #[cfg(test)]
--- a/crates/daemon/mesh/src/node_state/control_entries.rs
+++ b/crates/daemon/mesh/src/node_state/control_entries.rs
@@ -1,5 +1,6 @@
 //! Puts control entries in force: the configuration, evacuations, members, and the progress of their
 //! throttling.
+use super::in_force::ZoneOrder;
 use super::state::NodeState;
 use super::unrouted_requests::UnroutedCounts;
 use crate::control_value::{evacuated_zone, ControlValue, CONFIGURATION_KEY};
@@ -7,6 +8,7 @@
 use silvercross_mesh_membership::Revision;
 use slog::info;
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 
 impl NodeState {
@@ -22,7 +24,14 @@
 
     /// Returns the evacuated zones.
     pub(crate) fn evacuated_zones(&self) -> Vec<String> {
-        self.in_force.borrow().evacuated_zones.iter().cloned().collect()
+        let in_force = self.in_force.borrow();
+        let evacuated = in_force.zone_orders.iter().filter(|(_, order)| order.is_evacuated);
+        evacuated.map(|(zone, _)| zone.clone()).collect()
+    }
+
+    /// Returns the order in force for each zone that ever had one.
+    pub(crate) fn zone_orders(&self) -> BTreeMap<String, ZoneOrder> {
+        self.in_force.borrow().zone_orders.clone()
     }
 
     /// Returns the revisions in force, by key.
@@ -55,17 +64,20 @@
             }
             ControlValue::Evacuation(is_evacuated) => {
                 if let Some(zone) = evacuated_zone(key) {
-                    self.evacuate(zone, is_evacuated);
+                    self.apply_zone_order(zone, ZoneOrder { is_evacuated, revision, since: self.now() });
                 }
             }
             ControlValue::Configuration(_) | ControlValue::WithMembers(_) | ControlValue::Versioned(_) => {}
         }
     }
 
-    fn evacuate(self: &Rc<Self>, zone: &str, is_evacuated: bool) {
-        let was_evacuated = self.in_force.borrow().evacuated_zones.contains(zone);
-        self.in_force.borrow_mut().set_evacuated(zone, is_evacuated);
-        info!(self.log, "evacuation"; "zone" => zone, "on" => is_evacuated);
+    fn apply_zone_order(self: &Rc<Self>, zone: &str, order: ZoneOrder) {
+        let ZoneOrder { is_evacuated, revision, .. } = order;
+        let was_evacuated = self.in_force.borrow().is_evacuated(zone);
+        self.in_force.borrow_mut().zone_orders.insert(zone.to_string(), order);
+        info!(self.log, "evacuation"; "zone" => zone, "on" => is_evacuated, "round" => revision.epoch,
+            "owner" => Ipv4Addr::from_bits(revision.owner as u32).to_string(), "change" => revision.sequence,
+            "parent" => self.parent_name(), "has_path" => self.peers.membership(|membership| membership.has_path()));
         if zone == self.settings.zone {
             let now = self.now();
             self.gate.with_admission(|admission| admission.set_evacuated(now, is_evacuated));
@@ -105,14 +117,29 @@
         }
     }
 
+    /// The address of the node that updates come from, for the log.
+    fn parent_name(&self) -> String {
+        self.peers.parent_ip().map_or_else(|| "none".to_string(), |ip| ip.to_string())
+    }
+
+    /// Records a request that the gate here refused because the zone is evacuated: its sender did not know that
+    /// in time.
+    pub(crate) fn note_refused_by_evacuation(&self, service: &str) {
+        if let Some(count) = self.evacuation_refusals_log.due(self.now()) {
+            let order = self.in_force.borrow().zone_orders.get(&self.settings.zone).copied();
+            let revision = order.map_or(Revision::new(0, 0, 0), |order| order.revision);
+            info!(self.log, "refused: the zone is evacuated"; "service" => service, "round" => revision.epoch,
+                "change" => revision.sequence, "count" => count);
+        }
+    }
+
     fn configure(self: &Rc<Self>, configuration: &Configuration, revision: Revision) {
         self.in_force.borrow_mut().configure(configuration);
         self.report_late_routes(revision);
         let idle_timeout = self.routing_table().limits().idle_timeout;
         self.idle_timeout.borrow_mut().set_limit(self.now(), idle_timeout);
-        let parent = self.peers.parent_ip().map_or_else(|| "none".to_string(), |ip| ip.to_string());
         info!(self.log, "configuration in force"; "round" => revision.epoch, "change" => revision.sequence,
-            "parent" => parent);
+            "parent" => self.parent_name());
         self.update_upstream_limits();
         self.reconfigure_balancers();
         self.routing_changed.notify_waiters();
--- a/crates/daemon/mesh/src/node_state/in_force.rs
+++ b/crates/daemon/mesh/src/node_state/in_force.rs
@@ -1,9 +1,21 @@
 //! The control state in force on this node, and the revision of each key. It triggers no further actions.
 use silvercross_mesh_config::{Configuration, RoutingTable};
 use silvercross_mesh_membership::Revision;
-use std::collections::{BTreeMap, BTreeSet};
+use silvercross_time::Instant;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
+/// The newest order for a zone that has come to this node.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ZoneOrder {
+    /// Whether the zone is evacuated.
+    pub(crate) is_evacuated: bool,
+    /// The order's revision.
+    pub(crate) revision: Revision,
+    /// Since when it has been in force here.
+    pub(crate) since: Instant,
+}
+
 /// The control state in force.
 #[derive(Default)]
 pub(super) struct InForce {
@@ -13,8 +25,8 @@
     pub(super) is_configured: bool,
     /// The revision of each key.
     pub(super) revisions: BTreeMap<String, Revision>,
-    /// The evacuated zones.
-    pub(super) evacuated_zones: BTreeSet<String>,
+    /// The order in force for each zone that ever had one.
+    pub(super) zone_orders: BTreeMap<String, ZoneOrder>,
 }
 
 impl InForce {
@@ -33,12 +45,8 @@
         self.is_configured = true;
     }
 
-    /// Records whether a zone is evacuated.
-    pub(super) fn set_evacuated(&mut self, zone: &str, is_evacuated: bool) {
-        if is_evacuated {
-            self.evacuated_zones.insert(zone.to_string());
-        } else {
-            self.evacuated_zones.remove(zone);
-        }
+    /// Whether a zone is evacuated.
+    pub(super) fn is_evacuated(&self, zone: &str) -> bool {
+        self.zone_orders.get(zone).is_some_and(|order| order.is_evacuated)
     }
 }
--- a/crates/daemon/mesh/src/node_state/state.rs
+++ b/crates/daemon/mesh/src/node_state/state.rs
@@ -67,6 +67,7 @@
     pub(crate) idle_timeout: RefCell<IdleTimeout>,
     /// Limits log lines about rejected operators' calls.
     pub(crate) rejected_calls_log: RateLimitedLog,
+    pub(super) evacuation_refusals_log: RateLimitedLog,
     pub(super) rejected_connections_logs: [RateLimitedLog; ConnectionKind::COUNT],
     pub(super) clock: Clock,
     pub(super) in_force: RefCell<InForce>,
@@ -135,6 +136,7 @@
             event_stream: OnceCell::new(),
             idle_timeout: RefCell::default(),
             rejected_calls_log: RateLimitedLog::default(),
+            evacuation_refusals_log: RateLimitedLog::default(),
             rejected_connections_logs: Default::default(),
             clock,
             in_force: RefCell::default(),
--- a/crates/daemon/mesh/src/node_state/upstream_lists.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_lists.rs
@@ -56,7 +56,7 @@
             return;
         }
         let address = SocketAddr::new(IpAddr::V4(place.ip), body.inbound_port);
-        let is_evacuated = self.in_force.evacuated_zones.contains(place.zone);
+        let is_evacuated = self.in_force.is_evacuated(place.zone);
         let is_closed = upstream.draining || body.stopping || is_evacuated || place.has_departed;
         let health = if is_closed { Health::Draining } else { Health::Ready };
         let incarnation = place.sidecar_incarnation;
--- a/crates/daemon/mesh/src/state_report.rs
+++ b/crates/daemon/mesh/src/state_report.rs
@@ -1,7 +1,7 @@
 //! The state page: known nodes, revisions in force, and, on a control node, the control store's keys. The JSON keys are a public
 //! interface and keep their names even where the code uses others.
 use crate::control_value::ControlValue;
-use crate::node_state::NodeState;
+use crate::node_state::{NodeState, ZoneOrder};
 use crate::peers::RecordBody;
 use serde_json::{json, Value};
 use silvercross_control_store::{ControlStore, Role};
@@ -79,6 +79,17 @@
     row.collect()
 }
 
+/// The order in force for each zone that ever had one.
+fn zone_order_rows(node_state: &NodeState) -> Vec<Value> {
+    let now = node_state.now();
+    let row = |(zone, order): (&String, &ZoneOrder)| {
+        let revision = order.revision;
+        json!({ "zone": zone, "on": order.is_evacuated, "round": revision.epoch, "owner": address(revision.owner as u32),
+            "change": revision.sequence, "sinceUs": (now - order.since).as_micros() })
+    };
+    node_state.zone_orders().iter().map(row).collect()
+}
+
 /// Known nodes, revisions in force, and, if this node has a control store, its keys.
 pub(crate) fn state_report(node_state: &NodeState) -> Value {
     let (settings, peers) = (&node_state.settings, &node_state.peers);
@@ -94,6 +105,8 @@
     let linked: Vec<String> =
         peers.membership(|membership| membership.linked_nodes().iter().map(|node| address(node.0)).collect());
     let sync_age = peers.membership(|membership| membership.last_sync_age(node_state.now()));
+    let has_path = peers.membership(|membership| membership.has_path());
+    let evacuations = zone_order_rows(node_state);
     let (freshness, after) = match node_state.freshness() {
         Freshness::Waiting => ("waiting", None),
         Freshness::Current { after } => ("current", Some(after)),
@@ -101,7 +114,7 @@
     };
     json!({ "node": settings.name, "ip": settings.ip.to_string(), "zone": settings.zone, "zones": settings.zones,
         "core": settings.is_control, "version": env!("CARGO_PKG_VERSION"), "parent": parent, "linked": linked,
-        "newsAgeUs": sync_age.map(Duration::as_micros), "ready": node_state.is_ready(),
+        "pathToControl": has_path, "evacuations": evacuations, "newsAgeUs": sync_age.map(Duration::as_micros), "ready": node_state.is_ready(),
         "unready": node_state.not_ready().map(|reason| reason.to_string()), "freshness": freshness,
         "freshnessUs": after.map(Duration::as_micros), "configured": node_state.configured(), "evacuated": node_state.evacuated_zones(),
         "revisions": revisions, "nodes": nodes, "owns": peers.control_store(owned_keys),
--- a/crates/daemon/mesh/src/upstream_gate/admission.rs
+++ b/crates/daemon/mesh/src/upstream_gate/admission.rs
@@ -5,7 +5,7 @@
 use super::responses::gate_status;
 use crate::forwarding_headers::GateStatus;
 use crate::node_state::NodeState;
-use silvercross_admission::{AdmissionRequest, Decision};
+use silvercross_admission::{AdmissionRequest, Decision, Rejection};
 use silvercross_time::Duration;
 use std::rc::Rc;
 
@@ -77,6 +77,9 @@
         Decision::Rejected { reason, retry_after } => {
             node_state.gate.remove_pending(number);
             count_rejection(node_state);
+            if reason == Rejection::Evacuated {
+                node_state.note_refused_by_evacuation(&forwarding.service);
+            }
             return Err(gate_status(reason, retry_after));
         }
         Decision::Pending => {
--- a/crates/daemon/mesh/src/wire/connection.rs
+++ b/crates/daemon/mesh/src/wire/connection.rs
@@ -7,6 +7,7 @@
 use silvercross_net::send_queue;
 use std::io;
 use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -89,6 +90,15 @@
         self.closed_since.unwrap_or_else(Instant::now)
     }
 
+    /// The address of the other end; `None` if it is not known any more.
+    pub(crate) fn peer_address(&self) -> Option<SocketAddr> {
+        match &self.halves {
+            Halves::Joined(stream) => stream.peer_addr().ok(),
+            Halves::ReadOnly(read) => read.peer_addr().ok(),
+            Halves::Taken => None,
+        }
+    }
+
     /// Whether both halves are in place.
     pub(crate) fn has_both_halves(&self) -> bool {
         matches!(self.halves, Halves::Joined(_))
