--- a/crates/control/control-store/src/protocol/quorum.rs
+++ b/crates/control/control-store/src/protocol/quorum.rs
@@ -35,9 +35,10 @@
             let joining = usize::from(replica_set.joining.is_some());
             return nodes.len() * 2 > replica_set.members.len() - joining;
         }
-        replica_set.is_majority(nodes, replica_set.joining)
-            && (self.has_mutation(Mutation::OldQuorumOnly)
-                || replica_set.is_majority(nodes, replica_set.leaving))
+        match self.has_mutation(Mutation::OldQuorumOnly) {
+            true => replica_set.is_majority(nodes, replica_set.joining),
+            false => replica_set.is_quorum(nodes),
+        }
     }
 
     /// Whether no later incarnation of the node's disk is known.
--- a/crates/control/control-store/src/replica_set.rs
+++ b/crates/control/control-store/src/replica_set.rs
@@ -71,6 +71,24 @@
         present * 2 > size
     }
 
+    /// The groups of nodes of each of which more than half make a quorum: all members, or during a replacement
+    /// those without the joining replica and those without the leaving one.
+    pub fn quorum_groups(&self) -> Vec<Vec<Node>> {
+        let without = |left_out: Option<Node>| self.nodes().filter(|node| Some(*node) != left_out).collect();
+        let mut groups = vec![without(self.joining)];
+        if self.is_joint() {
+            groups.push(without(self.leaving));
+        }
+        groups
+    }
+
+    /// Whether `nodes` are a quorum.
+    pub(crate) fn is_quorum(&self, nodes: &[Node]) -> bool {
+        let has_majority =
+            |group: &Vec<Node>| 2 * group.iter().filter(|node| nodes.contains(node)).count() > group.len();
+        self.quorum_groups().iter().all(has_majority)
+    }
+
     /// The joint replica set that follows this one, in which `joining` is to replace `leaving`.
     pub(crate) fn joint(&self, leaving: Node, joining: Node) -> ReplicaSet {
         let version = self.version + 1;
--- a/crates/control/mesh-membership/src/control_links.rs
+++ b/crates/control/mesh-membership/src/control_links.rs
@@ -1,4 +1,5 @@
-//! Links of a control node: one to every other control node it has known. For sidecars see `relay_tree`.
+//! Links of a control node: one to every other control node it has known, as any may come back. Which of them make a majority
+//! is in `control_quorum`. For sidecars see `relay_tree`.
 use crate::link::FailedDial;
 use crate::membership::Membership;
 use crate::node::Node;
--- a/crates/control/mesh-membership/src/events.rs
+++ b/crates/control/mesh-membership/src/events.rs
@@ -1,6 +1,7 @@
 //! Entry points for the caller: messages, datagrams, link events, outcomes and time. Each call records the
 //! time, delegates to the role concerned and lets the roles react. The protocol rules are in the files of
 //! the roles.
+use crate::control_quorum::ControlQuorum;
 use crate::datagram::Datagram;
 use crate::effect::Effect;
 use crate::limits::MAX_NODES;
@@ -20,6 +21,14 @@
         self.tick(now);
     }
 
+    /// Replaces what makes a majority of the replicas, called on a control node whenever its control store has
+    /// another replica set.
+    pub fn set_control_quorum(&mut self, now: Instant, quorum: ControlQuorum) {
+        self.note_time(now);
+        self.control_quorum = quorum;
+        self.react_to_changes(now);
+    }
+
     /// Handles a message received over a link. Messages of a node without a link are dropped.
     pub fn receive(&mut self, now: Instant, from: Node, message: MembershipMessage<T>) {
         self.note_time(now);
--- a/crates/control/mesh-membership/src/freshness.rs
+++ b/crates/control/mesh-membership/src/freshness.rs
@@ -32,4 +32,6 @@
     SendsEveryVersion,
     /// A control entry is requested at once, even if an earlier request is unanswered.
     AsksForEveryVersion,
+    /// Counts a majority over all control nodes that were ever known, replaced ones included.
+    CountsFormerControlNodes,
 }
--- a/crates/control/mesh-membership/src/lib.rs
+++ b/crates/control/mesh-membership/src/lib.rs
@@ -27,6 +27,7 @@
 mod config;
 mod control_entry;
 mod control_links;
+mod control_quorum;
 mod datagram;
 mod effect;
 mod entry_outbox;
@@ -58,6 +59,7 @@
 
 pub use config::MembershipConfig;
 pub use control_entry::{ControlEntry, EntryRevision, EntryView, Revision};
+pub use control_quorum::ControlQuorum;
 pub use datagram::Datagram;
 pub use effect::Effect;
 pub use freshness::{Freshness, Mutation};
--- a/crates/control/mesh-membership/src/membership.rs
+++ b/crates/control/mesh-membership/src/membership.rs
@@ -10,6 +10,7 @@
 //! - `freshness_requests`: the check that this node is current.
 use crate::config::MembershipConfig;
 use crate::control_entry::EntryView;
+use crate::control_quorum::ControlQuorum;
 use crate::effect::Effect;
 use crate::freshness::Freshness;
 use crate::freshness_check::FreshnessCheck;
@@ -44,6 +45,8 @@
     pub(crate) config: MembershipConfig,
     pub(crate) table: VersionTable<T>,
     pub(crate) placement: Placement,
+    /// Of a control node; of a sidecar always empty.
+    pub(crate) control_quorum: ControlQuorum,
     pub(crate) links: Links,
     pub(crate) watches: Watches,
     pub(crate) check: FreshnessCheck,
@@ -79,6 +82,7 @@
         let mut membership = Membership {
             table: VersionTable::new(),
             placement: Placement::default(),
+            control_quorum: ControlQuorum::default(),
             links: Links::new(now),
             watches: Watches::new(now + Duration::from_micros(phase)),
             check: FreshnessCheck::new(now, config.is_control, first_request_number),
@@ -135,6 +139,11 @@
         }
     }
 
+    /// Of a control node: which linked ones make a majority, as it was told last.
+    pub fn control_quorum(&self) -> &ControlQuorum {
+        &self.control_quorum
+    }
+
     /// This node's incarnation.
     pub fn incarnation(&self) -> u64 {
         self.own_record().map_or(self.config.incarnation, |own| own.incarnation)
--- a/crates/control/mesh-membership/src/relay_tree.rs
+++ b/crates/control/mesh-membership/src/relay_tree.rs
@@ -1,5 +1,6 @@
 //! The relay tree: this node's position in it, and selection of a sidecar's parent. The order of the
 //! candidates is in `parent_candidates`, the links of control nodes in `control_links`.
+use crate::freshness::Mutation;
 use crate::limits::{MAX_CONCURRENT_DIALS, MAX_PATH_NODES, MAX_REPORTED_PEERS, TREE_FANOUT};
 use crate::link_keepalive::DialFailure;
 use crate::membership::Membership;
@@ -32,9 +33,14 @@
                 .iter()
                 .filter(|(node, link)| link.has_hello && self.placement.is_control(**node));
             let peers: Vec<Node> = linked.map(|(node, _)| *node).take(MAX_REPORTED_PEERS).collect();
-            // A control node without a majority of the control nodes receives no updates: its children have
-            // to choose another parent.
-            let has_majority = 2 * (peers.len() + 1) > self.other_control_nodes().len() + 1;
+            // A control node without a majority of the replicas receives no updates: its children have to
+            // choose another parent.
+            let is_linked = |node: Node| node == local_node || peers.contains(&node);
+            let has_majority = if self.check.has_mutation(Mutation::CountsFormerControlNodes) {
+                2 * (peers.len() + 1) > self.other_control_nodes().len() + 1
+            } else {
+                self.control_quorum.is_met_by(is_linked)
+            };
             let path = if has_majority { vec![local_node] } else { Vec::new() };
             return TreePosition { path, peers, full: false };
         }
@@ -49,12 +55,12 @@
         TreePosition { path, peers: Vec::new(), full: children > 2 * TREE_FANOUT }
     }
 
-    /// Whether this node has a path to a control node that is linked with a majority of the control nodes.
+    /// Whether this node has a path to a control node that is linked with a majority of the replicas.
     pub fn has_path(&self) -> bool {
         !self.position().path.is_empty()
     }
 
-    /// Control nodes that report a link to a majority of the control nodes, as far as this node knows: the
+    /// Control nodes that report a link to a majority of the replicas, as far as this node knows: the
     /// one at the end of its own path, or for a control node those that it is linked with.
     pub fn reachable_control_nodes(&self) -> Vec<Node> {
         if self.config.is_control {
--- a/crates/control/mesh-membership/tests/simulation/world.rs
+++ b/crates/control/mesh-membership/tests/simulation/world.rs
@@ -275,7 +275,10 @@
         let random_seed = self.random_below(u64::MAX);
         let mutation = self.mutation;
         let acknowledged_before = self.acknowledged.clone();
+        let control = self.machines.iter().filter(|(_, machine)| machine.is_control);
+        let replicas: Vec<Node> = control.map(|(node, _)| *node).collect();
         let machine = self.machine_mut(node);
+        let is_control = machine.is_control;
         machine.powered = true;
         machine.starts += 1;
         machine.frozen_until = Instant::ZERO;
@@ -289,6 +292,9 @@
             random_seed,
         };
         let mut membership = Membership::new(now, config, u64::from(node.0) * 1_000 + machine.starts);
+        if is_control {
+            membership.set_control_quorum(now, ControlQuorum { version: 1, groups: vec![replicas] });
+        }
         set_mutation(&mut membership, mutation);
         (machine.started_at, machine.freshness) = (now, membership.freshness());
         machine.acknowledged_before = acknowledged_before;
--- a/crates/daemon/mesh/src/peers/deciders.rs
+++ b/crates/daemon/mesh/src/peers/deciders.rs
@@ -3,7 +3,8 @@
 use super::state::Peers;
 use crate::disk::{DiskError, DiskEvent};
 use crate::node_state::NodeState;
-use silvercross_mesh_membership::{Datagram, Node};
+use silvercross_control_store::{Node as StoreNode, ReplicaSet};
+use silvercross_mesh_membership::{ControlQuorum, Datagram, Node};
 use silvercross_time::{Duration, Instant};
 use slog::{info, warn};
 use std::net::IpAddr;
@@ -21,6 +22,7 @@
     /// Carries out the effects of the decision modules until there are none left.
     pub(super) fn carry_out_effects(&self, node_state: &Rc<NodeState>) {
         loop {
+            self.update_control_quorum(node_state);
             let membership_effects = self.membership.borrow_mut().take_effects();
             let store_effects = match &self.control_store {
                 Some(store) => store.borrow_mut().take_effects(),
@@ -40,6 +42,17 @@
         self.deadline_changed.notify_one();
     }
 
+    /// Hands the replica set of the control store to membership if it has changed.
+    fn update_control_quorum(&self, node_state: &NodeState) {
+        let Some(store) = &self.control_store else { return };
+        let store = store.borrow();
+        let mut membership = self.membership.borrow_mut();
+        let replica_set = store.replica_set();
+        if replica_set.version != membership.control_quorum().version {
+            membership.set_control_quorum(node_state.now(), control_quorum(replica_set));
+        }
+    }
+
     /// Returns the earliest deadline of the decision modules.
     fn next_deadline(&self) -> Instant {
         let membership_deadline = self.membership.borrow().next_deadline();
@@ -48,6 +61,13 @@
     }
 }
 
+/// The quorum of a replica set, for membership.
+fn control_quorum(replica_set: &ReplicaSet) -> ControlQuorum {
+    let nodes = |group: Vec<StoreNode>| group.into_iter().map(|node| Node(node.0)).collect();
+    let groups = replica_set.quorum_groups().into_iter().map(nodes).collect();
+    ControlQuorum { version: replica_set.version, groups }
+}
+
 /// Calls the timers of the decision modules. Runs as long as the process.
 pub(crate) async fn run_decision_modules(node_state: Rc<NodeState>) {
     let peers = &node_state.peers;
--- a/crates/testing/control-sim/src/convert.rs
+++ b/crates/testing/control-sim/src/convert.rs
@@ -1,4 +1,4 @@
-//! Revisions as the control store, membership and the history each write them. The only file that knows all three forms.
+//! Revisions and quorums as the control store, membership and the history each write them. The only file that knows all forms.
 
 use crate::history::ObservedRevision;
 use silvercross_control_store as control;
@@ -22,3 +22,10 @@
 pub(crate) fn update(revision: ObservedRevision) -> membership::Revision {
     membership::Revision::new(revision.round, revision.owner, revision.sequence)
 }
+
+/// The quorum of a replica set, for membership.
+pub(crate) fn control_quorum(replica_set: &control::ReplicaSet) -> membership::ControlQuorum {
+    let nodes = |group: Vec<control::Node>| group.into_iter().map(|node| membership::Node(node.0)).collect();
+    let groups = replica_set.quorum_groups().into_iter().map(nodes).collect();
+    membership::ControlQuorum { version: replica_set.version, groups }
+}
--- a/crates/testing/control-sim/src/effects.rs
+++ b/crates/testing/control-sim/src/effects.rs
@@ -1,7 +1,7 @@
 //! Does what a node's deciders want done, as the mesh's program does it (`silvercross-mesh`, module `peers::effects`).
 
 use crate::content::Items;
-use crate::convert::{observed, observed_update, update};
+use crate::convert::{control_quorum, observed, observed_update, update};
 use crate::disk::PendingWrite;
 use crate::event::Event;
 use crate::history::{AppliedValue, ObservedRevision, Readiness, ReadyReason};
@@ -55,6 +55,7 @@
     /// Does what a node's deciders want done, until they want nothing more.
     pub(crate) fn run_effects(&mut self, node: usize) {
         loop {
+            self.update_control_quorum(node);
             let machine = &mut self.nodes[node];
             let membership = machine.membership.as_mut().map(Membership::take_effects).unwrap_or_default();
             let store = machine.store.as_mut().map(ControlStore::take_effects).unwrap_or_default();
@@ -69,6 +70,17 @@
         self.schedule_wakeup(node);
     }
 
+    /// Membership hears of another replica set.
+    fn update_control_quorum(&mut self, node: usize) {
+        let now = self.local_now(node);
+        let machine = &mut self.nodes[node];
+        let (Some(store), Some(membership)) = (&machine.store, &mut machine.membership) else { return };
+        let replica_set = store.replica_set();
+        if replica_set.version != membership.control_quorum().version {
+            membership.set_control_quorum(now, control_quorum(replica_set));
+        }
+    }
+
     fn schedule_wakeup(&mut self, node: usize) {
         let (now, local_now) = (self.now, self.local_now(node));
         let machine = &mut self.nodes[node];
--- a/crates/testing/control-sim/tests/common/replacements.rs
+++ b/crates/testing/control-sim/tests/common/replacements.rs
@@ -203,8 +203,12 @@
 
 /// A replica is cut off from all other control nodes, all sidecars still reach all: what the others acknowledge is in force at each
 /// sidecar in time.
-pub fn isolated_after_replacements(case: IsolatedCase) -> Outcome {
-    let mut world = World::new(SEED, ScenarioPlan::quiet(4, 6));
+pub fn isolated_after_replacements(
+    case: IsolatedCase,
+    membership_mutation: Option<silvercross_mesh_membership::Mutation>,
+) -> Outcome {
+    let plan = ScenarioPlan { membership_mutation, ..ScenarioPlan::quiet(4, 6) };
+    let mut world = World::new(SEED, plan);
     world.begin_without_spares()?;
     world.run(SECOND * 2);
     for _ in 0..case.replacements {
--- a/crates/testing/control-sim/tests/directed.rs
+++ b/crates/testing/control-sim/tests/directed.rs
@@ -137,7 +137,7 @@
             is_owner: case % 2 == 0,
             is_replaced_in_cut: case % 4 >= 2,
         };
-        if let Err(error) = isolated_after_replacements(case) {
+        if let Err(error) = isolated_after_replacements(case, None) {
             behind.push(format!("{case:?}: {error}"));
         }
     }
--- a/crates/testing/control-sim/tests/mutants.rs
+++ b/crates/testing/control-sim/tests/mutants.rs
@@ -5,8 +5,8 @@
 mod common;
 
 use common::{
-    cut_control_node, sidecar_below_old_state, wiped_after_the_step, Below, CaseError, CutCase,
-    CutDirections, SECOND,
+    cut_control_node, isolated_after_replacements, sidecar_below_old_state, wiped_after_the_step, Below,
+    CaseError, CutCase, CutDirections, IsolatedCase, SECOND,
 };
 use silvercross_control_sim::{run, run_with_membership_mutation, Report, ScheduleError, Violation};
 use silvercross_control_store::Mutation;
@@ -70,6 +70,20 @@
     assert!(is_meant(violation(&error)), "{error}");
 }
 
+#[test]
+fn a_relay_tree_that_counts_replaced_control_nodes_is_caught() {
+    let directions = CutDirections::Both;
+    let case = IsolatedCase {
+        replacements: 1,
+        come_back: false,
+        directions,
+        is_owner: true,
+        is_replaced_in_cut: false,
+    };
+    let mutation = membership::Mutation::CountsFormerControlNodes;
+    checked(isolated_after_replacements(case, Some(mutation)));
+}
+
 #[test]
 fn a_wiped_replica_that_votes_is_caught() {
     caught(Mutation::VotesWithEmptyDisk, 1_000);
