control-sim: the rare mutant's schedules begin near one in which it shows again

Of 30,000 seeds from 0 on the first that shows it is 1,176; the test plays 200 schedules as before, 1,100 to 1,299.

--- a/crates/testing/control-sim/tests/mutants.rs
+++ b/crates/testing/control-sim/tests/mutants.rs
@@ -108,7 +108,7 @@
 #[test]
 fn a_quorum_of_the_replica_set_before_alone_is_caught() {
     // Rare: the schedules begin near one in which it shows.
-    first(1_500..1_700, |seed| run(seed, Some(Mutation::OldQuorumOnly)));
+    first(1_100..1_300, |seed| run(seed, Some(Mutation::OldQuorumOnly)));
 }
 
 #[test]
