mesh: an order for a zone is not carried out after a newer one was acknowledged (EVAC)

What callers saw: an End lay at a control node that stood still; its operator heard nothing, had it acknowledged elsewhere, and evacuated the zone again with a 200. The node went on, read the End, whose caller had hung up, and opened the zone: 243 requests later than 5 s. Cause: orders have no version, and whichever was carried out last held, however long it had lain: in a socket, at a node between reading and sending on, on a link, in a queue, or sent again to the next owner. Class: a call without a version that is carried out by when it happens to arrive. The same cause elsewhere: a member's Renew and Lapse read an item and write its next version, whenever they were sent: they too are given up with their caller. Config.Patch carries versions and is not concerned.

--- a/crates/control/control-store/src/batch.rs
+++ b/crates/control/control-store/src/batch.rs
@@ -29,6 +29,8 @@
     /// The changes in the append. At most `MAX_BATCH_CHANGES`.
     pub(crate) changes: Vec<V::Change>,
     bytes: usize,
+    /// Whether the change in the append is unversioned: it is the only one.
+    is_unversioned: bool,
     /// Calls to be answered with the append.
     pub(crate) uncommitted: Vec<UncommittedCall<V::Change>>,
     /// Calls to be answered with the next confirmation.
@@ -39,6 +41,11 @@
     pub(crate) answers: Vec<ImmediateAnswer<V>>,
 }
 
+/// Whether a request is a change without a version.
+pub(crate) fn is_unversioned<V: State>(request: &Request<V::Change>) -> bool {
+    matches!(request, Request::Change(change) if V::is_unversioned(change))
+}
+
 impl<V: State> Batch<V> {
     /// An empty batch.
     pub(crate) fn new(max_bytes: usize, is_append_in_flight: bool, mutation: Option<Mutation>) -> Self {
@@ -49,6 +56,7 @@
             value: None,
             changes: Vec::new(),
             bytes: 0,
+            is_unversioned: false,
             uncommitted: Vec::new(),
             unconfirmed: Vec::new(),
             queue: VecDeque::new(),
@@ -70,6 +78,8 @@
                 self.unconfirmed.push(UnconfirmedCall { call, rejection: None });
             }
         } else if self.is_append_in_flight
+            || self.is_unversioned
+            || (!self.changes.is_empty() && is_unversioned::<V>(&call.request))
             || self.changes.len() >= MAX_BATCH_CHANGES
             || self.bytes >= self.max_bytes
         {
@@ -86,6 +96,10 @@
         let mut updated = self.value.as_ref().unwrap_or(&committed.value).clone();
         match (updated.apply(change), self.value.is_some()) {
             (Ok(true), _) => self.push_change(updated, call, Ok(true)),
+            // Committed even if nothing changes, as it ends the epoch.
+            (Ok(false), false) if is_unversioned::<V>(&call.request) => {
+                self.push_change(updated, call, Ok(false));
+            }
             (Ok(false), false) => self.unconfirmed.push(UnconfirmedCall { call, rejection: None }),
             (Err(rejection), _)
                 if self.has_mutation(Mutation::KeepsPartialChange) && updated != committed.value =>
@@ -111,6 +125,7 @@
 
     /// Adds a change to the append, which leads to `value`.
     fn push_change(&mut self, value: V, call: QueuedCall<V::Change>, applied: ApplyResult) {
+        self.is_unversioned = is_unversioned::<V>(&call.request);
         if let Request::Change(change) = &call.request {
             self.bytes += bitcode::encode(change).len();
             self.changes.push(change.clone());
--- a/crates/control/control-store/src/call.rs
+++ b/crates/control/control-store/src/call.rs
@@ -102,6 +102,8 @@
     pub(crate) key: String,
     pub(crate) request: Request<C>,
     pub(crate) deadline: Instant,
+    /// The only epoch under which it may be served.
+    pub(crate) under: Option<Epoch>,
     /// The targets tried so far. At most `MAX_FORWARDS_PER_CALL`.
     pub(crate) tried_targets: Vec<ForwardTarget>,
     pub(crate) route: CallRoute,
@@ -112,6 +114,7 @@
     pub(crate) fn next_deadline(&self) -> Instant {
         match self.route {
             CallRoute::Local | CallRoute::AwaitingRevision(_) => self.deadline,
+            CallRoute::Forwarded { .. } if self.under.is_some() => self.deadline,
             CallRoute::Forwarded { since, .. } => self.deadline.min(since + FORWARD_TIMEOUT),
             CallRoute::Parked(until) => self.deadline.min(until),
         }
--- a/crates/control/control-store/src/mutation.rs
+++ b/crates/control/control-store/src/mutation.rs
@@ -52,6 +52,8 @@
     AnswersFromUncommitted,
     /// Starts without reading its promises from disk.
     ForgetsStoredPromises,
+    /// Continues under the same epoch after an unversioned change.
+    KeepsEpochAfterUnversionedChange,
 }
 
 /// Whether `mutation` is active; never without the feature `mutants`.
--- a/crates/control/control-store/src/protocol/calls.rs
+++ b/crates/control/control-store/src/protocol/calls.rs
@@ -6,23 +6,41 @@
 use crate::limits::{CALL_TIMEOUT, FORWARD_TIMEOUT, MAX_FORWARDS_PER_CALL, MAX_OPEN_CALLS, MAX_QUEUED_CALLS};
 use crate::message::{CallOutcome, ForwardReply, Message, Request};
 use crate::store::ControlStore;
-use crate::types::{Node, Revision};
+use crate::types::{Epoch, Node, Revision};
 use crate::value::{Rejection, State};
 use silvercross_time::Instant;
 
 impl<V: State> ControlStore<V> {
     /// Changes the key's value. The outcome is an [`Effect::Answer`] with this token, within 800 ms.
     pub fn call(&mut self, now: Instant, token: u64, key: &str, change: V::Change) {
-        self.begin_call(now, token, key, Request::Change(change));
+        self.begin_call(now, token, key, Request::Change(change), None);
+    }
+
+    /// Changes the key's value only while the key is owned under this epoch, as a read has returned it: not if
+    /// an unversioned change was committed since. The outcome is returned as for any other change.
+    pub fn call_under(&mut self, now: Instant, token: u64, key: &str, change: V::Change, epoch: Epoch) {
+        self.begin_call(now, token, key, Request::Change(change), Some(epoch));
+    }
+
+    /// Gives up the call with this token, if it is open. What was already sent on may still be served.
+    pub fn cancel(&mut self, token: u64) {
+        self.open_calls.retain(|_, call| call.token != token);
     }
 
     /// Reads the key's value, including everything acknowledged before the read. The outcome is returned as
     /// for a change.
     pub fn read(&mut self, now: Instant, token: u64, key: &str) {
-        self.begin_call(now, token, key, Request::Read);
+        self.begin_call(now, token, key, Request::Read, None);
     }
 
-    fn begin_call(&mut self, now: Instant, token: u64, key: &str, request: Request<V::Change>) {
+    fn begin_call(
+        &mut self,
+        now: Instant,
+        token: u64,
+        key: &str,
+        request: Request<V::Change>,
+        under: Option<Epoch>,
+    ) {
         if self.slot_or_insert(now, key).is_none() {
             let reason = format!("no room for a further key ({} bytes)", key.len());
             let outcome = CallOutcome::Rejected(Rejection { conflict: false, reason });
@@ -39,6 +57,7 @@
             key: key.to_owned(),
             request,
             deadline: now + CALL_TIMEOUT,
+            under,
             tried_targets: Vec::new(),
             route: CallRoute::Local,
         };
@@ -52,9 +71,16 @@
         self.route(now, self.last_call_id);
     }
 
-    /// Routes an open call: to this node, to the owner, or to the node that should become the owner.
+    /// Routes an open call: to this node, to the owner, or to the node that should become the owner. One whose
+    /// deadline has passed goes nowhere.
     pub(crate) fn route(&mut self, now: Instant, id: u64) {
         let Some(call) = self.open_calls.get(&id) else { return };
+        if now >= call.deadline {
+            return self.answer(Caller::Local(id), CallOutcome::Unknown);
+        }
+        if let Some(epoch) = call.under {
+            return self.route_under(now, id, epoch);
+        }
         let Some(slot) = self.keys.get(&call.key) else { return };
         if slot.is_replica() {
             if let Some(target) = self.forward_target(now, call) {
@@ -74,6 +100,22 @@
         self.enqueue(now, &key, QueuedCall { caller: Caller::Local(id), request, deadline });
     }
 
+    /// Routes a call to the owner under the only epoch under which it may be served, once.
+    fn route_under(&mut self, now: Instant, id: u64, epoch: Epoch) {
+        let Some(call) = self.open_calls.get_mut(&id) else { return };
+        let (key, target) = (call.key.clone(), ForwardTarget { node: Node(epoch.owner), epoch });
+        let owner = self.keys.get(&key).and_then(|slot| slot.owner());
+        if owner.is_some_and(|owner| owner.epoch == epoch) {
+            call.route = CallRoute::Local;
+            let (request, deadline) = (call.request.clone(), call.deadline);
+            self.enqueue(now, &key, QueuedCall { caller: Caller::Local(id), request, deadline });
+        } else if call.tried_targets.is_empty() && self.reachable.contains(&target.node) {
+            self.forward(now, id, target);
+        } else {
+            self.answer(Caller::Local(id), CallOutcome::Unknown);
+        }
+    }
+
     /// The node to forward a call to: the owner, or the one that should claim the key. A node that can't
     /// claim the key itself tries any other.
     fn forward_target(&self, now: Instant, call: &Call<V::Change>) -> Option<ForwardTarget> {
@@ -183,7 +225,7 @@
     pub(crate) fn reroute_calls(&mut self, now: Instant) {
         let mut ids = Vec::new();
         for (id, call) in &mut self.open_calls {
-            if !matches!(call.route, CallRoute::Local) {
+            if !matches!(call.route, CallRoute::Local) && call.under.is_none() {
                 call.tried_targets.clear();
                 ids.push(*id);
             }
--- a/crates/control/control-store/src/protocol/claim.rs
+++ b/crates/control/control-store/src/protocol/claim.rs
@@ -138,6 +138,19 @@
         }
     }
 
+    /// Claims the key under another epoch as its owner. Calls that were read or forwarded under the present one
+    /// come too late from now on; those in the queue stay there until the claim is decided.
+    pub(crate) fn renew_epoch(&mut self, now: Instant, key: &str) {
+        let Some(slot) = self.keys.get_mut(key) else { return };
+        let ownership = std::mem::replace(&mut slot.ownership, Ownership::Replica);
+        if let Ownership::Owner(owner) = ownership {
+            let queue = std::mem::take(&mut slot.queue);
+            slot.queue = owner.into_calls().into_iter().chain(queue).collect();
+        }
+        slot.claim_not_before = now;
+        self.claim(now, key);
+    }
+
     /// Gives up ownership or the claim of a key. Local calls are routed again, those forwarded by other nodes
     /// are returned to them.
     pub(crate) fn step_down(&mut self, now: Instant, key: &str) {
--- a/crates/control/control-store/src/protocol/replicate.rs
+++ b/crates/control/control-store/src/protocol/replicate.rs
@@ -3,11 +3,11 @@
 //! Each key has at most one append in flight. It is committed once a quorum has confirmed it, and calls are
 //! answered only then.
 
-use crate::batch::{Batch, ImmediateAnswer};
+use crate::batch::{is_unversioned, Batch, ImmediateAnswer};
 use crate::call::Caller;
 use crate::effect::Effect;
 use crate::key_slot::{CommittedValue, ConfirmedAppend, InFlightAppend};
-use crate::message::{CallOutcome, Message};
+use crate::message::{CallOutcome, ForwardReply, Message, Request};
 use crate::mutation::Mutation;
 use crate::store::ControlStore;
 use crate::types::{Epoch, Incarnation, Node, NodeIncarnation, Revision};
@@ -127,6 +127,8 @@
         let calls = owner.in_flight.take().map(|append| append.calls).unwrap_or_default();
         self.metrics.ownerships_taken += u64::from(is_first);
         self.push_effect(Effect::Committed { key: key.to_owned(), revision, value });
+        let ends_epoch = calls.iter().any(|waiting| is_unversioned::<V>(&waiting.call.request))
+            && !self.has_mutation(Mutation::KeepsEpochAfterUnversionedChange);
         for waiting in calls {
             let outcome = match waiting.applied {
                 Ok(changed) => CallOutcome::Committed { revision, changed },
@@ -134,7 +136,10 @@
             };
             self.answer(waiting.call.caller, outcome);
         }
-        self.process_queue(now, key);
+        match ends_epoch {
+            true => self.renew_epoch(now, key),
+            false => self.process_queue(now, key),
+        }
     }
 
     /// Processes the queue of a key with a committed value: reads and calls that leave that value as it is
@@ -165,6 +170,17 @@
         self.confirm_epoch(now, key);
     }
 
+    /// Returns a change that was read or forwarded under an epoch before this one.
+    fn reject_too_late(&mut self, caller: Caller, highest_epoch: Epoch) {
+        match caller {
+            Caller::Local(_) => self.answer(caller, CallOutcome::Unknown),
+            Caller::Remote { node, id, epoch } => {
+                let reply = ForwardReply::NotOwner(highest_epoch);
+                self.send(node, Message::ForwardReply { id, epoch, reply });
+            }
+        }
+    }
+
     /// Sorts the calls in a key's queue; `None` if this node has not committed a value as its owner.
     fn next_batch(&mut self, now: Instant, key: &str) -> Option<Batch<V>> {
         let slot = self.keys.get_mut(key)?;
@@ -176,17 +192,27 @@
                 return None;
             }
         };
+        let epoch = owner.epoch;
         let committed = owner.committed.as_ref()?;
+        let mut too_late = Vec::new();
         let mut batch = Batch::new(self.snapshot_chunk_bytes, owner.in_flight.is_some(), self.mutation);
         for call in queue {
-            let is_open = match call.caller {
-                Caller::Local(id) => self.open_calls.contains_key(&id),
-                Caller::Remote { .. } => now < call.deadline,
+            let local = match call.caller {
+                Caller::Local(id) => self.open_calls.get(&id),
+                Caller::Remote { .. } => None,
+            };
+            let (is_open, under) = match call.caller {
+                Caller::Local(_) => (local.is_some(), local.and_then(|open| open.under)),
+                Caller::Remote { epoch, .. } => (now < call.deadline, Some(epoch)),
             };
-            if is_open {
+            let is_too_late = matches!(call.request, Request::Change(_)) && under.is_some_and(|e| e != epoch);
+            if is_open && is_too_late {
+                too_late.push(call.caller);
+            } else if is_open {
                 batch.add(call, committed);
             }
         }
+        too_late.into_iter().for_each(|caller| self.reject_too_late(caller, epoch));
         Some(batch)
     }
 }
--- a/crates/control/control-store/src/value.rs
+++ b/crates/control/control-store/src/value.rs
@@ -34,4 +34,11 @@
     /// already contained it (it is acknowledged again), `Err` with `self` unchanged. Replicas apply the same
     /// changes in the same order, so the result may depend on nothing but `self` and `change`.
     fn apply(&mut self, change: &Self::Change) -> Result<bool, Rejection>;
+
+    /// Whether a change carries no version by which a later one is told from an earlier one. Such a change is
+    /// committed alone and ends the epoch of its key's owner, so that calls of that epoch which are still on
+    /// their way come too late (see [`ControlStore::call_under`](crate::ControlStore::call_under)).
+    fn is_unversioned(_change: &Self::Change) -> bool {
+        false
+    }
 }
--- a/crates/control/control-store/tests/common/notes.rs
+++ b/crates/control/control-store/tests/common/notes.rs
@@ -1,4 +1,5 @@
-//! A value for tests: numbered items, each with a version and content, of which the highest version wins.
+//! A value for tests: numbered items, each with a version and content, of which the highest version wins. A change of an item
+//! under version 0 is unversioned: the last one wins.
 
 use silvercross_control_store::{Rejection, State};
 use std::cell::Cell;
@@ -14,6 +15,9 @@
 #[derive(Clone, Debug, Default, PartialEq, bitcode::Encode, bitcode::Decode)]
 pub struct Notes(pub BTreeMap<u8, (u64, u64)>);
 
+/// The version of an unversioned change.
+pub const UNVERSIONED: u64 = 0;
+
 /// Item, version, content.
 pub type Change = Vec<(u8, u64, u64)>;
 
@@ -29,6 +33,10 @@
         let is_dangling = content >> 32 == 1 && !self.0.contains_key(&(content as u8));
         match version.cmp(&known.0) {
             _ if content == 0 => Err(rejection(false)),
+            _ if version == UNVERSIONED => {
+                self.0.insert(item, (known.0 + u64::from(known.1 != content), content));
+                Ok(known.1 != content)
+            }
             Ordering::Greater if is_dangling => Err(rejection(false)),
             Ordering::Equal if known.1 != content => Err(rejection(true)),
             Ordering::Greater => {
@@ -43,6 +51,10 @@
 impl State for Notes {
     type Change = Change;
 
+    fn is_unversioned(change: &Change) -> bool {
+        change.iter().any(|(_, version, _)| *version == UNVERSIONED)
+    }
+
     fn apply(&mut self, change: &Change) -> Result<bool, Rejection> {
         let mut next = self.clone();
         let mut changed = false;
--- a/crates/control/control-store/tests/rules/main.rs
+++ b/crates/control/control-store/tests/rules/main.rs
@@ -10,3 +10,4 @@
 mod replica_set_votes;
 mod snapshots;
 mod spare;
+mod unversioned;
--- a/crates/daemon/mesh/src/control/call.rs
+++ b/crates/daemon/mesh/src/control/call.rs
@@ -1,6 +1,7 @@
 //! Declaring calls, and finding the call that a request means.
 use super::response::CallResponse;
 use crate::node_state::NodeState;
+use crate::wire::Connection;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -11,17 +12,29 @@
 pub(super) type HandlerFuture<'c> = Pin<Box<dyn Future<Output = CallResponse> + 'c>>;
 
 /// A call that was received.
-pub(crate) struct ReceivedCall {
+pub(crate) struct ReceivedCall<'c> {
     /// The name in its path.
     pub(super) name: String,
     /// Its body.
     pub(super) body: Vec<u8>,
-    /// The other end of its connection, if it could still be determined.
-    pub(super) caller: Option<SocketAddr>,
+    /// Its connection.
+    pub(super) connection: &'c Connection,
     /// When it had been read.
     pub(super) received_at: Instant,
 }
 
+impl ReceivedCall<'_> {
+    /// The address of the caller, if it can still be determined.
+    pub(super) fn caller(&self) -> Option<SocketAddr> {
+        self.connection.peer_address()
+    }
+
+    /// Whether the caller has closed its connection, so that nobody waits for the response.
+    pub(super) fn caller_has_left(&self) -> bool {
+        self.connection.is_closed_by_peer()
+    }
+}
+
 /// A call that a listener can serve.
 pub(crate) struct Call {
     /// Its HTTP method.
@@ -29,17 +42,23 @@
     /// Its path; a trailing `{}` stands for a name.
     pub(super) path: &'static str,
     /// Handles the call.
-    pub(super) handler: for<'c> fn(&'c Rc<NodeState>, &'c ReceivedCall) -> HandlerFuture<'c>,
+    pub(super) handler: for<'c> fn(&'c Rc<NodeState>, &'c ReceivedCall<'c>) -> HandlerFuture<'c>,
+    /// Whether it is given up once its caller has left: a later call may already contradict it.
+    pub(super) ends_with_caller: bool,
 }
 
 /// Declares a call: its constant, method, path and handler.
 macro_rules! call {
     ($name:ident, $method:literal, $path:literal, $handler:ident) => {
+        call!($name, $method, $path, $handler, ends_with_caller: false);
+    };
+    ($name:ident, $method:literal, $path:literal, $handler:ident, ends_with_caller: $ends:literal) => {
         #[doc = concat!("`", $method, " ", $path, "`")]
         pub(super) const $name: Call = Call {
             method: $method,
             path: $path,
             handler: |node_state, call| Box::pin($handler(node_state, call)),
+            ends_with_caller: $ends,
         };
     };
 }
--- a/crates/daemon/mesh/src/control/calls.rs
+++ b/crates/daemon/mesh/src/control/calls.rs
@@ -1,6 +1,6 @@
 //! The calls, each declared beside its handler, and the lists of calls served by each listener.
 use super::call::{call, Call, ReceivedCall};
-use super::changes::{change_configuration, change_key, redirect};
+use super::changes::{change_configuration, change_key_in_order, redirect};
 use super::member_calls::{MEMBERS_LAPSE, MEMBERS_LIST, MEMBERS_RENEW};
 use super::response::CallResponse;
 use crate::control_value::{evacuation_key, ControlChange, ControlValue, CONFIGURATION_KEY};
@@ -28,7 +28,7 @@
 pub(crate) const READY_CALLS: [&Call; 2] = [&READY, &METRICS];
 
 call!(HEARTBEAT, "POST", "/-/Stations.Heartbeat/{}", heartbeat);
-async fn heartbeat(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+async fn heartbeat(node_state: &Rc<NodeState>, call: &ReceivedCall<'_>) -> CallResponse {
     let ReceivedCall { name: id, body, .. } = call;
     let heartbeat = match serde_json::from_slice::<Heartbeat>(body) {
         Ok(heartbeat) => heartbeat,
@@ -83,18 +83,18 @@
 }
 
 call!(SIGN_OFF, "POST", "/-/Stations.SignOff/{}", sign_off);
-async fn sign_off(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+async fn sign_off(node_state: &Rc<NodeState>, call: &ReceivedCall<'_>) -> CallResponse {
     node_state.upstream_signed_off(&call.name);
     acknowledge_departure(node_state, &call.name).await
 }
 
 call!(PATCH, "POST", "/-/Config.Patch", patch);
-async fn patch(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+async fn patch(node_state: &Rc<NodeState>, call: &ReceivedCall<'_>) -> CallResponse {
     change_configuration(node_state, call, &call.body, PATCH.path).await
 }
 
 call!(GET, "GET", "/-/Config.Get", get);
-async fn get(node_state: &Rc<NodeState>, _: &ReceivedCall) -> CallResponse {
+async fn get(node_state: &Rc<NodeState>, _: &ReceivedCall<'_>) -> CallResponse {
     match node_state.peers.read_key(node_state, CONFIGURATION_KEY).await {
         Some(CallOutcome::Value { value: ControlValue::Configuration(configuration), .. }) => {
             CallResponse::json(200, configuration.to_json())
@@ -108,37 +108,37 @@
     }
 }
 
-call!(EVACUATE_START, "POST", "/-/Evacuate.Start/{}", evacuate_start);
-async fn evacuate_start(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+call!(EVACUATE_START, "POST", "/-/Evacuate.Start/{}", evacuate_start, ends_with_caller: true);
+async fn evacuate_start(node_state: &Rc<NodeState>, call: &ReceivedCall<'_>) -> CallResponse {
     evacuate(node_state, call, true).await
 }
 
-call!(EVACUATE_END, "POST", "/-/Evacuate.End/{}", evacuate_end);
-async fn evacuate_end(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+call!(EVACUATE_END, "POST", "/-/Evacuate.End/{}", evacuate_end, ends_with_caller: true);
+async fn evacuate_end(node_state: &Rc<NodeState>, call: &ReceivedCall<'_>) -> CallResponse {
     evacuate(node_state, call, false).await
 }
 
-async fn evacuate(node_state: &Rc<NodeState>, call: &ReceivedCall, on: bool) -> CallResponse {
+async fn evacuate(node_state: &Rc<NodeState>, call: &ReceivedCall<'_>, on: bool) -> CallResponse {
     let (zone, zones) = (&call.name, &node_state.settings.zones);
     if !zones.iter().any(|known| known == zone) {
         return CallResponse::error(400, &format!("zone {zone:?}: unknown (name one of {zones:?})"));
     }
     let path = format!("/-/Evacuate.{}/{zone}", if on { "Start" } else { "End" });
-    change_key(node_state, call, &evacuation_key(zone), ControlChange::Evacuate(on), &path).await
+    change_key_in_order(node_state, call, &evacuation_key(zone), ControlChange::Evacuate(on), &path).await
 }
 
 call!(STATE, "GET", "/-/Post.State", state);
-async fn state(node_state: &Rc<NodeState>, _: &ReceivedCall) -> CallResponse {
+async fn state(node_state: &Rc<NodeState>, _: &ReceivedCall<'_>) -> CallResponse {
     CallResponse::json(200, state_report(node_state).to_string())
 }
 
 call!(METRICS, "GET", "/-/Post.Figures", metrics);
-async fn metrics(node_state: &Rc<NodeState>, _: &ReceivedCall) -> CallResponse {
+async fn metrics(node_state: &Rc<NodeState>, _: &ReceivedCall<'_>) -> CallResponse {
     CallResponse::json(200, metrics_report(node_state).to_string())
 }
 
 call!(READY, "GET", "/-/ready", ready);
-async fn ready(node_state: &Rc<NodeState>, _: &ReceivedCall) -> CallResponse {
+async fn ready(node_state: &Rc<NodeState>, _: &ReceivedCall<'_>) -> CallResponse {
     match node_state.not_ready() {
         None => CallResponse::json(200, "{\"ready\":true}".to_string()),
         Some(reason) => {
--- a/crates/daemon/mesh/src/control/changes.rs
+++ b/crates/daemon/mesh/src/control/changes.rs
@@ -1,7 +1,7 @@
 //! Changing keys of the control store, and redirecting callers to a replica.
 use super::call::ReceivedCall;
 use super::response::CallResponse;
-use crate::control_value::{ControlChange, CONFIGURATION_KEY};
+use crate::control_value::{ControlChange, ControlValue, CONFIGURATION_KEY};
 use crate::node_state::NodeState;
 use silvercross_control_store::{CallOutcome, Rejection};
 use slog::info;
@@ -10,7 +10,7 @@
 /// Apply a configuration update on behalf of a call to `path`.
 pub(super) async fn change_configuration(
     node_state: &Rc<NodeState>,
-    call: &ReceivedCall,
+    call: &ReceivedCall<'_>,
     body: &[u8],
     path: &str,
 ) -> CallResponse {
@@ -23,19 +23,62 @@
 }
 
 /// Change a key on behalf of a call to `path`.
-pub(super) async fn change_key(
+async fn change_key(
     node_state: &Rc<NodeState>,
-    call: &ReceivedCall,
+    call: &ReceivedCall<'_>,
     key: &str,
     change: ControlChange,
     path: &str,
 ) -> CallResponse {
     node_state.counters.control_calls.set(node_state.counters.control_calls.get() + 1);
-    match node_state.peers.change_key(node_state, key, change).await {
+    let outcome = node_state.peers.change_key(node_state, key, change).await;
+    respond(node_state, call, key, path, outcome)
+}
+
+/// Change a key by an order without a version on behalf of a call to `path`: only if none that came later was acknowledged
+/// since the call was received, and while its caller waits.
+pub(super) async fn change_key_in_order(
+    node_state: &Rc<NodeState>,
+    call: &ReceivedCall<'_>,
+    key: &str,
+    change: ControlChange,
+    path: &str,
+) -> CallResponse {
+    node_state.counters.control_calls.set(node_state.counters.control_calls.get() + 1);
+    let epoch = match node_state.peers.read_key(node_state, key).await {
+        Some(CallOutcome::Value { revision, .. }) => revision.epoch,
+        Some(_) => return CallResponse::retry_later(),
+        None => return redirect(node_state, path),
+    };
+    if call.caller_has_left() {
+        return abandoned(node_state, call);
+    }
+    let outcome = node_state.peers.change_key_under(node_state, key, change, epoch).await;
+    if matches!(outcome, Some(CallOutcome::Unknown)) {
+        node_state.count_unsettled_order(path);
+    }
+    respond(node_state, call, key, path, outcome)
+}
+
+/// Give up a call whose caller has left. The response is for one that has only closed its sending direction.
+pub(super) fn abandoned(node_state: &NodeState, call: &ReceivedCall<'_>) -> CallResponse {
+    let caller = call.caller().map_or_else(String::new, |caller| caller.to_string());
+    node_state.count_abandoned_call(&call.name, &caller, call.received_at.elapsed());
+    CallResponse::retry_later()
+}
+
+fn respond(
+    node_state: &NodeState,
+    call: &ReceivedCall<'_>,
+    key: &str,
+    path: &str,
+    outcome: Option<CallOutcome<ControlValue>>,
+) -> CallResponse {
+    match outcome {
         Some(CallOutcome::Committed { revision, changed }) => {
             if changed {
                 info!(node_state.log, "acknowledged"; "key" => key, "round" => revision.epoch.round, "change" => revision.sequence,
-                    "call" => path, "caller" => call.caller.map(|caller| caller.to_string()),
+                    "call" => path, "caller" => call.caller().map(|caller| caller.to_string()),
                     "us" => call.received_at.elapsed().as_micros() as u64);
             }
             CallResponse::ok()
--- a/crates/daemon/mesh/src/control/listener.rs
+++ b/crates/daemon/mesh/src/control/listener.rs
@@ -1,5 +1,6 @@
 //! Connections for calls: one task per connection, which serves one call at a time.
 use super::call::{find, Call, ReceivedCall};
+use super::changes::abandoned;
 use super::response::CallResponse;
 use crate::event_stream;
 use crate::node_state::{ConnectionKind, GaugeGuard, NodeState};
@@ -109,9 +110,8 @@
     }
     let response = match find(calls, &request.method, &request.target) {
         Ok(found) => {
-            let (caller, received_at) = (connection.peer_address(), Instant::now());
-            let received = ReceivedCall { name: found.name, body, caller, received_at };
-            (found.call.handler)(node_state, &received).await
+            let received = ReceivedCall { name: found.name, body, connection, received_at: Instant::now() };
+            handle(node_state, found.call, &received).await
         }
         Err(error) => CallResponse::error(error.status(), "no such call"),
     };
@@ -130,6 +130,19 @@
     Next::Call
 }
 
+/// Handle a call, for as long as its caller waits if it ends with its caller.
+async fn handle(node_state: &Rc<NodeState>, call: &Call, received: &ReceivedCall<'_>) -> CallResponse {
+    let handler = (call.handler)(node_state, received);
+    if !call.ends_with_caller {
+        return handler.await;
+    }
+    tokio::select! {
+        biased;
+        () = received.connection.wait_until_closed_by_peer() => abandoned(node_state, received),
+        response = handler => response,
+    }
+}
+
 /// Respond to a call that can't be read. Its remaining input is read and discarded: closing with unread input would reset
 /// the connection, and the caller could lose the response.
 async fn respond_unreadable(connection: &mut Connection, error: &MessageError) -> Next {
--- a/crates/daemon/mesh/src/control/member_calls.rs
+++ b/crates/daemon/mesh/src/control/member_calls.rs
@@ -1,6 +1,6 @@
 //! Operators' calls on members.
 use super::call::{call, Call, ReceivedCall};
-use super::changes::{change_configuration, redirect};
+use super::changes::{abandoned, change_configuration, redirect};
 use super::response::CallResponse;
 use crate::control_value::{ControlValue, CONFIGURATION_KEY};
 use crate::member_throttle::{lapsed_item, members_report, percent_decoded, renewed_item, ItemChangeError};
@@ -9,18 +9,18 @@
 use std::rc::Rc;
 
 call!(MEMBERS_LIST, "GET", "/-/Members.List", members_list);
-async fn members_list(node_state: &Rc<NodeState>, _: &ReceivedCall) -> CallResponse {
+async fn members_list(node_state: &Rc<NodeState>, _: &ReceivedCall<'_>) -> CallResponse {
     CallResponse::json(200, members_report(node_state).to_string())
 }
 
-call!(MEMBERS_RENEW, "POST", "/-/Members.Renew/{}", members_renew);
-async fn members_renew(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+call!(MEMBERS_RENEW, "POST", "/-/Members.Renew/{}", members_renew, ends_with_caller: true);
+async fn members_renew(node_state: &Rc<NodeState>, call: &ReceivedCall<'_>) -> CallResponse {
     let path = format!("/-/Members.Renew/{}", call.name);
     change_member(node_state, call, &path, |item| renewed_item(item, &call.body)).await
 }
 
-call!(MEMBERS_LAPSE, "POST", "/-/Members.Lapse/{}", members_lapse);
-async fn members_lapse(node_state: &Rc<NodeState>, call: &ReceivedCall) -> CallResponse {
+call!(MEMBERS_LAPSE, "POST", "/-/Members.Lapse/{}", members_lapse, ends_with_caller: true);
+async fn members_lapse(node_state: &Rc<NodeState>, call: &ReceivedCall<'_>) -> CallResponse {
     let path = format!("/-/Members.Lapse/{}", call.name);
     change_member(node_state, call, &path, lapsed_item).await
 }
@@ -29,7 +29,7 @@
 /// and the other rejected as a conflict, unless they are equal.
 async fn change_member(
     node_state: &Rc<NodeState>,
-    call: &ReceivedCall,
+    call: &ReceivedCall<'_>,
     path: &str,
     change: impl FnOnce(&str) -> Result<String, ItemChangeError>,
 ) -> CallResponse {
@@ -43,6 +43,9 @@
     let Some(item) = percent_decoded(name).and_then(|name| all.member_list.raw_json(&name)) else {
         return CallResponse::error(404, &format!("{name:?} is no member here (see /-/Members.List)"));
     };
+    if call.caller_has_left() {
+        return abandoned(node_state, call);
+    }
     match change(item) {
         Ok(patch) => change_configuration(node_state, call, patch.as_bytes(), path).await,
         Err(error) => CallResponse::error(400, &error.to_string()),
--- a/crates/daemon/mesh/src/control/tests.rs
+++ b/crates/daemon/mesh/src/control/tests.rs
@@ -11,9 +11,9 @@
 const LONG_BODY_BYTES: usize = 6 << 20;
 
 /// A call whose response is larger than what the system takes for a caller that does not read.
-const LONG_READ: Call = Call { method: "GET", path: "/long", handler: long_read };
+const LONG_READ: Call = Call { method: "GET", path: "/long", handler: long_read, ends_with_caller: false };
 
-fn long_read<'c>(_: &'c Rc<NodeState>, _: &'c ReceivedCall) -> HandlerFuture<'c> {
+fn long_read<'c>(_: &'c Rc<NodeState>, _: &'c ReceivedCall<'c>) -> HandlerFuture<'c> {
     Box::pin(async { CallResponse::json(200, "x".repeat(LONG_BODY_BYTES)) })
 }
 
--- a/crates/daemon/mesh/src/control_value.rs
+++ b/crates/daemon/mesh/src/control_value.rs
@@ -76,6 +76,10 @@
 impl State for ControlValue {
     type Change = ControlChange;
 
+    fn is_unversioned(change: &ControlChange) -> bool {
+        matches!(change, ControlChange::Evacuate(_))
+    }
+
     fn apply(&mut self, change: &ControlChange) -> Result<bool, Rejection> {
         match change {
             ControlChange::Patch(change) => {
--- a/crates/daemon/mesh/src/metrics.rs
+++ b/crates/daemon/mesh/src/metrics.rs
@@ -44,7 +44,8 @@
         "unconfirmed": counters.unconfirmed_departures.get(),
     });
     let admission = node_state.gate.with_admission(|admission| admission.metrics());
-    report["evacuation"] = json!({ "refusedAtGate": admission.rejected[Rejection::Evacuated as usize] });
+    report["evacuation"] = json!({ "refusedAtGate": admission.rejected[Rejection::Evacuated as usize],
+        "callsGivenUp": counters.abandoned_calls.get(), "ordersNotCarriedOut": counters.unsettled_orders.get() });
     if let Some(members) = node_state.member_throttle.metrics() {
         report["members"] = members;
     }
--- a/crates/daemon/mesh/src/node_state.rs
+++ b/crates/daemon/mesh/src/node_state.rs
@@ -21,6 +21,7 @@
 mod state;
 mod stopping;
 mod tombstones;
+mod unanswered_calls;
 mod unrouted_requests;
 mod upstream_claims;
 mod upstream_departures;
--- a/crates/daemon/mesh/src/node_state/counters.rs
+++ b/crates/daemon/mesh/src/node_state/counters.rs
@@ -50,6 +50,10 @@
     pub(crate) heartbeats_after_departure: Cell<u64>,
     /// Departures that were not acknowledged because no other node confirmed them in time.
     pub(crate) unconfirmed_departures: Cell<u64>,
+    /// Operators' calls that were given up because their caller had left.
+    pub(crate) abandoned_calls: Cell<u64>,
+    /// Orders that were not carried out because no majority confirmed them, or a newer one may have been acknowledged.
+    pub(crate) unsettled_orders: Cell<u64>,
     /// Operators' calls that request a change.
     pub(crate) control_calls: Cell<u64>,
     /// Gauge of calls of all kinds, each from its first byte until its response is written.
--- a/crates/daemon/mesh/src/node_state/state.rs
+++ b/crates/daemon/mesh/src/node_state/state.rs
@@ -68,6 +68,8 @@
     /// Limits log lines about rejected operators' calls.
     pub(crate) rejected_calls_log: RateLimitedLog,
     pub(super) evacuation_refusals_log: RateLimitedLog,
+    pub(super) abandoned_calls_log: RateLimitedLog,
+    pub(super) unsettled_orders_log: RateLimitedLog,
     pub(super) rejected_connections_logs: [RateLimitedLog; ConnectionKind::COUNT],
     pub(super) clock: Clock,
     pub(super) in_force: RefCell<InForce>,
@@ -137,6 +139,8 @@
             idle_timeout: RefCell::default(),
             rejected_calls_log: RateLimitedLog::default(),
             evacuation_refusals_log: RateLimitedLog::default(),
+            abandoned_calls_log: RateLimitedLog::default(),
+            unsettled_orders_log: RateLimitedLog::default(),
             rejected_connections_logs: Default::default(),
             clock,
             in_force: RefCell::default(),
--- a/crates/daemon/mesh/src/peers/majority_read.rs
+++ b/crates/daemon/mesh/src/peers/majority_read.rs
@@ -1,5 +1,6 @@
 //! Reads the revision of every key, each confirmed by a majority of the replicas, to determine whether the
 //! control state in force is current.
+use super::calls::KeyRequest;
 use super::state::{entry_revision, Peers};
 use crate::control_value::{evacuation_key, ControlValue, CONFIGURATION_KEY};
 use crate::node_state::NodeState;
@@ -22,7 +23,7 @@
         // The configuration may name keys that are unknown to this node.
         while !unread.is_empty() {
             let calls: Vec<_> =
-                unread.iter().map(|key| self.begin_call(node_state, store, key, None)).collect();
+                unread.iter().map(|key| self.begin_call(node_state, store, key, KeyRequest::Read)).collect();
             self.carry_out_effects(node_state);
             let mut named = BTreeSet::new();
             for (key, call) in unread.iter().zip(calls) {
--- a/crates/daemon/mesh/src/wire/connection.rs
+++ b/crates/daemon/mesh/src/wire/connection.rs
@@ -20,6 +20,8 @@
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval of the checks during that wait.
 const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval of the checks whether the other end has closed, while bytes that it sent are unread.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Most input that is read and discarded before a close, in bytes.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
@@ -75,6 +77,27 @@
         self.received.is_empty() && matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the other end has closed the connection, or its sending direction, or the connection broke. Not known
+    /// while received bytes are unread.
+    pub(crate) fn is_closed_by_peer(&self) -> bool {
+        let Halves::Joined(stream) = &self.halves else { return false };
+        let mut byte = [MaybeUninit::uninit(); 1];
+        match socket2::SockRef::from(stream).peek(&mut byte) {
+            Ok(length) => length == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Wait until that is so. Nothing is read: bytes that came meanwhile stay where they are.
+    pub(crate) async fn wait_until_closed_by_peer(&self) {
+        let Halves::Joined(stream) = &self.halves else { return std::future::pending().await };
+        while !self.is_closed_by_peer() {
+            if matches!(stream.peek(&mut [0; 1]).await, Ok(length) if length > 0) {
+                tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+            }
+        }
+    }
+
     /// Whether bytes were received after the last message.
     pub(crate) fn has_unread_bytes(&self) -> bool {
         !self.received.is_empty() && !mutation::is_active(Mutation::SurplusBytesKept)
