--- a/crates/control/control-store/src/call.rs
+++ b/crates/control/control-store/src/call.rs
@@ -95,6 +95,31 @@
     AwaitingRevision(Revision),
 }
 
+/// The epoch that a read has returned, for a change that may be made under it alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadEpoch {
+    /// The epoch.
+    pub epoch: Epoch,
+    /// When the caller called, before the read.
+    pub called_at: Instant,
+}
+
+/// What a call begins with.
+pub(crate) struct CallStart<C> {
+    pub(crate) request: Request<C>,
+    /// When the caller called.
+    pub(crate) called_at: Instant,
+    /// The only epoch under which it may be served.
+    pub(crate) under: Option<Epoch>,
+}
+
+impl<C> CallStart<C> {
+    /// A call that is made now and may be served under any epoch.
+    pub(crate) fn at(now: Instant, request: Request<C>) -> Self {
+        CallStart { request, called_at: now, under: None }
+    }
+}
+
 /// A call of this node's caller.
 #[derive(Clone, Debug)]
 pub(crate) struct Call<C> {
--- a/crates/control/control-store/src/lib.rs
+++ b/crates/control/control-store/src/lib.rs
@@ -37,6 +37,7 @@
 mod value;
 mod write_queue;
 
+pub use call::ReadEpoch;
 pub use effect::Effect;
 pub use limits::SNAPSHOT_CHUNK_BYTES;
 pub use message::{CallOutcome, ForwardReply, KeySummary, Message, Request};
--- a/crates/control/control-store/src/protocol/calls.rs
+++ b/crates/control/control-store/src/protocol/calls.rs
@@ -1,6 +1,6 @@
 //! Calls of this node's callers: routes each to the node that serves it, and answers it in time.
 
-use crate::call::{Call, CallRoute, Caller, ForwardTarget, QueuedCall};
+use crate::call::{Call, CallRoute, CallStart, Caller, ForwardTarget, QueuedCall, ReadEpoch};
 use crate::effect::Effect;
 use crate::key_slot::Ownership;
 use crate::limits::{CALL_TIMEOUT, FORWARD_TIMEOUT, MAX_FORWARDS_PER_CALL, MAX_OPEN_CALLS, MAX_QUEUED_CALLS};
@@ -13,13 +13,16 @@
 impl<V: State> ControlStore<V> {
     /// Changes the key's value. The outcome is an [`Effect::Answer`] with this token, within 800 ms.
     pub fn call(&mut self, now: Instant, token: u64, key: &str, change: V::Change) {
-        self.begin_call(now, token, key, Request::Change(change), None);
+        self.begin_call(now, token, key, CallStart::at(now, Request::Change(change)));
     }
 
-    /// Changes the key's value only while the key is owned under this epoch, as a read has returned it: not if
-    /// an unversioned change was committed since. The outcome is returned as for any other change.
-    pub fn call_under(&mut self, now: Instant, token: u64, key: &str, change: V::Change, epoch: Epoch) {
-        self.begin_call(now, token, key, Request::Change(change), Some(epoch));
+    /// Changes the key's value only while the key is owned under the epoch that a read has returned: not if an
+    /// unversioned change was committed since. The outcome is an [`Effect::Answer`] with this token, within 800 ms
+    /// of the caller's call.
+    pub fn call_under(&mut self, now: Instant, token: u64, key: &str, change: V::Change, read: ReadEpoch) {
+        let ReadEpoch { epoch, called_at } = read;
+        let request = Request::Change(change);
+        self.begin_call(now, token, key, CallStart { request, called_at, under: Some(epoch) });
     }
 
     /// Gives up the call with this token, if it is open. What was already sent on may still be served.
@@ -30,17 +33,11 @@
     /// Reads the key's value, including everything acknowledged before the read. The outcome is returned as
     /// for a change.
     pub fn read(&mut self, now: Instant, token: u64, key: &str) {
-        self.begin_call(now, token, key, Request::Read, None);
+        self.begin_call(now, token, key, CallStart::at(now, Request::Read));
     }
 
-    fn begin_call(
-        &mut self,
-        now: Instant,
-        token: u64,
-        key: &str,
-        request: Request<V::Change>,
-        under: Option<Epoch>,
-    ) {
+    fn begin_call(&mut self, now: Instant, token: u64, key: &str, start: CallStart<V::Change>) {
+        let CallStart { request, called_at, under } = start;
         if self.slot_or_insert(now, key).is_none() {
             let reason = format!("no room for a further key ({} bytes)", key.len());
             let outcome = CallOutcome::Rejected(Rejection { conflict: false, reason });
@@ -56,7 +53,7 @@
             token,
             key: key.to_owned(),
             request,
-            deadline: now + CALL_TIMEOUT,
+            deadline: called_at + CALL_TIMEOUT,
             under,
             tried_targets: Vec::new(),
             route: CallRoute::Local,
--- a/crates/control/control-store/tests/rules/unversioned.rs
+++ b/crates/control/control-store/tests/rules/unversioned.rs
@@ -17,7 +17,8 @@
 
 /// A call of an unversioned change under an epoch.
 fn call_under(cluster: &mut Cluster, node: usize, token: u64, content: u64, epoch: Epoch) {
-    cluster.stores[node].call_under(cluster.now, token, KEY, vec![(ITEM, UNVERSIONED, content)], epoch);
+    let read = ReadEpoch { epoch, called_at: cluster.now };
+    cluster.stores[node].call_under(cluster.now, token, KEY, vec![(ITEM, UNVERSIONED, content)], read);
 }
 
 /// The epoch that a read through a node returns.
--- a/crates/daemon/mesh/src/control/changes.rs
+++ b/crates/daemon/mesh/src/control/changes.rs
@@ -3,7 +3,7 @@
 use super::response::CallResponse;
 use crate::control_value::{ControlChange, ControlValue, CONFIGURATION_KEY};
 use crate::node_state::NodeState;
-use silvercross_control_store::{CallOutcome, Rejection};
+use silvercross_control_store::{CallOutcome, ReadEpoch, Rejection};
 use slog::info;
 use std::rc::Rc;
 
@@ -45,6 +45,7 @@
     path: &str,
 ) -> CallResponse {
     node_state.counters.control_calls.set(node_state.counters.control_calls.get() + 1);
+    let called_at = node_state.now();
     let epoch = match node_state.peers.read_key(node_state, key).await {
         Some(CallOutcome::Value { revision, .. }) => revision.epoch,
         Some(_) => return CallResponse::retry_later(),
@@ -53,7 +54,8 @@
     if call.caller_has_left() {
         return abandoned(node_state, call);
     }
-    let outcome = node_state.peers.change_key_under(node_state, key, change, epoch).await;
+    let read = ReadEpoch { epoch, called_at };
+    let outcome = node_state.peers.change_key_under(node_state, key, change, read).await;
     if matches!(outcome, Some(CallOutcome::Unknown)) {
         node_state.count_unsettled_order(path);
     }
--- a/crates/daemon/mesh/src/peers/calls.rs
+++ b/crates/daemon/mesh/src/peers/calls.rs
@@ -2,7 +2,7 @@
 use super::state::Peers;
 use crate::control_value::{ControlChange, ControlValue};
 use crate::node_state::NodeState;
-use silvercross_control_store::{CallOutcome, ControlStore, Epoch};
+use silvercross_control_store::{CallOutcome, ControlStore, ReadEpoch};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,7 +19,7 @@
     /// A change.
     Change(ControlChange),
     /// A change only while the key is owned under this epoch.
-    ChangeUnder(ControlChange, Epoch),
+    ChangeUnder(ControlChange, ReadEpoch),
 }
 
 /// A call whose outcome is pending. Dropping it gives the call up.
@@ -67,9 +67,9 @@
         node_state: &Rc<NodeState>,
         key: &str,
         change: ControlChange,
-        epoch: Epoch,
+        read: ReadEpoch,
     ) -> Option<CallOutcome<ControlValue>> {
-        self.call(node_state, key, KeyRequest::ChangeUnder(change, epoch)).await
+        self.call(node_state, key, KeyRequest::ChangeUnder(change, read)).await
     }
 
     async fn call(
@@ -102,8 +102,8 @@
         match request {
             KeyRequest::Read => store.borrow_mut().read(now, number, key),
             KeyRequest::Change(change) => store.borrow_mut().call(now, number, key, change),
-            KeyRequest::ChangeUnder(change, epoch) => {
-                store.borrow_mut().call_under(now, number, key, change, epoch);
+            KeyRequest::ChangeUnder(change, read) => {
+                store.borrow_mut().call_under(now, number, key, change, read);
             }
         }
         PendingCall { peers: self, number, outcome }
--- a/crates/testing/control-sim/src/calls.rs
+++ b/crates/testing/control-sim/src/calls.rs
@@ -80,6 +80,7 @@
             node,
             invoked_at: self.now,
             answered_at: None,
+            ended_at: None,
             items: call.change.iter().map(requested).collect(),
             answer: Answer::Missing,
         });
@@ -137,6 +138,13 @@
         let operation = &mut self.history.operations[token.index()];
         operation.answer = answer;
         operation.answered_at = is_answered.then_some(self.now);
+        operation.ended_at = Some(self.now);
+        let (node, now) = (open.node, self.now);
+        if !is_answered && self.plan.has_orders && self.nodes[node].is_running() {
+            // The close of the connection follows what was sent on it.
+            let generation = self.nodes[node].generation;
+            self.at(now + MAX_CALL_DELAY, Event::CallerLeft { node, generation, token });
+        }
         let is_retried = may_be_lost
             && open.retries < MAX_RETRIES
             && self.now < self.stop_at
--- a/crates/testing/control-sim/src/checker/calls.rs
+++ b/crates/testing/control-sim/src/checker/calls.rs
@@ -1,7 +1,7 @@
 //! The rules of what operators heard: no stale read, nothing acknowledged twice under one version, no rejection without a
 //! reason.
 
-use crate::history::{Answer, Operation, RejectionReason, RequestedItem};
+use crate::history::{Answer, Operation, RejectionReason, RequestedItem, FIRST_ORDER_NAME};
 use crate::violation::Violation;
 use silvercross_time::Instant;
 use std::collections::BTreeMap;
@@ -70,7 +70,7 @@
     let mut acknowledged: BTreeMap<(u8, u64), Vec<Acknowledged>> = BTreeMap::new();
     for operation in operations.iter().copied().filter(|operation| operation.is_committed()) {
         let Some(at) = operation.answered_at else { continue };
-        for item in &operation.items {
+        for item in operation.items.iter().filter(|item| item.name < FIRST_ORDER_NAME) {
             let key = (item.name, item.version);
             acknowledged.entry(key).or_default().push(Acknowledged { at, operation });
         }
--- a/crates/testing/control-sim/src/checker/mod.rs
+++ b/crates/testing/control-sim/src/checker/mod.rs
@@ -1,11 +1,12 @@
 //! The checker: what operators and processes saw, held against one plain map in which the highest version of a name wins and
 //! nothing acknowledged is lost.
 //!
-//! It shares no type with the deciders. The rules are in `values` (what was in force), `calls` (what operators heard) and
+//! It shares no type with the deciders. The rules are in `values` (what was in force), `orders` (which order holds), `calls` (what operators heard) and
 //! `incarnations` (what each process had); each returns the first violation it finds.
 
 mod calls;
 mod incarnations;
+mod orders;
 mod values;
 
 use crate::history::{History, Operation};
@@ -23,6 +24,7 @@
         calls::check_reads(&operations)?;
         values::check_contents(&operations, &values)?;
         values::check_acknowledged(&operations, &values)?;
+        orders::check(&operations, &values)?;
         calls::check_acknowledged_once(&operations)?;
         calls::check_rejections(&operations)?;
         incarnations::check(history, &operations, key)?;
--- a/crates/testing/control-sim/src/checker/values.rs
+++ b/crates/testing/control-sim/src/checker/values.rs
@@ -1,7 +1,7 @@
 //! The rules of what was in force: one value a revision, nothing lost between revisions, calls in force as a whole, and
 //! everything acknowledged in force from there on.
 
-use crate::history::{Answer, History, ObservedItems, ObservedRevision, Operation};
+use crate::history::{Answer, History, ObservedItems, ObservedRevision, Operation, FIRST_ORDER_NAME};
 use crate::violation::Violation;
 use std::collections::BTreeMap;
 
@@ -67,7 +67,8 @@
             if *contents.entry((name, version)).or_insert(content) != content {
                 return Err(Box::new(Violation::TwoContentsOfOneVersion { name, version }));
             }
-            let Some(requests) = requested.get(&(name, version, content)) else {
+            let asked_version = if name >= FIRST_ORDER_NAME { 0 } else { version };
+            let Some(requests) = requested.get(&(name, asked_version, content)) else {
                 return Err(Box::new(Violation::NeverRequested { name, version, content }));
             };
             let operation = || requests[0].clone();
--- a/crates/testing/control-sim/src/content.rs
+++ b/crates/testing/control-sim/src/content.rs
@@ -7,12 +7,15 @@
 use silvercross_control_store::{Rejection, State};
 use std::collections::BTreeMap;
 
+/// The version of orders: the last one holds.
+pub(crate) const UNVERSIONED: u64 = 0;
+
 /// One item of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct Item {
     /// Its name.
     pub name: u8,
-    /// Its version: the highest one of a name is in force.
+    /// Its version: the highest one of a name is in force; 0 of an order.
     pub version: u64,
     /// What it says; 0: the item is dropped.
     pub content: u64,
@@ -34,11 +37,23 @@
 impl State for Items {
     type Change = Change;
 
+    fn is_unversioned(change: &Change) -> bool {
+        change.iter().any(|item| item.version == UNVERSIONED)
+    }
+
     fn apply(&mut self, change: &Change) -> Result<bool, Rejection> {
         let mut next = self.0.clone();
         let mut changed = Vec::new();
         for item in change {
             let known = next.get(&item.name).copied().unwrap_or_default();
+            if item.version == UNVERSIONED {
+                if known.content != item.content {
+                    let state = ItemState { version: known.version + 1, content: item.content };
+                    next.insert(item.name, state);
+                    changed.push(item);
+                }
+                continue;
+            }
             if known.version == item.version && known.content != item.content {
                 return Err(rejection(true, item));
             }
--- a/crates/testing/control-sim/src/effects.rs
+++ b/crates/testing/control-sim/src/effects.rs
@@ -8,6 +8,7 @@
 use crate::link::{Frame, NodeStatus};
 use crate::majority_reads::is_majority_read;
 use crate::operator_state::CallToken;
+use crate::orders::is_read_before_order;
 use crate::plan::key_index;
 use crate::world::World;
 use silvercross_control_store as control;
@@ -169,6 +170,9 @@
             Effect::Answer { token, outcome } if is_majority_read(token) => {
                 self.finish_majority_read(node, token, outcome);
             }
+            Effect::Answer { token, outcome } if is_read_before_order(token) => {
+                self.carry_out_order(node, token, outcome);
+            }
             Effect::Answer { token, outcome } => self.answer_call(node, CallToken(token), outcome),
             Effect::Committed { key, revision, value } => {
                 let revision = observed(revision);
--- a/crates/testing/control-sim/src/event.rs
+++ b/crates/testing/control-sim/src/event.rs
@@ -82,6 +82,12 @@
         generation: u64,
         token: CallToken,
     },
+    /// A control node sees that the operator has closed the connection of a call.
+    CallerLeft {
+        node: usize,
+        generation: u64,
+        token: CallToken,
+    },
     /// An operator does something.
     OperatorActs(usize),
     /// An operator stops waiting for an answer.
@@ -102,7 +108,8 @@
             | Event::ProbeEnded { node, .. }
             | Event::WriteSynced { node, .. }
             | Event::Wakeup { node, .. }
-            | Event::CallArrived { node, .. } => Some(*node),
+            | Event::CallArrived { node, .. }
+            | Event::CallerLeft { node, .. } => Some(*node),
             Event::FrameArrived { to, .. } | Event::DatagramArrived { to, .. } => Some(*to),
             _ => None,
         }
--- a/crates/testing/control-sim/src/history.rs
+++ b/crates/testing/control-sim/src/history.rs
@@ -6,10 +6,13 @@
 use silvercross_time::Instant;
 use std::collections::BTreeMap;
 
+/// Items from this name on are orders: they have no versions, and the last one holds.
+pub const FIRST_ORDER_NAME: u8 = 200;
+
 /// The state of one item.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct ItemState {
-    /// Its version; 0: it was never there.
+    /// Its version; 0: it was never there. Of an order: how often it has changed.
     pub version: u64,
     /// Its content; 0: the item is dropped.
     pub content: u64,
@@ -63,7 +66,7 @@
 pub struct RequestedItem {
     /// Its name.
     pub name: u8,
-    /// Its version.
+    /// Its version; 0 of an order.
     pub version: u64,
     /// Its content; 0: the item is to be dropped.
     pub content: u64,
@@ -84,6 +87,8 @@
     pub invoked_at: Instant,
     /// When its answer came.
     pub answered_at: Option<Instant>,
+    /// When its operator stopped waiting for it, with an answer or without.
+    pub ended_at: Option<Instant>,
     /// What is to be changed.
     pub items: Vec<RequestedItem>,
     /// The answer.
--- a/crates/testing/control-sim/src/lib.rs
+++ b/crates/testing/control-sim/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! - what was seen: [`history`], and `checker`, which holds it against a plain map and shares no type with the deciders;
 //! - plain state: `content`, `disk`, `plan`, `report`, `error`, `link`, `event`, `node`, `operator_state`, and [`world`], which holds all of it;
-//! - one machine: `network`, `calls`, `majority_reads`, `effects` (does what the deciders want done), `node_events`,
+//! - one machine: `network`, `calls`, `majority_reads`, `orders`, `effects` (does what the deciders want done), `node_events`,
 //!   `lifecycle`;
 //! - who acts on it: `operators`, `fault_tolerance`, `fault_end`, `faults`;
 //! - `driver` plays the queue of events, `rest` says whether all has come to rest, [`schedule`] plays one drawn schedule as a
@@ -42,6 +42,7 @@
 mod node_events;
 mod operator_state;
 mod operators;
+mod orders;
 mod plan;
 mod report;
 mod rest;
@@ -59,6 +60,6 @@
 pub use operator_state::{Call, CallToken};
 pub use plan::{key_name, ScenarioPlan};
 pub use report::{FaultKind, Report};
-pub use schedule::{run, run_with_membership_mutation, trace};
+pub use schedule::{run, run_with_membership_mutation, run_with_orders, trace, OrderHandling};
 pub use violation::Violation;
 pub use world::World;
--- a/crates/testing/control-sim/src/lifecycle.rs
+++ b/crates/testing/control-sim/src/lifecycle.rs
@@ -34,6 +34,8 @@
         machine.announced_at = now;
         machine.revisions.clear();
         machine.majority_reads.clear();
+        machine.reads_before_orders.clear();
+        machine.abandoned_calls.clear();
         machine.incarnation = self.history.incarnations.len();
         let (is_control, has_metadata) = (machine.is_control, machine.storage.stored.metadata.is_some());
         self.start_membership(node, now, seed);
--- a/crates/testing/control-sim/src/majority_reads.rs
+++ b/crates/testing/control-sim/src/majority_reads.rs
@@ -3,6 +3,7 @@
 use crate::content::Items;
 use crate::convert::{observed, update};
 use crate::node::{ConfirmedKey, MajorityRead};
+use crate::orders::FIRST_ORDER_READ_TOKEN;
 use crate::plan::key_name;
 use crate::world::World;
 use silvercross_control_store::CallOutcome;
@@ -13,7 +14,7 @@
 
 /// Whether a control store's token is that of such a read.
 pub(crate) fn is_majority_read(token: u64) -> bool {
-    token >= FIRST_MAJORITY_READ_TOKEN
+    (FIRST_MAJORITY_READ_TOKEN..FIRST_ORDER_READ_TOKEN).contains(&token)
 }
 
 impl World {
--- a/crates/testing/control-sim/src/node.rs
+++ b/crates/testing/control-sim/src/node.rs
@@ -5,10 +5,11 @@
 use crate::event::Event;
 use crate::history::ObservedRevision;
 use crate::link::{ConnectionId, NodeStatus};
+use crate::operator_state::CallToken;
 use silvercross_control_store::ControlStore;
 use silvercross_mesh_membership::Membership;
 use silvercross_time::{Duration, Instant};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The confirmed revision of a key.
 pub(crate) struct ConfirmedKey {
@@ -27,6 +28,14 @@
     pub(crate) confirmed: Vec<ConfirmedKey>,
 }
 
+/// A read before an order.
+pub(crate) struct OrderRead {
+    /// The order.
+    pub(crate) token: CallToken,
+    /// When it came, by the node's clock.
+    pub(crate) called_at: Instant,
+}
+
 /// One node and the process on it.
 pub struct SimulatedNode {
     /// Its node id.
@@ -63,6 +72,10 @@
     pub(crate) incarnation: usize,
     /// By request id.
     pub(crate) majority_reads: BTreeMap<u64, MajorityRead>,
+    /// Reads before orders, by the read's token.
+    pub(crate) reads_before_orders: BTreeMap<u64, OrderRead>,
+    /// Calls whose operators have left.
+    pub(crate) abandoned_calls: BTreeSet<CallToken>,
     /// What came while it was frozen.
     pub(crate) deferred_events: Vec<Event>,
     /// Its monotonic clock against the world's.
@@ -95,6 +108,8 @@
             resumed_at: Instant::MIN,
             incarnation: 0,
             majority_reads: BTreeMap::new(),
+            reads_before_orders: BTreeMap::new(),
+            abandoned_calls: BTreeSet::new(),
             deferred_events: Vec::new(),
             clock_offset,
             next_wakeup: Instant::MAX,
--- a/crates/testing/control-sim/src/node_events.rs
+++ b/crates/testing/control-sim/src/node_events.rs
@@ -65,7 +65,13 @@
                 self.tick(node);
             }
             Event::CallArrived { node, generation, token } if self.nodes[node].generation == generation => {
-                self.handle_call(node, token);
+                match self.is_order(token) {
+                    true => self.handle_order(node, token),
+                    false => self.handle_call(node, token),
+                }
+            }
+            Event::CallerLeft { node, generation, token } if self.nodes[node].generation == generation => {
+                self.handle_caller_left(node, token);
             }
             _ => {}
         }
--- a/crates/testing/control-sim/src/operators.rs
+++ b/crates/testing/control-sim/src/operators.rs
@@ -3,8 +3,9 @@
 //! What becomes of a call is written in `calls`.
 
 use crate::calls::Sending;
-use crate::content::{Change, Item};
+use crate::content::{Change, Item, UNVERSIONED};
 use crate::event::Event;
+use crate::history::FIRST_ORDER_NAME;
 use crate::operator_state::{Call, OpenCall};
 use crate::world::World;
 use silvercross_time::Duration;
@@ -15,6 +16,8 @@
 const MAX_REMEMBERED_CALLS: usize = 64;
 /// Names of items that calls begin with.
 const ITEM_NAMES: u64 = 5;
+/// Zones that are ordered about.
+const ZONES_WITH_ORDERS: u64 = 2;
 /// An operator pauses at least so long.
 const MIN_PAUSE: Duration = Duration::from_millis(1);
 /// And less than this where it is in haste.
@@ -39,7 +42,10 @@
 
     fn draw_and_send(&mut self, operator: usize) {
         let node = self.draw_entry_node();
-        let key = self.rng.index(self.plan.keys);
+        if self.plan.has_orders && self.rng.one_in(2) {
+            return self.draw_order(operator, node);
+        }
+        let key = self.rng.index(self.plan.versioned_keys());
         let call = match self.rng.below(10) {
             0..=2 => self.new_call_of(key, Change::new()),
             3 | 4 if !self.operators.remembered.is_empty() => {
@@ -70,6 +76,31 @@
         call
     }
 
+    /// Draws an order, or one that was given before.
+    fn draw_order(&mut self, operator: usize, node: usize) {
+        let key = self.plan.keys - 1;
+        let is_order = |call: &&Call| call.key == key;
+        let earlier: Vec<Call> = self.operators.remembered.iter().filter(is_order).cloned().collect();
+        let call = match earlier.len() {
+            0 => self.new_order(),
+            count if self.rng.one_in(4) => earlier[self.rng.index(count)].clone(),
+            _ => self.new_order(),
+        };
+        self.operators.remembered.push(call.clone());
+        if self.operators.remembered.len() > MAX_REMEMBERED_CALLS {
+            self.operators.remembered.remove(0);
+        }
+        self.begin_call(Sending { operator: Some(operator), node, call, retries: 0 });
+    }
+
+    /// A new order for one of the zones.
+    pub fn new_order(&mut self) -> Call {
+        let name = FIRST_ORDER_NAME + self.rng.below(ZONES_WITH_ORDERS) as u8;
+        let content = self.operators.next_content();
+        let key = self.plan.keys - 1;
+        self.new_call_of(key, vec![Item { name, version: UNVERSIONED, content, needs: 0 }])
+    }
+
     fn draw_call(&mut self, key: usize) -> Call {
         let new_content = self.operators.next_content();
         let first = 1 + self.rng.below(ITEM_NAMES) as u8;
--- a/crates/testing/control-sim/src/plan.rs
+++ b/crates/testing/control-sim/src/plan.rs
@@ -21,6 +21,10 @@
     pub one_in_delayed: u64,
     /// Bytes of a value that go in one snapshot chunk.
     pub snapshot_chunk_bytes: usize,
+    /// Whether the last key is one of orders.
+    pub has_orders: bool,
+    /// Whether control nodes carry out orders whoever has left, and under whichever epoch: as they did before.
+    pub carries_out_any_order: bool,
     /// The rule of the control stores that is changed on purpose; needs the feature `mutants`.
     pub store_mutation: Option<Mutation>,
     /// The rule of readiness that is changed on purpose; needs the feature `mutants`.
@@ -38,6 +42,8 @@
             datagram_loss_per_mille: 0,
             one_in_delayed: u64::MAX,
             snapshot_chunk_bytes: 100_000,
+            has_orders: false,
+            carries_out_any_order: false,
             store_mutation: None,
             membership_mutation: None,
         }
@@ -55,11 +61,23 @@
             one_in_delayed: 2 + rng.below(200),
             // Values of some bytes go in one to ten chunks.
             snapshot_chunk_bytes: [10, 33, 100_000][rng.index(3)],
+            has_orders: false,
+            carries_out_any_order: false,
             store_mutation,
             membership_mutation: None,
         }
     }
 
+    /// The same with one more key, which is of orders.
+    pub fn with_orders(self) -> ScenarioPlan {
+        ScenarioPlan { keys: self.keys + 1, has_orders: true, ..self }
+    }
+
+    /// The keys of items with versions.
+    pub fn versioned_keys(&self) -> usize {
+        self.keys - usize::from(self.has_orders)
+    }
+
     /// Control nodes, replicas or not. Their indices come before those of sidecars.
     pub fn control_nodes(&self) -> usize {
         self.replicas + self.spares
--- a/crates/testing/control-sim/src/schedule.rs
+++ b/crates/testing/control-sim/src/schedule.rs
@@ -41,6 +41,25 @@
     play(World::new(seed, plan))
 }
 
+/// How control nodes carry out orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderHandling {
+    /// As the mesh's program does it.
+    Checked,
+    /// Whoever has left, and under whichever epoch, which doesn't end: as before.
+    Any,
+}
+
+/// Plays a drawn schedule with orders.
+pub fn run_with_orders(
+    seed: u64,
+    handling: OrderHandling,
+    store_mutation: Option<Mutation>,
+) -> Result<Report, ScheduleError> {
+    let plan = ScenarioPlan::drawn(seed, store_mutation).with_orders();
+    play(World::new(seed, ScenarioPlan { carries_out_any_order: handling == OrderHandling::Any, ..plan }))
+}
+
 /// Plays a drawn schedule and prints what happens.
 pub fn trace(seed: u64) -> Result<Report, ScheduleError> {
     let mut world = World::new(seed, ScenarioPlan::drawn(seed, None));
@@ -151,7 +170,7 @@
             if !set.contains(Node(self.nodes[node].id)) {
                 continue;
             }
-            for key in 0..self.plan.keys {
+            for key in 0..self.plan.versioned_keys() {
                 let call = self.new_call(key, LAST_CALL_ITEM, 1 + node as u64);
                 let answer = self.ask(node, call, QUIET_CALL_TIMEOUT);
                 if !matches!(answer, Answer::Committed { .. }) {
--- a/crates/testing/control-sim/src/violation.rs
+++ b/crates/testing/control-sim/src/violation.rs
@@ -90,6 +90,17 @@
     ConflictWithoutRival(Operation),
     /// A call is valid if what it needs was acknowledged before and nobody drops it.
     ValidCallRejected(Operation),
+    /// An acknowledged order is in the value of its revision.
+    OrderNotInForce(Operation),
+    /// An order that its operator had given up before another one was sent is not carried out after that one.
+    OrderAfterLater {
+        /// The order that was acknowledged.
+        acknowledged: Operation,
+        /// The later revision with the order that was given up.
+        revision: ObservedRevision,
+        /// That order's content.
+        content: u64,
+    },
     /// A process never goes back to an older revision.
     WentBack {
         /// The node, by its index.
@@ -153,6 +164,13 @@
                 write!(f, "a conflict without a rival: {operation:?}")
             }
             Violation::ValidCallRejected(operation) => write!(f, "a valid call is rejected: {operation:?}"),
+            Violation::OrderNotInForce(operation) => {
+                write!(f, "an acknowledged order is not in its revision: {operation:?}")
+            }
+            Violation::OrderAfterLater { acknowledged, revision, content } => write!(
+                f,
+                "order {content}, given up before, is in force at {revision:?} after a later one: {acknowledged:?}"
+            ),
             Violation::WentBack { node, before, after } => {
                 write!(f, "node {node} went back: {before:?} then {after:?}")
             }
--- a/crates/testing/control-sim/tests/drawn.rs
+++ b/crates/testing/control-sim/tests/drawn.rs
@@ -1,6 +1,6 @@
 //! Drawn schedules of control nodes and sidecars, held against a plain map.
 
-use silvercross_control_sim::{run, trace, FaultKind, Report};
+use silvercross_control_sim::{run, run_with_orders, trace, FaultKind, OrderHandling, Report};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
@@ -18,6 +18,14 @@
     assert!(sum(|r| r.faults_during_calls) > 500, "faults meet open calls");
 }
 
+#[test]
+fn some_fixed_schedules_with_orders_break_no_rule() {
+    for seed in 0..200 {
+        run_with_orders(seed, OrderHandling::Checked, None)
+            .unwrap_or_else(|error| panic!("seed {seed}: {error}"));
+    }
+}
+
 #[test]
 fn drawn_schedules_break_no_rule() {
     bolero::check!().with_iterations(100).with_type::<u64>().for_each(|seed| {
@@ -95,7 +103,12 @@
 
 /// Plays every `step`th seed from `first` on and prints each that fails; `None` stands for one that failed.
 fn play_some(first: u64, end: u64, step: usize) -> Vec<Option<Report>> {
-    let play = |seed| match std::panic::catch_unwind(|| run(seed, None)) {
+    let has_orders = std::env::var_os("ORDERS").is_some();
+    let one = |seed| match has_orders {
+        true => run_with_orders(seed, OrderHandling::Checked, None),
+        false => run(seed, None),
+    };
+    let play = |seed| match std::panic::catch_unwind(|| one(seed)) {
         Ok(Ok(report)) => Some(report),
         Ok(Err(error)) => {
             println!("seed {seed}: {error}");
@@ -113,7 +126,7 @@
     std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
 }
 
-/// `SCHEDULES=100000 SEED=1000000 cargo test --release -p silvercross-control-sim --test drawn -- --ignored --nocapture`
+/// With `ORDERS=1` one key is of orders. `SCHEDULES=100000 SEED=1000000 cargo test --release -p silvercross-control-sim --test drawn -- --ignored --nocapture`
 #[test]
 #[ignore = "as many schedules as SCHEDULES says, from SEED, on THREADS threads"]
 fn many_schedules_break_no_rule() {
--- a/crates/testing/control-sim/tests/mutants.rs
+++ b/crates/testing/control-sim/tests/mutants.rs
@@ -8,7 +8,9 @@
     cut_control_node, isolated_after_replacements, sidecar_below_old_state, wiped_after_the_step, Below,
     CaseError, CutCase, CutDirections, IsolatedCase, SECOND,
 };
-use silvercross_control_sim::{run, run_with_membership_mutation, Report, ScheduleError, Violation};
+use silvercross_control_sim::{
+    run, run_with_membership_mutation, run_with_orders, OrderHandling, Report, ScheduleError, Violation,
+};
 use silvercross_control_store::Mutation;
 use silvercross_mesh_membership as membership;
 use std::ops::Range;
@@ -84,6 +86,23 @@
     checked(isolated_after_replacements(case, Some(mutation)));
 }
 
+fn first_with_orders(handling: OrderHandling, mutation: Mutation) -> ScheduleError {
+    first(0..2_000, |seed| run_with_orders(seed, handling, Some(mutation)))
+}
+
+/// As it was before: orders are carried out whenever they arrive.
+#[test]
+fn an_order_that_is_carried_out_whenever_it_arrives_is_caught() {
+    let error = first_with_orders(OrderHandling::Any, Mutation::KeepsEpochAfterUnversionedChange);
+    assert!(matches!(error.violation(), Some(Violation::OrderAfterLater { .. })), "{error}");
+}
+
+#[test]
+fn an_epoch_that_goes_on_after_an_order_is_caught() {
+    let error = first_with_orders(OrderHandling::Checked, Mutation::KeepsEpochAfterUnversionedChange);
+    assert!(matches!(error.violation(), Some(Violation::OrderAfterLater { .. })), "{error}");
+}
+
 #[test]
 fn a_wiped_replica_that_votes_is_caught() {
     caught(Mutation::VotesWithEmptyDisk, 1_000);
