control-sim: names of orders lie above all others; mesh: the same order under another revision is no news

After an order its key is claimed anew and the entry goes round with another revision: nodes keep its time and write no second line.

--- a/crates/daemon/mesh/src/node_state/control_entries.rs
+++ b/crates/daemon/mesh/src/node_state/control_entries.rs
@@ -73,7 +73,14 @@
 
     fn apply_zone_order(self: &Rc<Self>, zone: &str, order: ZoneOrder) {
         let ZoneOrder { is_evacuated, revision, .. } = order;
-        let was_evacuated = self.in_force.borrow().is_evacuated(zone);
+        let known = self.in_force.borrow().zone_orders.get(zone).copied();
+        if let Some(known) = known.filter(|known| known.is_evacuated == is_evacuated) {
+            // The same order under another revision.
+            let renewed = ZoneOrder { since: known.since, ..order };
+            self.in_force.borrow_mut().zone_orders.insert(zone.to_string(), renewed);
+            return;
+        }
+        let was_evacuated = known.is_some_and(|known| known.is_evacuated);
         self.in_force.borrow_mut().zone_orders.insert(zone.to_string(), order);
         info!(self.log, "evacuation"; "zone" => zone, "on" => is_evacuated, "round" => revision.epoch,
             "owner" => Ipv4Addr::from_bits(revision.owner as u32).to_string(), "change" => revision.sequence,
--- a/crates/testing/control-sim/src/history.rs
+++ b/crates/testing/control-sim/src/history.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 /// Items from this name on are orders: they have no versions, and the last one holds.
-pub const FIRST_ORDER_NAME: u8 = 200;
+pub const FIRST_ORDER_NAME: u8 = 250;
 
 /// The state of one item.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
--- a/crates/testing/control-sim/src/node_events.rs
+++ b/crates/testing/control-sim/src/node_events.rs
@@ -64,6 +64,13 @@
             {
                 self.tick(node);
             }
+            event => self.handle_call_event(event),
+        }
+    }
+
+    /// Handles an event of an operator's call at a node.
+    fn handle_call_event(&mut self, event: Event) {
+        match event {
             Event::CallArrived { node, generation, token } if self.nodes[node].generation == generation => {
                 match self.is_order(token) {
                     true => self.handle_order(node, token),
