testbed: evacuations in series, with freezes, cuts, kills and replacements, judged from outside

Three zones, clients in each, changes of the configuration all the while. Drawn: orders left in the socket of a control machine that stands still and goes on after newer ones; cuts of one control machine from the others (sides reach all), or with the sides of its zone; the acknowledging one killed at once; all killed; planned replacements before and during a cut; sides killed, reloaded, their upstreams replaced. Checked: no request that a machine in touch sent later than evacuateS after the acknowledgement runs in the zone before its end is sent; each machine in touch goes by the last order; the end opens the zone at each and each of its upstreams is sent to again. Links can cut one group of machines from another.

--- a/crates/tools/testbed/src/lib.rs
+++ b/crates/tools/testbed/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod checker;
 pub mod client;
 pub mod control;
+pub mod evacuations;
 pub mod execution_log;
 pub mod faults;
 pub mod http_connection;
--- a/crates/tools/testbed/src/links.rs
+++ b/crates/tools/testbed/src/links.rs
@@ -16,13 +16,32 @@
 /// The largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1 << 16;
 
-/// Machines by number that are cut off from all others, together; empty: none is.
-type IsolatedMachines = Vec<usize>;
+/// Which machines don't hear each other, by their numbers; empty: all do.
+#[derive(Clone, Debug, Default)]
+struct Partition {
+    these: Vec<usize>,
+    /// `None`: all that are not among `these`.
+    those: Option<Vec<usize>>,
+}
+
+impl Partition {
+    fn separates(&self, a: usize, b: usize) -> bool {
+        let is_from_these = |from: &usize, to: &usize| self.these.contains(from) && self.is_among_those(to);
+        is_from_these(&a, &b) || is_from_these(&b, &a)
+    }
+
+    fn is_among_those(&self, machine: &usize) -> bool {
+        match &self.those {
+            Some(those) => those.contains(machine),
+            None => !self.these.contains(machine),
+        }
+    }
+}
 
 /// All links of a mesh. Dropping it ends them.
 #[derive(Debug)]
 pub struct Links {
-    isolated: watch::Sender<IsolatedMachines>,
+    partition: watch::Sender<Partition>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -39,7 +58,7 @@
     target: SocketAddr,
     /// What a connection carries in each direction, in bytes a second.
     bytes_per_second: Option<u64>,
-    isolated: watch::Receiver<IsolatedMachines>,
+    partition: watch::Receiver<Partition>,
 }
 
 /// A relay's sockets.
@@ -63,7 +82,7 @@
     /// # Errors
     /// When a relay can't listen.
     pub async fn between(mesh: &Mesh) -> Result<Self> {
-        let (isolated, changes) = watch::channel(IsolatedMachines::new());
+        let (partition, changes) = watch::channel(Partition::default());
         let mut tasks = Vec::new();
         let count = mesh.machines.len();
         let pairs = (0..count).flat_map(|from| (0..count).map(move |to| (from, to)));
@@ -74,22 +93,28 @@
             let is_thin = !(mesh.machines[from].is_control && mesh.machines[to].is_control);
             let bytes_per_second = mesh.link_bytes_per_second().filter(|_| is_thin);
             let relay =
-                Relay { from, to, caller, called, target, bytes_per_second, isolated: changes.clone() };
+                Relay { from, to, caller, called, target, bytes_per_second, partition: changes.clone() };
             let sockets = relay.open().await.with_context(|| format!("a link at {called}"))?;
             tasks.push(tokio::spawn(relay.run(sockets)));
         }
-        Ok(Links { isolated, tasks })
+        Ok(Links { partition, tasks })
     }
 
     /// Cut these machines off from all others; among themselves they still hear each other. What is on its way is lost,
     /// connections stay silent, new ones are refused.
     pub fn cut(&self, machines: &[usize]) {
-        self.isolated.send_replace(machines.to_vec());
+        self.partition.send_replace(Partition { these: machines.to_vec(), those: None });
+    }
+
+    /// Cut these machines off from those; all others hear both.
+    pub fn cut_between(&self, these: &[usize], those: &[usize]) {
+        let those = Some(those.to_vec());
+        self.partition.send_replace(Partition { these: these.to_vec(), those });
     }
 
     /// All hear all again; connections that were cut are reset.
     pub fn join(&self) {
-        self.isolated.send_replace(IsolatedMachines::new());
+        self.partition.send_replace(Partition::default());
     }
 }
 
@@ -124,8 +149,8 @@
 }
 
 impl Relay {
-    fn is_cut(&self, isolated: &IsolatedMachines) -> bool {
-        isolated.contains(&self.from) != isolated.contains(&self.to)
+    fn is_cut(&self, partition: &Partition) -> bool {
+        partition.separates(self.from, self.to)
     }
 
     async fn open(&self) -> std::io::Result<RelaySockets> {
@@ -150,7 +175,7 @@
             }
             drop(sockets);
             let this = self.clone();
-            if self.isolated.wait_for(|isolated| !this.is_cut(isolated)).await.is_err() {
+            if self.partition.wait_for(|partition| !this.is_cut(partition)).await.is_err() {
                 return;
             }
             sockets = self.open_again().await;
@@ -160,8 +185,8 @@
     /// Whether the link was cut; otherwise all links end.
     async fn relay_until_cut(&self, sockets: &RelaySockets) -> bool {
         let mut datagram = vec![0; MAX_DATAGRAM_BYTES];
-        let mut isolated = self.isolated.clone();
-        let cut = isolated.wait_for(|isolated| self.is_cut(isolated));
+        let mut partition = self.partition.clone();
+        let cut = partition.wait_for(|partition| self.is_cut(partition));
         tokio::pin!(cut);
         loop {
             tokio::select! {
@@ -191,12 +216,12 @@
         let this = self.clone();
         tokio::select! {
             biased;
-            change = self.isolated.wait_for(|isolated| this.is_cut(isolated)) => if change.is_err() {
+            change = self.partition.wait_for(|partition| this.is_cut(partition)) => if change.is_err() {
                 return;
             },
             _ = copy_both_ways(&mut stream, &mut onward, self.bytes_per_second) => return,
         }
         // Silent until the machines are joined.
-        let _ = self.isolated.wait_for(|isolated| !this.is_cut(isolated)).await;
+        let _ = self.partition.wait_for(|partition| !this.is_cut(partition)).await;
     }
 }
--- a/crates/tools/testbed/src/main.rs
+++ b/crates/tools/testbed/src/main.rs
@@ -5,19 +5,20 @@
 
 use anyhow::{bail, Result};
 use silvercross_testbed::control::{ControlPlay, PlayExtent};
+use silvercross_testbed::evacuations::EvacuationOptions;
 use silvercross_testbed::faults::FaultPlay;
 use silvercross_testbed::lapse::{LapseOptions, LapsePlay};
 use silvercross_testbed::load::LoadOptions;
 use silvercross_testbed::mesh::OtherProgram;
-use silvercross_testbed::soak::SoakOptions;
-use silvercross_testbed::{control, faults, lapse, load, program, soak, upgrade, walkthrough};
+use silvercross_testbed::soak::{SoakOptions, MAX_LINKED_SIDES};
+use silvercross_testbed::{control, evacuations, faults, lapse, load, program, soak, upgrade, walkthrough};
 use std::convert::Infallible;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 
-const HELP: &str = "silvercross-testbed show | load | faults | control | lapse | soak | upgrade
+const HELP: &str = "silvercross-testbed show | load | faults | control | lapse | soak | evacuations | upgrade
   show      start a small mesh, have a request served, and show what happened
   load      what a request costs through two sidecars, beside two bare forwarders
     --seconds S       each way is loaded for so long (6)
@@ -45,6 +46,11 @@
     --sides N         machines with an upstream (9); beyond 11 no links stand in between and no machine is cut off
     --clients N       clients that leave, and as many that stay, at each side (1)
     --long-clients N  clients of requests and responses longer than any buffer, some of them slow, at each side (3)
+  evacuations  zones are evacuated in series under freezes with orders left in sockets, cuts, kills and replacements; exit code 3 if broken
+    --seed N          the first seed (1)
+    --seeds N         how many, one after the other (10)
+    --rounds N        evacuations of each seed (3)
+    --sides N         machines with an upstream (6; 11 at most)
   upgrade   three control machines of two builds: changes before and after one is killed, read by the others
     --old PATH        the program of the build that is upgraded from
     --old-word WORD   its word on the command line for a control machine (control)
@@ -57,6 +63,7 @@
     Control(Vec<ControlPlay>, PlayExtent),
     Lapse(LapseOptions),
     Soak(SoakOptions),
+    Evacuations(EvacuationOptions),
     Upgrade(OtherProgram, usize),
     Forward(std::net::SocketAddr),
 }
@@ -122,6 +129,16 @@
     })
 }
 
+fn evacuation_options(args: &mut pico_args::Arguments) -> Result<EvacuationOptions> {
+    let full = EvacuationOptions::FULL;
+    Ok(EvacuationOptions {
+        first_seed: args.opt_value_from_str("--seed")?.unwrap_or(full.first_seed),
+        seeds: args.opt_value_from_str("--seeds")?.unwrap_or(full.seeds).clamp(1, 10_000),
+        rounds: args.opt_value_from_str("--rounds")?.unwrap_or(full.rounds).clamp(1, 100),
+        side_count: args.opt_value_from_str("--sides")?.unwrap_or(full.side_count).clamp(3, MAX_LINKED_SIDES),
+    })
+}
+
 fn upgrade_command(args: &mut pico_args::Arguments) -> Result<Command> {
     let path = args.value_from_os_str("--old", |path| Ok::<_, Infallible>(PathBuf::from(path)))?;
     let old = OtherProgram { path, word: args.opt_value_from_str("--old-word")? };
@@ -143,6 +160,7 @@
         Some("control") => control_command(&mut args)?,
         Some("lapse") => Command::Lapse(lapse_options(&mut args)?),
         Some("soak") => Command::Soak(soak_options(&mut args)?),
+        Some("evacuations") => Command::Evacuations(evacuation_options(&mut args)?),
         Some("upgrade") => upgrade_command(&mut args)?,
         Some("forward") => Command::Forward(args.free_from_str()?),
         _ => return Ok(None),
@@ -180,6 +198,7 @@
         Command::Control(plays, extent) => Ok(control::run(program, plays, *extent).await),
         Command::Lapse(options) => Ok(lapse::run(program, options).await),
         Command::Soak(options) => Ok(soak::run(program, options).await),
+        Command::Evacuations(options) => Ok(evacuations::run(program, options).await),
         Command::Upgrade(old, runs) => upgrade::run(program, old, *runs).await,
         Command::Forward(_) => Ok(true),
     }
--- a/crates/tools/testbed/src/soak.rs
+++ b/crates/tools/testbed/src/soak.rs
@@ -14,4 +14,6 @@
 mod schedule;
 mod watch;
 
+pub(crate) use changes::{write_changes, Acknowledged};
 pub use run::{play, run, SoakOptions, SoakResult, MAX_LINKED_SIDES};
+pub(crate) use watch::{Disturbances, CONTACT};
--- a/crates/tools/testbed/src/soak/watch.rs
+++ b/crates/tools/testbed/src/soak/watch.rs
@@ -9,7 +9,7 @@
 /// A change is in force everywhere so long after its acknowledgement.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
 /// A node counts once it, and all control machines, have been undisturbed for so long.
-const CONTACT: Duration = Duration::from_secs(3);
+pub(crate) const CONTACT: Duration = Duration::from_secs(3);
 /// Between two looks at a node.
 const LOOK_INTERVAL: Duration = Duration::from_millis(60);
 
--- a/crates/tools/testbed/tests/evacuations.rs
+++ b/crates/tools/testbed/tests/evacuations.rs
@@ -1,10 +1,9 @@
 //! Orders for a zone that lie at a control process which stands still, while newer ones are acknowledged by the others.
-use silvercross_testbed::http_connection::HttpConnection;
+use silvercross_testbed::evacuations::{abandon, play as play_seed, EvacuationOptions, Order};
 use silvercross_testbed::mesh::MeshPlan;
 use silvercross_testbed::testbed::{get_json, STATE_PATH};
 use silvercross_testbed::upstream::UpstreamBehaviour;
 use silvercross_testbed::{program, wait_until, Testbed, WAIT_TIMEOUT};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A caller that gives up an order does so after this.
@@ -12,13 +11,6 @@
 /// Calls that a process answers after it goes on: those that lay there came before.
 const CALLS_AFTER_THAW: usize = 20;
 
-/// Start or end the evacuation of a zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Order {
-    Start,
-    End,
-}
-
 /// Orders of one operator for one zone.
 #[derive(Clone, Copy, Debug)]
 struct Case {
@@ -41,16 +33,6 @@
     Case { before: &[Start], abandoned: &[End, Start, End], after: &[Start, End, Start] },
 ];
 
-/// An order that nobody waits for any more.
-async fn abandon(to: SocketAddr, zone: &str, order: Order) {
-    let mut connection = HttpConnection::connect(None, to, WAIT_TIMEOUT).await.expect("connected");
-    let head =
-        format!("POST /-/Evacuate.{order:?}/{zone} HTTP/1.1\r\nHost: {to}\r\nContent-Length: 0\r\n\r\n");
-    connection.write(head.as_bytes()).await.expect("written");
-    // As an operator who hears nothing.
-    tokio::time::sleep(CALLER_PATIENCE).await;
-}
-
 async fn acknowledge(testbed: &Testbed, through: usize, zone: &str, order: Order) {
     let operator = testbed.operator.beginning_at(through);
     operator.set_evacuated(zone, order == Start).await.expect("acknowledged");
@@ -77,7 +59,8 @@
     }
     testbed.mesh.freeze(frozen).expect("frozen");
     for order in case.abandoned {
-        abandon(testbed.mesh.control(frozen), zone, *order).await;
+        let address = testbed.mesh.control(frozen);
+        abandon(address, zone, *order, CALLER_PATIENCE).await.expect("written");
     }
     for (number, order) in case.after.iter().enumerate() {
         acknowledge(testbed, others[number % others.len()], zone, *order).await;
@@ -132,3 +115,25 @@
     }
     assert!(wrong.is_empty(), "{} of {} plays: {wrong:#?}", wrong.len(), 3 * CASES.len());
 }
+
+/// Each seed is a mesh of its own; they are played side by side. `silvercross-testbed evacuations` plays more at full size.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nothing_reaches_a_zone_whose_evacuation_was_acknowledged_whatever_strikes_the_control_processes() {
+    let program = program::find().expect("the program is built");
+    let options = EvacuationOptions::SHORT;
+    let seeds = options.first_seed..options.first_seed + options.seeds;
+    let plays: Vec<_> = seeds
+        .map(|seed| {
+            let program = program.clone();
+            tokio::spawn(async move { play_seed(&program, seed, &options).await })
+        })
+        .collect();
+    let mut checked = 0;
+    for (number, played) in plays.into_iter().enumerate() {
+        let result = played.await.expect("it ends").expect("it can be played");
+        assert!(result.faults.is_empty(), "play {number}: {result:#?}");
+        assert_eq!(result.evacuations, options.rounds, "play {number}: {result:#?}");
+        checked += result.checked;
+    }
+    assert!(checked > 0, "nothing was sent while a zone had to be empty");
+}
