--- a/crates/tools/testbed/src/evacuations/player.rs
+++ b/crates/tools/testbed/src/evacuations/player.rs
@@ -7,7 +7,7 @@
 use crate::wait::{wait_until, WAIT_TIMEOUT};
 use anyhow::{Context, Result};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use tokio::time::{sleep, sleep_until, Instant};
 
@@ -83,6 +83,7 @@
     /// Plays a round.
     pub(super) async fn play(&mut self, round: &Round) -> Result<()> {
         let zone = self.testbed.mesh.machines[round.zone].zone.clone();
+        self.wait_until_control_is_complete().await?;
         if round.replacement == Replacement::Before {
             self.replace(None).await?;
         }
@@ -126,6 +127,18 @@
         self.open(&zone, start, &asked).await
     }
 
+    /// Waits until the control machines that run are the replica set, and each of them votes: the next loss is then the only one.
+    async fn wait_until_control_is_complete(&self) -> Result<()> {
+        let address = |machine: &usize| self.testbed.mesh.machines[*machine].address.to_string();
+        let wanted: BTreeSet<String> = self.control.replicas.iter().map(address).collect();
+        let is_complete = |state: &Value| {
+            let replicas = state["ledger"]["roster"].as_array().into_iter().flatten();
+            let replicas: BTreeSet<String> = replicas.filter_map(Value::as_str).map(str::to_string).collect();
+            state["ledger"]["voter"] == true && replicas == wanted
+        };
+        self.testbed.wait_for_state("a replica of the whole set", &self.control.replicas, is_complete).await
+    }
+
     async fn begin_fault(&mut self, round: &Round, struck: usize) -> Result<()> {
         match round.fault {
             ControlFault::None => return Ok(()),
