--- a/crates/tools/testbed/src/evacuations/player.rs
+++ b/crates/tools/testbed/src/evacuations/player.rs
@@ -92,11 +92,17 @@
             self.begin_fault(round, struck).await?;
         }
         let unreachable = (round.is_fault_first && round.fault == ControlFault::Frozen).then_some(struck);
-        let asked = self.machines_to_ask(round.first_asked, unreachable);
+        let mut asked = self.machines_to_ask(round.first_asked, unreachable);
+        if round.is_side_asked {
+            asked.insert(0, self.testbed.mesh.side_machines().start + round.first_asked % 2);
+        }
+        let second = self.evacuate_second_zone(round, &asked).await?;
         let mut start = give(self.testbed, &zone, Order::Start, &asked).await?;
         if !round.is_fault_first {
             sleep(round.fault_delay).await;
-            let struck = if round.fault == ControlFault::AcknowledgerKilled { start.by } else { struck };
+            let acknowledged_by = Some(start.by).filter(|by| self.control.replicas.contains(by));
+            let is_acknowledger_killed = round.fault == ControlFault::AcknowledgerKilled;
+            let struck = acknowledged_by.filter(|_| is_acknowledger_killed).unwrap_or(struck);
             self.begin_fault(round, struck).await?;
         }
         if round.fault == ControlFault::Frozen {
@@ -124,9 +130,40 @@
         let calm_from = Instant::now();
         sleep_until((start.at + EVACUATE).max(calm_from + CONTACT) + WATCHED_FOR).await;
         self.check_states(&zone, true).await;
+        if let Some((second, start)) = second {
+            self.check_states(&second, true).await;
+            self.end(&second, start, &asked).await?;
+        }
         self.open(&zone, start, &asked).await
     }
 
+    /// Evacuates the next zone, if the round says so.
+    async fn evacuate_second_zone(
+        &self,
+        round: &Round,
+        asked: &[usize],
+    ) -> Result<Option<(String, Acknowledged)>> {
+        if !round.has_second_zone {
+            return Ok(None);
+        }
+        let zone = self.testbed.mesh.machines[(round.zone + 1) % self.zone_count()].zone.clone();
+        let start = give(self.testbed, &zone, Order::Start, asked).await?;
+        Ok(Some((zone, start)))
+    }
+
+    fn zone_count(&self) -> usize {
+        let zones: BTreeSet<&str> =
+            self.testbed.mesh.machines.iter().map(|machine| machine.zone.as_str()).collect();
+        zones.len()
+    }
+
+    /// Ends an evacuation.
+    async fn end(&mut self, zone: &str, start: Acknowledged, asked: &[usize]) -> Result<()> {
+        let end = give(self.testbed, zone, Order::End, asked).await?;
+        self.evacuations.push(Evacuation { zone: zone.to_string(), start, ended_at: end.sent_at });
+        Ok(())
+    }
+
     /// Waits until the control machines that run are the replica set, and each of them votes: the next loss is then the only one.
     async fn wait_until_control_is_complete(&self) -> Result<()> {
         let address = |machine: &usize| self.testbed.mesh.machines[*machine].address.to_string();
@@ -271,8 +308,7 @@
 
     /// Ends the evacuation and whatever else lasts; the zone is sent to again.
     async fn open(&mut self, zone: &str, start: Acknowledged, asked: &[usize]) -> Result<()> {
-        let end = give(self.testbed, zone, Order::End, asked).await?;
-        self.evacuations.push(Evacuation { zone: zone.to_string(), start, ended_at: end.sent_at });
+        self.end(zone, start, asked).await?;
         self.testbed.links.as_ref().context("links")?.join();
         self.cut_off = None;
         self.disturb_control();
--- a/crates/tools/testbed/src/evacuations/rounds.rs
+++ b/crates/tools/testbed/src/evacuations/rounds.rs
@@ -56,8 +56,12 @@
 pub(super) struct Round {
     /// The zone, by its number.
     pub(super) zone: usize,
+    /// Whether the next zone is evacuated as well.
+    pub(super) has_second_zone: bool,
     /// The number of the control machine that is asked first.
     pub(super) first_asked: usize,
+    /// Whether a side is asked before it, which names a control machine.
+    pub(super) is_side_asked: bool,
     /// The number of the control machine that is struck.
     pub(super) struck: usize,
     pub(super) replacement: Replacement,
@@ -96,7 +100,9 @@
         [SideFault::None, SideFault::Killed, SideFault::Reloaded, SideFault::UpstreamReplaced][rng.index(4)];
     Round {
         zone: rng.index(zones),
+        has_second_zone: rng.one_in(3),
         first_asked: rng.index(8),
+        is_side_asked: rng.one_in(3),
         struck: rng.index(8),
         replacement,
         fault,
--- a/crates/tools/testbed/src/evacuations/run.rs
+++ b/crates/tools/testbed/src/evacuations/run.rs
@@ -1,7 +1,7 @@
 //! A seed from its beginning to its verdict.
 use super::player::Player;
 use super::rounds::{draw, Round};
-use super::watch::{check, start_clients, SentRequests};
+use super::watch::{check, start_clients, Evacuation, SentRequests};
 use crate::mesh::MeshPlan;
 use crate::soak::{write_changes, Acknowledged as AcknowledgedChanges, Disturbances};
 use crate::testbed::Testbed;
@@ -10,6 +10,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::task::JoinHandle;
 
 /// Control machines that may take the place of one that leaves.
@@ -47,6 +48,8 @@
     pub evacuations: usize,
     /// Requests of machines in touch that ran elsewhere while a zone had to be empty.
     pub checked: usize,
+    /// From sending to acknowledgement, of each evacuation.
+    pub acknowledged_after: Vec<Duration>,
     /// Changes of the configuration that were acknowledged.
     pub changes: usize,
     /// What was wrong.
@@ -92,6 +95,8 @@
     let verdict = check(&evacuations, &zone_of, &sent, &testbed.executions, &disturbances);
     result.schedule = rounds.iter().map(|round: &Round| format!("{round:?}")).collect();
     (result.evacuations, result.checked) = (evacuations.len(), verdict.checked);
+    let took = |evacuation: &Evacuation| evacuation.start.at - evacuation.start.sent_at;
+    result.acknowledged_after = evacuations.iter().map(took).collect();
     result.changes = changes.count();
     result.faults.extend(faults);
     result.faults.extend(verdict.faults);
@@ -99,9 +104,9 @@
 }
 
 fn print(seed: u64, result: &EvacuationResult) {
-    let EvacuationResult { schedule, evacuations, checked, changes, faults } = result;
+    let EvacuationResult { schedule, evacuations, checked, acknowledged_after, changes, faults } = result;
     println!(
-        "seed {seed}: {evacuations} evacuations, {checked} requests of machines in touch checked, {changes} changes, {} wrong",
+        "seed {seed}: {evacuations} evacuations (acknowledged after {acknowledged_after:?}), {checked} requests of machines in touch checked, {changes} changes, {} wrong",
         faults.len()
     );
     if !faults.is_empty() {
--- a/crates/tools/testbed/src/evacuations/watch.rs
+++ b/crates/tools/testbed/src/evacuations/watch.rs
@@ -86,12 +86,16 @@
         let must_be_empty = |evacuation: &&Evacuation| {
             request.sent_at > evacuation.start.at + EVACUATE && run.began < evacuation.ended_at
         };
-        let Some(evacuation) = evacuations.iter().find(must_be_empty) else { continue };
+        let in_force: Vec<&Evacuation> = evacuations.iter().filter(must_be_empty).collect();
+        if in_force.is_empty() {
+            continue;
+        }
         if !disturbances.was_in_touch_throughout(request.machine, request.sent_at, run.began) {
             continue;
         }
         verdict.checked += 1;
-        if zone_of.get(&run.upstream) == Some(&evacuation.zone) {
+        let is_there = |evacuation: &&&Evacuation| zone_of.get(&run.upstream) == Some(&evacuation.zone);
+        if let Some(evacuation) = in_force.iter().find(is_there) {
             let late = run.began - evacuation.start.at;
             verdict.faults.push(format!(
                 "{} of machine {} reached {} in {} {late:?} after its evacuation was acknowledged by machine {}",
