--- a/crates/tools/testbed/src/evacuations/player.rs
+++ b/crates/tools/testbed/src/evacuations/player.rs
@@ -274,7 +274,7 @@
         let mut described = Vec::new();
         for machine in self.testbed.mesh.control_machines().chain(self.testbed.mesh.spare_machines()) {
             let state = get_json(self.testbed.mesh.control(machine), STATE_PATH).await;
-            let (ledger, mesh) = (&state["ledger"], &self.testbed.mesh);
+            let (store, mesh) = (&state["ledger"], &self.testbed.mesh);
             let log = mesh.log(machine, CONTROL_LOG_LINES);
             let log: Vec<String> = log.into_iter().filter(|line| !line.contains(CONFIGURED)).collect();
             described.push(format!(
@@ -282,9 +282,9 @@
                 mesh.machines[machine].name,
                 mesh.machines[machine].address,
                 state["linked"],
-                ledger["voter"],
-                ledger["roster"],
-                ledger["keys"],
+                store["voter"],
+                store["roster"],
+                store["keys"],
                 log.join("\n        ")
             ));
         }
