Orders that are given up: a test of the listener; the soak stops sides in plan; isolations in a file of their own

The listener's rule had only the processes' test: an order ends once its caller has closed, or closed its sending direction, and not before.

--- a/crates/daemon/mesh/src/control/changes.rs
+++ b/crates/daemon/mesh/src/control/changes.rs
@@ -22,6 +22,10 @@
     change_key(node_state, call, CONFIGURATION_KEY, change, path).await
 }
 
+fn count_call(node_state: &NodeState) {
+    node_state.counters.control_calls.set(node_state.counters.control_calls.get() + 1);
+}
+
 /// Change a key on behalf of a call to `path`.
 async fn change_key(
     node_state: &Rc<NodeState>,
@@ -30,7 +34,7 @@
     change: ControlChange,
     path: &str,
 ) -> CallResponse {
-    node_state.counters.control_calls.set(node_state.counters.control_calls.get() + 1);
+    count_call(node_state);
     let outcome = node_state.peers.change_key(node_state, key, change).await;
     respond(node_state, call, key, path, outcome)
 }
@@ -44,7 +48,7 @@
     change: ControlChange,
     path: &str,
 ) -> CallResponse {
-    node_state.counters.control_calls.set(node_state.counters.control_calls.get() + 1);
+    count_call(node_state);
     let called_at = node_state.now();
     let epoch = match node_state.peers.read_key(node_state, key).await {
         Some(CallOutcome::Value { revision, .. }) => revision.epoch,
--- a/crates/daemon/mesh/src/control/tests.rs
+++ b/crates/daemon/mesh/src/control/tests.rs
@@ -6,6 +6,7 @@
 use crate::node_state::NodeState;
 use crate::tests::support::{self, SidecarOptions, TestConnection};
 use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
 
 /// Bytes of the response of [`LONG_READ`].
 const LONG_BODY_BYTES: usize = 6 << 20;
@@ -17,6 +18,42 @@
     Box::pin(async { CallResponse::json(200, "x".repeat(LONG_BODY_BYTES)) })
 }
 
+/// An order that is under way until its caller leaves.
+const PENDING_ORDER: Call =
+    Call { method: "POST", path: "/order/{}", handler: pending_order, ends_with_caller: true };
+
+fn pending_order<'c>(_: &'c Rc<NodeState>, _: &'c ReceivedCall<'c>) -> HandlerFuture<'c> {
+    Box::pin(std::future::pending())
+}
+
+/// Guards against an order that is carried out although its caller has closed its connection, or its sending direction.
+#[test]
+fn an_order_is_given_up_once_its_caller_has_closed_and_not_before() {
+    support::run(async {
+        let unused_address = support::bind_upstream().await.address;
+        let sidecar = support::start_sidecar(1, unused_address, SidecarOptions::default()).await;
+        let support::BoundUpstream { listener, address: call_address } = support::bind_upstream().await;
+        tokio::task::spawn_local(listen(sidecar.node_state.clone(), listener, &[&PENDING_ORDER]));
+        let abandoned = &sidecar.node_state.counters.abandoned_calls;
+        let order = b"POST /order/a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+
+        let mut waiting = TestConnection::connect(call_address).await;
+        waiting.send(order).await;
+        let mut half_closed = TestConnection::connect(call_address).await;
+        half_closed.send(order).await;
+        half_closed.stream.shutdown().await.expect("shut down");
+        assert_eq!(support::status(&half_closed.read_head().await), "503");
+        let mut closed = TestConnection::connect(call_address).await;
+        closed.send(order).await;
+        drop(closed);
+        while abandoned.get() < 2 {
+            tokio::task::yield_now().await;
+        }
+        assert!(waiting.is_open_and_quiet().await);
+        assert_eq!(abandoned.get(), 2, "the one that waits is not given up");
+    });
+}
+
 /// Guards against a control node that ends while a call is coming in, or before its response has been read.
 #[test]
 fn a_call_keeps_a_stopping_process_until_its_response_is_read() {
--- a/crates/testing/control-sim/tests/common/mod.rs
+++ b/crates/testing/control-sim/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test target uses a part of it")]
 
 mod catch_up;
+mod isolations;
 mod partitions;
 mod readiness;
 mod replacements;
@@ -15,7 +16,7 @@
 use std::fmt;
 
 #[allow(unused_imports, reason = "each test target uses a part of it")]
-pub use {catch_up::*, partitions::*, readiness::*, replacements::*, retries::*};
+pub use {catch_up::*, isolations::*, partitions::*, readiness::*, replacements::*, retries::*};
 
 pub const SECOND: Duration = Duration::from_secs(1);
 /// The seed of all directed schedules.
--- a/crates/tools/testbed/src/evacuations/player.rs
+++ b/crates/tools/testbed/src/evacuations/player.rs
@@ -253,6 +253,14 @@
                 sleep(DOWN).await;
                 self.testbed.mesh.start(side, false)?;
             }
+            SideFault::Terminated => {
+                self.disturbances.disturb(side, Instant::now() + WAIT_TIMEOUT);
+                self.testbed.mesh.terminate(side)?;
+                let mesh = &mut self.testbed.mesh;
+                let has_ended = || std::future::ready(mesh.has_ended(side));
+                wait_until("the side ends", WAIT_TIMEOUT, has_ended).await?;
+                self.testbed.mesh.start(side, false)?;
+            }
             SideFault::UpstreamReplaced => {
                 self.testbed.start_upstream(side).await?;
                 self.note_upstreams();
--- a/crates/tools/testbed/src/evacuations/rounds.rs
+++ b/crates/tools/testbed/src/evacuations/rounds.rs
@@ -36,6 +36,8 @@
     Killed,
     /// It is told to read its settings again.
     Reloaded,
+    /// It is told to end (SIGTERM), and started again once it has.
+    Terminated,
     /// Its upstream ends and another one starts at its address.
     UpstreamReplaced,
 }
@@ -96,8 +98,13 @@
     let abandoned = (0..1 + rng.index(MAX_ABANDONED))
         .map(|_| if rng.one_in(3) { Order::Start } else { Order::End })
         .collect();
-    let side_fault =
-        [SideFault::None, SideFault::Killed, SideFault::Reloaded, SideFault::UpstreamReplaced][rng.index(4)];
+    let side_fault = [
+        SideFault::None,
+        SideFault::Killed,
+        SideFault::Reloaded,
+        SideFault::UpstreamReplaced,
+        SideFault::Terminated,
+    ][rng.index(5)];
     Round {
         zone: rng.index(zones),
         has_second_zone: rng.one_in(3),
