--- a/review/standins-2/departure.rs
+++ b/review/standins-2/departure.rs
@@ -183,12 +183,34 @@
     sleep(1.5);
 
     let (is_over, sent) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::<Sent>::new())));
+    // The platform asks each sidecar once a second; after two misses its clients get no new work until it answers 200.
+    let is_in: Vec<Arc<AtomicBool>> = (0..6).map(|_| Arc::new(AtomicBool::new(true))).collect();
+    for (number, is_in) in is_in.iter().enumerate() {
+        let machine = &mesh.machines[3 + number];
+        let (name, ready, is_in) = (machine.name.clone(), machine.at(READY), is_in.clone());
+        let (is_over, record) = (is_over.clone(), record.clone());
+        thread::spawn(move || {
+            let mut misses = 0;
+            while !is_over.load(SeqCst) {
+                let is_ready = call(ready, "GET", "/-/ready", &[], b"", 1.0).is_ok_and(|response| response.status == 200);
+                misses = if is_ready { 0 } else { misses + 1 };
+                if is_in.swap(misses < 2, SeqCst) != (misses < 2) {
+                    record.line(&format!("platform: {name} is {}", if misses < 2 { "in" } else { "out" }));
+                }
+                sleep(1.0);
+            }
+        });
+    }
     for client in 0..24 {
         let machine = &mesh.machines[3 + client % 6];
-        let (name, outbound) = (machine.name.clone(), machine.at(OUTBOUND));
+        let (name, outbound, is_in) = (machine.name.clone(), machine.at(OUTBOUND), is_in[client % 6].clone());
         let (is_over, sent, record) = (is_over.clone(), sent.clone(), record.clone());
         thread::spawn(move || {
             while !is_over.load(SeqCst) {
+                if !is_in.load(SeqCst) {
+                    sleep(0.05);
+                    continue;
+                }
                 let (attempt, at) = (new_id(), record.now());
                 let headers = [("Host", HOST), ("Attempt-Id", attempt.as_str()), ("Deadline-Ms", "5000")];
                 let result = match call(outbound, "POST", "/post/1", &headers, b"notice", 6.0) {
