mesh: a control node knows when a call's connection can have been opened, and says so

Cause: the logs of an acknowledged order say when it was read and by whom it was sent, but not how long it may have lain unread; the line of an upstream that is believed doesn't say what the node remembers. Change: turns of the event loop are recorded on control nodes; a connection was opened after the third-last turn before the first accept since the queue was last empty. `acknowledged` has opened_us, `upstream` has tombstones and the time since the start. No decision depends on them yet.

--- a/crates/daemon/mesh/src/control.rs
+++ b/crates/daemon/mesh/src/control.rs
@@ -1,8 +1,9 @@
 //! HTTP calls from upstreams, operators and the platform.
 //!
 //! `calls.rs` and `member_calls.rs` declare each call beside its handler. `call.rs` defines calls and finds the one that a
-//! request means, `response.rs` defines responses, `changes.rs` changes keys of the control store and redirects callers,
+//! request means, `response.rs` defines responses, `acceptor.rs` accepts connections, `changes.rs` changes keys of the control store and redirects callers,
 //! and `listener.rs` serves connections. Paths, statuses and JSON keys are part of the protocol (`docs/operators/mesh.md`).
+mod acceptor;
 mod call;
 mod calls;
 mod changes;
--- a/crates/daemon/mesh/src/control/call.rs
+++ b/crates/daemon/mesh/src/control/call.rs
@@ -2,6 +2,7 @@
 use super::response::CallResponse;
 use crate::node_state::NodeState;
 use crate::wire::Connection;
+use silvercross_time::Instant as LocalInstant;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -19,6 +20,8 @@
     pub(super) body: Vec<u8>,
     /// Its connection.
     pub(super) connection: &'c Connection,
+    /// The connection was opened after this.
+    pub(super) opened_after: LocalInstant,
     /// When it had been read.
     pub(super) received_at: Instant,
 }
--- a/crates/daemon/mesh/src/control/changes.rs
+++ b/crates/daemon/mesh/src/control/changes.rs
@@ -84,7 +84,7 @@
         Some(CallOutcome::Committed { revision, changed }) => {
             if changed {
                 info!(node_state.log, "acknowledged"; "key" => key, "round" => revision.epoch.round, "change" => revision.sequence,
-                    "call" => path, "caller" => call.caller().map(|caller| caller.to_string()),
+                    "call" => path, "opened_us" => (node_state.now() - call.opened_after).as_micros(), "caller" => call.caller().map(|caller| caller.to_string()),
                     "us" => call.received_at.elapsed().as_micros() as u64);
             }
             CallResponse::ok()
--- a/crates/daemon/mesh/src/control/listener.rs
+++ b/crates/daemon/mesh/src/control/listener.rs
@@ -1,4 +1,5 @@
 //! Connections for calls: one task per connection, which serves one call at a time.
+use super::acceptor::{Accepted, Acceptor};
 use super::call::{find, Call, ReceivedCall};
 use super::changes::abandoned;
 use super::response::CallResponse;
@@ -7,6 +8,7 @@
 use crate::wire::{self, Connection, PeerKind, ReadError, RequestHead};
 use silvercross_mesh_config::MAX_BODY_BYTES;
 use silvercross_net::http::MessageError;
+use silvercross_time::Instant as LocalInstant;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,8 +35,9 @@
     calls: &'static [&'static Call],
 ) {
     let open = Rc::new(Cell::new(0));
+    let mut acceptor = Acceptor::new(&node_state, listener);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok(Accepted { stream, opened_after }) = acceptor.accept(&node_state).await else {
             tokio::time::sleep(ACCEPT_RETRY).await;
             continue;
         };
@@ -46,7 +49,7 @@
         let (node_state, open) = (node_state.clone(), open.clone());
         tokio::task::spawn_local(async move {
             let mut connection = Connection::new(stream, PeerKind::External(MAX_HEAD_BYTES));
-            let reader = serve_connection(&node_state, &mut connection, calls).await;
+            let reader = serve_connection(&node_state, &mut connection, opened_after, calls).await;
             open.set(open.get() - 1);
             // Event streams have a limit of their own, so the connection no longer counts here.
             if let Some(EventReader { open, request, body }) = reader {
@@ -74,10 +77,11 @@
 async fn serve_connection(
     node_state: &Rc<NodeState>,
     connection: &mut Connection,
+    opened_after: LocalInstant,
     calls: &[&Call],
 ) -> Option<EventReader> {
     loop {
-        match serve_call(node_state, connection, calls).await {
+        match serve_call(node_state, connection, opened_after, calls).await {
             Next::Call => {}
             Next::End => return None,
             Next::Events(reader) => return Some(reader),
@@ -85,7 +89,12 @@
     }
 }
 
-async fn serve_call(node_state: &Rc<NodeState>, connection: &mut Connection, calls: &[&Call]) -> Next {
+async fn serve_call(
+    node_state: &Rc<NodeState>,
+    connection: &mut Connection,
+    opened_after: LocalInstant,
+    calls: &[&Call],
+) -> Next {
     if !connection.wait_for_bytes(IDLE_TIMEOUT).await {
         return Next::End;
     }
@@ -110,7 +119,8 @@
     }
     let response = match find(calls, &request.method, &request.target) {
         Ok(found) => {
-            let received = ReceivedCall { name: found.name, body, connection, received_at: Instant::now() };
+            let received_at = Instant::now();
+            let received = ReceivedCall { name: found.name, body, connection, opened_after, received_at };
             handle(node_state, found.call, &received).await
         }
         Err(error) => CallResponse::error(error.status(), "no such call"),
--- a/crates/daemon/mesh/src/main.rs
+++ b/crates/daemon/mesh/src/main.rs
@@ -19,6 +19,7 @@
 mod control;
 mod control_value;
 mod disk;
+mod event_loop_turns;
 mod event_stream;
 mod forwarding_headers;
 mod graceful_stop;
--- a/crates/daemon/mesh/src/node_state/state.rs
+++ b/crates/daemon/mesh/src/node_state/state.rs
@@ -8,6 +8,7 @@
 use super::unrouted_requests::UnroutedRequests;
 use super::upstream_lists::WarmUps;
 use crate::body_budget::BodyBudget;
+use crate::event_loop_turns::EventLoopTurns;
 use crate::event_stream::EventStream;
 use crate::graceful_stop::GracefulStop;
 use crate::idle_timeout::IdleTimeout;
@@ -90,6 +91,8 @@
     pub(super) rng: RefCell<Pcg64Mcg>,
     pub(super) last_attempt_number: Cell<u64>,
     pub(super) seeds: RefCell<Vec<SocketAddr>>,
+    /// The latest turns of the event loop. Recorded on control nodes only.
+    pub(super) event_loop_turns: RefCell<EventLoopTurns>,
     /// When the periodic task of this process last ran.
     pub(super) last_awake: Cell<Instant>,
     pub(super) graceful_stop: RefCell<Option<GracefulStop>>,
@@ -155,6 +158,7 @@
             upstream_claim: RefCell::default(),
             tombstones: RefCell::default(),
             rng: RefCell::new(rng),
+            event_loop_turns: RefCell::new(EventLoopTurns::new(now)),
             last_awake: Cell::new(now),
             graceful_stop: RefCell::default(),
             upstream_health_requested: Cell::new(false),
@@ -172,11 +176,26 @@
         Instant::from_micros(self.clock.now())
     }
 
+    /// Returns when this process started.
+    pub(crate) fn started_at(&self) -> Instant {
+        self.started_at
+    }
+
     /// Records that this process is running. If it is then suspended, a stop is timed from here.
     pub(crate) fn note_awake(&self) {
         self.last_awake.set(self.now());
     }
 
+    /// Records a turn of the event loop.
+    pub(crate) fn record_event_loop_turn(&self) {
+        self.event_loop_turns.borrow_mut().record(self.now());
+    }
+
+    /// Returns a time after which everything has arrived that the event loop reports as ready now.
+    pub(crate) fn arrived_after(&self) -> Instant {
+        self.event_loop_turns.borrow().arrived_after()
+    }
+
     /// Picks one of the destinations at random, in proportion to their weights.
     pub(crate) fn pick_by_weight(&self, destinations: &[WeightedDestination]) -> String {
         if let [only] = destinations {
--- a/crates/daemon/mesh/src/node_state/upstream_heartbeats.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_heartbeats.rs
@@ -92,7 +92,8 @@
                 Some(upstream) => upstream.update(heartbeat, now),
                 None => {
                     info!(self.log, "upstream"; "id" => id, "service" => &heartbeat.service,
-                        "zone" => &heartbeat.zone, "sequence" => heartbeat.sequence);
+                        "zone" => &heartbeat.zone, "sequence" => heartbeat.sequence,
+                        "tombstones" => self.tombstones.borrow().len(), "us" => (now - self.started_at).as_micros());
                     *local = Some(LocalUpstream::new(id, heartbeat, now));
                     true
                 }
