An order whose connection was opened before this node knew the one that it reverses is asked again

Cause: an order carries no version, and a process took it for newer than all that was acknowledged before it read it, unless its caller had closed its connection. An order that lay unread (the process stood still, was slow, or a link was cut) of a caller who had gone on and kept the connection was carried out after a newer one. Change: a control node carries out an order that reverses the one in force only if its connection was opened after the node's replica took that one; else it asks the caller again, by a redirect to itself that names the epoch of the read, under which alone the order is carried out then. Counted (evacuation.ordersAskedAgain) and logged. control-sim draws orders that lie on links and callers that keep connections. Why it works: whoever sends an order after the node knew the last one sent it after that one was sent; no clock and no bound on delays is needed. The epoch ends with each order, so an order that comes with a read epoch can lie as long as it likes.

--- a/crates/control/control-store/src/key_slot.rs
+++ b/crates/control/control-store/src/key_slot.rs
@@ -14,6 +14,8 @@
     pub(crate) promised: Epoch,
     pub(crate) accepted: Revision,
     pub(crate) value: V,
+    /// When the value was last changed here, or the same change was made again: not by a new owner that repeats it.
+    pub(crate) changed_at: Instant,
     /// The changes that led to the value.
     pub(crate) change_log: ChangeLog<V::Change>,
     /// The highest known epoch.
@@ -36,6 +38,7 @@
             promised: Epoch::default(),
             accepted: Revision::default(),
             value: V::default(),
+            changed_at: now,
             change_log: ChangeLog::starting_at(Revision::default()),
             highest_epoch: Epoch::default(),
             owner_last_heard: now,
@@ -47,10 +50,11 @@
     }
 
     /// Replaces value and promise. The changes that led to the value are not known.
-    pub(crate) fn replace(&mut self, promised: Epoch, accepted: Revision, value: V) {
+    pub(crate) fn replace(&mut self, now: Instant, promised: Epoch, accepted: Revision, value: V) {
         self.promised = promised;
         self.accepted = accepted;
         self.value = value;
+        self.changed_at = now;
         self.change_log = ChangeLog::starting_at(accepted);
     }
 
--- a/crates/control/control-store/src/mutation.rs
+++ b/crates/control/control-store/src/mutation.rs
@@ -54,6 +54,8 @@
     ForgetsStoredPromises,
     /// Continues under the same epoch after an unversioned change.
     KeepsEpochAfterUnversionedChange,
+    /// Takes any call without a version for newer than all that were committed.
+    TakesAnyCallForNew,
 }
 
 /// Whether `mutation` is active; never without the feature `mutants`.
--- a/crates/control/control-store/src/protocol/accept.rs
+++ b/crates/control/control-store/src/protocol/accept.rs
@@ -96,6 +96,9 @@
             self.report_lagging(owner, key.to_owned(), epoch, follows);
             return false;
         }
+        if !append.changes.is_empty() {
+            slot.changed_at = now;
+        }
         slot.value = value;
         slot.accepted = append.revision;
         slot.change_log.push(append.revision, append.changes, key_count);
--- a/crates/control/control-store/src/protocol/calls.rs
+++ b/crates/control/control-store/src/protocol/calls.rs
@@ -5,6 +5,7 @@
 use crate::key_slot::Ownership;
 use crate::limits::{CALL_TIMEOUT, FORWARD_TIMEOUT, MAX_FORWARDS_PER_CALL, MAX_OPEN_CALLS, MAX_QUEUED_CALLS};
 use crate::message::{CallOutcome, ForwardReply, Message, Request};
+use crate::mutation::Mutation;
 use crate::store::ControlStore;
 use crate::types::{Epoch, Node, Revision};
 use crate::value::{Rejection, State};
@@ -25,6 +26,15 @@
         self.begin_call(now, token, key, CallStart { request, called_at, under: Some(epoch) });
     }
 
+    /// Whether a call that was made after `made_after` is newer than every unversioned change up to this revision, which was
+    /// read from a majority. A call that was made after this node knew the latest change was made after all of them; any
+    /// other one may have lain somewhere, and may be older.
+    pub fn is_newer_than_changes(&self, key: &str, read: Revision, made_after: Instant) -> bool {
+        let Some(slot) = self.keys.get(key) else { return false };
+        let is_known = slot.accepted == read && slot.changed_at <= made_after;
+        is_known || self.has_mutation(Mutation::TakesAnyCallForNew)
+    }
+
     /// Gives up the call with this token, if it is open. What was already sent on may still be served.
     pub fn cancel(&mut self, token: u64) {
         self.open_calls.retain(|_, call| call.token != token);
--- a/crates/control/control-store/src/protocol/replica_set_adopt.rs
+++ b/crates/control/control-store/src/protocol/replica_set_adopt.rs
@@ -42,7 +42,7 @@
         if self.phase == Phase::Repairing && previous != Phase::Repairing {
             self.incarnation = self.next_incarnation(self.incarnation);
             for slot in self.keys.values_mut() {
-                slot.replace(Epoch::default(), Revision::default(), V::default());
+                slot.replace(now, Epoch::default(), Revision::default(), V::default());
             }
         }
         self.step_down_from_all_keys(now);
--- a/crates/control/control-store/src/protocol/replicate.rs
+++ b/crates/control/control-store/src/protocol/replicate.rs
@@ -158,6 +158,7 @@
             let revision = owner.last_revision();
             slot.accepted = revision;
             slot.value = value;
+            slot.changed_at = now;
             slot.change_log.push(revision, batch.changes, key_count);
             append = Some(revision);
         }
--- a/crates/control/control-store/src/protocol/snapshots.rs
+++ b/crates/control/control-store/src/protocol/snapshots.rs
@@ -244,7 +244,7 @@
         self.observe_epoch(now, &key, revision.epoch);
         let Some(slot) = self.keys.get_mut(&key) else { return };
         let is_in_force = revision.epoch >= slot.promised;
-        slot.replace(slot.promised.max(revision.epoch), revision, value);
+        slot.replace(now, slot.promised.max(revision.epoch), revision, value);
         self.persist_key(&key);
         self.resume_reads(now, &key);
         let owner = Node(revision.epoch.owner);
--- a/crates/control/control-store/src/store.rs
+++ b/crates/control/control-store/src/store.rs
@@ -194,7 +194,7 @@
     /// Replaces a key's state with one from disk or from other replicas.
     pub(crate) fn restore_key(&mut self, now: Instant, stored: StoredKey<V>) {
         if let Some(slot) = self.slot_or_insert(now, &stored.key) {
-            slot.replace(stored.promised, stored.accepted, stored.value);
+            slot.replace(now, stored.promised, stored.accepted, stored.value);
             slot.highest_epoch = slot.highest_epoch.max(stored.promised);
         }
     }
--- a/crates/daemon/mesh/src/control.rs
+++ b/crates/daemon/mesh/src/control.rs
@@ -9,6 +9,7 @@
 mod changes;
 mod listener;
 mod member_calls;
+mod order_epoch;
 mod response;
 #[cfg(test)]
 mod tests;
--- a/crates/daemon/mesh/src/control/call.rs
+++ b/crates/daemon/mesh/src/control/call.rs
@@ -16,6 +16,8 @@
 pub(crate) struct ReceivedCall<'c> {
     /// The name in its path.
     pub(super) name: String,
+    /// Its target: the path and the query.
+    pub(super) target: &'c str,
     /// Its body.
     pub(super) body: Vec<u8>,
     /// Its connection.
--- a/crates/daemon/mesh/src/control/changes.rs
+++ b/crates/daemon/mesh/src/control/changes.rs
@@ -1,9 +1,10 @@
 //! Changing keys of the control store, and redirecting callers to a replica.
 use super::call::ReceivedCall;
+use super::order_epoch::epoch_of;
 use super::response::CallResponse;
 use crate::control_value::{ControlChange, ControlValue, CONFIGURATION_KEY};
 use crate::node_state::NodeState;
-use silvercross_control_store::{CallOutcome, ReadEpoch, Rejection};
+use silvercross_control_store::{CallOutcome, Epoch, ReadEpoch, Rejection};
 use slog::info;
 use std::rc::Rc;
 
@@ -40,7 +41,7 @@
 }
 
 /// Change a key by an order without a version on behalf of a call to `path`: only if none that came later was acknowledged
-/// since the call was received, and while its caller waits.
+/// since its caller sent it. A caller whose order may be older is asked again.
 pub(super) async fn change_key_in_order(
     node_state: &Rc<NodeState>,
     call: &ReceivedCall<'_>,
@@ -50,10 +51,12 @@
 ) -> CallResponse {
     count_call(node_state);
     let called_at = node_state.now();
-    let epoch = match node_state.peers.read_key(node_state, key).await {
-        Some(CallOutcome::Value { revision, .. }) => revision.epoch,
-        Some(_) => return CallResponse::retry_later(),
-        None => return redirect(node_state, path),
+    let epoch = match epoch_of(call.target) {
+        Some(epoch) => epoch,
+        None => match epoch_for_new_order(node_state, call, key, &change, path).await {
+            Ok(epoch) => epoch,
+            Err(response) => return response,
+        },
     };
     if call.caller_has_left() {
         return abandoned(node_state, call);
@@ -66,6 +69,41 @@
     respond(node_state, call, key, path, outcome)
 }
 
+/// The epoch under which an order may be carried out, as it is newer than all that were acknowledged under earlier ones.
+///
+/// # Errors
+/// The response to the call, if the order can't be carried out now or may be older.
+async fn epoch_for_new_order(
+    node_state: &Rc<NodeState>,
+    call: &ReceivedCall<'_>,
+    key: &str,
+    change: &ControlChange,
+    path: &str,
+) -> Result<Epoch, CallResponse> {
+    match node_state.peers.read_key(node_state, key).await {
+        Some(CallOutcome::Value { revision, value }) => {
+            let is_newer = node_state.is_order_newer(key, revision, call.opened_after);
+            if is_newer || !value.is_reversed_by(change) {
+                return Ok(revision.epoch);
+            }
+            Err(ask_again(node_state, call, revision.epoch, path))
+        }
+        Some(_) => Err(CallResponse::retry_later()),
+        None => Err(redirect(node_state, path)),
+    }
+}
+
+/// Ask the caller whether it still gives its order: redirect it to this node, where the order is carried out under this epoch
+/// only. A caller who has gone on does not follow.
+fn ask_again(node_state: &NodeState, call: &ReceivedCall<'_>, epoch: Epoch, path: &str) -> CallResponse {
+    let caller = call.caller().map_or_else(String::new, |caller| caller.to_string());
+    node_state.count_order_asked_again(path, &caller, call.opened_after);
+    match node_state.own_control_address() {
+        Some(address) => CallResponse::redirect_under(format!("http://{address}{path}"), epoch),
+        None => CallResponse::retry_later(),
+    }
+}
+
 /// Give up a call whose caller has left. The response is for one that has only closed its sending direction.
 pub(super) fn abandoned(node_state: &NodeState, call: &ReceivedCall<'_>) -> CallResponse {
     let caller = call.caller().map_or_else(String::new, |caller| caller.to_string());
--- a/crates/daemon/mesh/src/control/listener.rs
+++ b/crates/daemon/mesh/src/control/listener.rs
@@ -120,7 +120,8 @@
     let response = match find(calls, &request.method, &request.target) {
         Ok(found) => {
             let received_at = Instant::now();
-            let received = ReceivedCall { name: found.name, body, connection, opened_after, received_at };
+            let (name, target) = (found.name, request.target.as_str());
+            let received = ReceivedCall { name, target, body, connection, opened_after, received_at };
             handle(node_state, found.call, &received).await
         }
         Err(error) => CallResponse::error(error.status(), "no such call"),
--- a/crates/daemon/mesh/src/control/response.rs
+++ b/crates/daemon/mesh/src/control/response.rs
@@ -1,5 +1,7 @@
 //! Responses to calls.
+use super::order_epoch::epoch_parameter;
 use serde_json::json;
+use silvercross_control_store::Epoch;
 
 /// Longest reason, in bytes: it may quote the request, and upstreams read no response of over 4 KiB.
 const MAX_REASON_BYTES: usize = 512;
@@ -18,8 +20,16 @@
     pub(super) lines: String,
     /// The body.
     pub(super) body: String,
-    /// The address to call instead.
-    redirect_to: Option<String>,
+    /// Where to call instead.
+    redirect_to: Option<RedirectTarget>,
+}
+
+/// Where a redirected call goes.
+struct RedirectTarget {
+    /// The address, without a query.
+    address: String,
+    /// The only epoch under which the call is to be carried out.
+    epoch: Option<Epoch>,
 }
 
 impl CallResponse {
@@ -49,28 +59,42 @@
 
     /// A redirect to the address of another node that serves this call.
     pub(super) fn redirect(address: String) -> Self {
+        CallResponse::redirect_to(RedirectTarget { address, epoch: None })
+    }
+
+    /// A redirect to this address, for an order that is then carried out under this epoch only.
+    pub(super) fn redirect_under(address: String, epoch: Epoch) -> Self {
+        CallResponse::redirect_to(RedirectTarget { address, epoch: Some(epoch) })
+    }
+
+    fn redirect_to(target: RedirectTarget) -> Self {
         let (lines, body) = (String::new(), String::new());
-        CallResponse { status: 307, lines, body, redirect_to: Some(address) }
+        CallResponse { status: 307, lines, body, redirect_to: Some(target) }
     }
 
     /// The response to a call with this target. The number of redirections is limited: nodes with outdated views may each
     /// take the other for a replica and redirect in a loop.
     pub(super) fn with_bounded_redirections(mut self, target: &str) -> Self {
-        let Some(address) = self.redirect_to.take() else { return self };
+        let Some(RedirectTarget { address, epoch }) = self.redirect_to.take() else { return self };
         let redirections = redirections_before(target);
         if redirections >= MAX_REDIRECTIONS {
             return CallResponse::retry_later();
         }
         let count = redirections + 1;
-        self.lines.push_str(&format!("Location: {address}?{REDIRECTIONS_PARAMETER}={count}\r\n"));
+        let epoch = epoch.map(epoch_parameter).unwrap_or_default();
+        self.lines.push_str(&format!("Location: {address}?{REDIRECTIONS_PARAMETER}={count}{epoch}\r\n"));
         self
     }
 }
 
 /// How often a call with this target was redirected before.
 fn redirections_before(target: &str) -> u32 {
-    let query = target.split_once('?').map_or("", |(_, query)| query);
-    let count =
-        query.split('&').find_map(|pair| pair.strip_prefix(REDIRECTIONS_PARAMETER)?.strip_prefix('='));
+    let count = query_parameter(target, REDIRECTIONS_PARAMETER);
     count.map_or(0, |count| count.parse().unwrap_or(MAX_REDIRECTIONS))
 }
+
+/// The value of a parameter in the query of a target.
+pub(super) fn query_parameter<'t>(target: &'t str, name: &str) -> Option<&'t str> {
+    let (_, query) = target.split_once('?')?;
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
--- a/crates/daemon/mesh/src/control_value.rs
+++ b/crates/daemon/mesh/src/control_value.rs
@@ -73,6 +73,13 @@
     }
 }
 
+impl ControlValue {
+    /// Whether an order would reverse the one that this value holds.
+    pub(crate) fn is_reversed_by(&self, change: &ControlChange) -> bool {
+        matches!((self, change), (ControlValue::Evacuation(is), ControlChange::Evacuate(on)) if is != on)
+    }
+}
+
 impl State for ControlValue {
     type Change = ControlChange;
 
--- a/crates/daemon/mesh/src/metrics.rs
+++ b/crates/daemon/mesh/src/metrics.rs
@@ -45,7 +45,7 @@
     });
     let admission = node_state.gate.with_admission(|admission| admission.metrics());
     report["evacuation"] = json!({ "refusedAtGate": admission.rejected[Rejection::Evacuated as usize],
-        "callsGivenUp": counters.abandoned_calls.get(), "ordersNotCarriedOut": counters.unsettled_orders.get() });
+        "callsGivenUp": counters.abandoned_calls.get(), "ordersNotCarriedOut": counters.unsettled_orders.get(), "ordersAskedAgain": counters.orders_asked_again.get() });
     if let Some(members) = node_state.member_throttle.metrics() {
         report["members"] = members;
     }
--- a/crates/daemon/mesh/src/node_state/counters.rs
+++ b/crates/daemon/mesh/src/node_state/counters.rs
@@ -54,6 +54,8 @@
     pub(crate) abandoned_calls: Cell<u64>,
     /// Orders that were not carried out because no majority confirmed them, or a newer one may have been acknowledged.
     pub(crate) unsettled_orders: Cell<u64>,
+    /// Orders that may have been older than an acknowledged one, so that their callers were asked again.
+    pub(crate) orders_asked_again: Cell<u64>,
     /// Operators' calls that request a change.
     pub(crate) control_calls: Cell<u64>,
     /// Gauge of calls of all kinds, each from its first byte until its response is written.
--- a/crates/daemon/mesh/src/node_state/other_nodes.rs
+++ b/crates/daemon/mesh/src/node_state/other_nodes.rs
@@ -62,6 +62,12 @@
         replicas.peek().is_some() && replicas.all(|record| !record.body.replica_set.contains(&own))
     }
 
+    /// Returns the control address of this node, as other nodes name it.
+    pub(crate) fn own_control_address(&self) -> Option<SocketAddr> {
+        let port = self.settings.control_address?.port();
+        Some(SocketAddr::new(self.settings.ip.into(), port))
+    }
+
     /// Returns the control address of a replica. Prefers nodes that are not stopping, then replicas known to
     /// reach a majority, then those listed by most replicas, then those in this zone. An isolated replica
     /// could only answer that nothing can be committed.
--- a/crates/testing/control-sim/src/calls.rs
+++ b/crates/testing/control-sim/src/calls.rs
@@ -9,7 +9,7 @@
 use crate::history::{Answer, Operation, RejectionReason, RequestedItem};
 use crate::operator_state::{Call, CallToken, OpenCall};
 use crate::world::World;
-use silvercross_control_store::CallOutcome;
+use silvercross_control_store::{CallOutcome, Epoch};
 use silvercross_time::Duration;
 
 /// How often a call is sent again until its operator gives it up.
@@ -25,6 +25,10 @@
 /// A control node that runs all the time answers within this: the control store's limit for a call, 0.8 s, the way there, and
 /// the clock's step.
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(810);
+/// An order that lies on a link, or in a socket, comes within this.
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(4);
+/// An operator that goes on elsewhere may keep the silent connection for so long.
+const KEPT_FOR_LATE_ANSWER: Duration = Duration::from_secs(5);
 /// So many of the last sendings are searched for an earlier acknowledgement of the same call.
 const MAX_SENDINGS_SEARCHED: usize = 400;
 
@@ -84,23 +88,44 @@
             items: call.change.iter().map(requested).collect(),
             answer: Answer::Missing,
         });
-        self.operators.open.insert(token, OpenCall { operator, node, call, retries });
+        let delay = self.draw_call_delay(token);
+        let (sent_at, arrives_at) = (self.now, self.now + delay);
+        let open = OpenCall { operator, node, call, retries, sent_at, arrives_at, taken_at: None };
+        self.operators.open.insert(token, open);
         let timeout = if self.rng.one_in(4) { LONG_CALL_TIMEOUT } else { CALL_TIMEOUT };
         self.after(timeout, Event::CallTimeout(token));
-        let delay = self.rng.duration(MIN_CALL_DELAY, MAX_CALL_DELAY);
         let generation = self.nodes[node].generation;
-        self.after(delay, Event::CallArrived { node, generation, token });
+        self.at(arrives_at, Event::CallArrived { node, generation, token, under: None });
         token
     }
 
+    /// An order may lie on a link that is cut and heals, or in the node's socket. Its connection was opened before.
+    fn draw_call_delay(&mut self, token: CallToken) -> Duration {
+        if self.is_order(token) && self.rng.one_in(8) {
+            return self.rng.duration(MIN_CALL_DELAY, MAX_ORDER_DELAY);
+        }
+        self.rng.duration(MIN_CALL_DELAY, MAX_CALL_DELAY)
+    }
+
+    /// A control node asks the operator of an order again. One that still waits sends it again at once.
+    pub(crate) fn ask_again(&mut self, node: usize, token: CallToken, epoch: Epoch) {
+        self.report.orders_asked_again += 1;
+        let (now, generation) = (self.now, self.nodes[node].generation);
+        let arrives_at = now + self.draw_call_delay(token);
+        let Some(open) = self.operators.open.get_mut(&token) else { return };
+        (open.sent_at, open.arrives_at, open.taken_at) = (now, arrives_at, None);
+        self.at(arrives_at, Event::CallArrived { node, generation, token, under: Some(epoch) });
+    }
+
     /// A control node answers.
     pub(crate) fn answer_call(&mut self, node: usize, token: CallToken, outcome: CallOutcome<Items>) {
         let Some(open) = self.operators.open.get(&token) else { return };
-        let invoked_at = self.history.operations[token.index()].invoked_at;
+        let invoked_at = open.sent_at;
+        let taken_at = open.taken_at.unwrap_or(invoked_at);
         if open.node != node {
             return self.fail(ScheduleError::AnsweredByAnotherNode { node, token });
         }
-        let after = self.now - invoked_at;
+        let after = self.now - taken_at;
         if self.nodes[node].resumed_at < invoked_at && after > MAX_ANSWER_DELAY {
             return self.fail(ScheduleError::AnsweredLate { token, after });
         }
@@ -141,9 +166,11 @@
         operation.ended_at = Some(self.now);
         let (node, now) = (open.node, self.now);
         if !is_answered && self.plan.has_orders && self.nodes[node].is_running() {
-            // The close of the connection follows what was sent on it.
+            // The close of the connection follows what was sent on it. The operator may keep it for a late answer.
             let generation = self.nodes[node].generation;
-            self.at(now + MAX_CALL_DELAY, Event::CallerLeft { node, generation, token });
+            let kept_for = if self.rng.one_in(2) { KEPT_FOR_LATE_ANSWER } else { MAX_CALL_DELAY };
+            let closed_at = (now + kept_for).max(open.arrives_at);
+            self.at(closed_at, Event::CallerLeft { node, generation, token });
         }
         let is_retried = may_be_lost
             && open.retries < MAX_RETRIES
--- a/crates/testing/control-sim/src/event.rs
+++ b/crates/testing/control-sim/src/event.rs
@@ -2,6 +2,7 @@
 
 use crate::link::{ConnectionId, Direction, Frame};
 use crate::operator_state::CallToken;
+use silvercross_control_store::Epoch;
 use silvercross_mesh_membership::Datagram;
 use silvercross_time::Instant;
 use std::cmp::{Ordering, Reverse};
@@ -81,6 +82,8 @@
         node: usize,
         generation: u64,
         token: CallToken,
+        /// The only epoch under which it is to be carried out: its operator was asked again.
+        under: Option<Epoch>,
     },
     /// A control node sees that the operator has closed the connection of a call.
     CallerLeft {
--- a/crates/testing/control-sim/src/node.rs
+++ b/crates/testing/control-sim/src/node.rs
@@ -32,7 +32,7 @@
 pub(crate) struct OrderRead {
     /// The order.
     pub(crate) token: CallToken,
-    /// When it came, by the node's clock.
+    /// When it was read, by the node's clock.
     pub(crate) called_at: Instant,
 }
 
--- a/crates/testing/control-sim/src/node_events.rs
+++ b/crates/testing/control-sim/src/node_events.rs
@@ -71,9 +71,11 @@
     /// Handles an event of an operator's call at a node.
     fn handle_call_event(&mut self, event: Event) {
         match event {
-            Event::CallArrived { node, generation, token } if self.nodes[node].generation == generation => {
+            Event::CallArrived { node, generation, token, under }
+                if self.nodes[node].generation == generation =>
+            {
                 match self.is_order(token) {
-                    true => self.handle_order(node, token),
+                    true => self.handle_order(node, token, under),
                     false => self.handle_call(node, token),
                 }
             }
--- a/crates/testing/control-sim/src/operator_state.rs
+++ b/crates/testing/control-sim/src/operator_state.rs
@@ -1,6 +1,7 @@
 //! What operators remember: open calls, calls to send again, the versions they know.
 
 use crate::content::Change;
+use silvercross_time::Instant;
 use std::collections::BTreeMap;
 
 /// One sending of a call: its place in the history.
@@ -35,6 +36,12 @@
     pub(crate) call: Call,
     /// How many sendings came before it.
     pub(crate) retries: u32,
+    /// When it was sent last: it is sent again to the same node if that asks for it.
+    pub(crate) sent_at: Instant,
+    /// When it reaches the machine of the node.
+    pub(crate) arrives_at: Instant,
+    /// When the node's process took it.
+    pub(crate) taken_at: Option<Instant>,
 }
 
 /// What all operators remember.
--- a/crates/testing/control-sim/src/plan.rs
+++ b/crates/testing/control-sim/src/plan.rs
@@ -4,6 +4,17 @@
 use silvercross_mesh_membership as membership;
 use silvercross_test_rng::Rng;
 
+/// How control nodes carry out orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderHandling {
+    /// As the mesh's program does it.
+    Checked,
+    /// While their callers have not closed the connection, however long they lay: as it was done before.
+    UnlessClosed,
+    /// Whoever has left, and under whichever epoch: as it was done before that.
+    Any,
+}
+
 /// How many nodes there are, how well the network works, and which rule is changed on purpose.
 #[derive(Clone, Debug)]
 pub struct ScenarioPlan {
@@ -23,8 +34,8 @@
     pub snapshot_chunk_bytes: usize,
     /// Whether the last key is one of orders.
     pub has_orders: bool,
-    /// Whether control nodes carry out orders whoever has left, and under whichever epoch: as they did before.
-    pub carries_out_any_order: bool,
+    /// How control nodes carry out orders.
+    pub order_handling: OrderHandling,
     /// The rule of the control stores that is changed on purpose; needs the feature `mutants`.
     pub store_mutation: Option<Mutation>,
     /// The rule of readiness that is changed on purpose; needs the feature `mutants`.
@@ -43,7 +54,7 @@
             one_in_delayed: u64::MAX,
             snapshot_chunk_bytes: 100_000,
             has_orders: false,
-            carries_out_any_order: false,
+            order_handling: OrderHandling::Checked,
             store_mutation: None,
             membership_mutation: None,
         }
@@ -62,7 +73,7 @@
             // Values of some bytes go in one to ten chunks.
             snapshot_chunk_bytes: [10, 33, 100_000][rng.index(3)],
             has_orders: false,
-            carries_out_any_order: false,
+            order_handling: OrderHandling::Checked,
             store_mutation,
             membership_mutation: None,
         }
--- a/crates/testing/control-sim/src/report.rs
+++ b/crates/testing/control-sim/src/report.rs
@@ -84,6 +84,8 @@
     pub invalid: u64,
     /// Answered that the outcome is not known.
     pub outcome_unknown: u64,
+    /// Orders whose operators were asked again.
+    pub orders_asked_again: u64,
     /// Not answered.
     pub unanswered: u64,
     /// Reads answered.
--- a/crates/testing/control-sim/src/schedule.rs
+++ b/crates/testing/control-sim/src/schedule.rs
@@ -7,7 +7,7 @@
 use crate::event::{Event, FaultEnd};
 use crate::history::{Answer, ReadyReason};
 use crate::link::Direction;
-use crate::plan::ScenarioPlan;
+use crate::plan::{OrderHandling, ScenarioPlan};
 use crate::report::Report;
 use crate::world::World;
 use silvercross_control_store::{Mutation, Node};
@@ -41,15 +41,6 @@
     play(World::new(seed, plan))
 }
 
-/// How control nodes carry out orders.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderHandling {
-    /// As the mesh's program does it.
-    Checked,
-    /// Whoever has left, and under whichever epoch, which doesn't end: as before.
-    Any,
-}
-
 /// Plays a drawn schedule with orders.
 pub fn run_with_orders(
     seed: u64,
@@ -57,7 +48,7 @@
     store_mutation: Option<Mutation>,
 ) -> Result<Report, ScheduleError> {
     let plan = ScenarioPlan::drawn(seed, store_mutation).with_orders();
-    play(World::new(seed, ScenarioPlan { carries_out_any_order: handling == OrderHandling::Any, ..plan }))
+    play(World::new(seed, ScenarioPlan { order_handling: handling, ..plan }))
 }
 
 /// Plays a drawn schedule and prints what happens.
--- a/crates/testing/control-sim/tests/drawn.rs
+++ b/crates/testing/control-sim/tests/drawn.rs
@@ -1,6 +1,6 @@
 //! Drawn schedules of control nodes and sidecars, held against a plain map.
 
-use silvercross_control_sim::{run, run_with_orders, trace, FaultKind, OrderHandling, Report};
+use silvercross_control_sim::{run, run_with_orders, trace, FaultKind, OrderHandling, Report, Violation};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
@@ -20,10 +20,24 @@
 
 #[test]
 fn some_fixed_schedules_with_orders_break_no_rule() {
-    for seed in 0..200 {
-        run_with_orders(seed, OrderHandling::Checked, None)
-            .unwrap_or_else(|error| panic!("seed {seed}: {error}"));
-    }
+    let played = |seed| {
+        run_with_orders(seed, OrderHandling::Checked, None).unwrap_or_else(|error| panic!("seed {seed}: {error}"))
+    };
+    let asked_again: u64 = (0..200).map(|seed| played(seed).orders_asked_again).sum();
+    assert!(asked_again > 100, "orders that may be older than the one in force are asked again: {asked_again}");
+}
+
+/// Guards against an order that lay in a socket or on a link and is carried out after a newer one, though its caller has not
+/// closed the connection.
+#[test]
+fn an_order_that_lay_unread_is_found_if_only_a_close_gives_it_up() {
+    let breaks_a_rule = |seed: &u64| {
+        let played = run_with_orders(*seed, OrderHandling::UnlessClosed, None);
+        played.is_err_and(|error| matches!(error.violation(), Some(Violation::OrderAfterLater { .. })))
+    };
+    let seeds: Vec<u64> = (0..200).filter(breaks_a_rule).collect();
+    println!("{} of 200, the first {:?}", seeds.len(), seeds.first());
+    assert!(seeds.len() >= 3, "{seeds:?}");
 }
 
 #[test]
--- a/crates/testing/control-sim/tests/mutants.rs
+++ b/crates/testing/control-sim/tests/mutants.rs
@@ -101,6 +101,12 @@
     assert!(matches!(error.violation(), Some(Violation::OrderAfterLater { .. })), "{error}");
 }
 
+#[test]
+fn an_order_that_is_always_taken_for_new_is_caught() {
+    let error = first_with_orders(OrderHandling::Checked, Mutation::TakesAnyCallForNew);
+    assert!(matches!(error.violation(), Some(Violation::OrderAfterLater { .. })), "{error}");
+}
+
 #[test]
 fn a_wiped_replica_that_votes_is_caught() {
     caught(Mutation::VotesWithEmptyDisk, 1_000);
