--- a/crates/testing/control-sim/tests/drawn.rs
+++ b/crates/testing/control-sim/tests/drawn.rs
@@ -21,10 +21,14 @@
 #[test]
 fn some_fixed_schedules_with_orders_break_no_rule() {
     let played = |seed| {
-        run_with_orders(seed, OrderHandling::Checked, None).unwrap_or_else(|error| panic!("seed {seed}: {error}"))
+        run_with_orders(seed, OrderHandling::Checked, None)
+            .unwrap_or_else(|error| panic!("seed {seed}: {error}"))
     };
     let asked_again: u64 = (0..200).map(|seed| played(seed).orders_asked_again).sum();
-    assert!(asked_again > 100, "orders that may be older than the one in force are asked again: {asked_again}");
+    assert!(
+        asked_again > 100,
+        "orders that may be older than the one in force are asked again: {asked_again}"
+    );
 }
 
 /// Guards against an order that lay in a socket or on a link and is carried out after a newer one, though its caller has not
--- a/crates/tools/testbed/src/evacuations.rs
+++ b/crates/tools/testbed/src/evacuations.rs
@@ -11,5 +11,5 @@
 mod run;
 mod watch;
 
-pub use orders::{abandon, Order};
+pub use orders::{AbandonedOrder, Abandonment, Order};
 pub use run::{play, run, EvacuationOptions, EvacuationResult};
--- a/crates/tools/testbed/src/evacuations/orders.rs
+++ b/crates/tools/testbed/src/evacuations/orders.rs
@@ -1,6 +1,6 @@
 //! Orders of an operator for a zone.
 use crate::http_connection::HttpConnection;
-use crate::testbed::Testbed;
+use crate::testbed::{Testbed, STATE_PATH};
 use anyhow::{bail, Result};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -37,16 +37,84 @@
     format!("/-/Evacuate.{order:?}/{zone}")
 }
 
-/// Sends an order to a control machine and hangs up after a time without an answer.
-///
-/// # Errors
-/// Those of the connection.
-pub async fn abandon(to: SocketAddr, zone: &str, order: Order, patience: Duration) -> std::io::Result<()> {
-    let mut connection = HttpConnection::connect(None, to, CONNECT_TIMEOUT).await?;
-    let head = format!("POST {} HTTP/1.1\r\nHost: {to}\r\nContent-Length: 0\r\n\r\n", path(zone, order));
-    connection.write(head.as_bytes()).await?;
-    tokio::time::sleep(patience).await;
-    Ok(())
+/// How a caller leaves an order at a control machine that stands still, and goes on elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Abandonment {
+    /// It hangs up after a time without an answer.
+    HangsUp,
+    /// It keeps the connection for a late answer.
+    KeepsConnection,
+    /// The same, and the first half of the order was sent while the machine ran.
+    HalfSentBefore,
+    /// The same, and the connection was used for another call while the machine ran.
+    OnUsedConnection,
+}
+
+impl Abandonment {
+    /// All of them.
+    pub const ALL: [Abandonment; 4] = [
+        Abandonment::HangsUp,
+        Abandonment::KeepsConnection,
+        Abandonment::HalfSentBefore,
+        Abandonment::OnUsedConnection,
+    ];
+}
+
+/// An order that is left at a control machine.
+pub struct AbandonedOrder {
+    abandonment: Abandonment,
+    to: SocketAddr,
+    unsent: Vec<u8>,
+    connection: Option<HttpConnection>,
+}
+
+impl AbandonedOrder {
+    /// Begins while the machine runs.
+    ///
+    /// # Errors
+    /// Those of the connection.
+    pub async fn begin(
+        to: SocketAddr,
+        zone: &str,
+        order: Order,
+        abandonment: Abandonment,
+    ) -> std::io::Result<Self> {
+        let head = format!("POST {} HTTP/1.1\r\nHost: {to}\r\nContent-Length: 0\r\n\r\n", path(zone, order));
+        let mut unsent = head.into_bytes();
+        let connection = match abandonment {
+            Abandonment::HangsUp | Abandonment::KeepsConnection => None,
+            Abandonment::HalfSentBefore => {
+                let mut connection = HttpConnection::connect(None, to, CONNECT_TIMEOUT).await?;
+                let rest = unsent.split_off(unsent.len() / 2);
+                connection.write(&unsent).await?;
+                unsent = rest;
+                Some(connection)
+            }
+            Abandonment::OnUsedConnection => {
+                let mut connection = HttpConnection::connect(None, to, CONNECT_TIMEOUT).await?;
+                let call = format!("GET {STATE_PATH} HTTP/1.1\r\nHost: {to}\r\n\r\n");
+                connection.write(call.as_bytes()).await?;
+                connection.read_response().await?;
+                Some(connection)
+            }
+        };
+        Ok(AbandonedOrder { abandonment, to, unsent, connection })
+    }
+
+    /// Sends the order, or its rest, to the machine that stands still, and goes on after a time without an answer. Returns
+    /// the connection if it is kept.
+    ///
+    /// # Errors
+    /// Those of the connection.
+    pub async fn leave(self, patience: Duration) -> std::io::Result<Option<HttpConnection>> {
+        let mut connection = match self.connection {
+            Some(connection) => connection,
+            None => HttpConnection::connect(None, self.to, CONNECT_TIMEOUT).await?,
+        };
+        connection.write(&self.unsent).await?;
+        tokio::time::sleep(patience).await;
+        Ok((self.abandonment != Abandonment::HangsUp).then_some(connection))
+    }
 }
 
 /// Gives an order to these control machines in turn until one acknowledges it.
--- a/crates/tools/testbed/src/evacuations/player.rs
+++ b/crates/tools/testbed/src/evacuations/player.rs
@@ -1,5 +1,5 @@
 //! Carries out the rounds of a seed.
-use super::orders::{abandon, give, Acknowledged, Order};
+use super::orders::{give, AbandonedOrder, Acknowledged, Order};
 use super::rounds::{ControlFault, Replacement, Round, SideFault};
 use super::watch::{Evacuation, EVACUATE};
 use crate::soak::{Disturbances, CONTACT};
@@ -88,7 +88,9 @@
             self.replace(None).await?;
         }
         let struck = self.control.replicas[round.struck % self.control.replicas.len()];
+        let mut begun = Vec::new();
         if round.is_fault_first {
+            begun = self.begin_abandoned_orders(round, struck, &zone).await?;
             self.begin_fault(round, struck).await?;
         }
         let unreachable = (round.is_fault_first && round.fault == ControlFault::Frozen).then_some(struck);
@@ -103,12 +105,13 @@
             let acknowledged_by = Some(start.by).filter(|by| self.control.replicas.contains(by));
             let is_acknowledger_killed = round.fault == ControlFault::AcknowledgerKilled;
             let struck = acknowledged_by.filter(|_| is_acknowledger_killed).unwrap_or(struck);
+            begun = self.begin_abandoned_orders(round, struck, &zone).await?;
             self.begin_fault(round, struck).await?;
         }
-        if round.fault == ControlFault::Frozen {
-            for order in &round.abandoned {
-                abandon(self.testbed.mesh.control(struck), &zone, *order, round.patience).await?;
-            }
+        // Dropped at the end of the round: callers that keep their connections wait so long for a late answer.
+        let mut kept_connections = Vec::new();
+        for order in begun {
+            kept_connections.extend(order.leave(round.patience).await?);
         }
         if round.replacement == Replacement::During {
             self.replace(Some(struck)).await?;
@@ -137,6 +140,22 @@
         self.open(&zone, start, &asked).await
     }
 
+    /// Callers begin with the orders that they will leave at a machine, if it will stand still.
+    async fn begin_abandoned_orders(
+        &self,
+        round: &Round,
+        struck: usize,
+        zone: &str,
+    ) -> Result<Vec<AbandonedOrder>> {
+        let mut begun = Vec::new();
+        let abandoned = round.abandoned.iter().filter(|_| round.fault == ControlFault::Frozen);
+        for (order, abandonment) in abandoned {
+            let address = self.testbed.mesh.control(struck);
+            begun.push(AbandonedOrder::begin(address, zone, *order, *abandonment).await?);
+        }
+        Ok(begun)
+    }
+
     /// Evacuates the next zone, if the round says so.
     async fn evacuate_second_zone(
         &self,
--- a/crates/tools/testbed/src/evacuations/rounds.rs
+++ b/crates/tools/testbed/src/evacuations/rounds.rs
@@ -1,5 +1,5 @@
 //! What happens while a zone is evacuated, drawn from a seed. Knows nothing of processes.
-use super::orders::Order;
+use super::orders::{Abandonment, Order};
 use silvercross_test_rng::Rng;
 use std::time::Duration;
 
@@ -71,8 +71,8 @@
     /// Whether the fault begins before the order is given.
     pub(super) is_fault_first: bool,
     pub(super) fault_delay: Duration,
-    /// Orders left at the machine that stands still.
-    pub(super) abandoned: Vec<Order>,
+    /// Orders left at the machine that stands still, and how.
+    pub(super) abandoned: Vec<(Order, Abandonment)>,
     pub(super) patience: Duration,
     /// Whether the evacuation is ended and begun again while the fault lasts.
     pub(super) is_repeated: bool,
@@ -97,7 +97,8 @@
     };
     let abandoned = (0..1 + rng.index(MAX_ABANDONED))
         .map(|_| if rng.one_in(3) { Order::Start } else { Order::End })
-        .collect();
+        .map(|order| (order, Abandonment::HangsUp))
+        .collect::<Vec<_>>();
     let side_fault = [
         SideFault::None,
         SideFault::Killed,
@@ -105,7 +106,7 @@
         SideFault::UpstreamReplaced,
         SideFault::Terminated,
     ][rng.index(5)];
-    Round {
+    let mut round = Round {
         zone: rng.index(zones),
         has_second_zone: rng.one_in(3),
         first_asked: rng.index(8),
@@ -119,5 +120,10 @@
         patience: Duration::from_millis(PATIENCE_MS[0] + rng.below(PATIENCE_MS[1] - PATIENCE_MS[0])),
         is_repeated: rng.one_in(2),
         side_fault,
+    };
+    // Drawn last, so that seeds draw the same rounds otherwise as before there were ways to go on.
+    for (_, abandonment) in &mut round.abandoned {
+        *abandonment = Abandonment::ALL[rng.index(Abandonment::ALL.len())];
     }
+    round
 }
--- a/crates/tools/testbed/tests/evacuations.rs
+++ b/crates/tools/testbed/tests/evacuations.rs
@@ -1,5 +1,7 @@
 //! Orders for a zone that lie at a control process which stands still, while newer ones are acknowledged by the others.
-use silvercross_testbed::evacuations::{abandon, play as play_seed, EvacuationOptions, Order};
+use silvercross_testbed::evacuations::{
+    play as play_seed, AbandonedOrder, Abandonment, EvacuationOptions, Order,
+};
 use silvercross_testbed::mesh::MeshPlan;
 use silvercross_testbed::testbed::{get_json, STATE_PATH};
 use silvercross_testbed::upstream::UpstreamBehaviour;
@@ -52,21 +54,31 @@
 }
 
 /// Plays a case with one control process standing still; what is wrong at the end.
-async fn play(testbed: &Testbed, frozen: usize, zone: &str, case: &Case) -> Vec<String> {
+async fn play(
+    testbed: &Testbed,
+    frozen: usize,
+    zone: &str,
+    case: &Case,
+    abandonment: Abandonment,
+) -> Vec<String> {
     let others: Vec<usize> = testbed.mesh.control_machines().filter(|machine| *machine != frozen).collect();
     for order in case.before {
         acknowledge(testbed, frozen, zone, *order).await;
     }
-    testbed.mesh.freeze(frozen).expect("frozen");
+    let address = testbed.mesh.control(frozen);
+    let mut begun = Vec::new();
     for order in case.abandoned {
-        let address = testbed.mesh.control(frozen);
-        abandon(address, zone, *order, CALLER_PATIENCE).await.expect("written");
+        begun.push(AbandonedOrder::begin(address, zone, *order, abandonment).await.expect("connected"));
+    }
+    testbed.mesh.freeze(frozen).expect("frozen");
+    let mut kept_connections = Vec::new();
+    for order in begun {
+        kept_connections.extend(order.leave(CALLER_PATIENCE).await.expect("written"));
     }
     for (number, order) in case.after.iter().enumerate() {
         acknowledge(testbed, others[number % others.len()], zone, *order).await;
     }
     testbed.mesh.thaw(frozen).expect("thawed");
-    let address = testbed.mesh.control(frozen);
     for _ in 0..CALLS_AFTER_THAW {
         let read = || async {
             let answer = testbed.operator.call_once(address, "GET", "/-/Config.Get", b"").await;
@@ -80,6 +92,7 @@
     })
     .await;
     let wrong = differing(testbed, zone, is_evacuated).await;
+    drop(kept_connections);
     // For the next case.
     acknowledge(testbed, others[0], zone, End).await;
     match settled {
@@ -89,7 +102,7 @@
 }
 
 /// Plays all cases with the same control process standing still; what is wrong.
-async fn play_all(frozen: usize) -> Vec<String> {
+async fn play_all(frozen: usize, abandonment: Abandonment) -> Vec<String> {
     let program = program::find().expect("the program is built");
     let plan = MeshPlan { side_count: 3, ..MeshPlan::default() };
     let testbed = Testbed::start(&plan, UpstreamBehaviour::default(), &program).await.expect("it starts");
@@ -97,9 +110,9 @@
     for (number, case) in CASES.iter().enumerate() {
         // Each zone's order has an owner of its own among the control processes.
         let zone = testbed.mesh.machines[number % 3].zone.clone();
-        let found = play(&testbed, frozen, &zone, case).await;
+        let found = play(&testbed, frozen, &zone, case, abandonment).await;
         if !found.is_empty() {
-            wrong.push(format!("{case:?}, machine {frozen} frozen, zone {zone}: {found:?}"));
+            wrong.push(format!("{case:?}, {abandonment:?}, machine {frozen} frozen, zone {zone}: {found:?}"));
         }
     }
     wrong
@@ -108,7 +121,20 @@
 /// Guards against an order that is carried out after a newer one of the same operator was acknowledged.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_order_that_lay_at_a_frozen_control_process_is_not_carried_out_after_a_newer_one() {
-    let plays: Vec<_> = (0..3).map(|frozen| tokio::spawn(play_all(frozen))).collect();
+    hold([Abandonment::HangsUp; 3]).await;
+}
+
+/// Guards against an order that is carried out after a newer one of the same operator was acknowledged, because the operator
+/// has not closed the connection on which it lay unread.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_that_lay_unread_is_not_carried_out_after_a_newer_one_though_its_connection_is_open() {
+    hold([Abandonment::KeepsConnection, Abandonment::HalfSentBefore, Abandonment::OnUsedConnection]).await;
+}
+
+/// Plays all cases with each control process standing still, and orders left there in these ways.
+async fn hold(abandonments: [Abandonment; 3]) {
+    let plays = abandonments.into_iter().enumerate();
+    let plays: Vec<_> = plays.map(|(frozen, how)| tokio::spawn(play_all(frozen, how))).collect();
     let mut wrong = Vec::new();
     for play in plays {
         wrong.extend(play.await.expect("it ends"));
