A renewal or a lapse that lay unread is asked again as well

What callers saw: a trial that was ended by an acknowledged call was renewed by an older call that lay at a frozen control process. Cause: the same as of orders for a zone. These calls read a member's item and write its next version, so an old one changes the newest item. Change: unless the connection was opened after this node's replica took the newest change of the configuration, the caller is redirected to the same node with the item's version, and the call changes that version only.

--- a/crates/daemon/mesh/src/control.rs
+++ b/crates/daemon/mesh/src/control.rs
@@ -9,7 +9,7 @@
 mod changes;
 mod listener;
 mod member_calls;
-mod order_epoch;
+mod order_condition;
 mod response;
 #[cfg(test)]
 mod tests;
--- a/crates/daemon/mesh/src/control/changes.rs
+++ b/crates/daemon/mesh/src/control/changes.rs
@@ -1,6 +1,6 @@
 //! Changing keys of the control store, and redirecting callers to a replica.
 use super::call::ReceivedCall;
-use super::order_epoch::epoch_of;
+use super::order_condition::{epoch_of, OrderCondition};
 use super::response::CallResponse;
 use crate::control_value::{ControlChange, ControlValue, CONFIGURATION_KEY};
 use crate::node_state::NodeState;
@@ -86,20 +86,25 @@
             if is_newer || !value.is_reversed_by(change) {
                 return Ok(revision.epoch);
             }
-            Err(ask_again(node_state, call, revision.epoch, path))
+            Err(ask_again(node_state, call, OrderCondition::Epoch(revision.epoch), path))
         }
         Some(_) => Err(CallResponse::retry_later()),
         None => Err(redirect(node_state, path)),
     }
 }
 
-/// Ask the caller whether it still gives its order: redirect it to this node, where the order is carried out under this epoch
-/// only. A caller who has gone on does not follow.
-fn ask_again(node_state: &NodeState, call: &ReceivedCall<'_>, epoch: Epoch, path: &str) -> CallResponse {
+/// Ask the caller whether it still gives its order: redirect it to this node, where the order is carried out under this
+/// condition only. A caller who has gone on does not follow.
+pub(super) fn ask_again(
+    node_state: &NodeState,
+    call: &ReceivedCall<'_>,
+    condition: OrderCondition,
+    path: &str,
+) -> CallResponse {
     let caller = call.caller().map_or_else(String::new, |caller| caller.to_string());
     node_state.count_order_asked_again(path, &caller, call.opened_after);
     match node_state.own_control_address() {
-        Some(address) => CallResponse::redirect_under(format!("http://{address}{path}"), epoch),
+        Some(address) => CallResponse::redirect_under(format!("http://{address}{path}"), condition),
         None => CallResponse::retry_later(),
     }
 }
--- a/crates/daemon/mesh/src/control/response.rs
+++ b/crates/daemon/mesh/src/control/response.rs
@@ -1,7 +1,6 @@
 //! Responses to calls.
-use super::order_epoch::epoch_parameter;
+use super::order_condition::OrderCondition;
 use serde_json::json;
-use silvercross_control_store::Epoch;
 
 /// Longest reason, in bytes: it may quote the request, and upstreams read no response of over 4 KiB.
 const MAX_REASON_BYTES: usize = 512;
@@ -28,8 +27,8 @@
 struct RedirectTarget {
     /// The address, without a query.
     address: String,
-    /// The only epoch under which the call is to be carried out.
-    epoch: Option<Epoch>,
+    /// What has to hold still when the call is carried out there.
+    condition: Option<OrderCondition>,
 }
 
 impl CallResponse {
@@ -59,12 +58,12 @@
 
     /// A redirect to the address of another node that serves this call.
     pub(super) fn redirect(address: String) -> Self {
-        CallResponse::redirect_to(RedirectTarget { address, epoch: None })
+        CallResponse::redirect_to(RedirectTarget { address, condition: None })
     }
 
-    /// A redirect to this address, for an order that is then carried out under this epoch only.
-    pub(super) fn redirect_under(address: String, epoch: Epoch) -> Self {
-        CallResponse::redirect_to(RedirectTarget { address, epoch: Some(epoch) })
+    /// A redirect to this address, for an order that is carried out there under this condition only.
+    pub(super) fn redirect_under(address: String, condition: OrderCondition) -> Self {
+        CallResponse::redirect_to(RedirectTarget { address, condition: Some(condition) })
     }
 
     fn redirect_to(target: RedirectTarget) -> Self {
@@ -75,14 +74,14 @@
     /// The response to a call with this target. The number of redirections is limited: nodes with outdated views may each
     /// take the other for a replica and redirect in a loop.
     pub(super) fn with_bounded_redirections(mut self, target: &str) -> Self {
-        let Some(RedirectTarget { address, epoch }) = self.redirect_to.take() else { return self };
+        let Some(RedirectTarget { address, condition }) = self.redirect_to.take() else { return self };
         let redirections = redirections_before(target);
         if redirections >= MAX_REDIRECTIONS {
             return CallResponse::retry_later();
         }
         let count = redirections + 1;
-        let epoch = epoch.map(epoch_parameter).unwrap_or_default();
-        self.lines.push_str(&format!("Location: {address}?{REDIRECTIONS_PARAMETER}={count}{epoch}\r\n"));
+        let suffix = condition.map(OrderCondition::query_suffix).unwrap_or_default();
+        self.lines.push_str(&format!("Location: {address}?{REDIRECTIONS_PARAMETER}={count}{suffix}\r\n"));
         self
     }
 }
--- a/crates/daemon/mesh/src/member_throttle.rs
+++ b/crates/daemon/mesh/src/member_throttle.rs
@@ -14,7 +14,7 @@
 mod tests;
 mod wall_clock;
 
-pub(crate) use item_changes::{lapsed_item, percent_decoded, renewed_item, ItemChangeError};
+pub(crate) use item_changes::{item_version, lapsed_item, percent_decoded, renewed_item, ItemChangeError};
 pub(crate) use lapse_owner::run_lapse_owner;
 pub(crate) use report::members_report;
 pub(crate) use requests::{throttle_request, ThrottleDecision};
--- a/crates/daemon/mesh/src/member_throttle/item_changes.rs
+++ b/crates/daemon/mesh/src/member_throttle/item_changes.rs
@@ -63,11 +63,24 @@
     let Ok(Value::Object(mut item)) = serde_json::from_str(item) else {
         return Err(ItemChangeError::UnreadableItem);
     };
-    let version = item.get("edition").and_then(|v| v.as_u64().or_else(|| v.as_f64().map(|v| v as u64)));
-    item.insert("edition".to_string(), json!(version.unwrap_or(0).saturating_add(1)));
+    let version = version_in(&item);
+    item.insert("edition".to_string(), json!(version.saturating_add(1)));
     Ok(item)
 }
 
+/// The version of an item; 0 if it has none.
+pub(crate) fn item_version(item: &str) -> u64 {
+    match serde_json::from_str(item) {
+        Ok(Value::Object(item)) => version_in(&item),
+        _ => 0,
+    }
+}
+
+fn version_in(item: &Map<String, Value>) -> u64 {
+    let version = item.get("edition");
+    version.and_then(|v| v.as_u64().or_else(|| v.as_f64().map(|v| v as u64))).unwrap_or(0)
+}
+
 fn patch(item: Map<String, Value>) -> String {
     json!({ "deliver": { "members": [item] } }).to_string()
 }
--- a/crates/tools/testbed/src/evacuations/orders.rs
+++ b/crates/tools/testbed/src/evacuations/orders.rs
@@ -33,8 +33,11 @@
     pub(super) at: Instant,
 }
 
-fn path(zone: &str, order: Order) -> String {
-    format!("/-/Evacuate.{order:?}/{zone}")
+impl Order {
+    /// The path of its call.
+    pub fn path(self, zone: &str) -> String {
+        format!("/-/Evacuate.{self:?}/{zone}")
+    }
 }
 
 /// How a caller leaves an order at a control machine that stands still, and goes on elsewhere.
@@ -73,13 +76,8 @@
     ///
     /// # Errors
     /// Those of the connection.
-    pub async fn begin(
-        to: SocketAddr,
-        zone: &str,
-        order: Order,
-        abandonment: Abandonment,
-    ) -> std::io::Result<Self> {
-        let head = format!("POST {} HTTP/1.1\r\nHost: {to}\r\nContent-Length: 0\r\n\r\n", path(zone, order));
+    pub async fn begin(to: SocketAddr, path: &str, abandonment: Abandonment) -> std::io::Result<Self> {
+        let head = format!("POST {path} HTTP/1.1\r\nHost: {to}\r\nContent-Length: 0\r\n\r\n");
         let mut unsent = head.into_bytes();
         let connection = match abandonment {
             Abandonment::HangsUp | Abandonment::KeepsConnection => None,
@@ -131,7 +129,7 @@
             bail!("{order:?} of {zone}: not acknowledged within {ORDER_TIMEOUT:?} ({last})");
         }
         let address = testbed.mesh.control(*machine);
-        last = match testbed.operator.call_once(address, "POST", &path(zone, order), b"").await {
+        last = match testbed.operator.call_once(address, "POST", &order.path(zone), b"").await {
             Ok(response) if response.status == 200 => {
                 return Ok(Acknowledged { by: *machine, sent_at, at: Instant::now() });
             }
--- a/crates/tools/testbed/src/evacuations/player.rs
+++ b/crates/tools/testbed/src/evacuations/player.rs
@@ -151,7 +151,7 @@
         let abandoned = round.abandoned.iter().filter(|_| round.fault == ControlFault::Frozen);
         for (order, abandonment) in abandoned {
             let address = self.testbed.mesh.control(struck);
-            begun.push(AbandonedOrder::begin(address, zone, *order, *abandonment).await?);
+            begun.push(AbandonedOrder::begin(address, &order.path(zone), *abandonment).await?);
         }
         Ok(begun)
     }
--- a/crates/tools/testbed/tests/evacuations.rs
+++ b/crates/tools/testbed/tests/evacuations.rs
@@ -68,7 +68,7 @@
     let address = testbed.mesh.control(frozen);
     let mut begun = Vec::new();
     for order in case.abandoned {
-        begun.push(AbandonedOrder::begin(address, zone, *order, abandonment).await.expect("connected"));
+        begun.push(AbandonedOrder::begin(address, &order.path(zone), abandonment).await.expect("connected"));
     }
     testbed.mesh.freeze(frozen).expect("frozen");
     let mut kept_connections = Vec::new();
--- a/crates/tools/testbed/tests/lapse.rs
+++ b/crates/tools/testbed/tests/lapse.rs
@@ -1,6 +1,7 @@
 //! A member's trial lapses on the real program: alike on every node, for reads alone, until it is renewed.
 use serde_json::json;
 use silvercross_testbed::client::{Client, Outcome, RequestKind};
+use silvercross_testbed::evacuations::{AbandonedOrder, Abandonment};
 use silvercross_testbed::identifiers::attempt_id;
 use silvercross_testbed::mesh::MeshPlan;
 use silvercross_testbed::testbed::{get_json, METRICS_PATH};
@@ -74,3 +75,36 @@
     everywhere(&testbed, 2, 0).await;
     assert_eq!(attempt(&mut member, RequestKind::Safe, &service).await.0, Some("0/1".to_string()));
 }
+
+/// How long a caller waits for the answer of a control process that stands still, before it goes on.
+const CALLER_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Guards against a renewal that lay unread and is carried out after the trial was ended by a newer call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_renewal_that_lay_unread_is_not_carried_out_after_a_newer_call() {
+    let plan = MeshPlan { side_count: 1, ..MeshPlan::default() };
+    let program = program::find().expect("the program is built");
+    let testbed = Testbed::start(&plan, UpstreamBehaviour::default(), &program).await.expect("it starts");
+    let item = json!({ "name": "ana", "key": "k", "plan": "trial", "lapsesInS": 1000, "edition": 1,
+        "slowing": { "fullShare": 0.5, "spanS": 1, "steps": 1 } });
+    let call = json!({ "deliver": { "membership": { "header": "club", "edition": 1 }, "members": [item] } });
+    testbed.operator.patch(&call).await.expect("taken");
+    everywhere(&testbed, 1, 0).await;
+    for (frozen, abandonment) in Abandonment::ALL.into_iter().enumerate() {
+        let (frozen, edition) = (frozen % 3, 2 + frozen as u64);
+        let address = testbed.mesh.control(frozen);
+        let renewal =
+            AbandonedOrder::begin(address, "/-/Members.Renew/ana", abandonment).await.expect("connected");
+        testbed.mesh.freeze(frozen).expect("frozen");
+        let kept_connection = renewal.leave(CALLER_PATIENCE).await.expect("written");
+        let others = testbed.operator.beginning_at((frozen + 1) % 3);
+        others.call("POST", "/-/Members.Lapse/ana", b"").await.expect("taken");
+        testbed.mesh.thaw(frozen).expect("thawed");
+        everywhere(&testbed, edition, 1).await;
+        // The process that stood still has handled what lay there once it answers a later order.
+        let later = testbed.operator.beginning_at(frozen);
+        later.call("POST", "/-/Evacuate.End/hill", b"").await.expect("taken");
+        everywhere(&testbed, edition, 1).await;
+        drop(kept_connection);
+    }
+}
