Departures are on the disks of a majority of the control nodes before they are acknowledged

Cause: a departure was remembered in memory only, so the loss of all processes forgot it, and a heartbeat of an id that nobody remembers is believed. Change: control nodes keep tombstones on disk, in a table of their own, and read them at their start. A departure is acknowledged once two neighbours have it in memory, as before, and its sidecar's way up to the control nodes says that more than half of them have it synced; else 503. The messages are those that there were: a request for the asking node's record, with a key that no entry has, which builds from before answer at once. Why it works: any majority of control nodes after the start has one that knows it, and hands it to the sidecars before a configuration.

--- a/crates/daemon/mesh/src/disk.rs
+++ b/crates/daemon/mesh/src/disk.rs
@@ -18,5 +18,7 @@
 mod writer;
 
 pub(crate) use error::DiskError;
-pub(crate) use messages::{DiskEvent, DiskWrite, DiskWriteSender};
+pub(crate) use messages::{
+    DepartureWrite, DiskEvent, DiskRequest, DiskWrite, DiskWriteSender, StoredDeparture,
+};
 pub(crate) use thread::open;
--- a/crates/daemon/mesh/src/disk/database.rs
+++ b/crates/daemon/mesh/src/disk/database.rs
@@ -4,16 +4,21 @@
 use super::error::DiskError;
 use super::folder::Folder;
 use super::io_faults::{FaultRecordingBackend, IoFaultLog};
-use super::messages::DiskWrite;
+use super::messages::{DepartureWrite, DiskRequest, DiskWrite, StoredDeparture};
 use crate::control_value::ControlValue;
 use redb::backends::InMemoryBackend;
-use redb::{Database, Error, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, TableError};
+use redb::{
+    Database, Error, ReadableDatabase, ReadableTable, StorageBackend, Table, TableDefinition, TableError,
+    WriteTransaction,
+};
 use silvercross_control_store::StoredState;
 
 /// Table of keys: maps a key's name to its [`silvercross_control_store::StoredKey`], encoded with bitcode.
 pub(super) const KEYS_TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("keys");
 /// Table of the records that exist once per database.
 pub(super) const MARKER_TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("marker");
+/// Table of departures: maps an upstream's id to its [`StoredDeparture`], encoded with bitcode. Older builds ignore it.
+const DEPARTURES_TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("departures");
 /// Key, in the marker table, of the metadata record: replica set and votes, encoded with bitcode.
 const METADATA_KEY: &str = "roster";
 /// Key, in the marker table, of a record that is written to check that there is space again. Never read.
@@ -31,6 +36,15 @@
 /// Chunk size of that copy, in bytes.
 const COPY_CHUNK_BYTES: usize = 64 * 1024;
 
+/// What the database holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct DiskContent {
+    /// The control store's records.
+    pub(super) control_state: StoredState<ControlValue>,
+    /// The departures of upstreams.
+    pub(super) departures: Vec<StoredDeparture>,
+}
+
 /// An open database and the I/O faults recorded on its file.
 pub(super) struct OpenDatabase {
     pub(super) database: Database,
@@ -80,7 +94,30 @@
     ///
     /// # Errors
     /// [`DiskError::Damaged`] if a record can't be decoded, or if there is metadata but no table of keys.
-    pub(super) fn read_all(&self) -> Result<StoredState<ControlValue>, DiskError> {
+    pub(super) fn read_all(&self) -> Result<DiskContent, DiskError> {
+        Ok(DiskContent { control_state: self.read_control_state()?, departures: self.read_departures()? })
+    }
+
+    fn read_departures(&self) -> Result<Vec<StoredDeparture>, DiskError> {
+        let from_redb = |error: Error| DiskError::from_redb(&self.path, error, &self.faults);
+        let transaction = self.database.begin_read().map_err(|e| from_redb(e.into()))?;
+        let table = match transaction.open_table(DEPARTURES_TABLE) {
+            Ok(table) => table,
+            Err(TableError::TableDoesNotExist(_)) => return Ok(Vec::new()),
+            Err(e) => return Err(from_redb(e.into())),
+        };
+        let mut departures = Vec::new();
+        for entry in table.iter().map_err(|e| from_redb(e.into()))? {
+            let (_, bytes) = entry.map_err(|e| from_redb(e.into()))?;
+            departures.push(bitcode::decode(bytes.value()).map_err(|error| DiskError::Damaged {
+                path: self.path.clone(),
+                cause: format!("a departure: {error}"),
+            })?);
+        }
+        Ok(departures)
+    }
+
+    fn read_control_state(&self) -> Result<StoredState<ControlValue>, DiskError> {
         let from_redb = |error: Error| DiskError::from_redb(&self.path, error, &self.faults);
         let damaged = |cause: String| DiskError::Damaged { path: self.path.clone(), cause };
         let undecodable = |error: bitcode::Error| damaged(format!("a record: {error}"));
@@ -110,7 +147,7 @@
 
     /// Writes all of these in one transaction, which is synced on return. `probe_space` also writes the probe record, to
     /// make sure that there is space for further writes.
-    pub(super) fn write(&self, writes: &[DiskWrite], probe_space: bool) -> Result<(), Error> {
+    pub(super) fn write(&self, requests: &[DiskRequest], probe_space: bool) -> Result<(), Error> {
         let transaction = self.database.begin_write()?;
         {
             let mut markers = transaction.open_table(MARKER_TABLE)?;
@@ -118,12 +155,10 @@
             if probe_space {
                 markers.insert(SPACE_PROBE_KEY, [0; SPACE_PROBE_BYTES].as_slice())?;
             }
-            for write in writes {
-                if let Some(metadata) = &write.metadata {
-                    markers.insert(METADATA_KEY, bitcode::encode(metadata).as_slice())?;
-                }
-                for stored in &write.keys {
-                    keys.insert(stored.key.as_str(), bitcode::encode(stored).as_slice())?;
+            for request in requests {
+                match request {
+                    DiskRequest::ControlState(write) => write_control_state(write, &mut markers, &mut keys)?,
+                    DiskRequest::Departures(write) => write_departures(write, &transaction)?,
                 }
             }
         }
@@ -132,6 +167,31 @@
     }
 }
 
+fn write_control_state(
+    write: &DiskWrite,
+    markers: &mut Table<&str, &[u8]>,
+    keys: &mut Table<&str, &[u8]>,
+) -> Result<(), Error> {
+    if let Some(metadata) = &write.metadata {
+        markers.insert(METADATA_KEY, bitcode::encode(metadata).as_slice())?;
+    }
+    for stored in &write.keys {
+        keys.insert(stored.key.as_str(), bitcode::encode(stored).as_slice())?;
+    }
+    Ok(())
+}
+
+fn write_departures(write: &DepartureWrite, transaction: &WriteTransaction) -> Result<(), Error> {
+    let mut departures = transaction.open_table(DEPARTURES_TABLE)?;
+    for id in &write.deleted {
+        departures.remove(id.as_str())?;
+    }
+    for stored in &write.stored {
+        departures.insert(stored.id.as_str(), bitcode::encode(stored).as_slice())?;
+    }
+    Ok(())
+}
+
 fn database_path(folder: &impl Folder) -> String {
     format!("{}/{DATABASE_FILE}", folder.path())
 }
@@ -145,11 +205,11 @@
 }
 
 /// Reads the file through a copy in memory: redb writes when it opens a file, which fails on a full disk.
-pub(super) fn read_through_copy<F: Folder>(folder: &F) -> Result<StoredState<ControlValue>, DiskError> {
+pub(super) fn read_through_copy<F: Folder>(folder: &F) -> Result<DiskContent, DiskError> {
     let path = database_path(folder);
     let from_io = |error: std::io::Error| DiskError::from_io(&path, &error);
     let Some(content) = folder.open(DATABASE_FILE).map_err(from_io)? else {
-        return Ok(StoredState::default());
+        return Ok(DiskContent::default());
     };
     sync_content(&path, &content)?;
     folder.sync().map_err(|error| DiskError::from_sync(&path, &error))?;
--- a/crates/daemon/mesh/src/disk/recovery.rs
+++ b/crates/daemon/mesh/src/disk/recovery.rs
@@ -1,8 +1,9 @@
 //! Startup: reads the content of the folder. A damaged file is quarantined and a new one created; any other error leaves
 //! the files as they are.
-use super::database::{read_through_copy, OpenDatabase, DATABASE_FILE};
+use super::database::{read_through_copy, DiskContent, OpenDatabase, DATABASE_FILE};
 use super::error::DiskError;
 use super::folder::Folder;
+use super::messages::StoredDeparture;
 use super::writer::Writer;
 use crate::control_value::ControlValue;
 use silvercross_control_store::StoredState;
@@ -14,6 +15,8 @@
 pub(super) struct Recovered<F: Folder> {
     /// The content; empty if there was no file or it was damaged.
     pub(super) disk: StoredState<ControlValue>,
+    /// The stored departures of upstreams.
+    pub(super) departures: Vec<StoredDeparture>,
     /// A file was quarantined, at this start or an earlier one: an empty store has lost its content and is not a new one.
     pub(super) content_lost: bool,
     /// Why a file was quarantined at this start.
@@ -31,15 +34,15 @@
 pub(super) fn recover<F: Folder>(folder: F) -> Result<Recovered<F>, DiskError> {
     let path = folder.path();
     let mut quarantined = None;
-    let mut disk = StoredState::default();
+    let mut content = DiskContent::default();
     let mut opened = match OpenDatabase::open(&folder, true) {
-        Ok(database) => database.read_all().map(|content| {
-            disk = content;
+        Ok(database) => database.read_all().map(|read| {
+            content = read;
             database
         }),
         // A full disk prevents opening, but the content can still be read.
-        Err(out_of_space @ DiskError::OutOfSpace { .. }) => read_through_copy(&folder).and_then(|content| {
-            disk = content;
+        Err(out_of_space @ DiskError::OutOfSpace { .. }) => read_through_copy(&folder).and_then(|read| {
+            content = read;
             Err(out_of_space)
         }),
         Err(e) => Err(e),
@@ -47,7 +50,7 @@
     if let Err(damaged @ DiskError::Damaged { .. }) = &opened {
         quarantined = Some(damaged.clone());
         quarantine(&folder)?;
-        disk = StoredState::default();
+        content = DiskContent::default();
         opened = OpenDatabase::open(&folder, true);
     }
     let (database, out_of_space) = match opened {
@@ -65,7 +68,8 @@
     }
     let file_created = database.is_some() || exists(DATABASE_FILE)?;
     let writer = Writer { folder, database, file_created, pending: Vec::new(), out_of_space };
-    Ok(Recovered { disk, content_lost, quarantined, writer })
+    let DiskContent { control_state: disk, departures } = content;
+    Ok(Recovered { disk, departures, content_lost, quarantined, writer })
 }
 
 /// Renames the database to a free quarantine name and syncs the folder.
--- a/crates/daemon/mesh/src/disk/tests.rs
+++ b/crates/daemon/mesh/src/disk/tests.rs
@@ -70,12 +70,12 @@
         }
         let Some(k) = &mut writer else { return (acknowledged, requested) };
         requested += 1;
-        k.pending.push(w);
+        k.pending.push(w.into());
         for events in k.attempt() {
             match events {
                 DiskEvent::Synced(_) => acknowledged += 1,
                 DiskEvent::Failed(_) => return (acknowledged, requested),
-                DiskEvent::OutOfSpace(_) | DiskEvent::SpaceAvailable => {}
+                DiskEvent::DeparturesSynced(_) | DiskEvent::OutOfSpace(_) | DiskEvent::SpaceAvailable => {}
             }
         }
     }
@@ -101,7 +101,7 @@
             assert!(!found.content_lost, "{case}: a good file was quarantined");
             // Further writes succeed.
             let mut writer = found.writer;
-            writer.pending.push(write(9, &[("z", 9)], true));
+            writer.pending.push(write(9, &[("z", 9)], true).into());
             assert_eq!(writer.attempt(), [DiskEvent::Synced(9)], "{case}");
             drop(writer);
             let again = recover(after).unwrap_or_else(|e| panic!("{case}: {e}")).disk;
@@ -257,7 +257,7 @@
             );
         }
         // With space again all pending writes are written and acknowledged.
-        writer.pending.extend(writes());
+        writer.pending.extend(writes().into_iter().map(Into::into));
         next.out_of_space_from(None);
         let events = writer.attempt();
         assert_eq!(events[0], DiskEvent::SpaceAvailable, "full from {full}");
@@ -274,14 +274,14 @@
     let mut writer = recover(folder.clone()).expect("opens").writer;
     folder.out_of_space_from(Some(0));
     let mut all = writes().into_iter();
-    writer.pending.extend(all.next());
+    writer.pending.extend(all.next().map(Into::into));
     assert!(matches!(writer.attempt()[..], [DiskEvent::OutOfSpace(_)]));
-    writer.pending.extend(all.next());
+    writer.pending.extend(all.next().map(Into::into));
     assert_eq!(writer.attempt(), []);
     folder.out_of_space_from(None);
     assert_eq!(writer.attempt(), [DiskEvent::SpaceAvailable, DiskEvent::Synced(1), DiskEvent::Synced(2)]);
     folder.fail(Some((Operation::Sync, ErrorKind::StorageFull)));
-    writer.pending.extend(all.next());
+    writer.pending.extend(all.next().map(Into::into));
     let events = writer.attempt();
     assert!(
         matches!(&events[..], [DiskEvent::Failed(_)]),
@@ -299,7 +299,7 @@
     write_all(&folder);
     let mut writer = recover(folder.clone()).expect("opens").writer;
     folder.out_of_space_from(Some(0));
-    writer.pending.push(write(5, &[("a", 5)], false));
+    writer.pending.push(write(5, &[("a", 5)], false).into());
     assert!(matches!(writer.attempt()[..], [DiskEvent::OutOfSpace(_)]));
     folder.rename(DATABASE_FILE, "elsewhere").expect("renamed");
     folder.out_of_space_from(None);
@@ -314,7 +314,7 @@
     let mut sizes = Vec::new();
     for number in 1..=240 {
         let keys: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), number)).collect();
-        writer.pending.push(write(number, &keys, true));
+        writer.pending.push(write(number, &keys, true).into());
         assert_eq!(writer.attempt(), [DiskEvent::Synced(number)]);
         sizes.push(folder.bytes(DATABASE_FILE).map_or(0, |bytes| bytes.len()));
     }
@@ -334,7 +334,7 @@
 fn a_folder_in_use_is_left_as_it_is() {
     let folder_path = temp_folder();
     let mut running = recover(DataFolder::lock(&folder_path).expect("taken")).expect("opens").writer;
-    running.pending.extend(writes());
+    running.pending.extend(writes().into_iter().map(Into::into));
     assert_eq!(running.attempt().len(), 4);
     let names = || {
         std::fs::read_dir(&folder_path)
@@ -352,7 +352,7 @@
         matches!(DataFolder::lock(&folder_path).err(), Some(DiskError::InUse { .. })),
         "the folder itself is locked"
     );
-    running.pending.push(write(5, &[("a", 7)], false));
+    running.pending.push(write(5, &[("a", 7)], false).into());
     assert_eq!(running.attempt(), [DiskEvent::Synced(5)], "the running process can still write");
     drop(running);
     // Another program that holds only redb's lock on the file, as earlier versions did.
--- a/crates/daemon/mesh/src/disk/tests/old_store.rs
+++ b/crates/daemon/mesh/src/disk/tests/old_store.rs
@@ -68,7 +68,7 @@
     let metadata = disk.metadata.as_mut().expect("formatted");
     metadata.replica_set.version += 1;
     let write = DiskWrite { number: 1, metadata: Some(metadata.clone()), keys: written };
-    opened.writes.send(write).expect("the thread runs");
+    opened.writes.send(write.into()).expect("the thread runs");
     assert_eq!(opened.events.blocking_recv(), Some(DiskEvent::Synced(1)));
     drop(opened.writes);
     // The thread releases the folder once the last sender is dropped.
--- a/crates/daemon/mesh/src/disk/thread.rs
+++ b/crates/daemon/mesh/src/disk/thread.rs
@@ -1,7 +1,7 @@
 //! The writer thread: batches writes and reports their outcome; and opening the folder at startup.
 use super::error::DiskError;
 use super::folder::{DataFolder, Folder};
-use super::messages::{DiskEvent, DiskWrite, DiskWriteSender};
+use super::messages::{DiskEvent, DiskRequest, DiskWriteSender, StoredDeparture};
 use super::recovery::recover;
 use super::writer::Writer;
 use crate::control_value::ControlValue;
@@ -24,6 +24,8 @@
 pub(crate) struct OpenedDisk {
     /// The content as it was read.
     pub(crate) disk: StoredState<ControlValue>,
+    /// The stored departures of upstreams.
+    pub(crate) departures: Vec<StoredDeparture>,
     /// A file was quarantined, at this start or an earlier one: an empty store has lost its content and is not a new one,
     /// whatever the settings say.
     pub(crate) content_lost: bool,
@@ -43,7 +45,7 @@
 /// then.
 pub(crate) fn open(dir: &Path) -> Result<OpenedDisk, DiskError> {
     let recovered = recover(DataFolder::lock(dir)?)?;
-    let (writes, received) = mpsc::channel::<DiskWrite>();
+    let (writes, received) = mpsc::channel::<DiskRequest>();
     let (report, events) = unbounded_channel();
     let writer = recovered.writer;
     let thread = std::thread::Builder::new().name(THREAD_NAME.to_string()).stack_size(THREAD_STACK_BYTES);
@@ -51,13 +53,14 @@
         .spawn(move || run(writer, &received, &report))
         .map_err(|error| DiskError::NoThread { cause: error.to_string() })?;
     let (content_lost, quarantined) = (recovered.content_lost, recovered.quarantined);
-    Ok(OpenedDisk { disk: recovered.disk, content_lost, quarantined, writes, events })
+    let (disk, departures) = (recovered.disk, recovered.departures);
+    Ok(OpenedDisk { disk, departures, content_lost, quarantined, writes, events })
 }
 
 /// Body of the thread: runs until all senders are dropped or the disk fails.
 fn run<F: Folder>(
     mut writer: Writer<F>,
-    received: &mpsc::Receiver<DiskWrite>,
+    received: &mpsc::Receiver<DiskRequest>,
     report: &UnboundedSender<DiskEvent>,
 ) {
     if let Some(error) = &writer.out_of_space {
--- a/crates/daemon/mesh/src/disk/writer.rs
+++ b/crates/daemon/mesh/src/disk/writer.rs
@@ -3,7 +3,7 @@
 use super::error::DiskError;
 use super::folder::Folder;
 use super::io_faults::IoFault;
-use super::messages::{DiskEvent, DiskWrite};
+use super::messages::{DiskEvent, DiskRequest};
 
 /// The database and the writes pending for it.
 pub(super) struct Writer<F: Folder> {
@@ -13,7 +13,7 @@
     /// The file has existed. If it is missing now its content is lost, so it must not be created again.
     pub(super) file_created: bool,
     /// Writes not synced yet, in order. Bounded by the number that the store has in flight.
-    pub(super) pending: Vec<DiskWrite>,
+    pub(super) pending: Vec<DiskRequest>,
     /// The error while the disk is out of space.
     pub(super) out_of_space: Option<DiskError>,
 }
@@ -24,7 +24,7 @@
         match self.write_pending() {
             Ok(()) => {
                 let space_available = self.out_of_space.take().map(|_| DiskEvent::SpaceAvailable);
-                let synced = self.pending.drain(..).map(|write| DiskEvent::Synced(write.number));
+                let synced = self.pending.drain(..).map(|request| request.synced_event());
                 space_available.into_iter().chain(synced).collect()
             }
             Err(error @ DiskError::OutOfSpace { .. }) => {
--- a/crates/daemon/mesh/src/metrics.rs
+++ b/crates/daemon/mesh/src/metrics.rs
@@ -42,6 +42,7 @@
         "remembered": node_state.tombstones(TombstoneTable::len),
         "lateHeartbeats": counters.heartbeats_after_departure.get(),
         "unconfirmed": counters.unconfirmed_departures.get(),
+        "onDisk": node_state.peers.departures_on_disk(),
     });
     let admission = node_state.gate.with_admission(|admission| admission.metrics());
     report["evacuation"] = json!({ "refusedAtGate": admission.rejected[Rejection::Evacuated as usize],
--- a/crates/daemon/mesh/src/node_state/tombstones.rs
+++ b/crates/daemon/mesh/src/node_state/tombstones.rs
@@ -44,12 +44,25 @@
 struct StoredTombstone {
     tombstone: Tombstone,
     expires_at: Instant,
+    /// How far the upstream has left as far as that is durable.
+    durable: Option<Departure>,
+}
+
+/// A departure, without whose it was.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub(crate) struct KnownDeparture {
+    /// The id of the upstream.
+    pub(crate) id: String,
+    /// How far it has left.
+    pub(crate) departure: Departure,
 }
 
 /// The tombstones known to a node, by upstream id. At most [`MAX_TOMBSTONES`].
 #[derive(Default)]
 pub(crate) struct TombstoneTable {
     by_id: BTreeMap<String, StoredTombstone>,
+    /// Increases with every change but expiry.
+    changes: u64,
 }
 
 impl TombstoneTable {
@@ -62,6 +75,7 @@
         }
         if let Some(known) = self.by_id.get_mut(&tombstone.id) {
             let says_more = tombstone.departure > known.tombstone.departure;
+            self.changes += u64::from(says_more);
             known.expires_at = known.expires_at.max(expires_at);
             known.tombstone.departure = known.tombstone.departure.max(tombstone.departure);
             known.tombstone.version = known.tombstone.version.max(tombstone.version);
@@ -70,7 +84,9 @@
         if self.by_id.len() >= MAX_TOMBSTONES {
             self.drop_first_to_expire();
         }
-        self.by_id.insert(tombstone.id.clone(), StoredTombstone { tombstone, expires_at });
+        self.changes += 1;
+        let id = tombstone.id.clone();
+        self.by_id.insert(id, StoredTombstone { tombstone, expires_at, durable: None });
         true
     }
 
@@ -89,13 +105,34 @@
     /// Removes the tombstone of a draining upstream that a later record of the same incarnation lists as ready.
     pub(crate) fn remove_resumed(&mut self, id: &str, version: SidecarVersion) {
         if self.by_id.get(id).is_some_and(|stored| stored.tombstone.is_resumed_by(version)) {
-            self.by_id.remove(id);
+            self.remove(id);
         }
     }
 
     /// Removes a tombstone.
     pub(crate) fn remove(&mut self, id: &str) {
-        self.by_id.remove(id);
+        self.changes += u64::from(self.by_id.remove(id).is_some());
+    }
+
+    /// A number that increases with every change of the table but expiry.
+    pub(crate) fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// The departures that are not known to be durable.
+    pub(crate) fn not_durable(&self, now: Instant) -> Vec<KnownDeparture> {
+        let live = self.by_id.values().filter(|stored| stored.expires_at > now);
+        let open = live.filter(|stored| stored.durable < Some(stored.tombstone.departure));
+        open.map(|stored| stored.tombstone.known()).collect()
+    }
+
+    /// These departures are durable.
+    pub(crate) fn set_durable(&mut self, departures: &[KnownDeparture]) {
+        for KnownDeparture { id, departure } in departures {
+            if let Some(stored) = self.by_id.get_mut(id) {
+                stored.durable = stored.durable.max(Some(*departure));
+            }
+        }
     }
 
     /// All tombstones and the remaining times for which they are kept.
@@ -127,6 +164,10 @@
 }
 
 impl Tombstone {
+    fn known(&self) -> KnownDeparture {
+        KnownDeparture { id: self.id.clone(), departure: self.departure }
+    }
+
     fn is_resumed_by(&self, version: SidecarVersion) -> bool {
         self.departure == Departure::Draining
             && version.incarnation == self.version.incarnation
--- a/crates/daemon/mesh/src/node_state/upstream_departures.rs
+++ b/crates/daemon/mesh/src/node_state/upstream_departures.rs
@@ -1,12 +1,15 @@
 //! Departures of upstreams: what this node remembers of them, and what it learns from others. The table is in
 //! `tombstones`, its dissemination in [`crate::peers`].
 use super::state::NodeState;
-use super::tombstones::{Departure, SidecarVersion, Tombstone, TombstoneTable, TOMBSTONE_RETENTION};
-use crate::peers::RecordBody;
+use super::tombstones::{
+    Departure, KnownDeparture, SidecarVersion, Tombstone, TombstoneTable, TOMBSTONE_RETENTION,
+};
+use crate::peers::{RecordBody, CONFIRMATION_TIMEOUT};
 use silvercross_mesh_membership::{Node, NodeRecord};
 use silvercross_time::Duration;
 use slog::{info, warn};
 use std::rc::Rc;
+use tokio::time::timeout;
 
 fn version_of(record: &NodeRecord<RecordBody>) -> SidecarVersion {
     SidecarVersion { incarnation: record.incarnation, sequence: record.sequence }
@@ -91,17 +94,42 @@
         self.tombstones.borrow().contradicts(self.now(), id, version_of(record))
     }
 
-    /// Replicates the departure of an upstream on this machine, so that it is not forgotten if this process
-    /// ends. Returns whether it may be acknowledged.
+    /// The departures that are not known to be durable.
+    pub(crate) fn departures_not_durable(&self) -> Vec<KnownDeparture> {
+        self.tombstones.borrow().not_durable(self.now())
+    }
+
+    /// These departures are durable.
+    pub(crate) fn set_departures_durable(&self, departures: &[KnownDeparture]) {
+        self.tombstones.borrow_mut().set_durable(departures);
+    }
+
+    /// Replicates the departure of an upstream, so that it is not forgotten if this process or all processes end.
+    /// Returns whether it may be acknowledged.
     pub(crate) async fn replicate_departure(self: &Rc<Self>, id: &str) -> bool {
         let Some(departure) = self.departure(id) else { return false };
         let tombstone = self.remember_departure(id, departure);
         let is_alone = self.other_nodes.borrow().is_empty() && self.seeds.borrow().is_empty();
-        if is_alone || self.peers.replicate_tombstone(self, &tombstone).await {
+        let in_memory = async { is_alone || self.peers.replicate_tombstone(self, &tombstone).await };
+        let (is_in_memory, is_durable) = tokio::join!(in_memory, self.departures_become_durable());
+        if is_in_memory && is_durable {
             return true;
         }
         self.counters.unconfirmed_departures.set(self.counters.unconfirmed_departures.get() + 1);
-        warn!(self.log, "departure not acknowledged: no other node has confirmed it"; "id" => id);
+        warn!(self.log, "departure not acknowledged: no other node has confirmed it, or no majority of the control nodes has it on disk";
+            "id" => id, "in_memory" => is_in_memory, "durable" => is_durable);
         false
     }
+
+    /// Whether all departures that are known now become durable in time. The nodes go on to make them so in any case.
+    async fn departures_become_durable(self: &Rc<Self>) -> bool {
+        if !self.peers.has_durable_storage() {
+            return true;
+        }
+        let node_state = self.clone();
+        let done = tokio::task::spawn_local(async move {
+            node_state.peers.make_departures_durable(&node_state).await;
+        });
+        timeout(CONFIRMATION_TIMEOUT, done).await.is_ok()
+    }
 }
--- a/crates/daemon/mesh/src/peers.rs
+++ b/crates/daemon/mesh/src/peers.rs
@@ -11,6 +11,8 @@
 mod calls;
 mod confirmations;
 mod deciders;
+mod departure_log;
+mod durable_departures;
 mod effects;
 mod frame;
 mod frame_reader;
@@ -29,3 +31,4 @@
 pub(crate) use links::accept_links;
 pub(crate) use record::{RecordBody, UpstreamRecord};
 pub(crate) use state::{LocalControlStore, Peers};
+pub(crate) use tombstones::CONFIRMATION_TIMEOUT;
--- a/crates/daemon/mesh/src/peers/confirmations.rs
+++ b/crates/daemon/mesh/src/peers/confirmations.rs
@@ -1,8 +1,8 @@
 //! Confirmations by neighbours that they have what was sent to them. A neighbour is asked for this node's
 //! record; links keep the order, so its reply shows that it has received everything sent before the request.
 use silvercross_mesh_membership::{Node, RecordVersion};
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -12,14 +12,19 @@
 /// The confirmations of one departure.
 #[derive(Default)]
 pub(super) struct ConfirmationCount {
-    confirmed: Cell<usize>,
+    confirmed: RefCell<BTreeSet<Node>>,
     changed: Notify,
 }
 
 impl ConfirmationCount {
     /// The number of neighbours that have confirmed.
     pub(super) fn confirmed(&self) -> usize {
-        self.confirmed.get()
+        self.confirmed.borrow().len()
+    }
+
+    /// The neighbours that have confirmed.
+    pub(super) fn confirmed_nodes(&self) -> BTreeSet<Node> {
+        self.confirmed.borrow().clone()
     }
 
     /// Waits for the next confirmation.
@@ -27,8 +32,8 @@
         self.changed.notified().await;
     }
 
-    fn add(&self) {
-        self.confirmed.set(self.confirmed.get() + 1);
+    fn add(&self, from: Node) {
+        self.confirmed.borrow_mut().insert(from);
         self.changed.notify_one();
     }
 }
@@ -63,7 +68,7 @@
         let mut unanswered = self.unanswered.borrow_mut();
         let Some(requests) = unanswered.get_mut(&from) else { return };
         if let Some(request) = requests.pop_front_if(|request| version >= request.version) {
-            request.count.add();
+            request.count.add(from);
         }
     }
 
--- a/crates/daemon/mesh/src/peers/deciders.rs
+++ b/crates/daemon/mesh/src/peers/deciders.rs
@@ -109,6 +109,7 @@
                 *peers.disk_full.borrow_mut() = None;
                 store.borrow_mut().set_disk_has_space(now, true);
             }
+            DiskEvent::DeparturesSynced(number) => peers.departures_synced(number),
             DiskEvent::Failed(error) => return error,
         }
         peers.carry_out_effects(&node_state);
--- a/crates/daemon/mesh/src/peers/effects.rs
+++ b/crates/daemon/mesh/src/peers/effects.rs
@@ -95,7 +95,7 @@
             StoreEffect::Store { write, metadata, keys } => {
                 if let Some(writes) = &self.disk_writes {
                     // Sending fails only if the disk thread has ended, and then the process ends.
-                    let _ = writes.send(DiskWrite { number: write, metadata, keys });
+                    let _ = writes.send(DiskWrite { number: write, metadata, keys }.into());
                 }
             }
             StoreEffect::Answer { token, outcome } => {
--- a/crates/daemon/mesh/src/peers/links.rs
+++ b/crates/daemon/mesh/src/peers/links.rs
@@ -80,14 +80,20 @@
     }
 
     /// Returns the number of the link on which frames to a node are sent.
-    fn newest_link(&self, node: Node) -> Option<u64> {
+    pub(super) fn newest_link(&self, node: Node) -> Option<u64> {
         self.links.borrow().get(&node).and_then(|links| links.last()).map(|link| link.number)
     }
 
+    /// What was asked of a node, and what it has asked, on an earlier connection is not answered any more.
+    fn confirmations_changed(&self, node: Node) {
+        self.confirmations.connection_changed(node);
+        self.held_confirmations.connection_changed(node);
+    }
+
     /// Reports that the last link to a node has ended.
     pub(super) fn link_lost(&self, node_state: &Rc<NodeState>, node: Node) {
         let now = node_state.now();
-        self.confirmations.connection_changed(node);
+        self.confirmations_changed(node);
         self.membership.borrow_mut().link_down(now, node);
         if let Some(store) = &self.control_store {
             store.borrow_mut().set_reachable(now, store_node(node), false);
@@ -124,7 +130,7 @@
         let number = self.take_number();
         let (link, queues) = Link::new(number);
         self.links.borrow_mut().entry(node).or_default().push(link);
-        self.confirmations.connection_changed(node);
+        self.confirmations_changed(node);
         let now = node_state.now();
         self.membership.borrow_mut().link_up(now, node);
         if let Some(store) = &self.control_store {
@@ -190,7 +196,7 @@
         if was_last {
             self.link_lost(node_state, node);
         } else if was_newest {
-            self.confirmations.connection_changed(node);
+            self.confirmations_changed(node);
             self.membership.borrow_mut().connection_changed(node_state.now(), node);
         }
         self.carry_out_effects(node_state);
--- a/crates/daemon/mesh/src/peers/state.rs
+++ b/crates/daemon/mesh/src/peers/state.rs
@@ -4,6 +4,8 @@
 //! It depends on no other state of the process. No borrow of a cell outlives a statement, and none is held
 //! across an `await`.
 use super::confirmations::Confirmations;
+use super::departure_log::DepartureLog;
+use super::durable_departures::HeldConfirmations;
 use super::frame_writer::Link;
 use super::record::RecordBody;
 use crate::control_value::ControlValue;
@@ -39,6 +41,10 @@
     /// The established links by node. Frames are sent on the newest one.
     pub(super) links: RefCell<BTreeMap<Node, Vec<Link>>>,
     pub(super) confirmations: Confirmations,
+    pub(super) held_confirmations: HeldConfirmations,
+    pub(super) departure_log: RefCell<DepartureLog>,
+    /// Notified when a write of departures is synced.
+    pub(super) departures_were_synced: Notify,
     /// The largest backlog of a link since the start, in bytes.
     pub(super) link_backlog_peak: Cell<usize>,
     /// The next number for a link or call.
@@ -92,6 +98,9 @@
             pending_calls: RefCell::default(),
             links: RefCell::default(),
             confirmations: Confirmations::default(),
+            held_confirmations: HeldConfirmations::default(),
+            departure_log: RefCell::default(),
+            departures_were_synced: Notify::new(),
             link_backlog_peak: Cell::new(0),
             next_number: Cell::new(1),
             udp,
--- a/crates/daemon/mesh/src/peers/tests/isolated_control_node.rs
+++ b/crates/daemon/mesh/src/peers/tests/isolated_control_node.rs
@@ -104,13 +104,11 @@
     let membership = Membership::new(Instant::from_micros(clock.now()), start, body);
     let udp = UdpSocket::bind((ip, port)).await.expect("the port");
     let links = TcpListener::bind((ip, port)).await.expect("the port");
-    let (writes, pending_writes) = std::sync::mpsc::channel::<disk::DiskWrite>();
+    let (writes, pending_writes) = std::sync::mpsc::channel::<disk::DiskRequest>();
     let (completions, disk_events) = mpsc::unbounded_channel();
     // Reports each write as synced at once.
     std::thread::spawn(move || {
-        pending_writes
-            .into_iter()
-            .all(|write| completions.send(disk::DiskEvent::Synced(write.number)).is_ok())
+        pending_writes.into_iter().all(|request| completions.send(request.synced_event()).is_ok())
     });
     let store = disk.map(|disk| {
         let own_node: StoreNode = silvercross_control_store::Node(ip.to_bits());
--- a/crates/daemon/mesh/src/peers/tombstones.rs
+++ b/crates/daemon/mesh/src/peers/tombstones.rs
@@ -16,7 +16,7 @@
 /// The number of neighbours that have to confirm a departure, if there are as many.
 const REQUIRED_CONFIRMATIONS: usize = 2;
 /// The maximum time until a departure is confirmed. Upstreams wait a second for the response.
-const CONFIRMATION_TIMEOUT: Span = Span::from_millis(700);
+pub(crate) const CONFIRMATION_TIMEOUT: Span = Span::from_millis(700);
 /// Interval at which new links are looked for meanwhile.
 const LINK_CHECK_INTERVAL: Span = Span::from_millis(50);
 
@@ -40,7 +40,9 @@
             let own_records = records.iter().filter(|record| record.node == self.own_node);
             own_records.for_each(|record| self.confirmations.record_received(from, record.version()));
         }
-        self.membership.borrow_mut().receive(node_state.now(), from, message);
+        if let Some(message) = self.hold_confirmation(node_state, from, message) {
+            self.membership.borrow_mut().receive(node_state.now(), from, message);
+        }
     }
 
     fn receive_tombstones(&self, node_state: &Rc<NodeState>, from: Node, received: Vec<ReceivedTombstone>) {
@@ -74,7 +76,7 @@
         }
     }
 
-    fn linked_nodes(&self) -> Vec<Node> {
+    pub(super) fn linked_nodes(&self) -> Vec<Node> {
         self.links.borrow().keys().copied().collect()
     }
 
@@ -104,7 +106,7 @@
             let linked = self.linked_nodes();
             for to in linked.iter().filter(|to| !asked.contains(*to)).copied().collect::<Vec<_>>() {
                 self.send_tombstones(node_state, to, std::iter::once((tombstone, TOMBSTONE_RETENTION)));
-                if self.request_confirmation(node_state, to, &count) {
+                if self.request_record(node_state, to, Vec::new(), &count) {
                     asked.insert(to);
                 }
             }
@@ -123,18 +125,19 @@
         }
     }
 
-    /// Asks a neighbour for this node's record. Returns whether it was asked.
-    fn request_confirmation(
+    /// Asks a neighbour for this node's record, and for entries with these keys. Returns whether it was asked.
+    pub(super) fn request_record(
         &self,
         node_state: &Rc<NodeState>,
         to: Node,
+        keys: Vec<String>,
         count: &Rc<ConfirmationCount>,
     ) -> bool {
         let version =
             self.membership(|membership| membership.record(self.own_node).map(|record| record.version()));
         let is_registered = version.is_some_and(|version| self.confirmations.request(to, version, count));
         if is_registered {
-            let fetch = MembershipMessage::Fetch { nodes: vec![self.own_node], keys: Vec::new() };
+            let fetch = MembershipMessage::Fetch { nodes: vec![self.own_node], keys };
             self.send(node_state, to, &Frame::Membership(fetch));
         }
         is_registered
--- a/crates/daemon/mesh/src/periodic.rs
+++ b/crates/daemon/mesh/src/periodic.rs
@@ -10,6 +10,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval at which the settings file is checked.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which expired departures are deleted from the disk.
+const DEPARTURE_EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 /// Interval at which the metrics are logged, at debug level.
 const METRICS_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -18,6 +20,7 @@
     let mut metrics_logged_at = node_state.now();
     let mut settings_checked_at = metrics_logged_at;
     let mut published_replica_set = Vec::new();
+    let mut departures_expired_at = metrics_logged_at;
     let mut rollbacks = 0;
     loop {
         tokio::time::sleep(CHECK_INTERVAL.to_std()).await;
@@ -31,6 +34,11 @@
             published_replica_set = replica_set;
             node_state.publish_own_record();
         }
+        let deletes_expired = now - departures_expired_at >= DEPARTURE_EXPIRY_INTERVAL;
+        if deletes_expired {
+            departures_expired_at = now;
+        }
+        node_state.peers.write_departures(&node_state, deletes_expired);
         node_state.pool.close_expired();
         node_state.response_replay_cache.remove_expired();
         if now - settings_checked_at >= SETTINGS_INTERVAL {
--- a/crates/daemon/mesh/src/startup.rs
+++ b/crates/daemon/mesh/src/startup.rs
@@ -3,7 +3,7 @@
 //! In this order, so that nothing is sent to other nodes before the content of the disk is known, and no client is accepted
 //! before all addresses are bound.
 use crate::control_value::{evacuation_key, CONFIGURATION_KEY};
-use crate::disk::{self, DiskEvent};
+use crate::disk::{self, DiskEvent, StoredDeparture};
 use crate::event_stream::EventStream;
 use crate::node_state::NodeState;
 use crate::peers::{self, LocalControlStore, Peers, RecordBody};
@@ -39,6 +39,7 @@
 struct OpenedControlStore {
     local: LocalControlStore,
     disk_events: UnboundedReceiver<DiskEvent>,
+    departures: Vec<StoredDeparture>,
 }
 
 /// Starts a node. Its tasks run until the process ends.
@@ -60,15 +61,16 @@
         .await
         .with_context(|| format!("internalPorts: UDP {internal_address}"))?;
     let membership = membership(&settings, now, seed);
-    let (control_store, disk_events) = match open_control_store(&settings, &log, now, seed)? {
-        Some(opened) => (Some(opened.local), Some(opened.disk_events)),
-        None => (None, None),
+    let (control_store, disk_events, departures) = match open_control_store(&settings, &log, now, seed)? {
+        Some(opened) => (Some(opened.local), Some(opened.disk_events), opened.departures),
+        None => (None, None, Vec::new()),
     };
     let bounds = settings.reloadable.limits.admission_settings();
     let gate = UpstreamGate::new(AdmissionController::new(bounds));
     let peers = Peers::new(settings.ip, settings.internal_ports.first, membership, control_store, udp);
     let node_state = NodeState::new(settings, log, gate, peers, clock, Pcg64Mcg::seed_from_u64(seed));
     node_state.settings_file.begin(settings_path);
+    node_state.peers.restore_departures(&node_state, departures);
     if with_event_stream {
         // Set only here, so this can't fail.
         let _ = node_state.event_stream.set(EventStream::new());
@@ -77,7 +79,8 @@
     start_tasks(&node_state, links);
     let disk_task = disk_events.map(|events| spawn_local(peers::follow_disk(node_state.clone(), events)));
     let settings = &node_state.settings;
-    info!(node_state.log, "started"; "control" => settings.is_control, "first" => settings.is_first_start);
+    info!(node_state.log, "started"; "control" => settings.is_control, "first" => settings.is_first_start,
+        "departures" => node_state.peers.departures_on_disk());
     Ok(StartedNode { node_state, disk_task })
 }
 
@@ -125,7 +128,7 @@
     };
     let store = ControlStore::new(now, start, opened.disk);
     let local = LocalControlStore { store, disk_writes: opened.writes };
-    Ok(Some(OpenedControlStore { local, disk_events: opened.events }))
+    Ok(Some(OpenedControlStore { local, disk_events: opened.events, departures: opened.departures }))
 }
 
 /// Binds the addresses for clients, other sidecars, the platform and operators, and starts to serve them.
