testbed: departures that were acknowledged before all processes are killed

Change: twelve meshes, each with an upstream that leaves: both words, told to its sidecar or to a control machine, all processes killed at once, after 0.5 s or 4 s, twice, down 0.9 s or 4 s, with a disk lost or not; all sides; all control machines; one after the other. Late heartbeats 0.2 to 4.5 s after the start, health true or false.

--- /dev/null
+++ b/crates/tools/testbed/tests/all_processes_lost.rs
@@ -0,0 +1,223 @@
+//! Upstreams whose departure was acknowledged before all processes, or all of a kind, are killed, with a disk lost or not, and
+//! heartbeats from before that arrive late: nothing in touch sends to them any more, and what is sound is served again.
+use silvercross_testbed::client::{Client, RequestKind};
+use silvercross_testbed::mesh::{MeshPlan, DRAIN_S};
+use silvercross_testbed::traffic::attempt;
+use silvercross_testbed::upstream::{HealthAnswers, PreparedCall, UpstreamBehaviour};
+use silvercross_testbed::{program, wait_until, Testbed, WAIT_TIMEOUT};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// No request that is sent later than this after the acknowledgement reaches the upstream.
+const DRAIN: Duration = Duration::from_millis((DRAIN_S * 1000.0) as u64);
+/// Machines are in touch so long after the start of all.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+/// When the heartbeats from before arrive, after the start of all.
+const LATE: [Duration; 4] = [
+    Duration::from_millis(200),
+    Duration::from_millis(1_500),
+    Duration::from_millis(3_200),
+    Duration::from_millis(4_500),
+];
+/// Requests are watched for so long after the start of all.
+const WATCHED_FOR: Duration = Duration::from_millis(7_000);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
+/// Between two processes that are killed one after the other.
+const ROLLING_INTERVAL: Duration = Duration::from_millis(700);
+/// The upstream that leaves is at the first side.
+const SIDE_COUNT: usize = 4;
+
+/// Which processes are killed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    All,
+    /// All at once, and again right after their start.
+    AllTwice,
+    Sides,
+    ControlMachines,
+    /// One after the other, so that no process lives through it.
+    Rolling,
+}
+
+/// One mesh, and an upstream that leaves it.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    says_draining: bool,
+    /// The control machine that it calls; otherwise the sidecar beside it.
+    control_machine: Option<usize>,
+    /// Its sidecar is killed and started before.
+    is_restarted_before: bool,
+    loss: Loss,
+    /// From the acknowledgement to the loss.
+    after: Duration,
+    /// From the loss to the start of all.
+    down: Duration,
+    /// The control machine that loses its disk.
+    wiped: Option<usize>,
+    health: HealthAnswers,
+}
+
+const SIGN_OFF: Case = Case {
+    says_draining: false,
+    control_machine: None,
+    is_restarted_before: false,
+    loss: Loss::All,
+    after: Duration::from_millis(500),
+    down: Duration::from_millis(900),
+    wiped: None,
+    health: HealthAnswers::Truthful,
+};
+const DRAINING: Case = Case { says_draining: true, ..SIGN_OFF };
+const AT_ONCE: Duration = Duration::ZERO;
+const FALSE_HEALTH: HealthAnswers = HealthAnswers::AlwaysGood;
+
+const CASES: [Case; 12] = [
+    SIGN_OFF,
+    Case { after: AT_ONCE, health: FALSE_HEALTH, ..SIGN_OFF },
+    Case { after: AT_ONCE, wiped: Some(0), health: FALSE_HEALTH, ..SIGN_OFF },
+    Case { control_machine: Some(1), after: AT_ONCE, wiped: Some(1), ..SIGN_OFF },
+    Case { is_restarted_before: true, loss: Loss::AllTwice, ..SIGN_OFF },
+    Case { after: Duration::from_secs(4), down: Duration::from_secs(4), wiped: Some(2), ..SIGN_OFF },
+    Case { after: AT_ONCE, health: FALSE_HEALTH, ..DRAINING },
+    Case { wiped: Some(2), health: FALSE_HEALTH, ..DRAINING },
+    Case { control_machine: Some(0), wiped: Some(0), ..DRAINING },
+    Case { loss: Loss::Sides, health: FALSE_HEALTH, ..SIGN_OFF },
+    Case { loss: Loss::ControlMachines, wiped: Some(1), health: FALSE_HEALTH, ..DRAINING },
+    Case { loss: Loss::Rolling, health: FALSE_HEALTH, ..SIGN_OFF },
+];
+
+/// When each attempt was sent.
+type SentTimes = Arc<Mutex<BTreeMap<String, Instant>>>;
+
+/// A client at each machine.
+fn start_clients(testbed: &Testbed, sent_times: &SentTimes) -> Vec<JoinHandle<()>> {
+    let client = |machine: usize| {
+        let (outbound, services) = (testbed.mesh.outbound(machine), testbed.services().to_vec());
+        let (sender, sent_times) = (testbed.mesh.machines[machine].service.clone(), sent_times.clone());
+        tokio::spawn(async move {
+            let mut client = Client::new(outbound);
+            for number in 0usize.. {
+                sleep(REQUEST_INTERVAL).await;
+                let sent_at = Instant::now();
+                let service = &services[number % services.len()];
+                let attempt = attempt(&mut client, RequestKind::Safe, service, &sender).await;
+                sent_times.lock().unwrap_or_else(PoisonError::into_inner).insert(attempt.id, sent_at);
+            }
+        })
+    };
+    testbed.mesh.side_machines().map(client).collect()
+}
+
+/// Say that the upstream leaves until that is acknowledged; the heartbeats from before.
+async fn announce(testbed: &Testbed, machine: usize, case: &Case) -> Vec<PreparedCall> {
+    let upstream = &testbed.upstreams[&machine];
+    let late = LATE.iter().map(|_| upstream.prepare_heartbeat()).collect();
+    upstream.set_health_answers(case.health);
+    upstream.stop_heartbeats();
+    let receiver = testbed.mesh.control(case.control_machine.unwrap_or(machine));
+    wait_until("acknowledged", WAIT_TIMEOUT, || async {
+        let call = if case.says_draining { upstream.prepare_drain() } else { upstream.prepare_sign_off() };
+        call.at(receiver).is_acknowledged().await
+    })
+    .await
+    .expect("acknowledged");
+    late
+}
+
+async fn restart(testbed: &mut Testbed, machines: &[usize], case: &Case, down: Duration) {
+    for machine in machines {
+        testbed.mesh.kill(*machine).expect("killed");
+    }
+    for machine in case.wiped.iter().filter(|wiped| machines.contains(wiped)) {
+        testbed.mesh.wipe(*machine).expect("wiped");
+    }
+    sleep(down).await;
+    for machine in machines {
+        testbed.mesh.start(*machine, false).expect("started");
+    }
+}
+
+async fn lose(testbed: &mut Testbed, case: &Case) {
+    let control: Vec<usize> = testbed.mesh.control_machines().collect();
+    let sides: Vec<usize> = testbed.mesh.side_machines().collect();
+    let all: Vec<usize> = control.iter().chain(&sides).copied().collect();
+    match case.loss {
+        Loss::All => restart(testbed, &all, case, case.down).await,
+        Loss::AllTwice => {
+            restart(testbed, &all, case, case.down).await;
+            restart(testbed, &all, case, case.down).await;
+        }
+        Loss::Sides => restart(testbed, &sides, case, case.down).await,
+        Loss::ControlMachines => restart(testbed, &control, case, case.down).await,
+        Loss::Rolling => {
+            for machine in all {
+                restart(testbed, &[machine], case, Duration::ZERO).await;
+                sleep(ROLLING_INTERVAL).await;
+            }
+        }
+    }
+}
+
+/// Plays a case; the requests that reached the upstream and should not have.
+async fn play(program: PathBuf, case: Case) -> Vec<String> {
+    let plan = MeshPlan { side_count: SIDE_COUNT, zone_count: 1, ..MeshPlan::default() };
+    let mut testbed = Testbed::start(&plan, UpstreamBehaviour::default(), &program).await.expect("it starts");
+    let sent_times = SentTimes::default();
+    let clients = start_clients(&testbed, &sent_times);
+    let leaver = testbed.mesh.side_machines().start;
+    if case.is_restarted_before {
+        restart(&mut testbed, &[leaver], &case, Duration::ZERO).await;
+        testbed.wait_until_settled().await.expect("settled");
+    }
+    let late = announce(&testbed, leaver, &case).await;
+    let acknowledged_at = Instant::now();
+    let departed = testbed.upstreams[&leaver].id().to_string();
+    sleep(case.after).await;
+    lose(&mut testbed, &case).await;
+    let started_at = Instant::now();
+    for (after, heartbeat) in LATE.iter().zip(late) {
+        sleep_until(started_at + *after).await;
+        tokio::spawn(async move { heartbeat.send().await });
+    }
+    sleep_until(started_at + WATCHED_FOR).await;
+    // What is sound is sent to, and so is a new upstream at the same address.
+    testbed.start_upstream(leaver).await.expect("it starts");
+    for machine in testbed.mesh.side_machines() {
+        let id = testbed.upstreams[&machine].id();
+        let count = testbed.executions.count_at(id);
+        let is_served = || std::future::ready(testbed.executions.count_at(id) > count);
+        wait_until("the upstream is sent to", WAIT_TIMEOUT, is_served).await.expect("served");
+    }
+    clients.iter().for_each(JoinHandle::abort);
+    testbed.wait_until_idle().await.expect("idle");
+    let judged_from = (acknowledged_at + DRAIN).max(started_at + IN_TOUCH);
+    let sent_times = sent_times.lock().unwrap_or_else(PoisonError::into_inner);
+    let runs = testbed.executions.runs();
+    let of_departed = runs.into_iter().filter(|run| run.upstream == departed);
+    let sent = of_departed.filter_map(|run| sent_times.get(&run.attempt).copied());
+    let late = sent.filter(|sent_at| *sent_at > judged_from);
+    late.map(|sent_at| format!("sent {:?} after the acknowledgement", sent_at - acknowledged_at)).collect()
+}
+
+/// Guards against an acknowledged departure that is forgotten with the last process that remembered it: a heartbeat from before
+/// brought the upstream back, and requests were cut off when it ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_acknowledged_departure_outlives_the_loss_of_all_processes() {
+    let program = program::find().expect("the program is built");
+    let mut broken = Vec::new();
+    // Half of the meshes at a time.
+    for cases in CASES.chunks(CASES.len() / 2) {
+        let plays: Vec<_> = cases.iter().map(|case| tokio::spawn(play(program.clone(), *case))).collect();
+        for (case, played) in cases.iter().zip(plays) {
+            let late = played.await.expect("it ends");
+            if let Some(first) = late.first() {
+                broken.push(format!("{case:?}: {} requests, the first {first}", late.len()));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{} of {} cases: {broken:#?}", broken.len(), CASES.len());
+}
