--- a/crates/daemon/mesh/src/disk/tests.rs
+++ b/crates/daemon/mesh/src/disk/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of locking, quarantine, full disks, and power loss between any two operations.
 //!
 //! Inside the crate, since recovery over a folder in memory and single attempts of the writer are not public.
+mod departures;
 mod memory_folder;
 mod old_store;
 
--- a/crates/daemon/mesh/src/peers/tests/wire_bytes.rs
+++ b/crates/daemon/mesh/src/peers/tests/wire_bytes.rs
@@ -4,6 +4,7 @@
 use super::super::frame::{encode_frame, Frame, PROTOCOL_VERSION};
 use super::super::record::{RecordBody, UpstreamRecord};
 use crate::control_value::{ControlChange, ControlValue};
+use crate::disk::StoredDeparture;
 use crate::forwarding_headers::{self, ForwardingHeaders, GateStatus};
 use bitcode::{DecodeOwned, Encode};
 use silvercross_control_store::{Epoch, Message, Request, Revision, State, StoredKey};
@@ -181,5 +182,13 @@
         writeln!(lines, "header/{name} {}", forwarding_headers::encode(&status)).expect("a string grows");
         add(&mut lines, &format!("answer/{name}"), status);
     }
+    let departure = StoredDeparture {
+        id: "life-1".to_string(),
+        sidecar: 0x7f00_0001,
+        incarnation: 1_700_000_000_000,
+        sequence: 300,
+        has_ended: true,
+    };
+    add(&mut lines, "disk/departure", departure);
     assert!(lines == TABLE, "the encodings have changed. New encodings:\n{lines}");
 }
--- a/crates/tools/testbed/src/soak/run.rs
+++ b/crates/tools/testbed/src/soak/run.rs
@@ -7,6 +7,7 @@
 use super::long_requests::{
     check_long_requests, limits, long_routes, LongClient, LongLog, Stops, UPSTREAM_PACE,
 };
+use super::loss::{draw_loss, play_loss};
 use super::player::{run_schedule, Disturbed, Schedule};
 use super::schedule::{draw, draw_departures, Departure, Drawing, Fault};
 use super::watch::{watch, Disturbances, Observations, WatchedNode};
@@ -338,14 +339,19 @@
     tasks.extend(start_clients(&testbed, seed, options.clients_per_side, &logs.clients));
     tasks.extend(start_long_clients(&testbed, seed, options, &logs.long_requests));
     let schedule = Schedule { faults: &faults, departures: &departures };
-    let played = run_schedule(&mut testbed, &schedule, &disturbed, &logs.departures).await;
+    let mut played = run_schedule(&mut testbed, &schedule, &disturbed, &logs.departures).await;
+    let loss = draw_loss(seed, &drawing);
+    if played.is_ok() {
+        played = play_loss(&mut testbed, &loss, &disturbed, &logs.departures).await;
+    }
     // In calm, with changes still coming, for as long as a node takes to count again.
     let unserved = check_service(&testbed).await;
     is_ending.store(true, Relaxed);
     let stopped = writer.await?.err().map(|error| format!("the operator: {error:#}"));
     tasks.iter().for_each(JoinHandle::abort);
     let of_departures = departures.iter().map(Departure::to_string);
-    let schedule = faults.iter().map(Fault::to_string).chain(of_departures).collect();
+    let schedule =
+        faults.iter().map(Fault::to_string).chain(of_departures).chain([loss.to_string()]).collect();
     let mut result = SoakResult { schedule, ..SoakResult::default() };
     result.faults.extend(played.err().map(|error| format!("{error:#}")));
     result.faults.extend(unserved);
