--- a/crates/tools/testbed/src/traffic.rs
+++ b/crates/tools/testbed/src/traffic.rs
@@ -5,16 +5,20 @@
 use crate::testbed::{is_ready, Testbed};
 use crate::wait::{wait_until, WAIT_TIMEOUT};
 use anyhow::Result;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// Clients on each side.
 pub(crate) const CLIENTS_PER_SIDE: usize = 4;
 /// Between two requests of a client.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(8);
+/// Between two requests of a client that only reads.
+const READ_INTERVAL: Duration = Duration::from_millis(15);
 /// The longest pause that a client takes because it was told to come back later, in seconds.
 const MAX_RETRY_AFTER_S: f64 = 1.0;
 /// A client whose attempt got no answer waits so many intervals.
@@ -55,6 +59,40 @@
     Attempt { id, kind, target, sender: sender.to_string(), body, outcome }
 }
 
+/// When each attempt was sent, by its id.
+#[derive(Clone, Debug, Default)]
+pub struct SentTimes(Arc<Mutex<BTreeMap<String, Instant>>>);
+
+impl SentTimes {
+    fn record(&self, id: String, sent_at: Instant) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(id, sent_at);
+    }
+
+    /// When the attempt of this id was sent, if its client has taken note of that.
+    pub fn get(&self, id: &str) -> Option<Instant> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).get(id).copied()
+    }
+}
+
+/// Start a client at each side that asks all services, one after the other, and notes when.
+pub fn start_readers(testbed: &Testbed, sent_times: &SentTimes) -> Vec<JoinHandle<()>> {
+    let client = |machine: usize| {
+        let (outbound, services) = (testbed.mesh.outbound(machine), testbed.services().to_vec());
+        let (sender, sent_times) = (testbed.mesh.machines[machine].service.clone(), sent_times.clone());
+        tokio::spawn(async move {
+            let mut client = Client::new(outbound);
+            for number in 0usize.. {
+                tokio::time::sleep(READ_INTERVAL).await;
+                let sent_at = Instant::now();
+                let service = &services[number % services.len()];
+                let attempt = attempt(&mut client, RequestKind::Safe, service, &sender).await;
+                sent_times.record(attempt.id, sent_at);
+            }
+        })
+    };
+    testbed.mesh.side_machines().map(client).collect()
+}
+
 /// Clients on all sides, for as long as it lives.
 pub struct Clients {
     stop: Arc<AtomicBool>,
--- a/crates/tools/testbed/tests/all_processes_lost.rs
+++ b/crates/tools/testbed/tests/all_processes_lost.rs
@@ -1,13 +1,10 @@
 //! Upstreams whose departure was acknowledged before all processes, or all of a kind, are killed, with a disk lost or not, and
 //! heartbeats from before that arrive late: nothing in touch sends to them any more, and what is sound is served again.
-use silvercross_testbed::client::{Client, RequestKind};
 use silvercross_testbed::mesh::{MeshPlan, DRAIN_S};
-use silvercross_testbed::traffic::attempt;
+use silvercross_testbed::traffic::{start_readers, SentTimes};
 use silvercross_testbed::upstream::{HealthAnswers, PreparedCall, UpstreamBehaviour};
 use silvercross_testbed::{program, wait_until, Testbed, WAIT_TIMEOUT};
-use std::collections::BTreeMap;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, sleep_until, Instant};
@@ -25,7 +22,6 @@
 ];
 /// Requests are watched for so long after the start of all.
 const WATCHED_FOR: Duration = Duration::from_millis(7_000);
-const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 /// Between two processes that are killed one after the other.
 const ROLLING_INTERVAL: Duration = Duration::from_millis(700);
 /// The upstream that leaves is at the first side.
@@ -90,28 +86,6 @@
     Case { loss: Loss::Rolling, health: FALSE_HEALTH, ..SIGN_OFF },
 ];
 
-/// When each attempt was sent.
-type SentTimes = Arc<Mutex<BTreeMap<String, Instant>>>;
-
-/// A client at each machine.
-fn start_clients(testbed: &Testbed, sent_times: &SentTimes) -> Vec<JoinHandle<()>> {
-    let client = |machine: usize| {
-        let (outbound, services) = (testbed.mesh.outbound(machine), testbed.services().to_vec());
-        let (sender, sent_times) = (testbed.mesh.machines[machine].service.clone(), sent_times.clone());
-        tokio::spawn(async move {
-            let mut client = Client::new(outbound);
-            for number in 0usize.. {
-                sleep(REQUEST_INTERVAL).await;
-                let sent_at = Instant::now();
-                let service = &services[number % services.len()];
-                let attempt = attempt(&mut client, RequestKind::Safe, service, &sender).await;
-                sent_times.lock().unwrap_or_else(PoisonError::into_inner).insert(attempt.id, sent_at);
-            }
-        })
-    };
-    testbed.mesh.side_machines().map(client).collect()
-}
-
 /// Say that the upstream leaves until that is acknowledged; the heartbeats from before.
 async fn announce(testbed: &Testbed, machine: usize, case: &Case) -> Vec<PreparedCall> {
     let upstream = &testbed.upstreams[&machine];
@@ -167,7 +141,7 @@
     let plan = MeshPlan { side_count: SIDE_COUNT, zone_count: 1, ..MeshPlan::default() };
     let mut testbed = Testbed::start(&plan, UpstreamBehaviour::default(), &program).await.expect("it starts");
     let sent_times = SentTimes::default();
-    let clients = start_clients(&testbed, &sent_times);
+    let clients = start_readers(&testbed, &sent_times);
     let leaver = testbed.mesh.side_machines().start;
     if case.is_restarted_before {
         restart(&mut testbed, &[leaver], &case, Duration::ZERO).await;
@@ -195,10 +169,9 @@
     clients.iter().for_each(JoinHandle::abort);
     testbed.wait_until_idle().await.expect("idle");
     let judged_from = (acknowledged_at + DRAIN).max(started_at + IN_TOUCH);
-    let sent_times = sent_times.lock().unwrap_or_else(PoisonError::into_inner);
     let runs = testbed.executions.runs();
     let of_departed = runs.into_iter().filter(|run| run.upstream == departed);
-    let sent = of_departed.filter_map(|run| sent_times.get(&run.attempt).copied());
+    let sent = of_departed.filter_map(|run| sent_times.get(&run.attempt));
     let late = sent.filter(|sent_at| *sent_at > judged_from);
     late.map(|sent_at| format!("sent {:?} after the acknowledgement", sent_at - acknowledged_at)).collect()
 }
--- a/crates/tools/testbed/tests/departures.rs
+++ b/crates/tools/testbed/tests/departures.rs
@@ -1,12 +1,9 @@
 //! Upstreams that leave while the sidecars that acknowledge it are killed or stopped, and heartbeats from before that arrive late:
 //! nothing is sent to them any more, and what is sound is served again.
-use silvercross_testbed::client::{Client, RequestKind};
 use silvercross_testbed::mesh::{MeshPlan, DRAIN_S};
-use silvercross_testbed::traffic::attempt;
+use silvercross_testbed::traffic::{start_readers, SentTimes};
 use silvercross_testbed::upstream::{HealthAnswers, PreparedCall, UpstreamBehaviour};
 use silvercross_testbed::{program, wait_until, Testbed, WAIT_TIMEOUT};
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, sleep_until, Instant};
@@ -28,7 +25,6 @@
 const SERVES_ON: Duration = Duration::from_millis(5_200);
 /// Between two looks at a process that is ending.
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 
 /// What an upstream says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -118,28 +114,6 @@
     case("sign-off, frozen", Announcement::SignOff, FROZEN),
 ];
 
-/// When each attempt was sent.
-type SentTimes = Arc<Mutex<BTreeMap<String, Instant>>>;
-
-/// A client at each machine that asks both services, one after the other.
-fn start_clients(testbed: &Testbed, sent_times: &SentTimes) -> Vec<JoinHandle<()>> {
-    let client = |machine: usize| {
-        let (outbound, services) = (testbed.mesh.outbound(machine), testbed.services().to_vec());
-        let (sender, sent_times) = (testbed.mesh.machines[machine].service.clone(), sent_times.clone());
-        tokio::spawn(async move {
-            let mut client = Client::new(outbound);
-            for number in 0usize.. {
-                sleep(REQUEST_INTERVAL).await;
-                let sent_at = Instant::now();
-                let service = &services[number % services.len()];
-                let attempt = attempt(&mut client, RequestKind::Safe, service, &sender).await;
-                sent_times.lock().unwrap_or_else(PoisonError::into_inner).insert(attempt.id, sent_at);
-            }
-        })
-    };
-    testbed.mesh.side_machines().map(client).collect()
-}
-
 /// What happens to a machine.
 #[derive(Clone)]
 enum Step {
@@ -251,7 +225,7 @@
     let plan = MeshPlan { side_count: CASES.len() + 2, zone_count: 1, ..MeshPlan::default() };
     let mut testbed = Testbed::start(&plan, UpstreamBehaviour::default(), &program).await.expect("it starts");
     let sent_times = SentTimes::default();
-    let clients = start_clients(&testbed, &sent_times);
+    let clients = start_readers(&testbed, &sent_times);
     let first = testbed.mesh.side_machines().start;
     for (number, _) in CASES.iter().enumerate().filter(|(_, case)| case.is_restarted_before) {
         restart(&mut testbed, first + number).await;
@@ -289,13 +263,12 @@
     clients.iter().for_each(JoinHandle::abort);
     testbed.wait_until_idle().await.expect("idle");
 
-    let sent_times = sent_times.lock().unwrap_or_else(PoisonError::into_inner);
     let mut broken = Vec::new();
     for run in testbed.executions.runs() {
         let departed = acknowledged.iter().find(|(_, id, _)| *id == run.upstream);
         let (Some((case, _, at)), Some(sent_at)) = (departed, sent_times.get(&run.attempt)) else { continue };
-        if *sent_at > *at + DRAIN {
-            broken.push(format!("{}: sent {:?} after the acknowledgement", case.name, *sent_at - *at));
+        if sent_at > *at + DRAIN {
+            broken.push(format!("{}: sent {:?} after the acknowledgement", case.name, sent_at - *at));
         }
     }
     assert!(broken.is_empty(), "{} requests, the first: {:?}", broken.len(), &broken[..broken.len().min(20)]);
@@ -335,7 +308,7 @@
     let program = program::find().expect("the program is built");
     let plan = MeshPlan { side_count: SUCCESSOR_CASES.len(), zone_count: 1, ..MeshPlan::default() };
     let mut testbed = Testbed::start(&plan, UpstreamBehaviour::default(), &program).await.expect("it starts");
-    let clients = start_clients(&testbed, &SentTimes::default());
+    let clients = start_readers(&testbed, &SentTimes::default());
     let machines: Vec<usize> = testbed.mesh.side_machines().collect();
     // The earlier ones crash: they say nothing.
     let mut late = Vec::new();
