The upstream on a sidecar's own machine is not taken for vanished because it reads a request later

Cause: a connection whose written bytes stay unacknowledged for 1.5 s is closed; the system counts bytes for which the reader has no room. A body held in memory was written whole with its head under that bound, and the response was read only once it was written. Change: no such bound on connections to the upstream on the same machine; what the system doesn't take of a request at once is sent while the response is read. Why it works: no partition lies between a process and its own machine; the deadline of the request bounds the wait, as for streamed bodies.

--- a/crates/daemon/mesh/src/peer_connection/body_sender.rs
+++ b/crates/daemon/mesh/src/peer_connection/body_sender.rs
@@ -1,7 +1,7 @@
 //! Sends a body while its response is awaited.
 use super::connect::{allow_slow_reader, bound_unacknowledged};
 use crate::body_buffer::BodyBuffer;
-use crate::wire::{write_body_part, LAST_CHUNK};
+use crate::wire::{write_body_part, PeerKind, LAST_CHUNK};
 use silvercross_net::http::Framing;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
@@ -9,29 +9,45 @@
 use tokio::task::JoinHandle;
 
 /// A task that sends a body. It is aborted on drop.
-pub(super) struct BodySender(JoinHandle<Option<OwnedWriteHalf>>);
+pub(super) struct BodySender {
+    task: JoinHandle<Option<OwnedWriteHalf>>,
+    /// Who is at the other end.
+    peer: PeerKind,
+}
 
 impl BodySender {
     /// Starts sending a body on a connection's write half.
-    pub(super) fn spawn(write: OwnedWriteHalf, body: Rc<BodyBuffer>) -> Self {
+    pub(super) fn spawn(write: OwnedWriteHalf, peer: PeerKind, body: Rc<BodyBuffer>) -> Self {
         allow_slow_reader(write.as_ref());
-        BodySender(tokio::task::spawn_local(send(write, body)))
+        BodySender { task: tokio::task::spawn_local(send(write, body)), peer }
+    }
+
+    /// Starts sending the rest of a request on a connection's write half.
+    pub(super) fn spawn_rest(mut write: OwnedWriteHalf, peer: PeerKind, rest: Vec<u8>) -> Self {
+        allow_slow_reader(write.as_ref());
+        let task = async move {
+            write.write_all(&rest).await.ok()?;
+            Some(write)
+        };
+        BodySender { task: tokio::task::spawn_local(task), peer }
     }
 
     /// Returns the write half, for further requests, if the whole body has been sent.
     pub(super) async fn finished(&mut self) -> Option<OwnedWriteHalf> {
-        if !self.0.is_finished() {
+        if !self.task.is_finished() {
             return None;
         }
-        let write = (&mut self.0).await.ok().flatten()?;
-        bound_unacknowledged(write.as_ref());
+        let write = (&mut self.task).await.ok().flatten()?;
+        if self.peer == PeerKind::Sidecar {
+            bound_unacknowledged(write.as_ref());
+        }
         Some(write)
     }
 }
 
 impl Drop for BodySender {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
--- a/crates/daemon/mesh/src/peer_connection/connect.rs
+++ b/crates/daemon/mesh/src/peer_connection/connect.rs
@@ -5,8 +5,8 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-/// A connection is closed when written bytes stay unacknowledged for this long, since a network partition causes no
-/// reset. The system counts bytes that the peer has no room for as well.
+/// A connection to another machine is closed when written bytes stay unacknowledged for this long, since a network partition
+/// causes no reset. The system counts bytes that the peer has no room for as well.
 pub(crate) const MAX_UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -50,8 +50,8 @@
     let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED));
 }
 
-/// Lifts that bound for a streamed body: who reads it may be slow, or pass it on to somebody slow. The deadline of the request
-/// bounds the wait.
+/// Lifts that bound: who reads a streamed body may be slow, or pass it on to somebody slow, and no partition separates this
+/// process from the upstream on its machine. The deadline of the request bounds the wait.
 pub(crate) fn allow_slow_reader(stream: &TcpStream) {
     let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(None);
 }
--- a/crates/daemon/mesh/src/peer_connection/exchange.rs
+++ b/crates/daemon/mesh/src/peer_connection/exchange.rs
@@ -6,7 +6,7 @@
 use super::streamed_body::StreamedBody;
 use crate::body_budget::BodyReservation;
 use crate::body_buffer::BodyBuffer;
-use crate::wire::{Connection, PartialResponse, ReadError};
+use crate::wire::{Connection, PartialResponse, PeerKind, ReadError};
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 
@@ -17,6 +17,9 @@
     request: OutgoingRequest<'_>,
     reservation: BodyReservation,
 ) -> ExchangeOutcome {
+    if request.body.is_none() && connection.peer != PeerKind::Sidecar {
+        return exchange_with_upstream(pool, connection, &request, reservation).await;
+    }
     if connection.write(request.bytes).await.is_err() {
         return ExchangeOutcome::NotSent;
     }
@@ -91,7 +94,38 @@
     let (Some(write), Some(reservation)) = (connection.take_write_half(), reservation) else {
         return ExchangeOutcome::ResponseLost;
     };
-    let mut sender = BodySender::spawn(write, body.clone());
+    let sender = BodySender::spawn(write, connection.peer, body.clone());
+    read_while_sending(pool, connection, sender, request, reservation).await
+}
+
+/// Exchanges a request that is buffered completely with an upstream, which may read a part of it late, or answer before
+/// it has read it.
+async fn exchange_with_upstream(
+    pool: &ConnectionPool,
+    mut connection: Connection,
+    request: &OutgoingRequest<'_>,
+    reservation: BodyReservation,
+) -> ExchangeOutcome {
+    let Ok(sent) = connection.write_available(request.bytes) else { return ExchangeOutcome::NotSent };
+    if sent == request.bytes.len() {
+        return match read_response(&mut connection, request, reservation).await {
+            Ok(received) => finish(pool, connection, None, request, received),
+            Err(_) => ExchangeOutcome::ResponseLost,
+        };
+    }
+    let Some(write) = connection.take_write_half() else { return ExchangeOutcome::ResponseLost };
+    let sender = BodySender::spawn_rest(write, connection.peer, request.bytes[sent..].to_vec());
+    read_while_sending(pool, connection, sender, request, reservation).await
+}
+
+/// Reads the response while the rest of the request is being sent.
+async fn read_while_sending(
+    pool: &ConnectionPool,
+    mut connection: Connection,
+    mut sender: BodySender,
+    request: &OutgoingRequest<'_>,
+    reservation: BodyReservation,
+) -> ExchangeOutcome {
     match connection.read_response(request.response_request(false), reservation).await {
         Ok(received) if received.remainder.is_none() => {
             // The request was sent and the response received, so the connection can be reused.
--- a/crates/daemon/mesh/src/peer_connection/pool.rs
+++ b/crates/daemon/mesh/src/peer_connection/pool.rs
@@ -1,5 +1,5 @@
 //! A pool of idle connections by address, and the incarnations of the gates at these addresses.
-use super::connect::connect;
+use super::connect::{allow_slow_reader, connect};
 use crate::wire::{Connection, PeerKind};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -123,6 +123,10 @@
         if let Some(connection) = self.take_idle(to) {
             return Ok(connection);
         }
-        Ok(Connection::new(connect(from, to, connect_timeout).await?, peer))
+        let stream = connect(from, to, connect_timeout).await?;
+        if peer != PeerKind::Sidecar {
+            allow_slow_reader(&stream);
+        }
+        Ok(Connection::new(stream, peer))
     }
 }
--- a/crates/daemon/mesh/src/wire/connection.rs
+++ b/crates/daemon/mesh/src/wire/connection.rs
@@ -188,6 +188,23 @@
         }
     }
 
+    /// Write what the system takes at once, and return how many bytes that is.
+    ///
+    /// # Errors
+    /// Those of the socket, and `NotConnected` while the write half is out.
+    pub(crate) fn write_available(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let Halves::Joined(stream) = &self.halves else { return Err(io::ErrorKind::NotConnected.into()) };
+        let mut written = 0;
+        while written < bytes.len() {
+            match stream.try_write(&bytes[written..]) {
+                Ok(count) => written += count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(written)
+    }
+
     /// Make the close reset the connection, so that the other end can't take what was written for complete.
     pub(crate) fn reset_on_close(&mut self) {
         if let Halves::Joined(stream) = &self.halves {
