--- a/crates/daemon/mesh/src/control.rs
+++ b/crates/daemon/mesh/src/control.rs
@@ -10,6 +10,7 @@
 mod listener;
 mod member_calls;
 mod order_condition;
+mod query;
 mod response;
 #[cfg(test)]
 mod tests;
--- a/crates/daemon/mesh/src/control/order_condition.rs
+++ b/crates/daemon/mesh/src/control/order_condition.rs
@@ -1,6 +1,6 @@
 //! The condition in the target of an order whose caller was asked again: it is carried out only if nothing was acknowledged
 //! since. Part of the protocol between a node and itself: callers follow the redirect as it is.
-use super::response::query_parameter;
+use super::query::query_parameter;
 use silvercross_control_store::Epoch;
 
 /// Query parameter of the only epoch under which an order is to be carried out: round and owner.
--- a/crates/daemon/mesh/src/control/response.rs
+++ b/crates/daemon/mesh/src/control/response.rs
@@ -1,5 +1,6 @@
 //! Responses to calls.
 use super::order_condition::OrderCondition;
+use super::query::query_parameter;
 use serde_json::json;
 
 /// Longest reason, in bytes: it may quote the request, and upstreams read no response of over 4 KiB.
@@ -91,9 +92,3 @@
     let count = query_parameter(target, REDIRECTIONS_PARAMETER);
     count.map_or(0, |count| count.parse().unwrap_or(MAX_REDIRECTIONS))
 }
-
-/// The value of a parameter in the query of a target.
-pub(super) fn query_parameter<'t>(target: &'t str, name: &str) -> Option<&'t str> {
-    let (_, query) = target.split_once('?')?;
-    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
-}
--- a/crates/daemon/mesh/src/event_loop_turns.rs
+++ b/crates/daemon/mesh/src/event_loop_turns.rs
@@ -1,15 +1,11 @@
 //! The latest turns of the event loop, which bound how long something can have waited in the kernel before this process took
 //! it. Independent of connections.
 //!
-//! A turn is recorded by a timer of the event loop. Whatever the loop finds ready at a poll has arrived after the poll before,
+//! A turn is recorded by a timer of the event loop (`periodic.rs`). Whatever the loop finds ready at a poll has arrived after the poll before,
 //! and there is a poll between any two turns: what a task takes now has arrived after the third-last turn, however long
 //! the process stood still or was slow in between.
-use crate::node_state::NodeState;
-use silvercross_time::{Duration, Instant};
-use std::rc::Rc;
+use silvercross_time::Instant;
 
-/// Interval of the turns.
-const TURN_INTERVAL: Duration = Duration::from_millis(50);
 /// The number of turns that are kept: one more than the bound needs.
 const KEPT_TURNS: usize = 4;
 
@@ -37,13 +33,5 @@
     }
 }
 
-/// Records the turns of the event loop. Runs as long as the process.
-pub(crate) async fn run(node_state: Rc<NodeState>) {
-    loop {
-        tokio::time::sleep(TURN_INTERVAL.to_std()).await;
-        node_state.record_event_loop_turn();
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/daemon/mesh/src/event_loop_turns/tests.rs
+++ b/crates/daemon/mesh/src/event_loop_turns/tests.rs
@@ -1,5 +1,6 @@
 //! Inside the crate, since a binary can't be imported.
 use super::*;
+use silvercross_time::Duration;
 
 fn at(millis: i64) -> Instant {
     Instant::ZERO + Duration::from_millis(millis)
--- a/crates/daemon/mesh/src/peers.rs
+++ b/crates/daemon/mesh/src/peers.rs
@@ -9,6 +9,7 @@
 //! `effects.rs`, then `links.rs` and `frame.rs` (the protocol between nodes) and `calls.rs` (operators' calls
 //! to the control store).
 mod calls;
+mod confirmation_replies;
 mod confirmations;
 mod deciders;
 mod departure_log;
@@ -17,6 +18,7 @@
 mod frame;
 mod frame_reader;
 mod frame_writer;
+mod held_confirmations;
 mod links;
 mod majority_read;
 mod own_node;
--- a/crates/daemon/mesh/src/peers/durable_departures.rs
+++ b/crates/daemon/mesh/src/peers/durable_departures.rs
@@ -2,114 +2,32 @@
 //!
 //! A sidecar asks its parent, a relay asks its own parent before it answers, and a control node has its own disk synced and
 //! asks the other control nodes for theirs. The request is one for the asking node's record, with a key that no entry has:
-//! builds that know no durable departures answer it at once.
+//! builds that know no durable departures answer it at once. How it is answered is in `confirmation_replies`.
 use super::confirmations::ConfirmationCount;
 use super::departure_log;
 use super::record::RecordBody;
 use super::state::{store_node, Peers};
 use crate::disk::{DiskRequest, StoredDeparture};
 use crate::node_state::{NodeState, TOMBSTONE_RETENTION};
-use silvercross_mesh_membership::{Membership, MembershipMessage, Node};
-use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use silvercross_mesh_membership::{Membership, Node};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration as Span;
 use tokio::time::sleep;
 
 /// The key in a request for this node's record that is to be answered once all that came before is durable. Part of the
 /// protocol between nodes.
-const DURABLE_KEY: &str = "departures";
+pub(super) const DURABLE_KEY: &str = "departures";
 /// Interval at which new links, and the sync of the disk, are looked for.
 const CHECK_INTERVAL: Span = Span::from_millis(20);
-/// The maximum number of requests of a neighbour that wait for an answer. A node has fewer unanswered.
-const MAX_HELD_REQUESTS: usize = 512;
-
-/// A neighbour's request for its own record.
-struct HeldRequest {
-    message: MembershipMessage<RecordBody>,
-    /// Whether it is to be answered once all that came before is durable.
-    is_durable: bool,
-}
-
-/// The requests of a neighbour that are not answered yet. They are answered in their order.
-struct HeldRequests {
-    /// The connection on which they came, by a number that is never used again.
-    connection: u64,
-    requests: VecDeque<HeldRequest>,
-}
-
-/// Requests for confirmations that are not answered yet, by neighbour.
-#[derive(Default)]
-pub(super) struct HeldConfirmations {
-    by_node: RefCell<BTreeMap<Node, HeldRequests>>,
-}
-
-impl HeldConfirmations {
-    /// The connection to a neighbour has ended or been replaced: earlier requests are not answered.
-    pub(super) fn connection_changed(&self, node: Node) {
-        self.by_node.borrow_mut().remove(&node);
-    }
-
-    fn is_current(&self, node: Node, connection: u64) -> bool {
-        self.by_node.borrow().get(&node).is_some_and(|held| held.connection == connection)
-    }
-
-    /// Whether the oldest request of a neighbour waits for durability; `None` if none is left.
-    fn front(&self, node: Node) -> Option<bool> {
-        self.by_node.borrow().get(&node)?.requests.front().map(|request| request.is_durable)
-    }
-
-    fn pop(&self, node: Node) -> Option<HeldRequest> {
-        let mut by_node = self.by_node.borrow_mut();
-        let held = by_node.get_mut(&node)?;
-        let request = held.requests.pop_front();
-        if held.requests.is_empty() {
-            by_node.remove(&node);
-        }
-        request
-    }
-}
 
 impl Peers {
-    /// Takes a neighbour's request for a confirmation, or returns a message that is none, or that membership may answer
-    /// at once.
-    pub(super) fn hold_confirmation(
-        &self,
-        node_state: &Rc<NodeState>,
-        from: Node,
-        mut message: MembershipMessage<RecordBody>,
-    ) -> Option<MembershipMessage<RecordBody>> {
-        let MembershipMessage::Fetch { nodes, keys } = &mut message else { return Some(message) };
-        if *nodes != [from] {
-            return Some(message);
-        }
-        let key_count = keys.len();
-        keys.retain(|key| key != DURABLE_KEY);
-        let is_durable = keys.len() < key_count;
-        let mut by_node = self.held_confirmations.by_node.borrow_mut();
-        match by_node.get_mut(&from) {
-            None if !is_durable => return Some(message),
-            Some(held) if held.requests.len() < MAX_HELD_REQUESTS => {
-                held.requests.push_back(HeldRequest { message, is_durable });
-            }
-            Some(_) => node_state.counters.count_foreign_message(),
-            None => {
-                let connection = self.take_number();
-                let requests = VecDeque::from([HeldRequest { message, is_durable }]);
-                by_node.insert(from, HeldRequests { connection, requests });
-                let node_state = node_state.clone();
-                tokio::task::spawn_local(answer_held_requests(node_state, from, connection));
-            }
-        }
-        None
-    }
-
     /// Asks a neighbour to confirm that all that was sent before is durable. Returns whether it was asked.
     fn request_durable(&self, node_state: &Rc<NodeState>, to: Node, count: &Rc<ConfirmationCount>) -> bool {
         self.request_record(node_state, to, vec![DURABLE_KEY.to_string()], count)
     }
 
-    fn is_control_node(&self, node: Node) -> bool {
+    pub(super) fn is_control_node(&self, node: Node) -> bool {
         self.membership(|membership| membership.record(node).is_some_and(|record| record.is_control))
     }
 
@@ -174,7 +92,7 @@
     }
 
     /// Waits until all departures that are known now are on the disk of this node.
-    async fn sync_departures(&self, node_state: &Rc<NodeState>) {
+    pub(super) async fn sync_departures(&self, node_state: &Rc<NodeState>) {
         let table_changes = node_state.tombstones(|table| table.changes());
         self.write_departures(node_state, false);
         while !self.are_departures_synced(table_changes) {
@@ -226,30 +144,3 @@
         }
     }
 }
-
-/// Answers the requests of a neighbour in their order, until none is left or the connection has changed.
-async fn answer_held_requests(node_state: Rc<NodeState>, from: Node, connection: u64) {
-    let peers = &node_state.peers;
-    while peers.held_confirmations.is_current(from, connection) {
-        let Some(is_durable) = peers.held_confirmations.front(from) else { return };
-        if is_durable {
-            wait_until_durable(&node_state, from).await;
-        }
-        if !peers.held_confirmations.is_current(from, connection) {
-            return;
-        }
-        let Some(request) = peers.held_confirmations.pop(from) else { return };
-        let now = node_state.now();
-        peers.membership.borrow_mut().receive(now, from, request.message);
-        peers.carry_out_effects(&node_state);
-    }
-}
-
-/// Waits until a neighbour may be told that what it sent is durable. Another control node counts this one's disk itself.
-async fn wait_until_durable(node_state: &Rc<NodeState>, from: Node) {
-    let peers = &node_state.peers;
-    match peers.control_store.is_some() && peers.is_control_node(from) {
-        true => peers.sync_departures(node_state).await,
-        false => peers.make_departures_durable(node_state).await,
-    }
-}
--- a/crates/daemon/mesh/src/peers/state.rs
+++ b/crates/daemon/mesh/src/peers/state.rs
@@ -5,8 +5,8 @@
 //! across an `await`.
 use super::confirmations::Confirmations;
 use super::departure_log::DepartureLog;
-use super::durable_departures::HeldConfirmations;
 use super::frame_writer::Link;
+use super::held_confirmations::HeldConfirmations;
 use super::record::RecordBody;
 use crate::control_value::ControlValue;
 use crate::disk::{DiskError, DiskWriteSender};
--- a/crates/daemon/mesh/src/periodic.rs
+++ b/crates/daemon/mesh/src/periodic.rs
@@ -8,6 +8,8 @@
 
 /// Interval of the checks. A process that was suspended for more than a second has missed some.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval of the turns of the event loop that are recorded.
+const TURN_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the settings file is checked.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which expired departures are deleted from the disk.
@@ -53,6 +55,14 @@
     }
 }
 
+/// Records the turns of the event loop. Runs as long as the process.
+pub(crate) async fn record_event_loop_turns(node_state: Rc<NodeState>) {
+    loop {
+        tokio::time::sleep(TURN_INTERVAL.to_std()).await;
+        node_state.record_event_loop_turn();
+    }
+}
+
 /// Logs when the disk was found to hold an older state than it had confirmed; `known` counts those already logged.
 fn log_rollbacks(node_state: &NodeState, known: &mut u64) {
     let rollbacks = node_state.peers.control_store(|store| store.metrics().disk_rollbacks).unwrap_or(0);
--- a/crates/daemon/mesh/src/startup.rs
+++ b/crates/daemon/mesh/src/startup.rs
@@ -9,7 +9,7 @@
 use crate::peers::{self, LocalControlStore, Peers, RecordBody};
 use crate::settings::NodeSettings;
 use crate::upstream_gate::{self, UpstreamGate};
-use crate::{client_listener, control, event_loop_turns, member_throttle, periodic};
+use crate::{client_listener, control, member_throttle, periodic};
 use anyhow::{Context, Result};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -160,7 +160,7 @@
     spawn_local(periodic::run(node_state.clone()));
     if node_state.settings.is_control {
         spawn_local(member_throttle::run_lapse_owner(node_state.clone()));
-        spawn_local(event_loop_turns::run(node_state.clone()));
+        spawn_local(periodic::record_event_loop_turns(node_state.clone()));
     }
 }
 
