--- a/crates/tools/testbed/tests/all_processes_lost.rs
+++ b/crates/tools/testbed/tests/all_processes_lost.rs
@@ -1,5 +1,6 @@
 //! Upstreams whose departure was acknowledged before all processes, or all of a kind, are killed, with a disk lost or not, and
 //! heartbeats from before that arrive late: nothing in touch sends to them any more, and what is sound is served again.
+use serde_json::Value;
 use silvercross_testbed::mesh::{MeshPlan, DRAIN_S};
 use silvercross_testbed::traffic::{start_readers, SentTimes};
 use silvercross_testbed::upstream::{HealthAnswers, PreparedCall, UpstreamBehaviour};
@@ -48,7 +49,9 @@
     /// Its sidecar is killed and started before.
     is_restarted_before: bool,
     loss: Loss,
-    /// From the acknowledgement to the loss.
+    /// A control machine is replaced by another one, in plan, between the acknowledgement and the loss.
+    is_control_replaced: bool,
+    /// From the acknowledgement, or the replacement, to the loss.
     after: Duration,
     /// From the loss to the start of all.
     down: Duration,
@@ -62,6 +65,7 @@
     control_machine: None,
     is_restarted_before: false,
     loss: Loss::All,
+    is_control_replaced: false,
     after: Duration::from_millis(500),
     down: Duration::from_millis(900),
     wiped: None,
@@ -71,7 +75,7 @@
 const AT_ONCE: Duration = Duration::ZERO;
 const FALSE_HEALTH: HealthAnswers = HealthAnswers::AlwaysGood;
 
-const CASES: [Case; 12] = [
+const CASES: [Case; 14] = [
     SIGN_OFF,
     Case { after: AT_ONCE, health: FALSE_HEALTH, ..SIGN_OFF },
     Case { after: AT_ONCE, wiped: Some(0), health: FALSE_HEALTH, ..SIGN_OFF },
@@ -84,6 +88,8 @@
     Case { loss: Loss::Sides, health: FALSE_HEALTH, ..SIGN_OFF },
     Case { loss: Loss::ControlMachines, wiped: Some(1), health: FALSE_HEALTH, ..DRAINING },
     Case { loss: Loss::Rolling, health: FALSE_HEALTH, ..SIGN_OFF },
+    Case { is_control_replaced: true, after: AT_ONCE, ..SIGN_OFF },
+    Case { is_control_replaced: true, wiped: Some(1), health: FALSE_HEALTH, ..DRAINING },
 ];
 
 /// Say that the upstream leaves until that is acknowledged; the heartbeats from before.
@@ -115,8 +121,31 @@
     }
 }
 
+/// Replaces the first control machine by the spare one; the control machines that there are then.
+async fn replace_control_machine(testbed: &mut Testbed) -> Vec<usize> {
+    let mut control: Vec<usize> = testbed.mesh.control_machines().collect();
+    let (leaver, newcomer) = (control.remove(0), testbed.mesh.spare_machines().start);
+    testbed.mesh.start(newcomer, false).expect("started");
+    let address = testbed.mesh.machines[newcomer].address.to_string();
+    let knows = |state: &Value| {
+        let nodes = state["nodes"].as_array().into_iter().flatten();
+        nodes.into_iter().any(|node| node["node"] == address && node["holders"] != Value::Array(Vec::new()))
+    };
+    testbed.wait_for_state("the newcomer is known", &control, knows).await.expect("known");
+    testbed.mesh.terminate(leaver).expect("told to end");
+    let mesh = &mut testbed.mesh;
+    let has_ended = || std::future::ready(mesh.has_ended(leaver));
+    wait_until("the leaver ends", WAIT_TIMEOUT, has_ended).await.expect("ended");
+    control.push(newcomer);
+    control
+}
+
 async fn lose(testbed: &mut Testbed, case: &Case) {
-    let control: Vec<usize> = testbed.mesh.control_machines().collect();
+    let control: Vec<usize> = match case.is_control_replaced {
+        true => replace_control_machine(testbed).await,
+        false => testbed.mesh.control_machines().collect(),
+    };
+    sleep(case.after).await;
     let sides: Vec<usize> = testbed.mesh.side_machines().collect();
     let all: Vec<usize> = control.iter().chain(&sides).copied().collect();
     match case.loss {
@@ -138,7 +167,7 @@
 
 /// Plays a case; the requests that reached the upstream and should not have.
 async fn play(program: PathBuf, case: Case) -> Vec<String> {
-    let plan = MeshPlan { side_count: SIDE_COUNT, zone_count: 1, ..MeshPlan::default() };
+    let plan = MeshPlan { side_count: SIDE_COUNT, zone_count: 1, spare_count: 1, ..MeshPlan::default() };
     let mut testbed = Testbed::start(&plan, UpstreamBehaviour::default(), &program).await.expect("it starts");
     let sent_times = SentTimes::default();
     let clients = start_readers(&testbed, &sent_times);
@@ -150,7 +179,6 @@
     let late = announce(&testbed, leaver, &case).await;
     let acknowledged_at = Instant::now();
     let departed = testbed.upstreams[&leaver].id().to_string();
-    sleep(case.after).await;
     lose(&mut testbed, &case).await;
     let started_at = Instant::now();
     for (after, heartbeat) in LATE.iter().zip(late) {
