--- a/crates/tools/testbed/tests/all_processes_lost.rs
+++ b/crates/tools/testbed/tests/all_processes_lost.rs
@@ -222,3 +222,27 @@
     }
     assert!(broken.is_empty(), "{} of {} cases: {broken:#?}", broken.len(), CASES.len());
 }
+
+/// Guards against a departure that is acknowledged although the loss of all processes would end it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_departure_that_no_majority_has_on_disk_is_not_acknowledged() {
+    let program = program::find().expect("the program is built");
+    let plan = MeshPlan { side_count: 2, zone_count: 1, ..MeshPlan::default() };
+    let mut testbed = Testbed::start(&plan, UpstreamBehaviour::default(), &program).await.expect("it starts");
+    let control: Vec<usize> = testbed.mesh.control_machines().collect();
+    let leaver = testbed.mesh.side_machines().start;
+    for machine in &control[1..] {
+        testbed.mesh.kill(*machine).expect("killed");
+    }
+    for receiver in [leaver, control[0]] {
+        let call = testbed.upstreams[&leaver].prepare_sign_off().at(testbed.mesh.control(receiver));
+        assert!(!call.is_acknowledged().await, "machine {receiver} acknowledges it");
+    }
+    testbed.mesh.start(control[1], false).expect("started");
+    wait_until("acknowledged", WAIT_TIMEOUT, || async {
+        let call = testbed.upstreams[&leaver].prepare_sign_off();
+        call.at(testbed.mesh.control(leaver)).is_acknowledged().await
+    })
+    .await
+    .expect("acknowledged once two of three have it");
+}
